Set up the project: kernel, codec, interfaces to the outside

Typed interfaces come first, so that adapters, stand-ins and the system's own services can be written side by side. Nothing is runnable yet.

--- /dev/null
+++ b/features/environment.py
@@ -0,0 +1,1 @@
+"""Hooks of the scenarios."""
--- /dev/null
+++ b/src/waxwingwinch/codec/_codec.py
@@ -0,0 +1,65 @@
+"""Messages tagged with their kind, in CBOR."""
+
+from collections.abc import Callable
+from typing import Any, TypeVar
+
+import cbor2
+from attrs import has
+
+from waxwingwinch._exceptions import MalformedMessage
+from waxwingwinch.codec._converter import make_converter
+
+T = TypeVar("T")
+
+_CONVERTER = make_converter()
+_KIND_BY_CLASS: dict[type, str] = {}
+_CLASS_BY_KIND: dict[str, type] = {}
+
+
+def message(kind: str) -> Callable[[type[T]], type[T]]:
+    """
+    Register an attrs class as a message.
+
+    :param kind: The tag that marks the class on the wire; never reused.
+    :returns: A class decorator that returns the class itself.
+    """
+
+    def register(cls: type[T]) -> type[T]:
+        if not has(cls):
+            raise TypeError(f"{cls.__name__} is not an attrs class")
+        if kind in _CLASS_BY_KIND:
+            raise TypeError(f"message kind {kind!r} is already registered")
+        _KIND_BY_CLASS[cls] = kind
+        _CLASS_BY_KIND[kind] = cls
+        return cls
+
+    return register
+
+
+def encode_message(value: object) -> bytes:
+    """
+    Encode a message.
+
+    :param value: An instance of a class registered with :func:`message`.
+    :returns: A CBOR array of kind and fields.
+    """
+    kind = _KIND_BY_CLASS[type(value)]
+    return bytes(cbor2.dumps([kind, _CONVERTER.unstructure(value)]))
+
+
+def decode_message(payload: bytes) -> Any:
+    """
+    Decode a message.
+
+    :param payload: Bytes made by :func:`encode_message`, or any others.
+    :returns: An instance of a registered class.
+    :raises MalformedMessage: If the bytes are not such a message.
+    """
+    try:
+        kind, fields = cbor2.loads(payload)
+        cls = _CLASS_BY_KIND[kind]
+        return _CONVERTER.structure(fields, cls)
+    except Exception as error:
+        # Any decoder error has the same meaning here: the sender is broken
+        # or of another version.
+        raise MalformedMessage(f"{type(error).__name__}: {error}") from error
--- /dev/null
+++ b/src/waxwingwinch/interfaces/__init__.py
@@ -0,0 +1,87 @@
+"""
+Typed interfaces to everything outside the system.
+
+Each interface has its wire format in one module of
+:mod:`waxwingwinch.adapters`; nothing else knows that format.
+"""
+
+from waxwingwinch.interfaces._engine import (
+    CacheEvent,
+    CacheEventKind,
+    CacheEventPage,
+    Engine,
+    EngineOrder,
+    EngineStream,
+    GenerateCall,
+    LoadAdapter,
+    LoadModel,
+    LoadReport,
+    OrderAction,
+    OrderResult,
+    SetRole,
+    StreamEnd,
+    StreamItem,
+    StreamPart,
+)
+from waxwingwinch.interfaces._instance_list import (
+    InstanceList,
+    InstanceState,
+    ListedInstance,
+)
+from waxwingwinch.interfaces._log import LogPage, LogRecord, PlatformLog
+from waxwingwinch.interfaces._plain_service import (
+    PlainAnswer,
+    PlainCall,
+    PlainService,
+)
+from waxwingwinch.interfaces._upstream_market import (
+    GiveBack,
+    ListedUpstream,
+    MarketOrder,
+    OrderUpstream,
+    UpstreamMarket,
+)
+from waxwingwinch.interfaces._usage_intake import (
+    CustomerUsage,
+    UsageIntake,
+    UsageReport,
+)
+from waxwingwinch.interfaces._weight_store import WeightReservation, WeightStore
+
+__all__ = [
+    "CacheEvent",
+    "CacheEventKind",
+    "CacheEventPage",
+    "CustomerUsage",
+    "Engine",
+    "EngineOrder",
+    "EngineStream",
+    "GenerateCall",
+    "GiveBack",
+    "InstanceList",
+    "InstanceState",
+    "ListedInstance",
+    "ListedUpstream",
+    "LoadAdapter",
+    "LoadModel",
+    "LoadReport",
+    "LogPage",
+    "LogRecord",
+    "MarketOrder",
+    "OrderAction",
+    "OrderResult",
+    "OrderUpstream",
+    "PlainAnswer",
+    "PlainCall",
+    "PlainService",
+    "PlatformLog",
+    "SetRole",
+    "StreamEnd",
+    "StreamItem",
+    "StreamPart",
+    "UpstreamMarket",
+    "UsageIntake",
+    "UsageReport",
+    "WeightReservation",
+    "WeightStore",
+]
