--- /dev/null
+++ b/src/waxwingwinch/contracts/__init__.py
@@ -0,0 +1,67 @@
+"""
+What the services of one process offer each other.
+
+A service is looked up in the registry under one of the names below and used
+through the protocol of that name.
+"""
+
+from waxwingwinch.contracts._admission import (
+    Admitted,
+    ClaimedOutcome,
+    ClaimHeld,
+    ClaimPending,
+    ClaimResult,
+    ClaimUnavailable,
+    IdempotencyStore,
+    LimitDecision,
+    Limited,
+    RateLimiter,
+    StoredAnswer,
+)
+from waxwingwinch.contracts._configuration import (
+    Caller,
+    ConfigurationSource,
+    Freshness,
+    KeyRejected,
+    KeyRejection,
+)
+from waxwingwinch.contracts._fleet import (
+    DemandSample,
+    DemandSource,
+    FleetView,
+    InFlightCount,
+    UpstreamView,
+)
+from waxwingwinch.contracts._names import ServiceName
+from waxwingwinch.contracts._reasons import DecisionKind, DecisionLog, Reason
+from waxwingwinch.contracts._usage import UsageDelta, UsageLedger
+
+__all__ = [
+    "Admitted",
+    "Caller",
+    "ClaimHeld",
+    "ClaimPending",
+    "ClaimResult",
+    "ClaimUnavailable",
+    "ClaimedOutcome",
+    "ConfigurationSource",
+    "DecisionKind",
+    "DecisionLog",
+    "DemandSample",
+    "DemandSource",
+    "FleetView",
+    "Freshness",
+    "IdempotencyStore",
+    "InFlightCount",
+    "KeyRejected",
+    "KeyRejection",
+    "LimitDecision",
+    "Limited",
+    "RateLimiter",
+    "Reason",
+    "ServiceName",
+    "StoredAnswer",
+    "UpstreamView",
+    "UsageDelta",
+    "UsageLedger",
+]
--- /dev/null
+++ b/src/waxwingwinch/peers/_handshake.py
@@ -0,0 +1,193 @@
+"""Mutual authentication by a shared secret, before any other message."""
+
+import enum
+import hashlib
+import hmac
+import secrets
+from collections.abc import Sequence
+from typing import Any, Protocol, TypeVar
+
+from attrs import frozen
+
+from waxwingwinch._exceptions import MalformedMessage, WaxwingError
+from waxwingwinch._types import InstanceId, ZoneName
+from waxwingwinch.codec import decode_message, encode_message, message
+
+T = TypeVar("T")
+
+#: Length of a nonce.
+NONCE_BYTES = 16
+#: How long each step of the handshake may take.
+STEP_TIMEOUT_SECONDS = 3.0
+
+
+class PeerProgram(enum.Enum):
+    """Which of the system's programs a peer is."""
+
+    ENTRY = "entry"
+    CONTROL = "control"
+    OPERATOR = "operator"
+
+
+@message("peer_identity")
+@frozen
+class PeerIdentity:
+    """
+    Who a process is.
+
+    :param instance_id: Name of its instance.
+    :param program: Which program it runs.
+    :param zone: Its availability zone.
+    :param cell: The group of instances that share a fleet.
+    """
+
+    instance_id: InstanceId
+    program: PeerProgram
+    zone: ZoneName
+    cell: str
+
+
+@message("peer_hello")
+@frozen
+class Hello:
+    """
+    First message of the dialing side.
+
+    :param identity: Who dials.
+    :param nonce: Fresh random bytes.
+    """
+
+    identity: PeerIdentity
+    nonce: bytes
+
+
+@message("peer_challenge")
+@frozen
+class Challenge:
+    """
+    Answer of the serving side.
+
+    :param identity: Who serves.
+    :param nonce: Fresh random bytes.
+    :param proof: Code over both nonces, made with the first secret.
+    """
+
+    identity: PeerIdentity
+    nonce: bytes
+    proof: bytes
+
+
+@message("peer_proof")
+@frozen
+class Proof:
+    """
+    Last message of the dialing side.
+
+    :param proof: Code over both nonces.
+    """
+
+    proof: bytes
+
+
+class PeerRejected(WaxwingError):
+    """The other side does not know the shared secret."""
+
+
+class Connection(Protocol):
+    """What the handshake needs of a websocket connection."""
+
+    def send(self, message: bytes) -> None:
+        """Send one binary message."""
+
+    def recv(self, timeout: float | None = None) -> Any:
+        """Receive one message."""
+
+
+def _proof(secret: str, label: str, first: bytes, second: bytes, name: str) -> bytes:
+    text = label.encode() + b"\0" + first + second + name.encode()
+    return hmac.digest(secret.encode(), text, hashlib.sha256)
+
+
+def _is_valid(
+    proof: bytes,
+    shared_secrets: Sequence[str],
+    label: str,
+    first: bytes,
+    second: bytes,
+    name: str,
+) -> bool:
+    matches = [
+        hmac.compare_digest(proof, _proof(secret, label, first, second, name))
+        for secret in shared_secrets
+    ]
+    return any(matches)
+
+
+def receive(connection: Connection, kind: type[T]) -> T:
+    """
+    Receive one handshake message.
+
+    :raises MalformedMessage: If it is of another kind.
+    :raises TimeoutError: If it doesn't come in time.
+    """
+    payload = connection.recv(timeout=STEP_TIMEOUT_SECONDS)
+    if not isinstance(payload, bytes):
+        raise MalformedMessage("expected a binary message")
+    decoded = decode_message(payload)
+    if not isinstance(decoded, kind):
+        raise MalformedMessage(f"expected {kind.__name__}")
+    return decoded
+
+
+def greet(
+    connection: Connection, identity: PeerIdentity, shared_secrets: Sequence[str]
+) -> PeerIdentity:
+    """
+    Run the dialing side.
+
+    :param shared_secrets: Accepted secrets; the first is used to sign. Two
+        are listed while the secret is rotated.
+    :returns: Who serves.
+    :raises PeerRejected: If the server doesn't know a secret.
+    """
+    nonce = secrets.token_bytes(NONCE_BYTES)
+    connection.send(encode_message(Hello(identity, nonce)))
+    challenge = receive(connection, Challenge)
+    server = challenge.identity
+    name = server.instance_id
+    signing = [
+        secret
+        for secret in shared_secrets
+        if _is_valid(
+            challenge.proof, [secret], "server", nonce, challenge.nonce, name
+        )
+    ]
+    if not signing:
+        raise PeerRejected(f"{name} does not know the shared secret")
+    # Signing with the secret that the server used lets a rotation proceed
+    # one process at a time.
+    proof = _proof(signing[0], "client", challenge.nonce, nonce, identity.instance_id)
+    connection.send(encode_message(Proof(proof)))
+    return server
+
+
+def admit(
+    connection: Connection, identity: PeerIdentity, shared_secrets: Sequence[str]
+) -> PeerIdentity:
+    """
+    Run the serving side.
+
+    :returns: Who dialed.
+    :raises PeerRejected: If the client doesn't know a secret.
+    """
+    hello = receive(connection, Hello)
+    nonce = secrets.token_bytes(NONCE_BYTES)
+    proof = _proof(
+        shared_secrets[0], "server", hello.nonce, nonce, identity.instance_id
+    )
+    connection.send(encode_message(Challenge(identity, nonce, proof)))
+    answer = receive(connection, Proof)
+    name = hello.identity.instance_id
+    if not _is_valid(answer.proof, shared_secrets, "client", nonce, hello.nonce, name):
+        raise PeerRejected(f"{name} does not know the shared secret")
+    return hello.identity
--- /dev/null
+++ b/src/waxwingwinch/peers/_server.py
@@ -0,0 +1,124 @@
+"""Serving peers, with one thread for each connection."""
+
+import threading
+from collections.abc import Callable, Sequence
+from typing import Any
+
+import eliot
+from websockets.exceptions import ConnectionClosed
+from websockets.sync.server import Server, ServerConnection, serve
+
+from waxwingwinch._exceptions import MalformedMessage
+from waxwingwinch._types import Address
+from waxwingwinch.codec import decode_message, encode_message
+from waxwingwinch.kernel import Health
+from waxwingwinch.peers._frames import MAX_FRAME_BYTES, NO_REPLY, Frame
+from waxwingwinch.peers._handshake import PeerIdentity, PeerRejected, admit
+
+#: A function that handles a message and returns the reply, if there is one.
+Handler = Callable[[PeerIdentity, Any], object | None]
+
+#: Interval of the websocket pings that find dead connections.
+PING_INTERVAL_SECONDS = 5.0
+#: How long a ping may stay unanswered.
+PING_TIMEOUT_SECONDS = 5.0
+
+
+class PeerServer:
+    """
+    Accepts links from peers and hands their messages to handlers.
+
+    :param address: Where to listen.
+    :param identity: Who this process is.
+    :param shared_secrets: Accepted secrets; the first is used to sign.
+    """
+
+    def __init__(
+        self,
+        address: Address,
+        identity: PeerIdentity,
+        shared_secrets: Sequence[str],
+    ) -> None:
+        self._address = address
+        self._identity = identity
+        self._shared_secrets = tuple(shared_secrets)
+        self._handlers: dict[type, Handler] = {}
+        self._server: Server | None = None
+        self._thread: threading.Thread | None = None
+        self._connections: set[ServerConnection] = set()
+        self._lock = threading.Lock()
+
+    def handle(self, kind: type, handler: Handler) -> None:
+        """
+        Register the handler of a message class.
+
+        :param kind: The message class.
+        :param handler: Called from the thread of the connection.
+        """
+        self._handlers[kind] = handler
+
+    def start(self) -> None:
+        """Listen and start the accepting thread."""
+        self._server = serve(
+            self._serve_peer,
+            self._address.host,
+            self._address.port,
+            max_size=MAX_FRAME_BYTES,
+            compression=None,
+            ping_interval=PING_INTERVAL_SECONDS,
+            ping_timeout=PING_TIMEOUT_SECONDS,
+        )
+        self._thread = threading.Thread(
+            target=self._server.serve_forever, name="peer-server", daemon=True
+        )
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Stop listening and close the connections of all peers."""
+        if self._server is None or self._thread is None:
+            return
+        self._server.shutdown()
+        self._thread.join()
+        with self._lock:
+            connections = list(self._connections)
+        for connection in connections:
+            connection.close()
+
+    def health(self) -> Health:
+        """Return ``HEALTHY`` while the accepting thread runs."""
+        if self._thread is None:
+            return Health.STOPPED
+        return Health.HEALTHY if self._thread.is_alive() else Health.FAILED
+
+    def _serve_peer(self, connection: ServerConnection) -> None:
+        with self._lock:
+            self._connections.add(connection)
+        try:
+            peer = admit(connection, self._identity, self._shared_secrets)
+            self._serve_messages(connection, peer)
+        except (PeerRejected, MalformedMessage, TimeoutError) as error:
+            eliot.log_message("peer:rejected", reason=str(error))
+        except ConnectionClosed:
+            pass
+        finally:
+            with self._lock:
+                self._connections.discard(connection)
+
+    def _serve_messages(self, connection: ServerConnection, peer: PeerIdentity) -> None:
+        for payload in connection:
+            if not isinstance(payload, bytes):
+                raise MalformedMessage("expected a binary message")
+            frame = decode_message(payload)
+            if not isinstance(frame, Frame):
+                raise MalformedMessage("expected a frame")
+            reply = self._dispatch(peer, decode_message(frame.payload))
+            if frame.correlation == NO_REPLY:
+                continue
+            body = b"" if reply is None else encode_message(reply)
+            connection.send(encode_message(Frame(frame.correlation, body)))
+
+    def _dispatch(self, peer: PeerIdentity, body: Any) -> object | None:
+        handler = self._handlers.get(type(body))
+        if handler is None:
+            raise MalformedMessage(f"no handler for {type(body).__name__}")
+        return handler(peer, body)
