--- a/src/waxwingwinch/codec/_codec.py
+++ b/src/waxwingwinch/codec/_codec.py
@@ -25,7 +25,8 @@
     """
 
     def register(cls: type[T]) -> type[T]:
-        if not has(cls):
+        is_attrs_class: bool = has(cls)
+        if not is_attrs_class:
             raise TypeError(f"{cls.__name__} is not an attrs class")
         if kind in _CLASS_BY_KIND:
             raise TypeError(f"message kind {kind!r} is already registered")
--- /dev/null
+++ b/src/waxwingwinch/membership/_mesh.py
@@ -0,0 +1,131 @@
+"""One link to each other instance."""
+
+import threading
+from collections.abc import Sequence
+from typing import Any
+
+from waxwingwinch._exceptions import MalformedMessage, PeerUnavailable
+from waxwingwinch._types import Address
+from waxwingwinch.kernel import Health
+from waxwingwinch.membership._directory import InstanceDirectory
+from waxwingwinch.peers import PeerIdentity, PeerLink
+
+#: Pause between two comparisons of the links with the directory.
+RECONCILE_PAUSE_SECONDS = 1.0
+
+
+class PeerMesh:
+    """
+    Dials the entry process of each other instance of the cell.
+
+    :param directory: The listed instances.
+    :param identity: Who this process is.
+    :param shared_secrets: Accepted secrets.
+    :param own_address: Where this process serves peers.
+    :param seeds: Peer addresses used while the list is empty.
+    """
+
+    def __init__(
+        self,
+        directory: InstanceDirectory,
+        identity: PeerIdentity,
+        shared_secrets: Sequence[str],
+        own_address: Address,
+        seeds: Sequence[Address] = (),
+    ) -> None:
+        self._directory = directory
+        self._identity = identity
+        self._shared_secrets = tuple(shared_secrets)
+        self._own_address = own_address
+        self._seeds = tuple(seeds)
+        self._links: dict[Address, PeerLink] = {}
+        self._lock = threading.Lock()
+        self._stopping = threading.Event()
+        self._thread = threading.Thread(target=self._run, name="peer-mesh", daemon=True)
+
+    def start(self) -> None:
+        """Dial the known peers and follow the directory."""
+        self._reconcile()
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Close all links."""
+        self._stopping.set()
+        self._thread.join()
+        with self._lock:
+            links = list(self._links.values())
+            self._links.clear()
+        for link in links:
+            link.stop()
+
+    def health(self) -> Health:
+        """Return ``DEGRADED`` unless all links are up."""
+        links = self.links()
+        if all(link.peer is not None for link in links):
+            return Health.HEALTHY
+        return Health.DEGRADED
+
+    def links(self) -> tuple[PeerLink, ...]:
+        """Return the links, those that are down included."""
+        with self._lock:
+            return tuple(self._links.values())
+
+    def link_to(self, address: Address) -> PeerLink | None:
+        """
+        Return the link to an address.
+
+        :param address: Where the peer serves.
+        """
+        with self._lock:
+            return self._links.get(address)
+
+    def broadcast(self, body: object) -> int:
+        """
+        Send a message to all peers without waiting for replies.
+
+        :returns: The number of peers that it was sent to.
+        """
+        sent = 0
+        for link in self.links():
+            try:
+                link.send(body)
+            except PeerUnavailable:
+                continue
+            sent += 1
+        return sent
+
+    def request_any(self, body: object, timeout_seconds: float) -> Any:
+        """
+        Ask peers one after the other until one replies.
+
+        :param timeout_seconds: How long to wait for each.
+        :raises PeerUnavailable: If none replied.
+        """
+        for link in self.links():
+            try:
+                return link.request(body, timeout_seconds)
+            except (PeerUnavailable, MalformedMessage):
+                continue
+        raise PeerUnavailable("no peer replied")
+
+    def _run(self) -> None:
+        while not self._stopping.wait(RECONCILE_PAUSE_SECONDS):
+            self._reconcile()
+
+    def _wanted_addresses(self) -> set[Address]:
+        listed = {instance.peer_address for instance in self._directory.instances()}
+        return (listed or set(self._seeds)) - {self._own_address}
+
+    def _reconcile(self) -> None:
+        wanted = self._wanted_addresses()
+        with self._lock:
+            removed = [
+                self._links.pop(address) for address in set(self._links) - wanted
+            ]
+            added = wanted - set(self._links)
+            for address in sorted(added, key=str):
+                link = PeerLink(address, self._identity, self._shared_secrets)
+                self._links[address] = link
+                link.start()
+        for link in removed:
+            link.stop()
--- a/src/waxwingwinch/membership/_messages.py
+++ b/src/waxwingwinch/membership/_messages.py
@@ -2,7 +2,7 @@
 
 from attrs import frozen
 
-from waxwingwinch._types import Address, InstanceId, ZoneName
+from waxwingwinch._types import Address, InstanceId, UpstreamId, ZoneName
 from waxwingwinch.codec import message
 from waxwingwinch.contracts import DemandSample, InFlightCount
 
@@ -23,6 +23,7 @@
     :param draining: True once its planned stop has begun.
     :param in_flight: Its work by upstream.
     :param demand: What came to it since its last heartbeat.
+    :param leaving: Upstreams that it knows to be leaving or draining.
     """
 
     instance_id: InstanceId
@@ -35,3 +36,4 @@
     draining: bool
     in_flight: tuple[InFlightCount, ...]
     demand: tuple[DemandSample, ...]
+    leaving: tuple[UpstreamId, ...] = ()
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -41,8 +41,14 @@
 
     :param command: Program and arguments.
     """
-    print("$", " ".join(pathlib.Path(command[0]).name if n == 0 else part
-                        for n, part in enumerate(command)), flush=True)
+    print(
+        "$",
+        " ".join(
+            pathlib.Path(command[0]).name if n == 0 else part
+            for n, part in enumerate(command)
+        ),
+        flush=True,
+    )
     environment = dict(os.environ, PYTHONPATH=str(ROOT / "src"))
     return subprocess.run(command, cwd=ROOT, env=environment, check=False).returncode
 
