Add HTTP adapters and stand-ins of the outside world

The interfaces had no wire format and nothing to talk to. Each adapter call opens its own connection: a pooled one that the server closed would leave open whether the request was read. Connecting is a step of its own, so "not run" is reported exactly when it fails.

Stand-ins of engines, plain services and the platform share cheroot servers with a thread for each request under way; cheroot's own pool has a fixed size, in which long streams keep short calls waiting. A TCP proxy injects faults between processes.

Unit tests follow.

--- /dev/null
+++ b/src/waxwing_testbed/standins/_main.py
@@ -0,0 +1,43 @@
+"""The command line of ``waxwing-standin``."""
+
+import pathlib
+import signal
+import threading
+from types import FrameType
+from typing import Annotated
+
+import typer
+
+from waxwing_testbed.standins._admin import AdminInterface
+from waxwing_testbed.standins._process import StandinProcess
+from waxwing_testbed.standins._settings import load_settings
+from waxwing_testbed.web import WebServer
+
+
+def run(
+    settings: Annotated[
+        pathlib.Path, typer.Option(help="YAML file that lists the stand-ins.")
+    ],
+) -> None:
+    """Run the stand-ins of one settings file until SIGTERM."""
+    stop = threading.Event()
+
+    def request_stop(number: int, frame: FrameType | None) -> None:
+        stop.set()
+
+    signal.signal(signal.SIGTERM, request_stop)
+    signal.signal(signal.SIGINT, request_stop)
+    loaded = load_settings(settings)
+    process = StandinProcess(loaded)
+    process.start()
+    # The admin address answers last, which tells tests that all else does.
+    admin = WebServer(loaded.admin_address, AdminInterface(process).router())
+    admin.start()
+    stop.wait()
+    admin.stop()
+    process.stop()
+
+
+def main() -> None:
+    """Run the program."""
+    typer.run(run)
--- /dev/null
+++ b/src/waxwing_testbed/standins/_pace.py
@@ -0,0 +1,44 @@
+"""How fast an engine works in its role."""
+
+from waxwing_testbed.standins._settings import EngineSpeeds
+from waxwingwinch._types import EngineRole
+
+
+class Pace:
+    """
+    The speed of an engine.
+
+    :param speeds: The settings.
+    """
+
+    def __init__(self, speeds: EngineSpeeds) -> None:
+        self._speeds = speeds
+        #: How much slower than its settings the engine works.
+        self.slow_factor = 1.0
+
+    def decode_seconds(self, role: EngineRole, reads_prompt: bool) -> float:
+        """
+        Return the time between two tokens of a generation.
+
+        :param role: The engine's role.
+        :param reads_prompt: True while it also reads a prompt.
+        """
+        seconds = self._speeds.decode_seconds_per_token * self.slow_factor
+        match role:
+            case EngineRole.PREFILL:
+                return seconds * self._speeds.off_role_factor
+            case EngineRole.MIXED if reads_prompt:
+                return seconds * self._speeds.interference_factor
+            case _:
+                return seconds
+
+    def prefill_seconds_per_token(self, role: EngineRole) -> float:
+        """
+        Return the time to read a token of a prompt.
+
+        :param role: The engine's role.
+        """
+        seconds = self.slow_factor / self._speeds.prefill_tokens_per_second
+        if role is EngineRole.DECODE:
+            return seconds * self._speeds.off_role_factor
+        return seconds
