--- a/src/waxwing_testbed/standins/__init__.py
+++ b/src/waxwing_testbed/standins/__init__.py
@@ -32,6 +32,7 @@
     StandinSettings,
     WeightStoreSettings,
     load_settings,
+    make_settings_converter,
 )
 
 __all__ = [
@@ -65,5 +66,6 @@
     "WeightStoreSettings",
     "load_settings",
     "main",
+    "make_settings_converter",
     "run",
 ]
