--- a/src/waxwingwinch/membership/__init__.py
+++ b/src/waxwingwinch/membership/__init__.py
@@ -3,6 +3,7 @@
 from waxwingwinch.membership._directory import InstanceDirectory
 from waxwingwinch.membership._freshness import decide_freshness
 from waxwingwinch.membership._heard import HeardHeartbeat, HeartbeatTable
+from waxwingwinch.membership._holder_links import HolderLinks
 from waxwingwinch.membership._mesh import PeerMesh
 from waxwingwinch.membership._messages import Heartbeat
 from waxwingwinch.membership._sender import HeartbeatSender
@@ -12,6 +13,7 @@
     "Heartbeat",
     "HeartbeatSender",
     "HeartbeatTable",
+    "HolderLinks",
     "InstanceDirectory",
     "PeerMesh",
     "decide_freshness",
