--- /dev/null
+++ b/src/waxwing_testbed/history/__init__.py
@@ -0,0 +1,42 @@
+"""Histories of calls, and checks of the promises over them."""
+
+from waxwing_testbed.history._checks import (
+    Admission,
+    AuthoritySpan,
+    ReportedWindow,
+    UpstreamExecution,
+    VersionSighting,
+    Violation,
+    check_at_most_once,
+    check_monotone_versions,
+    check_one_figure,
+    check_rate,
+    check_refusals_are_true,
+    check_same_answer,
+    check_single_authority,
+    check_whole_answers,
+)
+from waxwing_testbed.history._events import CallEvent, CallKind, CallOutcome
+from waxwing_testbed.history._history import History, load_history
+
+__all__ = [
+    "Admission",
+    "AuthoritySpan",
+    "CallEvent",
+    "CallKind",
+    "CallOutcome",
+    "History",
+    "ReportedWindow",
+    "UpstreamExecution",
+    "VersionSighting",
+    "Violation",
+    "check_at_most_once",
+    "check_monotone_versions",
+    "check_one_figure",
+    "check_rate",
+    "check_refusals_are_true",
+    "check_same_answer",
+    "check_single_authority",
+    "check_whole_answers",
+    "load_history",
+]
