--- a/src/waxwing_testbed/standins/_engine.py
+++ b/src/waxwing_testbed/standins/_engine.py
@@ -3,7 +3,7 @@
 import json
 import queue
 import threading
-from collections.abc import Iterator
+from collections.abc import Generator
 
 from waxwing_testbed.standins._engine_journal import EngineRecorder
 from waxwing_testbed.standins._engine_model import EngineModel
@@ -167,12 +167,22 @@
             return _refuse(taken)
         self._recorder.generation(call)
         self.faults.after("generate")
-        return EventStream(self._events_of(engine, taken))
+        events = self._events_of(engine, taken)
+        # Once begun, closing the generator ends the generation.
+        next(events)
+        return EventStream(events)
+
+    def _events_of(
+        self, engine: EngineThread, taken: Generation
+    ) -> Generator[bytes, None, None]:
+        """
+        Yield the encoded items; ends the generation if its caller goes.
 
-    def _events_of(self, engine: EngineThread, taken: Generation) -> Iterator[bytes]:
-        """Yield the encoded items; ends the generation if its caller goes."""
+        The first item is empty and not to be sent.
+        """
         request_id = taken.call.request_id
         try:
+            yield b""
             while True:
                 try:
                     item = taken.items.get(timeout=_COMMENT_SECONDS)
--- a/src/waxwing_testbed/standins/_engine_model.py
+++ b/src/waxwing_testbed/standins/_engine_model.py
@@ -11,6 +11,7 @@
 from attrs import evolve
 
 from waxwing_testbed._answers import expected_token
+from waxwing_testbed.standins._batch import Batch
 from waxwing_testbed.standins._generation import Generation, Refusal
 from waxwing_testbed.standins._kv_memory import KvMemory
 from waxwing_testbed.standins._lagged import Lagged
@@ -25,7 +26,6 @@
     LoadModel,
     LoadReport,
     OrderAction,
-    StreamEnd,
     StreamPart,
 )
 
@@ -48,17 +48,15 @@
         self._cache = PrefixCache(
             settings.limits.cached_prefixes, settings.lags, settings.seed
         )
-        self._waiting: list[Generation] = []
-        self._running: list[Generation] = []
+        self._batch = Batch(settings.limits.max_running)
         self._steps: list[tuple[float, int, Step]] = []
         self._sequence = itertools.count()
-        self._prefill_free_at_seconds = now_seconds
         self._change_ends_at_seconds = now_seconds
         self._pending_changes = 0
         #: The present speed.
         self.pace = Pace(settings.speeds)
         self._reports = Lagged(
-            (now_seconds, self._load()), settings.lags.load_lag_seconds
+            (now_seconds, self._load(now_seconds)), settings.lags.load_lag_seconds
         )
         self._report(now_seconds)
 
@@ -100,7 +98,7 @@
         if generation.kv_pieces > self._kv.total_pieces:
             return Refusal.PROMPT_TOO_LONG
         self.cancel(call.request_id, now_seconds)
-        heapq.heappush(self._waiting, generation)
+        self._batch.add(generation)
         self._admit(now_seconds)
         return generation
 
@@ -112,7 +110,7 @@
         :param now_seconds: Present time.
         :returns: False if there is none of the name.
         """
-        for generation in [*self._running, *self._waiting]:
+        for generation in self._batch.all():
             if generation.call.request_id == request_id:
                 self.drop(generation, now_seconds)
                 return True
@@ -133,7 +131,7 @@
 
     def cut_all(self) -> int:
         """Cut all generations and return their number."""
-        generations = [*self._running, *self._waiting]
+        generations = self._batch.all()
         for generation in generations:
             self._finish(generation)
             generation.cut()
@@ -192,14 +190,12 @@
 
     def _admit(self, now_seconds: float) -> None:
         """Begin waiting generations while batch and memory have room."""
-        while self._waiting and len(self._running) < self._settings.limits.max_running:
-            generation = self._waiting[0]
+        while generation := self._batch.next_waiting():
             if not self._kv.fits(generation.kv_pieces):
                 return
-            heapq.heappop(self._waiting)
             self._kv.reserve(generation.kv_pieces)
             generation.holds_kv = True
-            self._running.append(generation)
+            self._batch.begin_next()
             self._begin(generation, now_seconds)
 
     def _begin(self, generation: Generation, now_seconds: float) -> None:
@@ -210,12 +206,9 @@
             ready_at_seconds = now_seconds + generation.prompt_pieces / bandwidth
         else:
             tokens = generation.tokens_to_read - generation.cached_tokens
-            starts_at_seconds = max(now_seconds, self._prefill_free_at_seconds)
-            takes_seconds = tokens * self.pace.prefill_seconds_per_token(
-                self._loaded.role
+            ready_at_seconds = self.pace.read_prompt(
+                tokens, self._loaded.role, now_seconds
             )
-            ready_at_seconds = starts_at_seconds + takes_seconds
-            self._prefill_free_at_seconds = ready_at_seconds
         self._schedule(ready_at_seconds, lambda due: self._prefilled(generation, due))
 
     def _prefilled(self, generation: Generation, now_seconds: float) -> None:
@@ -253,21 +246,12 @@
         if generation.next_index >= call.max_tokens:
             self._end(generation, now_seconds)
             return
-        due_seconds = now_seconds + self.pace.decode_seconds(
-            self._loaded.role, self._reads_prompt(now_seconds)
-        )
+        pace_seconds = self.pace.decode_seconds(self._loaded.role, now_seconds)
+        due_seconds = now_seconds + pace_seconds
         self._schedule(due_seconds, lambda due: self._token(generation, due))
 
     def _end(self, generation: Generation, now_seconds: float) -> None:
-        finish_reason = "stop" if generation.call.prefill_only else "length"
-        generation.emit(
-            StreamEnd(
-                finish_reason,
-                generation.prompt_tokens,
-                0 if generation.call.prefill_only else generation.next_index,
-                generation.cached_tokens,
-            )
-        )
+        generation.emit_end()
         self._finish(generation)
         self._admit(now_seconds)
 
@@ -277,38 +261,33 @@
         if generation.holds_kv:
             self._kv.release(generation.kv_pieces)
             generation.holds_kv = False
-        if generation in self._running:
-            self._running.remove(generation)
-        elif generation in self._waiting:
-            self._waiting.remove(generation)
-            heapq.heapify(self._waiting)
-
-    def _reads_prompt(self, now_seconds: float) -> bool:
-        return self._prefill_free_at_seconds > now_seconds
+        self._batch.remove(generation)
 
     def _end_change(self, action: OrderAction, now_seconds: float) -> None:
         self._loaded.end(action)
         self._pending_changes -= 1
 
     def _report(self, now_seconds: float) -> None:
-        self._reports.set((now_seconds, self._load()), now_seconds)
+        self._reports.set((now_seconds, self._load(now_seconds)), now_seconds)
         interval_seconds = self._settings.lags.load_interval_seconds
         self._schedule(now_seconds + interval_seconds, self._report)
 
-    def _load(self) -> LoadReport:
+    def _load(self, now_seconds: float) -> LoadReport:
         return LoadReport(
             upstream_id=self._settings.name,
             age_seconds=0.0,
             role=self._loaded.role,
             model=self._loaded.model,
             adapters=self._loaded.adapters,
-            running=len(self._running),
-            waiting=len(self._waiting),
-            waiting_prompt_tokens=sum(row.prompt_tokens for row in self._waiting),
+            running=len(self._batch.running),
+            waiting=self._batch.waiting_count,
+            waiting_prompt_tokens=self._batch.waiting_prompt_tokens,
             kv_pieces_used=self._kv.used_pieces,
             kv_pieces_total=self._kv.total_pieces,
             prefill_tokens_per_second=1
             / self.pace.prefill_seconds_per_token(self._loaded.role),
-            decode_seconds_per_token=self.pace.decode_seconds(self._loaded.role, False),
+            decode_seconds_per_token=self.pace.decode_seconds(
+                self._loaded.role, now_seconds
+            ),
             accepting=not self.busy,
         )
--- a/src/waxwing_testbed/standins/_generation.py
+++ b/src/waxwing_testbed/standins/_generation.py
@@ -6,7 +6,7 @@
 from attrs import define, field
 
 from waxwingwinch._types import TOKENS_PER_KV_PIECE
-from waxwingwinch.interfaces import GenerateCall, StreamItem
+from waxwingwinch.interfaces import GenerateCall, StreamEnd, StreamItem
 from waxwingwinch.prefixes import prefix_hashes
 
 
@@ -81,6 +81,18 @@
         """
         self.items.put(item)
 
+    def emit_end(self) -> None:
+        """Hand the end of the whole answer to the stream."""
+        prefill_only = self.call.prefill_only
+        self.emit(
+            StreamEnd(
+                finish_reason="stop" if prefill_only else "length",
+                prompt_tokens=self.prompt_tokens,
+                output_tokens=0 if prefill_only else self.next_index,
+                cached_prompt_tokens=self.cached_tokens,
+            )
+        )
+
     def cut(self) -> None:
         """Cut the stream."""
         self.items.put(None)
--- a/src/waxwing_testbed/standins/_header_recorder.py
+++ b/src/waxwing_testbed/standins/_header_recorder.py
@@ -5,15 +5,15 @@
 from waxwing_testbed.standins._journal import SeenHeader
 from waxwing_testbed.web import Request
 
-#: Different headers kept at most.
-_MAX_HEADERS = 20_000
+#: Different values kept of each header name at most.
+_MAX_VALUES = 10_000
 
 
 class HeaderRecorder:
     """Keeps each different pair of header name and value once."""
 
     def __init__(self) -> None:
-        self._seen: dict[SeenHeader, None] = {}
+        self._values_by_name: dict[str, dict[str, None]] = {}
         self._lock = threading.Lock()
 
     def record(self, request: Request) -> None:
@@ -24,10 +24,15 @@
         """
         with self._lock:
             for name, value in request.headers:
-                if len(self._seen) < _MAX_HEADERS:
-                    self._seen[SeenHeader(name, value)] = None
+                values = self._values_by_name.setdefault(name, {})
+                if len(values) < _MAX_VALUES:
+                    values[value] = None
 
     def seen(self) -> tuple[SeenHeader, ...]:
-        """Return all different headers, the first seen first."""
+        """Return all different headers."""
         with self._lock:
-            return tuple(self._seen)
+            return tuple(
+                SeenHeader(name, value)
+                for name, values in self._values_by_name.items()
+                for value in values
+            )
--- a/src/waxwing_testbed/standins/_market.py
+++ b/src/waxwing_testbed/standins/_market.py
@@ -231,7 +231,7 @@
             self._changed(now_seconds)
         if upstream is not None:
             upstream.withdraw()
-            self._free(row.listed.address)
+        self._free(row.listed.address)
 
     def _free(self, address: Address) -> None:
         with self._lock:
--- a/src/waxwing_testbed/web/_messages.py
+++ b/src/waxwing_testbed/web/_messages.py
@@ -1,7 +1,7 @@
 """Requests and answers of the stand-ins."""
 
 import json
-from collections.abc import Iterator
+from collections.abc import Generator
 from typing import Any
 from urllib.parse import parse_qsl
 
@@ -93,11 +93,11 @@
     """
     An answer of server-sent events.
 
-    :param events: Encoded events; raising :class:`ConnectionDropped` cuts
-        the connection.
+    :param events: Encoded events, none of them empty; closed at the end.
+        Raising :class:`ConnectionDropped` cuts the connection.
     """
 
-    events: Iterator[bytes]
+    events: Generator[bytes, None, None]
 
 
 def json_reply(
--- a/src/waxwing_testbed/web/_server.py
+++ b/src/waxwing_testbed/web/_server.py
@@ -1,5 +1,6 @@
 """An HTTP server with one thread for each request under way."""
 
+import contextlib
 import socket
 import threading
 from http import HTTPStatus
@@ -139,9 +140,11 @@
                 if length != len(answer.body):
                     raise ConnectionDropped("body shorter than announced")
             case EventStream(events):
-                headers = (("Content-Type", "text/event-stream"),)
-                self._write_head(HTTPStatus.OK, headers)
-                self._write_events(events)
+                with contextlib.closing(events):
+                    headers = (("Content-Type", "text/event-stream"),)
+                    self._write_head(HTTPStatus.OK, headers)
+                    for event in events:
+                        self.req.write(event)
 
     def _write_head(self, status: int, headers: tuple[tuple[str, str], ...]) -> None:
         phrase = HTTPStatus(status).phrase
@@ -151,13 +154,6 @@
             self.req.outheaders.append(pair)
         self.req.ensure_headers_sent()
 
-    def _write_events(self, events: Any) -> None:
-        try:
-            for event in events:
-                self.req.write(event)
-        finally:
-            events.close()
-
 
 class _QuietServer(HTTPServer):
     """A server that doesn't report the errors of its own stopping."""
--- a/src/waxwingwinch/adapters/_plain_service.py
+++ b/src/waxwingwinch/adapters/_plain_service.py
@@ -13,6 +13,8 @@
     {
         "connection",
         "content-length",
+        # The body is sent at once.
+        "expect",
         "host",
         "keep-alive",
         "proxy-connection",
@@ -46,8 +48,13 @@
 def _end_to_end(
     headers: tuple[tuple[str, str], ...],
 ) -> tuple[tuple[str, str], ...]:
+    """Return the headers that don't belong to one connection."""
+    dropped = set(_HOP_HEADERS)
+    for name, value in headers:
+        if name.lower() == "connection":
+            dropped.update(option.strip().lower() for option in value.split(","))
     return tuple(
-        (name, value) for name, value in headers if name.lower() not in _HOP_HEADERS
+        (name, value) for name, value in headers if name.lower() not in dropped
     )
 
 
