--- a/src/waxwing_testbed/deployment/_plan.py
+++ b/src/waxwing_testbed/deployment/_plan.py
@@ -95,9 +95,9 @@
         name="tahi",
         zones=(ZoneName("iloilo"), ZoneName("cebu"), ZoneName("bacolod")),
         engines=(
-            EngineGroup(ModelName("assistant"), 6),
+            EngineGroup(ModelName("tahi-assistant"), 6),
             EngineGroup(
-                ModelName("assistant"),
+                ModelName("tahi-assistant"),
                 3,
                 price_class=PriceClass.CHEAP,
                 checks_fencing=False,
@@ -113,8 +113,8 @@
         name="greenwood",
         zones=(ZoneName("north"), ZoneName("central"), ZoneName("south")),
         engines=(
-            EngineGroup(ModelName("tutor"), 4),
-            EngineGroup(ModelName("tutor"), 1, checks_fencing=False),
+            EngineGroup(ModelName("greenwood-tutor"), 4),
+            EngineGroup(ModelName("greenwood-tutor"), 1, checks_fencing=False),
         ),
         plain=(PlainGroup("booking", 3),),
     )
--- a/src/waxwing_testbed/deployment/_settings_files.py
+++ b/src/waxwing_testbed/deployment/_settings_files.py
@@ -145,7 +145,7 @@
         "listen_address": str(instance.entry),
         "peer_address": str(instance.peer),
         "control_address": str(instance.control),
-        "operator_tokens": {"tester": OPERATOR_TOKEN},
+        "operator_tokens": [{"name": "tester", "token": OPERATOR_TOKEN}],
         **plan.entry_settings,
     }
     control = common | {
