--- a/src/waxwing_testbed/standins/__init__.py
+++ b/src/waxwing_testbed/standins/__init__.py
@@ -16,7 +16,11 @@
 )
 from waxwing_testbed.standins._main import main, run
 from waxwing_testbed.standins._plain import PLAIN_OPERATIONS
-from waxwing_testbed.standins._platform import PLATFORM_OPERATIONS
+from waxwing_testbed.standins._platform import (
+    LOG_OPERATIONS,
+    MARKET_OPERATIONS,
+    PLATFORM_OPERATIONS,
+)
 from waxwing_testbed.standins._process import StandinProcess
 from waxwing_testbed.standins._settings import (
     CapacitySettings,
@@ -37,6 +41,8 @@
 
 __all__ = [
     "ENGINE_OPERATIONS",
+    "LOG_OPERATIONS",
+    "MARKET_OPERATIONS",
     "PLAIN_OPERATIONS",
     "PLATFORM_OPERATIONS",
     "AdminClient",
--- a/src/waxwing_testbed/standins/_admin_client.py
+++ b/src/waxwing_testbed/standins/_admin_client.py
@@ -16,7 +16,7 @@
     ReclaimResult,
     SlowDown,
 )
-from waxwing_testbed.standins._faults import Fault
+from waxwing_testbed.standins._faults import Fault, Outage
 from waxwing_testbed.standins._journal import (
     EngineJournal,
     PlainJournal,
@@ -71,6 +71,19 @@
         """
         self._post("/admin/faults", name, FaultChange(operation, fault))
 
+    def set_outage(
+        self, name: str, operations: tuple[str, ...], outage: Outage
+    ) -> None:
+        """
+        Put operations out of order, or in order again.
+
+        :param name: The stand-in.
+        :param operations: For example ``LOG_OPERATIONS``.
+        :param outage: How they fail; replaces their other faults.
+        """
+        for operation in operations:
+            self.set_fault(name, operation, Fault(outage=outage))
+
     def clear_faults(self, name: str) -> None:
         """
         End all faults of a stand-in.
--- a/src/waxwing_testbed/standins/_engine.py
+++ b/src/waxwing_testbed/standins/_engine.py
@@ -59,6 +59,7 @@
         self._orders = OrderBook(settings.checks_fencing)
         self._server = WebServer(settings.address, self._router())
         self._restart: threading.Timer | None = None
+        self._withdrawn = False
 
     def start(self) -> None:
         """
@@ -67,10 +68,11 @@
         :raises OSError: If the address can't be bound.
         """
         with self._lock:
-            if self._engine is not None:
+            if self._engine is not None or self._withdrawn:
                 return
             self._engine = EngineThread(self.settings)
-            self._orders = OrderBook(self.settings.checks_fencing)
+            if self.settings.forgets_orders:
+                self._orders = OrderBook(self.settings.checks_fencing)
             self._engine.start()
             self._server.start()
             self.slow_down(self._slow_factor)
@@ -81,8 +83,9 @@
         self.withdraw()
 
     def withdraw(self) -> None:
-        """Cut all streams and stop to listen."""
+        """Cut all streams and stop to listen, for good."""
         with self._lock:
+            self._withdrawn = True
             if self._restart is not None:
                 self._restart.cancel()
                 self._restart = None
@@ -167,20 +170,21 @@
             return _refuse(taken)
         self._recorder.generation(call)
         self.faults.after("generate")
-        events = self._events_of(engine, taken)
+        wrong_id = self.faults.take_wrong_request_id("generate")
+        shown_id = f"not-{call.request_id}" if wrong_id else call.request_id
+        events = self._events_of(engine, taken, shown_id)
         # Once begun, closing the generator ends the generation.
         next(events)
         return EventStream(events)
 
     def _events_of(
-        self, engine: EngineThread, taken: Generation
+        self, engine: EngineThread, taken: Generation, shown_id: str
     ) -> Generator[bytes, None, None]:
         """
         Yield the encoded items; ends the generation if its caller goes.
 
         The first item is empty and not to be sent.
         """
-        request_id = taken.call.request_id
         try:
             yield b""
             while True:
@@ -191,7 +195,7 @@
                     continue
                 if item is None:
                     raise ConnectionDropped("the generation was cut")
-                yield _event(request_id, item)
+                yield _event(shown_id, item)
                 if isinstance(item, StreamEnd):
                     return
         finally:
--- a/src/waxwing_testbed/standins/_faults.py
+++ b/src/waxwing_testbed/standins/_faults.py
@@ -152,13 +152,21 @@
         if lost:
             raise ConnectionDropped("answer lost")
 
+    def take_wrong_request_id(self, operation: str) -> bool:
+        """
+        Tell whether the next answer carries another request's id.
+
+        :param operation: Name of the operation.
+        """
+        return self._take(operation, Counter.WRONG_REQUEST_ID)
+
     def _hang(self, operation: str) -> None:
         while self._faults[operation].outage is Outage.HANG:
             if self._stopped.wait(_POLL_SECONDS):
                 return
 
     def _altered(self, operation: str, reply: Reply) -> Reply:
-        if self._take(operation, Counter.WRONG_REQUEST_ID):
+        if self.take_wrong_request_id(operation):
             headers = tuple(
                 (name, f"not-{value}" if name == "X-Request-Id" else value)
                 for name, value in reply.headers
--- a/src/waxwing_testbed/standins/_main.py
+++ b/src/waxwing_testbed/standins/_main.py
@@ -7,12 +7,16 @@
 from typing import Annotated
 
 import typer
+from cattrs import transform_error
+from cattrs.errors import ClassValidationError
 
 from waxwing_testbed.standins._admin import AdminInterface
 from waxwing_testbed.standins._process import StandinProcess
-from waxwing_testbed.standins._settings import load_settings
+from waxwing_testbed.standins._settings import StandinSettings, load_settings
 from waxwing_testbed.web import WebServer
 
+_EXIT_MALFORMED_SETTINGS = 2
+
 
 def run(
     settings: Annotated[
@@ -27,7 +31,7 @@
 
     signal.signal(signal.SIGTERM, request_stop)
     signal.signal(signal.SIGINT, request_stop)
-    loaded = load_settings(settings)
+    loaded = _load_or_exit(settings)
     process = StandinProcess(loaded)
     process.start()
     # The admin address answers last, which tells tests that all else does.
@@ -38,6 +42,16 @@
     process.stop()
 
 
+def _load_or_exit(path: pathlib.Path) -> StandinSettings:
+    """Read the settings; print all findings and exit if there are any."""
+    try:
+        return load_settings(path)
+    except ClassValidationError as error:
+        for finding in transform_error(error):
+            typer.echo(f"{path}: {finding}", err=True)
+        raise typer.Exit(_EXIT_MALFORMED_SETTINGS) from error
+
+
 def main() -> None:
     """Run the program."""
     typer.run(run)
--- a/src/waxwing_testbed/standins/_platform.py
+++ b/src/waxwing_testbed/standins/_platform.py
@@ -25,14 +25,15 @@
 from waxwingwinch.adapters import make_wire_converter
 from waxwingwinch.interfaces import ListedInstance, MarketOrder, UsageReport
 
+#: Operations of the log.
+LOG_OPERATIONS = ("append", "read")
+#: Operations of the list and the ordering of upstreams.
+MARKET_OPERATIONS = ("upstreams", "place", "was_placed")
 #: Operations whose faults can be switched.
 PLATFORM_OPERATIONS = (
-    "append",
-    "read",
+    *LOG_OPERATIONS,
+    *MARKET_OPERATIONS,
     "instances",
-    "upstreams",
-    "place",
-    "was_placed",
     "submit",
     "reserve",
 )
--- a/src/waxwing_testbed/standins/tests/test_log_store.py
+++ b/src/waxwing_testbed/standins/tests/test_log_store.py
@@ -1,11 +1,12 @@
 import pytest
-from hypothesis import given, strategies
+from hypothesis import given, settings, strategies
 
 from waxwing_testbed.standins import LogSettings
 from waxwing_testbed.standins._log_store import LogStore
 from waxwingwinch._exceptions import PlatformRefused, RecordsExpired
 
 
+@settings(deadline=None)
 @given(
     strategies.lists(strategies.lists(strategies.binary(max_size=3), min_size=1)),
     strategies.integers(1, 5),
--- a/src/waxwingwinch/adapters/_http.py
+++ b/src/waxwingwinch/adapters/_http.py
@@ -28,6 +28,9 @@
 #: a new holder of a duty waits this long before its first order.
 CONTROL_USER_TIMEOUT_SECONDS = 2.0
 
+#: Longest body that is taken in.
+MAX_BODY_BYTES = 64 * 1_024 * 1_024
+
 _MILLISECONDS_PER_SECOND = 1_000
 _READ_BYTES = 65_536
 #: ``struct linger`` with a timeout of 0: closing discards unsent bytes.
@@ -192,12 +195,15 @@
         Read the whole body.
 
         :param deadline_seconds: Monotonic time at which to give up.
-        :raises AnswerMissing: If the body was cut short or came too late.
+        :raises AnswerMissing: If the body was cut short, came too late or
+            is longer than ``MAX_BODY_BYTES``.
         """
-        parts = []
+        body = bytearray()
         while part := self.read_some(deadline_seconds - time.monotonic()):
-            parts.append(part)
-        return b"".join(parts)
+            body += part
+            if len(body) > MAX_BODY_BYTES:
+                raise AnswerMissing("body too long")
+        return bytes(body)
 
     def close(self) -> None:
         """Close the socket at once, from any thread."""
