--- a/src/waxwingwinch/configuration/__init__.py
+++ b/src/waxwingwinch/configuration/__init__.py
@@ -1,5 +1,28 @@
-"""The configuration that operators publish, and its rules."""
+"""
+The configuration that operators publish, and its rules.
 
+The running service is in :mod:`waxwingwinch.configuration.service`.
+"""
+
+from waxwingwinch.configuration._findings import Finding, closest_name
+from waxwingwinch.configuration._fold import (
+    STALE_PLACE,
+    Accepted,
+    FoldState,
+    Refused,
+    apply,
+    apply_changes,
+    state_of,
+    take_snapshot,
+)
+from waxwingwinch.configuration._keys import (
+    KeyIndex,
+    KeyOwner,
+    NewKey,
+    create_key,
+    digest_key,
+    record_key,
+)
 from waxwingwinch.configuration._model import (
     Configuration,
     Customer,
@@ -12,16 +35,103 @@
     Scope,
     ScopeKind,
 )
+from waxwingwinch.configuration._peer_messages import (
+    ConfigurationReply,
+    ConfigurationRequest,
+    WithdrawalConfirmation,
+    WithdrawalExchange,
+    WithdrawalNotice,
+)
+from waxwingwinch.configuration._ranges import (
+    SETTING_RANGES,
+    SettingRange,
+    check_setting,
+)
+from waxwingwinch.configuration._records import (
+    CONFIGURATION_STREAM,
+    AddKey,
+    Change,
+    ChangeItem,
+    ConfigurationChange,
+    ConfigurationSnapshot,
+    KeyWithdrawal,
+    PutCustomer,
+    PutException,
+    PutModel,
+    PutRoute,
+    RemoveCustomer,
+    RemoveException,
+    RemoveModel,
+    RemoveRoute,
+    ReplaceConfiguration,
+    SetDefault,
+    wrap_change,
+)
+from waxwingwinch.configuration._replica import (
+    ChangeOutcome,
+    ConfigurationReplica,
+    withdrawn_in,
+)
+from waxwingwinch.configuration._validation import validate_configuration
+from waxwingwinch.configuration._withdrawn import WithdrawnKeys, digest_names
 
 __all__ = [
+    "CONFIGURATION_STREAM",
+    "SETTING_RANGES",
+    "STALE_PLACE",
+    "Accepted",
+    "AddKey",
+    "Change",
+    "ChangeItem",
+    "ChangeOutcome",
     "Configuration",
+    "ConfigurationChange",
+    "ConfigurationReplica",
+    "ConfigurationReply",
+    "ConfigurationRequest",
+    "ConfigurationSnapshot",
     "Customer",
     "Defaults",
     "ExceptionRule",
+    "Finding",
+    "FoldState",
+    "KeyIndex",
+    "KeyOwner",
     "KeyRecord",
+    "KeyWithdrawal",
     "Model",
+    "NewKey",
+    "PutCustomer",
+    "PutException",
+    "PutModel",
+    "PutRoute",
+    "Refused",
+    "RemoveCustomer",
+    "RemoveException",
+    "RemoveModel",
+    "RemoveRoute",
+    "ReplaceConfiguration",
     "Route",
     "RouteAccess",
     "Scope",
     "ScopeKind",
+    "SetDefault",
+    "SettingRange",
+    "WithdrawalConfirmation",
+    "WithdrawalExchange",
+    "WithdrawalNotice",
+    "WithdrawnKeys",
+    "apply",
+    "apply_changes",
+    "check_setting",
+    "closest_name",
+    "create_key",
+    "digest_key",
+    "digest_names",
+    "record_key",
+    "state_of",
+    "take_snapshot",
+    "validate_configuration",
+    "withdrawn_in",
+    "wrap_change",
 ]
--- /dev/null
+++ b/src/waxwingwinch/configuration/_records.py
@@ -0,0 +1,283 @@
+"""Records of the stream ``configuration``, and messages between peers."""
+
+from attrs import fields, frozen
+
+from waxwingwinch._types import CustomerId, ModelName
+from waxwingwinch.codec import message
+from waxwingwinch.configuration._model import (
+    Configuration,
+    ExceptionRule,
+    KeyRecord,
+    Model,
+    Route,
+)
+
+#: Name of the stream that holds the configuration.
+CONFIGURATION_STREAM = "configuration"
+
+
+@frozen
+class PutCustomer:
+    """
+    Create a customer, or change it and keep its keys.
+
+    :param customer_id: Its name.
+    :param rate_per_second: Requests a second over all instances together.
+    :param burst_requests: Requests above the rate at one moment.
+    :param weight: Share under overload relative to others.
+    """
+
+    customer_id: CustomerId
+    rate_per_second: float
+    burst_requests: float
+    weight: float = 1.0
+
+
+@frozen
+class RemoveCustomer:
+    """
+    Remove a customer with its keys.
+
+    :param customer_id: Its name.
+    """
+
+    customer_id: CustomerId
+
+
+@frozen
+class AddKey:
+    """
+    Give a customer one more key.
+
+    :param customer_id: The customer.
+    :param key: The key's record.
+    """
+
+    customer_id: CustomerId
+    key: KeyRecord
+
+
+@frozen
+class PutModel:
+    """
+    Create or change a model.
+
+    :param model: The model.
+    """
+
+    model: Model
+
+
+@frozen
+class RemoveModel:
+    """
+    Remove a model.
+
+    :param name: Its name.
+    """
+
+    name: ModelName
+
+
+@frozen
+class PutRoute:
+    """
+    Create a route, or change the one with the same path.
+
+    :param route: The route.
+    """
+
+    route: Route
+
+
+@frozen
+class RemoveRoute:
+    """
+    Remove a route.
+
+    :param path: Its path.
+    """
+
+    path: str
+
+
+@frozen
+class SetDefault:
+    """
+    Change a fleet-wide setting.
+
+    :param setting: Name of a field of ``Defaults``.
+    :param value: The new value; 0 or 1 for a flag.
+    """
+
+    setting: str
+    value: float
+
+
+@frozen
+class PutException:
+    """
+    Create or change an exception.
+
+    :param rule: The exception.
+    """
+
+    rule: ExceptionRule
+
+
+@frozen
+class RemoveException:
+    """
+    Remove an exception.
+
+    :param exception_id: Its name.
+    """
+
+    exception_id: str
+
+
+@frozen
+class ReplaceConfiguration:
+    """
+    Replace everything but the keys, which only a withdrawal ends.
+
+    :param configuration: The new content; its version is ignored, its keys
+        are added to those that are there.
+    """
+
+    configuration: Configuration
+
+
+Change = (
+    PutCustomer
+    | RemoveCustomer
+    | AddKey
+    | PutModel
+    | RemoveModel
+    | PutRoute
+    | RemoveRoute
+    | SetDefault
+    | PutException
+    | RemoveException
+    | ReplaceConfiguration
+)
+
+
+@frozen
+class ChangeItem:
+    """
+    One change on the wire: exactly one field is set.
+
+    A field for each class keeps the encoding of the union explicit.
+    """
+
+    put_customer: PutCustomer | None = None
+    remove_customer: RemoveCustomer | None = None
+    add_key: AddKey | None = None
+    put_model: PutModel | None = None
+    remove_model: RemoveModel | None = None
+    put_route: PutRoute | None = None
+    remove_route: RemoveRoute | None = None
+    set_default: SetDefault | None = None
+    put_exception: PutException | None = None
+    remove_exception: RemoveException | None = None
+    replace: ReplaceConfiguration | None = None
+
+    def change(self) -> Change | None:
+        """Return the change; None if not exactly one field is set."""
+        values = [getattr(self, attribute.name) for attribute in fields(ChangeItem)]
+        present = [value for value in values if value is not None]
+        return present[0] if len(present) == 1 else None
+
+
+def wrap_change(change: Change) -> ChangeItem:
+    """
+    Put a change into its wire form.
+
+    :param change: The change.
+    """
+    match change:
+        case PutCustomer():
+            return ChangeItem(put_customer=change)
+        case RemoveCustomer():
+            return ChangeItem(remove_customer=change)
+        case AddKey():
+            return ChangeItem(add_key=change)
+        case PutModel():
+            return ChangeItem(put_model=change)
+        case RemoveModel():
+            return ChangeItem(remove_model=change)
+        case PutRoute():
+            return ChangeItem(put_route=change)
+        case RemoveRoute():
+            return ChangeItem(remove_route=change)
+        case _:
+            return _wrap_rule(change)
+
+
+def _wrap_rule(
+    change: SetDefault | PutException | RemoveException | ReplaceConfiguration,
+) -> ChangeItem:
+    match change:
+        case SetDefault():
+            return ChangeItem(set_default=change)
+        case PutException():
+            return ChangeItem(put_exception=change)
+        case RemoveException():
+            return ChangeItem(remove_exception=change)
+        case ReplaceConfiguration():
+            return ChangeItem(replace=change)
+
+
+@message("configuration_change")
+@frozen
+class ConfigurationChange:
+    """
+    Changes that are accepted together or not at all.
+
+    :param supersedes_version: The version they were made for.
+    :param operator: Who made them.
+    :param change_id: Unique name, the same in each retry.
+    :param reason: Why; never empty.
+    :param changes: What changes, in order.
+    """
+
+    supersedes_version: int
+    operator: str
+    change_id: str
+    reason: str
+    changes: tuple[ChangeItem, ...]
+
+
+@message("configuration_snapshot")
+@frozen
+class ConfigurationSnapshot:
+    """
+    The whole state after the records below an offset.
+
+    :param version: Version of the configuration.
+    :param next_offset: First offset of the stream that is not included.
+    :param configuration: The configuration.
+    :param withdrawn_key_ids: All withdrawn keys.
+    """
+
+    version: int
+    next_offset: int
+    configuration: Configuration
+    withdrawn_key_ids: tuple[str, ...]
+
+
+@message("key_withdrawal")
+@frozen
+class KeyWithdrawal:
+    """
+    Ends keys for good.
+
+    :param key_ids: Public names of the keys.
+    :param operator: Who withdrew them.
+    :param reason: Why.
+    """
+
+    key_ids: tuple[str, ...]
+    operator: str = ""
+    reason: str = ""
--- /dev/null
+++ b/src/waxwingwinch/configuration/service/_coordinator.py
@@ -0,0 +1,211 @@
+"""Spreading key withdrawals until they are in force everywhere."""
+
+import threading
+from typing import Protocol
+
+from waxwingwinch._types import InstanceId
+from waxwingwinch.configuration import KeyWithdrawal, WithdrawalNotice
+from waxwingwinch.configuration.service._acceptance import (
+    WithdrawalProgress,
+    next_progress,
+)
+from waxwingwinch.configuration.service._service import ConfigurationService
+from waxwingwinch.kernel import Clock, Health
+
+#: Pause between rounds while a withdrawal is not accepted.
+ROUND_SECONDS = 0.25
+#: How long one round waits for confirmations.
+CONFIRM_TIMEOUT_SECONDS = 1.0
+#: How long one append is tried before it is submitted anew; short, since a
+#: planned stop waits for it.
+LOG_TIMEOUT_SECONDS = 5.0
+#: How long an entry leaves it to others to append what it heard from them.
+HEARD_GRACE_SECONDS = 10.0
+#: How many finished withdrawals are kept for ``waxwing-ctl``.
+KEPT_WITHDRAWALS = 256
+
+
+class WithdrawalPeers(Protocol):
+    """The other entries of the system."""
+
+    def expected_instances(self) -> int:
+        """Return how many instances there should be, this one included."""
+
+    def broadcast(
+        self, notice: WithdrawalNotice, timeout_seconds: float
+    ) -> frozenset[InstanceId]:
+        """
+        Send a notice to all other entries at once.
+
+        :param notice: The notice.
+        :param timeout_seconds: How long to wait for confirmations.
+        :returns: The instances that confirmed in time.
+        """
+
+
+class WithdrawalCoordinator:
+    """
+    Sends withdrawals to all peers and the log, from one thread.
+
+    It also appends withdrawals that this process heard from peers and did
+    not read in the log, so that none is lost with the entry that took it.
+
+    :param service: The configuration.
+    :param peers: The other entries.
+    :param clock: Source of the present time for the thread.
+    :param instance_id: This instance.
+    :param drift_ratio: Bound on the difference between clock rates.
+    """
+
+    def __init__(
+        self,
+        service: ConfigurationService,
+        peers: WithdrawalPeers,
+        clock: Clock,
+        instance_id: InstanceId,
+        drift_ratio: float,
+    ) -> None:
+        self._service = service
+        self._peers = peers
+        self._clock = clock
+        self._instance_id = instance_id
+        self._drift_ratio = drift_ratio
+        self._progress: dict[str, WithdrawalProgress] = {}
+        self._records: dict[str, KeyWithdrawal] = {}
+        self._append_seconds: dict[str, float] = {}
+        self._condition = threading.Condition()
+        self._stopping = False
+        self._thread = threading.Thread(
+            target=self._run, name="withdrawals", daemon=True
+        )
+
+    def start(self) -> None:
+        """Start the thread."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """End the thread; peers and the log have what was taken so far."""
+        with self._condition:
+            self._stopping = True
+            self._condition.notify_all()
+        self._thread.join()
+
+    def health(self) -> Health:
+        """Return ``DEGRADED`` while a withdrawal is not in the log."""
+        if self._service.unlogged_withdrawals():
+            return Health.DEGRADED
+        return Health.HEALTHY
+
+    def begin(self, key_id: str, operator: str, reason: str) -> WithdrawalProgress:
+        """
+        Refuse a key here at once and begin to tell the others.
+
+        :param key_id: Public name of the key.
+        :param operator: Who withdraws it.
+        :param reason: Why.
+        """
+        self._service.merge_withdrawals((key_id,))
+        with self._condition:
+            present = self._progress.get(key_id)
+            if present is not None:
+                return present
+            progress = WithdrawalProgress(
+                key_id,
+                frozenset({self._instance_id}),
+                self._peers.expected_instances(),
+            )
+            self._records[key_id] = KeyWithdrawal((key_id,), operator, reason)
+            self._progress[key_id] = progress
+            self._condition.notify_all()
+        return progress
+
+    def progress(self, key_id: str) -> WithdrawalProgress | None:
+        """
+        Return how far a withdrawal has come; None if it is not known here.
+
+        :param key_id: Public name of the key.
+        """
+        with self._condition:
+            return self._progress.get(key_id)
+
+    def withdraw(
+        self, key_id: str, operator: str, reason: str, timeout_seconds: float
+    ) -> WithdrawalProgress:
+        """
+        Withdraw a key and wait until it is accepted.
+
+        :param key_id: Public name of the key.
+        :param operator: Who withdraws it.
+        :param reason: Why.
+        :param timeout_seconds: How long to wait; the work goes on after it.
+        :returns: The progress, accepted or not.
+        """
+        self.begin(key_id, operator, reason)
+        with self._condition:
+            self._condition.wait_for(
+                lambda: self._progress[key_id].is_accepted, timeout_seconds
+            )
+            return self._progress[key_id]
+
+    def run_round(self, now_seconds: float) -> None:
+        """
+        Append what the log misses and collect confirmations once.
+
+        :param now_seconds: Monotonic time.
+        """
+        self._append_unlogged(now_seconds)
+        with self._condition:
+            open_key_ids = tuple(
+                name for name, item in self._progress.items() if not item.is_accepted
+            )
+        if not open_key_ids:
+            return
+        notice = WithdrawalNotice(open_key_ids)
+        confirmed = self._peers.broadcast(notice, CONFIRM_TIMEOUT_SECONDS)
+        # The round took time; the silence counts from its end.
+        now_seconds = max(now_seconds, self._clock.now_seconds())
+        unlogged = self._service.unlogged_withdrawals()
+        freshness_seconds = self._service.current().defaults.freshness_seconds
+        silence_seconds = freshness_seconds * (1 + self._drift_ratio)
+        with self._condition:
+            for key_id in open_key_ids:
+                self._progress[key_id] = next_progress(
+                    self._progress[key_id],
+                    confirmed | {self._instance_id},
+                    key_id not in unlogged,
+                    silence_seconds,
+                    now_seconds,
+                )
+            self._forget_finished()
+            self._condition.notify_all()
+
+    def _run(self) -> None:
+        while True:
+            with self._condition:
+                self._condition.wait(ROUND_SECONDS)
+                if self._stopping:
+                    return
+            self.run_round(self._clock.now_seconds())
+
+    def _append_unlogged(self, now_seconds: float) -> None:
+        if not self._service.is_ready():
+            return
+        key_ids = self._service.unlogged_withdrawals()
+        for key_id in key_ids:
+            record = self._records.get(key_id)
+            grace_seconds = 0.0 if record is not None else HEARD_GRACE_SECONDS
+            due_seconds = self._append_seconds.setdefault(
+                key_id, now_seconds + grace_seconds
+            )
+            if now_seconds >= due_seconds:
+                self._append_seconds[key_id] = now_seconds + LOG_TIMEOUT_SECONDS
+                record = record or KeyWithdrawal((key_id,))
+                self._service.submit(record, LOG_TIMEOUT_SECONDS)
+        for key_id in self._append_seconds.keys() - set(key_ids):
+            del self._append_seconds[key_id]
+
+    def _forget_finished(self) -> None:
+        finished = [name for name, item in self._progress.items() if item.is_accepted]
+        for key_id in finished[: max(0, len(finished) - KEPT_WITHDRAWALS)]:
+            del self._progress[key_id]
+            self._records.pop(key_id, None)
--- /dev/null
+++ b/src/waxwingwinch/configuration/service/_service.py
@@ -0,0 +1,286 @@
+"""The configuration in force in one process."""
+
+import threading
+from collections.abc import Callable
+from typing import Any
+
+from attrs import evolve, frozen
+
+from waxwingwinch._exceptions import PlatformUnavailable
+from waxwingwinch.configuration import (
+    CONFIGURATION_STREAM,
+    Configuration,
+    ConfigurationChange,
+    ConfigurationReplica,
+    ConfigurationReply,
+    ConfigurationSnapshot,
+    KeyIndex,
+    Refused,
+    WithdrawnKeys,
+    take_snapshot,
+    withdrawn_in,
+)
+from waxwingwinch.configuration.service._outcomes import AcceptedChange, OutcomeLog
+from waxwingwinch.configuration.service._publishing import (
+    Published,
+    check_before_append,
+)
+from waxwingwinch.contracts import Caller, Freshness, KeyRejected, KeyRejection
+from waxwingwinch.interfaces import PlatformLog
+from waxwingwinch.kernel import Clock, Health
+from waxwingwinch.streams import AppendTicket, Applied, StreamFollower, StreamWriter
+
+#: How long a change waits for this process to read the version it was made
+#: for.
+CATCH_UP_SECONDS = 2.0
+
+
+@frozen
+class _View:
+    """
+    What readers see; replaced as a whole.
+
+    :param configuration: The configuration in force.
+    :param index: Its keys.
+    """
+
+    configuration: Configuration
+    index: KeyIndex
+
+
+class ConfigurationService:
+    """
+    Follows the configuration stream and answers from its newest state.
+
+    :param log: The platform's log.
+    :param clock: Source of the present time for the reading thread.
+    :param is_fresh: Tells whether this instance reached the log or enough
+        peers lately, given monotonic time in seconds.
+    """
+
+    def __init__(
+        self, log: PlatformLog, clock: Clock, is_fresh: Callable[[float], Freshness]
+    ) -> None:
+        self._clock = clock
+        self._is_fresh = is_fresh
+        self._replica = ConfigurationReplica()
+        self._withdrawn = WithdrawnKeys()
+        self._logged_withdrawals: set[str] = set()
+        self._outcomes = OutcomeLog()
+        self._view = _View(Configuration(), KeyIndex(Configuration()))
+        self._is_ready = False
+        self._was_adopted = False
+        self._lock = threading.RLock()
+        self._follower = StreamFollower(
+            log,
+            CONFIGURATION_STREAM,
+            clock,
+            self._take_record,
+            on_expired=self._miss_records,
+        )
+        self._writer = StreamWriter(log, CONFIGURATION_STREAM, clock)
+
+    def start(self) -> None:
+        """Start reading; :meth:`is_ready` tells when there is a state."""
+        self._writer.start()
+        self._follower.start()
+
+    def stop(self) -> None:
+        """End the threads."""
+        self._follower.stop()
+        self._writer.stop()
+
+    def health(self) -> Health:
+        """Return ``STARTING`` until there is a state to serve from."""
+        if not self.is_ready():
+            return Health.STARTING
+        return Health.DEGRADED if self.needs_state() else self._follower.health()
+
+    @property
+    def follower(self) -> StreamFollower:
+        """The reader of the stream; its times enter the freshness."""
+        return self._follower
+
+    def is_ready(self) -> bool:
+        """Tell whether there is a whole state, from the log or a peer."""
+        if self._is_ready:
+            return True
+        # Read outside the lock, since waiting readers hold the follower's.
+        is_caught_up = self._follower.caught_up_seconds is not None
+        with self._lock:
+            if is_caught_up:
+                self._replica.start_empty()
+                self._is_ready = self._replica.state is not None
+            elif self._was_adopted:
+                self._is_ready = True
+            if self._is_ready:
+                self._refresh_view()
+        return self._is_ready
+
+    def needs_state(self) -> bool:
+        """Tell whether a peer should be asked for its state."""
+        return not self.is_ready() or not self._replica.is_whole
+
+    def current(self) -> Configuration:
+        """Return the configuration in force; an empty one before ready."""
+        self.is_ready()
+        return self._view.configuration
+
+    def freshness(self, now_seconds: float) -> Freshness:
+        """
+        Tell whether this instance may serve keyed requests.
+
+        :param now_seconds: Monotonic time.
+        """
+        if self.needs_state():
+            return Freshness.STALE
+        return self._is_fresh(now_seconds)
+
+    def authenticate(self, key: str, now_seconds: float) -> Caller | KeyRejected:
+        """
+        Find the customer of a key.
+
+        :param key: The key as the caller sent it.
+        :param now_seconds: Monotonic time.
+        """
+        if self.freshness(now_seconds) is Freshness.STALE:
+            return KeyRejected(KeyRejection.STALE)
+        owner = self._view.index.find(key)
+        if owner is None:
+            return KeyRejected(KeyRejection.UNKNOWN)
+        if self.is_withdrawn(owner.key_id):
+            return KeyRejected(KeyRejection.WITHDRAWN)
+        return Caller(owner.customer_id, owner.key_id)
+
+    def is_withdrawn(self, key_id: str) -> bool:
+        """
+        Tell whether a key was withdrawn or is no longer configured.
+
+        :param key_id: Public name of the key.
+        """
+        return key_id in self._withdrawn or key_id not in self._view.index
+
+    def withdrawals_digest(self) -> bytes:
+        """Return the digest of the withdrawn keys, for heartbeats."""
+        return self._withdrawn.digest
+
+    def withdrawn_key_ids(self) -> frozenset[str]:
+        """Return all withdrawn keys."""
+        return self._withdrawn.key_ids
+
+    def merge_withdrawals(self, key_ids: tuple[str, ...]) -> None:
+        """
+        Refuse keys from now on.
+
+        :param key_ids: Public names of the keys.
+        """
+        self._withdrawn.merge(key_ids)
+
+    def unlogged_withdrawals(self) -> tuple[str, ...]:
+        """Return withdrawn keys that were not read in the stream yet."""
+        with self._lock:
+            return self._withdrawn.missing_from(self._logged_withdrawals)
+
+    def history(self) -> tuple[AcceptedChange, ...]:
+        """Return the changes that this process read, oldest first."""
+        return self._outcomes.history()
+
+    def snapshot(self) -> ConfigurationSnapshot | None:
+        """Return the whole state; None while there is none."""
+        if self.needs_state():
+            return None
+        with self._lock:
+            state = self._replica.state
+            if state is None or not self._replica.is_whole:
+                return None
+            state = evolve(state, withdrawn_key_ids=self._withdrawn.key_ids)
+            return take_snapshot(state, self._replica.next_offset)
+
+    def adopt(self, reply: ConfigurationReply) -> bool:
+        """
+        Take the state of a peer if it is ahead of the own one.
+
+        :param reply: The peer's answer.
+        :returns: True if there is a whole state now.
+        """
+        if reply.snapshot is not None:
+            self._withdrawn.merge(reply.snapshot.withdrawn_key_ids)
+            with self._lock:
+                self._outcomes.add(self._replica.adopt(reply.snapshot))
+                self._was_adopted = self._was_adopted or self._replica.is_whole
+                self._refresh_view()
+        return not self.needs_state()
+
+    def submit(self, record: object, timeout_seconds: float) -> AppendTicket:
+        """
+        Queue a record for the stream.
+
+        :param record: A withdrawal or a snapshot.
+        :param timeout_seconds: How long to try.
+        """
+        return self._writer.submit(record, timeout_seconds)
+
+    def publish(
+        self, change: ConfigurationChange, timeout_seconds: float
+    ) -> Published | Refused:
+        """
+        Append a change and wait until it is read back.
+
+        A retry under the same ``change_id`` gets the first outcome.
+
+        :param change: The change.
+        :param timeout_seconds: How long to wait in all.
+        :raises PlatformUnavailable: If the outcome isn't known in time; the
+            change may be accepted later if ``may_have_taken_effect`` is set.
+        """
+        deadline_seconds = self._clock.now_seconds() + timeout_seconds
+        if not self.is_ready():
+            raise PlatformUnavailable("this instance has no configuration yet", False)
+        self._follower.wait_until(
+            lambda: self.current().version >= change.supersedes_version,
+            min(timeout_seconds, CATCH_UP_SECONDS),
+        )
+        known = self._outcomes.result_of(change.change_id)
+        if known is not None:
+            return known
+        refused = check_before_append(self.current(), self._withdrawn.key_ids, change)
+        if refused is not None:
+            return refused
+        remaining_seconds = deadline_seconds - self._clock.now_seconds()
+        self._writer.append(change, remaining_seconds)
+        remaining_seconds = max(0.0, deadline_seconds - self._clock.now_seconds())
+        self._follower.wait_until(
+            lambda: change.change_id in self._outcomes, remaining_seconds
+        )
+        result = self._outcomes.result_of(change.change_id)
+        if result is None:
+            raise PlatformUnavailable("the change was not read back in time", True)
+        return result
+
+    def _take_record(self, applied: Applied) -> None:
+        """Called by the reading thread for each record."""
+        key_ids = withdrawn_in(applied.body)
+        self._withdrawn.merge(key_ids)
+        with self._lock:
+            self._logged_withdrawals.update(key_ids)
+            self._outcomes.add(self._replica.read(applied.offset, applied.body))
+            if self._is_ready:
+                self._refresh_view()
+
+    def _miss_records(self, first_offset: int) -> None:
+        with self._lock:
+            self._replica.miss_until(first_offset)
+
+    def _refresh_view(self) -> None:
+        state: Any = self._replica.state
+        if state is None or state.configuration is self._view.configuration:
+            return
+        withdrawn = [
+            key.key_id
+            for customer in state.configuration.customers.values()
+            for key in customer.keys
+            if key.withdrawn
+        ]
+        # Withdrawals come first, so that no key works for a moment.
+        self._withdrawn.merge(withdrawn)
+        self._view = _View(state.configuration, KeyIndex(state.configuration))
