--- a/src/waxwingwinch/configuration/tests/test_fold.py
+++ b/src/waxwingwinch/configuration/tests/test_fold.py
@@ -71,9 +71,14 @@
 )
 
 
+def state_in(reader: ConfigurationReplica) -> FoldState:
+    assert reader.state is not None
+    return reader.state
+
+
 def write_log(drafts: list[Any]) -> tuple[list[Any], list[FoldState]]:
     """Return the records of a log and the states after each of them."""
-    log = []
+    log: list[Any] = []
     states = [FoldState()]
     for draft in drafts:
         record = draft
@@ -82,8 +87,8 @@
             record = take_snapshot(states[made_at], made_at)
         log.append(record)
         result = apply(states[-1], record)
-        is_taken = isinstance(result, Accepted)
-        states.append(result.state if is_taken else states[-1])
+        state = result.state if isinstance(result, Accepted) else states[-1]
+        states.append(state)
     return log, states
 
 
@@ -109,8 +114,8 @@
         reader.read(offset, log[offset])
         if reader.state is not None:
             assert reader.state == states[offset + 1]
-            assert reader.state.version >= version
-            version = reader.state.version
+            assert state_in(reader).version >= version
+            version = state_in(reader).version
 
 
 @given(records, st.data())
@@ -122,7 +127,7 @@
     assert reader.state == states[taken_at]
     for offset, record in enumerate(log):
         reader.read(offset, record)
-    assert reader.state.configuration == states[-1].configuration
+    assert state_in(reader).configuration == states[-1].configuration
 
 
 def test_change_between_making_and_appending_of_snapshot_is_kept():
@@ -134,8 +139,8 @@
     reader.miss_until(1)
     for offset in (1, 2, 3):
         reader.read(offset, log[offset])
-    assert reader.state.version == 1
-    assert reader.state.configuration.defaults.drain_seconds == 7.0
+    assert state_in(reader).version == 1
+    assert state_in(reader).configuration.defaults.drain_seconds == 7.0
 
 
 def test_exactly_one_of_racing_operators_wins():
@@ -167,11 +172,11 @@
     reader.miss_until(5)
     assert not reader.is_whole
     reader.read(5, change(3, SetDefault("drain_seconds", 9.0)))
-    assert reader.state.configuration.defaults.drain_seconds == 7.0
+    assert state_in(reader).configuration.defaults.drain_seconds == 7.0
     covered = take_snapshot(FoldState(Configuration(version=3)), 5)
     reader.read(6, covered)
     assert reader.is_whole
-    assert reader.state.version == 4
+    assert state_in(reader).version == 4
 
 
 def test_readers_keep_state_when_log_no_longer_holds_it():
@@ -179,7 +184,7 @@
     reader.read(0, change(0, SetDefault("drain_seconds", 7.0)))
     reader.miss_until(1)
     assert reader.is_whole
-    assert reader.state.version == 1
+    assert state_in(reader).version == 1
 
 
 def test_all_findings_are_reported_together():
