--- a/src/waxwingwinch/configuration/__init__.py
+++ b/src/waxwingwinch/configuration/__init__.py
@@ -16,6 +16,7 @@
     take_snapshot,
 )
 from waxwingwinch.configuration._keys import (
+    SALT_BYTES,
     KeyIndex,
     KeyOwner,
     NewKey,
@@ -77,6 +78,7 @@
 
 __all__ = [
     "CONFIGURATION_STREAM",
+    "SALT_BYTES",
     "SETTING_RANGES",
     "STALE_PLACE",
     "Accepted",
--- /dev/null
+++ b/src/waxwingwinch/settings/__init__.py
@@ -0,0 +1,49 @@
+"""Settings files in YAML, with every finding placed."""
+
+from waxwingwinch.settings._converter import make_strict_converter
+from waxwingwinch.settings._document import (
+    ConfigurationDocument,
+    CustomerDocument,
+    ExceptionDocument,
+    KeyDocument,
+    ModelDocument,
+    RouteDocument,
+    load_configuration,
+)
+from waxwingwinch.settings._findings import (
+    SettingFinding,
+    SettingsInvalid,
+    format_findings,
+)
+from waxwingwinch.settings._loader import load_settings
+from waxwingwinch.settings._programs import (
+    CommonSettings,
+    ControlSettings,
+    EntrySettings,
+    OperatorToken,
+)
+from waxwingwinch.settings._validators import distinct, ip_address, not_blank
+from waxwingwinch.settings._writing import write_configuration
+
+__all__ = [
+    "CommonSettings",
+    "ConfigurationDocument",
+    "ControlSettings",
+    "CustomerDocument",
+    "EntrySettings",
+    "ExceptionDocument",
+    "KeyDocument",
+    "ModelDocument",
+    "OperatorToken",
+    "RouteDocument",
+    "SettingFinding",
+    "SettingsInvalid",
+    "distinct",
+    "format_findings",
+    "ip_address",
+    "load_configuration",
+    "load_settings",
+    "make_strict_converter",
+    "not_blank",
+    "write_configuration",
+]
