--- /dev/null
+++ b/src/waxwingwinch/operators/__main__.py
@@ -0,0 +1,5 @@
+"""Runs ``waxwing-ctl`` from the module."""
+
+from waxwingwinch.operators import main
+
+main()
