Add limits: floors and short-term tokens of each customer

Rate and burst hold over all instances together: a grantor keeps what isn't given out, entries admit from floors on long terms and tokens on short ones.

--- /dev/null
+++ b/src/waxwingwinch/limits/_account.py
@@ -0,0 +1,155 @@
+"""What a grantor keeps for one customer."""
+
+import math
+
+from waxwingwinch._types import CustomerId, Epoch
+from waxwingwinch.limits._bucket import TokenBucket
+from waxwingwinch.limits._floors import FloorShare, FloorTable
+from waxwingwinch.limits._messages import CustomerTokens, GrantedTokens, Holder
+from waxwingwinch.limits._outstanding import Demand, Grant, Outstanding
+from waxwingwinch.limits._terms import (
+    LAPSE_FACTOR,
+    CustomerLimit,
+    safe_rate_per_second,
+)
+
+#: Epoch of a process that is no grantor.
+NO_EPOCH = Epoch(-1)
+#: Told to a caller when nothing better is known.
+DEFAULT_RETRY_AFTER_SECONDS = 1.0
+
+
+class Account:
+    """
+    Bucket, outstanding tokens and floors of one customer.
+
+    At each moment the bucket's level, the outstanding tokens and the bursts
+    of the floors together don't exceed the customer's burst, and the
+    bucket's rate and the rates of the floors not its rate. Time advances
+    from one lapse to the next, so a cap that rises never admits tokens that
+    came before.
+
+    :param customer_id: The customer.
+    :param limit: Its limits.
+    :param floors: Floors of all customers.
+    :param quiet_until_seconds: Monotonic time until which tokens of an
+        earlier grantor may be in use.
+    :param now_seconds: Monotonic time.
+    """
+
+    def __init__(
+        self,
+        customer_id: CustomerId,
+        limit: CustomerLimit,
+        floors: FloorTable,
+        quiet_until_seconds: float,
+        now_seconds: float,
+    ) -> None:
+        #: The customer's limits.
+        self.limit = limit
+        #: Floors whose records are on their way to the log.
+        self.pending: dict[Holder, FloorShare] = {}
+        self._customer_id = customer_id
+        self._floors = floors
+        self._quiet_until_seconds = quiet_until_seconds
+        self._outstanding = Outstanding()
+        self._bucket = TokenBucket(0.0, 0.0, 0.0, now_seconds)
+        self.resize()
+
+    def advance(self, now_seconds: float) -> None:
+        """
+        Refill up to now, taking account of each lapse in its turn.
+
+        :param now_seconds: Monotonic time.
+        """
+        while (lapse_seconds := self._next_lapse_seconds()) <= now_seconds:
+            self._bucket = self._bucket.refilled(lapse_seconds)
+            self._outstanding.lapse(lapse_seconds)
+            self._floors.lapse(self._customer_id, lapse_seconds)
+            if lapse_seconds >= self._quiet_until_seconds:
+                self._quiet_until_seconds = -math.inf
+            self.resize()
+        self._bucket = self._bucket.refilled(now_seconds)
+
+    def resize(self) -> None:
+        """Fit rate and cap of the bucket to what is given out."""
+        shares = self.floor_shares()
+        rate = self.limit.rate_per_second - sum(
+            share.rate_per_second for share in shares.values()
+        )
+        cap = self.limit.burst_requests - self._outstanding.tokens()
+        cap -= sum(share.burst_tokens for share in shares.values())
+        if self._quiet_until_seconds > -math.inf:
+            cap = 0.0
+        self._bucket = self._bucket.resized(
+            safe_rate_per_second(max(0.0, rate)), max(0.0, cap)
+        )
+
+    def floor_shares(self) -> dict[Holder, FloorShare]:
+        """Return the most that each holder may use or be about to use."""
+        shares = self._floors.shares(self._customer_id)
+        for holder, pending in self.pending.items():
+            shares[holder] = shares.get(holder, FloorShare()).joined(pending)
+        return shares
+
+    def settle(self, holder: Holder, row: CustomerTokens) -> None:
+        """Note what a holder says about its tokens."""
+        self._outstanding.settle(holder, row.received_sequence, row.held_tokens)
+        self.resize()
+
+    def grant(
+        self,
+        holder: Holder,
+        row: CustomerTokens,
+        sequence: int,
+        term_seconds: float,
+        now_seconds: float,
+    ) -> GrantedTokens:
+        """
+        Give tokens, in proportion to demand if there are few.
+
+        :param holder: Who gets them.
+        :param row: What it asks for.
+        :param sequence: Sequence of this grant.
+        :param term_seconds: How long they last at the holder.
+        :param now_seconds: Monotonic time.
+        """
+        demand = Demand(row.arrivals_per_second, now_seconds)
+        self._outstanding.note_demand(holder, demand)
+        total_per_second = self._outstanding.demand_per_second(now_seconds)
+        tokens = self._fair_tokens(row, total_per_second)
+        if tokens:
+            lapse_seconds = now_seconds + term_seconds * LAPSE_FACTOR
+            self._outstanding.add(holder, Grant(sequence, tokens, lapse_seconds))
+            self._bucket = self._bucket.taken(tokens)
+            self.resize()
+        return GrantedTokens(
+            self._customer_id,
+            tokens,
+            sequence,
+            total_per_second > self.limit.rate_per_second,
+            self._retry_after_seconds(now_seconds),
+        )
+
+    def _fair_tokens(self, row: CustomerTokens, total_per_second: float) -> int:
+        level_tokens = self._bucket.level_tokens
+        share = 1.0
+        if total_per_second > 0:
+            share = row.arrivals_per_second / total_per_second
+        fair_tokens = max(1, math.ceil(level_tokens * share))
+        return max(0, min(row.wanted_tokens, int(level_tokens), fair_tokens))
+
+    def _retry_after_seconds(self, now_seconds: float) -> float:
+        if self._quiet_until_seconds > now_seconds:
+            return self._quiet_until_seconds - now_seconds
+        wait_seconds = self._bucket.seconds_until(1.0)
+        return DEFAULT_RETRY_AFTER_SECONDS if wait_seconds is None else wait_seconds
+
+    def _next_lapse_seconds(self) -> float:
+        lapses = [
+            self._outstanding.next_lapse_seconds(),
+            self._floors.next_lapse_seconds(self._customer_id),
+        ]
+        if self._quiet_until_seconds > -math.inf:
+            lapses.append(self._quiet_until_seconds)
+        return min((lapse for lapse in lapses if lapse is not None), default=math.inf)
--- /dev/null
+++ b/src/waxwingwinch/limits/_floor_policy.py
@@ -0,0 +1,93 @@
+"""How large a holder's floor is, and when it is recorded anew."""
+
+from collections.abc import Sequence
+
+from attrs import frozen
+
+from waxwingwinch._types import InstanceId
+from waxwingwinch.limits._account import Account
+from waxwingwinch.limits._floors import FloorShare, RecordedFloor
+from waxwingwinch.limits._messages import FloorGranted, Holder
+
+#: Part of a floor's term after which it is renewed.
+RENEW_AFTER_RATIO = 0.25
+#: A floor with a smaller burst could never admit a request.
+MIN_FLOOR_BURST_TOKENS = 1.0
+
+
+@frozen
+class KeepFloor:
+    """
+    The recorded floor stays as it is.
+
+    :param floor: The floor.
+    :param term_seconds: How long it lasts from now at least.
+    """
+
+    floor: RecordedFloor
+    term_seconds: float
+
+
+@frozen
+class RecordFloor:
+    """
+    A floor is to be recorded and may be used afterwards.
+
+    :param granted: The record.
+    """
+
+    granted: FloorGranted
+
+
+@frozen
+class RefuseFloor:
+    """The holder gets no floor; one that it has is to be given up."""
+
+
+FloorDecision = KeepFloor | RecordFloor | RefuseFloor
+
+
+def floor_share(
+    account: Account, holder: Holder, homes: Sequence[InstanceId]
+) -> FloorShare | None:
+    """
+    Return a holder's share, as far as others leave it free.
+
+    :param account: The customer's account.
+    :param holder: Who wants a floor.
+    :param homes: The customer's home instances, the most preferred first.
+    :returns: None if there is no share worth having.
+    """
+    limit = account.limit
+    rate_per_second = limit.rate_per_second * limit.floor_fraction
+    burst_tokens = limit.burst_requests * limit.floor_fraction
+    count = min(len(homes), int(burst_tokens / MIN_FLOOR_BURST_TOKENS))
+    if holder.instance_id not in homes[:count]:
+        return None
+    others = FloorShare()
+    for other, share in account.floor_shares().items():
+        if other != holder:
+            others = others.plus(share)
+    rate = min(rate_per_second / count, rate_per_second - others.rate_per_second)
+    burst = min(burst_tokens / count, burst_tokens - others.burst_tokens)
+    if rate <= 0 or burst < MIN_FLOOR_BURST_TOKENS:
+        return None
+    return FloorShare(rate, burst)
+
+
+def is_current(old: FloorGranted, new: FloorGranted, left_seconds: float) -> bool:
+    """
+    Tell whether a recorded floor needs no renewal.
+
+    :param old: The recorded floor.
+    :param new: What would be recorded now.
+    :param left_seconds: What is left of the term.
+    """
+    if left_seconds < new.term_seconds * (1 - RENEW_AFTER_RATIO):
+        return False
+    return (
+        old.rate_per_second == new.rate_per_second
+        and old.burst_tokens == new.burst_tokens
+        and old.customer_rate_per_second == new.customer_rate_per_second
+        and old.customer_burst_requests == new.customer_burst_requests
+    )
--- /dev/null
+++ b/src/waxwingwinch/limits/_holdings.py
@@ -0,0 +1,263 @@
+"""What an entry holds of one customer's rate and burst."""
+
+import math
+from collections import deque
+
+from attrs import define, frozen
+
+from waxwingwinch._types import CustomerId, Epoch
+from waxwingwinch.limits._account import NO_EPOCH
+from waxwingwinch.limits._bucket import TokenBucket
+from waxwingwinch.limits._messages import (
+    CustomerTokens,
+    Floor,
+    FloorWanted,
+    GrantedTokens,
+)
+from waxwingwinch.limits._terms import CustomerLimit, safe_rate_per_second
+
+#: Time constant of the estimate of arrivals.
+ARRIVALS_MEMORY_SECONDS = 1.0
+#: Higher than the offset of any record.
+LAST_OFFSET = 2**62
+#: How far ahead tokens are asked for.
+HORIZON_SECONDS = 0.5
+#: Demand below which nothing is asked for ahead.
+MIN_ARRIVALS_PER_SECOND = 0.1
+
+
+@define
+class _Extra:
+    """
+    Tokens of one grant.
+
+    :param tokens: Unused ones.
+    :param epoch: Epoch of the grantor.
+    :param expires_seconds: Monotonic time from which they are void.
+    """
+
+    tokens: int
+    epoch: Epoch
+    expires_seconds: float
+
+
+@frozen
+class _HeldFloor:
+    """
+    A floor in use.
+
+    :param floor: The floor.
+    :param bucket: Its tokens.
+    :param expires_seconds: Monotonic time from which it is void.
+    """
+
+    floor: Floor
+    bucket: TokenBucket
+    expires_seconds: float
+
+
+class Holdings:
+    """
+    Floor and short-term tokens of one customer at one entry.
+
+    Not safe for several threads.
+
+    :param customer_id: The customer.
+    """
+
+    def __init__(self, customer_id: CustomerId) -> None:
+        #: The customer.
+        self.customer_id = customer_id
+        self._extras: deque[_Extra] = deque()
+        self._epoch = NO_EPOCH
+        self._received_sequence = 0
+        self._held_floor: _HeldFloor | None = None
+        self._applied_offset = -1
+        self._released_offset = -1
+        self._arrivals_per_second = 0.0
+        self._arrivals_seconds = -math.inf
+
+    def note_arrival(self, now_seconds: float) -> None:
+        """Count a request for the forecast."""
+        self._decay(now_seconds)
+        self._arrivals_per_second += 1 / ARRIVALS_MEMORY_SECONDS
+
+    def arrivals_per_second(self, now_seconds: float) -> float:
+        """Return the recent rate of arrivals."""
+        self._decay(now_seconds)
+        return self._arrivals_per_second
+
+    def take(self, limit: CustomerLimit, now_seconds: float) -> bool:
+        """
+        Spend one token, the one that lapses first.
+
+        :param limit: The customer's limits in force at this entry.
+        :param now_seconds: Monotonic time.
+        :returns: False if there is none.
+        """
+        self._expire(now_seconds)
+        if self._extras:
+            self._extras[0].tokens -= 1
+            if not self._extras[0].tokens:
+                self._extras.popleft()
+            return True
+        bucket = self._floor_bucket(limit, now_seconds)
+        if bucket is None or bucket.level_tokens < 1:
+            return False
+        self._set_bucket(bucket.taken(1))
+        return True
+
+    def floor_wait_seconds(
+        self, limit: CustomerLimit, now_seconds: float
+    ) -> float | None:
+        """Return when the floor will have a token; None for never."""
+        bucket = self._floor_bucket(limit, now_seconds)
+        return None if bucket is None else bucket.seconds_until(1.0)
+
+    def ask(
+        self, limit: CustomerLimit, waiting: int, now_seconds: float
+    ) -> CustomerTokens | None:
+        """
+        Return what to ask for and to say about what is held.
+
+        :param limit: The customer's limits in force at this entry.
+        :param waiting: Requests that wait for a token now.
+        :param now_seconds: Monotonic time.
+        :returns: None if there is nothing to say.
+        """
+        self._expire(now_seconds)
+        arrivals_per_second = self.arrivals_per_second(now_seconds)
+        held_tokens = sum(
+            extra.tokens for extra in self._extras if extra.epoch == self._epoch
+        )
+        if arrivals_per_second < MIN_ARRIVALS_PER_SECOND:
+            arrivals_per_second = 0.0
+        if not (waiting or held_tokens or arrivals_per_second):
+            return None
+        needed_tokens = arrivals_per_second * HORIZON_SECONDS - held_tokens
+        bucket = self._floor_bucket(limit, now_seconds)
+        if bucket is not None:
+            needed_tokens -= bucket.level_tokens
+            needed_tokens -= bucket.rate_per_second * HORIZON_SECONDS
+        return CustomerTokens(
+            self.customer_id,
+            waiting + max(0, math.ceil(needed_tokens)),
+            held_tokens,
+            self._received_sequence,
+            arrivals_per_second,
+        )
+
+    def add_extra(
+        self, granted: GrantedTokens, epoch: Epoch, expires_seconds: float
+    ) -> None:
+        """
+        Take over granted tokens, unless they are late or repeated.
+
+        :param granted: The grant.
+        :param epoch: Epoch of the grantor.
+        :param expires_seconds: Monotonic time from which they are void.
+        """
+        if epoch < self._epoch:
+            return
+        if epoch > self._epoch:
+            self._epoch = epoch
+            self._received_sequence = 0
+        if granted.sequence <= self._received_sequence:
+            return
+        self._received_sequence = granted.sequence
+        if granted.tokens:
+            self._extras.append(_Extra(granted.tokens, epoch, expires_seconds))
+
+    @property
+    def epoch(self) -> Epoch:
+        """Epoch that held tokens and received sequences belong to."""
+        return self._epoch
+
+    def apply_floor(
+        self, floor: Floor, limit: CustomerLimit, asked_seconds: float, now: float
+    ) -> None:
+        """
+        Use a floor from now on; a renewal keeps the tokens.
+
+        :param floor: The floor.
+        :param limit: The customer's limits in force at this entry.
+        :param asked_seconds: Monotonic time before it was asked for.
+        :param now: Monotonic time in seconds.
+        """
+        oldest_offset = max(self._applied_offset, self._released_offset + 1)
+        if floor.offset < oldest_offset:
+            return
+        expires_seconds = asked_seconds + floor.term_seconds
+        old = self._held_floor
+        bucket = self._floor_bucket(limit, now)
+        if bucket is None or old is None:
+            bucket = TokenBucket(0.0, 0.0, 0.0, now)
+        elif old.floor.offset == floor.offset:
+            expires_seconds = max(expires_seconds, old.expires_seconds)
+        self._applied_offset = floor.offset
+        self._held_floor = _HeldFloor(floor, bucket, expires_seconds)
+        self._set_bucket(_resized(bucket, floor, limit))
+
+    def drop_floor(self, is_final: bool = False) -> None:
+        """
+        Use the present floor and older ones no more.
+
+        :param is_final: True to use no later one either.
+        """
+        self._held_floor = None
+        self._released_offset = LAST_OFFSET if is_final else self._applied_offset
+
+    def floor_wanted(self) -> FloorWanted:
+        """Return what to tell the grantor about floors."""
+        return FloorWanted(
+            self.customer_id, self._applied_offset, self._released_offset
+        )
+
+    def _decay(self, now_seconds: float) -> None:
+        elapsed_seconds = max(0.0, now_seconds - self._arrivals_seconds)
+        self._arrivals_per_second *= math.exp(
+            -elapsed_seconds / ARRIVALS_MEMORY_SECONDS
+        )
+        self._arrivals_seconds = max(self._arrivals_seconds, now_seconds)
+
+    def _expire(self, now_seconds: float) -> None:
+        while self._extras and self._extras[0].expires_seconds <= now_seconds:
+            self._extras.popleft()
+
+    def _floor_bucket(
+        self, limit: CustomerLimit, now_seconds: float
+    ) -> TokenBucket | None:
+        """Return the floor's bucket now; None if there is no floor."""
+        held = self._held_floor
+        if held is None:
+            return None
+        if held.expires_seconds <= now_seconds:
+            self._held_floor = None
+            return None
+        bucket = _resized(held.bucket.refilled(now_seconds), held.floor, limit)
+        self._set_bucket(bucket)
+        return bucket
+
+    def _set_bucket(self, bucket: TokenBucket) -> None:
+        held = self._held_floor
+        if held is not None:
+            self._held_floor = _HeldFloor(held.floor, bucket, held.expires_seconds)
+
+
+def _resized(bucket: TokenBucket, floor: Floor, limit: CustomerLimit) -> TokenBucket:
+    """
+    Fit a bucket to its floor and to the limits in force.
+
+    A floor is never worth more than its part of the present rate and burst,
+    so a lower rate is in force before the grantor has renewed the floor.
+    """
+    rate_ratio = _ratio(limit.rate_per_second, floor.customer_rate_per_second)
+    burst_ratio = _ratio(limit.burst_requests, floor.customer_burst_requests)
+    return bucket.resized(
+        safe_rate_per_second(floor.rate_per_second * rate_ratio),
+        floor.burst_tokens * burst_ratio,
+    )
+
+
+def _ratio(present: float, then: float) -> float:
+    return min(1.0, present / then) if then > 0 else 0.0
