--- /dev/null
+++ b/src/waxwingwinch/authority/__init__.py
@@ -0,0 +1,43 @@
+"""Authority: duties that one process at a time may act on."""
+
+from waxwingwinch.authority._directory import DutyDirectory, DutyPosition
+from waxwingwinch.authority._fence import Fence, FenceTimer
+from waxwingwinch.authority._holder import DutyHolder
+from waxwingwinch.authority._leases import (
+    ORDER_USER_TIMEOUT_SECONDS,
+    Lease,
+    LeaseKeeper,
+)
+from waxwingwinch.authority._records import (
+    DUTIES_STREAM,
+    NO_VERSION,
+    DutyClaim,
+    DutyRelease,
+    DutyRenewal,
+    DutyReset,
+    DutySnapshot,
+    DutyState,
+    DutyVersion,
+)
+from waxwingwinch.authority._table import DutyTable
+
+__all__ = [
+    "DUTIES_STREAM",
+    "NO_VERSION",
+    "ORDER_USER_TIMEOUT_SECONDS",
+    "DutyClaim",
+    "DutyDirectory",
+    "DutyHolder",
+    "DutyPosition",
+    "DutyRelease",
+    "DutyRenewal",
+    "DutyReset",
+    "DutySnapshot",
+    "DutyState",
+    "DutyTable",
+    "DutyVersion",
+    "Fence",
+    "FenceTimer",
+    "Lease",
+    "LeaseKeeper",
+]
--- a/src/waxwingwinch/observability/_reasons.py
+++ b/src/waxwingwinch/observability/_reasons.py
@@ -74,7 +74,7 @@
     """
     Answers :class:`ExplainRequest` from a decision log.
 
-    Registered with ``peer_server.handle(ExplainRequest, ExplainHandler(log))``.
+    It is the handler of that class at the peer server.
 
     :param decisions: Where the reasons are kept.
     """
--- a/src/waxwingwinch/peers/_handshake.py
+++ b/src/waxwingwinch/peers/_handshake.py
@@ -158,9 +158,7 @@
     signing = [
         secret
         for secret in shared_secrets
-        if _is_valid(
-            challenge.proof, [secret], "server", nonce, challenge.nonce, name
-        )
+        if _is_valid(challenge.proof, [secret], "server", nonce, challenge.nonce, name)
     ]
     if not signing:
         raise PeerRejected(f"{name} does not know the shared secret")
