--- a/src/waxwingwinch/authority/__init__.py
+++ b/src/waxwingwinch/authority/__init__.py
@@ -4,7 +4,6 @@
 from waxwingwinch.authority._fence import Fence, FenceTimer
 from waxwingwinch.authority._holder import DutyHolder
 from waxwingwinch.authority._leases import (
-    ORDER_USER_TIMEOUT_SECONDS,
     Lease,
     LeaseKeeper,
 )
@@ -24,7 +23,6 @@
 __all__ = [
     "DUTIES_STREAM",
     "NO_VERSION",
-    "ORDER_USER_TIMEOUT_SECONDS",
     "DutyClaim",
     "DutyDirectory",
     "DutyHolder",
--- a/src/waxwingwinch/authority/_holder.py
+++ b/src/waxwingwinch/authority/_holder.py
@@ -2,7 +2,7 @@
 
 import threading
 import uuid
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 from contextlib import contextmanager
 
 import eliot
@@ -55,8 +55,8 @@
     :param lease_seconds: Length of a lease, the same in all processes.
     :param drift_ratio: Bound on the difference in speed of two clocks.
     :param decisions: Where reasons are kept.
-    :param close_orders: Closes the connections that carried orders; called
-        when a duty ends, before the fence is lifted.
+    :param order_lifetime_seconds: Longest time that unacknowledged bytes of
+        an order live (``TCP_USER_TIMEOUT``).
     """
 
     def __init__(
@@ -70,7 +70,7 @@
         lease_seconds: float,
         drift_ratio: float,
         decisions: DecisionLog,
-        close_orders: Callable[[], None] = lambda: None,
+        order_lifetime_seconds: float,
     ) -> None:
         self._clock = clock
         self._directory = directory
@@ -78,11 +78,14 @@
         self._instance_id = instance_id
         self._address = address
         self._decisions = decisions
-        self._close_orders = close_orders
         self._token = uuid.uuid4().hex
         self._lock = directory.lock
         self._keeper = LeaseKeeper(
-            self._token, lease_seconds, drift_ratio, directory.table
+            self._token,
+            lease_seconds,
+            drift_ratio,
+            order_lifetime_seconds,
+            directory.table,
         )
         self._writer = StreamWriter(log, DUTIES_STREAM, clock)
         self._snapshots = SnapshotKeeper(self._token, directory.table, self._writer)
@@ -149,7 +152,8 @@
 
         The lease isn't given up in good order before the step is over. If
         the step is still running at the end of the lease, the fence ends
-        the process.
+        the process. Each order has a connection of its own, closed with the
+        call, so none is left open after the step.
 
         :param duty: Name of the duty.
         :param now_seconds: Monotonic time.
@@ -198,7 +202,6 @@
         finished = self._keeper.remove_idle()
         if not finished:
             return
-        self._close_orders()
         self._set_fence()
         for lease in finished:
             self._explain(DecisionKind.DUTY_LOST, lease, "stepped down")
--- a/src/waxwingwinch/authority/_leases.py
+++ b/src/waxwingwinch/authority/_leases.py
@@ -10,9 +10,6 @@
 from waxwingwinch.authority._table import DutyTable
 from waxwingwinch.streams import RecordId
 
-#: Longest time that unacknowledged bytes of an order live; the adapters set
-#: it as ``TCP_USER_TIMEOUT`` on the connections that carry orders.
-ORDER_USER_TIMEOUT_SECONDS = 3.0
 #: Renewals in each lease.
 RENEWALS_PER_LEASE = 3
 #: Part of the lease before its end at which the holder steps down.
@@ -51,15 +48,23 @@
     :param token: Unique name of the process.
     :param lease_seconds: Length of a lease, the same in all processes.
     :param drift_ratio: Bound on the difference in speed of two clocks.
+    :param order_lifetime_seconds: Longest time that unacknowledged bytes of
+        an order live.
     :param table: The fold of the duties.
     """
 
     def __init__(
-        self, token: str, lease_seconds: float, drift_ratio: float, table: DutyTable
+        self,
+        token: str,
+        lease_seconds: float,
+        drift_ratio: float,
+        order_lifetime_seconds: float,
+        table: DutyTable,
     ) -> None:
         self.token = token
         self.lease_seconds = lease_seconds
         self._drift_ratio = drift_ratio
+        self._order_lifetime_seconds = order_lifetime_seconds
         self._table = table
         self._leases: dict[str, Lease] = {}
         self._sent_seconds: dict[RecordId, float] = {}
@@ -224,7 +229,7 @@
         """
         if not self._table.may_have_holder(duty):
             return now_seconds
-        return now_seconds + ORDER_USER_TIMEOUT_SECONDS
+        return now_seconds + self._order_lifetime_seconds
 
 
 def _fraction(duty: str, token: str) -> float:
