--- /dev/null
+++ b/src/waxwing_testbed/deployment/_operator.py
@@ -0,0 +1,74 @@
+"""An operator of a test deployment."""
+
+import uuid
+from collections.abc import Sequence
+
+from waxwing_testbed.deployment._settings_files import OPERATOR_TOKEN
+from waxwingwinch._types import Address
+from waxwingwinch.configuration import ChangeItem
+from waxwingwinch.operators import OperatorClient
+from waxwingwinch.operators_api import (
+    ChangeRequest,
+    ConfigurationView,
+    PublishedView,
+    StatusView,
+    WithdrawalView,
+    WithdrawRequest,
+)
+
+
+class TestOperator:
+    """
+    Publishes changes and withdraws keys through entries.
+
+    :param entries: Entries to ask, tried in order.
+    """
+
+    #: Keeps pytest from taking the class for a test.
+    __test__ = False
+
+    def __init__(self, entries: Sequence[Address]) -> None:
+        self._client = OperatorClient([str(entry) for entry in entries], OPERATOR_TOKEN)
+
+    def configuration(self) -> ConfigurationView:
+        """Return the configuration in force."""
+        return self._client.get("configuration", ConfigurationView)
+
+    def status(self) -> StatusView:
+        """Return the state of the asked instance."""
+        return self._client.get("status", StatusView)
+
+    def publish(
+        self, changes: Sequence[ChangeItem], supersedes_version: int | None = None
+    ) -> int:
+        """
+        Publish changes.
+
+        :param changes: What to change.
+        :param supersedes_version: Version they were made for; None for the
+            present one.
+        :returns: The new version.
+        """
+        if supersedes_version is None:
+            supersedes_version = self.configuration().version
+        request = ChangeRequest(
+            supersedes_version, uuid.uuid4().hex, "for a test", tuple(changes)
+        )
+        return self._client.post("changes", request, PublishedView).version
+
+    def withdraw(self, key_id: str) -> WithdrawalView:
+        """
+        Begin the withdrawal of a key.
+
+        :param key_id: Public name of the key.
+        """
+        request = WithdrawRequest(key_id, "for a test")
+        return self._client.post("withdrawals", request, WithdrawalView)
+
+    def withdrawal(self, key_id: str) -> WithdrawalView:
+        """
+        Return how far a withdrawal has come.
+
+        :param key_id: Public name of the key.
+        """
+        return self._client.get("withdrawals", WithdrawalView, key_id)
--- /dev/null
+++ b/src/waxwingwinch/entry/__main__.py
@@ -0,0 +1,5 @@
+"""Run the entry as a module."""
+
+from waxwingwinch.entry import main
+
+main()
--- /dev/null
+++ b/src/waxwingwinch/entry/_main.py
@@ -0,0 +1,50 @@
+"""The program ``waxwing-entry``."""
+
+import pathlib
+import signal
+import sys
+from typing import Annotated
+
+import typer
+
+from waxwingwinch.entry._process import EntryProcess
+from waxwingwinch.observability import set_up_logs
+from waxwingwinch.settings import (
+    EntrySettings,
+    SettingsInvalid,
+    format_findings,
+    load_settings,
+)
+
+#: Exit status for settings with findings.
+EXIT_FINDINGS = 1
+
+application = typer.Typer(add_completion=False)
+
+
+@application.command()
+def serve(
+    settings: Annotated[pathlib.Path, typer.Option(help="Settings file, YAML.")],
+    check: Annotated[bool, typer.Option(help="Only check the settings.")] = False,
+) -> None:
+    """Serve callers until SIGTERM, which is a planned stop."""
+    try:
+        loaded = load_settings(settings, EntrySettings)
+    except SettingsInvalid as error:
+        print(format_findings(error), file=sys.stderr)
+        raise typer.Exit(EXIT_FINDINGS) from error
+    if check:
+        print(f"{settings}: no findings")
+        return
+    set_up_logs()
+    process = EntryProcess(loaded)
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: process.stopping.set())
+    process.start()
+    process.stopping.wait()
+    process.stop()
+
+
+def main() -> None:
+    """Run the program."""
+    application()
--- /dev/null
+++ b/src/waxwingwinch/entry/_peers.py
@@ -0,0 +1,175 @@
+"""The other entries, as withdrawals and operators need them."""
+
+import math
+from concurrent.futures import ThreadPoolExecutor
+
+from waxwingwinch._exceptions import MalformedMessage, PeerUnavailable
+from waxwingwinch._types import Address, InstanceId, ZoneName
+from waxwingwinch.configuration import WithdrawalConfirmation, WithdrawalNotice
+from waxwingwinch.configuration.service import ConfigurationService
+from waxwingwinch.entry._discovery import DiscoverableEntry
+from waxwingwinch.membership import HeartbeatTable, InstanceDirectory, PeerMesh
+from waxwingwinch.operators_api import InstanceView
+from waxwingwinch.peers import PeerLink
+
+#: Confirmations that are asked for at one time.
+MAX_CONCURRENT_NOTICES = 16
+
+
+class WithdrawalMesh:
+    """
+    Sends withdrawals to the other entries.
+
+    :param mesh: The links to them.
+    :param expected_instances: How many instances there should be.
+    """
+
+    def __init__(self, mesh: PeerMesh, expected_instances: int) -> None:
+        self._mesh = mesh
+        self._expected_instances = expected_instances
+        self._pool = ThreadPoolExecutor(MAX_CONCURRENT_NOTICES, "withdrawal-notice")
+
+    def expected_instances(self) -> int:
+        """Return how many instances there should be, this one included."""
+        return self._expected_instances
+
+    def broadcast(
+        self, notice: WithdrawalNotice, timeout_seconds: float
+    ) -> frozenset[InstanceId]:
+        """
+        Send a notice to all other entries at once.
+
+        :param notice: The notice.
+        :param timeout_seconds: How long to wait for confirmations.
+        :returns: The instances that confirmed in time.
+        """
+
+        def confirm(link: PeerLink) -> InstanceId | None:
+            return _confirm(link, notice, timeout_seconds)
+
+        answers = self._pool.map(confirm, self._mesh.links())
+        return frozenset(answer for answer in answers if answer is not None)
+
+
+def _confirm(
+    link: PeerLink, notice: WithdrawalNotice, timeout_seconds: float
+) -> InstanceId | None:
+    peer = link.peer
+    if peer is None:
+        return None
+    try:
+        reply = link.request(notice, timeout_seconds)
+    except (PeerUnavailable, MalformedMessage):
+        return None
+    return peer.instance_id if isinstance(reply, WithdrawalConfirmation) else None
+
+
+class EntryRoster:
+    """
+    The entries of the cell, this one included.
+
+    :param instance_id: This instance.
+    :param zone: Its availability zone.
+    :param entry_address: Where it serves callers.
+    :param expected_instances: How many instances there should be.
+    :param heartbeats: What the others say.
+    :param directory: The platform's list.
+    :param configuration: The configuration of this process.
+    """
+
+    def __init__(
+        self,
+        instance_id: InstanceId,
+        zone: ZoneName,
+        entry_address: Address,
+        expected_instances: int,
+        heartbeats: HeartbeatTable,
+        directory: InstanceDirectory,
+        configuration: ConfigurationService,
+    ) -> None:
+        self._instance_id = instance_id
+        self._zone = zone
+        self._entry_address = entry_address
+        self._expected_instances = expected_instances
+        self._heartbeats = heartbeats
+        self._directory = directory
+        self._configuration = configuration
+        #: Set once the planned stop of this instance has begun.
+        self.is_draining = False
+
+    def expected_instances(self) -> int:
+        """Return how many instances there should be, this one included."""
+        return self._expected_instances
+
+    def discoverable(self, now_seconds: float) -> tuple[DiscoverableEntry, ...]:
+        """
+        Return the entries that callers may be sent to.
+
+        Those that were heard of late count, and the listed ones before any
+        was heard.
+
+        :param now_seconds: Monotonic time.
+        """
+        found = {
+            heartbeat.instance_id: DiscoverableEntry(
+                heartbeat.instance_id,
+                heartbeat.zone,
+                heartbeat.entry_address,
+                heartbeat.draining,
+            )
+            for heartbeat in self._heartbeats.alive(now_seconds)
+        }
+        if not found:
+            for row in self._directory.live_instances():
+                found[row.instance_id] = DiscoverableEntry(
+                    row.instance_id, row.zone, row.entry_address
+                )
+        found[self._instance_id] = DiscoverableEntry(
+            self._instance_id, self._zone, self._entry_address, self.is_draining
+        )
+        return tuple(found.values())
+
+    def instances(self, now_seconds: float) -> tuple[InstanceView, ...]:
+        """
+        Return the known instances for operators.
+
+        :param now_seconds: Monotonic time.
+        """
+        own = InstanceView(
+            self._instance_id,
+            self._zone,
+            self._entry_address,
+            self._configuration.current().version,
+            self._configuration.withdrawals_digest(),
+            self.is_draining,
+            0.0,
+        )
+        others = [
+            self._view_of(row.instance_id, row.zone, row.entry_address, now_seconds)
+            for row in self._directory.instances()
+            if row.instance_id != self._instance_id
+        ]
+        return (own, *others)
+
+    def _view_of(
+        self,
+        instance_id: InstanceId,
+        zone: ZoneName,
+        entry_address: Address,
+        now_seconds: float,
+    ) -> InstanceView:
+        heard = self._heartbeats.find(instance_id)
+        if heard is None:
+            return InstanceView(
+                instance_id, zone, entry_address, 0, b"", False, math.inf
+            )
+        heartbeat = heard.heartbeat
+        return InstanceView(
+            instance_id,
+            zone,
+            entry_address,
+            heartbeat.configuration_version,
+            heartbeat.withdrawals_digest,
+            heartbeat.draining,
+            now_seconds - heard.heard_seconds,
+        )
--- /dev/null
+++ b/src/waxwingwinch/entry/_process.py
@@ -0,0 +1,269 @@
+"""All services of an entry process, wired together."""
+
+import threading
+import uuid
+
+import eliot
+
+from waxwingwinch._types import Address
+from waxwingwinch.adapters import (
+    HttpEngine,
+    HttpInstanceList,
+    HttpPlainService,
+    HttpPlatformLog,
+    HttpUpstreamMarket,
+)
+from waxwingwinch.authority import DutyDirectory
+from waxwingwinch.configuration.service import (
+    ConfigurationHandlers,
+    ConfigurationService,
+    WithdrawalCoordinator,
+    adopt_from_peers,
+)
+from waxwingwinch.contracts import Freshness, ServiceName
+from waxwingwinch.entry._application import EntryApplication
+from waxwingwinch.entry._heartbeats import HeartbeatMaker, HeartbeatReceiver
+from waxwingwinch.entry._options import EntryOptions
+from waxwingwinch.entry._peers import EntryRoster, WithdrawalMesh
+from waxwingwinch.fleet import FleetObserver
+from waxwingwinch.idempotency import LogIdempotencyStore, Runner
+from waxwingwinch.kernel import Registry, SystemClock
+from waxwingwinch.limits import Holder, Limiter
+from waxwingwinch.membership import (
+    Heartbeat,
+    HeartbeatSender,
+    HeartbeatTable,
+    HolderLinks,
+    InstanceDirectory,
+    PeerMesh,
+    decide_freshness,
+)
+from waxwingwinch.observability import MemoryDecisionLog, Metrics
+from waxwingwinch.operators_api import OperatorApi, OperatorRequests
+from waxwingwinch.peers import PeerIdentity, PeerProgram, PeerServer
+from waxwingwinch.placement import home_count, home_instances
+from waxwingwinch.settings import EntrySettings
+from waxwingwinch.usage import EntryUsageLedger
+
+#: Pause between two tries to get a first configuration from a peer.
+STATE_PAUSE_SECONDS = 0.2
+
+
+class EntryProcess:
+    """
+    The services of one entry.
+
+    :param settings: Its settings.
+    """
+
+    def __init__(self, settings: EntrySettings) -> None:
+        self._settings = settings
+        #: Set once the planned stop has begun.
+        self.stopping = threading.Event()
+        self._clock = SystemClock()
+        self._incarnation = uuid.uuid4().hex
+        self._identity = PeerIdentity(
+            settings.instance_id, PeerProgram.ENTRY, settings.zone, settings.cell
+        )
+        #: The services by name.
+        self.registry = Registry()
+        self._register_outside()
+        self._register_membership()
+        self._register_state()
+        self._application = self._register_application()
+        self._register_heartbeats()
+
+    def start(self) -> None:
+        """Start all services and wait for a first configuration."""
+        self.registry.start_all()
+        self._await_state()
+
+    def stop(self) -> None:
+        """Leave discovery, finish running requests, then stop."""
+        self.drain("signal")
+        self._application.wait_idle(self._settings.stop_timeout_seconds)
+        self.registry.stop_all()
+
+    def drain(self, operator: str) -> None:
+        """
+        Begin the planned stop.
+
+        :param operator: Who asked for it.
+        """
+        eliot.log_message("entry:drain", operator=operator)
+        self._roster.is_draining = True
+        self._application.drain()
+        self.stopping.set()
+
+    def _register_outside(self) -> None:
+        platform = self._settings.platform_address
+        self._log = HttpPlatformLog(platform)
+        self.registry.register(ServiceName.CLOCK, self._clock)
+        self.registry.register(ServiceName.LOG, self._log)
+        self.registry.register(ServiceName.ENGINE, HttpEngine())
+        self.registry.register(ServiceName.PLAIN_SERVICE, HttpPlainService())
+        self.registry.register(ServiceName.DECISIONS, MemoryDecisionLog())
+        self.registry.register(ServiceName.METRICS, Metrics())
+
+    def _register_membership(self) -> None:
+        settings = self._settings
+        secrets = settings.secrets()
+        instance_list = HttpInstanceList(settings.platform_address)
+        self._directory = InstanceDirectory(instance_list, self._clock)
+        self._mesh = PeerMesh(
+            self._directory,
+            self._identity,
+            secrets,
+            settings.peer_seeds,
+        )
+        self._duties = DutyDirectory(self._log, self._clock)
+        self._holders = HolderLinks(self._holder_address, self._identity, secrets)
+        self._heartbeats = HeartbeatTable()
+        self._peer_server = PeerServer(settings.peer_address, self._identity, secrets)
+        self.registry.register(ServiceName.INSTANCE_LIST, self._directory)
+        self.registry.register(ServiceName.DUTIES, self._duties)
+        self.registry.register("holder_links", self._holders)
+        self.registry.register(ServiceName.MEMBERSHIP, self._mesh)
+
+    def _register_state(self) -> None:
+        settings = self._settings
+        self._configuration = ConfigurationService(
+            self._log, self._clock, self._freshness
+        )
+        self._fleet = FleetObserver(
+            HttpUpstreamMarket(settings.platform_address),
+            HttpEngine(),
+            self._log,
+            self._clock,
+            settings.cell,
+        )
+        self._limiter = Limiter(
+            Holder(settings.instance_id, self._incarnation),
+            self._clock,
+            self._configuration.current,
+            lambda: self._holders.link(f"limits-{settings.cell}"),
+        )
+        self._claims = LogIdempotencyStore(
+            self._log,
+            self._clock,
+            Runner(settings.instance_id, self._incarnation),
+            self._is_alive,
+        )
+        self._usage = EntryUsageLedger(
+            self._identity, self._incarnation, self._clock, self._mesh
+        )
+        self.registry.register(ServiceName.CONFIGURATION, self._configuration)
+        self.registry.register(ServiceName.FLEET, self._fleet)
+        self.registry.register(ServiceName.LIMITER, self._limiter)
+        self.registry.register(ServiceName.IDEMPOTENCY, self._claims)
+        self.registry.register(ServiceName.USAGE, self._usage)
+
+    def _register_application(self) -> EntryApplication:
+        settings = self._settings
+        self._roster = EntryRoster(
+            settings.instance_id,
+            settings.zone,
+            settings.listen_address,
+            settings.expected_instances,
+            self._heartbeats,
+            self._directory,
+            self._configuration,
+        )
+        self._withdrawals = WithdrawalCoordinator(
+            self._configuration,
+            WithdrawalMesh(self._mesh, settings.expected_instances),
+            self._clock,
+            settings.instance_id,
+            settings.drift_ratio,
+        )
+        self.registry.register("withdrawals", self._withdrawals)
+        application = EntryApplication(
+            self.registry,
+            EntryOptions(
+                settings.instance_id,
+                settings.zone,
+                settings.listen_address,
+                settings.max_connections,
+            ),
+            self._roster.discoverable,
+            home_instances,
+            home_count,
+            self._mesh.broadcast,
+            OperatorApi(self._operator_requests(), self._clock),
+        )
+        self._register_peer_handlers(application)
+        self.registry.register(ServiceName.PEER_SERVER, self._peer_server)
+        self.registry.register("application", application)
+        return application
+
+    def _operator_requests(self) -> OperatorRequests:
+        return OperatorRequests(
+            self._configuration,
+            self._withdrawals,
+            self._roster,
+            self.registry.lookup(ServiceName.DECISIONS, MemoryDecisionLog),
+            self.drain,
+            self.registry.health,
+            self._settings.instance_id,
+            self._settings.operator_tokens,
+        )
+
+    def _register_peer_handlers(self, application: EntryApplication) -> None:
+        receiver = HeartbeatReceiver(
+            self._clock,
+            self._heartbeats,
+            self._mesh,
+            self._configuration,
+            self._fleet,
+            application.services.peer_work,
+        )
+        self._peer_server.handle(Heartbeat, receiver.handle)
+        ConfigurationHandlers(self._configuration).register(self._peer_server)
+        application.register_handlers(self._peer_server)
+        self._usage.register_handlers(self._peer_server)
+
+    def _register_heartbeats(self) -> None:
+        maker = HeartbeatMaker(
+            self._identity,
+            self._settings.listen_address,
+            self._incarnation,
+            self._configuration,
+            self._fleet,
+            self._application.services.demand,
+            self._roster,
+        )
+        sender = HeartbeatSender(
+            self._mesh,
+            lambda: self._holders.link(f"fleet-{self._settings.cell}"),
+            maker.make,
+            self._clock,
+        )
+        self.registry.register("heartbeat_sender", sender)
+
+    def _holder_address(self, duty: str) -> Address | None:
+        position = self._duties.holder_of(duty)
+        return None if position is None else position.address
+
+    def _is_alive(self, runner: Runner) -> bool:
+        if runner.incarnation == self._incarnation:
+            return True
+        heard = self._heartbeats.find(runner.instance_id)
+        if heard is None or heard.heartbeat.incarnation != runner.incarnation:
+            return False
+        return self._heartbeats.is_alive(runner.instance_id, self._clock.now_seconds())
+
+    def _freshness(self, now_seconds: float) -> Freshness:
+        bound_seconds = self._configuration.current().defaults.freshness_seconds
+        return decide_freshness(
+            self._configuration.follower.caught_up_seconds,
+            self._heartbeats.heard_seconds(),
+            self._settings.expected_instances,
+            bound_seconds,
+            now_seconds,
+        )
+
+    def _await_state(self) -> None:
+        """Ask peers while the log gives no configuration."""
+        while self._configuration.needs_state() and not self.stopping.is_set():
+            adopt_from_peers(self._configuration, self._mesh.links())
+            self.stopping.wait(STATE_PAUSE_SECONDS)
--- a/src/waxwingwinch/membership/_mesh.py
+++ b/src/waxwingwinch/membership/_mesh.py
@@ -21,7 +21,6 @@
     :param directory: The listed instances.
     :param identity: Who this process is.
     :param shared_secrets: Accepted secrets.
-    :param own_address: Where this process serves peers.
     :param seeds: Peer addresses used while the list is empty.
     """
 
@@ -30,13 +29,11 @@
         directory: InstanceDirectory,
         identity: PeerIdentity,
         shared_secrets: Sequence[str],
-        own_address: Address,
         seeds: Sequence[Address] = (),
     ) -> None:
         self._directory = directory
         self._identity = identity
         self._shared_secrets = tuple(shared_secrets)
-        self._own_address = own_address
         self._seeds = tuple(seeds)
         self._links: dict[Address, PeerLink] = {}
         self._lock = threading.Lock()
@@ -66,9 +63,11 @@
         return Health.DEGRADED
 
     def links(self) -> tuple[PeerLink, ...]:
-        """Return the links, those that are down included."""
+        """Return the links to others, those that are down included."""
         with self._lock:
-            return tuple(self._links.values())
+            links = tuple(self._links.values())
+        # A seed may turn out to be the address of this very instance.
+        return tuple(link for link in links if not self._is_own(link))
 
     def link_to(self, address: Address) -> PeerLink | None:
         """
@@ -112,9 +111,19 @@
         while not self._stopping.wait(RECONCILE_PAUSE_SECONDS):
             self._reconcile()
 
+    def _is_own(self, link: PeerLink) -> bool:
+        peer = link.peer
+        return peer is not None and peer.instance_id == self._identity.instance_id
+
     def _wanted_addresses(self) -> set[Address]:
-        listed = {instance.peer_address for instance in self._directory.instances()}
-        return (listed or set(self._seeds)) - {self._own_address}
+        listed = self._directory.instances()
+        if not listed:
+            return set(self._seeds)
+        return {
+            instance.peer_address
+            for instance in listed
+            if instance.instance_id != self._identity.instance_id
+        }
 
     def _reconcile(self) -> None:
         wanted = self._wanted_addresses()
--- a/src/waxwingwinch/membership/_messages.py
+++ b/src/waxwingwinch/membership/_messages.py
@@ -24,6 +24,7 @@
     :param in_flight: Its work by upstream.
     :param demand: What came to it since its last heartbeat.
     :param leaving: Upstreams that it knows to be leaving or draining.
+    :param incarnation: Unique name of the process start.
     """
 
     instance_id: InstanceId
@@ -37,3 +38,4 @@
     in_flight: tuple[InFlightCount, ...]
     demand: tuple[DemandSample, ...]
     leaving: tuple[UpstreamId, ...] = ()
+    incarnation: str = ""
