Add the fleet observer and the stream of directives and intents

Both duties of a cell write the stream, so an epoch only voids records of its own duty. An intent over the open order of another on the same upstream is void at every reader.

--- /dev/null
+++ b/src/waxwingwinch/fleet/_records.py
@@ -0,0 +1,173 @@
+"""Records of the stream ``fleet-<cell>``."""
+
+import enum
+
+from attrs import frozen
+
+from waxwingwinch._types import EngineRole, Epoch, ModelName, UpstreamId, UpstreamState
+from waxwingwinch.codec import message
+from waxwingwinch.interfaces import (
+    GiveBack,
+    LoadAdapter,
+    LoadModel,
+    OrderAction,
+    OrderUpstream,
+    SetRole,
+)
+
+#: What an intent can be about.
+AnyAction = OrderAction | OrderUpstream | GiveBack
+
+
+def fleet_stream(cell: str) -> str:
+    """Return the name of the stream of a cell."""
+    return f"fleet-{cell}"
+
+
+def fleet_duty(cell: str) -> str:
+    """Return the name of the duty that orders the engines of a cell."""
+    return f"fleet-{cell}"
+
+
+def buying_duty(cell: str) -> str:
+    """Return the name of the duty that orders upstreams for a cell."""
+    return f"buying-{cell}"
+
+
+@message("fleet_term")
+@frozen
+class TermBegun:
+    """
+    First record of a holder's term; voids later records of older terms.
+
+    :param duty: The duty.
+    :param epoch: Fencing token of the term.
+    """
+
+    duty: str
+    epoch: Epoch
+
+
+@message("fleet_directive")
+@frozen
+class Directive:
+    """
+    Takes an upstream out of service or puts it back.
+
+    :param duty: The duty under which it was decided.
+    :param epoch: Fencing token of the term.
+    :param upstream_id: The upstream.
+    :param state: ``DRAINING`` or ``ACTIVE``.
+    :param role: The role that is planned; None if it stays.
+    :param model: The model that is planned; empty if it stays.
+    :param reason: Why, as a plain sentence.
+    """
+
+    duty: str
+    epoch: Epoch
+    upstream_id: UpstreamId
+    state: UpstreamState
+    role: EngineRole | None = None
+    model: ModelName = ModelName("")
+    reason: str = ""
+
+
+@message("fleet_intent")
+@frozen
+class OrderIntent:
+    """
+    Announces an order before it is sent; exactly one action is set.
+
+    :param duty: The duty under which it was decided.
+    :param epoch: Fencing token of the term.
+    :param order_id: Unique name of the order, the same in its repeats.
+    :param upstream_id: The upstream it concerns; empty for a purchase.
+    :param set_role: A change of role.
+    :param load_model: A change of model.
+    :param load_adapter: An adapter to load.
+    :param purchase: An upstream to order.
+    :param give_back: An upstream to return.
+    """
+
+    duty: str
+    epoch: Epoch
+    order_id: str
+    upstream_id: UpstreamId = UpstreamId("")
+    set_role: SetRole | None = None
+    load_model: LoadModel | None = None
+    load_adapter: LoadAdapter | None = None
+    purchase: OrderUpstream | None = None
+    give_back: GiveBack | None = None
+
+    @property
+    def action(self) -> AnyAction:
+        """
+        The action that is set.
+
+        :raises ValueError: If there is none.
+        """
+        actions: tuple[AnyAction | None, ...] = (
+            self.set_role,
+            self.load_model,
+            self.load_adapter,
+            self.purchase,
+            self.give_back,
+        )
+        for action in actions:
+            if action is not None:
+                return action
+        raise ValueError(f"intent {self.order_id!r} has no action")
+
+    @classmethod
+    def of(
+        cls,
+        duty: str,
+        epoch: Epoch,
+        order_id: str,
+        upstream_id: UpstreamId,
+        action: AnyAction,
+    ) -> "OrderIntent":
+        """Build the intent of an action."""
+        match action:
+            case SetRole():
+                return cls(duty, epoch, order_id, upstream_id, set_role=action)
+            case LoadModel():
+                return cls(duty, epoch, order_id, upstream_id, load_model=action)
+            case LoadAdapter():
+                return cls(duty, epoch, order_id, upstream_id, load_adapter=action)
+            case OrderUpstream():
+                return cls(duty, epoch, order_id, upstream_id, purchase=action)
+            case GiveBack():
+                return cls(duty, epoch, order_id, upstream_id, give_back=action)
+
+
+class OrderFate(enum.Enum):
+    """How an order ended."""
+
+    #: The receiver answered that it is done.
+    DONE = "done"
+    #: It certainly has not taken effect and never will.
+    FAILED = "failed"
+    #: Its effect was seen, or its receiver is gone.
+    OBSERVED = "observed"
+
+
+@message("fleet_outcome")
+@frozen
+class OrderOutcome:
+    """
+    Closes an intent.
+
+    :param duty: The duty under which it was decided.
+    :param epoch: Fencing token of the term that closes it.
+    :param order_id: The order.
+    :param fate: How it ended.
+    """
+
+    duty: str
+    epoch: Epoch
+    order_id: str
+    fate: OrderFate
+
+
+FleetRecord = TermBegun | Directive | OrderIntent | OrderOutcome
--- /dev/null
+++ b/src/waxwingwinch/fleet/tests/test_state.py
@@ -0,0 +1,80 @@
+"""Tests of the fold of directives and intents."""
+
+from waxwingwinch._types import (
+    EngineRole,
+    Epoch,
+    ModelName,
+    UpstreamId,
+    UpstreamState,
+)
+from waxwingwinch.codec import decode_message, encode_message
+from waxwingwinch.fleet import (
+    Directive,
+    FleetState,
+    OrderFate,
+    OrderIntent,
+    OrderOutcome,
+    TermBegun,
+)
+from waxwingwinch.interfaces import LoadModel, SetRole
+
+E1 = UpstreamId("e1")
+
+
+def drain(epoch, state=UpstreamState.DRAINING):
+    return Directive("fleet-c", Epoch(epoch), E1, state)
+
+
+def intent(epoch, order_id, duty="fleet-c"):
+    action = SetRole(EngineRole.DECODE)
+    return OrderIntent.of(duty, Epoch(epoch), order_id, E1, action)
+
+
+def outcome(epoch, order_id):
+    return OrderOutcome("fleet-c", Epoch(epoch), order_id, OrderFate.DONE)
+
+
+def test_records_of_an_older_term_are_void():
+    state = FleetState()
+    assert state.apply(drain(5))
+    assert state.apply(TermBegun("fleet-c", Epoch(9)))
+    assert not state.apply(drain(5, UpstreamState.ACTIVE))
+    assert state.is_draining(E1)
+    assert not state.apply(intent(5, "late"))
+
+
+def test_terms_of_different_duties_do_not_compare():
+    state = FleetState()
+    state.apply(TermBegun("buying-c", Epoch(90)))
+    assert state.apply(drain(5))
+
+
+def test_no_second_order_over_an_open_one():
+    state = FleetState()
+    assert state.apply(intent(5, "first"))
+    assert not state.apply(intent(5, "second"))
+    assert state.apply(intent(9, "first"))
+    assert state.apply(outcome(9, "first"))
+    assert state.open_intents() == ()
+    assert state.apply(intent(9, "second"))
+
+
+def test_no_duty_orders_over_the_open_order_of_another():
+    state = FleetState()
+    assert state.apply(intent(5, "first"))
+    assert not state.apply(intent(7, "second", duty="buying-c"))
+
+
+def test_closed_order_does_not_open_again():
+    state = FleetState()
+    state.apply(intent(5, "first"))
+    state.apply(outcome(5, "first"))
+    assert not state.apply(intent(5, "first"))
+
+
+def test_intent_survives_the_codec():
+    action = LoadModel(ModelName("m"), "2")
+    sent = OrderIntent.of("fleet-c", Epoch(1), "o", E1, action)
+    read = decode_message(encode_message(sent))
+    assert read == sent
+    assert read.action == action
