--- a/src/waxwingwinch/idempotency/_shard.py
+++ b/src/waxwingwinch/idempotency/_shard.py
@@ -1,8 +1,12 @@
 """Writer, follower and table of one shard of the keys."""
 
+import math
 import threading
+from collections import deque
 from collections.abc import Callable
 
+from attrs import frozen
+
 from waxwingwinch.idempotency._table import ClaimTable, KeyClaim
 from waxwingwinch.interfaces import PlatformLog
 from waxwingwinch.kernel import Clock, Health
@@ -14,6 +18,22 @@
 
 #: How long a stop waits for records that the log doesn't take.
 STOP_SECONDS = 10.0
+#: How long what has left the log is still remembered; more than a claim may
+#: take.
+FORGET_DELAY_SECONDS = 30.0
+
+
+@frozen
+class _Leaving:
+    """
+    Records that have left the log.
+
+    :param first_offset: The first that had not.
+    :param seen_seconds: Monotonic time at which that was seen.
+    """
+
+    first_offset: int
+    seen_seconds: float
 
 
 class ClaimShard:
@@ -31,10 +51,12 @@
     ) -> None:
         stream = f"claims-{number}"
         self._table = ClaimTable()
+        self._leaving: deque[_Leaving] = deque()
+        self._gaps = 0
         self._lock = threading.Lock()
         self._writer = StreamWriter(log, stream, clock, max_batch_records)
         self._follower = StreamFollower(
-            log, stream, clock, self._apply, on_expired=self._expire
+            log, stream, clock, self._apply, on_expired=self._note_gap
         )
 
     def start(self) -> None:
@@ -67,15 +89,38 @@
             return False
         return now_seconds - caught_up_seconds <= max_age_seconds
 
+    @property
+    def gaps(self) -> int:
+        """How often records left the log before they were read."""
+        with self._lock:
+            return self._gaps
+
+    def forget(self, now_seconds: float) -> None:
+        """
+        Forget what left the log some time ago.
+
+        The delay exceeds the time that a claim may take, so a claim that was
+        appended while another stood is also read while that one stands.
+
+        :param now_seconds: Monotonic time.
+        """
+        first_offset = self._follower.first_offset
+        with self._lock:
+            newest = self._leaving[-1] if self._leaving else _Leaving(0, -math.inf)
+            age_seconds = now_seconds - newest.seen_seconds
+            if first_offset > newest.first_offset and age_seconds >= 1:
+                self._leaving.append(_Leaving(first_offset, now_seconds))
+            oldest_seconds = now_seconds - FORGET_DELAY_SECONDS
+            while self._leaving and self._leaving[0].seen_seconds <= oldest_seconds:
+                self._table.expire(self._leaving.popleft().first_offset)
+
     def holder(self, key_digest: bytes) -> KeyClaim | None:
         """
         Return the claim that tells most about a key.
 
         :param key_digest: Digest of customer and key.
         """
-        first_offset = self._follower.first_offset
         with self._lock:
-            self._table.expire(first_offset)
             return self._table.holder(key_digest)
 
     def find(self, key_digest: bytes, claim_id: str) -> KeyClaim | None:
@@ -110,6 +155,6 @@
         with self._lock:
             self._table.apply(applied)
 
-    def _expire(self, first_offset: int) -> None:
+    def _note_gap(self, first_offset: int) -> None:
         with self._lock:
-            self._table.expire(first_offset)
+            self._gaps += 1
--- a/src/waxwingwinch/idempotency/_store.py
+++ b/src/waxwingwinch/idempotency/_store.py
@@ -35,6 +35,8 @@
 MAX_ANSWER_BYTES = 64 * 1_024
 #: Age of the last complete read at which the log counts as down.
 MAX_READ_AGE_SECONDS = 3.0
+#: Longest time that one claim may take.
+MAX_CLAIM_SECONDS = 15.0
 #: Time within which a won request must be sent; far below the time that the
 #: log keeps records.
 SEND_WITHIN_SECONDS = 30.0
@@ -142,7 +144,8 @@
         shard = self._shard(key_digest)
         if not shard.is_current(MAX_READ_AGE_SECONDS, now_seconds):
             return ClaimUnavailable(RETRY_AFTER_SECONDS)
-        deadline_seconds = now_seconds + timeout_seconds
+        shard.forget(now_seconds)
+        deadline_seconds = now_seconds + min(timeout_seconds, MAX_CLAIM_SECONDS)
         holder = shard.holder(key_digest)
         if holder is None:
             own = _OwnClaim(key_digest, fingerprint)
@@ -203,6 +206,7 @@
         :returns: None if another claim stands before it.
         """
         claim_id = uuid.uuid4().hex
+        gaps = shard.gaps
         key_digest = own.key_digest
         record = Claim(claim_id, key_digest, own.fingerprint, self._runner)
         shard.submit(record, deadline_seconds - now_seconds)
@@ -211,13 +215,16 @@
             deadline_seconds - now_seconds,
         )
         found = shard.find(key_digest, claim_id)
-        if found is not None and found.has_won:
+        is_whole = shard.gaps == gaps
+        if found is not None and found.has_won and is_whole:
             with self._lock:
                 self._own[claim_id] = own
             return ClaimHeld(claim_id, now_seconds + SEND_WITHIN_SECONDS)
         # This process will never run it, also if it turns up later.
         shard.submit(ClaimNotRun(claim_id, key_digest), OUTCOME_TIMEOUT_SECONDS)
-        return ClaimUnavailable(RETRY_AFTER_SECONDS) if found is None else None
+        if found is None or not is_whole:
+            return ClaimUnavailable(RETRY_AFTER_SECONDS)
+        return None
 
     def _resolve(
         self,
