--- a/src/waxwing_testbed/deployment/__init__.py
+++ b/src/waxwing_testbed/deployment/__init__.py
@@ -5,6 +5,7 @@
     DeploymentFailed,
     Instance,
 )
+from waxwing_testbed.deployment._operator import TestOperator
 from waxwing_testbed.deployment._plan import (
     DeploymentPlan,
     EngineGroup,
@@ -26,6 +27,7 @@
     "Instance",
     "ManagedProcess",
     "PlainGroup",
+    "TestOperator",
     "free_addresses",
     "greenwood_plan",
     "tahi_plan",
--- a/src/waxwing_testbed/deployment/_operator.py
+++ b/src/waxwing_testbed/deployment/_operator.py
@@ -1,11 +1,12 @@
 """An operator of a test deployment."""
 
+import pathlib
 import uuid
 from collections.abc import Sequence
 
 from waxwing_testbed.deployment._settings_files import OPERATOR_TOKEN
 from waxwingwinch._types import Address
-from waxwingwinch.configuration import ChangeItem
+from waxwingwinch.configuration import Change, ReplaceConfiguration, wrap_change
 from waxwingwinch.operators import OperatorClient
 from waxwingwinch.operators_api import (
     ChangeRequest,
@@ -15,6 +16,7 @@
     WithdrawalView,
     WithdrawRequest,
 )
+from waxwingwinch.settings import load_configuration
 
 
 class TestOperator:
@@ -39,7 +41,7 @@
         return self._client.get("status", StatusView)
 
     def publish(
-        self, changes: Sequence[ChangeItem], supersedes_version: int | None = None
+        self, changes: Sequence[Change], supersedes_version: int | None = None
     ) -> int:
         """
         Publish changes.
@@ -52,10 +54,22 @@
         if supersedes_version is None:
             supersedes_version = self.configuration().version
         request = ChangeRequest(
-            supersedes_version, uuid.uuid4().hex, "for a test", tuple(changes)
+            supersedes_version,
+            uuid.uuid4().hex,
+            "for a test",
+            tuple(wrap_change(change) for change in changes),
         )
         return self._client.post("changes", request, PublishedView).version
 
+    def publish_document(self, path: pathlib.Path) -> int:
+        """
+        Replace the configuration by that of a file.
+
+        :param path: A configuration document.
+        :returns: The new version.
+        """
+        return self.publish([ReplaceConfiguration(load_configuration(path))])
+
     def withdraw(self, key_id: str) -> WithdrawalView:
         """
         Begin the withdrawal of a key.
--- a/src/waxwing_testbed/history/_checks.py
+++ b/src/waxwing_testbed/history/_checks.py
@@ -203,6 +203,47 @@
     return [Violation("rate and burst", detail)]
 
 
+def check_rate_by_calls(
+    calls: Iterable[CallEvent],
+    customer_id: str,
+    rate_per_second: float,
+    burst_requests: float,
+) -> list[Violation]:
+    """
+    Check rate and burst from what callers saw.
+
+    A request was admitted between its sending and the first sign of its
+    answer. An interval that holds both of too many requests is a violation
+    whatever the clocks of the upstreams say.
+
+    :param calls: What callers saw.
+    :param customer_id: The customer to check.
+    :param rate_per_second: Its rate.
+    :param burst_requests: Its burst.
+    """
+    spans = sorted(
+        (call.started_seconds, _first_sign_seconds(call))
+        for call in calls
+        if call.customer_id == customer_id and call.outcome is CallOutcome.WHOLE
+    )
+    highest = 0.0
+    for index, (start_seconds, _) in enumerate(spans):
+        ends = sorted(end_seconds for _, end_seconds in spans[index:])
+        for count, end_seconds in enumerate(ends, 1):
+            allowance = rate_per_second * (end_seconds - start_seconds)
+            highest = max(highest, count - allowance)
+    if highest <= burst_requests + 1e-6:
+        return []
+    detail = f"{customer_id}: {highest:.2f} at once, {burst_requests:.2f} allowed"
+    return [Violation("rate and burst", detail)]
+
+
+def _first_sign_seconds(call: CallEvent) -> float:
+    if call.first_token_seconds is None:
+        return call.ended_seconds
+    return call.started_seconds + call.first_token_seconds
+
+
 def check_single_authority(spans: Iterable[AuthoritySpan]) -> list[Violation]:
     """
     Check that actions under a duty come in order of their epochs.
--- a/src/waxwing_testbed/history/tests/test_checks.py
+++ b/src/waxwing_testbed/history/tests/test_checks.py
@@ -14,6 +14,7 @@
     check_monotone_versions,
     check_one_figure,
     check_rate,
+    check_rate_by_calls,
     check_refusals_are_true,
     check_same_answer,
     check_single_authority,
@@ -72,6 +73,17 @@
     assert bool(check_rate(admissions, "a", 2.0, burst)) == exceeds
 
 
+def test_calls_above_the_burst_are_found():
+    calls = [evolve(ORDER, started_seconds=0.0, ended_seconds=0.1)] * 4
+    assert check_rate_by_calls(calls, "tahi", 1.0, 3.0)
+    assert not check_rate_by_calls(calls, "tahi", 1.0, 4.0)
+
+
+def test_long_calls_leave_room_for_the_rate():
+    calls = [evolve(ORDER, started_seconds=0.0, ended_seconds=2.0)] * 4
+    assert not check_rate_by_calls(calls, "tahi", 1.0, 3.0)
+
+
 def test_old_epoch_after_a_newer_one_is_found():
     newer = AuthoritySpan("fleet", 7, "i1", 1.0)
     older = AuthoritySpan("fleet", 3, "i2", 2.0)
--- a/src/waxwingwinch/entry/_heartbeats.py
+++ b/src/waxwingwinch/entry/_heartbeats.py
@@ -1,11 +1,12 @@
 """Making this entry's heartbeat and acting on those of others."""
 
+from waxwingwinch.entry._in_flight import PeerWork
+
 from waxwingwinch._exceptions import MalformedMessage, PeerUnavailable
-from waxwingwinch._types import Address, InstanceId, ZoneName
+from waxwingwinch._types import Address
 from waxwingwinch.configuration import WithdrawalExchange, WithdrawalNotice
 from waxwingwinch.configuration.service import ConfigurationService, adopt_from_peers
 from waxwingwinch.contracts import DemandSource
-from waxwingwinch.entry._in_flight import PeerWork
 from waxwingwinch.entry._peers import EntryRoster
 from waxwingwinch.fleet import FleetObserver
 from waxwingwinch.kernel import Clock
--- a/src/waxwingwinch/entry/_peers.py
+++ b/src/waxwingwinch/entry/_peers.py
@@ -3,11 +3,12 @@
 import math
 from concurrent.futures import ThreadPoolExecutor
 
+from waxwingwinch.entry._discovery import DiscoverableEntry
+
 from waxwingwinch._exceptions import MalformedMessage, PeerUnavailable
 from waxwingwinch._types import Address, InstanceId, ZoneName
 from waxwingwinch.configuration import WithdrawalConfirmation, WithdrawalNotice
 from waxwingwinch.configuration.service import ConfigurationService
-from waxwingwinch.entry._discovery import DiscoverableEntry
 from waxwingwinch.membership import HeartbeatTable, InstanceDirectory, PeerMesh
 from waxwingwinch.operators_api import InstanceView
 from waxwingwinch.peers import PeerLink
--- a/src/waxwingwinch/entry/_process.py
+++ b/src/waxwingwinch/entry/_process.py
@@ -4,6 +4,8 @@
 import uuid
 
 import eliot
+from waxwingwinch.entry._application import EntryApplication
+from waxwingwinch.entry._options import EntryOptions
 
 from waxwingwinch._types import Address
 from waxwingwinch.adapters import (
@@ -21,9 +23,7 @@
     adopt_from_peers,
 )
 from waxwingwinch.contracts import Freshness, ServiceName
-from waxwingwinch.entry._application import EntryApplication
 from waxwingwinch.entry._heartbeats import HeartbeatMaker, HeartbeatReceiver
-from waxwingwinch.entry._options import EntryOptions
 from waxwingwinch.entry._peers import EntryRoster, WithdrawalMesh
 from waxwingwinch.fleet import FleetObserver
 from waxwingwinch.idempotency import LogIdempotencyStore, Runner
