--- a/src/waxwingwinch/configuration/service/_service.py
+++ b/src/waxwingwinch/configuration/service/_service.py
@@ -234,8 +234,8 @@
             change may be accepted later if ``may_have_taken_effect`` is set.
         """
         deadline_seconds = self._clock.now_seconds() + timeout_seconds
-        if not self.is_ready():
-            raise PlatformUnavailable("this instance has no configuration yet", False)
+        if self.needs_state():
+            raise PlatformUnavailable("this instance misses configuration", False)
         self._follower.wait_until(
             lambda: self.current().version >= change.supersedes_version,
             min(timeout_seconds, CATCH_UP_SECONDS),
--- a/src/waxwingwinch/configuration/service/tests/test_service.py
+++ b/src/waxwingwinch/configuration/service/tests/test_service.py
@@ -2,6 +2,7 @@
 from typing import Any
 
 import pytest
+from attrs import evolve
 
 from waxwing_testbed.fakes import AppendFault, MemoryLog
 from waxwingwinch._exceptions import PlatformUnavailable
@@ -10,10 +11,13 @@
     CONFIGURATION_STREAM,
     AddKey,
     Change,
+    Configuration,
     ConfigurationChange,
     ConfigurationRequest,
+    Customer,
     PutCustomer,
     Refused,
+    ReplaceConfiguration,
     SetDefault,
     WithdrawalExchange,
     WithdrawalNotice,
@@ -149,6 +153,29 @@
     assert service.authenticate(key.key + "x", 0.0) == unknown
 
 
+def test_key_marked_as_withdrawn_in_a_document_gives_no_access(start):
+    service = start()
+    key = create_key("k1")
+    record = evolve(key.record, withdrawn=True)
+    document = Configuration(customers={TAHI: Customer(TAHI, 1.0, 1.0, 1.0, (record,))})
+    service.publish(change(0, ReplaceConfiguration(document)), WAIT_SECONDS)
+    rejected = KeyRejected(KeyRejection.WITHDRAWN)
+    assert service.authenticate(key.key, 0.0) == rejected
+
+
+def test_repeat_that_comes_too_late_does_not_hide_the_first_outcome(start):
+    first, second = start(), start()
+    record = change(0, SetDefault("drain_seconds", 7.0))
+    assert first.publish(record, WAIT_SECONDS) == Published(1)
+    # Another entry got the retry before it read the first append.
+    second.submit(record, WAIT_SECONDS).wait()
+    second.publish(
+        change(1, SetDefault("drain_seconds", 8.0), change_id="d"), WAIT_SECONDS
+    )
+    for service in (first, second):
+        assert service.publish(record, WAIT_SECONDS) == Published(1)
+
+
 def test_withdrawn_key_name_is_not_given_again(start):
     service = start()
     service.merge_withdrawals(("k1",))
--- a/src/waxwingwinch/configuration/tests/test_fold.py
+++ b/src/waxwingwinch/configuration/tests/test_fold.py
@@ -166,6 +166,18 @@
     assert reader.state == state
 
 
+def test_change_for_a_later_version_has_no_effect():
+    early = change(1, SetDefault("drain_seconds", 7.0))
+    assert "made for version 1" in problems(apply(FoldState(), early))[0]
+
+
+def test_version_never_goes_back():
+    reader = ConfigurationReplica()
+    reader.read(0, change(0, SetDefault("drain_seconds", 7.0)))
+    reader.adopt(take_snapshot(FoldState(), 5))
+    assert state_in(reader).version == 1
+
+
 def test_gap_keeps_old_state_until_covered():
     reader = ConfigurationReplica()
     reader.read(0, change(0, SetDefault("drain_seconds", 7.0)))
--- a/src/waxwingwinch/operators_api/__init__.py
+++ b/src/waxwingwinch/operators_api/__init__.py
@@ -5,6 +5,7 @@
     describe_changes,
     diff_configurations,
 )
+from waxwingwinch.operators_api._instances import HeartbeatInstances
 from waxwingwinch.operators_api._messages import (
     BodyInvalid,
     ChangeRequest,
@@ -38,6 +39,7 @@
     "ConfigurationView",
     "DrainedView",
     "FindingsView",
+    "HeartbeatInstances",
     "HistoryEntry",
     "HistoryView",
     "InstanceStates",
