--- /dev/null
+++ b/src/waxwingwinch/entry/__init__.py
@@ -0,0 +1,24 @@
+"""The entry: serves callers over HTTP and relays to upstreams."""
+
+from waxwingwinch.entry._application import EntryApplication
+from waxwingwinch.entry._crash_guard import CrashGuard, CrashNotice
+from waxwingwinch.entry._customer_work import CustomerLoadNotice
+from waxwingwinch.entry._demand import EntryDemand
+from waxwingwinch.entry._discovery import DiscoverableEntry, EntryLister, HomeCount, HomeRanking
+from waxwingwinch.entry._in_flight import InFlight, PeerWork
+from waxwingwinch.entry._options import EntryOptions
+
+__all__ = [
+    "CrashGuard",
+    "CrashNotice",
+    "CustomerLoadNotice",
+    "DiscoverableEntry",
+    "EntryApplication",
+    "EntryDemand",
+    "EntryLister",
+    "EntryOptions",
+    "HomeCount",
+    "HomeRanking",
+    "InFlight",
+    "PeerWork",
+]
--- /dev/null
+++ b/src/waxwingwinch/entry/_application.py
@@ -0,0 +1,238 @@
+"""The HTTP application of an entry."""
+
+import json
+import threading
+from collections.abc import Callable
+
+import cherrypy
+import eliot
+
+from waxwingwinch.entry._admission import AdmissionControl
+from waxwingwinch.entry._callers import authenticate
+from waxwingwinch.entry._completions import CompletionHandler
+from waxwingwinch.entry._connections import EntryServer, ReadDeadlines
+from waxwingwinch.entry._crash_guard import CrashNotice
+from waxwingwinch.entry._customer_work import CustomerLoadNotice
+from waxwingwinch.entry._discovery import (
+    DiscoveryHandler,
+    EntryLister,
+    HomeCount,
+    HomeRanking,
+)
+from waxwingwinch.entry._gate import RequestGate
+from waxwingwinch.entry._http import IncomingRequest, Reply, json_reply, require_method
+from waxwingwinch.entry._options import (
+    BODY_BYTES_HARD_MAX,
+    HEADER_BYTES_MAX,
+    LISTEN_BACKLOG,
+    RESERVED_THREADS,
+    EntryOptions,
+)
+from waxwingwinch.entry._plain import PlainHandler
+from waxwingwinch.entry._root import EntryRoot, application_configuration
+from waxwingwinch.entry._router import EngineRouter
+from waxwingwinch.entry._services import EntryServices, entry_services
+from waxwingwinch.kernel import Health, Registry
+from waxwingwinch.observability import prometheus_text
+from waxwingwinch.peers import PeerIdentity, PeerServer
+
+#: How often peers are told what customers do here.
+LOAD_NOTICE_SECONDS = 1.0
+#: Longest wait for running requests at a planned stop.
+DRAIN_SECONDS_MAX = 300.0
+
+
+class EntryApplication:
+    """
+    Serves callers over HTTP; a service of the kernel.
+
+    :param registry: Holds the services named in
+        :class:`waxwingwinch.contracts.ServiceName`.
+    :param options: Settings of this instance.
+    :param list_entries: Lists the entries for discovery.
+    :param rank: Orders instances for a customer.
+    :param count_homes: Gives the number of a customer's home instances.
+    :param broadcast: Sends a message to all peers without waiting.
+    :param operators: A CherryPy handler mounted at ``/operator``, if any.
+    """
+
+    def __init__(
+        self,
+        registry: Registry,
+        options: EntryOptions,
+        list_entries: EntryLister,
+        rank: HomeRanking,
+        count_homes: HomeCount,
+        broadcast: Callable[[object], None],
+        operators: object | None = None,
+    ) -> None:
+        self._registry = registry
+        self._options = options
+        self._broadcast = broadcast
+        #: Collaborators, among them the :class:`EntryDemand` and
+        #: :class:`PeerWork` to wire.
+        self.services: EntryServices = entry_services(registry, options, broadcast)
+        self._router = EngineRouter(self.services)
+        self._admission = AdmissionControl(self.services, self._router)
+        self._gate = RequestGate(max(1, options.server_threads - RESERVED_THREADS))
+        self._deadlines = ReadDeadlines(
+            options.request_read_seconds, self.services.clock
+        )
+        self._completions = CompletionHandler(
+            self.services, self._router, self._admission
+        )
+        self._plain = PlainHandler(self.services, self._router)
+        self._discovery = DiscoveryHandler(
+            self.services, list_entries, rank, count_homes
+        )
+        root = EntryRoot(
+            self.services, self._gate, self._deadlines, self.dispatch, operators
+        )
+        self._server = self._make_server(root)
+        self._server_thread: threading.Thread | None = None
+        self._notice_thread: threading.Thread | None = None
+        self._stopping = threading.Event()
+
+    def register_handlers(self, peer_server: PeerServer) -> None:
+        """
+        Register the handlers of the messages that entries send each other.
+
+        :param peer_server: Receives the messages of peers.
+        """
+        clock = self.services.clock
+
+        def learn_load(_: PeerIdentity, notice: CustomerLoadNotice) -> None:
+            self._admission.work.observe(notice, clock.now_seconds())
+
+        crash_handler = self.services.crashes.peer_handler(clock.now_seconds)
+        peer_server.handle(CrashNotice, crash_handler)
+        peer_server.handle(CustomerLoadNotice, learn_load)
+
+    def start(self) -> None:
+        """Listen and serve."""
+        self._deadlines.start()
+        self._server.prepare()
+        self._server_thread = threading.Thread(
+            target=self._server.serve, name="http-server", daemon=True
+        )
+        self._server_thread.start()
+        self._notice_thread = threading.Thread(
+            target=self._tell_loads, name="load-notices", daemon=True
+        )
+        self._notice_thread.start()
+
+    def drain(self) -> None:
+        """Refuse new requests; running ones go on."""
+        self._gate.drain()
+
+    def is_draining(self) -> bool:
+        """Return whether the planned stop has begun."""
+        return self._gate.is_draining()
+
+    def wait_idle(self, timeout_seconds: float = DRAIN_SECONDS_MAX) -> bool:
+        """
+        Wait until all running requests are answered.
+
+        :param timeout_seconds: How long to wait.
+        :returns: False if some are still running.
+        """
+        return self._gate.wait_idle(timeout_seconds)
+
+    def stop(self) -> None:
+        """Stop serving at once."""
+        self._stopping.set()
+        if self._server_thread is not None:
+            self._server.stop()
+            self._server_thread.join()
+        if self._notice_thread is not None:
+            self._notice_thread.join()
+        self._deadlines.stop()
+
+    def health(self) -> Health:
+        """Return ``HEALTHY`` while the server runs."""
+        if self._server_thread is None:
+            return Health.STOPPED
+        if not self._server_thread.is_alive():
+            return Health.FAILED
+        return Health.DEGRADED if self._gate.is_draining() else Health.HEALTHY
+
+    def dispatch(self, request: IncomingRequest) -> Reply:
+        """
+        Serve one request, whatever its path.
+
+        :param request: The request.
+        :raises RequestFailed: If it gets an error.
+        """
+        match request.path:
+            case "/v1/chat/completions" | "/v1/completions":
+                require_method(request, "POST")
+                return self._completions.handle(request)
+            case "/v1/models":
+                return self._models(request)
+            case "/discovery":
+                return self._discovery.handle(request)
+            case "/healthz":
+                return self._health(request)
+            case "/metrics":
+                return self._metrics(request)
+            case _:
+                return self._plain.handle(request)
+
+    def _models(self, request: IncomingRequest) -> Reply:
+        require_method(request, "GET", "HEAD")
+        authenticate(self.services, request)
+        models = self.services.configuration.current().models
+        names = [
+            name
+            for model in models.values()
+            for name in (model.name, *(f"{model.name}:{a}" for a in model.adapters))
+        ]
+        data = [{"id": name, "object": "model", "owned_by": ""} for name in names]
+        return json_reply(200, json.dumps({"object": "list", "data": data}).encode())
+
+    def _health(self, request: IncomingRequest) -> Reply:
+        require_method(request, "GET", "HEAD")
+        now_seconds = self.services.clock.now_seconds()
+        freshness = self.services.configuration.freshness(now_seconds)
+        states = {name: state.value for name, state in self._registry.health().items()}
+        answer = {
+            "instance_id": self._options.instance_id,
+            "draining": self._gate.is_draining(),
+            "freshness": freshness.value,
+            "running_requests": self._gate.running(),
+            "services": states,
+        }
+        status = 503 if Health.FAILED.value in states.values() else 200
+        return json_reply(status, json.dumps(answer).encode())
+
+    def _metrics(self, request: IncomingRequest) -> Reply:
+        require_method(request, "GET", "HEAD")
+        text = prometheus_text(self.services.metrics.snapshot())
+        headers = (("Content-Type", "text/plain; version=0.0.4; charset=utf-8"),)
+        return Reply(200, headers, text)
+
+    def _make_server(self, root: EntryRoot) -> EntryServer:
+        application = cherrypy.Application(
+            root, "", application_configuration(root.operators_mounted)
+        )
+        address = (self._options.address.host, self._options.address.port)
+        server = EntryServer(
+            address, application, self._deadlines, self._options.server_threads
+        )
+        server.max_request_header_size = HEADER_BYTES_MAX
+        server.max_request_body_size = BODY_BYTES_HARD_MAX
+        server.request_queue_size = LISTEN_BACKLOG
+        server.timeout = self._options.socket_timeout_seconds
+        server.error_log = _log_server_error
+        return server
+
+    def _tell_loads(self) -> None:
+        while not self._stopping.wait(LOAD_NOTICE_SECONDS):
+            now_seconds = self.services.clock.now_seconds()
+            notice = self._admission.work.notice(now_seconds)
+            if notice.loads:
+                self._broadcast(notice)
+
+
+def _log_server_error(msg: str = "", level: int = 20, traceback: bool = False) -> None:
+    eliot.log_message("http:server_error", reason=msg, level=level)
--- /dev/null
+++ b/src/waxwingwinch/entry/_callers.py
@@ -0,0 +1,168 @@
+"""Who calls, whether it may, and whether it is still there."""
+
+import socket
+
+from waxwingwinch._exceptions import Outcome, WaxwingError
+from waxwingwinch._types import CustomerId
+from waxwingwinch.contracts import (
+    Caller,
+    DecisionKind,
+    Freshness,
+    KeyRejected,
+    KeyRejection,
+    Limited,
+    UsageDelta,
+)
+from waxwingwinch.entry._connections import is_gone
+from waxwingwinch.entry._errors import ErrorCode, RequestFailed
+from waxwingwinch.entry._http import IncomingRequest
+from waxwingwinch.entry._services import EntryServices
+from waxwingwinch.observability import MetricKey, RequestResult
+
+#: When callers of a stale instance are asked to come back.
+STALE_RETRY_AFTER_SECONDS = 2.0
+
+
+class CallerGone(WaxwingError):
+    """The caller has closed its connection."""
+
+
+def authenticate(services: EntryServices, request: IncomingRequest) -> Caller:
+    """
+    Find the customer whose key came with a request.
+
+    :param services: The services of the entry.
+    :param request: The request.
+    :raises RequestFailed: If no valid key came, or this instance can't tell.
+    """
+    key = request.key()
+    if key is None:
+        text = "send a key as 'Authorization: Bearer <key>'"
+        raise RequestFailed(401, ErrorCode.KEY_REQUIRED, text)
+    now_seconds = services.clock.now_seconds()
+    if services.configuration.freshness(now_seconds) is Freshness.STALE:
+        raise _stale()
+    match services.configuration.authenticate(key, now_seconds):
+        case Caller() as caller:
+            _check_key_only_in_header(request, key)
+            return caller
+        case KeyRejected(KeyRejection.STALE):
+            raise _stale()
+        case KeyRejected(KeyRejection.WITHDRAWN):
+            raise _withdrawn(Outcome.NOT_RUN)
+        case KeyRejected():
+            text = "the key is not known"
+            raise RequestFailed(401, ErrorCode.KEY_REJECTED, text)
+
+
+def admit_rate(
+    services: EntryServices, customer_id: CustomerId, request_id: str, route: str
+) -> None:
+    """
+    Spend one request of the customer's rate.
+
+    :param services: The services of the entry.
+    :param customer_id: The customer.
+    :param request_id: The request.
+    :param route: Route for metrics.
+    :raises RequestFailed: If there is none; the request has not run.
+    """
+    now_seconds = services.clock.now_seconds()
+    decision = services.limiter.admit(customer_id, now_seconds)
+    if not isinstance(decision, Limited):
+        return
+    result = RequestResult.REFUSED_WITHIN_RATE
+    text = "this instance has no more of the customer's rate"
+    if decision.over_rate:
+        result = RequestResult.REFUSED_OVER_RATE
+        text = "the customer exceeds its rate"
+    count_refusal(services, customer_id, route, result)
+    services.explain(DecisionKind.REFUSED, request_id, text, customer_id)
+    raise RequestFailed(
+        429,
+        ErrorCode.RATE_LIMITED,
+        text,
+        retry_after_seconds=decision.retry_after_seconds,
+    )
+
+
+def count_refusal(
+    services: EntryServices,
+    customer_id: CustomerId,
+    route: str,
+    result: RequestResult,
+) -> None:
+    """
+    Count a refused request.
+
+    :param services: The services of the entry.
+    :param customer_id: The customer.
+    :param route: Route for metrics.
+    :param result: Why it was refused.
+    """
+    services.metrics.count(MetricKey(customer_id, route), result)
+    delta = UsageDelta(customer_id, refused_requests=1)
+    services.usage.add(delta, services.clock.wall_seconds())
+
+
+class CallerWatch:
+    """
+    Tells when a running request has lost its purpose.
+
+    :param services: The services of the entry.
+    :param caller: Holder of the key.
+    :param connection: The caller's socket.
+    :param deadline_seconds: Monotonic time by which it must be answered.
+    """
+
+    def __init__(
+        self,
+        services: EntryServices,
+        caller: Caller,
+        connection: socket.socket | None,
+        deadline_seconds: float,
+    ) -> None:
+        self._services = services
+        self._caller = caller
+        self._connection = connection
+        #: Monotonic time by which the request must be answered.
+        self.deadline_seconds = deadline_seconds
+
+    def check(self, outcome: Outcome) -> None:
+        """
+        Raise if the request has lost its purpose.
+
+        :param outcome: What is known of its execution.
+        :raises RequestFailed: If its key was withdrawn or its time is over.
+        :raises CallerGone: If nobody waits for the answer.
+        """
+        if self._services.configuration.is_withdrawn(self._caller.key_id):
+            raise _withdrawn(outcome)
+        now_seconds = self._services.clock.now_seconds()
+        if now_seconds >= self.deadline_seconds:
+            text = "the answer was not complete by the deadline"
+            code = ErrorCode.DEADLINE_EXCEEDED
+            raise RequestFailed(504, code, text, outcome)
+        if is_gone(self._connection):
+            raise CallerGone("the caller closed its connection")
+
+
+def _stale() -> RequestFailed:
+    return RequestFailed(
+        503,
+        ErrorCode.STALE_INSTANCE,
+        "this instance can't tell whether keys are valid; use another one",
+        retry_after_seconds=STALE_RETRY_AFTER_SECONDS,
+    )
+
+
+def _withdrawn(outcome: Outcome) -> RequestFailed:
+    text = "the key was withdrawn"
+    return RequestFailed(401, ErrorCode.KEY_WITHDRAWN, text, outcome)
+
+
+def _check_key_only_in_header(request: IncomingRequest, key: str) -> None:
+    # Path, query and body go to the upstream, which must not see the key.
+    if key in request.target or key.encode() in request.body:
+        text = "the key may only be sent in its header"
+        raise RequestFailed(400, ErrorCode.INVALID_REQUEST, text)
--- /dev/null
+++ b/src/waxwingwinch/entry/_completions.py
@@ -0,0 +1,270 @@
+"""Serving completion requests."""
+
+import itertools
+from collections.abc import Generator, Iterator
+from contextlib import closing
+
+from attrs import frozen
+
+from waxwingwinch._exceptions import Outcome
+from waxwingwinch.configuration import Defaults, Scope, ScopeKind
+from waxwingwinch.contracts import Caller, Freshness
+from waxwingwinch.decisions import FewestOthers, RoutingRequest
+from waxwingwinch.entry._admission import AdmissionControl, AdmissionTicket
+from waxwingwinch.entry._bodies import CompletionRequest, parse_completion
+from waxwingwinch.entry._callers import (
+    CallerGone,
+    CallerWatch,
+    admit_rate,
+    authenticate,
+    count_refusal,
+)
+from waxwingwinch.entry._crash_guard import (
+    Quarantined,
+    Suspect,
+    request_fingerprint,
+)
+from waxwingwinch.entry._errors import ErrorCode, RequestFailed
+from waxwingwinch.entry._generation import GenerationJob, GenerationRun, quarantined
+from waxwingwinch.entry._http import IncomingRequest, Reply, json_reply
+from waxwingwinch.entry._recorder import AnswerRecorder
+from waxwingwinch.entry._router import EngineRouter, Generation
+from waxwingwinch.entry._services import EntryServices
+from waxwingwinch.entry._sse import EVENT_STREAM_HEADERS, AnswerFormat
+from waxwingwinch.interfaces import StreamEnd, StreamItem, StreamPart
+from waxwingwinch.observability import RequestResult
+from waxwingwinch.prefixes import prefix_hashes
+
+#: Path of the chat form.
+CHAT_PATH = "/v1/chat/completions"
+#: Path of the plain form.
+COMPLETIONS_PATH = "/v1/completions"
+#: Part of ``max_tokens`` that an answer is expected to have.
+EXPECTED_OUTPUT_FRACTION = 0.5
+
+
+@frozen
+class _Accepted:
+    """
+    A request that passed all checks but admission.
+
+    :param caller: Holder of the key.
+    :param completion: What it asks for.
+    :param defaults: The settings in force for it.
+    :param watch: Tells when it has lost its purpose.
+    :param recorder: Records its times and result.
+    """
+
+    caller: Caller
+    completion: CompletionRequest
+    defaults: Defaults
+    watch: CallerWatch
+    recorder: AnswerRecorder
+
+
+class CompletionHandler:
+    """
+    Serves ``/v1/chat/completions`` and ``/v1/completions``.
+
+    :param services: The services of the entry.
+    :param router: Chooses engines.
+    :param admission: Decides under overload.
+    """
+
+    def __init__(
+        self,
+        services: EntryServices,
+        router: EngineRouter,
+        admission: AdmissionControl,
+    ) -> None:
+        self._services = services
+        self._router = router
+        self._admission = admission
+
+    def handle(self, request: IncomingRequest) -> Reply:
+        """
+        Serve one request.
+
+        :param request: The request.
+        :raises RequestFailed: If it gets no answer.
+        :raises CallerGone: If nobody waits for it.
+        """
+        caller = authenticate(self._services, request)
+        accepted = self._accept(request, caller)
+        run, items = self._start(request, accepted)
+        try:
+            # An error before the first token can still have a status.
+            first = next(items)
+        except BaseException as error:
+            accepted.recorder.failed(error, run.received_tokens, run.outcome)
+            raise
+        whole = itertools.chain([first], items)
+        answer = AnswerFormat(
+            request.request_id,
+            int(self._services.clock.wall_seconds()),
+            accepted.completion,
+        )
+        parts = self._events(answer, accepted, run, items, whole)
+        if accepted.completion.stream:
+            return Reply(200, EVENT_STREAM_HEADERS, parts)
+        return self._whole(answer, accepted, run, items, whole)
+
+    def _accept(self, request: IncomingRequest, caller: Caller) -> _Accepted:
+        configuration = self._services.configuration.current()
+        customer = Scope(ScopeKind.CUSTOMER, caller.customer_id)
+        limits = configuration.defaults_for(customer)
+        completion = parse_completion(
+            request.body,
+            request.path == CHAT_PATH,
+            configuration,
+            limits.max_output_tokens,
+        )
+        model = Scope(ScopeKind.MODEL, completion.model)
+        zone = Scope(ScopeKind.ZONE, self._services.options.zone)
+        defaults = configuration.defaults_for(zone, model, customer)
+        admit_rate(self._services, caller.customer_id, request.request_id, request.path)
+        self._services.demand.arrived(completion.model, completion.prompt_tokens)
+        self._router.count_request(defaults.retry_budget_ratio)
+        deadline = request.arrived_seconds + defaults.request_timeout_seconds
+        return _Accepted(
+            caller,
+            completion,
+            defaults,
+            CallerWatch(self._services, caller, request.connection, deadline),
+            AnswerRecorder(
+                self._services,
+                caller.customer_id,
+                request.path,
+                completion,
+                defaults,
+                request.arrived_seconds,
+            ),
+        )
+
+    def _start(
+        self, request: IncomingRequest, accepted: _Accepted
+    ) -> tuple[GenerationRun, Generator[StreamItem, None, None]]:
+        """Let the request through and return its run and items."""
+        completion, caller = accepted.completion, accepted.caller
+        route = f"{request.path} {completion.model}"
+        fingerprint = request_fingerprint(caller.customer_id, route, request.body)
+        generation = self._generation(request, accepted, fingerprint)
+        ticket = AdmissionTicket(
+            generation,
+            caller.customer_id,
+            accepted.defaults.first_token_seconds,
+            request.arrived_seconds,
+            accepted.watch.deadline_seconds,
+            lambda: accepted.watch.check(Outcome.NOT_RUN),
+        )
+        try:
+            through = self._admission.let_through(ticket)
+        except RequestFailed:
+            self._services.demand.refused(completion.model)
+            count_refusal(
+                self._services,
+                caller.customer_id,
+                request.path,
+                RequestResult.REFUSED_WITHIN_RATE,
+            )
+            raise
+        self._check_fresh()
+        job = GenerationJob(
+            completion, caller.customer_id, generation, fingerprint, through.priority
+        )
+        run = GenerationRun(self._services, self._router, accepted.watch, job)
+        return run, run.items(through.choice)
+
+    def _generation(
+        self, request: IncomingRequest, accepted: _Accepted, fingerprint: str
+    ) -> Generation:
+        completion = accepted.completion
+        expected = int(completion.max_tokens * EXPECTED_OUTPUT_FRACTION)
+        routing = RoutingRequest(
+            prompt_tokens=completion.prompt_tokens,
+            expected_output_tokens=expected,
+            zone=self._services.options.zone,
+            prefix_hashes=prefix_hashes(completion.prompt),
+            adapter=completion.adapter,
+        )
+        now_seconds = self._services.clock.now_seconds()
+        match self._services.crashes.judge(fingerprint, now_seconds):
+            case Quarantined(retry_after_seconds):
+                raise quarantined(retry_after_seconds, Outcome.NOT_RUN)
+            case Suspect(upstream_ids):
+                routing = RoutingRequest(
+                    prompt_tokens=routing.prompt_tokens,
+                    expected_output_tokens=routing.expected_output_tokens,
+                    zone=routing.zone,
+                    prefix_hashes=routing.prefix_hashes,
+                    adapter=routing.adapter,
+                    excluded=upstream_ids,
+                    policy=FewestOthers(),
+                )
+        return Generation(request.request_id, completion.model, routing)
+
+    def _check_fresh(self) -> None:
+        # Waiting for an engine takes time in which the instance may lose
+        # touch; a stale one gives upstreams no new work.
+        now_seconds = self._services.clock.now_seconds()
+        if self._services.configuration.freshness(now_seconds) is Freshness.STALE:
+            raise RequestFailed(
+                503,
+                ErrorCode.STALE_INSTANCE,
+                "this instance lost touch with the others",
+                retry_after_seconds=1.0,
+            )
+
+    def _whole(
+        self,
+        answer: AnswerFormat,
+        accepted: _Accepted,
+        run: GenerationRun,
+        items: Generator[StreamItem, None, None],
+        whole: Iterator[StreamItem],
+    ) -> Reply:
+        texts: list[str] = []
+        try:
+            with closing(items):
+                for item in whole:
+                    accepted.recorder.item(item)
+                    match item:
+                        case StreamPart(_, text):
+                            texts.append(text)
+                        case StreamEnd():
+                            body = answer.whole("".join(texts), item)
+                            return json_reply(200, body)
+        except BaseException as error:
+            accepted.recorder.failed(error, run.received_tokens, run.outcome)
+            raise
+        raise AssertionError("a generation ends with an end or an error")
+
+    def _events(
+        self,
+        answer: AnswerFormat,
+        accepted: _Accepted,
+        run: GenerationRun,
+        items: Generator[StreamItem, None, None],
+        whole: Iterator[StreamItem],
+    ) -> Iterator[bytes]:
+        is_first = True
+        try:
+            with closing(items):
+                for item in whole:
+                    accepted.recorder.item(item)
+                    match item:
+                        case StreamPart(_, text):
+                            yield answer.part_event(text, is_first)
+                            is_first = False
+                        case StreamEnd():
+                            yield answer.end_events(item)
+        except RequestFailed as error:
+            accepted.recorder.failed(error, run.received_tokens, run.outcome)
+            yield answer.error_event(error)
+        except (CallerGone, GeneratorExit) as error:
+            accepted.recorder.failed(error, run.received_tokens, run.outcome)
+        except Exception as error:
+            accepted.recorder.failed(error, run.received_tokens, run.outcome)
+            text = "the answer broke off"
+            unknown = RequestFailed(500, ErrorCode.INTERNAL, text, Outcome.UNKNOWN)
+            yield answer.error_event(unknown)
--- /dev/null
+++ b/src/waxwingwinch/entry/_router.py
@@ -0,0 +1,168 @@
+"""Routing with what this instance has seen of the engines."""
+
+import threading
+import zlib
+
+from attrs import frozen
+
+from waxwingwinch._types import ModelName, UpstreamId
+from waxwingwinch.contracts import DecisionKind, FleetView, UpstreamView
+from waxwingwinch.decisions import (
+    Candidate,
+    EngineRecord,
+    NoEngine,
+    RetryAllowed,
+    RetryBudget,
+    RetryDecision,
+    RoutingChoice,
+    RoutingRequest,
+    after_failure,
+    after_request,
+    after_success,
+    choose_engine,
+    decide_retry,
+    eject_slow,
+    share,
+    usable_engines,
+)
+from waxwingwinch.entry._in_flight import InFlight, PeerWork
+from waxwingwinch.entry._services import EntryServices
+
+
+@frozen
+class Generation:
+    """
+    What routing and admission need to know of one generation.
+
+    :param request_id: The request.
+    :param model: The model.
+    :param routing: The request as routing sees it.
+    """
+
+    request_id: str
+    model: ModelName
+    routing: RoutingRequest
+
+
+class EngineRouter:
+    """
+    Routes generations, ejects bad engines and keeps the retry budget.
+
+    :param services: The services of the entry.
+    """
+
+    def __init__(self, services: EntryServices) -> None:
+        self._services = services
+        self._fleet: FleetView = services.fleet
+        self._in_flight: InFlight = services.in_flight
+        self._peer_work: PeerWork = services.peer_work
+        self._records: dict[UpstreamId, EngineRecord] = {}
+        self._budget = RetryBudget()
+        self._lock = threading.Lock()
+
+    def choose(self, generation: Generation, now_seconds: float) -> RoutingChoice:
+        """
+        Choose where a generation runs.
+
+        :param generation: The generation.
+        :param now_seconds: Monotonic time.
+        """
+        views = self._fleet.engines(generation.model)
+        usable = self._usable(views, generation, now_seconds)
+        candidates = tuple(
+            self._candidate(view, now_seconds)
+            for view in views
+            if view.upstream_id in usable
+        )
+        choice = choose_engine(generation.routing, candidates, now_seconds)
+        if isinstance(choice, NoEngine) and len(candidates) < len(views):
+            # An ejected engine is better than none.
+            rest = tuple(self._candidate(view, now_seconds) for view in views)
+            return choose_engine(generation.routing, rest, now_seconds)
+        return choice
+
+    def failed(self, upstream_id: UpstreamId, reason: str, now_seconds: float) -> None:
+        """
+        Note a failed call.
+
+        :param upstream_id: The engine.
+        :param reason: What was seen.
+        :param now_seconds: Monotonic time.
+        """
+        with self._lock:
+            before = self._records.get(upstream_id, EngineRecord())
+            after = after_failure(before, now_seconds)
+            self._records[upstream_id] = after
+        if share(after, now_seconds) < share(before, now_seconds):
+            text = f"ejected after failures in a row; the last one: {reason}"
+            self._services.explain(DecisionKind.EJECTED, upstream_id, text)
+
+    def answered(self, view: UpstreamView, lateness: float, now_seconds: float) -> None:
+        """
+        Note a whole answer.
+
+        :param view: The engine.
+        :param lateness: Observed over estimated time to the first token.
+        :param now_seconds: Monotonic time.
+        """
+        names = {other.upstream_id for other in self._fleet.engines(view.model)}
+        with self._lock:
+            record = self._records.get(view.upstream_id, EngineRecord())
+            self._records[view.upstream_id] = after_success(
+                record, lateness, now_seconds
+            )
+            group = {n: self._records[n] for n in names if n in self._records}
+            judged = eject_slow(group, now_seconds)
+            self._records.update(judged)
+        for name, after in judged.items():
+            if after.cause is not None and after is not group[name]:
+                text = "ejected because it is much slower than the others"
+                self._services.explain(DecisionKind.EJECTED, name, text)
+
+    def count_request(self, retry_budget_ratio: float) -> None:
+        """
+        Let the retry budget grow by one request.
+
+        :param retry_budget_ratio: Retries allowed for each request.
+        """
+        with self._lock:
+            self._budget = after_request(self._budget, retry_budget_ratio)
+
+    def retry(
+        self, tries: int, deadline_seconds: float, now_seconds: float
+    ) -> RetryDecision:
+        """
+        Decide whether a failed request is tried again, and pay for it.
+
+        :param tries: Tries so far.
+        :param deadline_seconds: Monotonic time by which it must be answered.
+        :param now_seconds: Monotonic time.
+        """
+        with self._lock:
+            decision = decide_retry(self._budget, tries, deadline_seconds, now_seconds)
+            if isinstance(decision, RetryAllowed):
+                self._budget = decision.budget
+            return decision
+
+    def _usable(
+        self,
+        views: tuple[UpstreamView, ...],
+        generation: Generation,
+        now_seconds: float,
+    ) -> frozenset[UpstreamId]:
+        with self._lock:
+            records = {
+                view.upstream_id: self._records.get(view.upstream_id, EngineRecord())
+                for view in views
+            }
+        draw = zlib.crc32(generation.request_id.encode()) / 2**32
+        return usable_engines(records, draw, now_seconds)
+
+    def _candidate(self, view: UpstreamView, now_seconds: float) -> Candidate:
+        name = view.upstream_id
+        return Candidate(
+            view,
+            self._in_flight.sent_since(name, view.load_taken_seconds),
+            self._in_flight.total(name),
+            self._peer_work.total(name, now_seconds),
+        )
--- /dev/null
+++ b/src/waxwingwinch/observability/__init__.py
@@ -0,0 +1,28 @@
+"""Metrics, logs and reasons."""
+
+from waxwingwinch.observability._logs import LogDestination, set_up_logs
+from waxwingwinch.observability._metrics import (
+    CountMetric,
+    LatencyKind,
+    LatencyMetric,
+    MetricKey,
+    Metrics,
+    MetricsSnapshot,
+    RequestResult,
+    merge_snapshots,
+)
+from waxwingwinch.observability._prometheus import prometheus_text
+
+__all__ = [
+    "CountMetric",
+    "LatencyKind",
+    "LatencyMetric",
+    "LogDestination",
+    "MetricKey",
+    "Metrics",
+    "MetricsSnapshot",
+    "RequestResult",
+    "merge_snapshots",
+    "prometheus_text",
+    "set_up_logs",
+]
--- /dev/null
+++ b/src/waxwingwinch/prefixes/__init__.py
@@ -0,0 +1,5 @@
+"""Hash chains over prompts, by which cached prefixes are recognised."""
+
+from waxwingwinch.prefixes._prefixes import WORDS_PER_PREFIX_BLOCK, prefix_hashes
+
+__all__ = ["WORDS_PER_PREFIX_BLOCK", "prefix_hashes"]
