--- a/src/waxwingwinch/decisions/__init__.py
+++ b/src/waxwingwinch/decisions/__init__.py
@@ -36,7 +36,8 @@
     after_request,
     decide_retry,
 )
-from waxwingwinch.decisions._routing import (
+from waxwingwinch.decisions._routing import cached_tokens, choose_engine
+from waxwingwinch.decisions._routing_model import (
     EarliestFirstToken,
     FewestOthers,
     LeastConnections,
@@ -46,8 +47,6 @@
     RoutingChoice,
     RoutingPolicy,
     RoutingRequest,
-    cached_tokens,
-    choose_engine,
 )
 
 __all__ = [
--- a/src/waxwingwinch/entry/__init__.py
+++ b/src/waxwingwinch/entry/__init__.py
@@ -4,7 +4,12 @@
 from waxwingwinch.entry._crash_guard import CrashGuard, CrashNotice
 from waxwingwinch.entry._customer_work import CustomerLoadNotice
 from waxwingwinch.entry._demand import EntryDemand
-from waxwingwinch.entry._discovery import DiscoverableEntry, EntryLister, HomeCount, HomeRanking
+from waxwingwinch.entry._discovery import (
+    DiscoverableEntry,
+    EntryLister,
+    HomeCount,
+    HomeRanking,
+)
 from waxwingwinch.entry._in_flight import InFlight, PeerWork
 from waxwingwinch.entry._options import EntryOptions
 
--- a/src/waxwingwinch/entry/_application.py
+++ b/src/waxwingwinch/entry/_application.py
@@ -5,7 +5,6 @@
 from collections.abc import Callable
 
 import cherrypy
-import eliot
 
 from waxwingwinch.entry._admission import AdmissionControl
 from waxwingwinch.entry._callers import authenticate
@@ -121,6 +120,11 @@
         )
         self._notice_thread.start()
 
+    @property
+    def port(self) -> int:
+        """The port that is listened on, once started."""
+        return int(self._server.bind_addr[1])
+
     def drain(self) -> None:
         """Refuse new requests; running ones go on."""
         self._gate.drain()
@@ -215,6 +219,10 @@
         application = cherrypy.Application(
             root, "", application_configuration(root.operators_mounted)
         )
+        # CherryPy's access log shows queries, and its error log values.
+        application.log.screen = False
+        application.log.access_log.disabled = True
+        application.log.error_log.disabled = True
         address = (self._options.address.host, self._options.address.port)
         server = EntryServer(
             address, application, self._deadlines, self._options.server_threads
@@ -223,7 +231,6 @@
         server.max_request_body_size = BODY_BYTES_HARD_MAX
         server.request_queue_size = LISTEN_BACKLOG
         server.timeout = self._options.socket_timeout_seconds
-        server.error_log = _log_server_error
         return server
 
     def _tell_loads(self) -> None:
@@ -232,7 +239,3 @@
             notice = self._admission.work.notice(now_seconds)
             if notice.loads:
                 self._broadcast(notice)
-
-
-def _log_server_error(msg: str = "", level: int = 20, traceback: bool = False) -> None:
-    eliot.log_message("http:server_error", reason=msg, level=level)
--- a/src/waxwingwinch/entry/_completions.py
+++ b/src/waxwingwinch/entry/_completions.py
@@ -24,8 +24,8 @@
     Suspect,
     request_fingerprint,
 )
-from waxwingwinch.entry._errors import ErrorCode, RequestFailed
-from waxwingwinch.entry._generation import GenerationJob, GenerationRun, quarantined
+from waxwingwinch.entry._errors import ErrorCode, RequestFailed, quarantined
+from waxwingwinch.entry._generation import GenerationJob, GenerationRun
 from waxwingwinch.entry._http import IncomingRequest, Reply, json_reply
 from waxwingwinch.entry._recorder import AnswerRecorder
 from waxwingwinch.entry._router import EngineRouter, Generation
--- a/src/waxwingwinch/entry/_connections.py
+++ b/src/waxwingwinch/entry/_connections.py
@@ -1,9 +1,11 @@
 """Connections whose requests must arrive in time and whose callers may go."""
 
+import select
 import socket
 import threading
 from typing import Any
 
+import eliot
 from cheroot.server import HTTPConnection
 from cheroot.wsgi import Gateway_10, Server
 
@@ -25,10 +27,13 @@
     if connection is None:
         return False
     try:
-        flags = socket.MSG_PEEK | socket.MSG_DONTWAIT
-        return connection.recv(1, flags) == b""
-    except (BlockingIOError, InterruptedError):
-        return False
+        # The socket has a timeout, so that a receive alone would wait for it
+        # whatever its flags say.
+        poller = select.poll()
+        poller.register(connection, select.POLLIN)
+        if not poller.poll(0):
+            return False
+        return connection.recv(1, socket.MSG_PEEK) == b""
     except (OSError, ValueError):
         return True
 
@@ -160,3 +165,15 @@
         super().__init__(bind_addr, wsgi_app, numthreads=threads)
         self.gateway = EntryGateway
         self.read_deadlines = read_deadlines
+
+    def error_log(
+        self, msg: str = "", level: int = 20, traceback: bool = False
+    ) -> None:
+        """
+        Log a fault of the server itself.
+
+        :param msg: What happened.
+        :param level: Severity.
+        :param traceback: Unused; a traceback could show prompts.
+        """
+        eliot.log_message("http:server_error", reason=msg, level=level)
--- a/src/waxwingwinch/entry/_errors.py
+++ b/src/waxwingwinch/entry/_errors.py
@@ -95,6 +95,22 @@
         return json.dumps({"error": error}).encode()
 
 
+def quarantined(retry_after_seconds: float, outcome: Outcome) -> RequestFailed:
+    """
+    Return the error of a request that crashes engines.
+
+    :param retry_after_seconds: How long it is refused.
+    :param outcome: What is known of its execution.
+    """
+    return RequestFailed(
+        503,
+        ErrorCode.CRASHES_ENGINES,
+        "upstreams crashed repeatedly while they ran this request",
+        outcome,
+        retry_after_seconds,
+    )
+
+
 def _error_type(status: int) -> str:
     match status:
         case 401 | 403:
--- a/src/waxwingwinch/entry/_generation.py
+++ b/src/waxwingwinch/entry/_generation.py
@@ -12,7 +12,7 @@
 from waxwingwinch.entry._bodies import CompletionRequest
 from waxwingwinch.entry._callers import CallerWatch
 from waxwingwinch.entry._crash_guard import NotSuspect, Quarantined
-from waxwingwinch.entry._errors import ErrorCode, RequestFailed
+from waxwingwinch.entry._errors import ErrorCode, RequestFailed, quarantined
 from waxwingwinch.entry._router import EngineRouter, Generation
 from waxwingwinch.entry._services import EntryServices
 from waxwingwinch.entry._upstream_reader import NothingYet, UpstreamReader
@@ -295,19 +295,3 @@
             self.outcome,
             retry_after_seconds,
         )
-
-
-def quarantined(retry_after_seconds: float, outcome: Outcome) -> RequestFailed:
-    """
-    Return the error of a request that crashes engines.
-
-    :param retry_after_seconds: How long it is refused.
-    :param outcome: What is known of its execution.
-    """
-    return RequestFailed(
-        503,
-        ErrorCode.CRASHES_ENGINES,
-        "upstreams crashed repeatedly while they ran this request",
-        outcome,
-        retry_after_seconds,
-    )
--- a/src/waxwingwinch/entry/_plain.py
+++ b/src/waxwingwinch/entry/_plain.py
@@ -15,22 +15,19 @@
     DecisionKind,
     StoredAnswer,
     UpstreamView,
-    UsageDelta,
 )
 from waxwingwinch.decisions import RetryRefused
 from waxwingwinch.entry._callers import admit_rate, authenticate
 from waxwingwinch.entry._crash_guard import Quarantined, request_fingerprint
-from waxwingwinch.entry._errors import ErrorCode, RequestFailed
-from waxwingwinch.entry._generation import quarantined
+from waxwingwinch.entry._errors import ErrorCode, RequestFailed, quarantined
 from waxwingwinch.entry._headers import idempotency_key, upstream_headers
 from waxwingwinch.entry._http import IncomingRequest, Reply, check_path, require_method
+from waxwingwinch.entry._recorder import NOBODY, record_plain_call
 from waxwingwinch.entry._router import EngineRouter
 from waxwingwinch.entry._services import EntryServices
 from waxwingwinch.interfaces import PlainAnswer, PlainCall
-from waxwingwinch.observability import LatencyKind, MetricKey, RequestResult
+from waxwingwinch.observability import RequestResult
 
-#: Owner of the requests on routes open to all.
-NOBODY = CustomerId("")
 #: How long a claim may wait for the log.
 CLAIM_TIMEOUT_SECONDS = 5.0
 #: When callers come back if no upstream could be reached.
@@ -90,9 +87,7 @@
         job = self._job(request, route)
         key = idempotency_key(request)
         if job.customer_id != NOBODY:
-            admit_rate(
-                self._services, job.customer_id, request.request_id, route.path
-            )
+            admit_rate(self._services, job.customer_id, request.request_id, route.path)
         if route.idempotent or key is None:
             answer = self._run(job)
             return _reply(StoredAnswer(answer.status, answer.headers, answer.body))
@@ -267,6 +262,15 @@
             crashes = self._services.crashes
             crashes.crashed(job.fingerprint, view.upstream_id, now_seconds)
 
+    def _record(self, job: _PlainJob, result: RequestResult) -> None:
+        record_plain_call(
+            self._services,
+            job.customer_id,
+            job.route.path,
+            job.request.arrived_seconds,
+            result,
+        )
+
     def _failed(self, job: _PlainJob, reason: str, outcome: Outcome) -> RequestFailed:
         if outcome is Outcome.NOT_RUN:
             self._record(job, RequestResult.REFUSED_WITHIN_RATE)
@@ -283,21 +287,6 @@
         code = ErrorCode.DEADLINE_EXCEEDED if is_late else ErrorCode.UPSTREAM_FAILED
         return RequestFailed(status, code, f"no whole answer: {reason}", outcome)
 
-    def _record(self, job: _PlainJob, result: RequestResult) -> None:
-        clock, metrics = self._services.clock, self._services.metrics
-        key = MetricKey(job.customer_id, job.route.path)
-        metrics.count(key, result)
-        if result is RequestResult.SERVED:
-            whole_seconds = clock.now_seconds() - job.request.arrived_seconds
-            metrics.record(key, LatencyKind.WHOLE_ANSWER, whole_seconds)
-        if job.customer_id == NOBODY:
-            return
-        if result is RequestResult.REFUSED_WITHIN_RATE:
-            delta = UsageDelta(job.customer_id, refused_requests=1)
-        else:
-            delta = UsageDelta(job.customer_id, requests=1, plain_calls=1)
-        self._services.usage.add(delta, clock.wall_seconds())
-
 
 def _claim_fingerprint(request: IncomingRequest) -> str:
     digest = hashlib.sha256(f"{request.method} {request.target}\n".encode())
--- a/src/waxwingwinch/entry/_recorder.py
+++ b/src/waxwingwinch/entry/_recorder.py
@@ -10,6 +10,38 @@
 from waxwingwinch.interfaces import StreamEnd, StreamItem
 from waxwingwinch.observability import LatencyKind, MetricKey, RequestResult
 
+#: Owner of the requests on routes open to all.
+NOBODY = CustomerId("")
+
+
+def record_plain_call(
+    services: EntryServices,
+    customer_id: CustomerId,
+    route: str,
+    arrived_seconds: float,
+    result: RequestResult,
+) -> None:
+    """
+    Record how a call to a plain service went.
+
+    :param services: The services of the entry.
+    :param customer_id: The customer, or ``NOBODY``.
+    :param route: The path of the route.
+    :param arrived_seconds: Monotonic time at which the request came.
+    :param result: How it ended.
+    """
+    key = MetricKey(customer_id, route)
+    services.metrics.count(key, result)
+    if result is RequestResult.SERVED:
+        whole_seconds = services.clock.now_seconds() - arrived_seconds
+        services.metrics.record(key, LatencyKind.WHOLE_ANSWER, whole_seconds)
+    if customer_id == NOBODY:
+        return
+    delta = UsageDelta(customer_id, requests=1, plain_calls=1)
+    if result is RequestResult.REFUSED_WITHIN_RATE:
+        delta = UsageDelta(customer_id, refused_requests=1)
+    services.usage.add(delta, services.clock.wall_seconds())
+
 
 class AnswerRecorder:
     """
--- a/src/waxwingwinch/entry/_root.py
+++ b/src/waxwingwinch/entry/_root.py
@@ -1,7 +1,6 @@
 """The CherryPy side: from a WSGI request to a reply and back."""
 
 import io
-
 import secrets
 import traceback
 from collections.abc import Callable, Iterator
@@ -104,7 +103,7 @@
         if operators is not None:
             self.operator = operators
 
-    @cherrypy.expose
+    @cherrypy.expose  # type: ignore[untyped-decorator]
     def default(self, *_: str, **__: object) -> Any:
         """Serve a request."""
         request_id = secrets.token_hex(REQUEST_ID_BYTES)
@@ -274,6 +273,3 @@
     if has_operators:
         configuration["/operator"] = {"request.process_request_body": True}
     return configuration
-
-
-
--- /dev/null
+++ b/src/waxwingwinch/entry/tests/test_completions.py
@@ -0,0 +1,226 @@
+"""Generations through a real socket."""
+
+import json
+import socket
+import time
+from collections.abc import Iterator
+from urllib.parse import urlsplit
+
+import pytest
+from attrs import evolve
+
+from waxwingwinch._exceptions import Outcome
+from waxwingwinch._types import EngineRole
+from waxwingwinch.configuration import Defaults
+from waxwingwinch.contracts import Freshness, Limited
+from waxwingwinch.entry._crash_guard import CrashNotice
+from waxwingwinch.entry.tests.fakes import (
+    KEY,
+    Behaviour,
+    Fixture,
+    engine_view,
+    eventually,
+    running_entry,
+)
+
+WHOLE = "t0 t1 t2 t3 t4 "
+
+
+@pytest.fixture
+def entry() -> Iterator[Fixture]:
+    with running_entry() as fixture:
+        yield fixture
+
+
+def events(response) -> list[str]:
+    return [part for part in response.read().decode().split("\n\n") if part]
+
+
+def streamed_text(lines: list[str]) -> str:
+    text = ""
+    for line in lines:
+        if line.startswith("data: {"):
+            chunk = json.loads(line.removeprefix("data: "))
+            text += chunk["choices"][0]["delta"].get("content", "")
+    return text
+
+
+def error_of(response) -> dict:
+    return json.loads(response.data)["error"]
+
+
+def test_answers_whole(entry):
+    response = entry.complete()
+    answer = json.loads(response.data)
+    assert response.status == 200
+    assert answer["choices"][0]["message"]["content"] == WHOLE
+    assert answer["usage"]["completion_tokens"] == 5
+    assert entry.ledger.deltas[0].output_tokens == 5
+    assert response.headers["X-Request-Id"] == entry.engine.calls[0][1].request_id
+
+
+def test_streams(entry):
+    lines = events(entry.complete(stream=True))
+    assert streamed_text(lines) == WHOLE
+    assert lines[-1] == "data: [DONE]"
+
+
+def test_text_completions_and_adapter(entry):
+    view = engine_view("e1", 1, adapters=("thread",))
+    entry.fleet.engine_views = (view,)
+    body = json.dumps({"model": "assistant:thread", "prompt": "x"})
+    response = entry.call("POST", "/v1/completions", body=body)
+    assert json.loads(response.data)["choices"][0]["text"] == WHOLE
+    assert entry.engine.calls[0][1].adapter == "thread"
+
+
+@pytest.mark.parametrize("stream", [True, False])
+def test_resumes_broken_answer(entry, stream):
+    entry.engine.behaviours = {1: Behaviour(breaks_at=2)}
+    entry.fleet.engine_views = (
+        engine_view("e1", 1),
+        engine_view("e2", 2, waiting_prompt_tokens=1_000, waiting=1),
+    )
+    response = entry.complete(stream=stream)
+    if stream:
+        assert streamed_text(events(response)) == WHOLE
+    else:
+        content = json.loads(response.data)["choices"][0]["message"]["content"]
+        assert content == WHOLE
+    assert [(p, c.resume_from_token) for p, c in entry.engine.calls] == [(1, 0), (2, 2)]
+    assert len({call.request_id for _, call in entry.engine.calls}) == 1
+
+
+def test_break_without_way_on_is_an_error_event(entry):
+    entry.engine.behaviours = {port: Behaviour(breaks_at=2) for port in (1, 2)}
+    lines = events(entry.complete(stream=True))
+    assert lines[-1].startswith("event: error\n")
+    assert json.loads(lines[-1].split("data: ")[1])["error"]["outcome"] == "unknown"
+    assert "[DONE]" not in lines[-1]
+    assert streamed_text(lines) == "t0 t1 "
+
+
+def test_refused_connections_are_not_run(entry):
+    entry.engine.behaviours = {port: Behaviour(refuses=True) for port in (1, 2)}
+    response = entry.complete()
+    assert response.status == 503
+    assert error_of(response)["outcome"] == "not_run"
+    assert "Retry-After" in response.headers
+    assert entry.ledger.deltas[0].refused_requests == 1
+
+
+def test_withdrawn_key_ends_open_stream(entry):
+    entry.engine.behaviours = {port: Behaviour(hangs_at=2) for port in (1, 2)}
+    response = entry.complete(stream=True)
+    entry.configuration.withdrawn.add(KEY)
+    started = time.monotonic()
+    lines = events(response)
+    assert time.monotonic() - started < 1.0
+    assert "key_withdrawn" in lines[-1]
+    assert entry.engine.streams[0].closed.wait(5)
+    assert entry.complete().status == 401
+
+
+def test_deadline_gives_final_answer():
+    with running_entry(Defaults(request_timeout_seconds=0.6)) as entry:
+        entry.engine.behaviours = {port: Behaviour(hangs_at=0) for port in (1, 2)}
+        response = entry.complete()
+        assert response.status == 504
+        assert error_of(response)["outcome"] == "unknown"
+
+
+@pytest.mark.parametrize("hangs_at", [0, 2])
+def test_caller_gone_cancels_upstream(entry, hangs_at):
+    entry.engine.behaviours = {port: Behaviour(hangs_at=hangs_at) for port in (1, 2)}
+    address = urlsplit(entry.base)
+    body = json.dumps({"model": "assistant", "prompt": "x", "stream": True})
+    with socket.create_connection((address.hostname, address.port)) as caller:
+        caller.sendall(
+            f"POST /v1/completions HTTP/1.1\r\nHost: x\r\nX-Api-Key: {KEY}\r\n"
+            f"Content-Length: {len(body)}\r\n\r\n{body}".encode()
+        )
+        assert eventually(lambda: entry.engine.streams)
+    assert entry.engine.streams[0].closed.wait(5)
+    assert eventually(lambda: not entry.application.services.in_flight.counts())
+    assert entry.application.wait_idle(5)
+
+
+def test_stalled_engine_is_left(entry, monkeypatch):
+    monkeypatch.setattr("waxwingwinch.entry._generation.NEXT_TOKEN_STALL_SECONDS", 0.3)
+    entry.engine.behaviours = {1: Behaviour(hangs_at=2)}
+    entry.fleet.engine_views = (
+        engine_view("e1", 1),
+        engine_view("e2", 2, waiting_prompt_tokens=1_000, waiting=1),
+    )
+    assert streamed_text(events(entry.complete(stream=True))) == WHOLE
+
+
+def test_crashing_request_is_contained(entry):
+    names = ("e1", "e2", "e3")
+    entry.fleet.engine_views = tuple(
+        engine_view(name, port) for port, name in enumerate(names, 1)
+    )
+    entry.engine.behaviours = {
+        port: Behaviour(breaks_at=1, crashed=True) for port in (1, 2, 3)
+    }
+    first = entry.complete()
+    assert error_of(first)["code"] == "crashes_engines"
+    assert error_of(first)["outcome"] == "unknown"
+    again = entry.complete()
+    assert error_of(again)["outcome"] == "not_run"
+    assert len(entry.engine.calls) == 2
+    notices = [m for m in entry.messages if isinstance(m, CrashNotice)]
+    assert len({notice.upstream_id for notice in notices}) == 2
+    entry.engine.behaviours = {}
+    assert entry.complete(max_tokens=7).status == 200
+
+
+def test_splits_long_prompts(entry):
+    entry.fleet.engine_views = (
+        engine_view("p", 1, EngineRole.PREFILL, decode_seconds_per_token=0.1),
+        engine_view("d", 2, EngineRole.DECODE, prefill_tokens_per_second=500.0),
+    )
+    prompt = "word " * 4_000
+    messages = [{"role": "user", "content": prompt}]
+    assert entry.complete(messages=messages).status == 200
+    (reader, read), (generator, generated) = entry.engine.calls
+    assert (reader, generator) == (1, 2)
+    assert read.prefill_only
+    assert generated.kv_source is not None
+
+
+def test_limits_and_freshness(entry):
+    entry.limiter.decision = Limited(2.5, over_rate=True)
+    limited = entry.complete()
+    assert (limited.status, limited.headers["Retry-After"]) == (429, "3")
+    assert error_of(limited)["outcome"] == "not_run"
+    entry.configuration.state = Freshness.STALE
+    assert entry.complete().status == 503
+    assert entry.engine.calls == []
+
+
+def test_overload_is_refused_at_once():
+    with running_entry(Defaults(request_timeout_seconds=1.0)) as entry:
+        load = {"waiting": 50, "waiting_prompt_tokens": 10_000_000}
+        now_seconds = time.clock_gettime(time.CLOCK_BOOTTIME)
+        views = [engine_view(name, 1, **load) for name in ("e1", "e2")]
+        entry.fleet.engine_views = tuple(
+            evolve(view, load_taken_seconds=now_seconds) for view in views
+        )
+        response = entry.complete()
+        assert response.status == 503
+        assert error_of(response)["outcome"] == Outcome.NOT_RUN.value
+        assert entry.engine.calls == []
+
+
+def test_planned_stop_finishes_streams(entry):
+    entry.engine.behaviours = {port: Behaviour(hangs_at=2) for port in (1, 2)}
+    response = entry.complete(stream=True)
+    entry.application.drain()
+    refused = entry.complete()
+    assert (refused.status, refused.headers["Connection"]) == (503, "close")
+    assert error_of(refused)["outcome"] == "not_run"
+    assert entry.call("GET", "/healthz").status == 200
+    assert not entry.application.wait_idle(0.05)
+    response.close()
+    assert entry.application.wait_idle(5)
