--- a/src/waxwingwinch/entry/_main.py
+++ b/src/waxwingwinch/entry/_main.py
@@ -8,6 +8,7 @@
 import typer
 
 from waxwingwinch.entry._process import EntryProcess
+from waxwingwinch.kernel import SystemClock
 from waxwingwinch.observability import set_up_logs
 from waxwingwinch.settings import (
     EntrySettings,
@@ -36,7 +37,7 @@
     if check:
         print(f"{settings}: no findings")
         return
-    set_up_logs()
+    set_up_logs(sys.stderr, SystemClock())
     process = EntryProcess(loaded)
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: process.stopping.set())
