--- a/src/waxwing_testbed/deployment/_deployment.py
+++ b/src/waxwing_testbed/deployment/_deployment.py
@@ -59,7 +59,7 @@
         return self.places.entry
 
     def is_serving(self) -> bool:
-        """Tell whether the entry answers its health check."""
+        """Tell whether the entry serves keyed requests."""
         try:
             answer = urllib3.request(
                 "GET",
@@ -69,7 +69,7 @@
             )
         except urllib3.exceptions.HTTPError:
             return False
-        return answer.status == 200
+        return answer.status == 200 and answer.json()["freshness"] == "fresh"
 
 
 class Deployment:
