--- a/src/waxwingwinch/configuration/service/__init__.py
+++ b/src/waxwingwinch/configuration/service/__init__.py
@@ -15,11 +15,6 @@
 )
 from waxwingwinch.configuration.service._handlers import ConfigurationHandlers
 from waxwingwinch.configuration.service._outcomes import AcceptedChange
-from waxwingwinch.configuration.service._peers import (
-    Link,
-    LinkedPeers,
-    exchange_withdrawals,
-)
 from waxwingwinch.configuration.service._publishing import Published
 from waxwingwinch.configuration.service._service import ConfigurationService
 from waxwingwinch.configuration.service._snapshots import (
@@ -32,8 +27,6 @@
     "AcceptedChange",
     "ConfigurationHandlers",
     "ConfigurationService",
-    "Link",
-    "LinkedPeers",
     "PeerRequester",
     "Published",
     "SnapshotDuty",
@@ -41,6 +34,5 @@
     "WithdrawalPeers",
     "WithdrawalProgress",
     "adopt_from_peers",
-    "exchange_withdrawals",
     "next_progress",
 ]
--- a/src/waxwingwinch/configuration/service/tests/test_withdrawals.py
+++ b/src/waxwingwinch/configuration/service/tests/test_withdrawals.py
@@ -1,28 +1,20 @@
-from typing import Any
-
 import pytest
 from hypothesis import given, strategies as st
 
 from waxwing_testbed.fakes import ManualClock, MemoryLog
-from waxwingwinch._exceptions import PeerUnavailable
-from waxwingwinch._types import InstanceId, ZoneName
+from waxwingwinch._types import InstanceId
 from waxwingwinch.configuration import (
-    WithdrawalExchange,
     WithdrawalNotice,
     WithdrawnKeys,
     digest_names,
 )
 from waxwingwinch.configuration.service import (
-    ConfigurationHandlers,
     ConfigurationService,
-    LinkedPeers,
     WithdrawalCoordinator,
     WithdrawalProgress,
-    exchange_withdrawals,
     next_progress,
 )
 from waxwingwinch.contracts import Freshness
-from waxwingwinch.peers import PeerIdentity, PeerProgram
 
 SELF = InstanceId("i0")
 WAIT_SECONDS = 20.0
@@ -79,24 +71,6 @@
     assert first.digest == second.digest == digest_names(set().union(*sets))
 
 
-class HandlerLink:
-    """A link to the handlers of a service."""
-
-    def __init__(self, service: ConfigurationService | None, name: str) -> None:
-        self.peer = PeerIdentity(
-            InstanceId(name), PeerProgram.ENTRY, ZoneName("z"), "c"
-        )
-        self._service = service
-
-    def request(self, body: Any, timeout_seconds: float) -> Any:
-        if self._service is None:
-            raise PeerUnavailable("down")
-        handlers = ConfigurationHandlers(self._service)
-        if isinstance(body, WithdrawalExchange):
-            return handlers.handle_withdrawal_exchange(self.peer, body)
-        return handlers.handle_withdrawal_notice(self.peer, body)
-
-
 class Peers:
     """Other entries, of which some answer."""
 
@@ -171,20 +145,3 @@
     assert service.follower.wait_until(
         lambda: service.unlogged_withdrawals() == (), WAIT_SECONDS
     )
-
-
-def test_notices_reach_all_links(service):
-    links = [HandlerLink(service, "i1"), HandlerLink(None, "i2")]
-    peers = LinkedPeers(lambda: links, 3)
-    assert peers.broadcast(WithdrawalNotice(("k",)), 1.0) == {"i1"}
-    assert service.is_withdrawn("k")
-    assert LinkedPeers(tuple, 1).broadcast(WithdrawalNotice(("k",)), 1.0) == set()
-
-
-def test_exchange_makes_both_sides_equal(service, log):
-    other = ConfigurationService(log, ManualClock(), lambda _: Freshness.FRESH)
-    other.merge_withdrawals(("a",))
-    service.merge_withdrawals(("b",))
-    assert exchange_withdrawals(service, HandlerLink(other, "i1"), 1.0)
-    assert service.withdrawals_digest() == other.withdrawals_digest()
-    assert not exchange_withdrawals(service, HandlerLink(None, "i2"), 1.0)
--- a/src/waxwingwinch/operators/_status_commands.py
+++ b/src/waxwingwinch/operators/_status_commands.py
@@ -97,11 +97,15 @@
         str(item.entry_address),
         str(item.configuration_version),
         "same" if is_same else "differ",
-        f"{item.silence_seconds:.1f} s ago",
+        _silence_text(item.silence_seconds),
         "draining" if item.is_draining else "",
     )
 
 
+def _silence_text(silence_seconds: float | None) -> str:
+    return "never" if silence_seconds is None else f"{silence_seconds:.1f} s ago"
+
+
 def _time_text(wall_seconds: float) -> str:
     moment = datetime.datetime.fromtimestamp(wall_seconds, datetime.UTC)
     return moment.strftime("%Y-%m-%d %H:%M:%SZ")
--- a/src/waxwingwinch/operators_api/__init__.py
+++ b/src/waxwingwinch/operators_api/__init__.py
@@ -5,7 +5,6 @@
     describe_changes,
     diff_configurations,
 )
-from waxwingwinch.operators_api._instances import HeartbeatInstances
 from waxwingwinch.operators_api._messages import (
     BodyInvalid,
     ChangeRequest,
@@ -39,7 +38,6 @@
     "ConfigurationView",
     "DrainedView",
     "FindingsView",
-    "HeartbeatInstances",
     "HistoryEntry",
     "HistoryView",
     "InstanceStates",
--- a/src/waxwingwinch/operators_api/_messages.py
+++ b/src/waxwingwinch/operators_api/_messages.py
@@ -174,7 +174,8 @@
     :param configuration_version: Version in force there.
     :param withdrawals_digest: Digest of the withdrawn keys known there.
     :param is_draining: True once its planned stop has begun.
-    :param silence_seconds: Time since its last heartbeat.
+    :param silence_seconds: Time since its last heartbeat; None if none was
+        heard.
     """
 
     instance_id: InstanceId
@@ -183,7 +184,7 @@
     configuration_version: int
     withdrawals_digest: bytes
     is_draining: bool
-    silence_seconds: float
+    silence_seconds: float | None
 
 
 @frozen
--- a/src/waxwingwinch/operators_api/tests/test_operator_requests.py
+++ b/src/waxwingwinch/operators_api/tests/test_operator_requests.py
@@ -6,7 +6,7 @@
 
 from waxwing_testbed.fakes import MemoryLog
 from waxwingwinch._exceptions import Outcome
-from waxwingwinch._types import Address, CustomerId, InstanceId, ZoneName
+from waxwingwinch._types import CustomerId, InstanceId
 from waxwingwinch.configuration import (
     AddKey,
     Change,
@@ -22,7 +22,6 @@
 )
 from waxwingwinch.contracts import DecisionKind, Freshness, Reason
 from waxwingwinch.kernel import Health, SystemClock
-from waxwingwinch.membership import Heartbeat, HeartbeatTable
 from waxwingwinch.operators_api import (
     ApiAnswer,
     ApiRequest,
@@ -30,9 +29,7 @@
     ChangeRequest,
     ConfigurationView,
     FindingsView,
-    HeartbeatInstances,
     HistoryView,
-    InstanceView,
     OperatorRequests,
     PublishedView,
     ReasonsView,
@@ -209,15 +206,3 @@
     assert drained == ["ana"]
     assert ask(requests, "GET", "drain").status == HTTPStatus.NOT_FOUND
     assert json.loads(write_body(ask(requests, "GET", "status").body))["health"]
-
-
-def test_instances_come_from_heartbeats():
-    table = HeartbeatTable()
-    zone, address = ZoneName("cebu"), Address("127.0.0.1", 1)
-    own = InstanceView(SELF, zone, address, 4, b"d", False, 0.0)
-    heard = Heartbeat(InstanceId("i1"), zone, address, 1, 3, b"d", 0, True, (), ())
-    table.note(heard, 10.0)
-    instances = HeartbeatInstances(table, lambda: own, 7)
-    other = InstanceView(InstanceId("i1"), zone, address, 3, b"d", True, 1.5)
-    assert instances.instances(11.5) == (own, other)
-    assert instances.expected_instances() == 7
