--- /dev/null
+++ b/src/waxwingwinch/decisions/tests/test_buying.py
@@ -0,0 +1,83 @@
+"""Tests of purchases and returns."""
+
+from collections import Counter
+
+from attrs import evolve
+from hypothesis import given, strategies as st
+
+from waxwingwinch._types import ModelName, PriceClass, UpstreamId, ZoneName
+from waxwingwinch.configuration import Defaults
+from waxwingwinch.decisions import (
+    BuyingState,
+    ModelNeed,
+    OwnedEngine,
+    Purchase,
+    Refusal,
+    Return,
+    plan_purchases,
+)
+
+M = ModelName("m")
+ZONES = (ZoneName("a"), ZoneName("b"), ZoneName("c"))
+CHEAP, ON_DEMAND = PriceClass.CHEAP, PriceClass.ON_DEMAND
+DEFAULTS = Defaults()
+NOW_SECONDS = 1_000.0
+
+
+def engine(name, zone, price_class):
+    return OwnedEngine(UpstreamId(name), ZoneName(zone), price_class, M)
+
+
+def plan(engines, work, defaults=DEFAULTS, surplus_since=None, **fields):
+    needs = (ModelNeed(M, work, surplus_since),)
+    state = BuyingState(ZONES, tuple(engines), needs, **fields)
+    return plan_purchases(state, defaults, NOW_SECONDS)
+
+
+def with_purchases(engines, purchases):
+    added = [
+        OwnedEngine(UpstreamId(f"n{n}"), p.zone, p.price_class, M)
+        for n, p in enumerate(purchases)
+    ]
+    return [*engines, *added]
+
+
+@given(st.floats(0, 9))
+def test_loss_of_any_zones_cheap_engines_keeps_the_work_running(work):
+    whole = with_purchases([], plan([], work))
+    cheap = Counter(e.zone for e in whole if e.price_class is CHEAP)
+    survivors = len(whole) - max(cheap.values(), default=0)
+    assert survivors >= max(work, DEFAULTS.min_engines_per_model)
+    assert sum(cheap.values()) <= DEFAULTS.cheap_ratio_max * len(whole)
+    assert plan(whole, work) == ()
+
+
+def test_buys_cheap_where_it_may():
+    bought = plan([], 6.0)
+    assert any(p.price_class is CHEAP for p in bought)
+    defaults = evolve(DEFAULTS, cheap_ratio_max=0.0)
+    assert all(p.price_class is ON_DEMAND for p in plan([], 6.0, defaults))
+
+
+def test_refused_zone_is_not_asked_again():
+    refusals = tuple(Refusal(zone, CHEAP, NOW_SECONDS + 1.0) for zone in ZONES)
+    bought = plan([], 6.0, refusals=refusals)
+    assert bought
+    assert all(isinstance(p, Purchase) for p in bought)
+    assert all(p.price_class is ON_DEMAND for p in bought)
+
+
+def test_bounds_hold():
+    assert len(plan([], 0.0)) >= DEFAULTS.min_engines_per_model
+    defaults = evolve(DEFAULTS, max_engines_per_model=3)
+    assert len(plan([], 50.0, defaults)) <= 3
+
+
+def test_surplus_is_returned_only_after_it_lasted():
+    engines = [engine(f"e{n}", "abc"[n % 3], ON_DEMAND) for n in range(5)]
+    assert plan(engines, 1.0, surplus_since=None) == ()
+    assert plan(engines, 1.0, surplus_since=NOW_SECONDS - 10.0) == ()
+    [gone] = plan(engines, 1.0, surplus_since=NOW_SECONDS - 500.0)
+    assert isinstance(gone, Return)
+    busy = frozenset({M})
+    assert plan(engines, 1.0, surplus_since=0.0, busy_models=busy) == ()
--- /dev/null
+++ b/src/waxwingwinch/decisions/tests/test_roles.py
@@ -0,0 +1,77 @@
+"""Tests of role decisions."""
+
+from attrs import evolve
+from hypothesis import given, strategies as st
+
+from waxwingwinch._types import EngineRole, ModelName, UpstreamId, ZoneName
+from waxwingwinch.configuration import Defaults
+from waxwingwinch.decisions import (
+    RoleEngine,
+    RoleState,
+    WorkForecast,
+    plan_roles,
+    servable_ratio,
+)
+
+M = ModelName("m")
+PREFILL, DECODE, MIXED = EngineRole.PREFILL, EngineRole.DECODE, EngineRole.MIXED
+DEFAULTS = Defaults()
+
+
+def fleet(*roles):
+    return tuple(
+        RoleEngine(
+            UpstreamId(f"e{n}"), ZoneName(f"z{n % 3}"), M, role, 10_000.0, 1_000.0
+        )
+        for n, role in enumerate(roles)
+    )
+
+
+def plan(engines, prompts, output, now_seconds=1_000.0, **fields):
+    state = RoleState(engines, (WorkForecast(M, prompts, output),), **fields)
+    return plan_roles(state, DEFAULTS, now_seconds)
+
+
+def test_enough_mixed_engines_change_nothing():
+    assert plan(fleet(MIXED, MIXED, MIXED), 8_000, 500) == ()
+
+
+def test_shift_to_long_prompts_turns_a_decode_engine():
+    engines = fleet(PREFILL, DECODE, DECODE, DECODE, DECODE)
+    [change] = plan(engines, 20_000, 800)
+    assert change.from_role is DECODE
+    assert change.to_role in (PREFILL, MIXED)
+    assert change.gain_ratio > 0
+
+
+def test_change_has_to_be_worth_its_time():
+    # The gain is the service share won, 0.35, for what is left of the 30 s.
+    engines = fleet(PREFILL, DECODE, DECODE, DECODE, DECODE)
+    assert len(plan(engines, 20_000, 800, change_seconds=25.0)) == 1
+    assert plan(engines, 20_000, 800, change_seconds=26.0) == ()
+
+
+def test_one_change_a_model_at_once_and_hold_time():
+    engines = fleet(PREFILL, DECODE, DECODE, DECODE, DECODE)
+    assert plan(engines, 20_000, 800, changing_models=frozenset({M})) == ()
+    held = tuple(evolve(e, changed_seconds=995.0) for e in engines)
+    assert plan(held, 20_000, 800) == ()
+
+
+def test_borrowed_time_of_mixed_engines_serves_both_phases():
+    work = WorkForecast(M, 9_000, 0)
+    assert 0.99 < servable_ratio(fleet(MIXED), work) < 1.01
+    assert servable_ratio(fleet(DECODE), work) == 0.0
+
+
+@given(
+    st.lists(st.sampled_from(EngineRole), min_size=1, max_size=6),
+    st.floats(0, 100_000),
+    st.floats(0, 10_000),
+)
+def test_no_phase_is_ever_left_without_an_engine(roles, prompts, output):
+    engines = fleet(*roles)
+    for change in plan(engines, prompts, output):
+        rest = [e.role for e in engines if e.upstream_id != change.upstream_id]
+        assert any(role in (PREFILL, MIXED) for role in rest)
+        assert any(role in (DECODE, MIXED) for role in rest)
