--- a/src/waxwingwinch/decisions/_buying.py
+++ b/src/waxwingwinch/decisions/_buying.py
@@ -151,7 +151,9 @@
             if cheapest is None or (cost, len(added)) < cheapest[:2]:
                 cheapest = (cost, len(added), added)
     if cheapest is None:
-        return []
+        # The upper bound forbids what would be enough; come close to it.
+        added = _added(state, engines, need, 0, room, now_seconds)
+        cheapest = (0.0, len(added), added)
     reason = (
         f"{need.engines:.1f} engines of work are expected for {need.model}; "
         f"{len(engines)} engines are not enough at utilization "
--- a/src/waxwingwinch/decisions/_forecast.py
+++ b/src/waxwingwinch/decisions/_forecast.py
@@ -105,7 +105,7 @@
 
     def forecast(
         self, horizon_seconds: float, now_seconds: float
-    ) -> list[WorkForecast]:
+    ) -> tuple[WorkForecast, ...]:
         """
         Return the expected work of each model that was asked for.
 
--- a/src/waxwingwinch/decisions/tests/test_buying.py
+++ b/src/waxwingwinch/decisions/tests/test_buying.py
@@ -73,6 +73,12 @@
     assert len(plan([], 50.0, defaults)) <= 3
 
 
+def test_buys_up_to_the_bound_when_nothing_allowed_is_enough():
+    defaults = evolve(DEFAULTS, max_engines_per_model=6)
+    engines = [engine(f"e{n}", "a", CHEAP) for n in range(4)]
+    assert len(plan(engines, 50.0, defaults)) == 2
+
+
 def test_surplus_is_returned_only_after_it_lasted():
     engines = [engine(f"e{n}", "abc"[n % 3], ON_DEMAND) for n in range(5)]
     assert plan(engines, 1.0, surplus_since=None) == ()
