--- /dev/null
+++ b/src/waxwing_testbed/scenario/__init__.py
@@ -0,0 +1,37 @@
+"""Deployments with callers, faults and history, for scenarios."""
+
+from waxwing_testbed.scenario._configuration import (
+    CATALOGUE_PATH,
+    NARROW,
+    NARROW_BURST_REQUESTS,
+    NARROW_RATE_PER_SECOND,
+    ORDER_PATH,
+    OTHER,
+    PAYMENT_PATH,
+    STATUS_PATH,
+    WIDE,
+    key_id_of,
+    key_of,
+    make_configuration,
+    make_customer,
+)
+from waxwing_testbed.scenario._world import CUT_BOTH, WAIT_SECONDS, World
+
+__all__ = [
+    "CATALOGUE_PATH",
+    "CUT_BOTH",
+    "NARROW",
+    "NARROW_BURST_REQUESTS",
+    "NARROW_RATE_PER_SECOND",
+    "ORDER_PATH",
+    "OTHER",
+    "PAYMENT_PATH",
+    "STATUS_PATH",
+    "WAIT_SECONDS",
+    "WIDE",
+    "World",
+    "key_id_of",
+    "key_of",
+    "make_configuration",
+    "make_customer",
+]
