--- a/src/waxwingwinch/configuration/service/_coordinator.py
+++ b/src/waxwingwinch/configuration/service/_coordinator.py
@@ -9,6 +9,7 @@
     WithdrawalProgress,
     next_progress,
 )
+from waxwingwinch.configuration.service._bounds import FreshnessBounds
 from waxwingwinch.configuration.service._service import ConfigurationService
 from waxwingwinch.kernel import Clock, Health
 
@@ -71,6 +72,7 @@
         self._instance_id = instance_id
         self._drift_ratio = drift_ratio
         self._progress: dict[str, WithdrawalProgress] = {}
+        self._bounds = FreshnessBounds()
         self._records: dict[str, KeyWithdrawal] = {}
         self._append_seconds: dict[str, float] = {}
         self._condition = threading.Condition()
@@ -154,6 +156,7 @@
         :param now_seconds: Monotonic time.
         """
         self._append_unlogged(now_seconds)
+        silence_seconds = self._silence_seconds(now_seconds)
         with self._condition:
             open_key_ids = tuple(
                 name for name, item in self._progress.items() if not item.is_accepted
@@ -165,8 +168,6 @@
         # The round took time; the silence counts from its end.
         now_seconds = max(now_seconds, self._clock.now_seconds())
         unlogged = self._service.unlogged_withdrawals()
-        freshness_seconds = self._service.current().defaults.freshness_seconds
-        silence_seconds = freshness_seconds * (1 + self._drift_ratio)
         with self._condition:
             for key_id in open_key_ids:
                 self._progress[key_id] = next_progress(
@@ -187,6 +188,12 @@
                     return
             self.run_round(self._clock.now_seconds())
 
+    def _silence_seconds(self, now_seconds: float) -> float:
+        """Return after how long a silent instance is surely stale."""
+        bound_seconds = self._service.current().defaults.freshness_seconds
+        largest_seconds = self._bounds.largest(bound_seconds, now_seconds)
+        return largest_seconds * (1 + self._drift_ratio)
+
     def _append_unlogged(self, now_seconds: float) -> None:
         if not self._service.is_ready():
             return
--- a/src/waxwingwinch/configuration/service/tests/test_withdrawals.py
+++ b/src/waxwingwinch/configuration/service/tests/test_withdrawals.py
@@ -4,12 +4,16 @@
 from waxwing_testbed.fakes import ManualClock, MemoryLog
 from waxwingwinch._types import InstanceId
 from waxwingwinch.configuration import (
+    ConfigurationChange,
+    SetDefault,
     WithdrawalNotice,
     WithdrawnKeys,
     digest_names,
+    wrap_change,
 )
 from waxwingwinch.configuration.service import (
     ConfigurationService,
+    Published,
     WithdrawalCoordinator,
     WithdrawalProgress,
     next_progress,
@@ -145,3 +149,29 @@
     assert service.follower.wait_until(
         lambda: service.unlogged_withdrawals() == (), WAIT_SECONDS
     )
+
+
+def test_silent_instance_may_still_use_a_longer_bound(service):
+    set_freshness(service, 0, 30.0)
+    peers, clock = Peers(), ManualClock(0.0)
+    coordinator = WithdrawalCoordinator(service, peers, clock, SELF, 0.0)
+    peers.answering = names(2)
+    coordinator.run_round(0.0)
+    set_freshness(service, 1, FRESHNESS_SECONDS)
+    coordinator.begin("k", "ana", "lost phone")
+    coordinator.run_round(1.0)
+    assert service.follower.wait_until(
+        lambda: service.unlogged_withdrawals() == (), WAIT_SECONDS
+    )
+    accepted = []
+    for now_seconds in (2.0, 31.0, 32.0, 100.0):
+        coordinator.run_round(now_seconds)
+        progress = coordinator.progress("k")
+        accepted.append(progress is not None and progress.is_accepted)
+    assert accepted == [False, False, True, True]
+
+
+def set_freshness(service: ConfigurationService, version: int, value: float) -> None:
+    items = (wrap_change(SetDefault("freshness_seconds", value)),)
+    change = ConfigurationChange(version, "ana", f"c{version}", "test", items)
+    assert service.publish(change, WAIT_SECONDS) == Published(version + 1)
