Add usage: copied counters and one report for each window

The figures of a window are those of the first valid record; a record is valid only if it names the valid one before it, so a stale reporter can neither fix a window differently nor carry late usage twice.

--- a/src/waxwingwinch/idempotency/tests/test_table.py
+++ b/src/waxwingwinch/idempotency/tests/test_table.py
@@ -60,9 +60,9 @@
     def operate(self):
         reader = self.rng.choice(self.readers)
         actions = [
-            (6, lambda: self.ask(reader)),
+            (3, lambda: self.ask(reader)),
             (20, lambda: self.read(reader)),
-            (4, lambda: self.finish(reader)),
+            (8, lambda: self.finish(reader)),
             (1, lambda: self.give_up(reader)),
             (3, self.append_late),
             (0.2, lambda: self.restart(reader)),
@@ -167,7 +167,7 @@
 
 def test_the_schedules_do_run_claims():
     wins = 0
-    for seed in range(20):
+    for seed in range(40):
         history = History(random.Random(seed))
         history.readers = [Reader(ClaimTable(), 0) for _ in range(3)]
         for _ in range(OPERATIONS):
--- /dev/null
+++ b/src/waxwingwinch/usage/_runner.py
@@ -0,0 +1,241 @@
+"""The duty ``usage-<cell>`` in the control process."""
+
+import threading
+from collections.abc import Callable, Sequence
+from concurrent.futures import ThreadPoolExecutor
+
+import eliot
+from attrs import frozen
+
+from waxwingwinch._exceptions import (
+    MalformedMessage,
+    PeerUnavailable,
+    PlatformRefused,
+    PlatformUnavailable,
+)
+from waxwingwinch._types import Epoch
+from waxwingwinch.configuration import Configuration
+from waxwingwinch.interfaces import PlatformLog, UsageIntake
+from waxwingwinch.kernel import Clock, Health
+from waxwingwinch.streams import Applied, StreamFollower, StreamWriter
+from waxwingwinch.usage._ledger import UsagePeer
+from waxwingwinch.usage._messages import (
+    REPORTS_STREAM,
+    UsageReply,
+    UsageRequest,
+    WindowAcknowledged,
+    WindowFixed,
+)
+from waxwingwinch.usage._report import (
+    ON_TIME_SECONDS,
+    Window,
+    first_wanted_seconds,
+    fix_window,
+    next_window,
+    report_of,
+)
+from waxwingwinch.usage._rows import UsageRow
+from waxwingwinch.usage._table import ReportTable
+
+#: How long one entry may take to answer.
+COLLECT_TIMEOUT_SECONDS = 1.0
+#: How long a record is tried.
+RECORD_TIMEOUT_SECONDS = 5.0
+#: Pause between rounds.
+ROUND_INTERVAL_SECONDS = 0.5
+
+
+@frozen
+class _Collected:
+    """
+    What the entries answered.
+
+    :param rows: All counters, in any number of copies.
+    :param is_complete: True if every listed entry answered.
+    """
+
+    rows: tuple[UsageRow, ...]
+    is_complete: bool
+
+
+class UsageReportRunner:
+    """
+    Fixes windows in the log and reports them until acknowledged.
+
+    The figures of a window are what its first valid record says, whoever
+    sends them and however often. Work is done in a thread of its own, which
+    acts only between :meth:`begin` and :meth:`end`.
+
+    :param cell: The cell.
+    :param log: The platform's log.
+    :param clock: Source of the present time.
+    :param configuration: Returns the configuration in force.
+    :param entries: Returns all listed entries with their links.
+    :param intake: Takes the reports.
+    """
+
+    def __init__(
+        self,
+        cell: str,
+        log: PlatformLog,
+        clock: Clock,
+        configuration: Callable[[], Configuration],
+        entries: Callable[[], Sequence[UsagePeer]],
+        intake: UsageIntake,
+    ) -> None:
+        #: Name of the duty.
+        self.duty = f"usage-{cell}"
+        self._clock = clock
+        self._configuration = configuration
+        self._entries = entries
+        self._intake = intake
+        self._table = ReportTable()
+        self._lock = threading.Lock()
+        self._epoch: Epoch | None = None
+        self._writer = StreamWriter(log, REPORTS_STREAM, clock)
+        self._follower = StreamFollower(
+            log, REPORTS_STREAM, clock, self._apply, on_expired=self._note_gap
+        )
+        self._stopping = threading.Event()
+        self._thread = threading.Thread(
+            target=self._run, name="usage-reports", daemon=True
+        )
+
+    def start(self) -> None:
+        """Follow the stream of reports; done in every control process."""
+        self._writer.start()
+        self._follower.start()
+        self._thread.start()
+
+    def stop(self) -> None:
+        """End the threads."""
+        self.end()
+        self._stopping.set()
+        self._thread.join()
+        self._follower.stop()
+        self._writer.stop()
+
+    def health(self) -> Health:
+        """Return the state of the stream."""
+        return self._follower.health()
+
+    def begin(self, epoch: Epoch, now_seconds: float) -> None:
+        """
+        Take up the duty.
+
+        :param epoch: Fencing token of the duty.
+        :param now_seconds: Monotonic time.
+        """
+        with self._lock:
+            self._epoch = epoch
+
+    def step(self, now_seconds: float) -> None:
+        """
+        Do nothing; the runner's own thread does the work.
+
+        :param now_seconds: Monotonic time.
+        """
+
+    def end(self) -> None:
+        """Send nothing any more."""
+        with self._lock:
+            self._epoch = None
+
+    def run_round(self, wall_seconds: float, now_seconds: float) -> None:
+        """
+        Report what is fixed, then fix the next window that is over.
+
+        :param wall_seconds: Unix time.
+        :param now_seconds: Monotonic time before which the stream must have
+            been read to its end.
+        """
+        if not self._is_caught_up(now_seconds):
+            return
+        self._report_fixed()
+        with self._lock:
+            epoch = self._epoch
+            length_seconds = self._configuration().defaults.usage_window_seconds
+            window = next_window(self._table, length_seconds, wall_seconds)
+        if epoch is None or window is None:
+            return
+        collected = self._collect(window)
+        age_seconds = wall_seconds - window.end_seconds
+        if not collected.is_complete and age_seconds < ON_TIME_SECONDS:
+            return
+        with self._lock:
+            fixed = fix_window(self._table, window, collected.rows, epoch)
+        if self._record(fixed):
+            self._report_fixed()
+
+    def _run(self) -> None:
+        while not self._stopping.wait(ROUND_INTERVAL_SECONDS):
+            if self._epoch is None:
+                continue
+            try:
+                self.run_round(self._clock.wall_seconds(), self._clock.now_seconds())
+            except PlatformUnavailable as error:
+                eliot.log_message("usage:platform_unavailable", reason=str(error))
+
+    def _is_caught_up(self, now_seconds: float) -> bool:
+        def is_read() -> bool:
+            caught_up_seconds = self._follower.caught_up_seconds
+            return caught_up_seconds is not None and caught_up_seconds >= now_seconds
+
+        return self._follower.wait_until(is_read, RECORD_TIMEOUT_SECONDS)
+
+    def _report_fixed(self) -> None:
+        """Send each fixed window that isn't acknowledged, oldest first."""
+        with self._lock:
+            windows = self._table.unacknowledged()
+        for fixed in windows:
+            with self._lock:
+                epoch = self._epoch
+            if epoch is None:
+                return
+            self._report(fixed, epoch)
+
+    def _report(self, fixed: WindowFixed, epoch: Epoch) -> None:
+        start_seconds = fixed.window_start_seconds
+        try:
+            self._intake.submit(report_of(fixed, epoch))
+        except PlatformRefused as error:
+            eliot.log_message(
+                "usage:report_refused", window=start_seconds, reason=str(error)
+            )
+            return
+        self._record(WindowAcknowledged(start_seconds))
+
+    def _record(self, record: WindowFixed | WindowAcknowledged) -> bool:
+        """Append a record and wait until it is applied."""
+        ticket = self._writer.submit(record, RECORD_TIMEOUT_SECONDS)
+        ticket.wait()
+        return self._is_caught_up(self._clock.now_seconds())
+
+    def _collect(self, window: Window) -> _Collected:
+        """Ask all entries for their counters at once."""
+        with self._lock:
+            from_seconds = first_wanted_seconds(self._table, window)
+        request = UsageRequest(from_seconds, window.end_seconds)
+        entries = list(self._entries())
+        if not entries:
+            return _Collected((), is_complete=False)
+        with ThreadPoolExecutor(len(entries)) as pool:
+            replies = list(pool.map(lambda entry: _ask(entry, request), entries))
+        rows = tuple(row for reply in replies if reply for row in reply.rows)
+        return _Collected(rows, is_complete=None not in replies)
+
+    def _apply(self, applied: Applied) -> None:
+        with self._lock:
+            self._table.apply(applied)
+
+    def _note_gap(self, first_offset: int) -> None:
+        with self._lock:
+            self._table.note_gap()
+
+
+def _ask(entry: UsagePeer, request: UsageRequest) -> UsageReply | None:
+    try:
+        reply = entry.link.request(request, COLLECT_TIMEOUT_SECONDS)
+    except (PeerUnavailable, MalformedMessage):
+        return None
+    return reply if isinstance(reply, UsageReply) else None
--- /dev/null
+++ b/src/waxwingwinch/usage/tests/test_report.py
@@ -0,0 +1,221 @@
+"""Each piece of usage is in exactly one window, whoever reports."""
+
+import random
+from functools import partial
+
+from attrs import define, field
+from hypothesis import given, settings, strategies as st
+
+from waxwingwinch._types import CustomerId, Epoch, InstanceId
+from waxwingwinch.codec import decode_message, encode_message
+from waxwingwinch.streams import Applied, RecordId
+from waxwingwinch.usage import (
+    CounterName,
+    Counters,
+    ReportTable,
+    UsageCounts,
+    UsageRow,
+    UsageSource,
+    Window,
+    WindowFixed,
+    fix_window,
+    next_window,
+    report_of,
+)
+
+WINDOW_SECONDS = 60
+OPERATIONS = 200
+CUSTOMER = CustomerId("tahi")
+
+
+def name(number=0, start=0, customer=CUSTOMER):
+    source = UsageSource(InstanceId(f"i{number}"), "start")
+    return CounterName(source, start, customer)
+
+
+def row(requests, **options):
+    return UsageRow(name(**options), UsageCounts(requests=requests))
+
+
+counts = st.builds(UsageCounts, *[st.integers(0, 50)] * 5)
+rows = st.builds(
+    UsageRow, st.builds(name, st.integers(0, 2), st.sampled_from([0, 60])), counts
+)
+
+
+@given(st.lists(rows, max_size=12), st.randoms())
+def test_merging_doesnt_depend_on_order_repeats_or_grouping(some, rng):
+    one, two = Counters(), Counters()
+    one.merge(tuple(some))
+    shuffled = some + some[::2]
+    rng.shuffle(shuffled)
+    for single in shuffled:
+        two.merge((single,))
+    key = repr
+    assert sorted(one.rows(0, 120), key=key) == sorted(two.rows(0, 120), key=key)
+
+
+def test_changes_tell_only_what_is_new():
+    counters = Counters()
+    counters.add(name(), UsageCounts(requests=1))
+    version, changed = counters.changes(0)
+    assert changed == (row(1),)
+    assert counters.changes(version) == (version, ())
+    counters.merge(changed)
+    assert counters.changes(version) == (version, ())
+
+
+def apply(table, offset, record):
+    table.apply(Applied(offset, RecordId("w", offset), record, 0.0))
+
+
+def fixed(table, some, start=0):
+    window = Window(start, start + WINDOW_SECONDS)
+    return fix_window(table, window, some, Epoch(1))
+
+
+def test_late_usage_is_carried_and_marked():
+    table = ReportTable()
+    apply(table, 0, fixed(table, [row(5)]))
+    second = fixed(table, [row(7), row(3, start=60)], start=60)
+    (usage,) = second.customers
+    assert (usage.requests, usage.carried_requests) == (5, 2)
+
+
+def test_of_two_records_of_a_window_the_first_counts():
+    table = ReportTable()
+    one, two = fixed(table, [row(5)]), fixed(table, [row(6)])
+    apply(table, 0, one)
+    apply(table, 1, two)
+    assert table.unacknowledged() == [one]
+
+
+def test_a_record_of_a_stale_reporter_is_void():
+    table = ReportTable()
+    first = fixed(table, [row(5)])
+    apply(table, 0, first)
+    stale = fixed(table, [row(9), row(1, start=60)], start=60)
+    newer = fixed(table, [row(8), row(1, start=60)], start=60)
+    apply(table, 1, newer)
+    apply(table, 2, stale)
+    assert table.unacknowledged() == [first, newer]
+    assert table.included(name()).requests == 8
+
+
+def test_windows_follow_each_other_after_a_long_gap():
+    table = ReportTable()
+    apply(table, 0, fixed(table, []))
+    assert next_window(table, WINDOW_SECONDS, 500.0) == Window(60, 120)
+    assert next_window(table, WINDOW_SECONDS, 122.0) is None
+
+
+def test_a_changed_length_leaves_no_gap():
+    table = ReportTable()
+    apply(table, 0, fixed(table, [], start=60))
+    assert next_window(table, 300, 1_000.0) == Window(120, 300)
+
+
+def test_a_reader_after_a_gap_carries_nothing_it_cant_know():
+    table = ReportTable()
+    table.note_gap()
+    assert fixed(table, [row(5)], start=60).customers == ()
+
+
+def test_a_reader_that_began_late_drops_a_void_first_record():
+    whole, late = ReportTable(), ReportTable()
+    first = fixed(whole, [row(1)])
+    apply(whole, 0, first)
+    second = fixed(whole, [], start=60)
+    void = fixed(whole, [row(9)], start=60)
+    apply(whole, 1, second)
+    third = fixed(whole, [], start=120)
+    late.note_gap()
+    apply(late, 2, void)
+    apply(late, 3, third)
+    apply(whole, 2, void)
+    apply(whole, 3, third)
+    assert late.last == whole.last == third
+    assert late.unacknowledged() == [third]
+
+
+def test_records_survive_the_wire():
+    record = fixed(ReportTable(), [row(5)])
+    assert decode_message(encode_message(record)) == record
+
+
+@define
+class Reporters:
+    """Reporters that lag, entries that are partly seen, one log."""
+
+    rng: random.Random
+    log: list[WindowFixed] = field(factory=list)
+    pending: list[WindowFixed] = field(factory=list)
+    true: dict[CounterName, UsageCounts] = field(factory=dict)
+    tables: list[ReportTable] = field(factory=lambda: [ReportTable(), ReportTable()])
+    read: list[int] = field(factory=lambda: [0, 0])
+    sent: dict[int, object] = field(factory=dict)
+
+    def use(self):
+        start = 60 * self.rng.randint(0, max(1, len(self.log)))
+        counter = name(self.rng.randint(0, 2), start)
+        known = self.true.get(counter, UsageCounts())
+        self.true[counter] = known.plus(UsageCounts(requests=1, output_tokens=3))
+
+    def follow(self, number):
+        table = self.tables[number]
+        for offset in range(self.read[number], len(self.log)):
+            apply(table, offset, self.log[offset])
+        self.read[number] = len(self.log)
+
+    def fix(self, number):
+        seen = [
+            UsageRow(counter, counts)
+            for counter, counts in self.true.items()
+            if self.rng.random() < 0.7
+        ]
+        table = self.tables[number]
+        start = table.last.window_end_seconds if table.last else 0
+        self.pending.append(fixed(table, seen, start))
+
+    def append(self):
+        if self.pending:
+            index = self.rng.randrange(len(self.pending))
+            self.log.append(self.pending.pop(index))
+
+    def send(self, number):
+        for window in self.tables[number].unacknowledged():
+            report = report_of(window, Epoch(0))
+            known = self.sent.setdefault(window.window_start_seconds, report)
+            assert known == report
+
+    def included(self):
+        self.follow(0)
+        self.follow(1)
+        return {counter: self.tables[0].included(counter) for counter in self.true}
+
+
+@settings(max_examples=100, deadline=None)
+@given(seed=st.integers(0, 2**32))
+def test_no_usage_is_reported_twice_or_lost(seed):
+    rng = random.Random(seed)
+    reporters = Reporters(rng)
+    for _ in range(OPERATIONS):
+        number = rng.randint(0, 1)
+        actions = [
+            reporters.use,
+            reporters.append,
+            partial(reporters.follow, number),
+            partial(reporters.fix, number),
+            partial(reporters.send, number),
+        ]
+        rng.choice(actions)()
+    for counter, counted in reporters.included().items():
+        assert counted.beyond(reporters.true[counter]).is_zero()
+    # With everything seen, what is missing comes into the next window.
+    table = reporters.tables[0]
+    start = table.last.window_end_seconds if table.last else 0
+    some = [UsageRow(counter, counts) for counter, counts in reporters.true.items()]
+    reporters.log.append(fixed(table, some, start))
+    for counter, counted in reporters.included().items():
+        if counter.window_start_seconds < start + WINDOW_SECONDS:
+            assert counted == reporters.true[counter]
--- /dev/null
+++ b/src/waxwingwinch/usage/tests/test_services.py
@@ -0,0 +1,181 @@
+from typing import Any
+
+import pytest
+
+from waxwing_testbed.fakes import ManualClock, MemoryLog
+from waxwingwinch._exceptions import PeerUnavailable, PlatformUnavailable
+from waxwingwinch._types import CustomerId, Epoch, InstanceId, ZoneName
+from waxwingwinch.configuration import Configuration
+from waxwingwinch.contracts import UsageDelta
+from waxwingwinch.kernel import SystemClock
+from waxwingwinch.usage import (
+    EntryUsageLedger,
+    UsagePeer,
+    UsagePush,
+    UsageReportRunner,
+    UsageRequest,
+    UsageSource,
+)
+
+CUSTOMER = CustomerId("tahi")
+
+
+class Link:
+    """Calls the handlers of another ledger directly."""
+
+    def __init__(self):
+        self.ledger: Any = None
+        self.is_down = False
+        self.pushed_rows = 0
+
+    def request(self, body, timeout_seconds):
+        if self.is_down:
+            raise PeerUnavailable("down")
+        match body:
+            case UsagePush(rows):
+                self.pushed_rows += len(rows)
+                self.ledger.handle_push(None, body)
+                return None
+            case UsageRequest():
+                return self.ledger.handle_request(None, body)
+
+
+class Fleet:
+    def __init__(self, count=4):
+        self.clock = ManualClock(0.0)
+        self.links = [Link() for _ in range(count)]
+        self.peers = [
+            UsagePeer(InstanceId(f"i{n}"), ZoneName(f"z{n % 3}"), link)
+            for n, link in enumerate(self.links)
+        ]
+        self.ledgers = [self._ledger(n) for n in range(count)]
+        for link, ledger in zip(self.links, self.ledgers, strict=True):
+            link.ledger = ledger
+
+    def add(self, number, requests, wall_seconds=10.0):
+        delta = UsageDelta(CUSTOMER, requests=requests)
+        self.ledgers[number].add(delta, wall_seconds)
+
+    def holders(self, number):
+        return [
+            n
+            for n, ledger in enumerate(self.ledgers)
+            if n != number
+            and any(
+                row.name.source.instance_id == f"i{number}"
+                for row in ledger.handle_request(None, UsageRequest(0, 60)).rows
+            )
+        ]
+
+    def _ledger(self, number):
+        return EntryUsageLedger(
+            UsageSource(InstanceId(f"i{number}"), "start"),
+            ZoneName(f"z{number % 3}"),
+            self.clock,
+            Configuration,
+            lambda: [peer for n, peer in enumerate(self.peers) if n != number],
+        )
+
+
+class Intake:
+    def __init__(self):
+        self.lost_answers = 0
+        self.reports = []
+
+    def submit(self, report):
+        self.reports.append(report)
+        if self.lost_answers:
+            self.lost_answers -= 1
+            raise PlatformUnavailable("lost", may_have_taken_effect=True)
+
+
+def test_usage_is_copied_to_two_other_zones():
+    fleet = Fleet()
+    fleet.add(0, 5)
+    fleet.ledgers[0].push_once()
+    zones = [number % 3 for number in fleet.holders(0)]
+    assert len(zones) == 2
+    assert 0 not in zones
+
+
+def test_a_push_carries_only_changes():
+    fleet = Fleet()
+    fleet.add(0, 5)
+    fleet.ledgers[0].push_once()
+    before = sum(link.pushed_rows for link in fleet.links)
+    fleet.ledgers[0].push_once()
+    assert sum(link.pushed_rows for link in fleet.links) == before
+
+
+def test_a_planned_stop_hands_everything_over():
+    fleet = Fleet()
+    fleet.ledgers[0].start()
+    fleet.add(0, 5)
+    fleet.ledgers[0].stop()
+    assert len(fleet.holders(0)) == 2
+
+
+@pytest.fixture
+def reporting():
+    fleet, intake, log = Fleet(), Intake(), MemoryLog()
+    runners = [_runner(fleet, intake, log) for _ in range(2)]
+    yield fleet, intake, runners
+    for runner in runners:
+        runner.end()
+        runner._follower.stop()
+        runner._writer.stop()
+
+
+def _runner(fleet, intake, log):
+    clock = SystemClock()
+    runner = UsageReportRunner(
+        "c", log, clock, Configuration, lambda: fleet.peers, intake
+    )
+    # Rounds are driven by the tests, so the runner's own thread stays off.
+    runner._writer.start()
+    runner._follower.start()
+    return runner
+
+
+def run_round(runner, wall_seconds):
+    runner.run_round(wall_seconds, SystemClock().now_seconds())
+
+
+def test_a_lost_answer_is_repeated_with_the_same_figures(reporting):
+    fleet, intake, (first, second) = reporting
+    fleet.add(0, 5)
+    intake.lost_answers = 1
+    first.begin(Epoch(1), 0.0)
+    with pytest.raises(PlatformUnavailable):
+        run_round(first, 64.0)
+    first.end()
+    fleet.add(1, 3)
+    second.begin(Epoch(2), 0.0)
+    run_round(second, 65.0)
+    one, two = intake.reports
+    assert one.customers == two.customers
+    assert two.epoch == Epoch(2)
+    run_round(second, 66.0)
+    assert len(intake.reports) == 2
+    run_round(second, 124.0)
+    (usage,) = intake.reports[-1].customers
+    assert (usage.requests, usage.carried_requests) == (3, 3)
+
+
+def test_an_unreachable_entry_is_waited_for_a_limited_time(reporting):
+    fleet, intake, (runner, _) = reporting
+    fleet.add(0, 5)
+    fleet.ledgers[0].push_once()
+    fleet.links[0].is_down = True
+    runner.begin(Epoch(1), 0.0)
+    run_round(runner, 64.0)
+    assert intake.reports == []
+    run_round(runner, 81.0)
+    (usage,) = intake.reports[0].customers
+    assert usage.requests == 5
+
+
+def test_without_the_duty_nothing_is_sent(reporting):
+    fleet, intake, (runner, _) = reporting
+    run_round(runner, 64.0)
+    assert intake.reports == []
