--- a/src/waxwingwinch/limits/_holdings.py
+++ b/src/waxwingwinch/limits/_holdings.py
@@ -171,9 +171,9 @@
             self._received_sequence = 0
             self._forget_returned()
         if granted.returned.floor_offset == self._floor_offset():
-            self._known_returned_tokens = max(
-                self._known_returned_tokens, granted.returned.tokens
-            )
+            known_tokens = max(self._known_returned_tokens, granted.returned.tokens)
+            # Never more than was returned, or the floor would grow.
+            self._known_returned_tokens = min(known_tokens, self._returned_tokens)
         if granted.sequence <= self._received_sequence:
             return
         self._received_sequence = granted.sequence
--- a/src/waxwingwinch/usage/tests/test_report.py
+++ b/src/waxwingwinch/usage/tests/test_report.py
@@ -1,6 +1,7 @@
 """Each piece of usage is in exactly one window, whoever reports."""
 
 import random
+from collections.abc import Callable
 from functools import partial
 
 from attrs import define, field
@@ -201,7 +202,7 @@
     reporters = Reporters(rng)
     for _ in range(OPERATIONS):
         number = rng.randint(0, 1)
-        actions = [
+        actions: list[Callable[[], None]] = [
             reporters.use,
             reporters.append,
             partial(reporters.follow, number),
