Refuse noisy customers by what the queue shows to be the capacity

A customer whose demand was admitted in full was never over its share, however long the queue grew, since shares were cut from all admitted work. The work is now scaled by promised over estimated wait, and only customers above an equal part by weight are measured against it. Refusing engines return at once after their ejection, so a role change doesn't cost the slow return. Stale instances give upstreams no retries and no open calls.

--- a/src/waxwingwinch/decisions/_admission.py
+++ b/src/waxwingwinch/decisions/_admission.py
@@ -187,9 +187,10 @@
     """
     Decide whether a request is sent, waits or is refused.
 
-    Without overload all are sent. Under overload a customer beyond its
-    max-min share of the admitted work is refused at once, and the others
-    wait for as long as waiting can help.
+    Without overload all are sent. Under overload a customer is refused at
+    once if it uses more than an equal part by weight and more than its
+    max-min share of what the queue shows to be the capacity. The others are
+    sent, or wait for as long as waiting can help.
 
     :param request: The request and the wait that routing estimates.
     :param works: Recent work of all customers, this one included.
@@ -199,8 +200,11 @@
         reason = f"the estimated wait of {request.queue_seconds:.1f} s is too long"
         return Shed(_retry_after(request.queue_seconds), reason)
     current = [decayed(work, now_seconds) for work in works]
-    excess = _excess_over_share(request.customer_id, current)
-    if request.queue_seconds <= OVERLOAD_FACTOR * request.promised_seconds:
+    allowed_seconds = OVERLOAD_FACTOR * request.promised_seconds
+    # The longer the queue, the less of the admitted work was within capacity.
+    in_capacity = min(1.0, allowed_seconds / max(request.queue_seconds, 1e-9))
+    excess = _excess_over_share(request.customer_id, current, in_capacity)
+    if request.queue_seconds <= allowed_seconds:
         beyond = excess > SHARE_TOLERANCE
         return Admit(PRIORITY_BEYOND_SHARE if beyond else PRIORITY_WITHIN_SHARE)
     if excess > SHARE_TOLERANCE:
@@ -226,13 +230,20 @@
     return Wait(until_seconds)
 
 
-def _excess_over_share(customer_id: CustomerId, works: list[CustomerWork]) -> float:
-    admitted = {w.customer_id: w.admitted_tokens_per_second for w in works}
-    shares = max_min_shares(works, sum(admitted.values()))
-    used = admitted.get(customer_id, 0.0)
-    if used <= 0.0:
+def _excess_over_share(
+    customer_id: CustomerId, works: list[CustomerWork], in_capacity: float
+) -> float:
+    """Return used over fair work, or 0 for at most an equal part."""
+    own = next((work for work in works if work.customer_id == customer_id), None)
+    if own is None:
         return 0.0
-    share = shares.get(customer_id, 0.0)
+    used = own.admitted_tokens_per_second
+    total = sum(work.admitted_tokens_per_second for work in works)
+    total_weight = sum(w.weight for w in works if w.demanded_tokens_per_second > 0)
+    equal = total * own.weight / total_weight if total_weight > 0 else 0.0
+    if used <= SHARE_TOLERANCE * equal:
+        return 0.0
+    share = max_min_shares(works, in_capacity * total)[customer_id]
     return used / share if share > 0.0 else math.inf
 
 
--- a/src/waxwingwinch/decisions/_ejection.py
+++ b/src/waxwingwinch/decisions/_ejection.py
@@ -12,6 +12,8 @@
 FAILURES_TO_EJECT = 3
 #: Length of the first ejection; doubled by each that follows soon.
 EJECTION_SECONDS = 5.0
+#: Length of an ejection after refusals, as while a role changes.
+REFUSAL_EJECTION_SECONDS = 2.0
 #: Longest ejection.
 EJECTION_SECONDS_MAX = 60.0
 #: Time in which an engine that returns gets back its full share.
@@ -32,6 +34,8 @@
     """Why an engine was ejected."""
 
     FAILURES = "failures"
+    #: It refused calls or connections, so nothing was lost.
+    REFUSALS = "refusals"
     SLOWNESS = "slowness"
 
 
@@ -57,17 +61,20 @@
     cause: EjectionCause | None = None
 
 
-def after_failure(record: EngineRecord, now_seconds: float) -> EngineRecord:
+def after_failure(
+    record: EngineRecord, cause: EjectionCause, now_seconds: float
+) -> EngineRecord:
     """
     Return the record after a failed call.
 
     :param record: The record before.
+    :param cause: ``FAILURES``, or ``REFUSALS`` if the call did not run.
     :param now_seconds: Monotonic time.
     """
     record = evolve(record, failures_in_row=record.failures_in_row + 1)
     if record.failures_in_row < FAILURES_TO_EJECT:
         return record
-    return _ejected(record, EjectionCause.FAILURES, now_seconds)
+    return _ejected(record, cause, now_seconds)
 
 
 def after_success(
@@ -126,6 +133,8 @@
     back_seconds = now_seconds - record.ejected_until_seconds
     if back_seconds < 0:
         return 0.0
+    if record.cause is EjectionCause.REFUSALS:
+        return 1.0
     grown = back_seconds / RETURN_SECONDS
     return min(1.0, FIRST_SHARE + (1.0 - FIRST_SHARE) * grown)
 
@@ -159,7 +168,10 @@
 def _ejected(
     record: EngineRecord, cause: EjectionCause, now_seconds: float
 ) -> EngineRecord:
-    seconds = EJECTION_SECONDS * 2.0 ** min(record.ejections_in_row, 10)
+    first_seconds = EJECTION_SECONDS
+    if cause is EjectionCause.REFUSALS:
+        first_seconds = REFUSAL_EJECTION_SECONDS
+    seconds = first_seconds * 2.0 ** min(record.ejections_in_row, 10)
     return evolve(
         record,
         failures_in_row=0,
--- a/src/waxwingwinch/entry/_application.py
+++ b/src/waxwingwinch/entry/_application.py
@@ -13,6 +13,7 @@
 from waxwingwinch.entry._crash_guard import CrashNotice
 from waxwingwinch.entry._customer_work import CustomerLoadNotice
 from waxwingwinch.entry._discovery import (
+    DiscoverableEntry,
     DiscoveryHandler,
     EntryLister,
     HomeCount,
@@ -81,8 +82,9 @@
             self.services, self._router, self._admission
         )
         self._plain = PlainHandler(self.services, self._router)
+        self._list_entries = list_entries
         self._discovery = DiscoveryHandler(
-            self.services, list_entries, rank, count_homes
+            self.services, self._entries, rank, count_homes
         )
         root = EntryRoot(
             self.services, self._gate, self._deadlines, self.dispatch, operators
@@ -182,6 +184,14 @@
             case _:
                 return self._plain.handle(request)
 
+    def _entries(self, now_seconds: float) -> tuple[DiscoverableEntry, ...]:
+        """Return the entries, this one only if it isn't draining."""
+        entries = self._list_entries(now_seconds)
+        if not self._gate.is_draining():
+            return entries
+        own = self._options.instance_id
+        return tuple(entry for entry in entries if entry.instance_id != own)
+
     def _models(self, request: IncomingRequest) -> Reply:
         require_method(request, "GET", "HEAD")
         authenticate(self.services, request)
--- a/src/waxwingwinch/entry/_callers.py
+++ b/src/waxwingwinch/entry/_callers.py
@@ -15,7 +15,8 @@
 )
 from waxwingwinch.entry._connections import is_gone
 from waxwingwinch.entry._errors import ErrorCode, RequestFailed
-from waxwingwinch.entry._http import IncomingRequest
+from waxwingwinch.entry._headers import upstream_headers
+from waxwingwinch.entry._http import NOBODY, IncomingRequest
 from waxwingwinch.entry._services import EntryServices
 from waxwingwinch.observability import MetricKey, RequestResult
 
@@ -162,7 +163,9 @@
 
 
 def _check_key_only_in_header(request: IncomingRequest, key: str) -> None:
-    # Path, query and body go to the upstream, which must not see the key.
-    if key in request.target or key.encode() in request.body:
+    # Path, query, body and some headers go to the upstream, which must not
+    # see the key.
+    passed = " ".join(value for _, value in upstream_headers(request, NOBODY))
+    if key in request.target or key in passed or key.encode() in request.body:
         text = "the key may only be sent in its header"
         raise RequestFailed(400, ErrorCode.INVALID_REQUEST, text)
--- a/src/waxwingwinch/entry/_completions.py
+++ b/src/waxwingwinch/entry/_completions.py
@@ -4,7 +4,7 @@
 from collections.abc import Generator, Iterator
 from contextlib import closing
 
-from attrs import frozen
+from attrs import evolve, frozen
 
 from waxwingwinch._exceptions import Outcome
 from waxwingwinch.configuration import Defaults, Scope, ScopeKind
@@ -192,15 +192,7 @@
             case Quarantined(retry_after_seconds):
                 raise quarantined(retry_after_seconds, Outcome.NOT_RUN)
             case Suspect(upstream_ids):
-                routing = RoutingRequest(
-                    prompt_tokens=routing.prompt_tokens,
-                    expected_output_tokens=routing.expected_output_tokens,
-                    zone=routing.zone,
-                    prefix_hashes=routing.prefix_hashes,
-                    adapter=routing.adapter,
-                    excluded=upstream_ids,
-                    policy=FewestOthers(),
-                )
+                routing = evolve(routing, excluded=upstream_ids, policy=FewestOthers())
         return Generation(request.request_id, completion.model, routing)
 
     def _check_fresh(self) -> None:
--- a/src/waxwingwinch/entry/_generation.py
+++ b/src/waxwingwinch/entry/_generation.py
@@ -7,7 +7,7 @@
 
 from waxwingwinch._exceptions import Outcome, UpstreamFailed
 from waxwingwinch._types import Address, CustomerId, UpstreamId
-from waxwingwinch.contracts import DecisionKind, UpstreamView
+from waxwingwinch.contracts import DecisionKind, Freshness, UpstreamView
 from waxwingwinch.decisions import FewestOthers, NoEngine, RetryRefused, Routed
 from waxwingwinch.entry._bodies import CompletionRequest
 from waxwingwinch.entry._callers import CallerWatch
@@ -229,7 +229,7 @@
         """Return where to go on after an engine failed."""
         error, name = failure.error, failure.view.upstream_id
         now_seconds = self._services.clock.now_seconds()
-        self._router.failed(name, str(error), now_seconds)
+        self._router.failed(name, error, now_seconds)
         self._excluded |= {name}
         if error.outcome is not Outcome.NOT_RUN:
             self._note_crash(failure.view)
@@ -242,6 +242,8 @@
                 pass
             case _:
                 policy = FewestOthers()
+        if self._services.configuration.freshness(now_seconds) is Freshness.STALE:
+            raise self._given_up(f"{error}; this instance lost touch with the others")
         decision = self._router.retry(
             self._tries, self._watch.deadline_seconds, now_seconds
         )
--- a/src/waxwingwinch/entry/_http.py
+++ b/src/waxwingwinch/entry/_http.py
@@ -7,8 +7,11 @@
 
 from attrs import field, frozen
 
+from waxwingwinch._types import CustomerId
 from waxwingwinch.entry._errors import ErrorCode, RequestFailed
 
+#: Owner of the requests on routes open to all.
+NOBODY = CustomerId("")
 #: Longest request id of a caller that is echoed.
 CALLER_REQUEST_ID_MAX = 128
 #: Header that names a request; the value is made here.
--- a/src/waxwingwinch/entry/_plain.py
+++ b/src/waxwingwinch/entry/_plain.py
@@ -1,8 +1,6 @@
 """Serving the configured routes of plain services."""
 
-import hashlib
-
-from attrs import frozen
+from attrs import evolve, frozen
 
 from waxwingwinch._exceptions import Outcome, UpstreamFailed
 from waxwingwinch._types import CustomerId, UpstreamId, UpstreamState
@@ -13,6 +11,7 @@
     ClaimPending,
     ClaimUnavailable,
     DecisionKind,
+    Freshness,
     StoredAnswer,
     UpstreamView,
 )
@@ -21,8 +20,14 @@
 from waxwingwinch.entry._crash_guard import Quarantined, request_fingerprint
 from waxwingwinch.entry._errors import ErrorCode, RequestFailed, quarantined
 from waxwingwinch.entry._headers import idempotency_key, upstream_headers
-from waxwingwinch.entry._http import IncomingRequest, Reply, check_path, require_method
-from waxwingwinch.entry._recorder import NOBODY, record_plain_call
+from waxwingwinch.entry._http import (
+    NOBODY,
+    IncomingRequest,
+    Reply,
+    check_path,
+    require_method,
+)
+from waxwingwinch.entry._recorder import record_plain_call
 from waxwingwinch.entry._router import EngineRouter
 from waxwingwinch.entry._services import EntryServices
 from waxwingwinch.interfaces import PlainAnswer, PlainCall
@@ -120,7 +125,7 @@
         result = self._services.idempotency.claim(
             job.customer_id,
             key,
-            _claim_fingerprint(job.request),
+            job.fingerprint,
             timeout_seconds,
             now_seconds,
         )
@@ -151,14 +156,8 @@
 
     def _run_held(self, job: _PlainJob, held: ClaimHeld) -> Reply:
         store = self._services.idempotency
-        claimed = _PlainJob(
-            job.request,
-            job.route,
-            job.customer_id,
-            job.fingerprint,
-            job.deadline_seconds,
-            min(job.send_until_seconds, held.expires_seconds),
-        )
+        send_until_seconds = min(job.send_until_seconds, held.expires_seconds)
+        claimed = evolve(job, send_until_seconds=send_until_seconds)
         try:
             answer = self._run(claimed)
         except RequestFailed as error:
@@ -186,7 +185,7 @@
         tries = 0
         while True:
             view = self._choose(job, tried)
-            if view is None or self._is_too_late(job):
+            if view is None or self._must_not_send(job):
                 raise self._failed(job, reason, outcome)
             tries += 1
             tried.add(view.upstream_id)
@@ -214,8 +213,13 @@
         is_far = view.listed.zone != self._services.options.zone
         return own.requests + peers.requests, is_far, view.upstream_id
 
-    def _is_too_late(self, job: _PlainJob) -> bool:
-        return self._services.clock.now_seconds() >= job.send_until_seconds
+    def _must_not_send(self, job: _PlainJob) -> bool:
+        # A stale instance gives upstreams no new work.
+        now_seconds = self._services.clock.now_seconds()
+        if now_seconds >= job.send_until_seconds:
+            return True
+        freshness = self._services.configuration.freshness(now_seconds)
+        return freshness is Freshness.STALE
 
     def _call(self, job: _PlainJob, view: UpstreamView) -> PlainAnswer:
         request, clock = job.request, self._services.clock
@@ -288,11 +292,5 @@
         return RequestFailed(status, code, f"no whole answer: {reason}", outcome)
 
 
-def _claim_fingerprint(request: IncomingRequest) -> str:
-    digest = hashlib.sha256(f"{request.method} {request.target}\n".encode())
-    digest.update(request.body)
-    return digest.hexdigest()
-
-
 def _reply(answer: StoredAnswer, *headers: tuple[str, str]) -> Reply:
     return Reply(answer.status, (*answer.headers, *headers), answer.body)
--- a/src/waxwingwinch/entry/_recorder.py
+++ b/src/waxwingwinch/entry/_recorder.py
@@ -6,13 +6,11 @@
 from waxwingwinch.contracts import UsageDelta
 from waxwingwinch.entry._bodies import CompletionRequest
 from waxwingwinch.entry._callers import CallerGone, count_refusal
+from waxwingwinch.entry._http import NOBODY
 from waxwingwinch.entry._services import EntryServices
 from waxwingwinch.interfaces import StreamEnd, StreamItem
 from waxwingwinch.observability import LatencyKind, MetricKey, RequestResult
 
-#: Owner of the requests on routes open to all.
-NOBODY = CustomerId("")
-
 
 def record_plain_call(
     services: EntryServices,
--- a/src/waxwingwinch/entry/_router.py
+++ b/src/waxwingwinch/entry/_router.py
@@ -5,10 +5,12 @@
 
 from attrs import frozen
 
+from waxwingwinch._exceptions import Outcome, UpstreamFailed
 from waxwingwinch._types import ModelName, UpstreamId
 from waxwingwinch.contracts import DecisionKind, FleetView, UpstreamView
 from waxwingwinch.decisions import (
     Candidate,
+    EjectionCause,
     EngineRecord,
     NoEngine,
     RetryAllowed,
@@ -81,20 +83,25 @@
             return choose_engine(generation.routing, rest, now_seconds)
         return choice
 
-    def failed(self, upstream_id: UpstreamId, reason: str, now_seconds: float) -> None:
+    def failed(
+        self, upstream_id: UpstreamId, error: UpstreamFailed, now_seconds: float
+    ) -> None:
         """
         Note a failed call.
 
         :param upstream_id: The engine.
-        :param reason: What was seen.
+        :param error: What was seen.
         :param now_seconds: Monotonic time.
         """
+        cause = EjectionCause.FAILURES
+        if error.outcome is Outcome.NOT_RUN:
+            cause = EjectionCause.REFUSALS
         with self._lock:
             before = self._records.get(upstream_id, EngineRecord())
-            after = after_failure(before, now_seconds)
+            after = after_failure(before, cause, now_seconds)
             self._records[upstream_id] = after
         if share(after, now_seconds) < share(before, now_seconds):
-            text = f"ejected after failures in a row; the last one: {reason}"
+            text = f"ejected after failures in a row; the last one: {error}"
             self._services.explain(DecisionKind.EJECTED, upstream_id, text)
 
     def answered(self, view: UpstreamView, lateness: float, now_seconds: float) -> None:
--- a/src/waxwingwinch/entry/tests/test_completions.py
+++ b/src/waxwingwinch/entry/tests/test_completions.py
@@ -45,8 +45,8 @@
     return text
 
 
-def error_of(response) -> dict:
-    return json.loads(response.data)["error"]
+def error_of(response) -> dict[str, object]:
+    return dict(json.loads(response.data)["error"])
 
 
 def test_answers_whole(entry):
@@ -201,9 +201,11 @@
 
 def test_overload_is_refused_at_once():
     with running_entry(Defaults(request_timeout_seconds=1.0)) as entry:
-        load = {"waiting": 50, "waiting_prompt_tokens": 10_000_000}
         now_seconds = time.clock_gettime(time.CLOCK_BOOTTIME)
-        views = [engine_view(name, 1, **load) for name in ("e1", "e2")]
+        views = [
+            engine_view(name, 1, waiting_prompt_tokens=10_000_000)
+            for name in ("e1", "e2")
+        ]
         entry.fleet.engine_views = tuple(
             evolve(view, load_taken_seconds=now_seconds) for view in views
         )
@@ -221,6 +223,8 @@
     assert (refused.status, refused.headers["Connection"]) == (503, "close")
     assert error_of(refused)["outcome"] == "not_run"
     assert entry.call("GET", "/healthz").status == 200
+    found = json.loads(entry.call("GET", "/discovery").data)
+    assert found["instances"] == []
     assert not entry.application.wait_idle(0.05)
     response.close()
     assert entry.application.wait_idle(5)
--- a/src/waxwingwinch/entry/tests/test_plain.py
+++ b/src/waxwingwinch/entry/tests/test_plain.py
@@ -15,6 +15,7 @@
     ClaimHeld,
     ClaimPending,
     ClaimUnavailable,
+    Freshness,
     StoredAnswer,
 )
 from waxwingwinch.entry.tests.fakes import KEY, Fixture, running_entry
@@ -28,7 +29,7 @@
         yield fixture
 
 
-def outcome_of(response) -> str:
+def outcome_of(response) -> object:
     return json.loads(response.data)["error"]["outcome"]
 
 
@@ -48,6 +49,8 @@
 def test_key_outside_its_header_is_refused(entry):
     assert entry.call("POST", f"/book?k={KEY}").status == 400
     assert entry.call("POST", "/book", body=KEY.encode()).status == 400
+    headers = {"User-Agent": f"app {KEY}"}
+    assert entry.call("POST", "/book", headers=headers).status == 400
     assert entry.plain.calls == []
 
 
@@ -83,6 +86,9 @@
     assert entry.call("GET", "/open/times", key=None).status == 201
     assert entry.call("GET", "/seats", key=None).status == 401
     assert entry.call("GET", "/seats", key="wrong").status == 401
+    entry.configuration.state = Freshness.STALE
+    stale = entry.call("GET", "/open/times", key=None)
+    assert (stale.status, outcome_of(stale)) == (503, "not_run")
 
 
 def test_idempotent_call_is_retried(entry):
@@ -187,7 +193,7 @@
 
 
 def test_slow_body_is_cut():
-    options = {"request_read_seconds": 0.3}
+    options: dict[str, object] = {"request_read_seconds": 0.3}
     with running_entry(options=options) as entry:
         address = urlsplit(entry.base)
         with socket.create_connection((address.hostname, address.port)) as caller:
