Count freshness from before a heartbeat that was answered

Cause: an entry counted a peer as heard when its heartbeat was received. A process that is paused and cut from the log reads buffered heartbeats when it goes on and would then be fresh although a withdrawal was accepted meanwhile. Ruled out: a time stamp in the heartbeat, since no wall clocks are compared. Change: heartbeats are requests; a reply counts from before the request was sent, and only once all that the sender knew is known here. A confirmation is also dropped when its link was redialed to another process meanwhile.

--- a/src/waxwingwinch/entry/_heartbeats.py
+++ b/src/waxwingwinch/entry/_heartbeats.py
@@ -9,13 +9,11 @@
 from waxwingwinch.entry._peers import EntryRoster
 from waxwingwinch.fleet import FleetObserver
 from waxwingwinch.kernel import Clock
-from waxwingwinch.membership import Heartbeat, HeartbeatTable, PeerMesh
+from waxwingwinch.membership import Heartbeat, HeartbeatReply, HeartbeatTable
 from waxwingwinch.peers import PeerIdentity, PeerLink
 
 #: How long a peer may take to send the withdrawals that are missing here.
 EXCHANGE_TIMEOUT_SECONDS = 1.0
-#: Age of the last read of the log up to which it is waited for.
-LOG_AGE_SECONDS = 1.5
 
 
 class HeartbeatMaker:
@@ -72,16 +70,15 @@
         )
 
 
-class HeartbeatReceiver:
+class HeartbeatExchange:
     """
-    Handles the heartbeats of other entries.
+    Answers the heartbeats of other entries and takes their replies.
 
-    A heartbeat keeps this instance fresh only if everything that its sender
+    A reply keeps this instance fresh only if everything that its sender
     knows of withdrawals and configuration is known here as well.
 
     :param clock: Source of the present time.
-    :param table: Where heartbeats are kept.
-    :param mesh: Links to the senders.
+    :param table: Where heartbeats and confirmations are kept.
     :param configuration: The configuration of this process.
     :param fleet: Learns of leaving upstreams.
     :param peer_work: Learns of the others' work.
@@ -91,19 +88,17 @@
         self,
         clock: Clock,
         table: HeartbeatTable,
-        mesh: PeerMesh,
         configuration: ConfigurationService,
         fleet: FleetObserver,
         peer_work: PeerWork,
     ) -> None:
         self._clock = clock
         self._table = table
-        self._mesh = mesh
         self._configuration = configuration
         self._fleet = fleet
         self._peer_work = peer_work
 
-    def handle(self, peer: PeerIdentity, heartbeat: Heartbeat) -> None:
+    def handle(self, peer: PeerIdentity, heartbeat: Heartbeat) -> HeartbeatReply:
         """
         Take in one heartbeat.
 
@@ -111,49 +106,48 @@
         :param heartbeat: The heartbeat.
         """
         now_seconds = self._clock.now_seconds()
+        self._table.note(heartbeat, now_seconds)
         self._peer_work.observe(heartbeat.instance_id, heartbeat.in_flight, now_seconds)
         self._fleet.note_leaving(heartbeat.leaving, now_seconds)
-        if self._is_covered(peer, heartbeat):
-            self._table.note(heartbeat, now_seconds)
-
-    def _is_covered(self, peer: PeerIdentity, heartbeat: Heartbeat) -> bool:
-        """Fetch what the sender knows more of; False if that failed."""
-        knows_withdrawals = (
-            heartbeat.withdrawals_digest == self._configuration.withdrawals_digest()
+        return HeartbeatReply(
+            self._configuration.current().version,
+            self._configuration.withdrawals_digest(),
         )
-        version = self._configuration.current().version
-        knows_version = heartbeat.configuration_version <= version
-        if knows_withdrawals and (knows_version or self._reads_log()):
-            return True
-        link = self._link_to(peer)
-        if link is None:
-            return False
-        if not knows_withdrawals and not self._exchange(link):
-            return False
-        return knows_version or adopt_from_peers(self._configuration, [link])
 
-    def _reads_log(self) -> bool:
-        """Tell whether a newer version is about to come from the log."""
-        caught_up_seconds = self._configuration.follower.caught_up_seconds
-        if caught_up_seconds is None:
-            return False
-        age_seconds = self._clock.now_seconds() - caught_up_seconds
-        return age_seconds < LOG_AGE_SECONDS
+    def take_reply(
+        self,
+        peer: PeerIdentity,
+        link: PeerLink,
+        reply: HeartbeatReply,
+        sent_seconds: float,
+    ) -> None:
+        """
+        Take the reply to an own heartbeat.
+
+        :param peer: Who replied.
+        :param link: The link to it.
+        :param reply: The reply.
+        :param sent_seconds: Monotonic time before the heartbeat was sent.
+        """
+        if self._learn(link, reply):
+            self._table.confirm(peer.instance_id, sent_seconds)
 
-    def _link_to(self, peer: PeerIdentity) -> PeerLink | None:
-        for link in self._mesh.links():
-            identity = link.peer
-            if identity is not None and identity.instance_id == peer.instance_id:
-                return link
-        return None
+    def _learn(self, link: PeerLink, reply: HeartbeatReply) -> bool:
+        """Fetch what the peer knows more of; False if that failed."""
+        known_digest = self._configuration.withdrawals_digest()
+        if reply.withdrawals_digest != known_digest and not self._exchange(link):
+            return False
+        if reply.configuration_version <= self._configuration.current().version:
+            return True
+        return adopt_from_peers(self._configuration, [link])
 
     def _exchange(self, link: PeerLink) -> bool:
         key_ids = tuple(sorted(self._configuration.withdrawn_key_ids()))
         try:
-            reply = link.request(WithdrawalExchange(key_ids), EXCHANGE_TIMEOUT_SECONDS)
+            answer = link.request(WithdrawalExchange(key_ids), EXCHANGE_TIMEOUT_SECONDS)
         except (PeerUnavailable, MalformedMessage):
             return False
-        if not isinstance(reply, WithdrawalNotice):
+        if not isinstance(answer, WithdrawalNotice):
             return False
-        self._configuration.merge_withdrawals(reply.key_ids)
+        self._configuration.merge_withdrawals(answer.key_ids)
         return True
--- a/src/waxwingwinch/entry/_peers.py
+++ b/src/waxwingwinch/entry/_peers.py
@@ -1,6 +1,5 @@
 """The other entries, as withdrawals and operators need them."""
 
-import math
 from concurrent.futures import ThreadPoolExecutor
 
 from waxwingwinch._exceptions import MalformedMessage, PeerUnavailable
@@ -61,7 +60,10 @@
         reply = link.request(notice, timeout_seconds)
     except (PeerUnavailable, MalformedMessage):
         return None
-    return peer.instance_id if isinstance(reply, WithdrawalConfirmation) else None
+    # The link may have been redialed to another process meanwhile.
+    if link.peer != peer or not isinstance(reply, WithdrawalConfirmation):
+        return None
+    return peer.instance_id
 
 
 class EntryRoster:
@@ -160,9 +162,7 @@
     ) -> InstanceView:
         heard = self._heartbeats.find(instance_id)
         if heard is None:
-            return InstanceView(
-                instance_id, zone, entry_address, 0, b"", False, math.inf
-            )
+            return InstanceView(instance_id, zone, entry_address, 0, b"", False, None)
         heartbeat = heard.heartbeat
         return InstanceView(
             instance_id,
--- a/src/waxwingwinch/entry/_process.py
+++ b/src/waxwingwinch/entry/_process.py
@@ -22,7 +22,7 @@
 )
 from waxwingwinch.contracts import Freshness, ServiceName
 from waxwingwinch.entry._application import EntryApplication
-from waxwingwinch.entry._heartbeats import HeartbeatMaker, HeartbeatReceiver
+from waxwingwinch.entry._heartbeats import HeartbeatExchange, HeartbeatMaker
 from waxwingwinch.entry._options import EntryOptions
 from waxwingwinch.entry._peers import EntryRoster, WithdrawalMesh
 from waxwingwinch.fleet import FleetObserver
@@ -219,15 +219,14 @@
         )
 
     def _register_peer_handlers(self, application: EntryApplication) -> None:
-        receiver = HeartbeatReceiver(
+        self._exchange = HeartbeatExchange(
             self._clock,
             self._heartbeats,
-            self._mesh,
             self._configuration,
             self._fleet,
             application.services.peer_work,
         )
-        self._peer_server.handle(Heartbeat, receiver.handle)
+        self._peer_server.handle(Heartbeat, self._exchange.handle)
         ConfigurationHandlers(self._configuration).register(self._peer_server)
         application.register_handlers(self._peer_server)
         self._peer_server.handle(UsagePush, self._usage.handle_push)
@@ -247,6 +246,7 @@
             self._mesh,
             lambda: self._holders.link(f"fleet-{self._settings.cell}"),
             maker.make,
+            self._exchange.take_reply,
             self._clock,
         )
         self.registry.register("heartbeat_sender", sender)
@@ -278,7 +278,7 @@
         bound_seconds = self._configuration.current().defaults.freshness_seconds
         return decide_freshness(
             self._configuration.follower.caught_up_seconds,
-            self._heartbeats.heard_seconds(),
+            self._heartbeats.confirmed_seconds(),
             self._settings.expected_instances,
             bound_seconds,
             now_seconds,
--- a/src/waxwingwinch/membership/_heard.py
+++ b/src/waxwingwinch/membership/_heard.py
@@ -32,6 +32,7 @@
 
     def __init__(self) -> None:
         self._heard: dict[InstanceId, HeardHeartbeat] = {}
+        self._confirmed: dict[InstanceId, float] = {}
         self._lock = threading.Lock()
 
     def note(self, heartbeat: Heartbeat, now_seconds: float) -> None:
@@ -55,10 +56,21 @@
             self._heard[heartbeat.instance_id] = heard
             self._forget(now_seconds)
 
-    def heard_seconds(self) -> tuple[float, ...]:
-        """Return when each other instance was last heard."""
+    def confirm(self, instance_id: InstanceId, sent_seconds: float) -> None:
+        """
+        Note that all that an instance knew at a time is known here.
+
+        :param instance_id: The instance, which replied to a heartbeat.
+        :param sent_seconds: Monotonic time before that heartbeat was sent.
+        """
+        with self._lock:
+            known_seconds = self._confirmed.get(instance_id, sent_seconds)
+            self._confirmed[instance_id] = max(known_seconds, sent_seconds)
+
+    def confirmed_seconds(self) -> tuple[float, ...]:
+        """Return up to when the knowledge of each instance is known here."""
         with self._lock:
-            return tuple(heard.heard_seconds for heard in self._heard.values())
+            return tuple(self._confirmed.values())
 
     def alive(self, now_seconds: float) -> tuple[Heartbeat, ...]:
         """
@@ -100,3 +112,4 @@
         ]
         for instance_id in old:
             del self._heard[instance_id]
+            self._confirmed.pop(instance_id, None)
--- a/src/waxwingwinch/membership/_messages.py
+++ b/src/waxwingwinch/membership/_messages.py
@@ -39,3 +39,20 @@
     demand: tuple[DemandSample, ...]
     leaving: tuple[UpstreamId, ...] = ()
     incarnation: str = ""
+
+
+@message("heartbeat_reply")
+@frozen
+class HeartbeatReply:
+    """
+    Answer to a heartbeat.
+
+    A reply proves that its sender was alive after the heartbeat was sent,
+    which a heartbeat alone, delayed on its way, does not.
+
+    :param configuration_version: Version in force at the replying entry.
+    :param withdrawals_digest: Digest of the withdrawn key names known there.
+    """
+
+    configuration_version: int
+    withdrawals_digest: bytes
--- a/src/waxwingwinch/membership/_sender.py
+++ b/src/waxwingwinch/membership/_sender.py
@@ -2,15 +2,24 @@
 
 import threading
 from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
 
-from waxwingwinch._exceptions import PeerUnavailable
+from waxwingwinch._exceptions import MalformedMessage, PeerUnavailable
 from waxwingwinch.kernel import Clock, Health
 from waxwingwinch.membership._mesh import PeerMesh
-from waxwingwinch.membership._messages import Heartbeat
-from waxwingwinch.peers import PeerLink
+from waxwingwinch.membership._messages import Heartbeat, HeartbeatReply
+from waxwingwinch.peers import PeerIdentity, PeerLink
 
-#: Pause between two heartbeats.
-HEARTBEAT_PAUSE_SECONDS = 1.0
+#: Time between two heartbeats.
+HEARTBEAT_INTERVAL_SECONDS = 1.0
+#: How long a peer may take to reply.
+REPLY_TIMEOUT_SECONDS = 1.0
+#: Heartbeats that may wait for their replies at one time.
+MAX_CONCURRENT_HEARTBEATS = 16
+
+#: Takes a reply with its sender, its link and the time before the heartbeat
+#: was sent.
+ReplyHandler = Callable[[PeerIdentity, PeerLink, HeartbeatReply, float], None]
 
 
 class HeartbeatSender:
@@ -22,6 +31,7 @@
         fleet duty; None while there is none.
     :param make_heartbeat: Builds the heartbeat for a sequence number and the
         present time.
+    :param on_reply: Takes the replies of other entries.
     :param clock: Source of the present time.
     """
 
@@ -30,13 +40,16 @@
         mesh: PeerMesh,
         controller: Callable[[], PeerLink | None],
         make_heartbeat: Callable[[int, float], Heartbeat],
+        on_reply: ReplyHandler,
         clock: Clock,
     ) -> None:
         self._mesh = mesh
         self._controller = controller
         self._make_heartbeat = make_heartbeat
+        self._on_reply = on_reply
         self._clock = clock
         self._sequence = 0
+        self._pool = ThreadPoolExecutor(MAX_CONCURRENT_HEARTBEATS, "heartbeat")
         self._stopping = threading.Event()
         self._thread = threading.Thread(
             target=self._run, name="heartbeat-sender", daemon=True
@@ -51,6 +64,7 @@
         self._stopping.set()
         self._thread.join()
         self._send_once()
+        self._pool.shutdown()
 
     def health(self) -> Health:
         """Return ``HEALTHY`` while the sending thread runs."""
@@ -59,12 +73,16 @@
     def _run(self) -> None:
         while not self._stopping.is_set():
             self._send_once()
-            self._stopping.wait(HEARTBEAT_PAUSE_SECONDS)
+            self._stopping.wait(HEARTBEAT_INTERVAL_SECONDS)
 
     def _send_once(self) -> None:
         self._sequence += 1
         heartbeat = self._make_heartbeat(self._sequence, self._clock.now_seconds())
-        self._mesh.broadcast(heartbeat)
+        self._tell_controller(heartbeat)
+        for link in self._mesh.links():
+            self._pool.submit(self._exchange, link, heartbeat)
+
+    def _tell_controller(self, heartbeat: Heartbeat) -> None:
         controller = self._controller()
         if controller is None:
             return
@@ -72,3 +90,16 @@
             controller.send(heartbeat)
         except PeerUnavailable:
             return
+
+    def _exchange(self, link: PeerLink, heartbeat: Heartbeat) -> None:
+        """Send a heartbeat to one peer and take its reply."""
+        peer = link.peer
+        sent_seconds = self._clock.now_seconds()
+        try:
+            reply = link.request(heartbeat, REPLY_TIMEOUT_SECONDS)
+        except (PeerUnavailable, MalformedMessage):
+            return
+        # The link may have been redialed to another process meanwhile.
+        if peer is None or link.peer != peer or not isinstance(reply, HeartbeatReply):
+            return
+        self._on_reply(peer, link, reply, sent_seconds)
