--- a/src/waxwing_testbed/load/_calls.py
+++ b/src/waxwing_testbed/load/_calls.py
@@ -125,7 +125,9 @@
     ) -> urllib3.BaseHTTPResponse:
         # A new connection for each call, so that a restart of the instance
         # never meets an idle one.
-        timeout = urllib3.Timeout(CONNECT_TIMEOUT_SECONDS, self.timeout_seconds)
+        timeout = urllib3.Timeout(
+            connect=CONNECT_TIMEOUT_SECONDS, read=self.timeout_seconds
+        )
         return urllib3.PoolManager(num_pools=1).request(
             method,
             f"http://{address}{path}",
--- a/src/waxwingwinch/entry/_headers.py
+++ b/src/waxwingwinch/entry/_headers.py
@@ -13,6 +13,7 @@
     "Accept-Language",
     "Content-Language",
     "Content-Type",
+    "Idempotency-Key",
     "If-Modified-Since",
     "If-None-Match",
     "User-Agent",
