--- a/src/waxwingwinch/authority/_holder.py
+++ b/src/waxwingwinch/authority/_holder.py
@@ -103,7 +103,8 @@
 
         :param duty: Name of the duty.
         """
-        self._duties = (*self._duties, duty)
+        if duty not in self._duties:
+            self._duties = (*self._duties, duty)
 
     def start(self) -> None:
         """Start standing."""
--- /dev/null
+++ b/src/waxwingwinch/control/__main__.py
@@ -0,0 +1,5 @@
+"""Run ``waxwing-control`` as a module."""
+
+from waxwingwinch.control import main
+
+main()
--- /dev/null
+++ b/src/waxwingwinch/control/_duty_threads.py
@@ -0,0 +1,90 @@
+"""One thread for each runner of a duty."""
+
+import threading
+
+import eliot
+
+from waxwingwinch._exceptions import AuthorityLost, WaxwingError
+from waxwingwinch._types import Epoch
+from waxwingwinch.authority import DutyHolder
+from waxwingwinch.control._runner import DutyRunner
+from waxwingwinch.kernel import Clock, Health
+
+#: Pause between two steps.
+STEP_PAUSE_SECONDS = 0.5
+#: Pause between two looks at whether the duty was won.
+WAIT_PAUSE_SECONDS = 0.1
+
+
+class DutyThread:
+    """
+    Calls a runner while its duty is held.
+
+    :param runner: The work.
+    :param holder: Tells whether the duty is held and guards each call.
+    :param clock: Source of the present time.
+    """
+
+    def __init__(self, runner: DutyRunner, holder: DutyHolder, clock: Clock) -> None:
+        self._runner = runner
+        self._holder = holder
+        self._clock = clock
+        self._epoch: Epoch | None = None
+        self._stopping = threading.Event()
+        self._thread = threading.Thread(
+            target=self._run, name=f"duty-{type(runner).__name__}", daemon=True
+        )
+
+    def start(self) -> None:
+        """Start the thread."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """End after the running step."""
+        self._stopping.set()
+        self._thread.join()
+
+    def health(self) -> Health:
+        """Return ``HEALTHY`` while the thread runs."""
+        return Health.HEALTHY if self._thread.is_alive() else Health.FAILED
+
+    def step(self, now_seconds: float) -> bool:
+        """
+        Make one step if the duty is held.
+
+        :param now_seconds: Monotonic time.
+        :returns: True if a step was made.
+        """
+        try:
+            with self._holder.acting(self._runner.duty, now_seconds) as epoch:
+                if epoch != self._epoch:
+                    self._end()
+                    self._epoch = epoch
+                    self._runner.begin(epoch, now_seconds)
+                self._runner.step(now_seconds)
+                return True
+        except AuthorityLost:
+            self._end()
+            return False
+
+    def _run(self) -> None:
+        while not self._stopping.is_set():
+            pause_seconds = STEP_PAUSE_SECONDS
+            try:
+                if not self.step(self._clock.now_seconds()):
+                    pause_seconds = WAIT_PAUSE_SECONDS
+            except (WaxwingError, ValueError, LookupError) as error:
+                # One failed step must not end the duty; the next one starts
+                # from the log again.
+                eliot.log_message(
+                    "control:step_failed",
+                    duty=self._runner.duty,
+                    reason=f"{type(error).__name__}: {error}",
+                )
+            self._stopping.wait(pause_seconds)
+        self._end()
+
+    def _end(self) -> None:
+        if self._epoch is not None:
+            self._epoch = None
+            self._runner.end()
--- /dev/null
+++ b/src/waxwingwinch/control/_engine_orders.py
@@ -0,0 +1,160 @@
+"""Sending engine orders and settling open ones."""
+
+from typing import assert_never
+
+import eliot
+from attrs import define
+
+from waxwingwinch._exceptions import OrderRefused, UpstreamFailed
+from waxwingwinch.contracts import UpstreamView
+from waxwingwinch.control._journal import FleetJournal
+from waxwingwinch.fleet import FleetObserver, OrderFate, OrderIntent
+from waxwingwinch.interfaces import (
+    Engine,
+    EngineOrder,
+    GiveBack,
+    LoadAdapter,
+    LoadModel,
+    OrderResult,
+    OrderUpstream,
+    SetRole,
+)
+
+#: An order without visible effect is repeated this often.
+ORDER_REPEAT_SECONDS = 3.0
+#: An engine must be missing from the list this long to count as gone.
+GONE_SECONDS = 5.0
+
+
+@define
+class _Attempt:
+    """What this term knows of an open order."""
+
+    seen_seconds: float
+    sent_seconds: float | None = None
+    missing_since_seconds: float | None = None
+
+
+class EngineOrders:
+    """
+    Carries intents of one planner to an outcome.
+
+    An open order is observed or repeated under its own name; no other order
+    is sent over it.
+
+    :param journal: The records of the planner.
+    :param observer: The fleet.
+    :param engine: Calls engines.
+    """
+
+    def __init__(
+        self, journal: FleetJournal, observer: FleetObserver, engine: Engine
+    ) -> None:
+        self._journal = journal
+        self._observer = observer
+        self._engine = engine
+        self._attempts: dict[str, _Attempt] = {}
+
+    def clear(self) -> None:
+        """Forget the attempts at the start of a term."""
+        self._attempts.clear()
+
+    def begin(self, intent: OrderIntent, now_seconds: float) -> bool:
+        """
+        Record an intent and send its order once.
+
+        :param intent: A new intent of this term.
+        :param now_seconds: Monotonic time.
+        :returns: False if the intent is void or wasn't read back; an intent
+            that turns up later is settled as any open one.
+        """
+        if not self._journal.open(intent):
+            return False
+        self.settle(intent, now_seconds)
+        return True
+
+    def settle(self, intent: OrderIntent, now_seconds: float) -> None:
+        """
+        Observe or repeat an open order once.
+
+        :param intent: An open intent, of this term or an earlier one.
+        :param now_seconds: Monotonic time.
+        """
+        attempt = self._attempts.setdefault(intent.order_id, _Attempt(now_seconds))
+        view = self._observer.find(intent.upstream_id)
+        if view is None:
+            self._settle_missing(intent, attempt, now_seconds)
+            return
+        attempt.missing_since_seconds = None
+        if self._has_effect(intent, attempt, view):
+            self._close(intent, OrderFate.OBSERVED)
+            return
+        sent_seconds = attempt.sent_seconds
+        if sent_seconds is None or now_seconds - sent_seconds >= ORDER_REPEAT_SECONDS:
+            attempt.sent_seconds = now_seconds
+            self._send(intent, view)
+
+    def _settle_missing(
+        self, intent: OrderIntent, attempt: _Attempt, now_seconds: float
+    ) -> None:
+        """Close the order of an engine that the platform lists no more."""
+        listed_seconds = self._observer.listed_seconds()
+        if listed_seconds is None or listed_seconds < attempt.seen_seconds:
+            return
+        if attempt.missing_since_seconds is None:
+            attempt.missing_since_seconds = now_seconds
+        if now_seconds - attempt.missing_since_seconds >= GONE_SECONDS:
+            self._close(intent, OrderFate.OBSERVED)
+
+    def _has_effect(
+        self, intent: OrderIntent, attempt: _Attempt, view: UpstreamView
+    ) -> bool:
+        load = view.load
+        sent_seconds = attempt.sent_seconds
+        # A report from before the order may show an older, equal state.
+        if load is None or sent_seconds is None or not load.accepting:
+            return False
+        if view.load_taken_seconds <= sent_seconds:
+            return False
+        match intent.action:
+            case SetRole(role):
+                return load.role is role
+            case LoadModel(model):
+                return load.model == model
+            case LoadAdapter(adapter):
+                return adapter in load.adapters
+            case OrderUpstream() | GiveBack():
+                raise ValueError("not an order to an engine")
+            case action:
+                assert_never(action)
+
+    def _send(self, intent: OrderIntent, view: UpstreamView) -> None:
+        action = intent.action
+        if isinstance(action, OrderUpstream | GiveBack):
+            raise ValueError("not an order to an engine")
+        order = EngineOrder(intent.order_id, self._journal.epoch, action)
+        try:
+            result = self._engine.order(view.listed.address, order)
+        except UpstreamFailed as error:
+            eliot.log_message(
+                "control:order_unanswered",
+                upstream=intent.upstream_id,
+                order=intent.order_id,
+                reason=str(error),
+            )
+            return
+        except OrderRefused as error:
+            # A newer holder is at work; the lease will show it.
+            eliot.log_message(
+                "control:order_refused",
+                upstream=intent.upstream_id,
+                order=intent.order_id,
+                highest_epoch=error.highest_epoch,
+            )
+            return
+        if result is OrderResult.DONE:
+            self._close(intent, OrderFate.DONE)
+
+    def _close(self, intent: OrderIntent, fate: OrderFate) -> None:
+        if self._journal.close(intent.order_id, fate):
+            self._attempts.pop(intent.order_id, None)
--- /dev/null
+++ b/src/waxwingwinch/control/_main.py
@@ -0,0 +1,60 @@
+"""The command line of ``waxwing-control``."""
+
+import pathlib
+import signal
+import threading
+from types import FrameType
+from typing import Annotated
+
+import typer
+
+from waxwingwinch.control._process import build_process
+from waxwingwinch.settings import (
+    ControlSettings,
+    SettingsInvalid,
+    format_findings,
+    load_settings,
+)
+
+#: Exit status for a settings file with findings.
+EXIT_INVALID_SETTINGS = 2
+
+
+def run(
+    settings: Annotated[
+        pathlib.Path, typer.Option(help="YAML file with the settings.")
+    ],
+    check: Annotated[
+        bool, typer.Option("--check", help="Check the settings and exit.")
+    ] = False,
+) -> None:
+    """Stand for the duties of a cell until SIGTERM."""
+    loaded = _load_or_exit(settings)
+    if check:
+        typer.echo(f"{settings} is valid")
+        return
+    stop = threading.Event()
+
+    def request_stop(number: int, frame: FrameType | None) -> None:
+        stop.set()
+
+    signal.signal(signal.SIGTERM, request_stop)
+    signal.signal(signal.SIGINT, request_stop)
+    registry = build_process(loaded)
+    registry.start_all()
+    stop.wait()
+    registry.stop_all()
+
+
+def _load_or_exit(path: pathlib.Path) -> ControlSettings:
+    """Read the settings; print all findings and exit if there are any."""
+    try:
+        return load_settings(path, ControlSettings)
+    except SettingsInvalid as error:
+        typer.echo(format_findings(error), err=True)
+        raise typer.Exit(EXIT_INVALID_SETTINGS) from error
+
+
+def main() -> None:
+    """Run the program."""
+    typer.run(run)
--- a/src/waxwingwinch/fleet/_observer.py
+++ b/src/waxwingwinch/fleet/_observer.py
@@ -1,7 +1,7 @@
 """The fleet as one process sees it."""
 
 import threading
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 import eliot
 
@@ -130,6 +130,14 @@
         with self._lock:
             return self._state.directives()
 
+    def directives_draining(self) -> tuple[Directive, ...]:
+        """Return the drains in force."""
+        return tuple(
+            directive
+            for directive in self.directives()
+            if directive.state is UpstreamState.DRAINING
+        )
+
     def open_intents(self) -> tuple[OrderIntent, ...]:
         """Return the orders without outcome."""
         with self._lock:
@@ -145,6 +153,15 @@
         with self._lock:
             return self._state.epoch(duty)
 
+    def wait_until(self, predicate: Callable[[], bool], timeout_seconds: float) -> bool:
+        """
+        Wait until records of the stream make a predicate true.
+
+        :param predicate: Evaluated after each read.
+        :param timeout_seconds: How long to wait.
+        """
+        return self._follower.wait_until(predicate, timeout_seconds)
+
     def leaving(self) -> tuple[UpstreamId, ...]:
         """
         Return the upstreams that this process itself knows to be leaving.
--- a/src/waxwingwinch/fleet/_state.py
+++ b/src/waxwingwinch/fleet/_state.py
@@ -70,13 +70,22 @@
         self._epochs[body.duty] = body.epoch
         match body:
             case Directive():
-                self._directives[body.upstream_id] = body
+                return self._direct(body)
             case OrderIntent():
                 return self._open(body)
             case OrderOutcome():
                 self._close(body.order_id)
         return True
 
+    def _direct(self, directive: Directive) -> bool:
+        """Take a directive unless another duty drains the upstream."""
+        present = self._directives.get(directive.upstream_id)
+        if present is not None and present.state is UpstreamState.DRAINING:
+            if present.duty != directive.duty:
+                return False
+        self._directives[directive.upstream_id] = directive
+        return True
+
     def _open(self, intent: OrderIntent) -> bool:
         """Open an intent unless another is open on the same upstream."""
         if intent.order_id in self._closed:
--- a/src/waxwingwinch/fleet/tests/test_state.py
+++ b/src/waxwingwinch/fleet/tests/test_state.py
@@ -78,3 +78,13 @@
     read = decode_message(encode_message(sent))
     assert read == sent
     assert read.action == action
+
+
+def test_upstream_drained_by_one_duty_is_left_alone_by_the_other():
+    state = FleetState()
+    assert state.apply(drain(5))
+    other = Directive("buying-c", Epoch(7), E1, UpstreamState.ACTIVE)
+    assert not state.apply(other)
+    assert state.is_draining(E1)
+    assert state.apply(drain(5, UpstreamState.ACTIVE))
+    assert state.apply(other)
