--- a/src/waxwingwinch/decisions/__init__.py
+++ b/src/waxwingwinch/decisions/__init__.py
@@ -1,6 +1,22 @@
-"""Decisions as functions of state and the present time."""
+"""Decisions as functions of state and present time."""
 
-from waxwingwinch.decisions._buying import plan_purchases, spare_engine
+from waxwingwinch.decisions._admission import (
+    AdmissionDecision,
+    AdmissionRequest,
+    Admit,
+    CustomerWork,
+    Shed,
+    Wait,
+    after_admission,
+    after_demand,
+    decayed,
+    decide_admission,
+    max_min_shares,
+)
+from waxwingwinch.decisions._buying import (
+    plan_purchases,
+    spare_engine,
+)
 from waxwingwinch.decisions._buying_state import (
     BuyingState,
     ModelNeed,
@@ -9,7 +25,33 @@
     Refusal,
     Return,
 )
-from waxwingwinch.decisions._forecast import DemandForecaster, WorkForecast
+from waxwingwinch.decisions._ejection import (
+    EjectionCause,
+    EngineRecord,
+    after_failure,
+    after_success,
+    eject_slow,
+    share,
+    usable_engines,
+)
+from waxwingwinch.decisions._engine_load import (
+    Candidate,
+    SentWork,
+    queue_seconds,
+    takes_new_work,
+)
+from waxwingwinch.decisions._forecast import (
+    DemandForecaster,
+    WorkForecast,
+)
+from waxwingwinch.decisions._retry import (
+    RetryAllowed,
+    RetryBudget,
+    RetryDecision,
+    RetryRefused,
+    after_request,
+    decide_retry,
+)
 from waxwingwinch.decisions._roles import (
     RoleChange,
     RoleEngine,
@@ -17,21 +59,75 @@
     plan_roles,
     servable_ratio,
 )
+from waxwingwinch.decisions._routing import (
+    cached_tokens,
+    choose_engine,
+)
+from waxwingwinch.decisions._routing_model import (
+    EarliestFirstToken,
+    FewestOthers,
+    LeastConnections,
+    NoEngine,
+    RoundRobin,
+    Routed,
+    RoutingChoice,
+    RoutingPolicy,
+    RoutingRequest,
+)
 
 __all__ = [
+    "AdmissionDecision",
+    "AdmissionRequest",
+    "Admit",
     "BuyingState",
+    "Candidate",
+    "CustomerWork",
     "DemandForecaster",
+    "EarliestFirstToken",
+    "EjectionCause",
+    "EngineRecord",
+    "FewestOthers",
+    "LeastConnections",
     "ModelNeed",
+    "NoEngine",
     "OwnedEngine",
     "Purchase",
     "Refusal",
+    "RetryAllowed",
+    "RetryBudget",
+    "RetryDecision",
+    "RetryRefused",
     "Return",
     "RoleChange",
     "RoleEngine",
     "RoleState",
+    "RoundRobin",
+    "Routed",
+    "RoutingChoice",
+    "RoutingPolicy",
+    "RoutingRequest",
+    "SentWork",
+    "Shed",
+    "Wait",
     "WorkForecast",
+    "after_admission",
+    "after_demand",
+    "after_failure",
+    "after_request",
+    "after_success",
+    "cached_tokens",
+    "choose_engine",
+    "decayed",
+    "decide_admission",
+    "decide_retry",
+    "eject_slow",
+    "max_min_shares",
     "plan_purchases",
     "plan_roles",
+    "queue_seconds",
     "servable_ratio",
+    "share",
     "spare_engine",
+    "takes_new_work",
+    "usable_engines",
 ]
--- a/src/waxwingwinch/entry/_process.py
+++ b/src/waxwingwinch/entry/_process.py
@@ -4,8 +4,6 @@
 import uuid
 
 import eliot
-from waxwingwinch.entry._application import EntryApplication
-from waxwingwinch.entry._options import EntryOptions
 
 from waxwingwinch._types import Address
 from waxwingwinch.adapters import (
@@ -23,7 +21,9 @@
     adopt_from_peers,
 )
 from waxwingwinch.contracts import Freshness, ServiceName
-from waxwingwinch.entry._heartbeats import HeartbeatMaker, HeartbeatReceiver
+from waxwingwinch.entry._application import EntryApplication
+from waxwingwinch.entry._heartbeats import HeartbeatExchange, HeartbeatMaker
+from waxwingwinch.entry._options import EntryOptions
 from waxwingwinch.entry._peers import EntryRoster, WithdrawalMesh
 from waxwingwinch.fleet import FleetObserver
 from waxwingwinch.idempotency import LogIdempotencyStore, Runner
@@ -43,7 +43,13 @@
 from waxwingwinch.peers import PeerIdentity, PeerProgram, PeerServer
 from waxwingwinch.placement import home_count, home_instances
 from waxwingwinch.settings import EntrySettings
-from waxwingwinch.usage import EntryUsageLedger
+from waxwingwinch.usage import (
+    EntryUsageLedger,
+    UsagePeer,
+    UsagePush,
+    UsageRequest,
+    UsageSource,
+)
 
 #: Pause between two tries to get a first configuration from a peer.
 STATE_PAUSE_SECONDS = 0.2
@@ -150,7 +156,11 @@
             self._is_alive,
         )
         self._usage = EntryUsageLedger(
-            self._identity, self._incarnation, self._clock, self._mesh
+            UsageSource(settings.instance_id, self._incarnation),
+            settings.zone,
+            self._clock,
+            self._configuration.current,
+            self._usage_peers,
         )
         self.registry.register(ServiceName.CONFIGURATION, self._configuration)
         self.registry.register(ServiceName.FLEET, self._fleet)
@@ -188,7 +198,7 @@
             self._roster.discoverable,
             home_instances,
             home_count,
-            self._mesh.broadcast,
+            self._broadcast,
             OperatorApi(self._operator_requests(), self._clock),
         )
         self._register_peer_handlers(application)
@@ -209,18 +219,18 @@
         )
 
     def _register_peer_handlers(self, application: EntryApplication) -> None:
-        receiver = HeartbeatReceiver(
+        self._exchange = HeartbeatExchange(
             self._clock,
             self._heartbeats,
-            self._mesh,
             self._configuration,
             self._fleet,
             application.services.peer_work,
         )
-        self._peer_server.handle(Heartbeat, receiver.handle)
+        self._peer_server.handle(Heartbeat, self._exchange.handle)
         ConfigurationHandlers(self._configuration).register(self._peer_server)
         application.register_handlers(self._peer_server)
-        self._usage.register_handlers(self._peer_server)
+        self._peer_server.handle(UsagePush, self._usage.handle_push)
+        self._peer_server.handle(UsageRequest, self._usage.handle_request)
 
     def _register_heartbeats(self) -> None:
         maker = HeartbeatMaker(
@@ -236,10 +246,22 @@
             self._mesh,
             lambda: self._holders.link(f"fleet-{self._settings.cell}"),
             maker.make,
+            self._exchange.take_reply,
             self._clock,
         )
         self.registry.register("heartbeat_sender", sender)
 
+    def _broadcast(self, body: object) -> None:
+        self._mesh.broadcast(body)
+
+    def _usage_peers(self) -> list[UsagePeer]:
+        up = [(link, link.peer) for link in self._mesh.links()]
+        return [
+            UsagePeer(peer.instance_id, peer.zone, link)
+            for link, peer in up
+            if peer is not None
+        ]
+
     def _holder_address(self, duty: str) -> Address | None:
         position = self._duties.holder_of(duty)
         return None if position is None else position.address
@@ -256,7 +278,7 @@
         bound_seconds = self._configuration.current().defaults.freshness_seconds
         return decide_freshness(
             self._configuration.follower.caught_up_seconds,
-            self._heartbeats.heard_seconds(),
+            self._heartbeats.confirmed_seconds(),
             self._settings.expected_instances,
             bound_seconds,
             now_seconds,
