--- a/features/steps/at_most_once.py
+++ b/features/steps/at_most_once.py
@@ -36,6 +36,15 @@
     context.event = context.world.send(context.world.order(key), instance)
 
 
+@when('the order "{key}" is sent to {instance} until it is answered')
+def step_order_until(context, key, instance):
+    def answered():
+        event = context.world.send(context.world.order(key), instance)
+        return event.outcome is CallOutcome.WHOLE
+
+    context.world.wait_until(answered, "the order is answered")
+
+
 @then("the order ran once")
 def step_ran_once_any(context):
     assert count_runs(context, context.key) == 1
