Cover claims, pauses, kills and payments by at-most-once scenarios

The first scenarios covered races and lost answers only. Added: an instance killed during the call and between claim and call, one paused past the sending bound, lost append answers, hanging and late upstreams, dropped connections, and a check of the whole history against the journals.

The plain stand-in now records the customer of each execution, so that a check compares it with the customer whose key was sent.

--- a/src/waxwing_testbed/scenario/__init__.py
+++ b/src/waxwing_testbed/scenario/__init__.py
@@ -15,6 +15,12 @@
     make_configuration,
     make_customer,
 )
+from waxwing_testbed.scenario._request_checks import (
+    count_order_runs,
+    count_payment_runs,
+    is_claimed,
+    request_violations,
+)
 from waxwing_testbed.scenario._world import CUT_BOTH, WAIT_SECONDS, World
 
 __all__ = [
@@ -30,8 +36,12 @@
     "WAIT_SECONDS",
     "WIDE",
     "World",
+    "count_order_runs",
+    "count_payment_runs",
+    "is_claimed",
     "key_id_of",
     "key_of",
     "make_configuration",
     "make_customer",
+    "request_violations",
 ]
--- a/src/waxwing_testbed/scenario/_world.py
+++ b/src/waxwing_testbed/scenario/_world.py
@@ -157,13 +157,16 @@
         """
         return PlainRequest(CallKind.ORDER, "POST", ORDER_PATH, body, key)
 
-    def payment(self, body: bytes = b'{"pesos": 1}') -> PlainRequest:
+    def payment(self, body: bytes = b'{"pesos": 1}', name: str = "") -> PlainRequest:
         """
         Make a payment without an idempotency key.
 
         :param body: The body.
+        :param name: Tells the payment from others in the journals of the
+            plain services; empty if that isn't needed.
         """
-        return PlainRequest(CallKind.PAYMENT, "POST", PAYMENT_PATH, body)
+        path = f"{PAYMENT_PATH}?payment={name}" if name else PAYMENT_PATH
+        return PlainRequest(CallKind.PAYMENT, "POST", path, body)
 
     def status_check(self) -> PlainRequest:
         """Make a call that may be repeated."""
--- a/src/waxwing_testbed/standins/_journal.py
+++ b/src/waxwing_testbed/standins/_journal.py
@@ -128,6 +128,7 @@
     :param request_id: The call's id.
     :param idempotency_key: The caller's key; empty for none.
     :param number: Count of this service's executions, from 1.
+    :param customer_id: The customer named by the call; empty for none.
     """
 
     at_seconds: float
@@ -136,6 +137,7 @@
     request_id: str
     idempotency_key: str
     number: int
+    customer_id: str = ""
 
 
 @frozen
--- a/src/waxwing_testbed/standins/_plain.py
+++ b/src/waxwing_testbed/standins/_plain.py
@@ -14,6 +14,7 @@
 PLAIN_OPERATIONS = ("call",)
 
 _REQUEST_ID_HEADER = "X-Request-Id"
+_CUSTOMER_HEADER = "X-Customer-Id"
 
 
 class PlainStandin:
@@ -80,6 +81,7 @@
                 request.header(_REQUEST_ID_HEADER),
                 request.header("Idempotency-Key"),
                 next(self._numbers),
+                request.header(_CUSTOMER_HEADER),
             )
             self._executions.append(execution)
         return execution
