--- a/src/waxwing_testbed/scenario/__init__.py
+++ b/src/waxwing_testbed/scenario/__init__.py
@@ -18,6 +18,8 @@
 from waxwing_testbed.scenario._request_checks import (
     count_order_runs,
     count_payment_runs,
+    engines_of,
+    instance_names,
     is_claimed,
     request_violations,
 )
@@ -38,6 +40,8 @@
     "World",
     "count_order_runs",
     "count_payment_runs",
+    "engines_of",
+    "instance_names",
     "is_claimed",
     "key_id_of",
     "key_of",
--- a/src/waxwing_testbed/scenario/_request_checks.py
+++ b/src/waxwing_testbed/scenario/_request_checks.py
@@ -1,7 +1,7 @@
 """Checks of what the stand-ins recorded against what callers saw."""
 
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Container, Iterable
 
 from waxwing_testbed.history import (
     CallEvent,
@@ -116,6 +116,29 @@
     return any(digest in record.payload for page in pages for record in page.records)
 
 
+def engines_of(world: World, request_ids: Container[str]) -> set[str]:
+    """
+    Return the engines that took some generations.
+
+    :param world: Its engines.
+    :param request_ids: Names of the generations.
+    """
+    return {
+        name
+        for name, journal in world.engine_journals().items()
+        if any(row.request_id in request_ids for row in journal.generations)
+    }
+
+
+def instance_names(world: World) -> list[str]:
+    """
+    Return the names of all instances.
+
+    :param world: The instances.
+    """
+    return [str(instance.instance_id) for instance in world.deployment.instances]
+
+
 def _generations(world: World) -> list[UpstreamExecution]:
     return [
         UpstreamExecution(row.request_id, "", row.at_seconds)
--- a/src/waxwing_testbed/scenario/_world.py
+++ b/src/waxwing_testbed/scenario/_world.py
@@ -26,7 +26,9 @@
     make_configuration,
 )
 from waxwing_testbed.standins import EngineJournal, Execution, Fault, Outage
+from waxwingwinch._exceptions import UpstreamFailed
 from waxwingwinch._types import CustomerId
+from waxwingwinch.adapters import HttpEngine
 from waxwingwinch.configuration import Defaults, ReplaceConfiguration
 
 #: Longest wait for a state to come about.
@@ -199,6 +201,16 @@
         admin = self.deployment.admin
         return {engine.name: admin.engine_journal(engine.name) for engine in engines}
 
+    def is_every_engine_up(self) -> bool:
+        """Tell whether each engine answers calls for its load."""
+        engine = HttpEngine()
+        for settings in self.deployment.standin_settings.engines:
+            try:
+                engine.load_report(settings.address)
+            except UpstreamFailed:
+                return False
+        return True
+
     def set_plain_fault(self, fault: Fault) -> None:
         """
         Replace the fault of all plain services.
