Take only unreachable plain services as crashed

Cause: every timeout or lost answer of a plain call counted as a crash of the service. After two of them on different services, all calls of the customer with the same body were refused for 300 s at all instances, with other idempotency keys too: one slow moment of the shop would have stopped all orders of one kit.

Change: the entry looks whether the service still takes connections before it counts a crash. The unit test failed first.

The scenario of the lost answer asks a third instance too, since a mutation that gave the claim up wasn't noticed by it.

--- a/features/at_most_once.feature
+++ b/features/at_most_once.feature
@@ -11,6 +11,8 @@
     Then the caller is told "unknown"
     When the order "lost-answer" is sent to i2
     Then the caller is told "unknown"
+    When the order "lost-answer" is sent to i3
+    Then the caller is told "unknown" for good
     And the order "lost-answer" ran once
 
   Scenario: an order while the log is down
@@ -67,6 +69,16 @@
     When the order "paused" is sent to i2 until an answer comes
     Then the order "paused" ran once
 
+  Scenario: orders of the same content run after others timed out
+    Given the plain services hang
+    When the orders "slow-1", "slow-2" and "slow-3" are sent to i1 at once
+    Then all of them are told "unknown"
+    Given the plain services answer after 0 s
+    When the order "slow-4" is sent to i1
+    Then the caller is told "whole"
+    When the order "slow-5" is sent to i2
+    Then the caller is told "whole"
+
   Scenario: a payment without a key whose upstream hangs
     Given the plain services hang
     When the payment "hangs" is sent to i1
--- a/features/steps/at_most_once.py
+++ b/features/steps/at_most_once.py
@@ -80,6 +80,16 @@
     context.key = "race"
 
 
+@when('the orders "{one}", "{two}" and "{three}" are sent to {instance:w} at once')
+def step_orders(context, one, two, three, instance):
+    world = context.world
+    calls = [
+        world.send_in_background(world.order(key), instance)
+        for key in (one, two, three)
+    ]
+    context.events = [call.result() for call in calls]
+
+
 @when('the order "{key}" is sent to {instance:w}')
 def step_order(context, key, instance):
     context.event = context.world.send(context.world.order(key), instance)
@@ -181,6 +191,18 @@
     assert context.event.outcome is CallOutcome(outcome), context.event
 
 
+@then('all of them are told "{outcome}"')
+def step_all_told(context, outcome):
+    for event in context.events:
+        assert event.outcome is CallOutcome(outcome), event
+
+
+@then('the caller is told "{outcome}" for good')
+def step_told_for_good(context, outcome):
+    assert context.event.outcome is CallOutcome(outcome), context.event
+    assert context.event.retry_after_seconds is None, context.event
+
+
 @then('the caller in the background is told "{outcome}"')
 def step_told_background(context, outcome):
     event = context.background.result()
--- a/src/waxwingwinch/adapters/_plain_service.py
+++ b/src/waxwingwinch/adapters/_plain_service.py
@@ -1,9 +1,15 @@
 """Wire format of plain services: HTTP as it came."""
 
+import socket
+
 from waxwingwinch._exceptions import Outcome, UpstreamFailed
 from waxwingwinch._types import Address
 from waxwingwinch.adapters._calls import upstream_exchange
-from waxwingwinch.adapters._http import HttpReply, HttpRequest
+from waxwingwinch.adapters._http import (
+    CONNECT_TIMEOUT_SECONDS,
+    HttpReply,
+    HttpRequest,
+)
 from waxwingwinch.interfaces import PlainAnswer, PlainCall
 
 REQUEST_ID_HEADER = "X-Request-Id"
@@ -44,6 +50,15 @@
         _check_answer(call, reply)
         return PlainAnswer(reply.status, _end_to_end(reply.headers), reply.body)
 
+    def is_listening(self, address: Address) -> bool:
+        """Try to connect, see ``PlainService`` in the interfaces."""
+        target = (address.host, address.port)
+        try:
+            with socket.create_connection(target, CONNECT_TIMEOUT_SECONDS):
+                return True
+        except OSError:
+            return False
+
 
 def _end_to_end(
     headers: tuple[tuple[str, str], ...],
--- a/src/waxwingwinch/entry/_plain.py
+++ b/src/waxwingwinch/entry/_plain.py
@@ -261,7 +261,9 @@
 
     def _note_crash(self, job: _PlainJob, view: UpstreamView) -> None:
         # Requests without a body look alike, and one must not stop another.
-        if job.request.body:
+        # A timeout or a lost answer alone is no crash.
+        address = view.listed.address
+        if job.request.body and not self._services.plain.is_listening(address):
             now_seconds = self._services.clock.now_seconds()
             crashes = self._services.crashes
             crashes.crashed(job.fingerprint, view.upstream_id, now_seconds)
--- a/src/waxwingwinch/entry/tests/fakes.py
+++ b/src/waxwingwinch/entry/tests/fakes.py
@@ -247,6 +247,7 @@
 class FakePlain:
     failures: dict[int, Outcome] = field(factory=dict)
     calls: list[tuple[int, PlainCall]] = field(factory=list)
+    crashed: set[int] = field(factory=set)
 
     def call(self, address: Address, call: PlainCall) -> PlainAnswer:
         self.calls.append((address.port, call))
@@ -255,6 +256,9 @@
             raise UpstreamFailed("broken", outcome)
         return PlainAnswer(201, (("X-Seat", "4"), ("Set-Cookie", "a=b")), b"booked")
 
+    def is_listening(self, address: Address) -> bool:
+        return address.port not in self.crashed
+
 
 ROUTES = (
     Route("/seats", "booking", ("GET",), idempotent=True),
--- a/src/waxwingwinch/entry/tests/test_plain.py
+++ b/src/waxwingwinch/entry/tests/test_plain.py
@@ -112,6 +112,18 @@
     assert (response.status, outcome_of(response)) == (503, "not_run")
 
 
+@pytest.mark.parametrize(("crashed", "status"), [(set(), 201), ({11, 12}, 503)])
+def test_only_crashes_stop_later_calls(entry, crashed, status):
+    entry.plain.failures = {11: Outcome.UNKNOWN}
+    entry.plain.crashed = crashed
+    assert entry.call("POST", "/book", body=b"bench").status == 502
+    entry.plain.failures = {12: Outcome.UNKNOWN}
+    entry.fleet.plain_views = entry.fleet.plain_views[1:]
+    assert entry.call("POST", "/book", body=b"bench").status == 502
+    entry.plain.failures = {}
+    assert entry.call("POST", "/book", body=b"bench").status == status
+
+
 def test_claimed_call_is_recorded(entry):
     assert entry.call("POST", "/book", headers=WITH_KEY).status == 201
     assert entry.store.answers[0].body == b"booked"
--- a/src/waxwingwinch/interfaces/_plain_service.py
+++ b/src/waxwingwinch/interfaces/_plain_service.py
@@ -56,3 +56,10 @@
             the call was sent, with ``Outcome.UNKNOWN`` if the answer did
             not come, was cut short, or belongs to another request id.
         """
+
+    def is_listening(self, address: Address) -> bool:
+        """
+        Tell whether an upstream takes connections.
+
+        :param address: The upstream.
+        """
