Refuse malformed request heads with clear errors

Cause: an order with Content-Length: -5 ran with an empty body (status 200), since the length was taken as missing. Of a header that came twice the last one counted, so a request with two lengths waited for bytes that never came and was cut without an answer. Errors of the HTTP server itself (too large, timeout, malformed head) were plain text without outcome.

Change: heads with a length that is no number, or with a deciding header twice, get 400; the server's own errors have the shape of all others.

--- a/features/steps/whole_answers.py
+++ b/features/steps/whole_answers.py
@@ -150,7 +150,7 @@
     """Return the ends of calls in a form that fits an error."""
     return [
         f"{event.instance} {event.status} {event.outcome.value} {event.detail}"
-        f" {event.output_tokens}"
+        f" {event.output_tokens} {event.message}"
         for event in events
     ]
 
--- a/src/waxwing_testbed/history/_events.py
+++ b/src/waxwing_testbed/history/_events.py
@@ -57,6 +57,7 @@
     :param output_tokens: Tokens received.
     :param upstream_execution: Execution named by a plain answer; empty
         without one.
+    :param message: Text of the error; empty without one.
     """
 
     call_id: str
@@ -75,3 +76,4 @@
     longest_gap_seconds: float = 0.0
     output_tokens: int = 0
     upstream_execution: str = ""
+    message: str = ""
--- a/src/waxwing_testbed/load/__init__.py
+++ b/src/waxwing_testbed/load/__init__.py
@@ -3,6 +3,7 @@
 from waxwing_testbed.load._caller import Caller
 from waxwing_testbed.load._calls import Call, CallSender, ChatCall, PlainRequest
 from waxwing_testbed.load._discovery import Discovery
+from waxwing_testbed.load._raw import RawAnswer, RawRequest, send_bytes, send_raw
 from waxwing_testbed.load._traffic import (
     CallMaker,
     ChatMix,
@@ -22,5 +23,9 @@
     "Phase",
     "PlainMix",
     "PlainRequest",
+    "RawAnswer",
+    "RawRequest",
     "TrafficSource",
+    "send_bytes",
+    "send_raw",
 ]
--- a/src/waxwing_testbed/load/_calls.py
+++ b/src/waxwing_testbed/load/_calls.py
@@ -180,6 +180,7 @@
 def _refused(event: CallEvent, data: bytes) -> CallEvent:
     try:
         error = json.loads(data)["error"]
+        event = evolve(event, message=str(error.get("message", "")))
         return _ended(event, CallOutcome(error["outcome"]), error["code"])
     except (ValueError, KeyError, TypeError):
         return _ended(event, CallOutcome.BROKEN, f"status {event.status}")
--- a/src/waxwing_testbed/scenario/__init__.py
+++ b/src/waxwing_testbed/scenario/__init__.py
@@ -15,6 +15,7 @@
     make_configuration,
     make_customer,
 )
+from waxwing_testbed.scenario._intruder import is_closed_after
 from waxwing_testbed.scenario._request_checks import (
     count_order_runs,
     count_payment_runs,
@@ -43,6 +44,7 @@
     "engines_of",
     "instance_names",
     "is_claimed",
+    "is_closed_after",
     "key_id_of",
     "key_of",
     "make_configuration",
--- a/src/waxwing_testbed/standins/_engine.py
+++ b/src/waxwing_testbed/standins/_engine.py
@@ -5,6 +5,8 @@
 import threading
 from collections.abc import Generator
 
+from attrs import evolve
+
 from waxwing_testbed.standins._engine_journal import EngineRecorder
 from waxwing_testbed.standins._engine_model import EngineModel
 from waxwing_testbed.standins._engine_orders import OrderBook, Repeated, Run, Stale
@@ -31,6 +33,7 @@
     OrderResult,
     StreamEnd,
     StreamItem,
+    StreamPart,
 )
 
 #: Operations whose faults can be switched.
@@ -195,6 +198,8 @@
                     continue
                 if item is None:
                     raise ConnectionDropped("the generation was cut")
+                if shown_id != taken.call.request_id:
+                    item = _crossed(item)
                 yield _event(shown_id, item)
                 if isinstance(item, StreamEnd):
                     return
@@ -251,6 +256,15 @@
     return error_reply(503, refusal.value, "the engine doesn't take the call")
 
 
+def _crossed(item: StreamItem) -> StreamItem:
+    """Return an item as another generation would have it."""
+    match item:
+        case StreamPart():
+            return evolve(item, text=f"not-{item.text}")
+        case StreamEnd():
+            return item
+
+
 def _event(request_id: str, item: StreamItem) -> bytes:
     value: dict[str, object] = {"request_id": request_id}
     match item:
--- a/src/waxwingwinch/entry/_connections.py
+++ b/src/waxwingwinch/entry/_connections.py
@@ -9,6 +9,7 @@
 from cheroot.server import HTTPConnection
 from cheroot.wsgi import Gateway_10, Server
 
+from waxwingwinch.entry._request_heads import EntryRequest
 from waxwingwinch.kernel import Clock
 
 #: Key of the caller's socket in the WSGI environment.
@@ -133,6 +134,8 @@
 class EntryConnection(HTTPConnection):  # type: ignore[misc]
     """A connection under the server's reading deadlines."""
 
+    RequestHandlerClass = EntryRequest
+
     def communicate(self) -> bool:
         """Serve the next request; return whether to keep the connection."""
         deadlines: ReadDeadlines = self.server.read_deadlines
--- a/src/waxwingwinch/entry/tests/test_plain.py
+++ b/src/waxwingwinch/entry/tests/test_plain.py
@@ -204,6 +204,30 @@
     assert all(name in message for name in ("prompt", "max_tokens", "stream"))
 
 
+@pytest.mark.parametrize(
+    ("head", "code"),
+    [
+        (b"Content-Length: -5", "invalid_request"),
+        (b"Content-Length: +5", "invalid_request"),
+        (b"Content-Length: 2\r\nContent-Length: 40", "invalid_request"),
+        (b"Authorization: Bearer one\r\nAuthorization: Bearer two", "invalid_request"),
+        (b"no colon", "invalid_request"),
+        (b"Content-Length: 999999999999", "body_too_large"),
+    ],
+)
+def test_malformed_heads(entry, head, code):
+    address = urlsplit(entry.base)
+    with socket.create_connection((address.hostname, address.port)) as caller:
+        authorization = f"X-Api-Key: {KEY}".encode()
+        lines = [b"POST /book HTTP/1.1", b"Host: x", authorization, head, b"", b"{}"]
+        caller.sendall(b"\r\n".join(lines))
+        caller.settimeout(10)
+        answer = caller.recv(65_536)
+    error = json.loads(answer.partition(b"\r\n\r\n")[2])["error"]
+    assert (error["code"], error["outcome"]) == (code, "not_run")
+    assert entry.plain.calls == []
+
+
 def test_slow_body_is_cut():
     options: dict[str, object] = {"request_read_seconds": 0.3}
     with running_entry(options=options) as entry:
