--- a/src/waxwingwinch/limits/_duty.py
+++ b/src/waxwingwinch/limits/_duty.py
@@ -3,10 +3,11 @@
 import threading
 from collections import OrderedDict
 from collections.abc import Callable, Sequence
+from contextlib import AbstractContextManager
 
 from attrs import frozen
 
-from waxwingwinch._exceptions import PlatformUnavailable
+from waxwingwinch._exceptions import AuthorityLost, PlatformUnavailable
 from waxwingwinch._types import CustomerId, Epoch, InstanceId
 from waxwingwinch.configuration import Configuration
 from waxwingwinch.interfaces import InstanceState, ListedInstance, PlatformLog
@@ -67,6 +68,7 @@
     :param clock: Source of the present time.
     :param configuration: Returns the configuration in force.
     :param instances: Returns the listed instances.
+    :param acting: Guards an action by the lease of a duty.
     :param handover_seconds: How long after its begin an earlier grantor may
         still answer; 0 if the duty begins only after the earlier lease.
     """
@@ -78,6 +80,7 @@
         clock: Clock,
         configuration: Callable[[], Configuration],
         instances: Callable[[], Sequence[ListedInstance]],
+        acting: Callable[[str, float], AbstractContextManager[Epoch]],
         handover_seconds: float,
     ) -> None:
         #: Name of the duty and of its stream.
@@ -85,6 +88,7 @@
         self._clock = clock
         self._configuration = configuration
         self._instances = instances
+        self._acting = acting
         self._grantor = Grantor(handover_seconds)
         self._lock = threading.Lock()
         self._offsets: OrderedDict[RecordId, int] = OrderedDict()
@@ -148,8 +152,24 @@
         """
         if peer.instance_id != request.holder.instance_id:
             return ExtraReply(None, (), 0.0)
-        with self._lock:
-            return self._grantor.grant(request, self._clock.now_seconds())
+        try:
+            return self._grant(request)
+        except AuthorityLost:
+            return ExtraReply(None, (), 0.0)
+
+    def _grant(self, request: ExtraRequest) -> ExtraReply:
+        """
+        Grant within the lease.
+
+        A grant is dated within it, and the next grantor waits for the term
+        from a time after it. Floors need no guard: they are fenced by the
+        order of their records.
+        """
+        with self._acting(self.duty, self._clock.now_seconds()) as epoch:
+            with self._lock:
+                if self._grantor.epoch != epoch:
+                    return ExtraReply(None, (), 0.0)
+                return self._grantor.grant(request, self._clock.now_seconds())
 
     def handle_floors(self, peer: PeerIdentity, request: FloorRequest) -> FloorReply:
         """
