--- a/features/environment.py
+++ b/features/environment.py
@@ -1,1 +1,47 @@
-"""Hooks of the scenarios."""
+"""
+Hooks of the scenarios.
+
+Each feature runs in one deployment. A feature names its size by a tag
+``@instances.N``; a tag ``@cell.NAME`` picks the sizes of an example.
+"""
+
+from attrs import evolve
+
+from waxwing_testbed.deployment import tahi_plan
+from waxwing_testbed.scenario import World
+from waxwingwinch.configuration import Defaults
+
+#: Instances of a feature without a tag.
+DEFAULT_INSTANCES = 3
+#: Settings that make faults show within seconds.
+TEST_DEFAULTS = Defaults(
+    usage_window_seconds=5,
+    freshness_seconds=3.0,
+    discovery_ttl_seconds=1.0,
+    floor_term_seconds=30.0,
+    survive_zone_loss=False,
+    min_engines_per_model=9,
+    max_engines_per_model=9,
+)
+
+
+def before_feature(context, feature):
+    instances = DEFAULT_INSTANCES
+    for tag in feature.tags:
+        if tag.startswith("instances."):
+            instances = int(tag.removeprefix("instances."))
+    plan = evolve(tahi_plan(), instances=instances)
+    context.world = World(plan, TEST_DEFAULTS)
+    context.world.start()
+
+
+def before_scenario(context, scenario):
+    context.world.notes.clear()
+
+
+def after_scenario(context, scenario):
+    context.world.restore()
+
+
+def after_feature(context, feature):
+    context.world.close()
--- a/src/waxwingwinch/decisions/__init__.py
+++ b/src/waxwingwinch/decisions/__init__.py
@@ -13,6 +13,18 @@
     decide_admission,
     max_min_shares,
 )
+from waxwingwinch.decisions._buying import (
+    plan_purchases,
+    spare_engine,
+)
+from waxwingwinch.decisions._buying_state import (
+    BuyingState,
+    ModelNeed,
+    OwnedEngine,
+    Purchase,
+    Refusal,
+    Return,
+)
 from waxwingwinch.decisions._ejection import (
     EjectionCause,
     EngineRecord,
@@ -28,6 +40,10 @@
     queue_seconds,
     takes_new_work,
 )
+from waxwingwinch.decisions._forecast import (
+    DemandForecaster,
+    WorkForecast,
+)
 from waxwingwinch.decisions._retry import (
     RetryAllowed,
     RetryBudget,
@@ -36,7 +52,17 @@
     after_request,
     decide_retry,
 )
-from waxwingwinch.decisions._routing import cached_tokens, choose_engine
+from waxwingwinch.decisions._roles import (
+    RoleChange,
+    RoleEngine,
+    RoleState,
+    plan_roles,
+    servable_ratio,
+)
+from waxwingwinch.decisions._routing import (
+    cached_tokens,
+    choose_engine,
+)
 from waxwingwinch.decisions._routing_model import (
     EarliestFirstToken,
     FewestOthers,
@@ -53,18 +79,28 @@
     "AdmissionDecision",
     "AdmissionRequest",
     "Admit",
+    "BuyingState",
     "Candidate",
     "CustomerWork",
+    "DemandForecaster",
     "EarliestFirstToken",
     "EjectionCause",
     "EngineRecord",
     "FewestOthers",
     "LeastConnections",
+    "ModelNeed",
     "NoEngine",
+    "OwnedEngine",
+    "Purchase",
+    "Refusal",
     "RetryAllowed",
     "RetryBudget",
     "RetryDecision",
     "RetryRefused",
+    "Return",
+    "RoleChange",
+    "RoleEngine",
+    "RoleState",
     "RoundRobin",
     "Routed",
     "RoutingChoice",
@@ -73,6 +109,7 @@
     "SentWork",
     "Shed",
     "Wait",
+    "WorkForecast",
     "after_admission",
     "after_demand",
     "after_failure",
@@ -85,8 +122,12 @@
     "decide_retry",
     "eject_slow",
     "max_min_shares",
+    "plan_purchases",
+    "plan_roles",
     "queue_seconds",
+    "servable_ratio",
     "share",
+    "spare_engine",
     "takes_new_work",
     "usable_engines",
 ]
--- a/src/waxwingwinch/membership/_messages.py
+++ b/src/waxwingwinch/membership/_messages.py
@@ -24,6 +24,7 @@
     :param in_flight: Its work by upstream.
     :param demand: What came to it since its last heartbeat.
     :param leaving: Upstreams that it knows to be leaving or draining.
+    :param incarnation: Unique name of the process start.
     """
 
     instance_id: InstanceId
@@ -37,3 +38,21 @@
     in_flight: tuple[InFlightCount, ...]
     demand: tuple[DemandSample, ...]
     leaving: tuple[UpstreamId, ...] = ()
+    incarnation: str = ""
+
+
+@message("heartbeat_reply")
+@frozen
+class HeartbeatReply:
+    """
+    Answer to a heartbeat.
+
+    A reply proves that its sender was alive after the heartbeat was sent,
+    which a heartbeat alone, delayed on its way, does not.
+
+    :param configuration_version: Version in force at the replying entry.
+    :param withdrawals_digest: Digest of the withdrawn key names known there.
+    """
+
+    configuration_version: int
+    withdrawals_digest: bytes
--- a/src/waxwingwinch/observability/__init__.py
+++ b/src/waxwingwinch/observability/__init__.py
@@ -12,8 +12,18 @@
     merge_snapshots,
 )
 from waxwingwinch.observability._prometheus import prometheus_text
+from waxwingwinch.observability._reasons import (
+    ExplainHandler,
+    ExplainReply,
+    ExplainRequest,
+    MemoryDecisionLog,
+)
 
 __all__ = [
+    "ExplainHandler",
+    "ExplainReply",
+    "ExplainRequest",
+    "MemoryDecisionLog",
     "CountMetric",
     "LatencyKind",
     "LatencyMetric",
