Refuse by two thresholds, so that overload costs no promise of others

Equal thresholds were ruled out: the quiet customers found the queue full.

The tolerance goes from 1.1 to 1.05, since two equal customers could differ by 1.1/0.9 in what they got.

--- a/src/waxwingwinch/decisions/_admission.py
+++ b/src/waxwingwinch/decisions/_admission.py
@@ -9,12 +9,14 @@
 
 #: Time in which the weight of past work falls to a third.
 RATE_WINDOW_SECONDS = 5.0
-#: Waits up to this multiple of the promised first token time are no overload.
-OVERLOAD_FACTOR = 1.0
+#: Part of the promised first token time that a queue may take without
+#: counting as overload; the rest is for the prompt and for peaks.
+OVERLOAD_FACTOR = 0.5
 #: A customer may exceed its fair share by this factor before it is refused.
-SHARE_TOLERANCE = 1.1
-#: Queue up to which a customer within its share is sent under overload.
-WITHIN_SHARE_QUEUE_SECONDS_MAX = 2.0
+SHARE_TOLERANCE = 1.05
+#: Multiple of the promised first token time up to which the queue may grow
+#: for customers within their share.
+WITHIN_SHARE_FACTOR = 1.0
 #: Longest time a request waits at the entry for an engine.
 WAITING_SECONDS_MAX = 2.0
 #: Requests that may wait at the entry together.
@@ -215,7 +217,7 @@
 
 
 def _wait_or_shed(request: AdmissionRequest, now_seconds: float) -> Wait | Shed | Admit:
-    if request.queue_seconds <= WITHIN_SHARE_QUEUE_SECONDS_MAX:
+    if request.queue_seconds <= WITHIN_SHARE_FACTOR * request.promised_seconds:
         return Admit(PRIORITY_WITHIN_SHARE)
     until_seconds = min(
         request.arrived_seconds + WAITING_SECONDS_MAX,
