--- a/src/waxwingwinch/control/_main.py
+++ b/src/waxwingwinch/control/_main.py
@@ -2,6 +2,7 @@
 
 import pathlib
 import signal
+import sys
 import threading
 from types import FrameType
 from typing import Annotated
@@ -9,6 +10,8 @@
 import typer
 
 from waxwingwinch.control._process import build_process
+from waxwingwinch.kernel import SystemClock
+from waxwingwinch.observability import set_up_logs
 from waxwingwinch.settings import (
     ControlSettings,
     SettingsInvalid,
@@ -40,6 +43,7 @@
 
     signal.signal(signal.SIGTERM, request_stop)
     signal.signal(signal.SIGINT, request_stop)
+    set_up_logs(sys.stderr, SystemClock())
     registry = build_process(loaded)
     registry.start_all()
     stop.wait()
--- a/src/waxwingwinch/control/_process.py
+++ b/src/waxwingwinch/control/_process.py
@@ -8,6 +8,7 @@
     HttpInstanceList,
     HttpPlatformLog,
     HttpUpstreamMarket,
+    HttpUsageIntake,
     HttpWeightStore,
 )
 from waxwingwinch.authority import DutyDirectory, DutyHolder, FenceTimer
@@ -24,6 +25,7 @@
 from waxwingwinch.control._market_orders import MarketOrders
 from waxwingwinch.control._runner import DutyRunner
 from waxwingwinch.control._snapshot_runner import SnapshotRunner
+from waxwingwinch.control._usage import EntryLinks, GuardedIntake
 from waxwingwinch.fleet import (
     FleetObserver,
     buying_duty,
@@ -33,7 +35,7 @@
 from waxwingwinch.interfaces import PlatformLog
 from waxwingwinch.kernel import Clock, Registry, SystemClock
 from waxwingwinch.limits import ExtraRequest, FloorRequest, GrantorDuty
-from waxwingwinch.membership import Heartbeat, InstanceDirectory
+from waxwingwinch.membership import Heartbeat, InstanceDirectory, PeerMesh
 from waxwingwinch.observability import (
     ExplainHandler,
     ExplainRequest,
@@ -42,6 +44,7 @@
 from waxwingwinch.peers import PeerIdentity, PeerProgram, PeerServer
 from waxwingwinch.settings import ControlSettings
 from waxwingwinch.streams import StreamWriter
+from waxwingwinch.usage import UsageReportRunner
 
 
 @frozen
@@ -89,6 +92,7 @@
     runners = (
         *_fleet_runners(base, registry),
         _limits_runner(base, registry),
+        _usage_runner(base, registry),
         SnapshotRunner(base.configuration),
     )
     for runner in runners:
@@ -111,9 +115,6 @@
     clock = SystemClock()
     platform = settings.platform_address
     log = HttpPlatformLog(platform)
-    identity = PeerIdentity(
-        settings.instance_id, PeerProgram.CONTROL, settings.zone, settings.cell
-    )
     decisions = MemoryDecisionLog()
     directory = DutyDirectory(log, clock)
     holder = DutyHolder(
@@ -133,7 +134,7 @@
         settings,
         clock,
         log,
-        PeerServer(settings.peer_address, identity, settings.secrets()),
+        PeerServer(settings.peer_address, _identity(settings), settings.secrets()),
         directory,
         holder,
         FleetObserver(market, engine, log, clock, settings.cell),
@@ -210,6 +211,35 @@
     return grantor
 
 
+def _usage_runner(base: Base, registry: Registry) -> UsageReportRunner:
+    settings = base.settings
+    mesh = PeerMesh(
+        base.instances,
+        _identity(settings),
+        settings.secrets(),
+        settings.peer_seeds,
+    )
+    registry.register(ServiceName.MEMBERSHIP, mesh)
+    intake = HttpUsageIntake(settings.platform_address)
+    duty = f"usage-{settings.cell}"
+    runner = UsageReportRunner(
+        settings.cell,
+        base.log,
+        base.clock,
+        base.configuration.current,
+        EntryLinks(base.instances, mesh).peers,
+        GuardedIntake(intake, duty, base.holder, base.clock),
+    )
+    registry.register(ServiceName.USAGE, runner)
+    return runner
+
+
+def _identity(settings: ControlSettings) -> PeerIdentity:
+    return PeerIdentity(
+        settings.instance_id, PeerProgram.CONTROL, settings.zone, settings.cell
+    )
+
+
 def _drains(base: Base) -> DrainWatch:
     settings = base.settings
     return DrainWatch(
