Poll over kept connections, and engines only from processes that need them

Cause: with usage duties wired, every platform call timed out at 7 instances. Each of 14 processes fetched load and cache events of 9 engines twice a second on new connections, about 500 connections a second, besides the long polls. Ruled out: a wait in the log (appends took 3 ms when the rest was quiet). Change: reads go over kept connections (repeated once if one was closed), engines are asked once a second, control processes ask only while they hold the fleet's duty and never for cache events; guards of the limits and usage duties stand in their own runners once.

--- a/src/waxwingwinch/adapters/_calls.py
+++ b/src/waxwingwinch/adapters/_calls.py
@@ -20,6 +20,7 @@
     SocketOption,
     exchange,
 )
+from waxwingwinch.adapters._polling import poll
 
 STATUS_OK = 200
 STATUS_CONFLICT = 409
@@ -68,6 +69,44 @@
         raise PlatformUnavailable(str(error), may_have_taken_effect=True) from error
 
 
+def platform_poll(
+    address: Address,
+    request: HttpRequest,
+    timeout_seconds: float = ANSWER_TIMEOUT_SECONDS,
+) -> HttpReply:
+    """
+    Read from the platform over a kept connection.
+
+    :param address: The platform.
+    :param request: What to read; has no effect.
+    :param timeout_seconds: Longest wait for the answer.
+    :raises PlatformUnavailable: If no whole answer came.
+    """
+    try:
+        return poll(address, request, timeout_seconds)
+    except (NotSent, AnswerMissing) as error:
+        raise PlatformUnavailable(str(error), may_have_taken_effect=False) from error
+
+
+def upstream_poll(
+    address: Address,
+    request: HttpRequest,
+    timeout_seconds: float = ANSWER_TIMEOUT_SECONDS,
+) -> HttpReply:
+    """
+    Read from an upstream over a kept connection.
+
+    :param address: The upstream.
+    :param request: What to read; has no effect.
+    :param timeout_seconds: Longest wait for the answer.
+    :raises UpstreamFailed: If no whole answer came.
+    """
+    try:
+        return poll(address, request, timeout_seconds)
+    except (NotSent, AnswerMissing) as error:
+        raise UpstreamFailed(str(error), Outcome.NOT_RUN) from error
+
+
 def platform_value(reply: HttpReply) -> Any:
     """
     Return the JSON value of a successful answer.
--- a/src/waxwingwinch/adapters/_engine.py
+++ b/src/waxwingwinch/adapters/_engine.py
@@ -9,6 +9,7 @@
     STATUS_CONFLICT,
     json_request,
     upstream_exchange,
+    upstream_poll,
     upstream_value,
 )
 from waxwingwinch.adapters._engine_stream import HttpEngineStream, open_stream
@@ -57,7 +58,7 @@
     def load_report(self, address: Address) -> LoadReport:
         """Fetch the load, see ``Engine`` in the interfaces."""
         request = json_request("GET", LOAD_PATH)
-        reply = upstream_exchange(address, request, ENGINE_ANSWER_TIMEOUT_SECONDS)
+        reply = upstream_poll(address, request, ENGINE_ANSWER_TIMEOUT_SECONDS)
         report: LoadReport = self._structure(upstream_value(reply), LoadReport)
         return report
 
@@ -65,7 +66,7 @@
         """Fetch cache events, see ``Engine`` in the interfaces."""
         query = urlencode({"from": from_sequence})
         request = json_request("GET", f"{CACHE_EVENTS_PATH}?{query}")
-        reply = upstream_exchange(address, request, ENGINE_ANSWER_TIMEOUT_SECONDS)
+        reply = upstream_poll(address, request, ENGINE_ANSWER_TIMEOUT_SECONDS)
         page: CacheEventPage = self._structure(upstream_value(reply), CacheEventPage)
         return page
 
--- a/src/waxwingwinch/adapters/_instance_list.py
+++ b/src/waxwingwinch/adapters/_instance_list.py
@@ -3,7 +3,7 @@
 from waxwingwinch._types import Address
 from waxwingwinch.adapters._calls import (
     json_request,
-    platform_exchange,
+    platform_poll,
     platform_value,
 )
 from waxwingwinch.adapters._wire import make_wire_converter, structure_answer
@@ -25,6 +25,6 @@
 
     def list_instances(self) -> tuple[ListedInstance, ...]:
         """Return the list, see ``InstanceList`` in the interfaces."""
-        reply = platform_exchange(self._address, json_request("GET", INSTANCES_PATH))
+        reply = platform_poll(self._address, json_request("GET", INSTANCES_PATH))
         value = platform_value(reply)
         return structure_answer(self._converter, value, tuple[ListedInstance, ...])
--- a/src/waxwingwinch/adapters/_log.py
+++ b/src/waxwingwinch/adapters/_log.py
@@ -11,6 +11,7 @@
     STATUS_GONE,
     json_request,
     platform_exchange,
+    platform_poll,
     platform_value,
 )
 from waxwingwinch.interfaces import LogPage, LogRecord
@@ -51,7 +52,7 @@
             {"stream": stream, "from": from_offset, "wait_seconds": wait_seconds}
         )
         request = json_request("GET", f"{READ_PATH}?{query}")
-        reply = platform_exchange(self._address, request, timeout_seconds)
+        reply = platform_poll(self._address, request, timeout_seconds)
         try:
             if reply.status == STATUS_GONE:
                 raise RecordsExpired(int(reply.json()["first_offset"]))
--- a/src/waxwingwinch/adapters/_upstream_market.py
+++ b/src/waxwingwinch/adapters/_upstream_market.py
@@ -7,6 +7,7 @@
 from waxwingwinch.adapters._calls import (
     json_request,
     platform_exchange,
+    platform_poll,
     platform_value,
 )
 from waxwingwinch.adapters._http import ORDER_SOCKET_OPTIONS
@@ -30,7 +31,7 @@
 
     def list_upstreams(self) -> tuple[ListedUpstream, ...]:
         """Return the list, see ``UpstreamMarket`` in the interfaces."""
-        reply = platform_exchange(self._address, json_request("GET", UPSTREAMS_PATH))
+        reply = platform_poll(self._address, json_request("GET", UPSTREAMS_PATH))
         value = platform_value(reply)
         return structure_answer(self._converter, value, tuple[ListedUpstream, ...])
 
@@ -47,7 +48,7 @@
         """Look up an order, see ``UpstreamMarket`` in the interfaces."""
         query = urlencode({"order_id": order_id})
         request = json_request("GET", f"{ORDERS_PATH}?{query}")
-        value = platform_value(platform_exchange(self._address, request))
+        value = platform_value(platform_poll(self._address, request))
         placed = value.get("placed") if isinstance(value, dict) else None
         if not isinstance(placed, bool):
             raise PlatformUnavailable("malformed answer", may_have_taken_effect=True)
--- a/src/waxwingwinch/control/_process.py
+++ b/src/waxwingwinch/control/_process.py
@@ -2,6 +2,7 @@
 
 from attrs import frozen
 
+from waxwingwinch._exceptions import AuthorityLost
 from waxwingwinch.adapters import (
     CONTROL_USER_TIMEOUT_SECONDS,
     HttpEngine,
@@ -21,13 +22,13 @@
 from waxwingwinch.control._entries import EntryBook
 from waxwingwinch.control._fleet_runner import FleetRunner
 from waxwingwinch.control._journal import FleetJournal
-from waxwingwinch.control._limits import GuardedExtras
 from waxwingwinch.control._market_orders import MarketOrders
 from waxwingwinch.control._runner import DutyRunner
 from waxwingwinch.control._snapshot_runner import SnapshotRunner
-from waxwingwinch.control._usage import EntryLinks, GuardedIntake
+from waxwingwinch.control._usage import EntryLinks
 from waxwingwinch.fleet import (
     FleetObserver,
+    PollNeeds,
     buying_duty,
     fleet_duty,
     fleet_stream,
@@ -137,7 +138,14 @@
         PeerServer(settings.peer_address, _identity(settings), settings.secrets()),
         directory,
         holder,
-        FleetObserver(market, engine, log, clock, settings.cell),
+        FleetObserver(
+            market,
+            engine,
+            log,
+            clock,
+            settings.cell,
+            lambda: _poll_needs(holder, clock, fleet_duty(settings.cell)),
+        ),
         EntryBook(clock.now_seconds),
         # A control process serves no callers, so it is never stale.
         ConfigurationService(log, clock, lambda now_seconds: Freshness.FRESH),
@@ -201,11 +209,11 @@
         base.clock,
         base.configuration.current,
         base.instances.instances,
+        base.holder.acting,
         # A claim comes only after the lease of the earlier grantor.
         handover_seconds=0.0,
     )
-    extras = GuardedExtras(grantor, base.holder, base.clock)
-    base.server.handle(ExtraRequest, extras.handle)
+    base.server.handle(ExtraRequest, grantor.handle_extras)
     base.server.handle(FloorRequest, grantor.handle_floors)
     registry.register(ServiceName.LIMITER, grantor)
     return grantor
@@ -220,20 +228,28 @@
         settings.peer_seeds,
     )
     registry.register(ServiceName.MEMBERSHIP, mesh)
-    intake = HttpUsageIntake(settings.platform_address)
-    duty = f"usage-{settings.cell}"
     runner = UsageReportRunner(
         settings.cell,
         base.log,
         base.clock,
         base.configuration.current,
         EntryLinks(base.instances, mesh).peers,
-        GuardedIntake(intake, duty, base.holder, base.clock),
+        HttpUsageIntake(settings.platform_address),
+        base.holder.acting,
     )
     registry.register(ServiceName.USAGE, runner)
     return runner
 
 
+def _poll_needs(holder: DutyHolder, clock: Clock, duty: str) -> PollNeeds:
+    """Engines are asked only by the process that decides about them."""
+    try:
+        holder.epoch_of(duty, clock.now_seconds())
+    except AuthorityLost:
+        return PollNeeds.NOTHING
+    return PollNeeds.LOAD
+
+
 def _identity(settings: ControlSettings) -> PeerIdentity:
     return PeerIdentity(
         settings.instance_id, PeerProgram.CONTROL, settings.zone, settings.cell
--- a/src/waxwingwinch/fleet/__init__.py
+++ b/src/waxwingwinch/fleet/__init__.py
@@ -1,7 +1,7 @@
 """The fleet of upstreams: what is known of it and what was ordered."""
 
 from waxwingwinch.fleet._observer import FleetObserver
-from waxwingwinch.fleet._poller import EngineKnowledge, EnginePoller
+from waxwingwinch.fleet._poller import EngineKnowledge, EnginePoller, PollNeeds
 from waxwingwinch.fleet._prefix_index import PrefixIndex
 from waxwingwinch.fleet._records import (
     AnyAction,
@@ -28,6 +28,7 @@
     "OrderFate",
     "OrderIntent",
     "OrderOutcome",
+    "PollNeeds",
     "PrefixIndex",
     "TermBegun",
     "buying_duty",
--- a/src/waxwingwinch/fleet/_observer.py
+++ b/src/waxwingwinch/fleet/_observer.py
@@ -8,7 +8,7 @@
 from waxwingwinch._exceptions import PlatformRefused, PlatformUnavailable
 from waxwingwinch._types import ModelName, UpstreamId, UpstreamKind, UpstreamState
 from waxwingwinch.contracts import UpstreamView
-from waxwingwinch.fleet._poller import EngineKnowledge, EnginePoller
+from waxwingwinch.fleet._poller import EngineKnowledge, EnginePoller, PollNeeds
 from waxwingwinch.fleet._records import Directive, OrderIntent, fleet_stream
 from waxwingwinch.fleet._state import FleetState
 from waxwingwinch.interfaces import (
@@ -38,6 +38,7 @@
     :param log: The platform's log.
     :param clock: Source of the present time.
     :param cell: Name of the cell.
+    :param needs: What this process needs of engines at present.
     """
 
     def __init__(
@@ -47,10 +48,12 @@
         log: PlatformLog,
         clock: Clock,
         cell: str,
+        needs: Callable[[], PollNeeds] = lambda: PollNeeds.LOAD_AND_CACHE,
     ) -> None:
         self._market = market
         self._engine = engine
         self._clock = clock
+        self._needs = needs
         self._lock = threading.RLock()
         self._state = FleetState()
         self._listed: tuple[ListedUpstream, ...] = ()
@@ -224,7 +227,11 @@
         for name, address in wanted.items():
             if name not in self._pollers:
                 poller = EnginePoller(
-                    self._engine, address, self._clock, self._on_engine_news
+                    self._engine,
+                    address,
+                    self._clock,
+                    self._on_engine_news,
+                    self._needs,
                 )
                 self._pollers[name] = poller
                 poller.start()
--- a/src/waxwingwinch/fleet/_poller.py
+++ b/src/waxwingwinch/fleet/_poller.py
@@ -1,5 +1,6 @@
 """Polling one engine in one thread."""
 
+import enum
 import threading
 from collections.abc import Callable
 
@@ -12,7 +13,18 @@
 from waxwingwinch.kernel import Clock
 
 #: Pause between two load reports.
-LOAD_PAUSE_SECONDS = 0.5
+LOAD_PAUSE_SECONDS = 1.0
+
+
+class PollNeeds(enum.Enum):
+    """What a process asks engines for."""
+
+    #: A control process that doesn't hold the fleet's duty.
+    NOTHING = "nothing"
+    #: A control process that decides on roles and purchases.
+    LOAD = "load"
+    #: An entry, which also routes by cached prefixes.
+    LOAD_AND_CACHE = "load_and_cache"
 
 
 @frozen
@@ -38,6 +50,7 @@
     :param address: Where the engine serves.
     :param clock: Source of the present time.
     :param on_news: Called from the thread after news arrived.
+    :param needs: What this process needs of engines at present.
     """
 
     def __init__(
@@ -46,12 +59,14 @@
         address: Address,
         clock: Clock,
         on_news: Callable[[], None],
+        needs: Callable[[], PollNeeds],
     ) -> None:
         #: Where the engine serves.
         self.address = address
         self._engine = engine
         self._clock = clock
         self._on_news = on_news
+        self._needs = needs
         self._index = PrefixIndex()
         self._knowledge = EngineKnowledge()
         self._stopping = threading.Event()
@@ -77,14 +92,19 @@
         try:
             load = self._engine.load_report(self.address)
             taken_seconds = self._clock.now_seconds() - load.age_seconds
-            page = self._engine.cache_events(self.address, self._index.next_sequence)
-            self._index.apply(page)
+            if self._needs() is PollNeeds.LOAD_AND_CACHE:
+                self._poll_cache()
         except UpstreamFailed:
             pass
         self._knowledge = EngineKnowledge(load, taken_seconds, self._index.hashes())
 
+    def _poll_cache(self) -> None:
+        page = self._engine.cache_events(self.address, self._index.next_sequence)
+        self._index.apply(page)
+
     def _run(self) -> None:
         while not self._stopping.is_set():
-            self.poll()
-            self._on_news()
+            if self._needs() is not PollNeeds.NOTHING:
+                self.poll()
+                self._on_news()
             self._stopping.wait(LOAD_PAUSE_SECONDS)
--- a/src/waxwingwinch/membership/_mesh.py
+++ b/src/waxwingwinch/membership/_mesh.py
@@ -8,7 +8,7 @@
 from waxwingwinch._types import Address
 from waxwingwinch.kernel import Health
 from waxwingwinch.membership._directory import InstanceDirectory
-from waxwingwinch.peers import PeerIdentity, PeerLink
+from waxwingwinch.peers import PeerIdentity, PeerLink, PeerProgram
 
 #: Pause between two comparisons of the links with the directory.
 RECONCILE_PAUSE_SECONDS = 1.0
@@ -112,17 +112,19 @@
             self._reconcile()
 
     def _is_own(self, link: PeerLink) -> bool:
-        peer = link.peer
-        return peer is not None and peer.instance_id == self._identity.instance_id
+        return link.peer == self._identity
 
     def _wanted_addresses(self) -> set[Address]:
         listed = self._directory.instances()
         if not listed:
             return set(self._seeds)
+        # A control process also dials the entry beside it.
+        is_entry = self._identity.program is PeerProgram.ENTRY
+        own_id = self._identity.instance_id if is_entry else None
         return {
             instance.peer_address
             for instance in listed
-            if instance.instance_id != self._identity.instance_id
+            if instance.instance_id != own_id
         }
 
     def _reconcile(self) -> None:
