Tell equal engines apart by draw and count prefixes just sent

Idle engines cost the same, and the first by name got the requests of all instances until the next heartbeat; one of those within 2 ms of the best is now drawn by the request id. A crash is looked for twice: an engine of the stand-ins cuts its streams before it stops to listen, so a single look can find it up. Reasons with upstream addresses go to the decision log and no longer to callers.

Two tests relied on the engine's name to be tried first; the other engine is now slower, and the stall test checks where the answer was resumed.

--- a/src/waxwingwinch/decisions/_engine_load.py
+++ b/src/waxwingwinch/decisions/_engine_load.py
@@ -39,12 +39,15 @@
     :param in_flight: All work that this instance has there.
     :param peers_in_flight: Work that other instances have there, by their
         newest heartbeats.
+    :param sent_prefixes: Prefix hashes of prompts that this instance sent
+        there lately, which cache events may not show yet.
     """
 
     view: UpstreamView
     sent_since_report: SentWork = SentWork()
     in_flight: SentWork = SentWork()
     peers_in_flight: SentWork = SentWork()
+    sent_prefixes: frozenset[str] = frozenset()
 
 
 def takes_new_work(view: UpstreamView) -> bool:
--- a/src/waxwingwinch/decisions/_routing.py
+++ b/src/waxwingwinch/decisions/_routing.py
@@ -6,7 +6,6 @@
 from attrs import frozen
 
 from waxwingwinch._types import TOKENS_PER_KV_PIECE, EngineRole, ZoneName
-from waxwingwinch.contracts import UpstreamView
 from waxwingwinch.decisions._engine_load import (
     Candidate,
     decode_seconds_per_token,
@@ -44,6 +43,9 @@
 STALLED_GENERATION_WEIGHT = 0.05
 #: Part of the excess decode time that counts against an engine.
 DECODE_EXCESS_WEIGHT = 0.2
+#: Engines that cost at most so much more than the best one are drawn from, so
+#: that instances with the same view don't all choose the same engine.
+NEAR_BEST_SECONDS = 0.002
 #: Cost of each missing piece of KV cache.
 KV_SHORTAGE_SECONDS_PER_PIECE = 0.5
 
@@ -85,7 +87,9 @@
             chosen = min(usable, key=_reported_requests)
             return _baseline(request, chosen, now_seconds, "fewest requests")
         case FewestOthers():
-            chosen = min(usable, key=_other_requests)
+            fewest = min(_other_requests(candidate) for candidate in usable)
+            tied = [c for c in usable if _other_requests(c) == fewest]
+            chosen = tied[int(request.draw * len(tied))]
             return _baseline(request, chosen, now_seconds, "fewest others at risk")
         case EarliestFirstToken():
             return _earliest(request, usable, now_seconds)
@@ -127,7 +131,7 @@
     request: RoutingRequest, usable: list[Candidate], now_seconds: float
 ) -> Routed:
     singles = [_single(request, candidate, now_seconds) for candidate in usable]
-    best = min(singles, key=lambda plan: plan.cost_seconds)
+    best = _near_best(singles, request.draw)
     pairs = list(_pairs(request, usable, now_seconds))
     if pairs:
         best_pair = min(pairs, key=lambda plan: plan.cost_seconds)
@@ -136,16 +140,25 @@
     return best.choice
 
 
-def cached_tokens(request: RoutingRequest, view: UpstreamView) -> int:
+def _near_best(plans: list[_Plan], draw: float) -> _Plan:
+    """Return one of the plans that cost hardly more than the best."""
+    least = min(plan.cost_seconds for plan in plans)
+    limit = least + NEAR_BEST_SECONDS
+    near = [plan for plan in plans if plan.cost_seconds <= limit]
+    return near[int(draw * len(near))]
+
+
+def cached_tokens(request: RoutingRequest, candidate: Candidate) -> int:
     """
     Return how many leading prompt tokens an engine has cached.
 
     :param request: The generation.
-    :param view: The engine.
+    :param candidate: The engine.
     """
+    cached, sent = candidate.view.cached_prefixes, candidate.sent_prefixes
     blocks = 0
     for prefix_hash in request.prefix_hashes:
-        if prefix_hash not in view.cached_prefixes:
+        if prefix_hash not in cached and prefix_hash not in sent:
             break
         blocks += 1
     return min(blocks * WORDS_PER_PREFIX_BLOCK, request.prompt_tokens)
@@ -156,7 +169,7 @@
 
 
 def _prefill_seconds(request: RoutingRequest, candidate: Candidate) -> float:
-    uncached = request.prompt_tokens - cached_tokens(request, candidate.view)
+    uncached = request.prompt_tokens - cached_tokens(request, candidate)
     seconds = uncached / prefill_tokens_per_second(candidate.view)
     if candidate.view.role is EngineRole.DECODE:
         return seconds * BORROWED_ROLE_FACTOR
@@ -196,7 +209,7 @@
     first_token = queue + prefill + 2 * distance
     cost = first_token + _stalled_seconds(candidate, prefill)
     cost += _decode_cost_seconds(request, candidate)
-    cached = cached_tokens(request, candidate.view)
+    cached = cached_tokens(request, candidate)
     reason = (
         f"{candidate.view.upstream_id}: queue {queue:.3f} s, prompt {prefill:.3f} s"
         f" with {cached} of {request.prompt_tokens} tokens cached"
--- a/src/waxwingwinch/decisions/_routing_model.py
+++ b/src/waxwingwinch/decisions/_routing_model.py
@@ -48,6 +48,8 @@
     :param resuming: True if the caller already has part of the answer.
     :param excluded: Engines that failed this request.
     :param policy: How to choose.
+    :param draw: A number in [0, 1) drawn for the request, by which engines
+        of nearly the same cost are told apart.
     """
 
     prompt_tokens: int
@@ -58,6 +60,7 @@
     resuming: bool = False
     excluded: frozenset[UpstreamId] = frozenset()
     policy: RoutingPolicy = EarliestFirstToken()
+    draw: float = 0.0
 
 
 @frozen
--- a/src/waxwingwinch/decisions/tests/test_routing.py
+++ b/src/waxwingwinch/decisions/tests/test_routing.py
@@ -113,6 +113,21 @@
     assert chosen(asked, candidate("a"), gap) == "a"
 
 
+def test_counts_prefixes_that_events_do_not_show_yet():
+    hashes = prefix_hashes("word " * 2_000)
+    asked = request(2_000, prefix_hashes=hashes)
+    sent = evolve(candidate("b"), sent_prefixes=frozenset(hashes))
+    assert chosen(asked, candidate("a"), sent) == "b"
+
+
+def test_equal_engines_are_drawn_from():
+    engines = [candidate(name) for name in "abcd"]
+    drawn = [chosen(request(draw=n / 8), *engines) for n in range(8)]
+    assert drawn == list("aabbccdd")
+    fewest = request(draw=0.9, policy=FewestOthers())
+    assert chosen(fewest, *engines) == "d"
+
+
 def test_prefers_own_zone_and_fast_engines():
     assert chosen(request(), candidate("a", zone="south"), candidate("b")) == "b"
     slow = candidate("a", decode_seconds_per_token=0.2)
--- a/src/waxwingwinch/entry/_generation.py
+++ b/src/waxwingwinch/entry/_generation.py
@@ -1,5 +1,6 @@
 """Running one generation to its end, on one engine after another."""
 
+import time
 from collections.abc import Generator, Iterator
 from contextlib import closing
 
@@ -23,6 +24,8 @@
 #: estimate.
 FIRST_TOKEN_STALL_SECONDS = 5.0
 FIRST_TOKEN_STALL_FACTOR = 3.0
+#: Pause between two looks whether an engine crashed.
+CRASH_SECOND_LOOK_SECONDS = 0.15
 #: When callers come back if no engine could be reached.
 UNREACHED_RETRY_AFTER_SECONDS = 1.0
 #: Estimates of the first token below this are not judged.
@@ -152,7 +155,10 @@
         clock = self._services.clock
         unread = 0 if call.kv_source else self._job.completion.prompt_tokens
         sent_seconds = clock.now_seconds()
-        sent = self._services.in_flight.begin(view.upstream_id, unread, sent_seconds)
+        name = view.upstream_id
+        sent = self._services.in_flight.begin(name, unread, sent_seconds)
+        if unread:
+            self._router.sent(name, self._job.generation, sent_seconds)
         address = view.listed.address
         reader = UpstreamReader(self._services.engine, address, call, clock)
         watched = WatchedStream(reader, lambda: self._watch.check(self.outcome))
@@ -223,7 +229,8 @@
         self._router.failed(name, error, now_seconds)
         self._excluded |= {name}
         if error.outcome is not Outcome.NOT_RUN:
-            self._note_crash(failure.view)
+            if self._is_down(failure.view):
+                self._services.crashes.crashed(self._job.fingerprint, name, now_seconds)
         self._watch.check(self.outcome)
         policy = self._job.generation.routing.policy
         match self._services.crashes.judge(self._job.fingerprint, now_seconds):
@@ -266,25 +273,26 @@
         )
         return choice
 
-    def _note_crash(self, view: UpstreamView) -> None:
-        try:
-            self._services.engine.load_report(view.listed.address)
-        except UpstreamFailed:
-            now_seconds = self._services.clock.now_seconds()
-            self._services.crashes.crashed(
-                self._job.fingerprint, view.upstream_id, now_seconds
-            )
+    def _is_down(self, view: UpstreamView) -> bool:
+        """Ask twice, since a crashing engine may still listen for a moment."""
+        for pause_seconds in (0.0, CRASH_SECOND_LOOK_SECONDS):
+            time.sleep(pause_seconds)
+            try:
+                self._services.engine.load_report(view.listed.address)
+            except UpstreamFailed:
+                return True
+        return False
 
     def _given_up(self, reason: str) -> RequestFailed:
-        retry_after_seconds = None
-        status = 502
+        status, retry_after_seconds = 502, None
         if self.outcome is Outcome.NOT_RUN:
-            retry_after_seconds = UNREACHED_RETRY_AFTER_SECONDS
-            status = 503
+            status, retry_after_seconds = 503, UNREACHED_RETRY_AFTER_SECONDS
+        request_id = self._job.generation.request_id
+        self._services.explain(DecisionKind.REFUSED, request_id, reason)
         return RequestFailed(
             status,
             ErrorCode.UPSTREAM_FAILED,
-            f"the generation failed: {reason}",
+            f"no engine completed the answer; tried {self._tries} times",
             self.outcome,
             retry_after_seconds,
         )
--- a/src/waxwingwinch/entry/_plain.py
+++ b/src/waxwingwinch/entry/_plain.py
@@ -276,12 +276,14 @@
         )
 
     def _failed(self, job: _PlainJob, reason: str, outcome: Outcome) -> RequestFailed:
+        request_id, customer_id = job.request.request_id, job.customer_id
+        self._services.explain(DecisionKind.REFUSED, request_id, reason, customer_id)
         if outcome is Outcome.NOT_RUN:
             self._record(job, RequestResult.REFUSED_WITHIN_RATE)
             return RequestFailed(
                 503,
                 ErrorCode.UPSTREAM_FAILED,
-                f"the call was not made: {reason}",
+                "the call was not made, since no upstream could be reached",
                 outcome,
                 UNREACHED_RETRY_AFTER_SECONDS,
             )
@@ -289,7 +291,8 @@
         is_late = self._services.clock.now_seconds() >= job.deadline_seconds
         status = 504 if is_late else 502
         code = ErrorCode.DEADLINE_EXCEEDED if is_late else ErrorCode.UPSTREAM_FAILED
-        return RequestFailed(status, code, f"no whole answer: {reason}", outcome)
+        text = "the service gave no whole answer"
+        return RequestFailed(status, code, text, outcome)
 
 
 def _reply(answer: StoredAnswer, *headers: tuple[str, str]) -> Reply:
--- a/src/waxwingwinch/entry/_router.py
+++ b/src/waxwingwinch/entry/_router.py
@@ -3,7 +3,7 @@
 import threading
 import zlib
 
-from attrs import frozen
+from attrs import evolve, frozen
 
 from waxwingwinch._exceptions import Outcome, UpstreamFailed
 from waxwingwinch._types import ModelName, UpstreamId
@@ -28,6 +28,7 @@
     usable_engines,
 )
 from waxwingwinch.entry._in_flight import InFlight, PeerWork
+from waxwingwinch.entry._sent_prefixes import SentPrefixes
 from waxwingwinch.entry._services import EntryServices
 
 
@@ -59,6 +60,7 @@
         self._in_flight: InFlight = services.in_flight
         self._peer_work: PeerWork = services.peer_work
         self._records: dict[UpstreamId, EngineRecord] = {}
+        self._sent_prefixes = SentPrefixes()
         self._budget = RetryBudget()
         self._lock = threading.Lock()
 
@@ -76,13 +78,27 @@
             for view in views
             if view.upstream_id in usable
         )
-        choice = choose_engine(generation.routing, candidates, now_seconds)
+        routing = evolve(generation.routing, draw=_draw(generation.request_id))
+        choice = choose_engine(routing, candidates, now_seconds)
         if isinstance(choice, NoEngine) and len(candidates) < len(views):
             # An ejected engine is better than none.
             rest = tuple(self._candidate(view, now_seconds) for view in views)
-            return choose_engine(generation.routing, rest, now_seconds)
+            return choose_engine(routing, rest, now_seconds)
         return choice
 
+    def sent(
+        self, upstream_id: UpstreamId, generation: Generation, now_seconds: float
+    ) -> None:
+        """
+        Note that an engine reads a prompt, and so will have it cached.
+
+        :param upstream_id: The engine.
+        :param generation: The generation.
+        :param now_seconds: Monotonic time.
+        """
+        hashes = generation.routing.prefix_hashes
+        self._sent_prefixes.add(upstream_id, hashes, now_seconds)
+
     def failed(
         self, upstream_id: UpstreamId, error: UpstreamFailed, now_seconds: float
     ) -> None:
@@ -162,8 +178,9 @@
                 view.upstream_id: self._records.get(view.upstream_id, EngineRecord())
                 for view in views
             }
-        draw = zlib.crc32(generation.request_id.encode()) / 2**32
-        return usable_engines(records, draw, now_seconds)
+        return usable_engines(
+            records, _draw(f"share {generation.request_id}"), now_seconds
+        )
 
     def _candidate(self, view: UpstreamView, now_seconds: float) -> Candidate:
         name = view.upstream_id
@@ -172,4 +189,10 @@
             self._in_flight.sent_since(name, view.load_taken_seconds),
             self._in_flight.total(name),
             self._peer_work.total(name, now_seconds),
+            self._sent_prefixes.at(name, now_seconds),
         )
+
+
+def _draw(text: str) -> float:
+    """Return a number in [0, 1) that depends on a text alone."""
+    return zlib.crc32(text.encode()) / 2**32
--- a/src/waxwingwinch/entry/tests/test_completions.py
+++ b/src/waxwingwinch/entry/tests/test_completions.py
@@ -79,7 +79,7 @@
     entry.engine.behaviours = {1: Behaviour(breaks_at=2)}
     entry.fleet.engine_views = (
         engine_view("e1", 1),
-        engine_view("e2", 2, waiting_prompt_tokens=1_000, waiting=1),
+        engine_view("e2", 2, decode_seconds_per_token=0.1),
     )
     response = entry.complete(stream=stream)
     if stream:
@@ -152,9 +152,10 @@
     entry.engine.behaviours = {1: Behaviour(hangs_at=2)}
     entry.fleet.engine_views = (
         engine_view("e1", 1),
-        engine_view("e2", 2, waiting_prompt_tokens=1_000, waiting=1),
+        engine_view("e2", 2, decode_seconds_per_token=0.1),
     )
     assert streamed_text(events(entry.complete(stream=True))) == WHOLE
+    assert [c.resume_from_token for _, c in entry.engine.calls] == [0, 2]
 
 
 def test_crashing_request_is_contained(entry):
