Take reported speeds as those of the present role

Routing slowed a decode engine's reported reading speed down once more, while the stand-in engines, like any that measure, report the speed in the present role. The assumed slow-down now applies only until an engine has reported. Ruled out: leaving roles out of the assumed speeds, which would send long prompts to decode engines that just started.

--- a/src/waxwingwinch/decisions/_engine_load.py
+++ b/src/waxwingwinch/decisions/_engine_load.py
@@ -4,13 +4,16 @@
 
 from attrs import frozen
 
-from waxwingwinch._types import TOKENS_PER_KV_PIECE, UpstreamState
+from waxwingwinch._types import TOKENS_PER_KV_PIECE, EngineRole, UpstreamState
 from waxwingwinch.contracts import UpstreamView
 
 #: Assumed speed of reading prompts until an engine has reported one.
 ASSUMED_PREFILL_TOKENS_PER_SECOND = 8_000.0
 #: Assumed time between tokens until an engine has reported one.
 ASSUMED_DECODE_SECONDS_PER_TOKEN = 0.03
+#: Assumed slow-down of an engine whose role is set up for the other phase;
+#: reported speeds are those in the present role.
+BORROWED_ROLE_FACTOR = 2.0
 #: Assumed KV cache until an engine has reported its own.
 ASSUMED_KV_PIECES = 64
 
@@ -68,7 +71,8 @@
     :param view: The engine.
     """
     if view.load is None or view.load.prefill_tokens_per_second <= 0:
-        return ASSUMED_PREFILL_TOKENS_PER_SECOND
+        slow_down = BORROWED_ROLE_FACTOR if view.role is EngineRole.DECODE else 1.0
+        return ASSUMED_PREFILL_TOKENS_PER_SECOND / slow_down
     return view.load.prefill_tokens_per_second
 
 
@@ -79,7 +83,8 @@
     :param view: The engine.
     """
     if view.load is None or view.load.decode_seconds_per_token <= 0:
-        return ASSUMED_DECODE_SECONDS_PER_TOKEN
+        slow_down = BORROWED_ROLE_FACTOR if view.role is EngineRole.PREFILL else 1.0
+        return ASSUMED_DECODE_SECONDS_PER_TOKEN * slow_down
     return view.load.decode_seconds_per_token
 
 
--- a/src/waxwingwinch/decisions/_routing.py
+++ b/src/waxwingwinch/decisions/_routing.py
@@ -36,8 +36,6 @@
 SPLIT_GAIN_MIN = 1.2
 #: Prompts below this length are never split.
 SPLIT_PROMPT_TOKENS_MIN = 512
-#: Slow-down of an engine whose role is set up for the other phase.
-BORROWED_ROLE_FACTOR = 1.5
 #: Part of the prompt's reading time that each running generation loses
 #: when an engine set up to decode reads a prompt.
 STALLED_GENERATION_WEIGHT = 0.05
@@ -170,17 +168,7 @@
 
 def _prefill_seconds(request: RoutingRequest, candidate: Candidate) -> float:
     uncached = request.prompt_tokens - cached_tokens(request, candidate)
-    seconds = uncached / prefill_tokens_per_second(candidate.view)
-    if candidate.view.role is EngineRole.DECODE:
-        return seconds * BORROWED_ROLE_FACTOR
-    return seconds
-
-
-def _decode_seconds(candidate: Candidate) -> float:
-    seconds = decode_seconds_per_token(candidate.view)
-    if candidate.view.role is EngineRole.PREFILL:
-        return seconds * BORROWED_ROLE_FACTOR
-    return seconds
+    return uncached / prefill_tokens_per_second(candidate.view)
 
 
 def _kv_shortage_seconds(request: RoutingRequest, candidate: Candidate) -> float:
@@ -191,7 +179,7 @@
 
 
 def _decode_cost_seconds(request: RoutingRequest, candidate: Candidate) -> float:
-    decode = _decode_seconds(candidate) * request.expected_output_tokens
+    decode = decode_seconds_per_token(candidate.view) * request.expected_output_tokens
     return DECODE_EXCESS_WEIGHT * decode + _kv_shortage_seconds(request, candidate)
 
 
--- a/src/waxwingwinch/decisions/tests/test_routing.py
+++ b/src/waxwingwinch/decisions/tests/test_routing.py
@@ -147,6 +147,17 @@
     assert (choice.engine.upstream_id, choice.prefill_engine) == ("d", None)
 
 
+def test_reported_speed_is_that_of_the_role():
+    slow = candidate("d", role=EngineRole.DECODE, prefill_tokens_per_second=4_000.0)
+    choice = choose_engine(request(4_000), (slow,), NOW)
+    assert isinstance(choice, Routed)
+    assert choice.first_token_seconds == pytest.approx(1.0, abs=0.01)
+    unknown = Candidate(evolve(view("d", role=EngineRole.DECODE), load=None))
+    choice = choose_engine(request(4_000), (unknown,), NOW)
+    assert isinstance(choice, Routed)
+    assert choice.first_token_seconds == pytest.approx(1.0, abs=0.01)
+
+
 def test_splits_long_prompts_if_it_pays():
     reader = candidate("p", role=EngineRole.PREFILL, decode_seconds_per_token=0.1)
     generator = candidate("d", role=EngineRole.DECODE, prefill_tokens_per_second=900.0)
