--- a/src/waxwingwinch/decisions/tests/test_routing.py
+++ b/src/waxwingwinch/decisions/tests/test_routing.py
@@ -113,6 +113,21 @@
     assert chosen(asked, candidate("a"), gap) == "a"
 
 
+def test_counts_prefixes_that_events_do_not_show_yet():
+    hashes = prefix_hashes("word " * 2_000)
+    asked = request(2_000, prefix_hashes=hashes)
+    sent = evolve(candidate("b"), sent_prefixes=frozenset(hashes))
+    assert chosen(asked, candidate("a"), sent) == "b"
+
+
+def test_equal_engines_are_drawn_from():
+    engines = [candidate(name) for name in "abcd"]
+    drawn = [chosen(request(draw=n / 8), *engines) for n in range(8)]
+    assert drawn == list("aabbccdd")
+    fewest = request(draw=0.9, policy=FewestOthers())
+    assert chosen(fewest, *engines) == "d"
+
+
 def test_prefers_own_zone_and_fast_engines():
     assert chosen(request(), candidate("a", zone="south"), candidate("b")) == "b"
     slow = candidate("a", decode_seconds_per_token=0.2)
@@ -132,6 +147,17 @@
     assert (choice.engine.upstream_id, choice.prefill_engine) == ("d", None)
 
 
+def test_reported_speed_is_that_of_the_role():
+    slow = candidate("d", role=EngineRole.DECODE, prefill_tokens_per_second=4_000.0)
+    choice = choose_engine(request(4_000), (slow,), NOW)
+    assert isinstance(choice, Routed)
+    assert choice.first_token_seconds == pytest.approx(1.0, abs=0.01)
+    unknown = Candidate(evolve(view("d", role=EngineRole.DECODE), load=None))
+    choice = choose_engine(request(4_000), (unknown,), NOW)
+    assert isinstance(choice, Routed)
+    assert choice.first_token_seconds == pytest.approx(1.0, abs=0.01)
+
+
 def test_splits_long_prompts_if_it_pays():
     reader = candidate("p", role=EngineRole.PREFILL, decode_seconds_per_token=0.1)
     generator = candidate("d", role=EngineRole.DECODE, prefill_tokens_per_second=900.0)
