Give floors only the room that outstanding tokens leave

A schedule (seed 979) admitted 5 at once of a burst of 4: a floor recorded while tokens of the grantor before were still held filled up beside them. A floor larger than what its holder has now waits, with its room reserved, until outstanding tokens fit beside it and an earlier grantor's have lapsed. A short grantor between two others no longer shortens the wait either.

--- a/src/waxwingwinch/limits/__init__.py
+++ b/src/waxwingwinch/limits/__init__.py
@@ -10,6 +10,7 @@
 from waxwingwinch.limits._floor_policy import (
     FloorDecision,
     KeepFloor,
+    PostponeFloor,
     RecordFloor,
     RefuseFloor,
 )
@@ -65,6 +66,7 @@
     "KeepFloor",
     "LAPSE_FACTOR",
     "Limiter",
+    "PostponeFloor",
     "RecordFloor",
     "RecordedFloor",
     "RefuseFloor",
--- a/src/waxwingwinch/limits/_account.py
+++ b/src/waxwingwinch/limits/_account.py
@@ -2,6 +2,8 @@
 
 import math
 
+from attrs import frozen
+
 from waxwingwinch._types import CustomerId, Epoch
 from waxwingwinch.limits._bucket import TokenBucket
 from waxwingwinch.limits._floors import FloorShare, FloorTable
@@ -20,10 +22,25 @@
 
 #: Epoch of a process that is no grantor.
 NO_EPOCH = Epoch(-1)
+#: How long room is kept for a floor that its holder asks for again.
+RESERVATION_SECONDS = 5.0
 #: Told to a caller when nothing better is known.
 DEFAULT_RETRY_AFTER_SECONDS = 1.0
 
 
+@frozen
+class Reservation:
+    """
+    Room kept for a floor.
+
+    :param share: The floor's share.
+    :param until_seconds: Monotonic time until which it is kept.
+    """
+
+    share: FloorShare
+    until_seconds: float
+
+
 class Account:
     """
     Bucket, outstanding tokens and floors of one customer.
@@ -57,6 +74,7 @@
         self._customer_id = customer_id
         self._floors = floors
         self._quiet_until_seconds = quiet_until_seconds
+        self._reserved: dict[Holder, Reservation] = {}
         self._outstanding = Outstanding()
         self._returned: dict[Holder, ReturnedTokens] = {}
         self._bucket = TokenBucket(0.0, 0.0, 0.0, now_seconds)
@@ -72,19 +90,55 @@
             self._bucket = self._bucket.refilled(lapse_seconds)
             self._outstanding.lapse(lapse_seconds)
             self._floors.lapse(self._customer_id, lapse_seconds)
+            self._reserved = {
+                holder: reservation
+                for holder, reservation in self._reserved.items()
+                if reservation.until_seconds > lapse_seconds
+            }
             if lapse_seconds >= self._quiet_until_seconds:
                 self._quiet_until_seconds = -math.inf
             self.resize()
         self._bucket = self._bucket.refilled(now_seconds)
 
+    def reserve(self, holder: Holder, share: FloorShare, now_seconds: float) -> bool:
+        """
+        Keep room for a floor.
+
+        A floor that is larger than what its holder has may be used only once
+        outstanding tokens leave room for it; until then none are granted in
+        its place.
+
+        :param holder: Who is to get the floor.
+        :param share: Its share.
+        :param now_seconds: Monotonic time.
+        :returns: True if there is room now.
+        """
+        counted = self._floors.shares(self._customer_id).get(holder, FloorShare())
+        if counted.joined(share) == counted:
+            return True
+        until_seconds = now_seconds + RESERVATION_SECONDS
+        self._reserved[holder] = Reservation(share, until_seconds)
+        self.resize()
+        return self._quiet_until_seconds == -math.inf and self._free_tokens() >= 0
+
+    def record(self, holder: Holder, share: FloorShare) -> None:
+        """
+        Count a floor whose record is on its way to the log.
+
+        :param holder: Who is to get the floor.
+        :param share: Its share.
+        """
+        self._reserved.pop(holder, None)
+        self.pending[holder] = share
+        self.resize()
+
     def resize(self) -> None:
         """Fit rate and cap of the bucket to what is given out."""
         shares = self.floor_shares()
         rate = self.limit.rate_per_second - sum(
             share.rate_per_second for share in shares.values()
         )
-        cap = self.limit.burst_requests - self._outstanding.tokens()
-        cap -= sum(share.burst_tokens for share in shares.values())
+        cap = self._free_tokens()
         if self._quiet_until_seconds > -math.inf:
             cap = 0.0
         self._bucket = self._bucket.resized(
@@ -96,8 +150,18 @@
         shares = self._floors.shares(self._customer_id)
         for holder, pending in self.pending.items():
             shares[holder] = shares.get(holder, FloorShare()).joined(pending)
+        for holder, reservation in self._reserved.items():
+            share = shares.get(holder, FloorShare())
+            shares[holder] = share.joined(reservation.share)
         return shares
 
+    def _free_tokens(self) -> float:
+        """Return the part of the burst that isn't given out; may be < 0."""
+        free_tokens = self.limit.burst_requests - self._outstanding.tokens()
+        for share in self.floor_shares().values():
+            free_tokens -= share.burst_tokens
+        return free_tokens
+
     def settle(self, holder: Holder, row: CustomerTokens) -> None:
         """Note what a holder says about its tokens."""
         self._outstanding.settle(holder, row.received_sequence, row.held_tokens)
@@ -178,4 +242,5 @@
         ]
         if self._quiet_until_seconds > -math.inf:
             lapses.append(self._quiet_until_seconds)
+        lapses += [kept.until_seconds for kept in self._reserved.values()]
         return min((lapse for lapse in lapses if lapse is not None), default=math.inf)
--- a/src/waxwingwinch/limits/_duty.py
+++ b/src/waxwingwinch/limits/_duty.py
@@ -5,14 +5,17 @@
 from collections.abc import Callable, Sequence
 from contextlib import AbstractContextManager
 
-from attrs import frozen
-
 from waxwingwinch._exceptions import AuthorityLost, PlatformUnavailable
 from waxwingwinch._types import CustomerId, Epoch, InstanceId
 from waxwingwinch.configuration import Configuration
 from waxwingwinch.interfaces import InstanceState, ListedInstance, PlatformLog
 from waxwingwinch.kernel import Clock, Health
-from waxwingwinch.limits._floor_policy import KeepFloor, RecordFloor, RefuseFloor
+from waxwingwinch.limits._floor_policy import (
+    KeepFloor,
+    PostponeFloor,
+    RecordFloor,
+    RefuseFloor,
+)
 from waxwingwinch.limits._grantor import Grantor
 from waxwingwinch.limits._messages import (
     ExtraReply,
@@ -22,14 +25,17 @@
     FloorReleased,
     FloorReply,
     FloorRequest,
-    FloorWanted,
     Holder,
 )
+from waxwingwinch.limits._recording import (
+    Recording,
+    floor_message,
+    released_record,
+)
 from waxwingwinch.limits._terms import limits_of
 from waxwingwinch.peers import PeerIdentity
 from waxwingwinch.placement import home_count, home_instances
 from waxwingwinch.streams import (
-    AppendTicket,
     Applied,
     RecordId,
     StreamFollower,
@@ -44,21 +50,6 @@
 MAX_APPLIED_RECORDS = 4_096
 
 
-@frozen
-class _Recording:
-    """
-    A floor on its way to the log.
-
-    :param granted: The record.
-    :param ticket: Its fate.
-    :param decided_seconds: Monotonic time before it was submitted.
-    """
-
-    granted: FloorGranted
-    ticket: AppendTicket
-    decided_seconds: float
-
-
 class GrantorDuty:
     """
     Runs the grantor while the process holds the duty.
@@ -205,14 +196,14 @@
                 self._grantor.confirm_floor(holder, wanted, now_seconds)
                 newest = self._grantor.floors.newest(wanted.customer_id, holder)
                 if newest is not None and newest.offset <= wanted.released_offset:
-                    released.append(_released(holder, wanted))
+                    released.append(released_record(holder, wanted))
         for record in released:
             self._writer.submit(record, FLOOR_TIMEOUT_SECONDS)
 
     def _decide_floors(self, request: FloorRequest, epoch: Epoch) -> FloorReply:
         floors: list[Floor] = []
         withdrawn: list[CustomerId] = []
-        recordings: list[_Recording] = []
+        recordings: list[Recording] = []
         for wanted in request.customers:
             homes = self._homes(wanted.customer_id)
             with self._lock:
@@ -222,11 +213,15 @@
                 )
             match decision:
                 case KeepFloor(floor, term_seconds):
-                    floors.append(_floor(floor.granted, floor.offset, term_seconds))
+                    floors.append(
+                        floor_message(floor.granted, floor.offset, term_seconds)
+                    )
                 case RecordFloor(granted):
                     recordings.append(self._record(granted, now_seconds))
                 case RefuseFloor():
                     withdrawn.append(wanted.customer_id)
+                case PostponeFloor():
+                    pass
         floors += [floor for floor in map(self._finish, recordings) if floor]
         with self._lock:
             if self._grantor.epoch != epoch:
@@ -244,11 +239,11 @@
         count = home_count(rate_per_second, len(live))
         return home_instances(customer_id, live, count)
 
-    def _record(self, granted: FloorGranted, now_seconds: float) -> _Recording:
+    def _record(self, granted: FloorGranted, now_seconds: float) -> Recording:
         ticket = self._writer.submit(granted, FLOOR_TIMEOUT_SECONDS)
-        return _Recording(granted, ticket, now_seconds)
+        return Recording(granted, ticket, now_seconds)
 
-    def _finish(self, recording: _Recording) -> Floor | None:
+    def _finish(self, recording: Recording) -> Floor | None:
         """Wait until a floor is read back; None if it was given up."""
         offset = self._wait_applied(recording)
         granted = recording.granted
@@ -259,9 +254,9 @@
         if offset is None:
             return None
         left_seconds = decided_seconds + granted.term_seconds - now_seconds
-        return _floor(granted, offset, left_seconds)
+        return floor_message(granted, offset, left_seconds)
 
-    def _wait_applied(self, recording: _Recording) -> int | None:
+    def _wait_applied(self, recording: Recording) -> int | None:
         record_id = recording.ticket.record_id
         try:
             recording.ticket.wait()
@@ -283,19 +278,3 @@
             self._offsets[applied.record_id] = applied.offset
             while len(self._offsets) > MAX_APPLIED_RECORDS:
                 self._offsets.popitem(last=False)
-
-
-def _floor(granted: FloorGranted, offset: int, term_seconds: float) -> Floor:
-    return Floor(
-        customer_id=granted.customer_id,
-        offset=offset,
-        rate_per_second=granted.rate_per_second,
-        burst_tokens=granted.burst_tokens,
-        customer_rate_per_second=granted.customer_rate_per_second,
-        customer_burst_requests=granted.customer_burst_requests,
-        term_seconds=term_seconds,
-    )
-
-
-def _released(holder: Holder, wanted: FloorWanted) -> FloorReleased:
-    return FloorReleased(wanted.customer_id, holder, wanted.released_offset)
--- a/src/waxwingwinch/limits/_floor_policy.py
+++ b/src/waxwingwinch/limits/_floor_policy.py
@@ -4,10 +4,11 @@
 
 from attrs import frozen
 
-from waxwingwinch._types import InstanceId
+from waxwingwinch._types import CustomerId, Epoch, InstanceId
 from waxwingwinch.limits._account import Account
 from waxwingwinch.limits._floors import FloorShare, RecordedFloor
 from waxwingwinch.limits._messages import FloorGranted, Holder
+from waxwingwinch.limits._terms import CustomerLimit
 
 #: Part of a floor's term after which it is renewed.
 RENEW_AFTER_RATIO = 0.25
@@ -44,7 +45,12 @@
     """The holder gets no floor; one that it has is to be given up."""
 
 
-FloorDecision = KeepFloor | RecordFloor | RefuseFloor
+@frozen
+class PostponeFloor:
+    """Outstanding tokens leave no room yet; the holder is to ask again."""
+
+
+FloorDecision = KeepFloor | RecordFloor | RefuseFloor | PostponeFloor
 
 
 def floor_share(
@@ -75,6 +81,34 @@
     return FloorShare(rate, burst)
 
 
+def floor_record(
+    customer_id: CustomerId,
+    holder: Holder,
+    share: FloorShare,
+    limit: CustomerLimit,
+    epoch: Epoch,
+) -> FloorGranted:
+    """
+    Return the record of a floor.
+
+    :param customer_id: The customer.
+    :param holder: Who may use it.
+    :param share: Its share.
+    :param limit: The limits that it is cut from.
+    :param epoch: Fencing token of the grantor.
+    """
+    return FloorGranted(
+        customer_id=customer_id,
+        holder=holder,
+        rate_per_second=share.rate_per_second,
+        burst_tokens=share.burst_tokens,
+        customer_rate_per_second=limit.rate_per_second,
+        customer_burst_requests=limit.burst_requests,
+        term_seconds=limit.floor_term_seconds,
+        epoch=epoch,
+    )
+
+
 def is_current(old: FloorGranted, new: FloorGranted, left_seconds: float) -> bool:
     """
     Tell whether a recorded floor needs no renewal.
--- a/src/waxwingwinch/limits/_floors.py
+++ b/src/waxwingwinch/limits/_floors.py
@@ -1,5 +1,7 @@
 """The floors that are outstanding, folded from their records."""
 
+import math
+
 from attrs import frozen
 
 from waxwingwinch._types import CustomerId, Epoch
@@ -66,8 +68,9 @@
     def __init__(self) -> None:
         #: Highest epoch that recorded its begin.
         self.epoch = Epoch(-1)
-        #: Longest term of the short-term tokens of recorded grantors.
-        self.extra_term_seconds = 0.0
+        #: When all short-term tokens of ended epochs have lapsed.
+        self.extras_lapse_seconds = -math.inf
+        self._extra_term_seconds = 0.0
         self._floors: dict[CustomerId, dict[Holder, list[RecordedFloor]]] = {}
 
     def apply(self, applied: Applied) -> None:
@@ -79,7 +82,13 @@
         match applied.body:
             case GrantorBegan() as began if began.epoch > self.epoch:
                 self.epoch = began.epoch
-                self.extra_term_seconds = began.extra_term_seconds
+                lapse_seconds = (
+                    applied.now_seconds + self._extra_term_seconds * LAPSE_FACTOR
+                )
+                self.extras_lapse_seconds = max(
+                    self.extras_lapse_seconds, lapse_seconds
+                )
+                self._extra_term_seconds = began.extra_term_seconds
             case FloorGranted() as granted if granted.epoch >= self.epoch:
                 # The begin of its epoch may have left the log.
                 self.epoch = granted.epoch
--- a/src/waxwingwinch/limits/_grantor.py
+++ b/src/waxwingwinch/limits/_grantor.py
@@ -10,12 +10,14 @@
 from waxwingwinch.limits._floor_policy import (
     FloorDecision,
     KeepFloor,
+    PostponeFloor,
     RecordFloor,
     RefuseFloor,
+    floor_record,
     floor_share,
     is_current,
 )
-from waxwingwinch.limits._floors import FloorShare, FloorTable
+from waxwingwinch.limits._floors import FloorTable
 from waxwingwinch.limits._messages import (
     ExtraReply,
     ExtraRequest,
@@ -92,9 +94,8 @@
         self._quiet_until_seconds = math.inf
         self._accounts = {}
         self._decided = {}
-        terms = [limit.extra_term_seconds for limit in limits.values()]
         # The term stays for the epoch: the next grantor waits as long.
-        self._term_seconds = max(terms, default=DEFAULT_EXTRA_TERM_SECONDS)
+        self._term_seconds = _longest_term_seconds(limits)
         self._limits = dict(limits)
         return GrantorBegan(epoch, self._term_seconds)
 
@@ -153,19 +154,18 @@
         if epoch is None:
             return ExtraReply(None, (), 0.0)
         granted: list[GrantedTokens] = []
+        holder, term_seconds = request.holder, self._term_seconds
         for row in request.wanted:
             account = self._accounts.get(row.customer_id)
             if account is None:
                 continue
             account.advance(now_seconds)
             if request.epoch == epoch:
-                account.settle(request.holder, row)
+                account.settle(holder, row)
             self._sequence += 1
-            term_seconds = self._term_seconds
+            sequence = self._sequence
             granted.append(
-                account.grant(
-                    request.holder, row, self._sequence, term_seconds, now_seconds
-                )
+                account.grant(holder, row, sequence, term_seconds, now_seconds)
             )
         return ExtraReply(epoch, tuple(granted), self._term_seconds)
 
@@ -209,12 +209,14 @@
         share = floor_share(account, holder, homes)
         if share is None:
             return RefuseFloor()
-        granted = self._granted(customer_id, holder, share, account.limit)
+        limit, epoch = account.limit, self._epoch
+        granted = floor_record(customer_id, holder, share, limit, epoch)
         kept = self._kept(granted, now_seconds)
         if kept is not None:
             return kept
-        account.pending[holder] = share
-        account.resize()
+        if not account.reserve(holder, share, now_seconds):
+            return PostponeFloor()
+        account.record(holder, share)
         return RecordFloor(granted)
 
     def settle_floor(
@@ -241,8 +243,8 @@
         account.pending.pop(granted.holder, None)
         account.resize()
         if offset is not None and granted.epoch == self._epoch:
-            decided = _Decided(offset, decided_seconds)
-            self._decided[granted.customer_id, granted.holder] = decided
+            key = granted.customer_id, granted.holder
+            self._decided[key] = _Decided(offset, decided_seconds)
 
     def _kept(self, granted: FloorGranted, now_seconds: float) -> KeepFloor | None:
         """Return the recorded floor if it need not be renewed."""
@@ -259,13 +261,14 @@
         return KeepFloor(newest, left_seconds)
 
     def _apply_began(self, began: GrantorBegan, applied: Applied) -> None:
-        earlier_term_seconds = self.floors.extra_term_seconds
         self.floors.apply(applied)
         if began.epoch != self._epoch or self.floors.epoch != self._epoch:
             return
-        wait_seconds = max(earlier_term_seconds, self._term_seconds) * LAPSE_FACTOR
-        wait_seconds += self._handover_seconds
-        self._quiet_until_seconds = applied.now_seconds + wait_seconds
+        # The begin of the earlier grantor may have left the log; its term is
+        # then taken to be this one's.
+        lapse_seconds = applied.now_seconds + self._term_seconds * LAPSE_FACTOR
+        lapse_seconds = max(lapse_seconds, self.floors.extras_lapse_seconds)
+        self._quiet_until_seconds = lapse_seconds + self._handover_seconds
         self._open_accounts(applied.now_seconds)
 
     def _open_accounts(self, now_seconds: float) -> None:
@@ -280,20 +283,7 @@
                     now_seconds,
                 )
 
-    def _granted(
-        self,
-        customer_id: CustomerId,
-        holder: Holder,
-        share: FloorShare,
-        limit: CustomerLimit,
-    ) -> FloorGranted:
-        return FloorGranted(
-            customer_id=customer_id,
-            holder=holder,
-            rate_per_second=share.rate_per_second,
-            burst_tokens=share.burst_tokens,
-            customer_rate_per_second=limit.rate_per_second,
-            customer_burst_requests=limit.burst_requests,
-            term_seconds=limit.floor_term_seconds,
-            epoch=self._epoch,
-        )
+
+def _longest_term_seconds(limits: Mapping[CustomerId, CustomerLimit]) -> float:
+    terms = (limit.extra_term_seconds for limit in limits.values())
+    return max(terms, default=DEFAULT_EXTRA_TERM_SECONDS)
--- a/src/waxwingwinch/limits/_holdings.py
+++ b/src/waxwingwinch/limits/_holdings.py
@@ -7,6 +7,7 @@
 
 from waxwingwinch._types import CustomerId, Epoch
 from waxwingwinch.limits._account import NO_EPOCH
+from waxwingwinch.limits._arrivals import ArrivalRate
 from waxwingwinch.limits._bucket import TokenBucket
 from waxwingwinch.limits._messages import (
     CustomerTokens,
@@ -17,8 +18,6 @@
 )
 from waxwingwinch.limits._terms import CustomerLimit, safe_rate_per_second
 
-#: Time constant of the estimate of arrivals.
-ARRIVALS_MEMORY_SECONDS = 1.0
 #: Higher than the offset of any record.
 LAST_OFFSET = 2**62
 #: How far ahead tokens are asked for.
@@ -79,18 +78,8 @@
         self._released_offset = -1
         self._returned_tokens = 0.0
         self._known_returned_tokens = 0.0
-        self._arrivals_per_second = 0.0
-        self._arrivals_seconds = -math.inf
-
-    def note_arrival(self, now_seconds: float) -> None:
-        """Count a request for the forecast."""
-        self._decay(now_seconds)
-        self._arrivals_per_second += 1 / ARRIVALS_MEMORY_SECONDS
-
-    def arrivals_per_second(self, now_seconds: float) -> float:
-        """Return the recent rate of arrivals."""
-        self._decay(now_seconds)
-        return self._arrivals_per_second
+        #: Forecast of requests here.
+        self.arrivals = ArrivalRate()
 
     def take(self, limit: CustomerLimit, now_seconds: float) -> bool:
         """
@@ -131,7 +120,7 @@
         :returns: None if there is nothing to say.
         """
         self._expire(now_seconds)
-        arrivals_per_second = self.arrivals_per_second(now_seconds)
+        arrivals_per_second = self.arrivals.per_second(now_seconds)
         held_tokens = sum(
             extra.tokens for extra in self._extras if extra.epoch == self._epoch
         )
@@ -253,13 +242,6 @@
         self._set_bucket(bucket.taken(idle_tokens))
         return self._floor_bucket(limit, now_seconds)
 
-    def _decay(self, now_seconds: float) -> None:
-        elapsed_seconds = max(0.0, now_seconds - self._arrivals_seconds)
-        self._arrivals_per_second *= math.exp(
-            -elapsed_seconds / ARRIVALS_MEMORY_SECONDS
-        )
-        self._arrivals_seconds = max(self._arrivals_seconds, now_seconds)
-
     def _expire(self, now_seconds: float) -> None:
         while self._extras and self._extras[0].expires_seconds <= now_seconds:
             self._extras.popleft()
--- a/src/waxwingwinch/limits/_limiter.py
+++ b/src/waxwingwinch/limits/_limiter.py
@@ -132,7 +132,7 @@
             if limit is None:
                 return Limited(DEFAULT_RETRY_AFTER_SECONDS, over_rate=True)
             entry = self._entry(customer_id)
-            entry.holdings.note_arrival(now_seconds)
+            entry.holdings.arrivals.note(now_seconds)
             if entry.holdings.take(limit, now_seconds):
                 return Admitted()
             is_pointless = entry.retry_at_seconds > now_seconds
--- a/src/waxwingwinch/limits/tests/test_bound.py
+++ b/src/waxwingwinch/limits/tests/test_bound.py
@@ -2,7 +2,7 @@
 
 import random
 
-from hypothesis import given, settings, strategies as st
+from hypothesis import example, given, settings, strategies as st
 
 from waxwingwinch.limits import CustomerLimit
 from waxwingwinch.limits.tests._cluster import CONFIGURATION_LAG_SECONDS, Cluster
@@ -82,6 +82,7 @@
 
 @settings(max_examples=150, deadline=None)
 @given(seed=st.integers(0, 2**32))
+@example(seed=979)
 def test_every_window_keeps_to_rate_and_burst(seed):
     cluster = run(seed, changes_limits=False)
     assert excess(cluster, 0.0) <= 1e-6
@@ -89,6 +90,7 @@
 
 @settings(max_examples=150, deadline=None)
 @given(seed=st.integers(0, 2**32))
+@example(seed=979)
 def test_every_window_keeps_to_changing_limits(seed):
     cluster = run(seed, changes_limits=True)
     window_seconds = CONFIGURATION_LAG_SECONDS + 3.5
