--- a/src/waxwingwinch/limits/tests/test_grantor.py
+++ b/src/waxwingwinch/limits/tests/test_grantor.py
@@ -112,6 +112,19 @@
     assert kept.term_seconds == 92.0
 
 
+def test_a_floor_whose_record_was_given_up_is_recorded_anew():
+    grantor = granting()
+    given_up = grantor.decide_floor(CUSTOMER, ONE, HOMES, 3.0).granted
+    grantor.settle_floor(given_up, None, 3.0, 5.0)
+    again = grantor.decide_floor(CUSTOMER, ONE, HOMES, 6.0).granted
+    apply(grantor, 1, again, 6.0)
+    grantor.settle_floor(again, 1, 6.0, 6.0)
+    # The first record turns up late; others may have read it sooner.
+    apply(grantor, 2, given_up, 9.0)
+    decision = grantor.decide_floor(CUSTOMER, ONE, HOMES, 10.0)
+    assert isinstance(decision, RecordFloor)
+
+
 def test_a_floor_of_an_earlier_grantor_is_recorded_anew():
     grantor = granting()
     granted = grantor.decide_floor(CUSTOMER, ONE, HOMES, 3.0).granted
