Guard extras by the epoch of the lease; leave the guards to control

Control already wraps grants and reports in the lease's gate, so the same logic isn't kept twice. The grantor now compares the gate's epoch with its own: a lease won again by the same process must not serve grants from the state of the term before.

--- a/src/waxwingwinch/limits/_duty.py
+++ b/src/waxwingwinch/limits/_duty.py
@@ -3,9 +3,8 @@
 import threading
 from collections import OrderedDict
 from collections.abc import Callable, Sequence
-from contextlib import AbstractContextManager
 
-from waxwingwinch._exceptions import AuthorityLost, PlatformUnavailable
+from waxwingwinch._exceptions import PlatformUnavailable
 from waxwingwinch._types import CustomerId, Epoch, InstanceId
 from waxwingwinch.configuration import Configuration
 from waxwingwinch.interfaces import InstanceState, ListedInstance, PlatformLog
@@ -59,7 +58,6 @@
     :param clock: Source of the present time.
     :param configuration: Returns the configuration in force.
     :param instances: Returns the listed instances.
-    :param acting: Guards an action by the lease of a duty.
     :param handover_seconds: How long after its begin an earlier grantor may
         still answer; 0 if the duty begins only after the earlier lease.
     """
@@ -71,7 +69,6 @@
         clock: Clock,
         configuration: Callable[[], Configuration],
         instances: Callable[[], Sequence[ListedInstance]],
-        acting: Callable[[str, float], AbstractContextManager[Epoch]],
         handover_seconds: float,
     ) -> None:
         #: Name of the duty and of its stream.
@@ -79,7 +76,6 @@
         self._clock = clock
         self._configuration = configuration
         self._instances = instances
-        self._acting = acting
         self._grantor = Grantor(handover_seconds)
         self._lock = threading.Lock()
         self._offsets: OrderedDict[RecordId, int] = OrderedDict()
@@ -134,33 +130,25 @@
         with self._lock:
             self._grantor.end()
 
-    def handle_extras(self, peer: PeerIdentity, request: ExtraRequest) -> ExtraReply:
+    def handle_extras(
+        self, peer: PeerIdentity, request: ExtraRequest, epoch: Epoch
+    ) -> ExtraReply:
         """
         Answer a request for short-term tokens.
 
+        Called within the guard of the lease, so that no grant is dated after
+        it. Floors need none: they are fenced by the order of their records.
+
         :param peer: Who asks.
         :param request: The request.
+        :param epoch: Fencing token of the lease that guards the call.
         """
         if peer.instance_id != request.holder.instance_id:
             return ExtraReply(None, (), 0.0)
-        try:
-            return self._grant(request)
-        except AuthorityLost:
-            return ExtraReply(None, (), 0.0)
-
-    def _grant(self, request: ExtraRequest) -> ExtraReply:
-        """
-        Grant within the lease.
-
-        A grant is dated within it, and the next grantor waits for the term
-        from a time after it. Floors need no guard: they are fenced by the
-        order of their records.
-        """
-        with self._acting(self.duty, self._clock.now_seconds()) as epoch:
-            with self._lock:
-                if self._grantor.epoch != epoch:
-                    return ExtraReply(None, (), 0.0)
-                return self._grantor.grant(request, self._clock.now_seconds())
+        with self._lock:
+            if self._grantor.epoch != epoch:
+                return ExtraReply(None, (), 0.0)
+            return self._grantor.grant(request, self._clock.now_seconds())
 
     def handle_floors(self, peer: PeerIdentity, request: FloorRequest) -> FloorReply:
         """
--- a/src/waxwingwinch/usage/_runner.py
+++ b/src/waxwingwinch/usage/_runner.py
@@ -3,13 +3,11 @@
 import threading
 from collections.abc import Callable, Sequence
 from concurrent.futures import ThreadPoolExecutor
-from contextlib import AbstractContextManager
 
 import eliot
 from attrs import frozen
 
 from waxwingwinch._exceptions import (
-    AuthorityLost,
     MalformedMessage,
     PeerUnavailable,
     PlatformRefused,
@@ -74,7 +72,6 @@
     :param configuration: Returns the configuration in force.
     :param entries: Returns all listed entries with their links.
     :param intake: Takes the reports.
-    :param acting: Guards an action by the lease of a duty.
     """
 
     def __init__(
@@ -85,7 +82,6 @@
         configuration: Callable[[], Configuration],
         entries: Callable[[], Sequence[UsagePeer]],
         intake: UsageIntake,
-        acting: Callable[[str, float], AbstractContextManager[Epoch]],
     ) -> None:
         #: Name of the duty.
         self.duty = f"usage-{cell}"
@@ -93,7 +89,6 @@
         self._configuration = configuration
         self._entries = entries
         self._intake = intake
-        self._acting = acting
         self._table = ReportTable()
         self._lock = threading.Lock()
         self._epoch: Epoch | None = None
@@ -178,8 +173,8 @@
                 continue
             try:
                 self.run_round(self._clock.wall_seconds(), self._clock.now_seconds())
-            except (PlatformUnavailable, AuthorityLost) as error:
-                eliot.log_message("usage:round_ended", reason=str(error))
+            except PlatformUnavailable as error:
+                eliot.log_message("usage:platform_unavailable", reason=str(error))
 
     def _is_caught_up(self, now_seconds: float) -> bool:
         def is_read() -> bool:
@@ -193,14 +188,16 @@
         with self._lock:
             windows = self._table.unacknowledged()
         for fixed in windows:
-            self._report(fixed)
+            with self._lock:
+                epoch = self._epoch
+            if epoch is None:
+                return
+            self._report(fixed, epoch)
 
-    def _report(self, fixed: WindowFixed) -> None:
+    def _report(self, fixed: WindowFixed, epoch: Epoch) -> None:
         start_seconds = fixed.window_start_seconds
         try:
-            # The fence ends a process that is paused in here past its lease.
-            with self._acting(self.duty, self._clock.now_seconds()) as epoch:
-                self._intake.submit(report_of(fixed, epoch))
+            self._intake.submit(report_of(fixed, epoch))
         except PlatformRefused as error:
             eliot.log_message(
                 "usage:report_refused", window=start_seconds, reason=str(error)
