--- a/src/waxwingwinch/limits/_limiter.py
+++ b/src/waxwingwinch/limits/_limiter.py
@@ -62,6 +62,14 @@
         age_seconds = now_seconds - self.answered_seconds
         return self.over_rate and age_seconds < ANSWER_AGE_SECONDS
 
+    def is_hopeless(self, now_seconds: float) -> bool:
+        """Tell whether a recent answer rules out a token in time."""
+        if self.is_over_rate(now_seconds):
+            return self.retry_at_seconds > now_seconds
+        if now_seconds - self.answered_seconds >= ASK_INTERVAL_SECONDS:
+            return False
+        return self.retry_at_seconds > now_seconds + ADMIT_WAIT_SECONDS
+
 
 class Limiter:
     """
@@ -135,8 +143,7 @@
             entry.holdings.arrivals.note(now_seconds)
             if entry.holdings.take(limit, now_seconds):
                 return Admitted()
-            is_pointless = entry.retry_at_seconds > now_seconds
-            if is_pointless and entry.is_over_rate(now_seconds):
+            if entry.is_hopeless(now_seconds):
                 return self._limited(entry, limit, now_seconds)
             return self._wait_for_token(entry, limit, now_seconds)
 
--- a/src/waxwingwinch/limits/tests/test_bound.py
+++ b/src/waxwingwinch/limits/tests/test_bound.py
@@ -2,10 +2,17 @@
 
 import random
 
+from attrs import evolve
 from hypothesis import example, given, settings, strategies as st
 
-from waxwingwinch.limits import CustomerLimit
-from waxwingwinch.limits.tests._cluster import CONFIGURATION_LAG_SECONDS, Cluster
+from waxwingwinch.configuration import Configuration, Customer
+from waxwingwinch.contracts import Limited
+from waxwingwinch.limits import CustomerLimit, StaticSplitLimiter
+from waxwingwinch.limits.tests._cluster import (
+    CONFIGURATION_LAG_SECONDS,
+    CUSTOMER,
+    Cluster,
+)
 
 OPERATIONS = 400
 
@@ -101,24 +108,44 @@
     assert sum(len(run(seed, False).admitted) for seed in range(20)) > 1_000
 
 
-def steady(demand_ratio, shares=(6, 3, 1), seconds=60):
+def steady(demand_ratio, shares=(6, 3, 1), floor_fraction=0.5, seconds=60):
     """Run without faults and return the refused ratio after a warm-up."""
     rng = random.Random(1)
-    rate_per_second = 20.0
-    cluster = Cluster(rng, limit(rate_per_second, 20.0), loss_ratio=0.0)
+    limits = evolve(limit(20.0, 20.0), floor_fraction=floor_fraction)
+    cluster = Cluster(rng, limits, loss_ratio=0.0)
     cluster.change_grantor(0)
     steps = int(seconds / 0.05)
     for step in range(steps):
         if step == steps // 2:
             cluster.admitted, cluster.refused = [], 0
         exchange(cluster, step)
-        for number, share in enumerate(shares):
-            mean = rate_per_second * demand_ratio * 0.05 * share / sum(shares)
-            if rng.random() < mean:
-                admit_asking(cluster, number)
+        for number in arrivals(rng, 20.0 * demand_ratio, shares):
+            admit_asking(cluster, number)
     return cluster.refused / (cluster.refused + len(cluster.admitted))
 
 
+def steady_split(demand_ratio, shares=(6, 3, 1), seconds=60):
+    """Do the same with a third of rate and burst at each instance."""
+    rng = random.Random(1)
+    customer = Customer(CUSTOMER, 20.0, 20.0)
+    configuration = Configuration(customers={CUSTOMER: customer})
+    limiters = [StaticSplitLimiter(lambda: configuration, 3) for _ in shares]
+    steps = int(seconds / 0.05)
+    decisions = []
+    for step in range(steps):
+        for number in arrivals(rng, 20.0 * demand_ratio, shares):
+            decision = limiters[number].admit(CUSTOMER, step * 0.05)
+            decisions.append((step, isinstance(decision, Limited)))
+    counted = [refused for step, refused in decisions if step >= steps // 2]
+    return sum(counted) / len(counted)
+
+
+def arrivals(rng, rate_per_second, shares):
+    """Return at which instances requests arrive in a step of 50 ms."""
+    means = [rate_per_second * 0.05 * share / sum(shares) for share in shares]
+    return [number for number, mean in enumerate(means) if rng.random() < mean]
+
+
 def exchange(cluster, step):
     """Pass one step of 50 ms with its regular messages."""
     for number in range(3):
@@ -150,3 +177,8 @@
 
 def test_demand_within_the_rate_at_one_instance_is_admitted():
     assert steady(0.8, shares=(1, 0, 0)) < 0.03
+
+
+def test_demand_that_lies_unevenly_is_refused_less_than_by_a_static_split():
+    for shares in ((6, 3, 1), (1, 0, 0)):
+        assert steady(0.8, shares) < steady_split(0.8, shares) / 4
