--- a/src/waxwingwinch/control/_process.py
+++ b/src/waxwingwinch/control/_process.py
@@ -22,10 +22,11 @@
 from waxwingwinch.control._entries import EntryBook
 from waxwingwinch.control._fleet_runner import FleetRunner
 from waxwingwinch.control._journal import FleetJournal
+from waxwingwinch.control._limits import GuardedExtras
 from waxwingwinch.control._market_orders import MarketOrders
 from waxwingwinch.control._runner import DutyRunner
 from waxwingwinch.control._snapshot_runner import SnapshotRunner
-from waxwingwinch.control._usage import EntryLinks
+from waxwingwinch.control._usage import EntryLinks, GuardedIntake
 from waxwingwinch.fleet import (
     FleetObserver,
     PollNeeds,
@@ -209,11 +210,11 @@
         base.clock,
         base.configuration.current,
         base.instances.instances,
-        base.holder.acting,
         # A claim comes only after the lease of the earlier grantor.
         handover_seconds=0.0,
     )
-    base.server.handle(ExtraRequest, grantor.handle_extras)
+    extras = GuardedExtras(grantor, base.holder, base.clock)
+    base.server.handle(ExtraRequest, extras.handle)
     base.server.handle(FloorRequest, grantor.handle_floors)
     registry.register(ServiceName.LIMITER, grantor)
     return grantor
@@ -228,14 +229,15 @@
         settings.peer_seeds,
     )
     registry.register(ServiceName.MEMBERSHIP, mesh)
+    intake = HttpUsageIntake(settings.platform_address)
+    duty = f"usage-{settings.cell}"
     runner = UsageReportRunner(
         settings.cell,
         base.log,
         base.clock,
         base.configuration.current,
         EntryLinks(base.instances, mesh).peers,
-        HttpUsageIntake(settings.platform_address),
-        base.holder.acting,
+        GuardedIntake(intake, duty, base.holder, base.clock),
     )
     registry.register(ServiceName.USAGE, runner)
     return runner
