--- a/src/waxwingwinch/observability/__init__.py
+++ b/src/waxwingwinch/observability/__init__.py
@@ -1,5 +1,17 @@
 """Logs, metrics and reasons of decisions."""
 
+from waxwingwinch.observability._logs import LogDestination, set_up_logs
+from waxwingwinch.observability._metrics import (
+    CountMetric,
+    LatencyKind,
+    LatencyMetric,
+    MetricKey,
+    Metrics,
+    MetricsSnapshot,
+    RequestResult,
+    merge_snapshots,
+)
+from waxwingwinch.observability._prometheus import prometheus_text
 from waxwingwinch.observability._reasons import (
     ExplainHandler,
     ExplainReply,
@@ -7,4 +19,20 @@
     MemoryDecisionLog,
 )
 
-__all__ = ["ExplainHandler", "ExplainReply", "ExplainRequest", "MemoryDecisionLog"]
+__all__ = [
+    "CountMetric",
+    "ExplainHandler",
+    "ExplainReply",
+    "ExplainRequest",
+    "LatencyKind",
+    "LatencyMetric",
+    "LogDestination",
+    "MemoryDecisionLog",
+    "MetricKey",
+    "Metrics",
+    "MetricsSnapshot",
+    "RequestResult",
+    "merge_snapshots",
+    "prometheus_text",
+    "set_up_logs",
+]
