Add the report on service-level burn

Operators and finance had no view of how each customer fares against its promises, nor of what it cost.

--- /dev/null
+++ b/src/waxwingwinch/burn/__main__.py
@@ -0,0 +1,5 @@
+"""Runs ``waxwing-burn`` from the module."""
+
+from waxwingwinch.burn import main
+
+main()
--- a/src/waxwingwinch/operators_api/__init__.py
+++ b/src/waxwingwinch/operators_api/__init__.py
@@ -23,6 +23,13 @@
     read_body,
     write_body,
 )
+from waxwingwinch.operators_api._metrics_view import (
+    MetricsReporter,
+    MetricsView,
+    ServicePromise,
+    UpstreamPrice,
+    promises_of,
+)
 from waxwingwinch.operators_api._requests import (
     ApiAnswer,
     ApiRequest,
@@ -42,16 +49,21 @@
     "HistoryView",
     "InstanceStates",
     "InstanceView",
+    "MetricsReporter",
+    "MetricsView",
     "OperatorApi",
     "OperatorRequests",
     "PublishedView",
     "ReasonsView",
+    "ServicePromise",
     "StatusView",
     "UnavailableView",
+    "UpstreamPrice",
     "WithdrawRequest",
     "WithdrawalView",
     "describe_changes",
     "diff_configurations",
+    "promises_of",
     "read_body",
     "write_body",
 ]
--- a/src/waxwingwinch/operators_api/_requests.py
+++ b/src/waxwingwinch/operators_api/_requests.py
@@ -42,6 +42,7 @@
     WithdrawRequest,
     read_body,
 )
+from waxwingwinch.operators_api._metrics_view import MetricsView
 from waxwingwinch.settings import OperatorToken
 
 #: How long publishing may take.
@@ -105,6 +106,7 @@
     :param health: Returns the state of the services.
     :param instance_id: This instance.
     :param tokens: Who may ask.
+    :param metrics: Returns what was recorded; None if nothing is.
     """
 
     def __init__(
@@ -117,6 +119,7 @@
         health: Callable[[], dict[str, Health]],
         instance_id: InstanceId,
         tokens: Sequence[OperatorToken],
+        metrics: Callable[[], MetricsView] | None = None,
     ) -> None:
         self._configuration = configuration
         self._withdrawals = withdrawals
@@ -126,6 +129,7 @@
         self._health = health
         self._instance_id = instance_id
         self._tokens = tuple(tokens)
+        self._metrics = metrics
 
     def find_operator(self, token: str) -> str | None:
         """
@@ -180,6 +184,8 @@
             case "GET", "reasons":
                 reasons = self._decisions.about(request.name)
                 return ApiAnswer(HTTPStatus.OK, ReasonsView(reasons))
+            case "GET", "metrics-snapshot" if self._metrics is not None:
+                return ApiAnswer(HTTPStatus.OK, self._metrics())
             case "POST", "drain":
                 self._drain(operator)
                 body = DrainedView(self._instance_id)
--- a/src/waxwingwinch/operators_api/tests/test_operator_requests.py
+++ b/src/waxwingwinch/operators_api/tests/test_operator_requests.py
@@ -6,10 +6,21 @@
 
 from waxwing_testbed.fakes import MemoryLog
 from waxwingwinch._exceptions import Outcome
-from waxwingwinch._types import CustomerId, InstanceId
+from waxwingwinch._types import (
+    Address,
+    CustomerId,
+    InstanceId,
+    ModelName,
+    PriceClass,
+    UpstreamId,
+    UpstreamKind,
+    UpstreamState,
+    ZoneName,
+)
 from waxwingwinch.configuration import (
     AddKey,
     Change,
+    ConfigurationChange,
     Finding,
     PutCustomer,
     SetDefault,
@@ -20,8 +31,10 @@
     ConfigurationService,
     WithdrawalCoordinator,
 )
-from waxwingwinch.contracts import DecisionKind, Freshness, Reason
+from waxwingwinch.contracts import DecisionKind, Freshness, Reason, UpstreamView
+from waxwingwinch.interfaces import ListedUpstream
 from waxwingwinch.kernel import Health, SystemClock
+from waxwingwinch.observability import LatencyKind, MetricKey, Metrics, RequestResult
 from waxwingwinch.operators_api import (
     ApiAnswer,
     ApiRequest,
@@ -30,6 +43,8 @@
     ConfigurationView,
     FindingsView,
     HistoryView,
+    MetricsReporter,
+    MetricsView,
     OperatorRequests,
     PublishedView,
     ReasonsView,
@@ -47,6 +62,31 @@
 REASON = Reason(DecisionKind.ROUTED, "r1", 0.0, "The engine was idle.")
 
 
+class OneEngine:
+    """A fleet of one cheap engine."""
+
+    def all(self) -> tuple[UpstreamView, ...]:
+        listed = ListedUpstream(
+            UpstreamId("e1"),
+            UpstreamKind.ENGINE,
+            Address("127.0.0.1", 1),
+            ZoneName("cebu"),
+            PriceClass.CHEAP,
+            1.5,
+            UpstreamState.ACTIVE,
+        )
+        return (UpstreamView(listed, UpstreamState.ACTIVE),)
+
+    def engines(self, model: ModelName) -> tuple[UpstreamView, ...]:
+        return self.all()
+
+    def plain(self, service: str) -> tuple[UpstreamView, ...]:
+        return ()
+
+    def directive_offset(self) -> int:
+        return 0
+
+
 class Alone:
     """An instance without others."""
 
@@ -206,3 +246,26 @@
     assert drained == ["ana"]
     assert ask(requests, "GET", "drain").status == HTTPStatus.NOT_FOUND
     assert json.loads(write_body(ask(requests, "GET", "status").body))["health"]
+
+
+def test_metrics_are_shown_with_promises(service):
+    ask_change = ConfigurationChange(
+        0, "ana", "c", "r", (wrap_change(PutCustomer(CustomerId("cebu"), 2.0, 4.0)),)
+    )
+    service.publish(ask_change, WAIT_SECONDS)
+    metrics = Metrics()
+    key = MetricKey(CustomerId("cebu"), "/v1/completions")
+    metrics.record(key, LatencyKind.FIRST_TOKEN, 0.25)
+    metrics.count(key, RequestResult.SERVED)
+    reporter = MetricsReporter(SELF, CLOCK, metrics, service, OneEngine())
+    view = reporter.view()
+    assert read_body(write_body(view), MetricsView) == view
+    (promise,) = view.promises
+    assert (promise.customer_id, promise.first_token_seconds) == ("cebu", 0.42)
+    (price,) = view.upstreams
+    assert (price.price_class, price.price_per_hour) == (PriceClass.CHEAP, 1.5)
+
+
+def test_metrics_endpoint_exists_only_where_metrics_are(requests):
+    answer = ask(requests, "GET", "metrics-snapshot")
+    assert answer.status is HTTPStatus.NOT_FOUND
