--- a/src/waxwingwinch/entry/__init__.py
+++ b/src/waxwingwinch/entry/__init__.py
@@ -11,6 +11,7 @@
     HomeRanking,
 )
 from waxwingwinch.entry._in_flight import InFlight, PeerWork
+from waxwingwinch.entry._main import main
 from waxwingwinch.entry._options import EntryOptions
 
 __all__ = [
@@ -26,4 +27,5 @@
     "HomeRanking",
     "InFlight",
     "PeerWork",
+    "main",
 ]
--- a/src/waxwingwinch/entry/_process.py
+++ b/src/waxwingwinch/entry/_process.py
@@ -43,7 +43,13 @@
 from waxwingwinch.peers import PeerIdentity, PeerProgram, PeerServer
 from waxwingwinch.placement import home_count, home_instances
 from waxwingwinch.settings import EntrySettings
-from waxwingwinch.usage import EntryUsageLedger
+from waxwingwinch.usage import (
+    EntryUsageLedger,
+    UsagePeer,
+    UsagePush,
+    UsageRequest,
+    UsageSource,
+)
 
 #: Pause between two tries to get a first configuration from a peer.
 STATE_PAUSE_SECONDS = 0.2
@@ -150,7 +156,11 @@
             self._is_alive,
         )
         self._usage = EntryUsageLedger(
-            self._identity, self._incarnation, self._clock, self._mesh
+            UsageSource(settings.instance_id, self._incarnation),
+            settings.zone,
+            self._clock,
+            self._configuration.current,
+            self._usage_peers,
         )
         self.registry.register(ServiceName.CONFIGURATION, self._configuration)
         self.registry.register(ServiceName.FLEET, self._fleet)
@@ -188,7 +198,7 @@
             self._roster.discoverable,
             home_instances,
             home_count,
-            self._mesh.broadcast,
+            self._broadcast,
             OperatorApi(self._operator_requests(), self._clock),
         )
         self._register_peer_handlers(application)
@@ -220,7 +230,8 @@
         self._peer_server.handle(Heartbeat, receiver.handle)
         ConfigurationHandlers(self._configuration).register(self._peer_server)
         application.register_handlers(self._peer_server)
-        self._usage.register_handlers(self._peer_server)
+        self._peer_server.handle(UsagePush, self._usage.handle_push)
+        self._peer_server.handle(UsageRequest, self._usage.handle_request)
 
     def _register_heartbeats(self) -> None:
         maker = HeartbeatMaker(
@@ -240,6 +251,17 @@
         )
         self.registry.register("heartbeat_sender", sender)
 
+    def _broadcast(self, body: object) -> None:
+        self._mesh.broadcast(body)
+
+    def _usage_peers(self) -> list[UsagePeer]:
+        up = [(link, link.peer) for link in self._mesh.links()]
+        return [
+            UsagePeer(peer.instance_id, peer.zone, link)
+            for link, peer in up
+            if peer is not None
+        ]
+
     def _holder_address(self, duty: str) -> Address | None:
         position = self._duties.holder_of(duty)
         return None if position is None else position.address
--- a/src/waxwingwinch/observability/__init__.py
+++ b/src/waxwingwinch/observability/__init__.py
@@ -1,4 +1,4 @@
-"""Logs, metrics and reasons of decisions."""
+"""Metrics, logs and reasons."""
 
 from waxwingwinch.observability._logs import LogDestination, set_up_logs
 from waxwingwinch.observability._metrics import (
@@ -20,14 +20,14 @@
 )
 
 __all__ = [
-    "CountMetric",
     "ExplainHandler",
     "ExplainReply",
     "ExplainRequest",
+    "MemoryDecisionLog",
+    "CountMetric",
     "LatencyKind",
     "LatencyMetric",
     "LogDestination",
-    "MemoryDecisionLog",
     "MetricKey",
     "Metrics",
     "MetricsSnapshot",
