--- /dev/null
+++ b/src/waxwing_testbed/load/__main__.py
@@ -0,0 +1,5 @@
+"""Runs ``waxwing-load`` from the module."""
+
+from waxwing_testbed.load import main
+
+main()
