--- a/src/waxwingwinch/burn/_compute.py
+++ b/src/waxwingwinch/burn/_compute.py
@@ -274,6 +274,6 @@
                 f"of {seconds:.0f} s reaches back to the start of the instances."
             )
     if without_promise:
-        names = ", ".join(name or "(open routes)" for name in without_promise)
+        names = ", ".join(without_promise)
         notes.append(f"Recorded but without a promise, so not reported: {names}.")
     return tuple(notes)
--- a/src/waxwingwinch/burn/_counters.py
+++ b/src/waxwingwinch/burn/_counters.py
@@ -125,13 +125,13 @@
     """
     Return what happened in a window, over all instances together.
 
-    An instance without a snapshot before the window counts from its start.
+    A start of an instance without a snapshot before the window counts whole.
 
     :param views: Snapshots in any order.
     :param window: The window.
     """
     merged: CustomerCounters = defaultdict(Counters)
-    for own in _by_instance(views).values():
+    for own in _by_start(views).values():
         end = _last_until(own, window.end_seconds)
         if end is None:
             continue
@@ -144,10 +144,13 @@
     return dict(merged)
 
 
-def _by_instance(views: Iterable[MetricsView]) -> dict[InstanceId, list[MetricsView]]:
-    found: dict[InstanceId, list[MetricsView]] = defaultdict(list)
+def _by_start(
+    views: Iterable[MetricsView],
+) -> dict[tuple[InstanceId, str], list[MetricsView]]:
+    """Group snapshots by starts of instances, as each counts from 0."""
+    found: dict[tuple[InstanceId, str], list[MetricsView]] = defaultdict(list)
     for view in sorted(views, key=lambda item: item.wall_seconds):
-        found[view.instance_id].append(view)
+        found[view.instance_id, view.incarnation].append(view)
     return found
 
 
--- a/src/waxwingwinch/burn/_csv.py
+++ b/src/waxwingwinch/burn/_csv.py
@@ -3,6 +3,7 @@
 import csv
 from typing import TextIO
 
+from waxwingwinch.burn._formats import customer_text
 from waxwingwinch.burn._model import BurnReport, CustomerBurn, ObjectiveBurn
 
 #: Headings of the columns.
@@ -43,7 +44,7 @@
 ) -> tuple[str | int | float, ...]:
     return (
         rank,
-        customer.customer_id,
+        customer_text(customer.customer_id),
         item.objective.value,
         item.target_ratio,
         item.period.total,
--- a/src/waxwingwinch/burn/_formats.py
+++ b/src/waxwingwinch/burn/_formats.py
@@ -2,10 +2,22 @@
 
 import datetime
 
+from waxwingwinch._types import CustomerId
+from waxwingwinch.operators_api import OPEN_ROUTES
+
 #: Shown in place of a figure that doesn't exist.
 NO_FIGURE = "–"
 
 
+def customer_text(customer_id: CustomerId) -> str:
+    """
+    Write the name of a customer.
+
+    :param customer_id: The customer, or ``OPEN_ROUTES``.
+    """
+    return "(open routes)" if customer_id == OPEN_ROUTES else customer_id
+
+
 def ratio_text(ratio: float) -> str:
     """
     Write a share as a percentage.
--- a/src/waxwingwinch/burn/_html.py
+++ b/src/waxwingwinch/burn/_html.py
@@ -5,6 +5,7 @@
 import jinja2
 
 from waxwingwinch.burn._formats import (
+    customer_text,
     rate_text,
     ratio_text,
     seconds_text,
@@ -25,7 +26,11 @@
     """
     environment = jinja2.Environment(autoescape=True, undefined=jinja2.StrictUndefined)
     environment.filters.update(
-        rate=rate_text, ratio=ratio_text, seconds=seconds_text, wall=wall_text
+        customer=customer_text,
+        rate=rate_text,
+        ratio=ratio_text,
+        seconds=seconds_text,
+        wall=wall_text,
     )
     source = resources.files("waxwingwinch.burn").joinpath(_TEMPLATE).read_text()
     return environment.from_string(source).render(
--- a/src/waxwingwinch/burn/_plots.py
+++ b/src/waxwingwinch/burn/_plots.py
@@ -4,6 +4,7 @@
 
 from matplotlib.figure import Figure
 
+from waxwingwinch.burn._formats import customer_text
 from waxwingwinch.burn._model import BurnReport, Objective
 
 #: Burn rates above this are drawn at the edge of the plot.
@@ -36,7 +37,9 @@
         axes.barh(places, rates, height, align="edge", label=objective.value)
     axes.axvline(1.0, color="black", linewidth=1, linestyle="--")
     centres = [row + 0.4 for row in range(len(customers))]
-    axes.set_yticks(centres, [customer.customer_id for customer in customers])
+    axes.set_yticks(
+        centres, [customer_text(customer.customer_id) for customer in customers]
+    )
     axes.invert_yaxis()
     axes.set_xlabel("burn rate over the long window; 1 spends the budget exactly")
     axes.set_title(_CAP_NOTE, loc="left", fontsize="small")
@@ -59,7 +62,7 @@
     for customer in customers:
         seconds = [point.seconds for point in customer.course]
         rates = [min(point.burn_rate, BURN_RATE_DRAWN_MAX) for point in customer.course]
-        axes.plot(seconds, rates, marker=".", label=customer.customer_id)
+        axes.plot(seconds, rates, marker=".", label=customer_text(customer.customer_id))
     axes.axhline(1.0, color="black", linewidth=1, linestyle="--")
     axes.set_xlabel("seconds since the first snapshot")
     axes.set_ylabel("highest burn rate")
--- a/src/waxwingwinch/burn/_text.py
+++ b/src/waxwingwinch/burn/_text.py
@@ -5,6 +5,7 @@
 
 from waxwingwinch.burn._formats import (
     NO_FIGURE,
+    customer_text,
     rate_text,
     ratio_text,
     seconds_text,
@@ -64,7 +65,7 @@
         table.add_column(name, justify="right")
     for customer in report.customers:
         for index, item in enumerate(customer.objectives):
-            name = customer.customer_id if index == 0 else ""
+            name = customer_text(customer.customer_id) if index == 0 else ""
             table.add_row(name, *_burn_cells(item), style=_style(item))
     return table
 
@@ -109,7 +110,7 @@
 
 def _service_cells(customer: CustomerBurn) -> tuple[str, ...]:
     return (
-        customer.customer_id,
+        customer_text(customer.customer_id),
         str(customer.served),
         str(customer.late),
         str(customer.refused_over_rate),
--- a/src/waxwingwinch/burn/tests/test_main.py
+++ b/src/waxwingwinch/burn/tests/test_main.py
@@ -34,7 +34,7 @@
         promise = ServicePromise(CEBU, 0.42, 0.056, 0.95)
         wall_seconds = CLOCK.wall_seconds()
         return MetricsView(
-            InstanceId("i1"), wall_seconds, metrics.snapshot(), (promise,)
+            InstanceId("i1"), "a", wall_seconds, metrics.snapshot(), (promise,)
         )
 
     unused: Any = None
--- a/src/waxwingwinch/burn/tests/test_report.py
+++ b/src/waxwingwinch/burn/tests/test_report.py
@@ -22,7 +22,12 @@
     write_html,
 )
 from waxwingwinch.observability import LatencyKind, MetricKey, Metrics, RequestResult
-from waxwingwinch.operators_api import MetricsView, ServicePromise, UpstreamPrice
+from waxwingwinch.operators_api import (
+    OPEN_ROUTES,
+    MetricsView,
+    ServicePromise,
+    UpstreamPrice,
+)
 
 ANNA, BERT, CLEO = CustomerId("anna"), CustomerId("bert"), CustomerId("cleo")
 PROMISES = tuple(ServicePromise(name, 0.4, 0.05, 0.9) for name in (ANNA, BERT, CLEO))
@@ -36,8 +41,9 @@
 class Instance:
     """An instance that records answers and takes snapshots."""
 
-    def __init__(self, name: str = "i1") -> None:
+    def __init__(self, name: str = "i1", incarnation: str = "a") -> None:
         self.name = InstanceId(name)
+        self.incarnation = incarnation
         self.metrics = Metrics()
 
     def answer(
@@ -58,7 +64,9 @@
 
     def view(self, wall_seconds: float, fleet=FLEET) -> MetricsView:
         snapshot = self.metrics.snapshot()
-        return MetricsView(self.name, wall_seconds, snapshot, PROMISES, fleet)
+        return MetricsView(
+            self.name, self.incarnation, wall_seconds, snapshot, PROMISES, fleet
+        )
 
 
 def objective_of(report, customer_id, objective):
@@ -83,7 +91,7 @@
     metrics = Metrics()
     for seconds in times_seconds:
         metrics.record(MetricKey(ANNA, "/x"), LatencyKind.FIRST_TOKEN, seconds)
-    view = MetricsView(InstanceId("i1"), 0.0, metrics.snapshot())
+    view = MetricsView(InstanceId("i1"), "a", 0.0, metrics.snapshot())
     counters = counters_between([view], Window(-1.0, 0.0))[ANNA]
     median = view.metrics.latencies[0].decode().get_value_at_percentile(50)
     assert counters.quantile_seconds(LatencyKind.FIRST_TOKEN, 0.5) == median / 1e6
@@ -106,8 +114,9 @@
     assert (first.short_window.total, first.short_window.bad) == (4, 4)
 
 
-def test_window_of_a_replaced_instance_counts_both():
-    old, new = Instance("old"), Instance("new")
+@pytest.mark.parametrize("names", [("old", "new"), ("same", "same")])
+def test_window_of_a_restarted_or_replaced_instance_counts_both(names):
+    old, new = Instance(names[0], "a"), Instance(names[1], "b")
     old.answer(ANNA, 0.1, 3)
     views = [old.view(0.0)]
     old.answer(ANNA, 0.1, 5)
@@ -116,6 +125,7 @@
     views.append(new.view(1000.0))
     first = objective_of(make_report(views, OPTIONS), ANNA, Objective.FIRST_TOKEN)
     assert (first.long_window.total, first.long_window.bad) == (7, 2)
+    assert (first.period.total, first.period.bad) == (10, 2)
 
 
 def test_refusals_over_the_rate_spend_no_budget():
@@ -240,12 +250,26 @@
     assert "Upstream spend over 240 s" in stream.getvalue()
 
 
+def test_callers_of_open_routes_are_named_in_all_formats():
+    instance = Instance()
+    instance.end(OPEN_ROUTES, RequestResult.SERVED, 3)
+    promise = ServicePromise(OPEN_ROUTES, 0.4, 0.05, 0.9)
+    view = MetricsView(instance.name, "a", 0.0, instance.metrics.snapshot(), (promise,))
+    report = make_report([view], OPTIONS)
+    text, table = io.StringIO(), io.StringIO()
+    print_report(report, Console(file=text, width=160))
+    write_csv(report, table)
+    for written in (text.getvalue(), table.getvalue(), write_html(report)):
+        assert "(open routes)" in written
+
+
 def test_page_is_self_contained_and_escapes_names():
     instance = Instance()
     name = CustomerId("<script>alert(1)</script>")
     instance.answer(name, 0.1)
     view = MetricsView(
         instance.name,
+        instance.incarnation,
         0.0,
         instance.metrics.snapshot(),
         (ServicePromise(name, 0.4, 0.05, 0.9),),
--- a/src/waxwingwinch/entry/_process.py
+++ b/src/waxwingwinch/entry/_process.py
@@ -39,7 +39,11 @@
     decide_freshness,
 )
 from waxwingwinch.observability import MemoryDecisionLog, Metrics
-from waxwingwinch.operators_api import OperatorApi, OperatorRequests
+from waxwingwinch.operators_api import (
+    OperatorApi,
+    OperatorRequests,
+    make_metrics_reporter,
+)
 from waxwingwinch.peers import PeerIdentity, PeerProgram, PeerServer
 from waxwingwinch.placement import home_count, home_instances
 from waxwingwinch.settings import EntrySettings
@@ -207,6 +211,9 @@
         return application
 
     def _operator_requests(self) -> OperatorRequests:
+        reporter = make_metrics_reporter(
+            self.registry, self._settings.instance_id, self._incarnation
+        )
         return OperatorRequests(
             self._configuration,
             self._withdrawals,
@@ -216,6 +223,7 @@
             self.registry.health,
             self._settings.instance_id,
             self._settings.operator_tokens,
+            reporter.view,
         )
 
     def _register_peer_handlers(self, application: EntryApplication) -> None:
--- a/src/waxwingwinch/operators_api/__init__.py
+++ b/src/waxwingwinch/operators_api/__init__.py
@@ -24,10 +24,12 @@
     write_body,
 )
 from waxwingwinch.operators_api._metrics_view import (
+    OPEN_ROUTES,
     MetricsReporter,
     MetricsView,
     ServicePromise,
     UpstreamPrice,
+    make_metrics_reporter,
     promises_of,
 )
 from waxwingwinch.operators_api._requests import (
@@ -38,6 +40,7 @@
 )
 
 __all__ = [
+    "OPEN_ROUTES",
     "ApiAnswer",
     "ApiRequest",
     "BodyInvalid",
@@ -63,6 +66,7 @@
     "WithdrawalView",
     "describe_changes",
     "diff_configurations",
+    "make_metrics_reporter",
     "promises_of",
     "read_body",
     "write_body",
--- a/src/waxwingwinch/operators_api/_metrics_view.py
+++ b/src/waxwingwinch/operators_api/_metrics_view.py
@@ -3,11 +3,14 @@
 from attrs import frozen
 
 from waxwingwinch._types import CustomerId, InstanceId, PriceClass, UpstreamId
-from waxwingwinch.configuration import Configuration, Scope, ScopeKind
-from waxwingwinch.contracts import ConfigurationSource, FleetView
-from waxwingwinch.kernel import Clock
+from waxwingwinch.configuration import Configuration, Defaults, Scope, ScopeKind
+from waxwingwinch.contracts import ConfigurationSource, FleetView, ServiceName
+from waxwingwinch.kernel import Clock, Registry
 from waxwingwinch.observability import Metrics, MetricsSnapshot
 
+#: Under which the callers of routes open to all are recorded.
+OPEN_ROUTES = CustomerId("")
+
 
 @frozen
 class ServicePromise:
@@ -47,13 +50,15 @@
     What one instance has recorded since its start.
 
     :param instance_id: The instance.
+    :param incarnation: Start of its process; another start counts anew.
     :param wall_seconds: Unix time of the snapshot.
     :param metrics: Times and results.
-    :param promises: One for each customer in the configuration.
+    :param promises: One for each customer, and one for open routes.
     :param upstreams: All upstreams that the instance knows.
     """
 
     instance_id: InstanceId
+    incarnation: str
     wall_seconds: float
     metrics: MetricsSnapshot
     promises: tuple[ServicePromise, ...] = ()
@@ -66,6 +71,7 @@
     Makes the metrics view of this instance.
 
     :param instance_id: This instance.
+    :param incarnation: This start of its process.
     :param clock: Source of the present time.
     :param metrics: What was recorded.
     :param configuration: The configuration in force.
@@ -73,6 +79,7 @@
     """
 
     instance_id: InstanceId
+    incarnation: str
     clock: Clock
     metrics: Metrics
     configuration: ConfigurationSource
@@ -87,6 +94,7 @@
         )
         return MetricsView(
             self.instance_id,
+            self.incarnation,
             self.clock.wall_seconds(),
             self.metrics.snapshot(),
             promises_of(self.configuration.current()),
@@ -94,21 +102,53 @@
         )
 
 
+def make_metrics_reporter(
+    registry: Registry, instance_id: InstanceId, incarnation: str
+) -> MetricsReporter:
+    """
+    Make the reporter of a process from its services.
+
+    :param registry: Holds clock, metrics, configuration and fleet.
+    :param instance_id: This instance.
+    :param incarnation: This start of its process.
+    """
+    return MetricsReporter(
+        instance_id,
+        incarnation,
+        registry.lookup(
+            ServiceName.CLOCK,
+            Clock,  # type: ignore[type-abstract]
+        ),
+        registry.lookup(ServiceName.METRICS, Metrics),
+        registry.lookup(
+            ServiceName.CONFIGURATION,
+            ConfigurationSource,  # type: ignore[type-abstract]
+        ),
+        registry.lookup(
+            ServiceName.FLEET,
+            FleetView,  # type: ignore[type-abstract]
+        ),
+    )
+
+
 def promises_of(configuration: Configuration) -> tuple[ServicePromise, ...]:
     """
-    Return what each customer is promised.
+    Return what each customer is promised, callers of open routes first.
 
     :param configuration: The configuration, with its exceptions.
     """
-    return tuple(
-        _promise(configuration, customer_id)
+    customers = tuple(
+        _promise(customer_id, configuration.defaults_for(_scope(customer_id)))
         for customer_id in sorted(configuration.customers)
     )
+    return (_promise(OPEN_ROUTES, configuration.defaults), *customers)
+
+
+def _scope(customer_id: CustomerId) -> Scope:
+    return Scope(ScopeKind.CUSTOMER, customer_id)
 
 
-def _promise(configuration: Configuration, customer_id: CustomerId) -> ServicePromise:
-    scope = Scope(ScopeKind.CUSTOMER, customer_id)
-    defaults = configuration.defaults_for(scope)
+def _promise(customer_id: CustomerId, defaults: Defaults) -> ServicePromise:
     return ServicePromise(
         customer_id,
         defaults.first_token_seconds,
--- a/src/waxwingwinch/operators_api/tests/test_operator_requests.py
+++ b/src/waxwingwinch/operators_api/tests/test_operator_requests.py
@@ -36,6 +36,7 @@
 from waxwingwinch.kernel import Health, SystemClock
 from waxwingwinch.observability import LatencyKind, MetricKey, Metrics, RequestResult
 from waxwingwinch.operators_api import (
+    OPEN_ROUTES,
     ApiAnswer,
     ApiRequest,
     BodyInvalid,
@@ -257,10 +258,11 @@
     key = MetricKey(CustomerId("cebu"), "/v1/completions")
     metrics.record(key, LatencyKind.FIRST_TOKEN, 0.25)
     metrics.count(key, RequestResult.SERVED)
-    reporter = MetricsReporter(SELF, CLOCK, metrics, service, OneEngine())
+    reporter = MetricsReporter(SELF, "a", CLOCK, metrics, service, OneEngine())
     view = reporter.view()
     assert read_body(write_body(view), MetricsView) == view
-    (promise,) = view.promises
+    open_routes, promise = view.promises
+    assert open_routes.customer_id == OPEN_ROUTES
     assert (promise.customer_id, promise.first_token_seconds) == ("cebu", 0.42)
     (price,) = view.upstreams
     assert (price.price_class, price.price_per_hour) == (PriceClass.CHEAP, 1.5)
