Explain decisions of duty holders through any entry

waxwing-ctl explain showed only what the answering entry had decided itself; role changes, purchases, grants and reports are decided by the holders of duties, which already answer ExplainRequest but were never asked.

The entry now asks the holder of each duty of the cell, each process once, with a second's limit, and merges by time.

--- /dev/null
+++ b/src/waxwingwinch/entry/_cell_decisions.py
@@ -0,0 +1,78 @@
+"""Reasons of decisions from this entry and from the holders of duties."""
+
+from collections.abc import Callable, Sequence
+from typing import Any, Protocol
+
+import eliot
+
+from waxwingwinch._exceptions import MalformedMessage, PeerUnavailable
+from waxwingwinch.contracts import DecisionLog, Reason
+from waxwingwinch.observability import ExplainReply, ExplainRequest
+
+#: How long one holder may take to answer.
+ASK_TIMEOUT_SECONDS = 1.0
+
+
+class HolderLink(Protocol):
+    """A link to a holder, such as a :class:`PeerLink`."""
+
+    def request(self, body: object, timeout_seconds: float) -> Any:
+        """Send a request and return the reply."""
+
+
+class CellDecisions:
+    """
+    A decision log that also asks the holders of duties.
+
+    What a former holder decided is lost with it, unless it still runs and
+    holds another duty.
+
+    :param own: Reasons of this process.
+    :param duties: Names of the duties.
+    :param find_link: Returns the link to the holder of a duty; None while
+        the holder is unknown.
+    """
+
+    def __init__(
+        self,
+        own: DecisionLog,
+        duties: Sequence[str],
+        find_link: Callable[[str], HolderLink | None],
+    ) -> None:
+        self._own = own
+        self._duties = tuple(duties)
+        self._find_link = find_link
+
+    def add(self, reason: Reason) -> None:
+        """
+        Keep a reason of this process.
+
+        :param reason: The reason.
+        """
+        self._own.add(reason)
+
+    def about(self, name: str) -> tuple[Reason, ...]:
+        """
+        Return the reasons about a name, oldest first.
+
+        :param name: A request, upstream, customer or duty.
+        """
+        reasons = list(self._own.about(name))
+        for link in self._links():
+            reasons += _ask(link, name)
+        return tuple(sorted(reasons, key=lambda reason: reason.wall_seconds))
+
+    def _links(self) -> list[HolderLink]:
+        """Return each link once, as a process may hold several duties."""
+        found = [self._find_link(duty) for duty in self._duties]
+        distinct = {id(link): link for link in found if link is not None}
+        return list(distinct.values())
+
+
+def _ask(link: HolderLink, name: str) -> tuple[Reason, ...]:
+    try:
+        reply = link.request(ExplainRequest(name), ASK_TIMEOUT_SECONDS)
+    except (PeerUnavailable, MalformedMessage) as error:
+        eliot.log_message("entry:holder_not_explaining", reason=str(error))
+        return ()
+    return reply.reasons if isinstance(reply, ExplainReply) else ()
--- a/src/waxwingwinch/entry/_process.py
+++ b/src/waxwingwinch/entry/_process.py
@@ -23,6 +23,7 @@
 from waxwingwinch.contracts import Freshness, ServiceName
 from waxwingwinch.entry._application import EntryApplication
 from waxwingwinch.entry._heartbeats import HeartbeatExchange, HeartbeatMaker
+from waxwingwinch.entry._operator_requests import make_operator_requests
 from waxwingwinch.entry._options import EntryOptions
 from waxwingwinch.entry._peers import EntryRoster, WithdrawalMesh
 from waxwingwinch.fleet import FleetObserver
@@ -39,11 +40,7 @@
     decide_freshness,
 )
 from waxwingwinch.observability import MemoryDecisionLog, Metrics
-from waxwingwinch.operators_api import (
-    OperatorApi,
-    OperatorRequests,
-    make_metrics_reporter,
-)
+from waxwingwinch.operators_api import OperatorApi, OperatorRequests
 from waxwingwinch.peers import PeerIdentity, PeerProgram, PeerServer
 from waxwingwinch.placement import home_count, home_instances
 from waxwingwinch.settings import EntrySettings
@@ -211,19 +208,13 @@
         return application
 
     def _operator_requests(self) -> OperatorRequests:
-        reporter = make_metrics_reporter(
-            self.registry, self._settings.instance_id, self._incarnation
-        )
-        return OperatorRequests(
-            self._configuration,
-            self._withdrawals,
+        return make_operator_requests(
+            self.registry,
+            self._settings,
+            self._incarnation,
             self._roster,
-            self.registry.lookup(ServiceName.DECISIONS, MemoryDecisionLog),
+            self._holders,
             self.drain,
-            self.registry.health,
-            self._settings.instance_id,
-            self._settings.operator_tokens,
-            reporter.view,
         )
 
     def _register_peer_handlers(self, application: EntryApplication) -> None:
--- /dev/null
+++ b/src/waxwingwinch/entry/tests/test_cell_decisions.py
@@ -0,0 +1,42 @@
+from typing import Any
+
+from waxwingwinch._exceptions import PeerUnavailable
+from waxwingwinch.contracts import DecisionKind, Reason
+from waxwingwinch.entry._cell_decisions import CellDecisions
+from waxwingwinch.observability import (
+    ExplainReply,
+    ExplainRequest,
+    MemoryDecisionLog,
+)
+
+
+def reason(wall_seconds: float, text: str) -> Reason:
+    return Reason(DecisionKind.ROUTED, "engine-1", wall_seconds, text)
+
+
+class Holder:
+    """A holder that answers, or is gone."""
+
+    def __init__(self, *reasons: Reason, is_gone: bool = False) -> None:
+        self.reasons = reasons
+        self.is_gone = is_gone
+        self.asked: list[str] = []
+
+    def request(self, body: object, timeout_seconds: float) -> Any:
+        assert isinstance(body, ExplainRequest)
+        self.asked.append(body.name)
+        if self.is_gone:
+            raise PeerUnavailable("no reply")
+        return ExplainReply(self.reasons)
+
+
+def test_reasons_of_all_holders_come_in_order_of_time():
+    own = MemoryDecisionLog()
+    fleet = Holder(reason(3.0, "third"), reason(1.0, "first"))
+    gone = Holder(is_gone=True)
+    links = {"fleet-x": fleet, "buying-x": fleet, "usage-x": gone}
+    decisions = CellDecisions(own, [*links, "limits-x"], links.get)
+    decisions.add(reason(2.0, "second"))
+    texts = [item.text for item in decisions.about("engine-1")]
+    assert texts == ["first", "second", "third"]
+    assert fleet.asked == ["engine-1"]
--- a/src/waxwingwinch/operators/_status_commands.py
+++ b/src/waxwingwinch/operators/_status_commands.py
@@ -61,7 +61,8 @@
     json: JsonOption = False,
 ) -> None:
     """
-    Print why something was decided, from the answering entry's memory.
+    Print why something was decided, from the memory of the answering entry
+    and of the holders of duties.
 
     Example: waxwing-ctl explain engine-4
     """
