--- a/src/waxwingwinch/burn/_compute.py
+++ b/src/waxwingwinch/burn/_compute.py
@@ -248,8 +248,9 @@
     return promises
 
 
-def _worst_first(item: CustomerBurn) -> tuple[float, float, float, str]:
+def _worst_first(item: CustomerBurn) -> tuple[bool, float, float, float, str]:
     return (
+        not item.has_traffic,
         -item.worst_long_burn_rate,
         -item.worst_short_burn_rate,
         item.least_budget_left_ratio,
--- a/src/waxwingwinch/burn/tests/test_report.py
+++ b/src/waxwingwinch/burn/tests/test_report.py
@@ -159,9 +159,12 @@
     assert [item.customer_id for item in report.customers] == [BERT, ANNA, CLEO]
 
 
-def test_customers_without_traffic_are_listed():
-    report = make_report([Instance().view(0.0)], OPTIONS)
-    assert [item.has_traffic for item in report.customers] == [False] * 3
+def test_customers_without_traffic_are_listed_last():
+    instance = Instance()
+    instance.answer(BERT, 0.1)
+    report = make_report([instance.view(0.0)], OPTIONS)
+    assert [item.customer_id for item in report.customers] == [BERT, ANNA, CLEO]
+    assert [item.has_traffic for item in report.customers] == [True, False, False]
 
 
 def test_records_without_promise_and_missing_entries_are_noted():
