Keep market orders open until the list shows their effect

A trial with the stand-ins gave the same engine back again and again while the list lagged; the platform refused the repeats. Both tests failed before. A refused return now puts the engine back in service.

--- a/src/waxwingwinch/control/_buying_runner.py
+++ b/src/waxwingwinch/control/_buying_runner.py
@@ -134,7 +134,8 @@
         match self._drains.progress(upstream_id, defaults, now_seconds):
             case DrainDone():
                 intent = self._intent(upstream_id, GiveBack(upstream_id))
-                self._orders.begin(intent, now_seconds)
+                if self._orders.begin(intent, now_seconds) is not None:
+                    self._put_back(upstream_id, "the platform didn't take it back")
             case DrainOverdue():
                 self._put_back(upstream_id, "its work did not end in time")
 
@@ -219,6 +220,8 @@
                     UpstreamState.DRAINING,
                     reason=decision.reason,
                 )
+                # The next one has to be in surplus for as long again.
+                self._term.surplus_since_seconds.pop(decision.model, None)
                 if self._journal.direct(directive):
                     kind = DecisionKind.GAVE_BACK
                     self._explain(kind, decision.upstream_id, decision.reason)
--- a/src/waxwingwinch/control/_market_orders.py
+++ b/src/waxwingwinch/control/_market_orders.py
@@ -18,7 +18,8 @@
     UpstreamMarket,
 )
 
-#: A placed purchase that isn't listed after this time was withdrawn again.
+#: A placed order without effect in the list after this time is closed; a
+#: bought upstream may have been withdrawn before it was ever listed.
 LISTING_SECONDS = 120.0
 
 
@@ -40,8 +41,9 @@
     Carries intents of market orders to an outcome.
 
     A lost answer is resolved by reading back; a repeat bears the same name,
-    under which the platform carries an order out once. A purchase stays
-    open until its engine is listed, so that a successor counts it too.
+    under which the platform carries an order out once. An order stays open
+    until the list shows its effect: the list lags, and a planner that trusts
+    it would order again.
 
     :param journal: The records of the planner.
     :param observer: The fleet.
@@ -119,19 +121,23 @@
 
     def _note_placed(self, intent: OrderIntent, now_seconds: float) -> None:
         self._placed_seconds[intent.order_id] = now_seconds
-        if intent.give_back is not None:
-            self._close(intent)
 
     def _close_if_seen(self, intent: OrderIntent, now_seconds: float) -> None:
-        """Close a purchase once its engine is listed, or never will be."""
+        """Close an order once the list shows its effect, or never will."""
         placed_seconds = self._placed_seconds.get(intent.order_id)
         if placed_seconds is None:
             return
-        listed = any(
+        is_late = now_seconds - placed_seconds > LISTING_SECONDS
+        if is_late or self._is_listed(intent):
+            self._close(intent)
+
+    def _is_listed(self, intent: OrderIntent) -> bool:
+        """Tell whether the list shows the effect of an order."""
+        if intent.give_back is not None:
+            return self._observer.find(intent.give_back.upstream_id) is None
+        return any(
             view.listed.order_id == intent.order_id for view in self._observer.all()
         )
-        if listed or now_seconds - placed_seconds > LISTING_SECONDS:
-            self._close(intent)
 
     def _close(self, intent: OrderIntent) -> None:
         if self._journal.close(intent.order_id, OrderFate.OBSERVED):
--- a/src/waxwingwinch/control/tests/test_runners.py
+++ b/src/waxwingwinch/control/tests/test_runners.py
@@ -11,7 +11,7 @@
 from waxwingwinch.control._market_orders import MarketOrders
 from waxwingwinch.control.tests._world import E1, FakeWeights, World
 from waxwingwinch.fleet import Directive, OrderIntent
-from waxwingwinch.interfaces import OrderUpstream, SetRole
+from waxwingwinch.interfaces import GiveBack, OrderUpstream, SetRole
 from waxwingwinch.observability import MemoryDecisionLog
 
 DECODE, MIXED, PREFILL = EngineRole.DECODE, EngineRole.MIXED, EngineRole.PREFILL
@@ -181,3 +181,29 @@
         (order.action.zone, order.action.price_class) for order in world.market.sent
     }
     assert len(tried) > 1
+
+
+def test_engine_is_given_back_once_while_the_list_lags(world):
+    journal = world.journal("buying-c", Epoch(3))
+    assert journal.ready()
+    state = UpstreamState.DRAINING
+    assert journal.direct(Directive("buying-c", Epoch(3), UpstreamId("e2"), state))
+    runner = buying_runner(world, 5)
+    run(world, runner, 15)
+    assert [order.action for order in world.market.sent] == [GiveBack(UpstreamId("e2"))]
+    assert len(world.observer.open_intents()) == 1
+    world.market.rows = [row for row in world.market.rows if row.upstream_id != "e2"]
+    run(world, runner, 3)
+    assert world.observer.open_intents() == ()
+    assert world.observer.directives_draining() == ()
+
+
+def test_refused_return_puts_the_engine_back(world):
+    world.market.refusal = PlatformRefused("not now")
+    journal = world.journal("buying-c", Epoch(3))
+    assert journal.ready()
+    state = UpstreamState.DRAINING
+    assert journal.direct(Directive("buying-c", Epoch(3), UpstreamId("e2"), state))
+    run(world, buying_runner(world, 5), 15)
+    assert len(world.market.sent) == 1
+    assert world.observer.directives_draining() == ()
