--- a/src/waxwingwinch/control/_duty_threads.py
+++ b/src/waxwingwinch/control/_duty_threads.py
@@ -4,7 +4,7 @@
 
 import eliot
 
-from waxwingwinch._exceptions import AuthorityLost, WaxwingError
+from waxwingwinch._exceptions import AuthorityLost
 from waxwingwinch._types import Epoch
 from waxwingwinch.authority import DutyHolder
 from waxwingwinch.control._runner import DutyRunner
@@ -73,9 +73,9 @@
             try:
                 if not self.step(self._clock.now_seconds()):
                     pause_seconds = WAIT_PAUSE_SECONDS
-            except (WaxwingError, ValueError, LookupError) as error:
-                # One failed step must not end the duty; the next one starts
-                # from the log again.
+            except Exception as error:
+                # A duty that is held but not worked on would be the worst
+                # outcome; the next step starts from the log again.
                 eliot.log_message(
                     "control:step_failed",
                     duty=self._runner.duty,
