Prove that engines get no conflicting orders

Scenarios pause, kill and delay the holder of the fleet duty between intent, order and outcome, and check what the engines received against the log: epochs only grow, a name stands for one order that runs once, and no order is sent over an open one.

--- a/features/environment.py
+++ b/features/environment.py
@@ -2,13 +2,12 @@
 Hooks of the scenarios.
 
 Each feature runs in one deployment. A feature names its size by a tag
-``@instances.N``; a tag ``@cell.NAME`` picks the sizes of an example.
+``@instances.N``; a tag ``@plan.NAME`` picks its upstreams and its market.
 """
 
 from attrs import evolve
 
-from waxwing_testbed.deployment import tahi_plan
-from waxwing_testbed.scenario import World
+from waxwing_testbed.scenario import World, named_plan
 from waxwingwinch.configuration import Defaults
 
 #: Instances of a feature without a tag.
@@ -26,11 +25,8 @@
 
 
 def before_feature(context, feature):
-    instances = DEFAULT_INSTANCES
-    for tag in feature.tags:
-        if tag.startswith("instances."):
-            instances = int(tag.removeprefix("instances."))
-    plan = evolve(tahi_plan(), instances=instances)
+    instances = int(find_tag(feature, "instances.", str(DEFAULT_INSTANCES)))
+    plan = evolve(named_plan(find_tag(feature, "plan.", "tahi")), instances=instances)
     context.world = World(plan, TEST_DEFAULTS)
     context.world.start()
 
@@ -45,3 +41,11 @@
 
 def after_feature(context, feature):
     context.world.close()
+
+
+def find_tag(feature, prefix, default):
+    """Return what stands behind a prefix in the tags of a feature."""
+    for tag in feature.tags:
+        if tag.startswith(prefix):
+            return tag.removeprefix(prefix)
+    return default
--- a/src/waxwing_testbed/scenario/__init__.py
+++ b/src/waxwing_testbed/scenario/__init__.py
@@ -1,5 +1,6 @@
 """Deployments with callers, faults and history, for scenarios."""
 
+from waxwing_testbed.scenario._authority import PLATFORM, AuthorityWatch
 from waxwing_testbed.scenario._configuration import (
     CATALOGUE_PATH,
     NARROW,
@@ -15,6 +16,7 @@
     make_configuration,
     make_customer,
 )
+from waxwing_testbed.scenario._plans import named_plan
 from waxwing_testbed.scenario._world import CUT_BOTH, WAIT_SECONDS, World
 
 __all__ = [
@@ -26,12 +28,15 @@
     "ORDER_PATH",
     "OTHER",
     "PAYMENT_PATH",
+    "PLATFORM",
     "STATUS_PATH",
     "WAIT_SECONDS",
     "WIDE",
+    "AuthorityWatch",
     "World",
     "key_id_of",
     "key_of",
     "make_configuration",
     "make_customer",
+    "named_plan",
 ]
