--- a/src/waxwing_testbed/scenario/__init__.py
+++ b/src/waxwing_testbed/scenario/__init__.py
@@ -1,5 +1,9 @@
 """Deployments with callers, faults and history, for scenarios."""
 
+from waxwing_testbed.scenario._authority import (
+    PLATFORM,
+    AuthorityWatch,
+)
 from waxwing_testbed.scenario._configuration import (
     CATALOGUE_PATH,
     NARROW,
@@ -15,6 +19,9 @@
     make_configuration,
     make_customer,
 )
+from waxwing_testbed.scenario._plans import (
+    named_plan,
+)
 from waxwing_testbed.scenario._request_checks import (
     count_order_runs,
     count_payment_runs,
@@ -23,9 +30,14 @@
     is_claimed,
     request_violations,
 )
-from waxwing_testbed.scenario._world import CUT_BOTH, WAIT_SECONDS, World
+from waxwing_testbed.scenario._world import (
+    CUT_BOTH,
+    WAIT_SECONDS,
+    World,
+)
 
 __all__ = [
+    "AuthorityWatch",
     "CATALOGUE_PATH",
     "CUT_BOTH",
     "NARROW",
@@ -34,6 +46,7 @@
     "ORDER_PATH",
     "OTHER",
     "PAYMENT_PATH",
+    "PLATFORM",
     "STATUS_PATH",
     "WAIT_SECONDS",
     "WIDE",
@@ -47,5 +60,6 @@
     "key_of",
     "make_configuration",
     "make_customer",
+    "named_plan",
     "request_violations",
 ]
--- a/src/waxwingwinch/entry/tests/test_completions.py
+++ b/src/waxwingwinch/entry/tests/test_completions.py
@@ -181,7 +181,7 @@
 def test_a_begun_stream_asks_each_engine_before_it_fails(entry):
     names = ("e1", "e2", "e3", "e4", "e5", "e6")
     entry.fleet.engine_views = tuple(
-        engine_view(name, port, waiting=port, waiting_prompt_tokens=2_000 * port)
+        engine_view(name, port, decode_seconds_per_token=0.02 if port == 1 else 0.1)
         for port, name in enumerate(names, 1)
     )
     entry.engine.behaviours = {
