Look for a withdrawn key again just before a plain call is sent

Cause: a key could be withdrawn while its order waited for the claim, or while the process was paused; the call was still sent. Ruled out: the freshness check before the send, which a live instance passes. Change: the key is looked up again right before each try; a claim is given up as not run. The test got a 201 before and gets 401, not run, nothing sent.

--- a/src/waxwingwinch/entry/_callers.py
+++ b/src/waxwingwinch/entry/_callers.py
@@ -50,7 +50,7 @@
         case KeyRejected(KeyRejection.STALE):
             raise _stale()
         case KeyRejected(KeyRejection.WITHDRAWN):
-            raise _withdrawn(Outcome.NOT_RUN)
+            raise key_withdrawn(Outcome.NOT_RUN)
         case KeyRejected():
             text = "the key is not known"
             raise RequestFailed(401, ErrorCode.KEY_REJECTED, text)
@@ -138,7 +138,7 @@
         :raises CallerGone: If nobody waits for the answer.
         """
         if self._services.configuration.is_withdrawn(self._caller.key_id):
-            raise _withdrawn(outcome)
+            raise key_withdrawn(outcome)
         now_seconds = self._services.clock.now_seconds()
         if now_seconds >= self.deadline_seconds:
             text = "the answer was not complete by the deadline"
@@ -157,7 +157,12 @@
     )
 
 
-def _withdrawn(outcome: Outcome) -> RequestFailed:
+def key_withdrawn(outcome: Outcome) -> RequestFailed:
+    """
+    Return the error of a request whose key was withdrawn.
+
+    :param outcome: What is known of its execution.
+    """
     text = "the key was withdrawn"
     return RequestFailed(401, ErrorCode.KEY_WITHDRAWN, text, outcome)
 
--- a/src/waxwingwinch/entry/_plain.py
+++ b/src/waxwingwinch/entry/_plain.py
@@ -16,7 +16,7 @@
     UpstreamView,
 )
 from waxwingwinch.decisions import RetryRefused
-from waxwingwinch.entry._callers import admit_rate, authenticate
+from waxwingwinch.entry._callers import admit_rate, authenticate, key_withdrawn
 from waxwingwinch.entry._crash_guard import Quarantined, request_fingerprint
 from waxwingwinch.entry._errors import ErrorCode, RequestFailed, quarantined
 from waxwingwinch.entry._headers import idempotency_key, upstream_headers
@@ -49,6 +49,7 @@
     :param request: The request.
     :param route: Its route.
     :param customer_id: Its customer; ``NOBODY`` on open routes.
+    :param key_id: Public name of its key; empty on open routes.
     :param fingerprint: Name that a repeated request shares.
     :param deadline_seconds: Monotonic time by which it must be answered.
     :param send_until_seconds: Monotonic time after which it must not be
@@ -58,6 +59,7 @@
     request: IncomingRequest
     route: Route
     customer_id: CustomerId
+    key_id: str
     fingerprint: str
     deadline_seconds: float
     send_until_seconds: float
@@ -99,9 +101,10 @@
         return self._run_claimed(job, key)
 
     def _job(self, request: IncomingRequest, route: Route) -> _PlainJob:
-        customer_id = NOBODY
+        customer_id, key_id = NOBODY, ""
         if route.access is RouteAccess.KEYED:
-            customer_id = authenticate(self._services, request).customer_id
+            caller = authenticate(self._services, request)
+            customer_id, key_id = caller.customer_id, caller.key_id
         defaults = self._services.configuration.current().defaults
         self._router.count_request(defaults.retry_budget_ratio)
         timeout_seconds = min(route.timeout_seconds, defaults.request_timeout_seconds)
@@ -113,6 +116,7 @@
             request,
             route,
             customer_id,
+            key_id,
             fingerprint,
             deadline_seconds,
             deadline_seconds,
@@ -187,6 +191,8 @@
             view = self._choose(job, tried)
             if view is None or self._must_not_send(job):
                 raise self._failed(job, reason, outcome)
+            if job.key_id and self._services.configuration.is_withdrawn(job.key_id):
+                raise key_withdrawn(outcome)
             tries += 1
             tried.add(view.upstream_id)
             try:
--- a/src/waxwingwinch/entry/tests/fakes.py
+++ b/src/waxwingwinch/entry/tests/fakes.py
@@ -4,7 +4,7 @@
 import json
 import threading
 import time
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 import urllib3
 from attrs import define, evolve, field, frozen
@@ -134,6 +134,7 @@
     answers: list[StoredAnswer] = field(factory=list)
     not_run: int = 0
     unknown: int = 0
+    on_claim: Callable[[], None] = lambda: None
 
     def claim(
         self,
@@ -143,6 +144,7 @@
         timeout_seconds: float,
         now_seconds: float,
     ) -> ClaimResult:
+        self.on_claim()
         return self.result
 
     def record_answer(self, claim_id: str, answer: StoredAnswer) -> None:
--- a/src/waxwingwinch/entry/tests/test_plain.py
+++ b/src/waxwingwinch/entry/tests/test_plain.py
@@ -135,6 +135,14 @@
     assert (entry.store.unknown, entry.store.not_run) == (1, 1)
 
 
+def test_key_withdrawn_during_the_claim_sends_nothing(entry):
+    entry.store.on_claim = lambda: entry.configuration.withdrawn.add(KEY)
+    response = entry.call("POST", "/book", headers=WITH_KEY)
+    assert (response.status, outcome_of(response)) == (401, "not_run")
+    assert entry.store.not_run == 1
+    assert entry.plain.calls == []
+
+
 def test_lapsed_claim_is_not_sent(entry):
     entry.store.result = ClaimHeld("claim", 0.0)
     response = entry.call("POST", "/book", headers=WITH_KEY)
