--- a/src/waxwing_testbed/deployment/__init__.py
+++ b/src/waxwing_testbed/deployment/__init__.py
@@ -13,7 +13,6 @@
     greenwood_plan,
     tahi_plan,
 )
-from waxwing_testbed.deployment._ports import free_addresses
 from waxwing_testbed.deployment._process import ManagedProcess
 from waxwing_testbed.deployment._settings_files import OPERATOR_TOKEN, SHARED_SECRET
 
@@ -28,7 +27,6 @@
     "ManagedProcess",
     "PlainGroup",
     "TestOperator",
-    "free_addresses",
     "greenwood_plan",
     "tahi_plan",
 ]
--- a/src/waxwing_testbed/deployment/_settings_files.py
+++ b/src/waxwing_testbed/deployment/_settings_files.py
@@ -5,8 +5,8 @@
 from attrs import evolve, frozen
 from ruamel.yaml import YAML
 
+from waxwing_testbed import free_addresses
 from waxwing_testbed.deployment._plan import DeploymentPlan
-from waxwing_testbed.deployment._ports import free_addresses
 from waxwing_testbed.standins import (
     EngineSettings,
     PlainSettings,
--- a/src/waxwing_testbed/scenario/__init__.py
+++ b/src/waxwing_testbed/scenario/__init__.py
@@ -1,5 +1,9 @@
 """Deployments with callers, faults and history, for scenarios."""
 
+from waxwing_testbed.scenario._authority import (
+    PLATFORM,
+    AuthorityWatch,
+)
 from waxwing_testbed.scenario._configuration import (
     CATALOGUE_PATH,
     NARROW,
@@ -16,6 +20,9 @@
     make_customer,
 )
 from waxwing_testbed.scenario._intruder import is_closed_after
+from waxwing_testbed.scenario._plans import (
+    named_plan,
+)
 from waxwing_testbed.scenario._request_checks import (
     count_order_runs,
     count_payment_runs,
@@ -33,9 +40,14 @@
     plan_faults,
     run_schedule,
 )
-from waxwing_testbed.scenario._world import CUT_BOTH, WAIT_SECONDS, World
+from waxwing_testbed.scenario._world import (
+    CUT_BOTH,
+    WAIT_SECONDS,
+    World,
+)
 
 __all__ = [
+    "AuthorityWatch",
     "CATALOGUE_PATH",
     "CUT_BOTH",
     "NARROW",
@@ -44,6 +56,7 @@
     "ORDER_PATH",
     "OTHER",
     "PAYMENT_PATH",
+    "PLATFORM",
     "STATUS_PATH",
     "WAIT_SECONDS",
     "WIDE",
@@ -64,6 +77,7 @@
     "make_customer",
     "plan_calls",
     "plan_faults",
+    "named_plan",
     "request_violations",
     "run_schedule",
 ]
--- a/src/waxwingwinch/control/_process.py
+++ b/src/waxwingwinch/control/_process.py
@@ -2,12 +2,14 @@
 
 from attrs import frozen
 
+from waxwingwinch._exceptions import AuthorityLost
 from waxwingwinch.adapters import (
     CONTROL_USER_TIMEOUT_SECONDS,
     HttpEngine,
     HttpInstanceList,
     HttpPlatformLog,
     HttpUpstreamMarket,
+    HttpUsageIntake,
     HttpWeightStore,
 )
 from waxwingwinch.authority import DutyDirectory, DutyHolder, FenceTimer
@@ -24,8 +26,10 @@
 from waxwingwinch.control._market_orders import MarketOrders
 from waxwingwinch.control._runner import DutyRunner
 from waxwingwinch.control._snapshot_runner import SnapshotRunner
+from waxwingwinch.control._usage import EntryLinks, GuardedIntake
 from waxwingwinch.fleet import (
     FleetObserver,
+    PollNeeds,
     buying_duty,
     fleet_duty,
     fleet_stream,
@@ -33,7 +37,7 @@
 from waxwingwinch.interfaces import PlatformLog
 from waxwingwinch.kernel import Clock, Registry, SystemClock
 from waxwingwinch.limits import ExtraRequest, FloorRequest, GrantorDuty
-from waxwingwinch.membership import Heartbeat, InstanceDirectory
+from waxwingwinch.membership import Heartbeat, InstanceDirectory, PeerMesh
 from waxwingwinch.observability import (
     ExplainHandler,
     ExplainRequest,
@@ -42,6 +46,7 @@
 from waxwingwinch.peers import PeerIdentity, PeerProgram, PeerServer
 from waxwingwinch.settings import ControlSettings
 from waxwingwinch.streams import StreamWriter
+from waxwingwinch.usage import UsageReportRunner
 
 
 @frozen
@@ -89,6 +94,7 @@
     runners = (
         *_fleet_runners(base, registry),
         _limits_runner(base, registry),
+        _usage_runner(base, registry),
         SnapshotRunner(base.configuration),
     )
     for runner in runners:
@@ -111,9 +117,6 @@
     clock = SystemClock()
     platform = settings.platform_address
     log = HttpPlatformLog(platform)
-    identity = PeerIdentity(
-        settings.instance_id, PeerProgram.CONTROL, settings.zone, settings.cell
-    )
     decisions = MemoryDecisionLog()
     directory = DutyDirectory(log, clock)
     holder = DutyHolder(
@@ -133,10 +136,17 @@
         settings,
         clock,
         log,
-        PeerServer(settings.peer_address, identity, settings.secrets()),
+        PeerServer(settings.peer_address, _identity(settings), settings.secrets()),
         directory,
         holder,
-        FleetObserver(market, engine, log, clock, settings.cell),
+        FleetObserver(
+            market,
+            engine,
+            log,
+            clock,
+            settings.cell,
+            lambda: _poll_needs(holder, clock, fleet_duty(settings.cell)),
+        ),
         EntryBook(clock.now_seconds),
         # A control process serves no callers, so it is never stale.
         ConfigurationService(log, clock, lambda now_seconds: Freshness.FRESH),
@@ -210,6 +220,44 @@
     return grantor
 
 
+def _usage_runner(base: Base, registry: Registry) -> UsageReportRunner:
+    settings = base.settings
+    mesh = PeerMesh(
+        base.instances,
+        _identity(settings),
+        settings.secrets(),
+        settings.peer_seeds,
+    )
+    registry.register(ServiceName.MEMBERSHIP, mesh)
+    intake = HttpUsageIntake(settings.platform_address)
+    duty = f"usage-{settings.cell}"
+    runner = UsageReportRunner(
+        settings.cell,
+        base.log,
+        base.clock,
+        base.configuration.current,
+        EntryLinks(base.instances, mesh).peers,
+        GuardedIntake(intake, duty, base.holder, base.clock),
+    )
+    registry.register(ServiceName.USAGE, runner)
+    return runner
+
+
+def _poll_needs(holder: DutyHolder, clock: Clock, duty: str) -> PollNeeds:
+    """Engines are asked only by the process that decides about them."""
+    try:
+        holder.epoch_of(duty, clock.now_seconds())
+    except AuthorityLost:
+        return PollNeeds.NOTHING
+    return PollNeeds.LOAD
+
+
+def _identity(settings: ControlSettings) -> PeerIdentity:
+    return PeerIdentity(
+        settings.instance_id, PeerProgram.CONTROL, settings.zone, settings.cell
+    )
+
+
 def _drains(base: Base) -> DrainWatch:
     settings = base.settings
     return DrainWatch(
--- a/src/waxwingwinch/entry/_process.py
+++ b/src/waxwingwinch/entry/_process.py
@@ -23,6 +23,7 @@
 from waxwingwinch.contracts import Freshness, ServiceName
 from waxwingwinch.entry._application import EntryApplication
 from waxwingwinch.entry._heartbeats import HeartbeatExchange, HeartbeatMaker
+from waxwingwinch.entry._operator_requests import make_operator_requests
 from waxwingwinch.entry._options import EntryOptions
 from waxwingwinch.entry._peers import EntryRoster, WithdrawalMesh
 from waxwingwinch.fleet import FleetObserver
@@ -207,15 +208,13 @@
         return application
 
     def _operator_requests(self) -> OperatorRequests:
-        return OperatorRequests(
-            self._configuration,
-            self._withdrawals,
+        return make_operator_requests(
+            self.registry,
+            self._settings,
+            self._incarnation,
             self._roster,
-            self.registry.lookup(ServiceName.DECISIONS, MemoryDecisionLog),
+            self._holders,
             self.drain,
-            self.registry.health,
-            self._settings.instance_id,
-            self._settings.operator_tokens,
         )
 
     def _register_peer_handlers(self, application: EntryApplication) -> None:
--- a/src/waxwingwinch/limits/tests/test_services.py
+++ b/src/waxwingwinch/limits/tests/test_services.py
@@ -14,6 +14,7 @@
 from waxwingwinch.interfaces import ListedInstance
 from waxwingwinch.kernel import SystemClock
 from waxwingwinch.limits import (
+    ExtraRequest,
     FloorRequest,
     GrantorDuty,
     Holder,
@@ -43,14 +44,18 @@
         self.duty = duty
         self.peer = PeerIdentity(instance_id, PeerProgram.ENTRY, ZoneName("z"), CELL)
         self.is_down = False
+        #: Epoch of the lease that guards grants.
+        self.epoch = Epoch(1)
 
     def request(self, body, timeout_seconds):
         if self.is_down:
             raise PeerUnavailable("down")
         body = decode_message(encode_message(body))
-        is_floor = isinstance(body, FloorRequest)
-        handle = self.duty.handle_floors if is_floor else self.duty.handle_extras
-        return decode_message(encode_message(handle(self.peer, body)))
+        if isinstance(body, FloorRequest):
+            reply = self.duty.handle_floors(self.peer, body)
+        else:
+            reply = self.duty.handle_extras(self.peer, body, self.epoch)
+        return decode_message(encode_message(reply))
 
 
 class Cell:
@@ -195,3 +200,13 @@
     limiter.admit(CUSTOMER, 0.0)
     decisions = [limiter.admit(CUSTOMER, 1_000.0) for _ in range(20)]
     assert sum(isinstance(decision, Admitted) for decision in decisions) == 10
+
+
+def test_a_lease_of_another_epoch_grants_nothing(cell):
+    limiter = cell.limiter(0)
+    cell.duty.begin(Epoch(1), CLOCK.now_seconds())
+    wait_for(lambda: cell.duty._grantor.epoch == 1)
+    request = ExtraRequest(limiter._holder, Epoch(1), ())
+    peer = cell.links[0].peer
+    assert cell.duty.handle_extras(peer, request, Epoch(1)).epoch == 1
+    assert cell.duty.handle_extras(peer, request, Epoch(2)).epoch is None
