--- a/src/waxwing_testbed/scenario/__init__.py
+++ b/src/waxwing_testbed/scenario/__init__.py
@@ -1,6 +1,9 @@
 """Deployments with callers, faults and history, for scenarios."""
 
-from waxwing_testbed.scenario._authority import PLATFORM, AuthorityWatch
+from waxwing_testbed.scenario._authority import (
+    PLATFORM,
+    AuthorityWatch,
+)
 from waxwing_testbed.scenario._configuration import (
     CATALOGUE_PATH,
     NARROW,
@@ -16,11 +19,26 @@
     make_configuration,
     make_customer,
 )
-from waxwing_testbed.scenario._plans import named_plan
+from waxwing_testbed.scenario._plans import (
+    named_plan,
+)
+from waxwing_testbed.scenario._request_checks import (
+    count_order_runs,
+    count_payment_runs,
+    engines_of,
+    instance_names,
+    is_claimed,
+    request_violations,
+)
 from waxwing_testbed.scenario._takeover import Takeover
-from waxwing_testbed.scenario._world import CUT_BOTH, WAIT_SECONDS, World
+from waxwing_testbed.scenario._world import (
+    CUT_BOTH,
+    WAIT_SECONDS,
+    World,
+)
 
 __all__ = [
+    "AuthorityWatch",
     "CATALOGUE_PATH",
     "CUT_BOTH",
     "NARROW",
@@ -33,12 +51,17 @@
     "STATUS_PATH",
     "WAIT_SECONDS",
     "WIDE",
-    "AuthorityWatch",
     "Takeover",
     "World",
+    "count_order_runs",
+    "count_payment_runs",
+    "engines_of",
+    "instance_names",
+    "is_claimed",
     "key_id_of",
     "key_of",
     "make_configuration",
     "make_customer",
     "named_plan",
+    "request_violations",
 ]
--- a/src/waxwingwinch/entry/tests/test_completions.py
+++ b/src/waxwingwinch/entry/tests/test_completions.py
@@ -79,7 +79,7 @@
     entry.engine.behaviours = {1: Behaviour(breaks_at=2)}
     entry.fleet.engine_views = (
         engine_view("e1", 1),
-        engine_view("e2", 2, waiting_prompt_tokens=1_000, waiting=1),
+        engine_view("e2", 2, decode_seconds_per_token=0.1),
     )
     response = entry.complete(stream=stream)
     if stream:
@@ -146,13 +146,16 @@
 
 
 def test_stalled_engine_is_left(entry, monkeypatch):
-    monkeypatch.setattr("waxwingwinch.entry._generation.NEXT_TOKEN_STALL_SECONDS", 0.3)
+    monkeypatch.setattr(
+        "waxwingwinch.entry._stream_watcher.NEXT_TOKEN_STALL_SECONDS", 0.3
+    )
     entry.engine.behaviours = {1: Behaviour(hangs_at=2)}
     entry.fleet.engine_views = (
         engine_view("e1", 1),
-        engine_view("e2", 2, waiting_prompt_tokens=1_000, waiting=1),
+        engine_view("e2", 2, decode_seconds_per_token=0.1),
     )
     assert streamed_text(events(entry.complete(stream=True))) == WHOLE
+    assert [c.resume_from_token for _, c in entry.engine.calls] == [0, 2]
 
 
 def test_crashing_request_is_contained(entry):
@@ -175,6 +178,20 @@
     assert entry.complete(max_tokens=7).status == 200
 
 
+def test_a_begun_stream_asks_each_engine_before_it_fails(entry):
+    names = ("e1", "e2", "e3", "e4", "e5", "e6")
+    entry.fleet.engine_views = tuple(
+        engine_view(name, port, decode_seconds_per_token=0.02 if port == 1 else 0.1)
+        for port, name in enumerate(names, 1)
+    )
+    entry.engine.behaviours = {
+        1: Behaviour(breaks_at=2),
+        **{port: Behaviour(refuses=True) for port in (2, 3, 4, 5)},
+    }
+    assert streamed_text(events(entry.complete(stream=True))) == WHOLE
+    assert entry.engine.calls[-1][1].resume_from_token == 2
+
+
 def test_splits_long_prompts(entry):
     entry.fleet.engine_views = (
         engine_view("p", 1, EngineRole.PREFILL, decode_seconds_per_token=0.1),
--- a/src/waxwingwinch/operators_api/__init__.py
+++ b/src/waxwingwinch/operators_api/__init__.py
@@ -23,6 +23,15 @@
     read_body,
     write_body,
 )
+from waxwingwinch.operators_api._metrics_view import (
+    OPEN_ROUTES,
+    MetricsReporter,
+    MetricsView,
+    ServicePromise,
+    UpstreamPrice,
+    make_metrics_reporter,
+    promises_of,
+)
 from waxwingwinch.operators_api._requests import (
     ApiAnswer,
     ApiRequest,
@@ -31,6 +40,7 @@
 )
 
 __all__ = [
+    "OPEN_ROUTES",
     "ApiAnswer",
     "ApiRequest",
     "BodyInvalid",
@@ -42,16 +52,22 @@
     "HistoryView",
     "InstanceStates",
     "InstanceView",
+    "MetricsReporter",
+    "MetricsView",
     "OperatorApi",
     "OperatorRequests",
     "PublishedView",
     "ReasonsView",
+    "ServicePromise",
     "StatusView",
     "UnavailableView",
+    "UpstreamPrice",
     "WithdrawRequest",
     "WithdrawalView",
     "describe_changes",
     "diff_configurations",
+    "make_metrics_reporter",
+    "promises_of",
     "read_body",
     "write_body",
 ]
