Keep the least engines of models without demand

Cause: purchases were planned only for models of which some demand had been reported, so after a change of the least number of engines, and in a new term before the first request, nothing was bought. Ruled out: the market (it offered capacity) and the intents (none was logged). Change: the planner goes over the configured models and takes work that was never seen as none. Returns still wait for the warm-up of a term.

--- a/src/waxwingwinch/control/_buying_runner.py
+++ b/src/waxwingwinch/control/_buying_runner.py
@@ -27,6 +27,7 @@
     Purchase,
     Refusal,
     Return,
+    WorkForecast,
     plan_purchases,
     spare_engine,
 )
@@ -150,9 +151,7 @@
             return
         configuration = self._configuration()
         views = self._service_views()
-        for work in self._entries.forecast(LEAD_SECONDS, now_seconds):
-            if work.model not in configuration.models:
-                continue
+        for work in self._expected_work(configuration, now_seconds):
             own = [view for view in views if view.model == work.model]
             defaults = configuration.defaults_for(Scope(ScopeKind.MODEL, work.model))
             need = ModelNeed(work.model, engines_of_work(work, own))
@@ -172,6 +171,17 @@
             for decision in plan_purchases(state, defaults, now_seconds):
                 self._carry_out(decision, now_seconds)
 
+    def _expected_work(
+        self, configuration: Configuration, now_seconds: float
+    ) -> list[WorkForecast]:
+        """Return the work of each model; none where no demand was seen."""
+        forecasts = self._entries.forecast(LEAD_SECONDS, now_seconds)
+        by_model = {work.model: work for work in forecasts}
+        return [
+            by_model.get(model, WorkForecast(model, 0.0, 0.0))
+            for model in configuration.models
+        ]
+
     def _service_views(self) -> list[UpstreamView]:
         """Return the engines that are in service or will be."""
         returned = {directive.upstream_id for directive in self._journal.drains()}
--- a/src/waxwingwinch/control/tests/test_runners.py
+++ b/src/waxwingwinch/control/tests/test_runners.py
@@ -1,6 +1,7 @@
 """Tests of the runners over a log in memory."""
 
 import pytest
+from attrs import evolve
 
 from waxwingwinch._exceptions import PlatformRefused
 from waxwingwinch._types import EngineRole, Epoch, UpstreamId, UpstreamState
@@ -207,3 +208,17 @@
     run(world, buying_runner(world, 5), 15)
     assert len(world.market.sent) == 1
     assert world.observer.directives_draining() == ()
+
+
+def test_a_model_without_demand_keeps_its_least_engines(world):
+    least = len(world.market.rows) + 1
+    world.configuration = evolve(
+        world.configuration,
+        defaults=evolve(
+            world.configuration.defaults,
+            min_engines_per_model=least,
+            survive_zone_loss=False,
+        ),
+    )
+    run(world, buying_runner(world, 3), 30)
+    assert len(world.market.placed) == 1
