--- a/features/environment.py
+++ b/features/environment.py
@@ -7,7 +7,7 @@
 
 from attrs import evolve
 
-from waxwing_testbed.scenario import Takeover, World, named_plan
+from waxwing_testbed.scenario import BackgroundCallers, Takeover, World, named_plan
 from waxwingwinch.configuration import Defaults
 
 #: Instances of a feature without a tag.
@@ -34,9 +34,11 @@
 def before_scenario(context, scenario):
     context.world.notes.clear()
     context.takeover = Takeover(context.world)
+    context.callers = BackgroundCallers(context.world)
 
 
 def after_scenario(context, scenario):
+    context.callers.stop()
     context.world.restore()
 
 
--- /dev/null
+++ b/features/steps/planned_changes.py
@@ -0,0 +1,194 @@
+"""Steps about planned stops, role changes and leaving upstreams."""
+
+import json
+import time
+
+import urllib3
+from behave import given, then, when
+
+from waxwing_testbed.history import CallOutcome
+from waxwingwinch._types import ZoneName
+from waxwingwinch.configuration import SetDefault
+from waxwingwinch.interfaces import SetRole
+
+#: Length of a long stream; some seconds at the speed of the stand-ins.
+LONG_TOKENS = 400
+#: Prompt of calls that make the reading of prompts the scarce thing.
+LONG_PROMPT_WORDS = 1_500
+#: Callers with long prompts.
+LONG_PROMPT_CALLERS = 3
+#: A utilization to aim at that makes every gain of speed worth a change.
+LOW_UTILIZATION = 0.1
+#: Longest time that a planned stop may take.
+STOP_SECONDS = 60.0
+
+
+@given("{count:d} long streams run at {name:w}")
+def step_streams(context, count, name):
+    before = generations(context)
+    for number in range(count):
+        call = context.world.chat(tokens=LONG_TOKENS, word=f"stream{number}")
+        context.callers.stream(call, name)
+
+    def all_run():
+        return generations(context) >= before + count
+
+    context.world.wait_until(all_run, "the streams run")
+
+
+@given("callers ask all instances all the time")
+def step_ask_all(context):
+    for instance in context.world.deployment.instances:
+        ask(context, str(instance.instance_id))
+
+
+@given("callers ask {name:w} all the time")
+def step_ask_one(context, name):
+    ask(context, name)
+
+
+@given("{name:w} is cut off from the platform")
+def step_cut(context, name):
+    context.world.cut_platform(name)
+
+
+@when("the entry of {name:w} is terminated")
+def step_terminate(context, name):
+    assert context.callers.running_streams(), "the streams are too short"
+    context.begun_seconds = time.monotonic()
+    context.world.instance(name).entry.terminate()
+
+
+@when("an operator drains {name:w}")
+def step_drain(context, name):
+    assert context.callers.running_streams(), "the streams are too short"
+    context.begun_seconds = time.monotonic()
+    context.world.operator(name).drain()
+
+
+@when("the cheap engines of {zone:w} are taken back within {seconds:d} seconds")
+def step_reclaim(context, zone, seconds):
+    context.notice_seconds = time.time()
+    context.leaving = context.world.deployment.admin.reclaim(ZoneName(zone), seconds)
+    context.stop_seconds = context.notice_seconds + seconds
+    assert context.leaving
+
+
+@when("these engines have stopped")
+def step_stopped(context):
+    def stopped():
+        return time.time() > context.stop_seconds + 1.0
+
+    context.world.wait_until(stopped, "the notice is over")
+
+
+@when("long prompts make role changes pay")
+def step_long_prompts(context):
+    plan = context.world.deployment.plan
+    count = sum(group.count for group in plan.engines)
+    context.takeover.note_orders()
+    context.world.operator().publish(
+        [
+            SetDefault("min_engines_per_model", count),
+            SetDefault("max_engines_per_model", count),
+            SetDefault("role_hold_seconds", 0.0),
+            SetDefault("target_utilization", LOW_UTILIZATION),
+        ]
+    )
+    for number in range(LONG_PROMPT_CALLERS):
+        word = f"{context.scenario.line}-{number}"
+        call = context.world.chat(tokens=2, words=LONG_PROMPT_WORDS, word=word)
+        context.callers.ask(call, f"i{number % 3 + 1}")
+
+
+@then("discovery names {name:w} no more within {seconds:d} seconds")
+def step_undiscovered(context, name, seconds):
+    address = str(context.world.instance(name).address)
+    others = [
+        instance
+        for instance in context.world.deployment.instances
+        if instance.instance_id != name
+    ]
+
+    def unnamed():
+        return all(address not in discovered(one.address) for one in others)
+
+    context.world.wait_until(unnamed, f"discovery doesn't name {name}")
+    lasted_seconds = time.monotonic() - context.begun_seconds
+    print(f"discovery names {name} no more after {lasted_seconds:.2f} s")
+    assert lasted_seconds <= seconds, lasted_seconds
+
+
+@then("new requests at {name:w} are told to come back elsewhere")
+def step_refused(context, name):
+    assert context.callers.running_streams(), "the streams are too short"
+    event = context.world.send(context.world.chat(), name)
+    assert event.outcome is CallOutcome.NOT_RUN, event
+    assert event.retry_after_seconds is not None, event
+
+
+@then("all long streams arrive whole")
+def step_whole_streams(context):
+    broken = [
+        one for one in context.callers.streams() if one.outcome != CallOutcome.WHOLE
+    ]
+    assert not broken, broken
+
+
+@then("the entry of {name:w} ends by itself")
+def step_ends(context, name):
+    status = context.world.instance(name).entry.wait_for_exit(STOP_SECONDS)
+    assert status == 0, status
+
+
+@then("they got no new work later than {seconds:d} seconds after the notice")
+def step_no_new_work(context, seconds):
+    context.events = context.callers.stop()
+    latest = [
+        row.at_seconds - context.notice_seconds
+        for name, journal in context.world.engine_journals().items()
+        if name in context.leaving
+        for row in journal.generations
+    ]
+    assert latest, "the leaving engines never had work"
+    print(f"newest work came {max(latest):.2f} s after the notice")
+    assert max(latest) <= seconds, max(latest)
+
+
+@then("every answer was whole")
+def step_every_answer(context):
+    broken = [one for one in context.events if one.outcome != CallOutcome.WHOLE]
+    assert context.events and not broken, broken[:5]
+
+
+@then("an engine is ordered to change its role")
+def step_role_order(context):
+    def ordered():
+        journals = context.world.engine_journals().values()
+        orders = [row.order for journal in journals for row in journal.orders]
+        return any(isinstance(order.action, SetRole) for order in orders)
+
+    context.world.wait_until(ordered, "a role change is ordered", 60.0)
+
+
+@then("no engine cut a stream")
+def step_no_cuts(context):
+    journals = context.world.engine_journals()
+    cuts = {name: one.cut_streams for name, one in journals.items() if one.cut_streams}
+    assert not cuts, cuts
+
+
+def ask(context, name):
+    context.callers.ask(context.world.chat(), name)
+    context.callers.ask(context.world.chat(word="other"), name)
+
+
+def generations(context):
+    journals = context.world.engine_journals().values()
+    return sum(len(journal.generations) for journal in journals)
+
+
+def discovered(address):
+    answer = urllib3.request("GET", f"http://{address}/discovery", retries=False)
+    rows = json.loads(answer.data)["instances"]
+    return [row["address"] for row in rows]
--- a/src/waxwing_testbed/deployment/_operator.py
+++ b/src/waxwing_testbed/deployment/_operator.py
@@ -11,6 +11,7 @@
 from waxwingwinch.operators_api import (
     ChangeRequest,
     ConfigurationView,
+    DrainedView,
     PublishedView,
     StatusView,
     WithdrawalView,
@@ -86,3 +87,7 @@
         :param key_id: Public name of the key.
         """
         return self._client.get("withdrawals", WithdrawalView, key_id)
+
+    def drain(self) -> DrainedView:
+        """Begin the planned stop of the first entry."""
+        return self._client.post("drain", None, DrainedView)
--- a/src/waxwing_testbed/scenario/__init__.py
+++ b/src/waxwing_testbed/scenario/__init__.py
@@ -4,6 +4,7 @@
     PLATFORM,
     AuthorityWatch,
 )
+from waxwing_testbed.scenario._background import BackgroundCallers
 from waxwing_testbed.scenario._configuration import (
     CATALOGUE_PATH,
     NARROW,
@@ -39,6 +40,7 @@
 
 __all__ = [
     "AuthorityWatch",
+    "BackgroundCallers",
     "CATALOGUE_PATH",
     "CUT_BOTH",
     "NARROW",
