--- a/src/waxwing_testbed/scenario/__init__.py
+++ b/src/waxwing_testbed/scenario/__init__.py
@@ -4,6 +4,9 @@
     PLATFORM,
     AuthorityWatch,
 )
+from waxwing_testbed.scenario._background import (
+    BackgroundCallers,
+)
 from waxwing_testbed.scenario._configuration import (
     CATALOGUE_PATH,
     NARROW,
@@ -19,7 +22,9 @@
     make_configuration,
     make_customer,
 )
-from waxwing_testbed.scenario._intruder import is_closed_after
+from waxwing_testbed.scenario._intruder import (
+    is_closed_after,
+)
 from waxwing_testbed.scenario._plans import (
     named_plan,
 )
@@ -40,6 +45,9 @@
     plan_faults,
     run_schedule,
 )
+from waxwing_testbed.scenario._takeover import (
+    Takeover,
+)
 from waxwing_testbed.scenario._world import (
     CUT_BOTH,
     WAIT_SECONDS,
@@ -48,8 +56,10 @@
 
 __all__ = [
     "AuthorityWatch",
+    "BackgroundCallers",
     "CATALOGUE_PATH",
     "CUT_BOTH",
+    "FaultKind",
     "NARROW",
     "NARROW_BURST_REQUESTS",
     "NARROW_RATE_PER_SECOND",
@@ -57,12 +67,12 @@
     "OTHER",
     "PAYMENT_PATH",
     "PLATFORM",
+    "PlannedCall",
+    "PlannedFault",
     "STATUS_PATH",
+    "Takeover",
     "WAIT_SECONDS",
     "WIDE",
-    "FaultKind",
-    "PlannedCall",
-    "PlannedFault",
     "World",
     "count_order_runs",
     "count_payment_runs",
@@ -75,9 +85,9 @@
     "key_of",
     "make_configuration",
     "make_customer",
+    "named_plan",
     "plan_calls",
     "plan_faults",
-    "named_plan",
     "request_violations",
     "run_schedule",
 ]
