Add scenarios about rate and burst

Callers of the narrow customer call all entries at about four times its rate and move from one to the next, while entries are paused, killed and replaced, the grantor is paused, killed or cut off, and the log is down. The bound is checked by what callers saw and by the times of the upstreams.

A signal to a process that ended at that moment made a scenario fail with ProcessLookupError; the process itself is now asked to send it.

The step 'until it is answered' was ambiguous with the one before it, so no feature could start; it is worded anew.

--- a/features/at_most_once.feature
+++ b/features/at_most_once.feature
@@ -19,5 +19,5 @@
     Then the caller is told "not_run" with a time to come back
     And the order "log-down" did not run
     Given the log is up
-    When the order "log-down" is sent to i1 until it is answered
+    When the order "log-down" is sent until i1 answers it
     Then the order "log-down" ran once
--- a/features/environment.py
+++ b/features/environment.py
@@ -2,7 +2,8 @@
 Hooks of the scenarios.
 
 Each feature runs in one deployment. A feature names its size by a tag
-``@instances.N``; a tag ``@cell.NAME`` picks the sizes of an example.
+``@instances.N``, and by ``@log_records.N`` how many records the log keeps of
+each stream.
 """
 
 from attrs import evolve
@@ -26,11 +27,13 @@
 
 
 def before_feature(context, feature):
-    instances = DEFAULT_INSTANCES
-    for tag in feature.tags:
-        if tag.startswith("instances."):
-            instances = int(tag.removeprefix("instances."))
-    plan = evolve(tahi_plan(), instances=instances)
+    plan = tahi_plan()
+    records = find_number(feature, "log_records.", plan.log.max_records)
+    plan = evolve(
+        plan,
+        instances=find_number(feature, "instances.", DEFAULT_INSTANCES),
+        log=evolve(plan.log, max_records=records),
+    )
     context.world = World(plan, TEST_DEFAULTS)
     context.world.start()
 
@@ -45,3 +48,11 @@
 
 def after_feature(context, feature):
     context.world.close()
+
+
+def find_number(feature, prefix, default):
+    """Return the number behind a prefix in the tags of a feature."""
+    for tag in feature.tags:
+        if tag.startswith(prefix):
+            return int(tag.removeprefix(prefix))
+    return default
--- a/features/steps/at_most_once.py
+++ b/features/steps/at_most_once.py
@@ -36,7 +36,7 @@
     context.event = context.world.send(context.world.order(key), instance)
 
 
-@when('the order "{key}" is sent to {instance} until it is answered')
+@when('the order "{key}" is sent until {instance} answers it')
 def step_order_until(context, key, instance):
     def answered():
         event = context.world.send(context.world.order(key), instance)
--- a/src/waxwing_testbed/deployment/_operator.py
+++ b/src/waxwing_testbed/deployment/_operator.py
@@ -41,7 +41,10 @@
         return self._client.get("status", StatusView)
 
     def publish(
-        self, changes: Sequence[Change], supersedes_version: int | None = None
+        self,
+        changes: Sequence[Change],
+        supersedes_version: int | None = None,
+        change_id: str = "",
     ) -> int:
         """
         Publish changes.
@@ -49,13 +52,15 @@
         :param changes: What to change.
         :param supersedes_version: Version they were made for; None for the
             present one.
+        :param change_id: Unique name; the same in a retry. Empty for a new
+            one.
         :returns: The new version.
         """
         if supersedes_version is None:
             supersedes_version = self.configuration().version
         request = ChangeRequest(
             supersedes_version,
-            uuid.uuid4().hex,
+            change_id or uuid.uuid4().hex,
             "for a test",
             tuple(wrap_change(change) for change in changes),
         )
--- a/src/waxwing_testbed/deployment/_process.py
+++ b/src/waxwing_testbed/deployment/_process.py
@@ -122,8 +122,9 @@
             )
 
     def _signal(self, number: signal.Signals) -> None:
-        if self.is_running():
-            os.kill(self.pid, number)
+        # The process may end at this moment, and its watcher may know first.
+        if self._process is not None:
+            self._process.send_signal(number)
 
     def _wait(self) -> None:
         if self._process is not None:
--- a/src/waxwing_testbed/history/__init__.py
+++ b/src/waxwing_testbed/history/__init__.py
@@ -1,5 +1,6 @@
 """Histories of calls, and checks of the promises over them."""
 
+from waxwing_testbed.history._admissions import timely_admissions
 from waxwing_testbed.history._checks import (
     Admission,
     AuthoritySpan,
@@ -41,4 +42,5 @@
     "check_single_authority",
     "check_whole_answers",
     "load_history",
+    "timely_admissions",
 ]
--- a/src/waxwing_testbed/scenario/__init__.py
+++ b/src/waxwing_testbed/scenario/__init__.py
@@ -15,23 +15,38 @@
     make_configuration,
     make_customer,
 )
+from waxwing_testbed.scenario._log_view import (
+    LoggedMessage,
+    LogView,
+    last_claimant,
+    log_view,
+)
+from waxwing_testbed.scenario._pressure import Pressure, PressurePlan
+from waxwing_testbed.scenario._version_watch import VersionWatch
 from waxwing_testbed.scenario._world import CUT_BOTH, WAIT_SECONDS, World
 
 __all__ = [
     "CATALOGUE_PATH",
     "CUT_BOTH",
+    "LogView",
+    "LoggedMessage",
     "NARROW",
     "NARROW_BURST_REQUESTS",
     "NARROW_RATE_PER_SECOND",
     "ORDER_PATH",
     "OTHER",
     "PAYMENT_PATH",
+    "Pressure",
+    "PressurePlan",
     "STATUS_PATH",
+    "VersionWatch",
     "WAIT_SECONDS",
     "WIDE",
     "World",
     "key_id_of",
     "key_of",
+    "last_claimant",
+    "log_view",
     "make_configuration",
     "make_customer",
 ]
