Let settings choose the policies that are measured

Each policy is to be measured beside its baselines in real processes, so an entry can be set to route in turn or by fewest reported requests and to split rates evenly, and a control to plan neither roles nor purchases. The usual policies stay the defaults; work under way is ended under every setting.

--- a/src/waxwing_testbed/deployment/_plan.py
+++ b/src/waxwing_testbed/deployment/_plan.py
@@ -69,6 +69,7 @@
     :param instance_list_lag_seconds: Lag of the platform's list.
     :param weight_load_seconds: Length of one load of weights.
     :param entry_settings: Further lines of the entries' settings.
+    :param control_settings: Further lines of the controls' settings.
     """
 
     name: str
@@ -87,6 +88,7 @@
     instance_list_lag_seconds: float = 0.5
     weight_load_seconds: float = 1.0
     entry_settings: dict[str, object] = field(factory=dict)
+    control_settings: dict[str, object] = field(factory=dict)
 
 
 def tahi_plan() -> DeploymentPlan:
--- a/src/waxwing_testbed/deployment/_settings_files.py
+++ b/src/waxwing_testbed/deployment/_settings_files.py
@@ -152,6 +152,7 @@
         "peer_address": str(instance.control),
         "entry_peer_address": str(instance.peer),
         "lease_seconds": plan.lease_seconds,
+        **plan.control_settings,
     }
     entry_path = folder / f"{instance.instance_id}-entry.yaml"
     control_path = folder / f"{instance.instance_id}-control.yaml"
--- a/src/waxwingwinch/control/_buying_runner.py
+++ b/src/waxwingwinch/control/_buying_runner.py
@@ -33,6 +33,7 @@
 from waxwingwinch.fleet import Directive, FleetObserver, OrderIntent
 from waxwingwinch.interfaces import GiveBack, OrderUpstream
 from waxwingwinch.kernel import Clock
+from waxwingwinch.settings import BuyingPolicyKind
 
 #: Pause between two plans.
 PLAN_SECONDS = 5.0
@@ -69,6 +70,8 @@
     :param configuration: Gives the configuration in force.
     :param decisions: Where reasons are kept.
     :param clock: Source of wall time for reasons.
+    :param policy: Whether purchases and returns are planned; those under
+        way are ended in any case.
     """
 
     def __init__(
@@ -82,6 +85,7 @@
         configuration: Callable[[], Configuration],
         decisions: DecisionLog,
         clock: Clock,
+        policy: BuyingPolicyKind = BuyingPolicyKind.PLANNED,
     ) -> None:
         self._duty = duty
         self._journal = journal
@@ -92,6 +96,7 @@
         self._configuration = configuration
         self._decisions = decisions
         self._clock = clock
+        self._policy = policy
         self._term = _Term()
 
     @property
@@ -124,7 +129,8 @@
                 self._continue_return(directive.upstream_id, now_seconds)
         if now_seconds - self._term.planned_seconds >= PLAN_SECONDS:
             self._term.planned_seconds = now_seconds
-            self._plan(now_seconds)
+            if self._policy is BuyingPolicyKind.PLANNED:
+                self._plan(now_seconds)
 
     def _continue_return(self, upstream_id: UpstreamId, now_seconds: float) -> None:
         if self._observer.find(upstream_id) is None:
--- a/src/waxwingwinch/control/_fleet_runner.py
+++ b/src/waxwingwinch/control/_fleet_runner.py
@@ -25,6 +25,7 @@
 from waxwingwinch.fleet import Directive, FleetObserver, OrderIntent
 from waxwingwinch.interfaces import LoadAdapter, SetRole, WeightStore
 from waxwingwinch.kernel import Clock
+from waxwingwinch.settings import RolePolicyKind
 
 #: Pause between two plans.
 PLAN_SECONDS = 1.0
@@ -70,6 +71,8 @@
     :param configuration: Gives the configuration in force.
     :param decisions: Where reasons are kept.
     :param clock: Source of wall time for reasons.
+    :param policy: Whether changes are planned; those under way are ended
+        in any case.
     """
 
     def __init__(
@@ -84,6 +87,7 @@
         configuration: Callable[[], Configuration],
         decisions: DecisionLog,
         clock: Clock,
+        policy: RolePolicyKind = RolePolicyKind.PLANNED,
     ) -> None:
         self._duty = duty
         self._journal = journal
@@ -95,6 +99,7 @@
         self._configuration = configuration
         self._decisions = decisions
         self._clock = clock
+        self._policy = policy
         self._term = _Term()
 
     @property
@@ -127,7 +132,8 @@
                 self._continue_change(directive, now_seconds)
         if now_seconds - self._term.planned_seconds >= PLAN_SECONDS:
             self._term.planned_seconds = now_seconds
-            self._plan(now_seconds)
+            if self._policy is RolePolicyKind.PLANNED:
+                self._plan(now_seconds)
             self._load_adapters(now_seconds)
 
     def _continue_change(self, directive: Directive, now_seconds: float) -> None:
--- a/src/waxwingwinch/control/_process.py
+++ b/src/waxwingwinch/control/_process.py
@@ -188,6 +188,7 @@
         base.configuration.current,
         base.decisions,
         base.clock,
+        base.settings.role_policy,
     )
     buying = BuyingRunner(
         fleet_duty(cell),
@@ -199,6 +200,7 @@
         base.configuration.current,
         base.decisions,
         base.clock,
+        base.settings.buying_policy,
     )
     return (fleet, buying)
 
--- a/src/waxwingwinch/entry/_options.py
+++ b/src/waxwingwinch/entry/_options.py
@@ -3,6 +3,7 @@
 from attrs import frozen
 
 from waxwingwinch._types import Address, InstanceId, ZoneName
+from waxwingwinch.settings import RoutingPolicyKind
 
 #: Threads that serve connections; each open stream takes one.
 SERVER_THREADS = 512
@@ -31,6 +32,7 @@
     :param server_threads: Threads that serve connections.
     :param request_read_seconds: Longest time to receive one request.
     :param socket_timeout_seconds: Longest time that one send may block.
+    :param routing_policy: How the engine of a generation is chosen.
     """
 
     instance_id: InstanceId
@@ -39,3 +41,4 @@
     server_threads: int = SERVER_THREADS
     request_read_seconds: float = REQUEST_READ_SECONDS
     socket_timeout_seconds: float = SOCKET_TIMEOUT_SECONDS
+    routing_policy: RoutingPolicyKind = RoutingPolicyKind.EARLIEST_FIRST_TOKEN
--- a/src/waxwingwinch/entry/_process.py
+++ b/src/waxwingwinch/entry/_process.py
@@ -20,7 +20,7 @@
     WithdrawalCoordinator,
     adopt_from_peers,
 )
-from waxwingwinch.contracts import Freshness, ServiceName
+from waxwingwinch.contracts import Freshness, RateLimiter, ServiceName
 from waxwingwinch.entry._application import EntryApplication
 from waxwingwinch.entry._heartbeats import HeartbeatExchange, HeartbeatMaker
 from waxwingwinch.entry._operator_requests import make_operator_requests
@@ -29,7 +29,7 @@
 from waxwingwinch.fleet import FleetObserver
 from waxwingwinch.idempotency import LogIdempotencyStore, Runner
 from waxwingwinch.kernel import Registry, SystemClock
-from waxwingwinch.limits import Holder, Limiter
+from waxwingwinch.limits import Holder, Limiter, StaticSplitLimiter
 from waxwingwinch.membership import (
     Heartbeat,
     HeartbeatSender,
@@ -43,7 +43,7 @@
 from waxwingwinch.operators_api import OperatorApi, OperatorRequests
 from waxwingwinch.peers import PeerIdentity, PeerProgram, PeerServer
 from waxwingwinch.placement import home_count, home_instances
-from waxwingwinch.settings import EntrySettings
+from waxwingwinch.settings import EntrySettings, LimitsPolicyKind
 from waxwingwinch.usage import (
     EntryUsageLedger,
     UsagePeer,
@@ -144,12 +144,6 @@
             self._clock,
             settings.cell,
         )
-        self._limiter = Limiter(
-            Holder(settings.instance_id, self._incarnation),
-            self._clock,
-            self._configuration.current,
-            lambda: self._holders.link(f"limits-{settings.cell}"),
-        )
         self._claims = LogIdempotencyStore(
             self._log,
             self._clock,
@@ -165,10 +159,24 @@
         )
         self.registry.register(ServiceName.CONFIGURATION, self._configuration)
         self.registry.register(ServiceName.FLEET, self._fleet)
-        self.registry.register(ServiceName.LIMITER, self._limiter)
+        self.registry.register(ServiceName.LIMITER, self._make_limiter())
         self.registry.register(ServiceName.IDEMPOTENCY, self._claims)
         self.registry.register(ServiceName.USAGE, self._usage)
 
+    def _make_limiter(self) -> RateLimiter:
+        settings = self._settings
+        current = self._configuration.current
+        match settings.limits_policy:
+            case LimitsPolicyKind.STATIC_SPLIT:
+                return StaticSplitLimiter(current, settings.expected_instances)
+            case LimitsPolicyKind.SHARED:
+                return Limiter(
+                    Holder(settings.instance_id, self._incarnation),
+                    self._clock,
+                    current,
+                    lambda: self._holders.link(f"limits-{settings.cell}"),
+                )
+
     def _register_application(self) -> EntryApplication:
         settings = self._settings
         self._roster = EntryRoster(
@@ -195,6 +203,7 @@
                 settings.zone,
                 settings.listen_address,
                 settings.max_connections,
+                routing_policy=settings.routing_policy,
             ),
             self._roster.discoverable,
             home_instances,
--- a/src/waxwingwinch/entry/_router.py
+++ b/src/waxwingwinch/entry/_router.py
@@ -1,5 +1,6 @@
 """Routing with what this instance has seen of the engines."""
 
+import itertools
 import threading
 import zlib
 
@@ -10,13 +11,17 @@
 from waxwingwinch.contracts import DecisionKind, FleetView, UpstreamView
 from waxwingwinch.decisions import (
     Candidate,
+    EarliestFirstToken,
     EjectionCause,
     EngineRecord,
+    LeastConnections,
     NoEngine,
     RetryAllowed,
     RetryBudget,
     RetryDecision,
+    RoundRobin,
     RoutingChoice,
+    RoutingPolicy,
     RoutingRequest,
     after_failure,
     after_request,
@@ -30,6 +35,7 @@
 from waxwingwinch.entry._in_flight import InFlight, PeerWork
 from waxwingwinch.entry._sent_prefixes import SentPrefixes
 from waxwingwinch.entry._services import EntryServices
+from waxwingwinch.settings import RoutingPolicyKind
 
 
 @frozen
@@ -62,6 +68,7 @@
         self._records: dict[UpstreamId, EngineRecord] = {}
         self._sent_prefixes = SentPrefixes()
         self._budget = RetryBudget()
+        self._turns = itertools.count()
         self._lock = threading.Lock()
 
     def choose(self, generation: Generation, now_seconds: float) -> RoutingChoice:
@@ -78,7 +85,11 @@
             for view in views
             if view.upstream_id in usable
         )
-        routing = evolve(generation.routing, draw=_draw(generation.request_id))
+        routing = evolve(
+            generation.routing,
+            draw=_draw(generation.request_id),
+            policy=self._policy(generation.routing.policy),
+        )
         choice = choose_engine(routing, candidates, now_seconds)
         if isinstance(choice, NoEngine) and len(candidates) < len(views):
             # An ejected engine is better than none.
@@ -167,6 +178,18 @@
                 self._budget = decision.budget
             return decision
 
+    def _policy(self, asked: RoutingPolicy) -> RoutingPolicy:
+        """Put the policy of the settings in the place of the usual one."""
+        if asked != EarliestFirstToken():
+            return asked
+        match self._services.options.routing_policy:
+            case RoutingPolicyKind.EARLIEST_FIRST_TOKEN:
+                return asked
+            case RoutingPolicyKind.ROUND_ROBIN:
+                return RoundRobin(next(self._turns))
+            case RoutingPolicyKind.LEAST_CONNECTIONS:
+                return LeastConnections()
+
     def _usable(
         self,
         views: tuple[UpstreamView, ...],
--- a/src/waxwingwinch/settings/__init__.py
+++ b/src/waxwingwinch/settings/__init__.py
@@ -16,6 +16,12 @@
     format_findings,
 )
 from waxwingwinch.settings._loader import load_settings
+from waxwingwinch.settings._policies import (
+    BuyingPolicyKind,
+    LimitsPolicyKind,
+    RolePolicyKind,
+    RoutingPolicyKind,
+)
 from waxwingwinch.settings._programs import (
     CommonSettings,
     ControlSettings,
@@ -26,6 +32,7 @@
 from waxwingwinch.settings._writing import write_configuration
 
 __all__ = [
+    "BuyingPolicyKind",
     "CommonSettings",
     "ConfigurationDocument",
     "ControlSettings",
@@ -33,9 +40,12 @@
     "EntrySettings",
     "ExceptionDocument",
     "KeyDocument",
+    "LimitsPolicyKind",
     "ModelDocument",
     "OperatorToken",
+    "RolePolicyKind",
     "RouteDocument",
+    "RoutingPolicyKind",
     "SettingFinding",
     "SettingsInvalid",
     "distinct",
--- a/src/waxwingwinch/settings/_programs.py
+++ b/src/waxwingwinch/settings/_programs.py
@@ -6,6 +6,12 @@
 from attrs.validators import and_, ge, gt, lt, min_len
 
 from waxwingwinch._types import Address, InstanceId, ZoneName
+from waxwingwinch.settings._policies import (
+    BuyingPolicyKind,
+    LimitsPolicyKind,
+    RolePolicyKind,
+    RoutingPolicyKind,
+)
 from waxwingwinch.settings._validators import distinct, ip_address, not_blank
 
 
@@ -92,6 +98,10 @@
     :param stop_timeout_seconds: How long a planned stop waits for streams.
     :param drift_ratio: Bound on the difference between the clock rates of
         two instances.
+    :param routing_policy: How the engine of a generation is chosen; the
+        others are baselines for measurements.
+    :param limits_policy: How the instances share the rate of a customer;
+        ``static_split`` is a baseline for measurements.
     """
 
     listen_address: Address = field(validator=ip_address)
@@ -102,6 +112,8 @@
     max_connections: int = field(default=512, validator=ge(1))
     stop_timeout_seconds: float = field(default=600.0, validator=gt(0.0))
     drift_ratio: float = field(default=0.01, validator=and_(ge(0.0), lt(1.0)))
+    routing_policy: RoutingPolicyKind = RoutingPolicyKind.EARLIEST_FIRST_TOKEN
+    limits_policy: LimitsPolicyKind = LimitsPolicyKind.SHARED
 
 
 @frozen(kw_only=True)
@@ -113,8 +125,14 @@
     :param lease_seconds: Length of the lease on a duty.
     :param drift_ratio: Bound on the difference between the clock rates of
         two instances.
+    :param role_policy: Whether engines change their role; ``static`` is a
+        baseline for measurements.
+    :param buying_policy: Whether engines are ordered and given back;
+        ``fixed`` is a baseline for measurements.
     """
 
     entry_peer_address: Address = field(validator=ip_address)
     lease_seconds: float = field(default=4.0, validator=ge(0.5))
     drift_ratio: float = field(default=0.01, validator=and_(ge(0.0), lt(1.0)))
+    role_policy: RolePolicyKind = RolePolicyKind.PLANNED
+    buying_policy: BuyingPolicyKind = BuyingPolicyKind.PLANNED
--- a/tools/settings_reference.py
+++ b/tools/settings_reference.py
@@ -4,6 +4,7 @@
 With ``--check`` nothing is written; the exit status is 1 if the page differs.
 """
 
+import enum
 import inspect
 import pathlib
 import re
@@ -75,6 +76,8 @@
         return f"mapping of {type_name(arguments[1])}"
     if arguments:
         return type_name(arguments[0])
+    if isinstance(hint, type) and issubclass(hint, enum.Enum):
+        return "one of " + ", ".join(f"`{member.value}`" for member in hint)
     names = {
         "str": "text",
         "int": "whole number",
