--- a/src/waxwingwinch/control/tests/test_runners.py
+++ b/src/waxwingwinch/control/tests/test_runners.py
@@ -13,6 +13,7 @@
 from waxwingwinch.fleet import Directive, OrderIntent
 from waxwingwinch.interfaces import GiveBack, OrderUpstream, SetRole
 from waxwingwinch.observability import MemoryDecisionLog
+from waxwingwinch.settings import BuyingPolicyKind, RolePolicyKind
 
 DECODE, MIXED, PREFILL = EngineRole.DECODE, EngineRole.MIXED, EngineRole.PREFILL
 
@@ -25,7 +26,7 @@
     made.stop()
 
 
-def fleet_runner(world, epoch):
+def fleet_runner(world, epoch, policy=RolePolicyKind.PLANNED):
     journal = world.journal("fleet-c", Epoch(epoch))
     runner = FleetRunner(
         "fleet-c",
@@ -38,12 +39,13 @@
         lambda: world.configuration,
         MemoryDecisionLog(),
         world.clock,
+        policy,
     )
     runner.begin(Epoch(epoch), world.clock.now_seconds())
     return runner
 
 
-def buying_runner(world, epoch):
+def buying_runner(world, epoch, policy=BuyingPolicyKind.PLANNED):
     journal = world.journal("buying-c", Epoch(epoch))
     runner = BuyingRunner(
         "fleet-c",
@@ -55,6 +57,7 @@
         lambda: world.configuration,
         MemoryDecisionLog(),
         world.clock,
+        policy,
     )
     runner.begin(Epoch(epoch), world.clock.now_seconds())
     return runner
@@ -207,3 +210,16 @@
     run(world, buying_runner(world, 5), 15)
     assert len(world.market.sent) == 1
     assert world.observer.directives_draining() == ()
+
+
+def test_policies_that_plan_nothing_still_end_what_is_under_way(world):
+    drain(world)
+    work = DemandSample(world.market.rows[0].model, 1.0, 100, 60_000, 3_000, 0, 0)
+    fleet = fleet_runner(world, 2, RolePolicyKind.STATIC)
+    buying = buying_runner(world, 2, BuyingPolicyKind.FIXED)
+    for _ in range(40):
+        run(world, fleet, 1, demand=(work,))
+        buying.step(world.clock.now_seconds())
+    assert [order.action for order in world.engines.orders] == [SetRole(PREFILL)]
+    assert world.observer.directives_draining() == ()
+    assert world.market.sent == []
--- a/src/waxwingwinch/entry/tests/test_completions.py
+++ b/src/waxwingwinch/entry/tests/test_completions.py
@@ -22,8 +22,10 @@
     eventually,
     running_entry,
 )
+from waxwingwinch.settings import RoutingPolicyKind
 
 WHOLE = "t0 t1 t2 t3 t4 "
+ROUND_ROBIN = RoutingPolicyKind.ROUND_ROBIN
 
 
 @pytest.fixture
@@ -231,3 +233,10 @@
     assert not entry.application.wait_idle(0.05)
     response.close()
     assert entry.application.wait_idle(5)
+
+
+def test_baseline_policy_of_the_settings_routes_in_turn():
+    with running_entry(options={"routing_policy": ROUND_ROBIN}) as entry:
+        assert [entry.complete().status for _ in range(4)] == [200] * 4
+        ports = [port for port, _ in entry.engine.calls]
+    assert ports == [1, 2, 1, 2]
