Add a bench that measures policies beside baselines

Scenarios run in real processes with stand-in engines; each run writes its figures as JSON, and the page with tables, plots and targets is written from these files.

--- a/src/waxwing_testbed/bench/_fleet.py
+++ b/src/waxwing_testbed/bench/_fleet.py
@@ -2,8 +2,6 @@
 
 import itertools
 
-from attrs import evolve
-
 from waxwing_testbed.bench._scenario import CustomerLoad, Scenario, Variant
 from waxwing_testbed.deployment import DeploymentPlan, EngineGroup
 from waxwing_testbed.standins import (
@@ -12,7 +10,14 @@
     EngineSpeeds,
     MarketSettings,
 )
-from waxwingwinch._types import CustomerId, EngineRole, ModelName, PriceClass, ZoneName
+from waxwingwinch._types import (
+    CustomerId,
+    EngineRole,
+    ModelName,
+    PriceClass,
+    UpstreamId,
+    ZoneName,
+)
 from waxwingwinch.configuration import (
     Configuration,
     Customer,
@@ -157,7 +162,9 @@
     :param defaults: Fleet-wide settings.
     """
     state = BuyingState(ZONES, (), (ModelNeed(MODEL, need_engines),))
-    bought = [p for p in plan_purchases(state, defaults, 0.0) if type(p) is Purchase]
+    bought = [
+        p for p in plan_purchases(state, defaults, 0.0) if isinstance(p, Purchase)
+    ]
     # The deployment places engines in the zones in turn.
     bought.sort(key=lambda purchase: (purchase.price_class.value, purchase.zone))
     return tuple(
@@ -186,8 +193,6 @@
 
 
 def _role_engines(roles: tuple[EngineRole, ...]) -> list[RoleEngine]:
-    from waxwingwinch._types import UpstreamId
-
     decode = LIMITS.max_running / SPEEDS.decode_seconds_per_token
     return [
         RoleEngine(
@@ -200,12 +205,3 @@
         )
         for number, role in enumerate(roles)
     ]
-
-
-def with_defaults(**changes: float | bool) -> Defaults:
-    """
-    Return the bench's fleet-wide settings with some of them changed.
-
-    :param changes: The changed settings.
-    """
-    return evolve(DEFAULTS, **changes)
--- /dev/null
+++ b/src/waxwing_testbed/bench/_main.py
@@ -0,0 +1,114 @@
+"""The command line of the bench."""
+
+import multiprocessing
+import pathlib
+import shlex
+import sys
+from collections.abc import Sequence
+from concurrent.futures import ProcessPoolExecutor, as_completed
+from typing import Annotated
+
+import typer
+from rich.console import Console
+
+from waxwing_testbed.bench._report import write_report
+from waxwing_testbed.bench._result import read_results, write_result
+from waxwing_testbed.bench._run import RunPlan, run
+from waxwing_testbed.bench._scenario import OURS
+from waxwing_testbed.bench._scenarios import scenarios
+
+#: Where the figures are kept.
+DEFAULT_FOLDER = pathlib.Path("docs/measurements")
+#: Folder of the raw results in it.
+RAW_FOLDER = "raw"
+#: Exit status if a run failed.
+EXIT_FAILED = 1
+#: Exit status if no run was selected.
+EXIT_USAGE = 2
+
+
+def measure(
+    scenario: Annotated[
+        list[str] | None, typer.Option(help="Name of a scenario; repeat; all if none.")
+    ] = None,
+    variant: Annotated[
+        list[str] | None, typer.Option(help="Name of a variant; repeat; all if none.")
+    ] = None,
+    seeds: Annotated[int, typer.Option(min=1, help="Number of seeds.")] = 5,
+    parallel: Annotated[int, typer.Option(min=1, help="Runs at one time.")] = 2,
+    seconds: Annotated[
+        float, typer.Option(min=5.0, help="Length of a run without the warm-up.")
+    ] = 27.0,
+    out: Annotated[
+        pathlib.Path, typer.Option(help="Folder of the page, the plots and raw/.")
+    ] = DEFAULT_FOLDER,
+) -> None:
+    """
+    Measure the policies beside their baselines, and write the page.
+
+    Runs of earlier calls stay in ``raw/`` and in the page until they are run
+    again. Exit codes: 0 all runs ended, 1 one failed, 2 wrong usage.
+    """
+    console = Console()
+    command = "python -m waxwing_testbed.bench " + shlex.join(sys.argv[1:])
+    plans = _plans(scenario or [], variant or [], seeds, seconds, command.strip())
+    if not plans:
+        console.print("no scenario and variant of these names")
+        raise typer.Exit(EXIT_USAGE)
+    raw = out / RAW_FOLDER
+    raw.mkdir(parents=True, exist_ok=True)
+    failures = _run_all(plans, parallel, raw, console)
+    checks = write_report(out, scenarios(), read_results(raw))
+    for check in checks:
+        console.print(
+            f"{check.scenario}: {check.text}: {check.median:.4g} "
+            f"(worst {check.worst:.4g}): {check.verdict.value}"
+        )
+    if failures:
+        console.print(f"{failures} of {len(plans)} runs failed")
+        raise typer.Exit(EXIT_FAILED)
+
+
+def _plans(
+    scenario_names: Sequence[str],
+    variant_names: Sequence[str],
+    seeds: int,
+    seconds: float,
+    command: str,
+) -> list[RunPlan]:
+    """Plan the runs, the variants of each seed next to each other."""
+    return [
+        RunPlan(scenario, variant, seed, seconds, variant.name == OURS, command)
+        for scenario in scenarios()
+        if not scenario_names or scenario.name in scenario_names
+        for seed in range(1, seeds + 1)
+        for variant in scenario.variants
+        if not variant_names or variant.name in variant_names
+    ]
+
+
+def _run_all(
+    plans: Sequence[RunPlan], parallel: int, raw: pathlib.Path, console: Console
+) -> int:
+    """Run the plans in processes of their own; return how many failed."""
+    failures = 0
+    context = multiprocessing.get_context("spawn")
+    with ProcessPoolExecutor(parallel, context, max_tasks_per_child=1) as pool:
+        futures = {pool.submit(run, plan): plan for plan in plans}
+        for future in as_completed(futures):
+            plan = futures[future]
+            name = f"{plan.scenario.name}, {plan.variant.name}, seed {plan.seed}"
+            error = future.exception()
+            if error is not None:
+                failures += 1
+                console.print(f"{name}: failed: {error!r}")
+                continue
+            result = future.result()
+            write_result(raw, result)
+            console.print(f"{name}: {result.goodput_per_second:.2f} good answers/s")
+    return failures
+
+
+def main() -> None:
+    """Run the command line."""
+    typer.run(measure)
