--- a/src/waxwing_testbed/bench/_load.py
+++ b/src/waxwing_testbed/bench/_load.py
@@ -1,8 +1,9 @@
 """The callers of a run."""
 
+import itertools
 from collections.abc import Sequence
 
-from waxwing_testbed.bench._fleet import MODEL, key_of
+from waxwing_testbed.bench._fleet import MODEL, ZONES, key_of
 from waxwing_testbed.bench._scenario import CustomerLoad
 from waxwing_testbed.history import History
 from waxwing_testbed.load import (
@@ -13,7 +14,7 @@
     Phase,
     TrafficSource,
 )
-from waxwingwinch._types import Address
+from waxwingwinch._types import Address, ZoneName
 
 #: Seeds of the customers of one run lie so far apart.
 SEED_STRIDE = 1_000
@@ -43,6 +44,37 @@
         return (self._first if now_seconds < self._switch_seconds else self._second,)
 
 
+class SpreadDiscovery(Discovery):
+    """
+    Stands for callers in all zones, each with a cached answer of its own.
+
+    :param key: The customer's key.
+    :param seeds: Instances to ask first.
+    :param zones: The zones; calls take their callers in turn.
+    """
+
+    def __init__(
+        self, key: str, seeds: Sequence[Address], zones: Sequence[ZoneName]
+    ) -> None:
+        super().__init__(key, seeds)
+        self._callers = [Discovery(key, seeds, zone) for zone in zones]
+        self._turns = itertools.count()
+
+    def addresses(self, now_seconds: float) -> tuple[Address, ...]:
+        """
+        Return the instances that the next caller uses, best first.
+
+        :param now_seconds: Monotonic time.
+        """
+        turn = next(self._turns) % len(self._callers)
+        return self._callers[turn].addresses(now_seconds)
+
+    def forget(self) -> None:
+        """Let all callers ask again."""
+        for caller in self._callers:
+            caller.forget()
+
+
 def make_sources(
     customers: Sequence[CustomerLoad],
     entries: Sequence[Address],
@@ -66,7 +98,7 @@
     sources = []
     for number, load in enumerate(customers):
         key = key_of(load.customer_id)
-        discovery = Discovery(key, entries)
+        discovery: Discovery = SpreadDiscovery(key, entries, ZONES)
         if load.pinned:
             middle_seconds = begin_seconds + seconds / 2
             discovery = PinnedDiscovery(entries[0], entries[1], middle_seconds)
