--- /dev/null
+++ b/src/waxwing_testbed/capacity/_streams.py
@@ -0,0 +1,310 @@
+"""What relaying streams costs an entry."""
+
+import json
+import statistics
+import threading
+import time
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+
+import urllib3
+from attrs import frozen
+
+from waxwing_testbed.capacity._figures import Figure
+from waxwing_testbed.capacity._idle import capacity_plan, quiet_defaults
+from waxwing_testbed.capacity._meters import read_process_use
+from waxwing_testbed.capacity._slopes import Point, Slope, fit_slope
+from waxwing_testbed.load import CallSender, PlainRequest
+from waxwing_testbed.scenario import STATUS_PATH, WIDE, World, key_of
+from waxwing_testbed.history import CallKind, CallOutcome
+from waxwingwinch._types import Address, ModelName
+from waxwingwinch.adapters import HttpEngine
+from waxwingwinch.interfaces import GenerateCall, StreamPart
+
+#: Streams open at one time.
+STREAM_SIZES = (25, 50, 100, 200)
+#: Calls of a plain service in a row.
+CALL_SIZES = (100, 200, 300, 400)
+ENGINES = 8
+#: Time within which the streams are opened.
+RAMP_SECONDS = 4.0
+MEASURE_SECONDS = 8.0
+#: Tokens of each stream; more than are sent until the end of a measurement.
+STREAM_TOKENS = 400
+#: Pairs of a direct call and one through the entry.
+PAIRS = 30
+PAIR_TOKENS = 12
+#: Streams that the target's peak has in flight at each node.
+MILLISECONDS_PER_SECOND = 1_000.0
+BYTES_PER_MEGABYTE = 1_000_000
+_PROMPT = " ".join(["word"] * 200)
+_READ_BYTES = 65_536
+_TOKEN_MARK = b'"text"'
+
+
+@frozen
+class StreamUse:
+    """
+    What an entry used while streams were open.
+
+    :param streams: How many were open.
+    :param processor_seconds: Processor time of the entry.
+    :param tokens: Tokens that callers received meanwhile.
+    :param elapsed_seconds: Length of the measurement.
+    :param resident_bytes: Memory of the entry.
+    :param threads: Threads of the entry.
+    """
+
+    streams: int
+    processor_seconds: float
+    tokens: int
+    elapsed_seconds: float
+    resident_bytes: int
+    threads: int
+
+
+class TokenCounter:
+    """Counts tokens over all callers."""
+
+    def __init__(self) -> None:
+        self._tokens = 0
+        self._lock = threading.Lock()
+
+    def add(self, tokens: int) -> None:
+        """
+        Count tokens.
+
+        :param tokens: How many more.
+        """
+        with self._lock:
+            self._tokens += tokens
+
+    def total(self) -> int:
+        """Return all counted so far."""
+        with self._lock:
+            return self._tokens
+
+
+@frozen
+class StreamTimes:
+    """
+    When the tokens of one answer came.
+
+    :param first_seconds: Time to the first token.
+    :param between_seconds: Mean time between tokens.
+    """
+
+    first_seconds: float
+    between_seconds: float
+
+
+def measure_streams(
+    note: Callable[[str], None],
+) -> tuple[list[Slope], list[Figure]]:
+    """
+    Measure one entry with streams and calls.
+
+    :param note: Told what is being done.
+    """
+    world = World(capacity_plan(1, ENGINES), quiet_defaults())
+    try:
+        world.start()
+        note("added time")
+        figures = _added_time(world)
+        note("calls of a plain service")
+        slopes = [_call_slope(world)]
+        uses = []
+        for streams in STREAM_SIZES:
+            note(f"{streams} streams")
+            uses.append(_measure(world, streams))
+        return [*slopes, *_stream_slopes(uses)], figures
+    finally:
+        world.close()
+
+
+def _measure(world: World, streams: int) -> StreamUse:
+    instance = world.instance("i1")
+    counter, closing = TokenCounter(), threading.Event()
+    with ThreadPoolExecutor(streams) as pool:
+        for _ in range(streams):
+            pool.submit(_read_stream, instance.address, counter, closing)
+            time.sleep(RAMP_SECONDS / streams)
+        before, tokens = read_process_use(instance.entry.pid), counter.total()
+        started_seconds = time.monotonic()
+        time.sleep(MEASURE_SECONDS)
+        after = read_process_use(instance.entry.pid)
+        use = StreamUse(
+            streams,
+            after.processor_seconds - before.processor_seconds,
+            counter.total() - tokens,
+            time.monotonic() - started_seconds,
+            after.resident_bytes,
+            after.threads,
+        )
+        closing.set()
+    return use
+
+
+def _read_stream(
+    address: Address, counter: TokenCounter, closing: threading.Event
+) -> None:
+    response = _open(address, STREAM_TOKENS)
+    while not closing.is_set() and (part := response.read1(_READ_BYTES)):
+        counter.add(part.count(_TOKEN_MARK))
+    response.close()
+
+
+def _open(address: Address, tokens: int) -> urllib3.BaseHTTPResponse:
+    body = {
+        "model": str(capacity_plan(1, 1).engines[0].model),
+        "prompt": _PROMPT,
+        "max_tokens": tokens,
+        "stream": True,
+    }
+    response = urllib3.PoolManager(num_pools=1).request(
+        "POST",
+        f"http://{address}/v1/completions",
+        body=json.dumps(body).encode(),
+        headers={
+            "Authorization": f"Bearer {key_of(WIDE)}",
+            "Content-Type": "application/json",
+            "Connection": "close",
+        },
+        retries=False,
+        preload_content=False,
+    )
+    if response.status != 200:
+        raise RuntimeError(f"status {response.status}: {response.data!r}")
+    return response
+
+
+def _stream_slopes(uses: list[StreamUse]) -> list[Slope]:
+    processor = "user and system time of the entry from /proc/<pid>/stat"
+    return [
+        fit_slope(
+            "relay_core_ms_per_token",
+            "ms of processor time a second",
+            "token relayed a second",
+            processor,
+            [
+                Point(
+                    use.tokens / use.elapsed_seconds,
+                    use.processor_seconds
+                    / use.elapsed_seconds
+                    * MILLISECONDS_PER_SECOND,
+                )
+                for use in uses
+            ],
+        ),
+        fit_slope(
+            "stream_core_percent",
+            "% of a core",
+            "open stream at 56 ms a token",
+            processor,
+            [
+                Point(use.streams, use.processor_seconds / use.elapsed_seconds * 100)
+                for use in uses
+            ],
+        ),
+        fit_slope(
+            "stream_megabytes",
+            "MB",
+            "open stream",
+            "resident pages of the entry from /proc/<pid>/stat",
+            [
+                Point(use.streams, use.resident_bytes / BYTES_PER_MEGABYTE)
+                for use in uses
+            ],
+        ),
+        fit_slope(
+            "stream_threads",
+            "threads",
+            "open stream",
+            "threads of the entry from /proc/<pid>/stat",
+            [Point(use.streams, use.threads) for use in uses],
+        ),
+        fit_slope(
+            "stream_tokens_per_second",
+            "tokens/s",
+            "open stream at 56 ms a token",
+            "tokens that callers received; wall time, depends on the load",
+            [Point(use.streams, use.tokens / use.elapsed_seconds) for use in uses],
+        ),
+    ]
+
+
+def _call_slope(world: World) -> Slope:
+    instance = world.instance("i1")
+    sender = CallSender(WIDE, key_of(WIDE))
+    call = PlainRequest(CallKind.READ, "GET", STATUS_PATH)
+    points = []
+    for calls in CALL_SIZES:
+        before = read_process_use(instance.entry.pid)
+        for _ in range(calls):
+            event = sender.send(instance.address, call)
+            if event.outcome is not CallOutcome.WHOLE:
+                raise RuntimeError(f"a call ended {event.outcome}: {event.detail}")
+        after = read_process_use(instance.entry.pid)
+        used_seconds = after.processor_seconds - before.processor_seconds
+        points.append(Point(calls, used_seconds * MILLISECONDS_PER_SECOND))
+    return fit_slope(
+        "call_ms",
+        "ms of processor time",
+        "call of a plain service on a new connection",
+        "user and system time of the entry from /proc/<pid>/stat",
+        points,
+    )
+
+
+def _added_time(world: World) -> list[Figure]:
+    engine = world.deployment.standin_settings.engines[0]
+    entry = world.instance("i1").address
+    direct, through = [], []
+    for number in range(PAIRS):
+        direct.append(_direct_times(engine.address, engine.model, number))
+        through.append(_entry_times(entry))
+    method = f"difference of medians of {PAIRS} alternating calls, wall time, quiet entry"
+    return [
+        Figure(
+            "added_first_token_ms",
+            _added([t.first_seconds for t in through], [t.first_seconds for t in direct]),
+            "ms",
+            method,
+        ),
+        Figure(
+            "added_between_tokens_ms",
+            _added(
+                [t.between_seconds for t in through], [t.between_seconds for t in direct]
+            ),
+            "ms",
+            method,
+        ),
+    ]
+
+
+def _added(through: list[float], direct: list[float]) -> float:
+    difference = statistics.median(through) - statistics.median(direct)
+    return difference * MILLISECONDS_PER_SECOND
+
+
+def _direct_times(address: Address, model: ModelName, number: int) -> StreamTimes:
+    call = GenerateCall(f"direct-{number}", model, _PROMPT, PAIR_TOKENS)
+    started_seconds = time.monotonic()
+    stream = HttpEngine().generate(address, call)
+    times = [time.monotonic() for item in stream if isinstance(item, StreamPart)]
+    return _times(started_seconds, times)
+
+
+def _entry_times(address: Address) -> StreamTimes:
+    started_seconds = time.monotonic()
+    response = _open(address, PAIR_TOKENS)
+    times: list[float] = []
+    while part := response.read1(_READ_BYTES):
+        times.extend([time.monotonic()] * part.count(_TOKEN_MARK))
+    return _times(started_seconds, times)
+
+
+def _times(started_seconds: float, times: list[float]) -> StreamTimes:
+    return StreamTimes(
+        times[0] - started_seconds, (times[-1] - times[0]) / (PAIR_TOKENS - 1)
+    )
--- a/src/waxwing_testbed/proxy/_proxy.py
+++ b/src/waxwing_testbed/proxy/_proxy.py
@@ -58,6 +58,10 @@
         else:
             self._open_listener()
 
+    def moved_bytes(self) -> int:
+        """Return the bytes moved so far, in both directions."""
+        return self._switch.moved_bytes()
+
     def reset_connections(self) -> None:
         """Reset all existing connections."""
         with self._lock:
--- a/src/waxwing_testbed/proxy/_pump.py
+++ b/src/waxwing_testbed/proxy/_pump.py
@@ -22,6 +22,8 @@
 
     def __init__(self) -> None:
         self._faults = ProxyFaults()
+        self._moved_bytes = 0
+        self._lock = threading.Lock()
         #: Set once the proxy stops.
         self.stopped = threading.Event()
 
@@ -41,6 +43,20 @@
         """End all pumps."""
         self.stopped.set()
 
+    def moved_bytes(self) -> int:
+        """Return the bytes moved so far, in both directions."""
+        with self._lock:
+            return self._moved_bytes
+
+    def note_moved(self, size_bytes: int) -> None:
+        """
+        Count bytes that were moved.
+
+        :param size_bytes: How many.
+        """
+        with self._lock:
+            self._moved_bytes += size_bytes
+
 
 class Held:
     """
@@ -173,6 +189,7 @@
             # A blocking send would not notice that the pump is to end.
             if _wait_for(self._sink, select.POLLOUT, _POLL_SECONDS):
                 left = left[self._sink.send(left, socket.MSG_DONTWAIT) :]
+        self._switch.note_moved(len(chunk) - len(left))
 
 
 def _wait_for(sock: socket.socket, event: int, timeout_seconds: float | None) -> bool:
--- a/src/waxwing_testbed/standins/_admin.py
+++ b/src/waxwing_testbed/standins/_admin.py
@@ -85,6 +85,17 @@
     instance_id: str
 
 
+@frozen
+class ProxyTraffic:
+    """
+    What a proxy has moved.
+
+    :param moved_bytes: Bytes in both directions since its start.
+    """
+
+    moved_bytes: int
+
+
 class AdminInterface:
     """
     Routes admin calls to the stand-ins; ``name`` in the query names one.
@@ -112,6 +123,7 @@
         router.add("POST", "/admin/instances/remove", self._remove_instance)
         router.add("POST", "/admin/proxy/faults", self._set_proxy)
         router.add("POST", "/admin/proxy/reset", self._reset_proxy)
+        router.add("GET", "/admin/proxy/traffic", self._proxy_traffic)
         return router
 
     def _set_fault(self, request: Request) -> Reply:
@@ -177,6 +189,11 @@
         self._process.proxies[request.query["name"]].reset_connections()
         return json_reply({})
 
+    def _proxy_traffic(self, request: Request) -> Reply:
+        proxy = self._process.proxies[request.query["name"]]
+        traffic = ProxyTraffic(proxy.moved_bytes())
+        return json_reply(self._converter.unstructure(traffic))
+
     def _platform(self) -> PlatformStandin:
         if self._process.platform is None:
             raise ValueError("this process has no platform")
--- a/src/waxwing_testbed/standins/_admin_client.py
+++ b/src/waxwing_testbed/standins/_admin_client.py
@@ -12,6 +12,7 @@
     Crash,
     FaultChange,
     NamedInstance,
+    ProxyTraffic,
     Reclaim,
     ReclaimResult,
     SlowDown,
@@ -194,6 +195,15 @@
         """
         self._post("/admin/proxy/reset", name, None)
 
+    def proxy_moved_bytes(self, name: str) -> int:
+        """
+        Return the bytes that a proxy has moved in both directions.
+
+        :param name: The proxy.
+        """
+        value = self._call("GET", f"/admin/proxy/traffic?name={quote(name)}", None)
+        return self._converter.structure(value, ProxyTraffic).moved_bytes
+
     def _journal(self, name: str, kind: type[T]) -> T:
         value = self._call("GET", f"/admin/journal?name={quote(name)}", None)
         return self._converter.structure(value, kind)
