--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PYTHON ?= python3
 BIN = $(VENV)/bin
 
-.PHONY: venv lint test demo bench docs format
+.PHONY: venv lint test demo bench capacity docs format
 
 venv: $(VENV)/.ready
 
@@ -31,5 +31,8 @@
 bench: venv
 	$(BIN)/python -m waxwing_testbed.bench
 
+capacity: venv
+	$(BIN)/python -m waxwing_testbed.capacity
+
 docs: venv
 	$(BIN)/python tools/settings_reference.py
--- a/src/waxwing_testbed/capacity/_idle.py
+++ b/src/waxwing_testbed/capacity/_idle.py
@@ -82,7 +82,7 @@
 
 
 def quiet_defaults() -> Defaults:
-    """Return settings under which no engine is bought, given back or changed."""
+    """Return settings under which engines stay as they are."""
     return evolve(
         Defaults(),
         min_engines_per_model=64,
@@ -138,9 +138,7 @@
     time.sleep(MEASURE_SECONDS)
     elapsed_seconds = time.monotonic() - started_seconds
     entry_percent = _percent(entry_before, _used(entries), elapsed_seconds)
-    control_percent = sorted(
-        _percent(control_before, _used(controls), elapsed_seconds)
-    )
+    control_percent = sorted(_percent(control_before, _used(controls), elapsed_seconds))
     moved_after = _moved(world, "platform"), _moved(world, "peer", "control")
     per_kilobyte = elapsed_seconds * BYTES_PER_KILOBYTE * len(rows)
     return IdleUse(
@@ -150,8 +148,7 @@
         holder_core_percent=control_percent[-1],
         entry_resident_megabytes=_resident(entries),
         control_resident_megabytes=_resident(controls),
-        platform_kilobytes_per_second=(moved_after[0] - moved_before[0])
-        / per_kilobyte,
+        platform_kilobytes_per_second=(moved_after[0] - moved_before[0]) / per_kilobyte,
         # Each byte is sent by one instance and received by another.
         peer_kilobytes_per_second=2 * (moved_after[1] - moved_before[1]) / per_kilobyte,
     )
--- a/src/waxwing_testbed/capacity/_messages.py
+++ b/src/waxwing_testbed/capacity/_messages.py
@@ -19,6 +19,7 @@
 from waxwing_testbed.capacity._slopes import Slope, measure_slope
 from waxwingwinch._types import Epoch
 from waxwingwinch.adapters import make_wire_converter
+from waxwingwinch.authority import DutyRenewal, DutyVersion
 from waxwingwinch.codec import encode_message
 from waxwingwinch.configuration import (
     ConfigurationChange,
@@ -159,6 +160,14 @@
             FEW_SIZES,
             lambda size: _log_bytes([_floor_record(n) for n in range(size)]),
         ),
+        measure_slope(
+            "duty_renewal_log_bytes",
+            "B",
+            "duty renewed, one in a record",
+            _LOG,
+            FEW_SIZES,
+            lambda size: _log_bytes([_renewal(n) for n in range(size)]),
+        ),
     ]
 
 
@@ -179,7 +188,11 @@
     """Build a change of one customer's rate."""
     change = PutCustomer(customer_id_of(version), 25.0, 50.0)
     return ConfigurationChange(
-        version, "operator", f"change-{version:032}", "more rate", (wrap_change(change),)
+        version,
+        "operator",
+        f"change-{version:032}",
+        "more rate",
+        (wrap_change(change),),
     )
 
 
@@ -198,6 +211,11 @@
     )
 
 
+def _renewal(number: int) -> DutyRenewal:
+    duty = f"limits-model-{number % 22}-zone-{number % 6}"
+    return DutyRenewal((DutyVersion(duty, Epoch(90_000), 100_000 + number),))
+
+
 def _json_bytes(value: object) -> int:
     return len(json.dumps(make_wire_converter().unstructure(value)).encode())
 
--- a/src/waxwing_testbed/capacity/_operations.py
+++ b/src/waxwing_testbed/capacity/_operations.py
@@ -58,7 +58,10 @@
 
 
 def _slope(
-    name: str, per: str, sizes: tuple[int, ...], make: Callable[[int], Callable[[], object]]
+    name: str,
+    per: str,
+    sizes: tuple[int, ...],
+    make: Callable[[int], Callable[[], object]],
 ) -> Slope:
     return measure_slope(
         name, "us", per, _METHOD, sizes, lambda n: processor_microseconds(make(n))
@@ -72,7 +75,9 @@
         _slope("derive_limits_us", "customer configured", MANY_SIZES, _derive_limits),
         _slope("known_key_us", "key configured", MANY_SIZES, _known_key),
         _slope("named_wrong_key_us", "key configured", MANY_SIZES, _named_wrong_key),
-        _slope("unnamed_wrong_key_us", "key configured", MANY_SIZES, _unnamed_wrong_key),
+        _slope(
+            "unnamed_wrong_key_us", "key configured", MANY_SIZES, _unnamed_wrong_key
+        ),
     ]
 
 
--- a/src/waxwing_testbed/capacity/_samples.py
+++ b/src/waxwing_testbed/capacity/_samples.py
@@ -119,9 +119,7 @@
     :param epoch: Epoch of the grantor.
     """
     rows = tuple(
-        CustomerTokens(
-            customer_id_of(number), 3, 2, 0, 1.125, ReturnedTokens(900, 2.5)
-        )
+        CustomerTokens(customer_id_of(number), 3, 2, 0, 1.125, ReturnedTokens(900, 2.5))
         for number in range(customer_count)
     )
     return ExtraRequest(HOLDER, Epoch(epoch), rows)
--- a/src/waxwing_testbed/capacity/_streams.py
+++ b/src/waxwing_testbed/capacity/_streams.py
@@ -8,15 +8,18 @@
 from concurrent.futures import ThreadPoolExecutor
 
 import urllib3
-from attrs import frozen
+from attrs import evolve, frozen
 
+from waxwing_testbed import free_addresses
 from waxwing_testbed.capacity._figures import Figure
 from waxwing_testbed.capacity._idle import capacity_plan, quiet_defaults
 from waxwing_testbed.capacity._meters import read_process_use
 from waxwing_testbed.capacity._slopes import Point, Slope, fit_slope
+from waxwing_testbed.history import CallKind, CallOutcome
 from waxwing_testbed.load import CallSender, PlainRequest
+from waxwing_testbed.proxy import FaultProxy
 from waxwing_testbed.scenario import STATUS_PATH, WIDE, World, key_of
-from waxwing_testbed.history import CallKind, CallOutcome
+from waxwing_testbed.standins import EngineSpeeds
 from waxwingwinch._types import Address, ModelName
 from waxwingwinch.adapters import HttpEngine
 from waxwingwinch.interfaces import GenerateCall, StreamPart
@@ -32,9 +35,12 @@
 #: Tokens of each stream; more than are sent until the end of a measurement.
 STREAM_TOKENS = 400
 #: Pairs of a direct call and one through the entry.
-PAIRS = 30
+PAIRS = 100
 PAIR_TOKENS = 12
-#: Streams that the target's peak has in flight at each node.
+#: Polls of an engine in a row.
+POLL_SIZES = (10, 20, 40, 80)
+#: Pace of the engine for the comparison with direct calls.
+FAST_DECODE_SECONDS_PER_TOKEN = 0.005
 MILLISECONDS_PER_SECOND = 1_000.0
 BYTES_PER_MEGABYTE = 1_000_000
 _PROMPT = " ".join(["word"] * 200)
@@ -106,13 +112,13 @@
 
     :param note: Told what is being done.
     """
+    note("added time")
+    figures = _added_time()
     world = World(capacity_plan(1, ENGINES), quiet_defaults())
     try:
         world.start()
-        note("added time")
-        figures = _added_time(world)
         note("calls of a plain service")
-        slopes = [_call_slope(world)]
+        slopes = [_call_slope(world), _poll_slope(world)]
         uses = []
         for streams in STREAM_SIZES:
             note(f"{streams} streams")
@@ -256,25 +262,68 @@
     )
 
 
-def _added_time(world: World) -> list[Figure]:
+def _poll_slope(world: World) -> Slope:
+    """Count the bytes of polls of an engine through a proxy."""
+    (address,) = free_addresses(1)
+    target = world.deployment.standin_settings.engines[0].address
+    proxy, engine = FaultProxy(address, target), HttpEngine()
+    proxy.start()
+    points = []
+    try:
+        for polls in POLL_SIZES:
+            before_bytes = proxy.moved_bytes()
+            for _ in range(polls):
+                engine.load_report(address)
+                engine.cache_events(address, 0)
+            points.append(Point(polls, proxy.moved_bytes() - before_bytes))
+    finally:
+        proxy.stop()
+    return fit_slope(
+        "engine_poll_wire_bytes",
+        "B",
+        "poll of load and of no cache events",
+        "bytes counted by a proxy, both directions, kept connection",
+        points,
+    )
+
+
+def _added_time() -> list[Figure]:
+    """Compare calls of an engine whose own pace is far below a call's time."""
+    plan = evolve(
+        capacity_plan(1, 1), speeds=EngineSpeeds(FAST_DECODE_SECONDS_PER_TOKEN)
+    )
+    world = World(plan, quiet_defaults())
+    try:
+        world.start()
+        return _compare_times(world)
+    finally:
+        world.close()
+
+
+def _compare_times(world: World) -> list[Figure]:
     engine = world.deployment.standin_settings.engines[0]
     entry = world.instance("i1").address
     direct, through = [], []
     for number in range(PAIRS):
         direct.append(_direct_times(engine.address, engine.model, number))
         through.append(_entry_times(entry))
-    method = f"difference of medians of {PAIRS} alternating calls, wall time, quiet entry"
+    method = (
+        f"difference of medians of {PAIRS} alternating calls, wall time, quiet entry"
+    )
     return [
         Figure(
             "added_first_token_ms",
-            _added([t.first_seconds for t in through], [t.first_seconds for t in direct]),
+            _added(
+                [t.first_seconds for t in through], [t.first_seconds for t in direct]
+            ),
             "ms",
             method,
         ),
         Figure(
             "added_between_tokens_ms",
             _added(
-                [t.between_seconds for t in through], [t.between_seconds for t in direct]
+                [t.between_seconds for t in through],
+                [t.between_seconds for t in direct],
             ),
             "ms",
             method,
--- a/src/waxwing_testbed/proxy/tests/test_proxy.py
+++ b/src/waxwing_testbed/proxy/tests/test_proxy.py
@@ -137,3 +137,16 @@
     assert held.due_in_seconds(0.0) == 1.0
     held.pop()
     assert held.due_in_seconds(0.0) == 3.0
+
+
+def test_moved_bytes_count_both_directions():
+    with echo_through_proxy() as (proxy, address), connect(address) as sock:
+        sock.sendall(b"four")
+        received = b""
+        while len(received) < 4:
+            received += sock.recv(16)
+        # The last bytes are counted just after they were sent.
+        deadline_seconds = time.monotonic() + WAIT_SECONDS
+        while proxy.moved_bytes() < 8 and time.monotonic() < deadline_seconds:
+            time.sleep(0.01)
+        assert proxy.moved_bytes() == 8
