Let the log hold idle reads for one second

Cause: without traffic a node's processes spend most of their control budget on polls; each of about nine followers asked twice a second. Ruled out: a wait near READ_TIMEOUT_SECONDS (2 s), which would leave a slow platform no time to answer; one poll for several streams, which the platform's interface doesn't have. Change: POLL_WAIT_SECONDS from 0.5 to 1. New records still end a read at once, so no latency is added. The newest complete read is now up to 1 s old instead of 0.5 s, so an instance that loses log and peers together turns stale up to 0.5 s sooner; the bounds that use the age are 2 s (claims of duties) and 3 s (freshness, idempotency). Unit tests of the packages that read the log pass; features not run.

--- a/src/waxwingwinch/streams/_follower.py
+++ b/src/waxwingwinch/streams/_follower.py
@@ -19,7 +19,7 @@
 from waxwingwinch.streams._writer import RecordId
 
 #: How long the platform may hold a read when there is nothing new.
-POLL_WAIT_SECONDS = 0.5
+POLL_WAIT_SECONDS = 1.0
 #: How long a read may take in all.
 READ_TIMEOUT_SECONDS = 2.0
 #: Pause after a failed read.
