--- a/src/waxwing_testbed/capacity/_idle.py
+++ b/src/waxwing_testbed/capacity/_idle.py
@@ -31,7 +31,7 @@
 PERCENT = 100.0
 BYTES_PER_KILOBYTE = 1_000
 BYTES_PER_MEGABYTE = 1_000_000
-_MODEL = ModelName("capacity-model")
+MODEL = ModelName("capacity-model")
 _ZONES = tuple(ZoneName(f"zone-{number}") for number in range(1, 4))
 _STAT = "user and system time from /proc/<pid>/stat over 10 s, real processes"
 _PROXY = "bytes counted by the proxies, both directions, real processes"
@@ -74,7 +74,7 @@
         name="capacity",
         zones=_ZONES,
         instances=instances,
-        engines=(EngineGroup(_MODEL, engines),),
+        engines=(EngineGroup(MODEL, engines),),
         plain=(PlainGroup("shop", 2),),
         speeds=EngineSpeeds(decode_seconds_per_token=0.056),
         limits=EngineLimits(max_running=64, kv_pieces=512),
--- a/src/waxwing_testbed/capacity/_main.py
+++ b/src/waxwing_testbed/capacity/_main.py
@@ -6,6 +6,7 @@
 
 import typer
 
+from waxwing_testbed.capacity._added_time import measure_added_time
 from waxwing_testbed.capacity._claims import measure_claims
 from waxwing_testbed.capacity._idle import measure_idle
 from waxwing_testbed.capacity._memory import measure_memory
@@ -26,9 +27,8 @@
     _note("messages, operations, memory")
     slopes = [*measure_messages(), *measure_operations(), *measure_memory()]
     slopes.extend(measure_idle(_note))
-    stream_slopes, figures = measure_streams(_note)
-    slopes.extend(stream_slopes)
-    figures.extend(measure_claims(_note))
+    slopes.extend(measure_streams(_note))
+    figures = [*measure_added_time(_note), *measure_claims(_note)]
     load_average = (round(load_before, 1), round(os.getloadavg()[0], 1))
     return CapacityRun(COMMAND, load_average, tuple(slopes), tuple(figures))
 
--- a/src/waxwing_testbed/capacity/_operations.py
+++ b/src/waxwing_testbed/capacity/_operations.py
@@ -20,6 +20,7 @@
     make_floor_request,
     make_fold_state,
     make_heartbeat,
+    make_listed_instance,
 )
 from waxwing_testbed.capacity._slopes import Slope, measure_slope
 from waxwingwinch._types import Epoch
@@ -37,6 +38,7 @@
     ReturnedTokens,
     limits_of,
 )
+from waxwingwinch.placement import home_instances
 from waxwingwinch.streams import Applied, RecordId, open_envelope, seal
 
 #: Numbers of operations in a row.
@@ -45,6 +47,8 @@
 #: So many tokens that a measurement can't use them up.
 _PLENTY_TOKENS = 1_000_000_000
 _NOW_SECONDS = 100.0
+#: Home instances of a customer of low rate.
+MIN_HOMES = 2
 
 
 def measure_operations() -> list[Slope]:
@@ -180,7 +184,15 @@
 
 
 def _limit_slopes() -> list[Slope]:
-    return [_slope("grant_us", "customer asked for", FEW_SIZES, _grant)]
+    return [
+        _slope("grant_us", "customer asked for", FEW_SIZES, _grant),
+        _slope("choose_homes_us", "instance listed", FEW_SIZES, _choose_homes),
+    ]
+
+
+def _choose_homes(size: int) -> Callable[[], object]:
+    instances = [make_listed_instance(number) for number in range(size)]
+    return lambda: home_instances(customer_id_of(0), instances, MIN_HOMES)
 
 
 def _grant(size: int) -> Callable[[], object]:
--- a/src/waxwing_testbed/capacity/_roles.py
+++ b/src/waxwing_testbed/capacity/_roles.py
@@ -116,6 +116,9 @@
     )
     floor_bytes = run.slope("floor_request_bytes").slope / BYTES_PER_KILOBYTE
     floor_core = run.slope("floor_request_us").slope / MICROSECONDS_PER_PERCENT
+    homes = run.slope("choose_homes_us")
+    homes_core = homes.intercept + homes.slope * TARGET.nodes
+    homes_core /= MICROSECONDS_PER_PERCENT
     memory = run.slope("grantor_memory_bytes").slope * TARGET.customers
     memory /= BYTES_PER_MEGABYTE
     cells = TARGET.cells
@@ -132,6 +135,11 @@
             "floor requests, % of a core",
             *(count * floor_core for count in floor_rows),
         ),
+        RoleRow(
+            role,
+            "choosing home instances for floors, % of a core",
+            *(count * homes_core for count in floor_rows),
+        ),
         RoleRow(role, "accounts, MB", memory, memory / cells),
     )
 
--- a/src/waxwing_testbed/capacity/_samples.py
+++ b/src/waxwing_testbed/capacity/_samples.py
@@ -47,6 +47,8 @@
 HOLDER = Holder(InstanceId("instance-001"), hashlib.md5(b"start").hexdigest())
 #: Models at the target, for the demand in heartbeats and snapshots.
 MODEL_COUNT = 22
+#: Availability zones at the target.
+ZONE_COUNT = 6
 _ADDRESS = Address("127.0.0.1", 20_000)
 _DIGEST = hashlib.sha256(b"key").digest()
 
@@ -193,7 +195,8 @@
 def make_listed_instance(number: int) -> ListedInstance:
     """Build a row of the platform's list of instances."""
     name = InstanceId(f"instance-{number:03}")
-    return ListedInstance(name, ZONE, _ADDRESS, _ADDRESS, _ADDRESS)
+    zone = ZoneName(f"zone-{number % ZONE_COUNT}")
+    return ListedInstance(name, zone, _ADDRESS, _ADDRESS, _ADDRESS)
 
 
 def make_candidate(number: int) -> Candidate:
--- a/src/waxwing_testbed/capacity/_streams.py
+++ b/src/waxwing_testbed/capacity/_streams.py
@@ -1,17 +1,18 @@
 """What relaying streams costs an entry."""
 
-import json
-import statistics
 import threading
 import time
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 
-import urllib3
-from attrs import evolve, frozen
+from attrs import frozen
 
 from waxwing_testbed import free_addresses
-from waxwing_testbed.capacity._figures import Figure
+from waxwing_testbed.capacity._completions import (
+    READ_BYTES,
+    TOKEN_MARK,
+    open_completion,
+)
 from waxwing_testbed.capacity._idle import capacity_plan, quiet_defaults
 from waxwing_testbed.capacity._meters import read_process_use
 from waxwing_testbed.capacity._slopes import Point, Slope, fit_slope
@@ -19,10 +20,8 @@
 from waxwing_testbed.load import CallSender, PlainRequest
 from waxwing_testbed.proxy import FaultProxy
 from waxwing_testbed.scenario import STATUS_PATH, WIDE, World, key_of
-from waxwing_testbed.standins import EngineSpeeds
-from waxwingwinch._types import Address, ModelName
+from waxwingwinch._types import Address
 from waxwingwinch.adapters import HttpEngine
-from waxwingwinch.interfaces import GenerateCall, StreamPart
 
 #: Streams open at one time.
 STREAM_SIZES = (25, 50, 100, 200)
@@ -34,18 +33,10 @@
 MEASURE_SECONDS = 8.0
 #: Tokens of each stream; more than are sent until the end of a measurement.
 STREAM_TOKENS = 400
-#: Pairs of a direct call and one through the entry.
-PAIRS = 100
-PAIR_TOKENS = 12
 #: Polls of an engine in a row.
 POLL_SIZES = (10, 20, 40, 80)
-#: Pace of the engine for the comparison with direct calls.
-FAST_DECODE_SECONDS_PER_TOKEN = 0.005
 MILLISECONDS_PER_SECOND = 1_000.0
 BYTES_PER_MEGABYTE = 1_000_000
-_PROMPT = " ".join(["word"] * 200)
-_READ_BYTES = 65_536
-_TOKEN_MARK = b'"text"'
 
 
 @frozen
@@ -91,29 +82,12 @@
             return self._tokens
 
 
-@frozen
-class StreamTimes:
-    """
-    When the tokens of one answer came.
-
-    :param first_seconds: Time to the first token.
-    :param between_seconds: Mean time between tokens.
-    """
-
-    first_seconds: float
-    between_seconds: float
-
-
-def measure_streams(
-    note: Callable[[str], None],
-) -> tuple[list[Slope], list[Figure]]:
+def measure_streams(note: Callable[[str], None]) -> list[Slope]:
     """
     Measure one entry with streams and calls.
 
     :param note: Told what is being done.
     """
-    note("added time")
-    figures = _added_time()
     world = World(capacity_plan(1, ENGINES), quiet_defaults())
     try:
         world.start()
@@ -123,7 +97,7 @@
         for streams in STREAM_SIZES:
             note(f"{streams} streams")
             uses.append(_measure(world, streams))
-        return [*slopes, *_stream_slopes(uses)], figures
+        return [*slopes, *_stream_slopes(uses)]
     finally:
         world.close()
 
@@ -154,36 +128,12 @@
 def _read_stream(
     address: Address, counter: TokenCounter, closing: threading.Event
 ) -> None:
-    response = _open(address, STREAM_TOKENS)
-    while not closing.is_set() and (part := response.read1(_READ_BYTES)):
-        counter.add(part.count(_TOKEN_MARK))
+    response = open_completion(address, STREAM_TOKENS)
+    while not closing.is_set() and (part := response.read1(READ_BYTES)):
+        counter.add(part.count(TOKEN_MARK))
     response.close()
 
 
-def _open(address: Address, tokens: int) -> urllib3.BaseHTTPResponse:
-    body = {
-        "model": str(capacity_plan(1, 1).engines[0].model),
-        "prompt": _PROMPT,
-        "max_tokens": tokens,
-        "stream": True,
-    }
-    response = urllib3.PoolManager(num_pools=1).request(
-        "POST",
-        f"http://{address}/v1/completions",
-        body=json.dumps(body).encode(),
-        headers={
-            "Authorization": f"Bearer {key_of(WIDE)}",
-            "Content-Type": "application/json",
-            "Connection": "close",
-        },
-        retries=False,
-        preload_content=False,
-    )
-    if response.status != 200:
-        raise RuntimeError(f"status {response.status}: {response.data!r}")
-    return response
-
-
 def _stream_slopes(uses: list[StreamUse]) -> list[Slope]:
     processor = "user and system time of the entry from /proc/<pid>/stat"
     return [
@@ -285,75 +235,3 @@
         "bytes counted by a proxy, both directions, kept connection",
         points,
     )
-
-
-def _added_time() -> list[Figure]:
-    """Compare calls of an engine whose own pace is far below a call's time."""
-    plan = evolve(
-        capacity_plan(1, 1), speeds=EngineSpeeds(FAST_DECODE_SECONDS_PER_TOKEN)
-    )
-    world = World(plan, quiet_defaults())
-    try:
-        world.start()
-        return _compare_times(world)
-    finally:
-        world.close()
-
-
-def _compare_times(world: World) -> list[Figure]:
-    engine = world.deployment.standin_settings.engines[0]
-    entry = world.instance("i1").address
-    direct, through = [], []
-    for number in range(PAIRS):
-        direct.append(_direct_times(engine.address, engine.model, number))
-        through.append(_entry_times(entry))
-    method = (
-        f"difference of medians of {PAIRS} alternating calls, wall time, quiet entry"
-    )
-    return [
-        Figure(
-            "added_first_token_ms",
-            _added(
-                [t.first_seconds for t in through], [t.first_seconds for t in direct]
-            ),
-            "ms",
-            method,
-        ),
-        Figure(
-            "added_between_tokens_ms",
-            _added(
-                [t.between_seconds for t in through],
-                [t.between_seconds for t in direct],
-            ),
-            "ms",
-            method,
-        ),
-    ]
-
-
-def _added(through: list[float], direct: list[float]) -> float:
-    difference = statistics.median(through) - statistics.median(direct)
-    return difference * MILLISECONDS_PER_SECOND
-
-
-def _direct_times(address: Address, model: ModelName, number: int) -> StreamTimes:
-    call = GenerateCall(f"direct-{number}", model, _PROMPT, PAIR_TOKENS)
-    started_seconds = time.monotonic()
-    stream = HttpEngine().generate(address, call)
-    times = [time.monotonic() for item in stream if isinstance(item, StreamPart)]
-    return _times(started_seconds, times)
-
-
-def _entry_times(address: Address) -> StreamTimes:
-    started_seconds = time.monotonic()
-    response = _open(address, PAIR_TOKENS)
-    times: list[float] = []
-    while part := response.read1(_READ_BYTES):
-        times.extend([time.monotonic()] * part.count(_TOKEN_MARK))
-    return _times(started_seconds, times)
-
-
-def _times(started_seconds: float, times: list[float]) -> StreamTimes:
-    return StreamTimes(
-        times[0] - started_seconds, (times[-1] - times[0]) / (PAIR_TOKENS - 1)
-    )
