--- a/src/waxwingwinch/entry/_generation.py
+++ b/src/waxwingwinch/entry/_generation.py
@@ -229,8 +229,7 @@
         error, name = failure.error, failure.view.upstream_id
         now_seconds = self._services.clock.now_seconds()
         self._router.failed(name, error, now_seconds)
-        if self._is_free_try(name, error):
-            self._tries -= 1
+        is_free = self._is_free_try(name, error)
         self._excluded |= {name}
         if error.outcome is not Outcome.NOT_RUN:
             if self._is_down(failure.view):
@@ -249,11 +248,10 @@
                 policy = FewestOthers()
         if self._services.configuration.freshness(now_seconds) is Freshness.STALE:
             raise self._given_up(f"{error}; this instance lost touch with the others")
-        decision = self._router.retry(
-            self._tries, self._watch.deadline_seconds, now_seconds
-        )
-        if isinstance(decision, RetryRefused):
-            raise self._given_up(f"{error}; {decision.reason}")
+        if is_free:
+            self._tries -= 1
+        else:
+            self._pay_retry(error, now_seconds)
         routing = evolve(
             self._job.generation.routing,
             excluded=self._excluded,
@@ -262,9 +260,16 @@
         )
         return self._choose_again(evolve(self._job.generation, routing=routing), error)
 
+    def _pay_retry(self, error: UpstreamFailed, now_seconds: float) -> None:
+        decision = self._router.retry(
+            self._tries, self._watch.deadline_seconds, now_seconds
+        )
+        if isinstance(decision, RetryRefused):
+            raise self._given_up(f"{error}; {decision.reason}")
+
     def _is_free_try(self, upstream_id: UpstreamId, error: UpstreamFailed) -> bool:
         """
-        Tell whether a failed try isn't counted.
+        Tell whether a failed try neither counts nor costs a retry.
 
         A stream that has begun would be cut after a few tries if several
         engines went down at once, so that it may ask each of them once.
