Wait for granted limits when a scenario is cleaned up

The start of a deployment waits for grants already; the clean-up now does as well. That a customer of 2,000 requests/s is refused for some time after the log lost answers remains to be looked at with the limits.

--- a/src/waxwing_testbed/scenario/_world.py
+++ b/src/waxwing_testbed/scenario/_world.py
@@ -90,6 +90,7 @@
                     process.start()
         for instance in self.deployment.instances:
             self.wait_until(instance.is_serving, f"{instance.instance_id} serves")
+        self.wait_until(self._is_granting, "the limits are granted")
 
     def operator(self, *names: str) -> TestOperator:
         """
