--- a/src/waxwing_testbed/bench/_scenario.py
+++ b/src/waxwing_testbed/bench/_scenario.py
@@ -138,6 +138,8 @@
     :param actions: What happens in all variants.
     :param lags: How late engines report.
     :param is_market_open: True if engines can be ordered.
+    :param awaits_reports: True to wait for the usage reports with the usual
+        policies.
     :param flips: Number of changes of the mix.
     """
 
@@ -148,4 +150,5 @@
     actions: tuple[Action, ...] = ()
     lags: EngineLags = EngineLags()
     is_market_open: bool = False
+    awaits_reports: bool = False
     flips: int = 0
