Keep floors alive while the grantor is silent

Cause: an entry gives tokens of an idle floor back and keeps room for them until the grantor confirms. Without a grantor nothing is confirmed, and each further return left less room, until the floor admitted nothing. Seen with the log down: instances with little traffic refused nearly all calls.

Change: nothing more is returned while a return is unconfirmed.

--- a/src/waxwingwinch/limits/_holdings.py
+++ b/src/waxwingwinch/limits/_holdings.py
@@ -228,9 +228,14 @@
     def _return_idle(
         self, limit: CustomerLimit, arrivals_per_second: float, now_seconds: float
     ) -> TokenBucket | None:
-        """Take tokens that would soon overflow out of the floor's bucket."""
+        """
+        Take tokens that would soon overflow out of the floor's bucket.
+
+        Until the grantor confirms the last ones nothing more is taken: each
+        return leaves less room, so without a grantor the floor would empty.
+        """
         bucket = self._floor_bucket(limit, now_seconds)
-        if bucket is None:
+        if bucket is None or self._returned_tokens != self._known_returned_tokens:
             return bucket
         unneeded_per_second = bucket.rate_per_second - arrivals_per_second
         room_tokens = max(0.0, unneeded_per_second) * HORIZON_SECONDS
--- a/src/waxwingwinch/limits/tests/test_holdings.py
+++ b/src/waxwingwinch/limits/tests/test_holdings.py
@@ -92,3 +92,10 @@
     holdings.add_extra(granted(0, 1, wrong), Epoch(1), 2.0)
     holdings.floor_wait_seconds(LIMIT, 2.0)
     assert count(holdings, 90.0) == 10
+
+
+def test_a_floor_outlasts_a_grantor_that_does_not_answer():
+    holdings = with_floor()
+    for number in range(100):
+        holdings.ask(LIMIT, 0, 50.0 + 0.25 * number)
+    assert count(holdings, 76.0) == 5
