--- a/features/keys.feature
+++ b/features/keys.feature
@@ -1,6 +1,10 @@
 @instances.3
 Feature: A withdrawn key stops working within seconds
 
+  Scenario: time until a withdrawn key is refused
+    When 10 keys are withdrawn, one after the other
+    Then each was refused everywhere within 5 seconds
+
   Scenario: a key is withdrawn while its streams run
     Given a customer "streaming" with a key of its own
     When "streaming" opens a stream of 600 tokens at each instance
--- a/features/limits.feature
+++ b/features/limits.feature
@@ -54,3 +54,8 @@
     When the log comes back
     And 4 seconds pass
     Then the narrow customer got no more than its rate and burst
+
+  Scenario: a customer far below its rate while the log is down
+    When the log goes down
+    And 8 seconds pass
+    Then every instance serves the wide customer
--- a/features/steps/keys.py
+++ b/features/steps/keys.py
@@ -18,6 +18,8 @@
 #: Rate and burst that no scenario of keys reaches.
 AMPLE_RATE_PER_SECOND = 2_000.0
 AMPLE_BURST_REQUESTS = 4_000.0
+#: Within which a withdrawn key must be refused everywhere.
+BOUND_SECONDS = 5.0
 #: How long a withdrawal may take to be accepted once nothing hinders it.
 ACCEPTED_TIMEOUT_SECONDS = 20.0
 #: Time in which a withdrawal heard from a peer must come into the log.
@@ -53,6 +55,28 @@
     context.world.operator(instance).withdraw(key_id_of(CustomerId(name)))
 
 
+@when("{count:d} keys are withdrawn, one after the other")
+def step_withdraw_many(context, count):
+    context.refused_seconds = []
+    for number in range(count):
+        name = f"measured-{number}"
+        step_customer(context, name)
+        instances = context.world.deployment.instances
+        taker = instances[number % len(instances)]
+        step_withdraw(context, name, str(taker.instance_id))
+        for instance in instances:
+            wait_refused(context, name, str(instance.instance_id), BOUND_SECONDS)
+        passed_seconds = time.monotonic() - context.withdrawn_seconds
+        context.refused_seconds.append(passed_seconds)
+
+
+@then("each was refused everywhere within {seconds:d} seconds")
+def step_each_refused(context, seconds):
+    times = sorted(context.refused_seconds)
+    print(f"refused after {', '.join(f'{one:.2f}' for one in times)} s")
+    assert times[-1] <= seconds
+
+
 @when('{count:d} calls of "{name}" wait at {instance:w}')
 def step_waiting(context, count, name, instance):
     world = context.world
--- a/features/steps/limits.py
+++ b/features/steps/limits.py
@@ -15,6 +15,7 @@
     NARROW,
     NARROW_BURST_REQUESTS,
     NARROW_RATE_PER_SECOND,
+    WIDE,
     Pressure,
     PressurePlan,
 )
@@ -85,6 +86,14 @@
     )
 
 
+@then("every instance serves the wide customer")
+def step_wide_served(context):
+    world = context.world
+    for instance in world.deployment.instances:
+        event = world.send(world.status_check(), str(instance.instance_id), WIDE)
+        assert event.outcome is CallOutcome.WHOLE, event
+
+
 def narrow_events(context):
     events = context.world.history.events()
     return [event for event in events if event.customer_id == NARROW]
