--- a/src/waxwingwinch/control/_buying_runner.py
+++ b/src/waxwingwinch/control/_buying_runner.py
@@ -27,12 +27,14 @@
     Purchase,
     Refusal,
     Return,
+    WorkForecast,
     plan_purchases,
     spare_engine,
 )
 from waxwingwinch.fleet import Directive, FleetObserver, OrderIntent
 from waxwingwinch.interfaces import GiveBack, OrderUpstream
 from waxwingwinch.kernel import Clock
+from waxwingwinch.settings import BuyingPolicyKind
 
 #: Pause between two plans.
 PLAN_SECONDS = 5.0
@@ -69,6 +71,8 @@
     :param configuration: Gives the configuration in force.
     :param decisions: Where reasons are kept.
     :param clock: Source of wall time for reasons.
+    :param policy: Whether purchases and returns are planned; those under
+        way are ended in any case.
     """
 
     def __init__(
@@ -82,6 +86,7 @@
         configuration: Callable[[], Configuration],
         decisions: DecisionLog,
         clock: Clock,
+        policy: BuyingPolicyKind = BuyingPolicyKind.PLANNED,
     ) -> None:
         self._duty = duty
         self._journal = journal
@@ -92,6 +97,7 @@
         self._configuration = configuration
         self._decisions = decisions
         self._clock = clock
+        self._policy = policy
         self._term = _Term()
 
     @property
@@ -124,7 +130,8 @@
                 self._continue_return(directive.upstream_id, now_seconds)
         if now_seconds - self._term.planned_seconds >= PLAN_SECONDS:
             self._term.planned_seconds = now_seconds
-            self._plan(now_seconds)
+            if self._policy is BuyingPolicyKind.PLANNED:
+                self._plan(now_seconds)
 
     def _continue_return(self, upstream_id: UpstreamId, now_seconds: float) -> None:
         if self._observer.find(upstream_id) is None:
@@ -150,9 +157,7 @@
             return
         configuration = self._configuration()
         views = self._service_views()
-        for work in self._entries.forecast(LEAD_SECONDS, now_seconds):
-            if work.model not in configuration.models:
-                continue
+        for work in self._expected_work(configuration, now_seconds):
             own = [view for view in views if view.model == work.model]
             defaults = configuration.defaults_for(Scope(ScopeKind.MODEL, work.model))
             need = ModelNeed(work.model, engines_of_work(work, own))
@@ -172,6 +177,17 @@
             for decision in plan_purchases(state, defaults, now_seconds):
                 self._carry_out(decision, now_seconds)
 
+    def _expected_work(
+        self, configuration: Configuration, now_seconds: float
+    ) -> list[WorkForecast]:
+        """Return the work of each model; none where no demand was seen."""
+        forecasts = self._entries.forecast(LEAD_SECONDS, now_seconds)
+        by_model = {work.model: work for work in forecasts}
+        return [
+            by_model.get(model, WorkForecast(model, 0.0, 0.0))
+            for model in configuration.models
+        ]
+
     def _service_views(self) -> list[UpstreamView]:
         """Return the engines that are in service or will be."""
         returned = {directive.upstream_id for directive in self._journal.drains()}
--- a/src/waxwingwinch/entry/tests/test_completions.py
+++ b/src/waxwingwinch/entry/tests/test_completions.py
@@ -22,8 +22,10 @@
     eventually,
     running_entry,
 )
+from waxwingwinch.settings import RoutingPolicyKind
 
 WHOLE = "t0 t1 t2 t3 t4 "
+ROUND_ROBIN = RoutingPolicyKind.ROUND_ROBIN
 
 
 @pytest.fixture
@@ -178,6 +180,20 @@
     assert entry.complete(max_tokens=7).status == 200
 
 
+def test_a_begun_stream_asks_each_engine_before_it_fails(entry):
+    names = ("e1", "e2", "e3", "e4", "e5", "e6")
+    entry.fleet.engine_views = tuple(
+        engine_view(name, port, decode_seconds_per_token=0.02 if port == 1 else 0.1)
+        for port, name in enumerate(names, 1)
+    )
+    entry.engine.behaviours = {
+        1: Behaviour(breaks_at=2),
+        **{port: Behaviour(refuses=True) for port in (2, 3, 4, 5)},
+    }
+    assert streamed_text(events(entry.complete(stream=True))) == WHOLE
+    assert entry.engine.calls[-1][1].resume_from_token == 2
+
+
 def test_splits_long_prompts(entry):
     entry.fleet.engine_views = (
         engine_view("p", 1, EngineRole.PREFILL, decode_seconds_per_token=0.1),
@@ -231,3 +247,10 @@
     assert not entry.application.wait_idle(0.05)
     response.close()
     assert entry.application.wait_idle(5)
+
+
+def test_baseline_policy_of_the_settings_routes_in_turn():
+    with running_entry(options={"routing_policy": ROUND_ROBIN}) as entry:
+        assert [entry.complete().status for _ in range(4)] == [200] * 4
+        ports = [port for port, _ in entry.engine.calls]
+    assert ports == [1, 2, 1, 2]
--- a/src/waxwingwinch/entry/tests/test_plain.py
+++ b/src/waxwingwinch/entry/tests/test_plain.py
@@ -112,6 +112,18 @@
     assert (response.status, outcome_of(response)) == (503, "not_run")
 
 
+@pytest.mark.parametrize(("crashed", "status"), [(set(), 201), ({11, 12}, 503)])
+def test_only_crashes_stop_later_calls(entry, crashed, status):
+    entry.plain.failures = {11: Outcome.UNKNOWN}
+    entry.plain.crashed = crashed
+    assert entry.call("POST", "/book", body=b"bench").status == 502
+    entry.plain.failures = {12: Outcome.UNKNOWN}
+    entry.fleet.plain_views = entry.fleet.plain_views[1:]
+    assert entry.call("POST", "/book", body=b"bench").status == 502
+    entry.plain.failures = {}
+    assert entry.call("POST", "/book", body=b"bench").status == status
+
+
 def test_claimed_call_is_recorded(entry):
     assert entry.call("POST", "/book", headers=WITH_KEY).status == 201
     assert entry.store.answers[0].body == b"booked"
@@ -123,6 +135,14 @@
     assert (entry.store.unknown, entry.store.not_run) == (1, 1)
 
 
+def test_key_withdrawn_during_the_claim_sends_nothing(entry):
+    entry.store.on_claim = lambda: entry.configuration.withdrawn.add(KEY)
+    response = entry.call("POST", "/book", headers=WITH_KEY)
+    assert (response.status, outcome_of(response)) == (401, "not_run")
+    assert entry.store.not_run == 1
+    assert entry.plain.calls == []
+
+
 def test_lapsed_claim_is_not_sent(entry):
     entry.store.result = ClaimHeld("claim", 0.0)
     response = entry.call("POST", "/book", headers=WITH_KEY)
@@ -192,6 +212,30 @@
     assert all(name in message for name in ("prompt", "max_tokens", "stream"))
 
 
+@pytest.mark.parametrize(
+    ("head", "code"),
+    [
+        (b"Content-Length: -5", "invalid_request"),
+        (b"Content-Length: +5", "invalid_request"),
+        (b"Content-Length: 2\r\nContent-Length: 40", "invalid_request"),
+        (b"Authorization: Bearer one\r\nAuthorization: Bearer two", "invalid_request"),
+        (b"no colon", "invalid_request"),
+        (b"Content-Length: 999999999999", "body_too_large"),
+    ],
+)
+def test_malformed_heads(entry, head, code):
+    address = urlsplit(entry.base)
+    with socket.create_connection((address.hostname, address.port)) as caller:
+        authorization = f"X-Api-Key: {KEY}".encode()
+        lines = [b"POST /book HTTP/1.1", b"Host: x", authorization, head, b"", b"{}"]
+        caller.sendall(b"\r\n".join(lines))
+        caller.settimeout(10)
+        answer = caller.recv(65_536)
+    error = json.loads(answer.partition(b"\r\n\r\n")[2])["error"]
+    assert (error["code"], error["outcome"]) == (code, "not_run")
+    assert entry.plain.calls == []
+
+
 def test_slow_body_is_cut():
     options: dict[str, object] = {"request_read_seconds": 0.3}
     with running_entry(options=options) as entry:
