--- a/features/environment.py
+++ b/features/environment.py
@@ -2,13 +2,13 @@
 Hooks of the scenarios.
 
 Each feature runs in one deployment. A feature names its size by a tag
-``@instances.N``; a tag ``@cell.NAME`` picks the sizes of an example.
+``@instances.N``; ``@plan.NAME`` picks its upstreams and its market, and
+``@log_records.N`` says how many records the log keeps of each stream.
 """
 
 from attrs import evolve
 
-from waxwing_testbed.deployment import tahi_plan
-from waxwing_testbed.scenario import World
+from waxwing_testbed.scenario import BackgroundCallers, Takeover, World, named_plan
 from waxwingwinch.configuration import Defaults
 
 #: Instances of a feature without a tag.
@@ -26,22 +26,33 @@
 
 
 def before_feature(context, feature):
-    instances = DEFAULT_INSTANCES
-    for tag in feature.tags:
-        if tag.startswith("instances."):
-            instances = int(tag.removeprefix("instances."))
-    plan = evolve(tahi_plan(), instances=instances)
+    instances = int(find_tag(feature, "instances.", str(DEFAULT_INSTANCES)))
+    plan = named_plan(find_tag(feature, "plan.", "tahi"))
+    records = int(find_tag(feature, "log_records.", str(plan.log.max_records)))
+    log = evolve(plan.log, max_records=records)
+    plan = evolve(plan, instances=instances, log=log)
     context.world = World(plan, TEST_DEFAULTS)
     context.world.start()
 
 
 def before_scenario(context, scenario):
     context.world.notes.clear()
+    context.takeover = Takeover(context.world)
+    context.callers = BackgroundCallers(context.world)
 
 
 def after_scenario(context, scenario):
+    context.callers.stop()
     context.world.restore()
 
 
 def after_feature(context, feature):
     context.world.close()
+
+
+def find_tag(feature, prefix, default):
+    """Return what stands behind a prefix in the tags of a feature."""
+    for tag in feature.tags:
+        if tag.startswith(prefix):
+            return tag.removeprefix(prefix)
+    return default
--- a/src/waxwing_testbed/history/__init__.py
+++ b/src/waxwing_testbed/history/__init__.py
@@ -1,5 +1,6 @@
 """Histories of calls, and checks of the promises over them."""
 
+from waxwing_testbed.history._admissions import timely_admissions
 from waxwing_testbed.history._checks import (
     Admission,
     AuthoritySpan,
@@ -19,6 +20,16 @@
 )
 from waxwing_testbed.history._events import CallEvent, CallKind, CallOutcome
 from waxwing_testbed.history._history import History, load_history
+from waxwing_testbed.history._orders import (
+    LoggedIntent,
+    LoggedOrder,
+    LoggedOutcome,
+    OrderArrival,
+    check_effects_by_epoch,
+    check_epochs_of_orders,
+    check_one_open_order,
+    check_order_names,
+)
 
 __all__ = [
     "Admission",
@@ -27,13 +38,21 @@
     "CallKind",
     "CallOutcome",
     "History",
+    "LoggedIntent",
+    "LoggedOrder",
+    "LoggedOutcome",
+    "OrderArrival",
     "ReportedWindow",
     "UpstreamExecution",
     "VersionSighting",
     "Violation",
     "check_at_most_once",
+    "check_effects_by_epoch",
+    "check_epochs_of_orders",
     "check_monotone_versions",
     "check_one_figure",
+    "check_one_open_order",
+    "check_order_names",
     "check_rate",
     "check_rate_by_calls",
     "check_refusals_are_true",
@@ -41,4 +60,5 @@
     "check_single_authority",
     "check_whole_answers",
     "load_history",
+    "timely_admissions",
 ]
--- a/src/waxwing_testbed/load/__init__.py
+++ b/src/waxwing_testbed/load/__init__.py
@@ -12,6 +12,7 @@
     Targets,
     parse_targets,
 )
+from waxwing_testbed.load._raw import RawAnswer, RawRequest, send_bytes, send_raw
 from waxwing_testbed.load._run import LoadPlan, check_load, run_load
 from waxwing_testbed.load._summary import (
     CustomerSummary,
@@ -44,6 +45,11 @@
     "Phase",
     "PlainMix",
     "PlainRequest",
+    "RawAnswer",
+    "RawRequest",
+    "TrafficSource",
+    "send_bytes",
+    "send_raw",
     "Shortfall",
     "Targets",
     "TrafficSource",
--- a/src/waxwing_testbed/scenario/_world.py
+++ b/src/waxwing_testbed/scenario/_world.py
@@ -137,6 +137,14 @@
         """
         return self._pool.submit(self.send, call, instance, customer_id)
 
+    def in_background(self, work: Callable[[], None]) -> "Future[None]":
+        """
+        Run work in another thread.
+
+        :param work: What to do.
+        """
+        return self._pool.submit(work)
+
     def chat(self, tokens: int = 8, words: int = 20, word: str = "word") -> ChatCall:
         """
         Make a chat call.
@@ -157,13 +165,16 @@
         """
         return PlainRequest(CallKind.ORDER, "POST", ORDER_PATH, body, key)
 
-    def payment(self, body: bytes = b'{"pesos": 1}') -> PlainRequest:
+    def payment(self, body: bytes = b'{"pesos": 1}', name: str = "") -> PlainRequest:
         """
         Make a payment without an idempotency key.
 
         :param body: The body.
+        :param name: Tells the payment from others in the journals of the
+            plain services; empty if that isn't needed.
         """
-        return PlainRequest(CallKind.PAYMENT, "POST", PAYMENT_PATH, body)
+        path = f"{PAYMENT_PATH}?payment={name}" if name else PAYMENT_PATH
+        return PlainRequest(CallKind.PAYMENT, "POST", path, body)
 
     def status_check(self) -> PlainRequest:
         """Make a call that may be repeated."""
--- a/src/waxwingwinch/entry/_generation.py
+++ b/src/waxwingwinch/entry/_generation.py
@@ -90,6 +90,7 @@
         self._watch = watch
         self._job = job
         self._tries = 0
+        self._tokens_before_try = 0
         self._excluded: frozenset[UpstreamId] = frozenset()
         self._may_have_run = False
         #: Tokens handed out so far.
@@ -110,6 +111,7 @@
         """
         while True:
             self._tries += 1
+            self._tokens_before_try = self.received_tokens
             try:
                 yield from self._attempt(choice)
                 return
@@ -227,10 +229,15 @@
         error, name = failure.error, failure.view.upstream_id
         now_seconds = self._services.clock.now_seconds()
         self._router.failed(name, error, now_seconds)
+        if self._is_free_try(name, error):
+            self._tries -= 1
         self._excluded |= {name}
         if error.outcome is not Outcome.NOT_RUN:
             if self._is_down(failure.view):
-                self._services.crashes.crashed(self._job.fingerprint, name, now_seconds)
+                had_progress = self.received_tokens > self._tokens_before_try
+                self._services.crashes.crashed(
+                    self._job.fingerprint, name, now_seconds, had_progress
+                )
         self._watch.check(self.outcome)
         policy = self._job.generation.routing.policy
         match self._services.crashes.judge(self._job.fingerprint, now_seconds):
@@ -255,6 +262,17 @@
         )
         return self._choose_again(evolve(self._job.generation, routing=routing), error)
 
+    def _is_free_try(self, upstream_id: UpstreamId, error: UpstreamFailed) -> bool:
+        """
+        Tell whether a failed try isn't counted.
+
+        A stream that has begun would be cut after a few tries if several
+        engines went down at once, so that it may ask each of them once.
+        """
+        is_resumption = self.received_tokens > 0
+        is_first = upstream_id not in self._excluded
+        return is_resumption and is_first and error.outcome is Outcome.NOT_RUN
+
     def _choose_again(self, generation: Generation, error: UpstreamFailed) -> Routed:
         now_seconds = self._services.clock.now_seconds()
         choice = self._router.choose(generation, now_seconds)
--- a/src/waxwingwinch/entry/tests/fakes.py
+++ b/src/waxwingwinch/entry/tests/fakes.py
@@ -4,7 +4,7 @@
 import json
 import threading
 import time
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 import urllib3
 from attrs import define, evolve, field, frozen
@@ -134,6 +134,7 @@
     answers: list[StoredAnswer] = field(factory=list)
     not_run: int = 0
     unknown: int = 0
+    on_claim: Callable[[], None] = lambda: None
 
     def claim(
         self,
@@ -143,6 +144,7 @@
         timeout_seconds: float,
         now_seconds: float,
     ) -> ClaimResult:
+        self.on_claim()
         return self.result
 
     def record_answer(self, claim_id: str, answer: StoredAnswer) -> None:
@@ -247,6 +249,7 @@
 class FakePlain:
     failures: dict[int, Outcome] = field(factory=dict)
     calls: list[tuple[int, PlainCall]] = field(factory=list)
+    crashed: set[int] = field(factory=set)
 
     def call(self, address: Address, call: PlainCall) -> PlainAnswer:
         self.calls.append((address.port, call))
@@ -255,6 +258,9 @@
             raise UpstreamFailed("broken", outcome)
         return PlainAnswer(201, (("X-Seat", "4"), ("Set-Cookie", "a=b")), b"booked")
 
+    def is_listening(self, address: Address) -> bool:
+        return address.port not in self.crashed
+
 
 ROUTES = (
     Route("/seats", "booking", ("GET",), idempotent=True),
