--- a/features/steps/authority.py
+++ b/features/steps/authority.py
@@ -21,6 +21,9 @@
 REPEAT_SECONDS = 3.5
 #: How long late orders of a hindered process are watched for.
 WATCH_SECONDS = 3.0
+#: Longest time until an order is settled. One whose effect a crash undid
+#: stays open for half of it.
+SETTLE_SECONDS = 60.0
 #: How long a crashed engine stays away.
 CRASH_SECONDS = 1.0
 #: Bytes from the platform are held, those to it pass.
@@ -214,7 +217,8 @@
         intents = context.takeover.watch.open_intents()
         return all(one.order_id != context.order_id for one in intents)
 
-    wait(context, settled, "the order has an outcome")
+    what = "the order has an outcome"
+    context.world.wait_until(settled, what, SETTLE_SECONDS)
 
 
 def set_order_fault(context, fault):
