Measure idle deployments with as many engines as are wanted

Cause: the plan wanted 64 engines where none could be bought. Since models without demand keep their least engines, the holder of buying placed 58 orders in one plan, all refused, so the rows of idle processes were not idle. Ruled out: a regression of the idle processes. Change: the least and the most engines are those of the deployment.

--- a/src/waxwing_testbed/capacity/_added_time.py
+++ b/src/waxwing_testbed/capacity/_added_time.py
@@ -53,7 +53,7 @@
     plan = evolve(
         capacity_plan(1, 1), speeds=EngineSpeeds(FAST_DECODE_SECONDS_PER_TOKEN)
     )
-    world = World(plan, quiet_defaults())
+    world = World(plan, quiet_defaults(1))
     try:
         world.start()
         return _compare_times(world)
--- a/src/waxwing_testbed/capacity/_idle.py
+++ b/src/waxwing_testbed/capacity/_idle.py
@@ -81,12 +81,16 @@
     )
 
 
-def quiet_defaults() -> Defaults:
-    """Return settings under which engines stay as they are."""
+def quiet_defaults(engines: int) -> Defaults:
+    """
+    Return settings under which engines stay as they are.
+
+    :param engines: Number of engines; none is bought or given back.
+    """
     return evolve(
         Defaults(),
-        min_engines_per_model=64,
-        max_engines_per_model=64,
+        min_engines_per_model=engines,
+        max_engines_per_model=engines,
         role_hold_seconds=3_600.0,
         survive_zone_loss=False,
     )
@@ -119,7 +123,7 @@
 
 
 def _measure(instances: int, engines: int) -> IdleUse:
-    world = World(capacity_plan(instances, engines), quiet_defaults())
+    world = World(capacity_plan(instances, engines), quiet_defaults(engines))
     try:
         world.start()
         time.sleep(SETTLE_SECONDS)
--- a/src/waxwing_testbed/capacity/_streams.py
+++ b/src/waxwing_testbed/capacity/_streams.py
@@ -88,7 +88,7 @@
 
     :param note: Told what is being done.
     """
-    world = World(capacity_plan(1, ENGINES), quiet_defaults())
+    world = World(capacity_plan(1, ENGINES), quiet_defaults(ENGINES))
     try:
         world.start()
         note("calls of a plain service")
