Learn the length of answers within seconds of a new start

Cause: the forecast began with 100 tokens for each answer and took a minute to learn better.

Change: the mean counts answers, the assumption weighs as much as 20 of them.

--- a/src/waxwing_testbed/bench/_main.py
+++ b/src/waxwing_testbed/bench/_main.py
@@ -1,9 +1,11 @@
 """The command line of the bench."""
 
+import math
 import multiprocessing
 import pathlib
 import shlex
 import sys
+import time
 from collections.abc import Sequence
 from concurrent.futures import ProcessPoolExecutor, as_completed
 from typing import Annotated
@@ -12,7 +14,7 @@
 from rich.console import Console
 
 from waxwing_testbed.bench._report import write_report
-from waxwing_testbed.bench._result import read_results, write_result
+from waxwing_testbed.bench._result import RunResult, read_results, write_result
 from waxwing_testbed.bench._run import RunPlan, run
 from waxwing_testbed.bench._scenario import OURS
 from waxwing_testbed.bench._scenarios import scenarios
@@ -39,6 +41,9 @@
     seconds: Annotated[
         float, typer.Option(min=5.0, help="Length of a run without the warm-up.")
     ] = 27.0,
+    budget_seconds: Annotated[
+        float, typer.Option(help="No run begins later than so long after the start.")
+    ] = math.inf,
     out: Annotated[
         pathlib.Path, typer.Option(help="Folder of the page, the plots and raw/.")
     ] = DEFAULT_FOLDER,
@@ -47,7 +52,8 @@
     Measure the policies beside their baselines, and write the page.
 
     Runs of earlier calls stay in ``raw/`` and in the page until they are run
-    again. Exit codes: 0 all runs ended, 1 one failed, 2 wrong usage.
+    again. Exit codes: 0 all runs ended, 1 one failed or did not begin in
+    time, 2 wrong usage.
     """
     console = Console()
     command = "python -m waxwing_testbed.bench " + shlex.join(sys.argv[1:])
@@ -57,7 +63,8 @@
         raise typer.Exit(EXIT_USAGE)
     raw = out / RAW_FOLDER
     raw.mkdir(parents=True, exist_ok=True)
-    failures = _run_all(plans, parallel, raw, console)
+    deadline_seconds = time.time() + budget_seconds
+    failures = _run_all(plans, parallel, raw, deadline_seconds, console)
     checks = write_report(out, scenarios(), read_results(raw))
     for check in checks:
         console.print(
@@ -65,7 +72,7 @@
             f"(worst {check.worst:.4g}): {check.verdict.value}"
         )
     if failures:
-        console.print(f"{failures} of {len(plans)} runs failed")
+        console.print(f"{failures} of {len(plans)} runs failed or didn't begin")
         raise typer.Exit(EXIT_FAILED)
 
 
@@ -76,7 +83,7 @@
     seconds: float,
     command: str,
 ) -> list[RunPlan]:
-    """Plan the runs, the variants of each seed next to each other."""
+    """Plan the runs of the first seed, then those of the second, and so on."""
     return [
         RunPlan(
             scenario,
@@ -86,22 +93,28 @@
             scenario.awaits_reports and variant.name == OURS,
             command,
         )
+        for seed in range(1, seeds + 1)
         for scenario in scenarios()
         if not scenario_names or scenario.name in scenario_names
-        for seed in range(1, seeds + 1)
         for variant in scenario.variants
         if not variant_names or variant.name in variant_names
     ]
 
 
 def _run_all(
-    plans: Sequence[RunPlan], parallel: int, raw: pathlib.Path, console: Console
+    plans: Sequence[RunPlan],
+    parallel: int,
+    raw: pathlib.Path,
+    deadline_seconds: float,
+    console: Console,
 ) -> int:
-    """Run the plans in processes of their own; return how many failed."""
+    """Run the plans in processes of their own; return how many didn't end."""
     failures = 0
     context = multiprocessing.get_context("spawn")
     with ProcessPoolExecutor(parallel, context, max_tasks_per_child=1) as pool:
-        futures = {pool.submit(run, plan): plan for plan in plans}
+        futures = {
+            pool.submit(_run_in_time, plan, deadline_seconds): plan for plan in plans
+        }
         for future in as_completed(futures):
             plan = futures[future]
             name = f"{plan.scenario.name}, {plan.variant.name}, seed {plan.seed}"
@@ -111,11 +124,20 @@
                 console.print(f"{name}: failed: {error!r}")
                 continue
             result = future.result()
+            if result is None:
+                failures += 1
+                console.print(f"{name}: not run")
+                continue
             write_result(raw, result)
             console.print(f"{name}: {result.goodput_per_second:.2f} good answers/s")
     return failures
 
 
+def _run_in_time(plan: RunPlan, deadline_seconds: float) -> RunResult | None:
+    """Run a plan unless a time, in Unix seconds, has passed."""
+    return run(plan) if time.time() < deadline_seconds else None
+
+
 def main() -> None:
     """Run the command line."""
     typer.run(measure)
--- a/src/waxwingwinch/decisions/_forecast.py
+++ b/src/waxwingwinch/decisions/_forecast.py
@@ -19,6 +19,8 @@
 ANSWER_SECONDS = 60.0
 #: Answer length assumed before any was seen.
 FIRST_ANSWER_TOKENS = 100.0
+#: Number of seen answers that the assumption weighs as much as.
+FIRST_ANSWERS = 20.0
 #: After a longer silence the smoothing starts again.
 MAX_GAP_SECONDS = 60.0
 
@@ -75,7 +77,25 @@
     requests: float = 0.0
     prompts: _Series = field(factory=_Series)
     arrivals: _Series = field(factory=_Series)
-    answer_tokens: float = FIRST_ANSWER_TOKENS
+    answers: float = FIRST_ANSWERS
+    answers_tokens: float = FIRST_ANSWERS * FIRST_ANSWER_TOKENS
+
+    @property
+    def answer_tokens(self) -> float:
+        """Mean length of the recent answers."""
+        return self.answers_tokens / self.answers
+
+    def add_answers(self, count: int, tokens: int) -> None:
+        """Count answers and their tokens."""
+        self.answers += count
+        self.answers_tokens += tokens
+
+    def fade_answers(self, seconds: float) -> None:
+        """Let counted answers weigh less, the more the older they are."""
+        kept_ratio = math.exp(-seconds / ANSWER_SECONDS)
+        if self.answers * kept_ratio >= FIRST_ANSWERS:
+            self.answers *= kept_ratio
+            self.answers_tokens *= kept_ratio
 
 
 class DemandForecaster:
@@ -99,9 +119,7 @@
         demand.requests += sample.requests
         answered = sample.requests - sample.refused
         if answered > 0 and sample.output_tokens > 0:
-            weight = 1 - math.exp(-max(sample.seconds, 0.0) / ANSWER_SECONDS)
-            mean = sample.output_tokens / answered
-            demand.answer_tokens += weight * (mean - demand.answer_tokens)
+            demand.add_answers(answered, sample.output_tokens)
 
     def forecast(
         self, horizon_seconds: float, now_seconds: float
@@ -131,5 +149,6 @@
             demand.prompts.add(demand.prompt_tokens / BUCKET_SECONDS)
             demand.arrivals.add(demand.requests / BUCKET_SECONDS)
             demand.prompt_tokens = demand.requests = 0.0
+            demand.fade_answers(BUCKET_SECONDS)
             demand.step_end_seconds += BUCKET_SECONDS
         return demand
--- a/src/waxwingwinch/decisions/tests/test_forecast.py
+++ b/src/waxwingwinch/decisions/tests/test_forecast.py
@@ -45,3 +45,13 @@
         now_seconds += 1.0
     [work] = forecaster.forecast(30.0, now_seconds)
     assert work.output_tokens_per_second == pytest.approx(200, rel=0.05)
+
+
+def test_answer_length_is_learned_within_seconds_of_a_new_start():
+    forecaster = DemandForecaster()
+    now_seconds = 100.0
+    for _ in range(10):
+        forecaster.add(sample(20, 2_000, 600), now_seconds)
+        now_seconds += 1.0
+    [work] = forecaster.forecast(0.0, now_seconds)
+    assert work.output_tokens_per_second == pytest.approx(600, rel=0.25)
