--- a/src/waxwing_testbed/bench/_main.py
+++ b/src/waxwing_testbed/bench/_main.py
@@ -37,6 +37,7 @@
         list[str] | None, typer.Option(help="Name of a variant; repeat; all if none.")
     ] = None,
     seeds: Annotated[int, typer.Option(min=1, help="Number of seeds.")] = 5,
+    first_seed: Annotated[int, typer.Option(min=1, help="The first seed.")] = 1,
     parallel: Annotated[int, typer.Option(min=1, help="Runs at one time.")] = 2,
     seconds: Annotated[
         float, typer.Option(min=5.0, help="Length of a run without the warm-up.")
@@ -57,7 +58,8 @@
     """
     console = Console()
     command = "python -m waxwing_testbed.bench " + shlex.join(sys.argv[1:])
-    plans = _plans(scenario or [], variant or [], seeds, seconds, command.strip())
+    all_seeds = range(first_seed, first_seed + seeds)
+    plans = _plans(scenario or [], variant or [], all_seeds, seconds, command.strip())
     if not plans:
         console.print("no scenario and variant of these names")
         raise typer.Exit(EXIT_USAGE)
@@ -79,7 +81,7 @@
 def _plans(
     scenario_names: Sequence[str],
     variant_names: Sequence[str],
-    seeds: int,
+    seeds: Sequence[int],
     seconds: float,
     command: str,
 ) -> list[RunPlan]:
@@ -93,7 +95,7 @@
             scenario.awaits_reports and variant.name == OURS,
             command,
         )
-        for seed in range(1, seeds + 1)
+        for seed in seeds
         for scenario in scenarios()
         if not scenario_names or scenario.name in scenario_names
         for variant in scenario.variants
