Name the start of an entry process by one type

Cause: limits, claims and usage each had a class of the same two fields, instance and incarnation, under three names. Change: ProcessId stands for all of them; the encoded fields are the same.

--- a/src/waxwing_testbed/capacity/_claims.py
+++ b/src/waxwing_testbed/capacity/_claims.py
@@ -13,9 +13,10 @@
     StandinProcess,
     StandinSettings,
 )
+from waxwingwinch._types import ProcessId
 from waxwingwinch.adapters import HttpPlatformLog
 from waxwingwinch.contracts import ClaimHeld, StoredAnswer
-from waxwingwinch.idempotency import LogIdempotencyStore, Runner
+from waxwingwinch.idempotency import LogIdempotencyStore
 from waxwingwinch.interfaces import LogPage
 from waxwingwinch.kernel import Health, SystemClock
 
@@ -100,7 +101,7 @@
     store = LogIdempotencyStore(
         log,
         SystemClock(),
-        Runner(HOLDER.instance_id, HOLDER.incarnation),
+        ProcessId(HOLDER.instance_id, HOLDER.incarnation),
         lambda runner: True,
         max_batch_records=max_batch_records,
     )
--- a/src/waxwing_testbed/capacity/_messages.py
+++ b/src/waxwing_testbed/capacity/_messages.py
@@ -17,7 +17,7 @@
     make_usage_push,
 )
 from waxwing_testbed.capacity._slopes import Slope, measure_slope
-from waxwingwinch._types import Epoch
+from waxwingwinch._types import Epoch, ProcessId
 from waxwingwinch.adapters import make_wire_converter
 from waxwingwinch.authority import DutyRenewal, DutyVersion
 from waxwingwinch.codec import encode_message
@@ -28,7 +28,7 @@
     wrap_change,
 )
 from waxwingwinch.contracts import StoredAnswer
-from waxwingwinch.idempotency import Claim, ClaimAnswered, Runner
+from waxwingwinch.idempotency import Claim, ClaimAnswered
 from waxwingwinch.limits import ExtraReply, FloorGranted, GrantedTokens, ReturnedTokens
 from waxwingwinch.streams import seal
 
@@ -175,7 +175,7 @@
     """Build a claim and its outcome."""
     claim_id = hashlib.md5(str(number).encode()).hexdigest()
     digest = hashlib.sha256(claim_id.encode()).digest()
-    runner = Runner(HOLDER.instance_id, HOLDER.incarnation)
+    runner = ProcessId(HOLDER.instance_id, HOLDER.incarnation)
     headers = (("Content-Type", "application/json"),)
     answer = StoredAnswer(200, headers, b"x" * ANSWER_BODY_BYTES)
     return (
--- a/src/waxwing_testbed/capacity/_samples.py
+++ b/src/waxwing_testbed/capacity/_samples.py
@@ -10,6 +10,7 @@
     InstanceId,
     ModelName,
     PriceClass,
+    ProcessId,
     UpstreamId,
     UpstreamKind,
     UpstreamState,
@@ -30,7 +31,6 @@
     ExtraRequest,
     FloorRequest,
     FloorWanted,
-    Holder,
     ReturnedTokens,
 )
 from waxwingwinch.membership import Heartbeat
@@ -39,12 +39,11 @@
     UsageCounts,
     UsagePush,
     UsageRow,
-    UsageSource,
 )
 
 ZONE = ZoneName("zone-1")
 MODEL = ModelName("model-1")
-HOLDER = Holder(InstanceId("instance-001"), hashlib.md5(b"start").hexdigest())
+HOLDER = ProcessId(InstanceId("instance-001"), hashlib.md5(b"start").hexdigest())
 #: Models at the target, for the demand in heartbeats and snapshots.
 MODEL_COUNT = 22
 #: Availability zones at the target.
@@ -146,7 +145,7 @@
 
     :param row_count: Changed counters.
     """
-    source = UsageSource(HOLDER.instance_id, HOLDER.incarnation)
+    source = ProcessId(HOLDER.instance_id, HOLDER.incarnation)
     rows = tuple(
         UsageRow(
             CounterName(source, 1_700_000_040, customer_id_of(number)),
--- a/src/waxwingwinch/_types.py
+++ b/src/waxwingwinch/_types.py
@@ -60,6 +60,19 @@
     LEAVING = "leaving"
 
 
+@frozen
+class ProcessId:
+    """
+    Identity of one start of an entry process.
+
+    :param instance_id: Its instance.
+    :param incarnation: Unique name of the process start.
+    """
+
+    instance_id: InstanceId
+    incarnation: str
+
+
 @frozen
 class Address:
     """
--- a/src/waxwingwinch/entry/_process.py
+++ b/src/waxwingwinch/entry/_process.py
@@ -5,7 +5,7 @@
 
 import eliot
 
-from waxwingwinch._types import Address
+from waxwingwinch._types import Address, ProcessId
 from waxwingwinch.adapters import (
     HttpEngine,
     HttpInstanceList,
@@ -27,9 +27,9 @@
 from waxwingwinch.entry._options import EntryOptions
 from waxwingwinch.entry._peers import EntryRoster, WithdrawalMesh
 from waxwingwinch.fleet import FleetObserver
-from waxwingwinch.idempotency import LogIdempotencyStore, Runner
+from waxwingwinch.idempotency import LogIdempotencyStore
 from waxwingwinch.kernel import Registry, SystemClock
-from waxwingwinch.limits import Holder, Limiter, StaticSplitLimiter
+from waxwingwinch.limits import Limiter, StaticSplitLimiter
 from waxwingwinch.membership import (
     Heartbeat,
     HeartbeatSender,
@@ -49,7 +49,6 @@
     UsagePeer,
     UsagePush,
     UsageRequest,
-    UsageSource,
 )
 
 #: Pause between two tries to get a first configuration from a peer.
@@ -68,7 +67,7 @@
         #: Set once the planned stop has begun.
         self.stopping = threading.Event()
         self._clock = SystemClock()
-        self._incarnation = uuid.uuid4().hex
+        self._process_id = ProcessId(settings.instance_id, uuid.uuid4().hex)
         self._identity = PeerIdentity(
             settings.instance_id, PeerProgram.ENTRY, settings.zone, settings.cell
         )
@@ -147,11 +146,11 @@
         self._claims = LogIdempotencyStore(
             self._log,
             self._clock,
-            Runner(settings.instance_id, self._incarnation),
+            self._process_id,
             self._is_alive,
         )
         self._usage = EntryUsageLedger(
-            UsageSource(settings.instance_id, self._incarnation),
+            self._process_id,
             settings.zone,
             self._clock,
             self._configuration.current,
@@ -171,7 +170,7 @@
                 return StaticSplitLimiter(current, settings.expected_instances)
             case LimitsPolicyKind.SHARED:
                 return Limiter(
-                    Holder(settings.instance_id, self._incarnation),
+                    self._process_id,
                     self._clock,
                     current,
                     lambda: self._holders.link(f"limits-{settings.cell}"),
@@ -220,7 +219,7 @@
         return make_operator_requests(
             self.registry,
             self._settings,
-            self._incarnation,
+            self._process_id.incarnation,
             self._roster,
             self._holders,
             self.drain,
@@ -244,7 +243,7 @@
         maker = HeartbeatMaker(
             self._identity,
             self._settings.listen_address,
-            self._incarnation,
+            self._process_id.incarnation,
             self._configuration,
             self._fleet,
             self._application.services.demand,
@@ -274,8 +273,8 @@
         position = self._duties.holder_of(duty)
         return None if position is None else position.address
 
-    def _is_alive(self, runner: Runner) -> bool:
-        if runner.incarnation == self._incarnation:
+    def _is_alive(self, runner: ProcessId) -> bool:
+        if runner == self._process_id:
             return True
         heard = self._heartbeats.find(runner.instance_id)
         if heard is None or heard.heartbeat.incarnation != runner.incarnation:
--- a/src/waxwingwinch/idempotency/__init__.py
+++ b/src/waxwingwinch/idempotency/__init__.py
@@ -10,7 +10,6 @@
     ClaimAnswered,
     ClaimNotRun,
     ClaimUnknown,
-    Runner,
 )
 from waxwingwinch.idempotency._store import (
     ANSWER_NOT_KEPT,
@@ -32,7 +31,6 @@
     "KeyClaim",
     "LogIdempotencyStore",
     "MAX_ANSWER_BYTES",
-    "Runner",
     "SEND_WITHIN_SECONDS",
     "digest_key",
 ]
--- a/src/waxwingwinch/idempotency/_records.py
+++ b/src/waxwingwinch/idempotency/_records.py
@@ -2,24 +2,11 @@
 
 from attrs import frozen
 
-from waxwingwinch._types import InstanceId
+from waxwingwinch._types import ProcessId
 from waxwingwinch.codec import message
 from waxwingwinch.contracts import StoredAnswer
 
 
-@frozen
-class Runner:
-    """
-    An entry process that claims keys.
-
-    :param instance_id: Its instance.
-    :param incarnation: Unique name of the process start.
-    """
-
-    instance_id: InstanceId
-    incarnation: str
-
-
 @message("claim")
 @frozen
 class Claim:
@@ -35,7 +22,7 @@
     claim_id: str
     key_digest: bytes
     fingerprint: str
-    runner: Runner
+    runner: ProcessId
 
 
 @message("claim_answered")
--- a/src/waxwingwinch/idempotency/_store.py
+++ b/src/waxwingwinch/idempotency/_store.py
@@ -8,7 +8,7 @@
 from attrs import frozen
 
 from waxwingwinch._exceptions import WaxwingError
-from waxwingwinch._types import CustomerId
+from waxwingwinch._types import CustomerId, ProcessId
 from waxwingwinch.contracts import (
     ClaimedOutcome,
     ClaimHeld,
@@ -22,7 +22,6 @@
     ClaimAnswered,
     ClaimNotRun,
     ClaimUnknown,
-    Runner,
 )
 from waxwingwinch.idempotency._shard import ClaimShard
 from waxwingwinch.idempotency._table import ClaimState, KeyClaim
@@ -90,8 +89,8 @@
         self,
         log: PlatformLog,
         clock: Clock,
-        runner: Runner,
-        is_alive: Callable[[Runner], bool],
+        runner: ProcessId,
+        is_alive: Callable[[ProcessId], bool],
         shard_count: int = 1,
         max_batch_records: int = MAX_BATCH_RECORDS,
     ) -> None:
--- a/src/waxwingwinch/idempotency/_table.py
+++ b/src/waxwingwinch/idempotency/_table.py
@@ -5,13 +5,13 @@
 
 from attrs import evolve, frozen
 
+from waxwingwinch._types import ProcessId
 from waxwingwinch.contracts import StoredAnswer
 from waxwingwinch.idempotency._records import (
     Claim,
     ClaimAnswered,
     ClaimNotRun,
     ClaimUnknown,
-    Runner,
 )
 from waxwingwinch.streams import Applied
 
@@ -45,7 +45,7 @@
 
     claim_id: str
     fingerprint: str
-    runner: Runner | None
+    runner: ProcessId | None
     has_won: bool
     state: ClaimState
     answer: StoredAnswer | None
--- a/src/waxwingwinch/idempotency/tests/test_store.py
+++ b/src/waxwingwinch/idempotency/tests/test_store.py
@@ -3,7 +3,7 @@
 import pytest
 
 from waxwing_testbed.fakes import AppendFault, MemoryLog
-from waxwingwinch._types import CustomerId, InstanceId
+from waxwingwinch._types import CustomerId, InstanceId, ProcessId
 from waxwingwinch.contracts import (
     ClaimedOutcome,
     ClaimHeld,
@@ -15,7 +15,6 @@
     ANSWER_NOT_KEPT,
     MAX_ANSWER_BYTES,
     LogIdempotencyStore,
-    Runner,
 )
 from waxwingwinch.kernel import Health, SystemClock
 
@@ -34,7 +33,7 @@
         self.all = []
 
     def start(self, name, **options):
-        runner = Runner(InstanceId(name), "start")
+        runner = ProcessId(InstanceId(name), "start")
         store = LogIdempotencyStore(
             self.log, CLOCK, runner, lambda other: other not in self.dead, **options
         )
@@ -110,7 +109,7 @@
 def test_the_outcome_of_a_dead_runner_is_unknown(stores):
     first, second = stores.start("a"), stores.start("b")
     assert isinstance(claim(first), ClaimHeld)
-    stores.dead.add(Runner(InstanceId("a"), "start"))
+    stores.dead.add(ProcessId(InstanceId("a"), "start"))
     assert claim(second) == ClaimPending(None)
 
 
@@ -130,7 +129,7 @@
 
 def test_without_the_log_nothing_is_claimed(stores):
     store = LogIdempotencyStore(
-        stores.log, CLOCK, Runner(InstanceId("a"), "s"), lambda _: True
+        stores.log, CLOCK, ProcessId(InstanceId("a"), "s"), lambda _: True
     )
     stores.log.is_down = True
     stores.all.append(store)
--- a/src/waxwingwinch/idempotency/tests/test_table.py
+++ b/src/waxwingwinch/idempotency/tests/test_table.py
@@ -5,7 +5,7 @@
 from attrs import define, field
 from hypothesis import given, settings, strategies as st
 
-from waxwingwinch._types import InstanceId
+from waxwingwinch._types import InstanceId, ProcessId
 from waxwingwinch.contracts import StoredAnswer
 from waxwingwinch.idempotency import (
     Claim,
@@ -14,13 +14,12 @@
     ClaimState,
     ClaimTable,
     ClaimUnknown,
-    Runner,
 )
 from waxwingwinch.streams import Applied, RecordId
 
 KEY = b"key"
 ANSWER = StoredAnswer(200, (), b"ok")
-RUNNER = Runner(InstanceId("i"), "start")
+RUNNER = ProcessId(InstanceId("i"), "start")
 OPERATIONS = 250
 
 
--- a/src/waxwingwinch/limits/__init__.py
+++ b/src/waxwingwinch/limits/__init__.py
@@ -30,7 +30,6 @@
     FloorWanted,
     GrantedTokens,
     GrantorBegan,
-    Holder,
     ReturnedTokens,
 )
 from waxwingwinch.limits._static import StaticSplitLimiter
@@ -61,7 +60,6 @@
     "GrantorBegan",
     "GrantorDuty",
     "GrantorLink",
-    "Holder",
     "Holdings",
     "KeepFloor",
     "LAPSE_FACTOR",
--- a/src/waxwingwinch/limits/_account.py
+++ b/src/waxwingwinch/limits/_account.py
@@ -4,13 +4,12 @@
 
 from attrs import frozen
 
-from waxwingwinch._types import CustomerId, Epoch
+from waxwingwinch._types import CustomerId, Epoch, ProcessId
 from waxwingwinch.limits._bucket import TokenBucket
 from waxwingwinch.limits._floors import FloorShare, FloorTable
 from waxwingwinch.limits._messages import (
     CustomerTokens,
     GrantedTokens,
-    Holder,
     ReturnedTokens,
 )
 from waxwingwinch.limits._outstanding import Demand, Grant, Outstanding
@@ -70,13 +69,13 @@
         #: The customer's limits.
         self.limit = limit
         #: Floors whose records are on their way to the log.
-        self.pending: dict[Holder, FloorShare] = {}
+        self.pending: dict[ProcessId, FloorShare] = {}
         self._customer_id = customer_id
         self._floors = floors
         self._quiet_until_seconds = quiet_until_seconds
-        self._reserved: dict[Holder, Reservation] = {}
+        self._reserved: dict[ProcessId, Reservation] = {}
         self._outstanding = Outstanding()
-        self._returned: dict[Holder, ReturnedTokens] = {}
+        self._returned: dict[ProcessId, ReturnedTokens] = {}
         self._bucket = TokenBucket(0.0, 0.0, 0.0, now_seconds)
         self.resize()
 
@@ -100,7 +99,7 @@
             self.resize()
         self._bucket = self._bucket.refilled(now_seconds)
 
-    def reserve(self, holder: Holder, share: FloorShare, now_seconds: float) -> bool:
+    def reserve(self, holder: ProcessId, share: FloorShare, now_seconds: float) -> bool:
         """
         Keep room for a floor.
 
@@ -121,7 +120,7 @@
         self.resize()
         return self._quiet_until_seconds == -math.inf and self._free_tokens() >= 0
 
-    def record(self, holder: Holder, share: FloorShare) -> None:
+    def record(self, holder: ProcessId, share: FloorShare) -> None:
         """
         Count a floor whose record is on its way to the log.
 
@@ -145,7 +144,7 @@
             safe_rate_per_second(max(0.0, rate)), max(0.0, cap)
         )
 
-    def floor_shares(self) -> dict[Holder, FloorShare]:
+    def floor_shares(self) -> dict[ProcessId, FloorShare]:
         """Return the most that each holder may use or be about to use."""
         shares = self._floors.shares(self._customer_id)
         for holder, pending in self.pending.items():
@@ -162,7 +161,7 @@
             free_tokens -= share.burst_tokens
         return free_tokens
 
-    def settle(self, holder: Holder, row: CustomerTokens) -> None:
+    def settle(self, holder: ProcessId, row: CustomerTokens) -> None:
         """Note what a holder says about its tokens."""
         self._outstanding.settle(holder, row.received_sequence, row.held_tokens)
         self.resize()
@@ -170,7 +169,7 @@
 
     def grant(
         self,
-        holder: Holder,
+        holder: ProcessId,
         row: CustomerTokens,
         sequence: int,
         term_seconds: float,
@@ -203,7 +202,7 @@
             self._returned.get(holder, ReturnedTokens()),
         )
 
-    def _take_back(self, holder: Holder, returned: ReturnedTokens) -> None:
+    def _take_back(self, holder: ProcessId, returned: ReturnedTokens) -> None:
         """
         Add tokens that a holder returned and that aren't added yet.
 
--- a/src/waxwingwinch/limits/_duty.py
+++ b/src/waxwingwinch/limits/_duty.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Sequence
 
 from waxwingwinch._exceptions import PlatformUnavailable
-from waxwingwinch._types import CustomerId, Epoch, InstanceId
+from waxwingwinch._types import CustomerId, Epoch, InstanceId, ProcessId
 from waxwingwinch.configuration import Configuration
 from waxwingwinch.interfaces import InstanceState, ListedInstance, PlatformLog
 from waxwingwinch.kernel import Clock, Health
@@ -24,7 +24,6 @@
     FloorReleased,
     FloorReply,
     FloorRequest,
-    Holder,
 )
 from waxwingwinch.limits._recording import (
     Recording,
@@ -80,7 +79,7 @@
         self._lock = threading.Lock()
         self._offsets: OrderedDict[RecordId, int] = OrderedDict()
         self._applied_version = -1
-        self._busy_holders: set[Holder] = set()
+        self._busy_holders: set[ProcessId] = set()
         self._writer = StreamWriter(log, self.duty, clock)
         self._follower = StreamFollower(log, self.duty, clock, self._apply)
 
--- a/src/waxwingwinch/limits/_floor_asker.py
+++ b/src/waxwingwinch/limits/_floor_asker.py
@@ -5,14 +5,13 @@
 from typing import Any, Protocol
 
 from waxwingwinch._exceptions import MalformedMessage, PeerUnavailable
-from waxwingwinch._types import CustomerId
+from waxwingwinch._types import CustomerId, ProcessId
 from waxwingwinch.kernel import Clock
 from waxwingwinch.limits._holdings import Holdings
 from waxwingwinch.limits._messages import (
     FloorReply,
     FloorRequest,
     FloorWanted,
-    Holder,
 )
 from waxwingwinch.limits._terms import CustomerLimit
 
@@ -51,7 +50,7 @@
 
     def __init__(
         self,
-        holder: Holder,
+        holder: ProcessId,
         clock: Clock,
         grantor: Callable[[], _Link | None],
         owner: HoldingsOwner,
--- a/src/waxwingwinch/limits/_floor_policy.py
+++ b/src/waxwingwinch/limits/_floor_policy.py
@@ -4,10 +4,10 @@
 
 from attrs import frozen
 
-from waxwingwinch._types import CustomerId, Epoch, InstanceId
+from waxwingwinch._types import CustomerId, Epoch, InstanceId, ProcessId
 from waxwingwinch.limits._account import Account
 from waxwingwinch.limits._floors import FloorShare, RecordedFloor
-from waxwingwinch.limits._messages import FloorGranted, Holder
+from waxwingwinch.limits._messages import FloorGranted
 from waxwingwinch.limits._terms import CustomerLimit
 
 #: Part of a floor's term after which it is renewed.
@@ -54,7 +54,7 @@
 
 
 def floor_share(
-    account: Account, holder: Holder, homes: Sequence[InstanceId]
+    account: Account, holder: ProcessId, homes: Sequence[InstanceId]
 ) -> FloorShare | None:
     """
     Return a holder's share, as far as others leave it free.
@@ -83,7 +83,7 @@
 
 def floor_record(
     customer_id: CustomerId,
-    holder: Holder,
+    holder: ProcessId,
     share: FloorShare,
     limit: CustomerLimit,
     epoch: Epoch,
--- a/src/waxwingwinch/limits/_floors.py
+++ b/src/waxwingwinch/limits/_floors.py
@@ -4,12 +4,11 @@
 
 from attrs import frozen
 
-from waxwingwinch._types import CustomerId, Epoch
+from waxwingwinch._types import CustomerId, Epoch, ProcessId
 from waxwingwinch.limits._messages import (
     FloorGranted,
     FloorReleased,
     GrantorBegan,
-    Holder,
 )
 from waxwingwinch.limits._terms import LAPSE_FACTOR
 from waxwingwinch.streams import Applied
@@ -71,7 +70,7 @@
         #: When all short-term tokens of ended epochs have lapsed.
         self.extras_lapse_seconds = -math.inf
         self._extra_term_seconds = 0.0
-        self._floors: dict[CustomerId, dict[Holder, list[RecordedFloor]]] = {}
+        self._floors: dict[CustomerId, dict[ProcessId, list[RecordedFloor]]] = {}
 
     def apply(self, applied: Applied) -> None:
         """
@@ -96,7 +95,7 @@
             case FloorReleased() as released:
                 self.release(released.customer_id, released.holder, released.offset)
 
-    def release(self, customer_id: CustomerId, holder: Holder, offset: int) -> None:
+    def release(self, customer_id: CustomerId, holder: ProcessId, offset: int) -> None:
         """
         Forget the floors of a holder up to an offset.
 
@@ -130,12 +129,14 @@
         ]
         return min(lapses, default=None)
 
-    def newest(self, customer_id: CustomerId, holder: Holder) -> RecordedFloor | None:
+    def newest(
+        self, customer_id: CustomerId, holder: ProcessId
+    ) -> RecordedFloor | None:
         """Return the latest floor of a holder."""
         floors = self._floors.get(customer_id, {}).get(holder)
         return floors[-1] if floors else None
 
-    def shares(self, customer_id: CustomerId) -> dict[Holder, FloorShare]:
+    def shares(self, customer_id: CustomerId) -> dict[ProcessId, FloorShare]:
         """Return the most that each holder may be using."""
         shares = {}
         for holder, floors in self._floors.get(customer_id, {}).items():
--- a/src/waxwingwinch/limits/_grantor.py
+++ b/src/waxwingwinch/limits/_grantor.py
@@ -5,7 +5,7 @@
 
 from attrs import frozen
 
-from waxwingwinch._types import CustomerId, Epoch, InstanceId
+from waxwingwinch._types import CustomerId, Epoch, InstanceId, ProcessId
 from waxwingwinch.limits._account import NO_EPOCH, Account
 from waxwingwinch.limits._floor_policy import (
     FloorDecision,
@@ -26,7 +26,6 @@
     FloorWanted,
     GrantedTokens,
     GrantorBegan,
-    Holder,
 )
 from waxwingwinch.limits._terms import LAPSE_FACTOR, CustomerLimit
 from waxwingwinch.streams import Applied
@@ -66,7 +65,7 @@
         self._sequence = 0
         self._limits: dict[CustomerId, CustomerLimit] = {}
         self._accounts: dict[CustomerId, Account] = {}
-        self._decided: dict[tuple[CustomerId, Holder], _Decided] = {}
+        self._decided: dict[tuple[CustomerId, ProcessId], _Decided] = {}
 
     @property
     def epoch(self) -> Epoch | None:
@@ -170,7 +169,7 @@
         return ExtraReply(epoch, tuple(granted), self._term_seconds)
 
     def confirm_floor(
-        self, holder: Holder, wanted: FloorWanted, now_seconds: float
+        self, holder: ProcessId, wanted: FloorWanted, now_seconds: float
     ) -> None:
         """
         Note which floor a holder uses; older ones no longer count.
@@ -190,7 +189,7 @@
     def decide_floor(
         self,
         customer_id: CustomerId,
-        holder: Holder,
+        holder: ProcessId,
         homes: Sequence[InstanceId],
         now_seconds: float,
     ) -> FloorDecision:
--- a/src/waxwingwinch/limits/_limiter.py
+++ b/src/waxwingwinch/limits/_limiter.py
@@ -8,14 +8,14 @@
 from attrs import define
 
 from waxwingwinch._exceptions import MalformedMessage, PeerUnavailable
-from waxwingwinch._types import CustomerId, Epoch
+from waxwingwinch._types import CustomerId, Epoch, ProcessId
 from waxwingwinch.configuration import Configuration
 from waxwingwinch.contracts import Admitted, LimitDecision, Limited
 from waxwingwinch.kernel import Clock, Health
 from waxwingwinch.limits._account import DEFAULT_RETRY_AFTER_SECONDS
 from waxwingwinch.limits._floor_asker import FloorAsker
 from waxwingwinch.limits._holdings import Holdings
-from waxwingwinch.limits._messages import ExtraReply, ExtraRequest, Holder
+from waxwingwinch.limits._messages import ExtraReply, ExtraRequest
 from waxwingwinch.limits._terms import CustomerLimit, limits_of
 
 #: Interval of the regular requests to the grantor.
@@ -83,7 +83,7 @@
 
     def __init__(
         self,
-        holder: Holder,
+        holder: ProcessId,
         clock: Clock,
         configuration: Callable[[], Configuration],
         grantor: Callable[[], GrantorLink | None],
--- a/src/waxwingwinch/limits/_messages.py
+++ b/src/waxwingwinch/limits/_messages.py
@@ -2,23 +2,10 @@
 
 from attrs import frozen
 
-from waxwingwinch._types import CustomerId, Epoch, InstanceId
+from waxwingwinch._types import CustomerId, Epoch, ProcessId
 from waxwingwinch.codec import message
 
 
-@frozen
-class Holder:
-    """
-    An entry process that holds shares.
-
-    :param instance_id: Its instance.
-    :param incarnation: Unique name of the process start.
-    """
-
-    instance_id: InstanceId
-    incarnation: str
-
-
 @frozen
 class ReturnedTokens:
     """
@@ -66,7 +53,7 @@
     :param wanted: One row a customer.
     """
 
-    holder: Holder
+    holder: ProcessId
     epoch: Epoch
     wanted: tuple[CustomerTokens, ...]
 
@@ -137,7 +124,7 @@
     :param is_stopping: True to get no floors any more.
     """
 
-    holder: Holder
+    holder: ProcessId
     customers: tuple[FloorWanted, ...]
     is_stopping: bool = False
 
@@ -213,7 +200,7 @@
     """
 
     customer_id: CustomerId
-    holder: Holder
+    holder: ProcessId
     rate_per_second: float
     burst_tokens: float
     customer_rate_per_second: float
@@ -234,5 +221,5 @@
     """
 
     customer_id: CustomerId
-    holder: Holder
+    holder: ProcessId
     offset: int
--- a/src/waxwingwinch/limits/_outstanding.py
+++ b/src/waxwingwinch/limits/_outstanding.py
@@ -2,7 +2,7 @@
 
 from attrs import evolve, frozen
 
-from waxwingwinch.limits._messages import Holder
+from waxwingwinch._types import ProcessId
 
 
 @frozen
@@ -41,8 +41,8 @@
     """Grants of one customer by holder, and the demand reported with them."""
 
     def __init__(self) -> None:
-        self._grants: dict[Holder, list[Grant]] = {}
-        self._demand: dict[Holder, Demand] = {}
+        self._grants: dict[ProcessId, list[Grant]] = {}
+        self._demand: dict[ProcessId, Demand] = {}
 
     def tokens(self) -> int:
         """Return the most that can be unused."""
@@ -55,7 +55,7 @@
         ]
         return min(lapses, default=None)
 
-    def add(self, holder: Holder, grant: Grant) -> None:
+    def add(self, holder: ProcessId, grant: Grant) -> None:
         """Count a grant."""
         self._grants.setdefault(holder, []).append(grant)
 
@@ -69,7 +69,9 @@
             kept = [grant for grant in grants if grant.lapse_seconds > now_seconds]
             self._replace(holder, kept)
 
-    def settle(self, holder: Holder, received_sequence: int, held_tokens: int) -> None:
+    def settle(
+        self, holder: ProcessId, received_sequence: int, held_tokens: int
+    ) -> None:
         """
         Note how many tokens a holder had left.
 
@@ -91,7 +93,7 @@
                 kept.append(grant)
         self._replace(holder, kept[::-1])
 
-    def note_demand(self, holder: Holder, demand: Demand) -> None:
+    def note_demand(self, holder: ProcessId, demand: Demand) -> None:
         """Keep the newest report of demand of a holder."""
         self._demand[holder] = demand
 
@@ -107,7 +109,7 @@
                 del self._demand[holder]
         return sum(demand.arrivals_per_second for demand in self._demand.values())
 
-    def _replace(self, holder: Holder, grants: list[Grant]) -> None:
+    def _replace(self, holder: ProcessId, grants: list[Grant]) -> None:
         if grants:
             self._grants[holder] = grants
         else:
--- a/src/waxwingwinch/limits/_recording.py
+++ b/src/waxwingwinch/limits/_recording.py
@@ -2,12 +2,12 @@
 
 from attrs import frozen
 
+from waxwingwinch._types import ProcessId
 from waxwingwinch.limits._messages import (
     Floor,
     FloorGranted,
     FloorReleased,
     FloorWanted,
-    Holder,
 )
 from waxwingwinch.streams import AppendTicket
 
@@ -46,7 +46,7 @@
     )
 
 
-def released_record(holder: Holder, wanted: FloorWanted) -> FloorReleased:
+def released_record(holder: ProcessId, wanted: FloorWanted) -> FloorReleased:
     """
     Return the record of what a holder has released.
 
--- a/src/waxwingwinch/limits/tests/_cluster.py
+++ b/src/waxwingwinch/limits/tests/_cluster.py
@@ -5,7 +5,7 @@
 
 from attrs import define, field
 
-from waxwingwinch._types import CustomerId, Epoch, InstanceId
+from waxwingwinch._types import CustomerId, Epoch, InstanceId, ProcessId
 from waxwingwinch.limits import (
     CLOCK_DRIFT_RATIO,
     CustomerLimit,
@@ -16,7 +16,6 @@
     FloorReply,
     FloorRequest,
     Grantor,
-    Holder,
     Holdings,
     KeepFloor,
     RecordFloor,
@@ -47,7 +46,7 @@
 
 @define
 class Entry:
-    holder: Holder
+    holder: ProcessId
     clock: DriftingClock
     holdings: Holdings
     seen: CustomerLimit
@@ -270,7 +269,7 @@
 
     def _new_entry(self, instance_id):
         self.starts += 1
-        holder = Holder(instance_id, f"start{self.starts}")
+        holder = ProcessId(instance_id, f"start{self.starts}")
         return Entry(holder, self._clock(), Holdings(CUSTOMER), self.limit)
 
     def _clock(self):
--- a/src/waxwingwinch/limits/tests/test_grantor.py
+++ b/src/waxwingwinch/limits/tests/test_grantor.py
@@ -2,14 +2,13 @@
 
 from attrs import evolve
 
-from waxwingwinch._types import CustomerId, Epoch, InstanceId
+from waxwingwinch._types import CustomerId, Epoch, InstanceId, ProcessId
 from waxwingwinch.limits import (
     CustomerLimit,
     CustomerTokens,
     ExtraRequest,
     FloorWanted,
     Grantor,
-    Holder,
     KeepFloor,
     PostponeFloor,
     RecordFloor,
@@ -21,7 +20,7 @@
 
 CUSTOMER = CustomerId("tahi")
 LIMIT = CustomerLimit(10.0, 10.0, 0.5, 100.0, 2.0)
-ONE, TWO = (Holder(InstanceId(name), "start") for name in "ab")
+ONE, TWO = (ProcessId(InstanceId(name), "start") for name in "ab")
 HOMES = (ONE.instance_id, TWO.instance_id)
 
 
--- a/src/waxwingwinch/limits/tests/test_services.py
+++ b/src/waxwingwinch/limits/tests/test_services.py
@@ -7,7 +7,14 @@
 
 from waxwing_testbed.fakes import MemoryLog
 from waxwingwinch._exceptions import PeerUnavailable
-from waxwingwinch._types import Address, CustomerId, Epoch, InstanceId, ZoneName
+from waxwingwinch._types import (
+    Address,
+    CustomerId,
+    Epoch,
+    InstanceId,
+    ProcessId,
+    ZoneName,
+)
 from waxwingwinch.codec import decode_message, encode_message
 from waxwingwinch.configuration import Configuration, Customer, Defaults
 from waxwingwinch.contracts import Admitted, Limited
@@ -17,7 +24,6 @@
     ExtraRequest,
     FloorRequest,
     GrantorDuty,
-    Holder,
     Limiter,
     StaticSplitLimiter,
 )
@@ -86,7 +92,7 @@
         instance_id = self.instances[number].instance_id
         link = Link(self.duty, instance_id)
         self.links.append(link)
-        holder = Holder(instance_id, f"start{len(self.links)}")
+        holder = ProcessId(instance_id, f"start{len(self.links)}")
         return self.start(
             Limiter(holder, CLOCK, lambda: self.configuration, lambda: link)
         )
--- a/src/waxwingwinch/usage/__init__.py
+++ b/src/waxwingwinch/usage/__init__.py
@@ -29,7 +29,6 @@
     CounterName,
     UsageCounts,
     UsageRow,
-    UsageSource,
 )
 from waxwingwinch.usage._runner import UsageReportRunner
 from waxwingwinch.usage._table import ReportTable
@@ -51,7 +50,6 @@
     "UsageReportRunner",
     "UsageRequest",
     "UsageRow",
-    "UsageSource",
     "Window",
     "WindowAcknowledged",
     "WindowFixed",
--- a/src/waxwingwinch/usage/_ledger.py
+++ b/src/waxwingwinch/usage/_ledger.py
@@ -7,7 +7,7 @@
 from attrs import frozen
 
 from waxwingwinch._exceptions import MalformedMessage, PeerUnavailable
-from waxwingwinch._types import CustomerId, InstanceId, ZoneName
+from waxwingwinch._types import CustomerId, InstanceId, ProcessId, ZoneName
 from waxwingwinch.configuration import Configuration
 from waxwingwinch.contracts import UsageDelta
 from waxwingwinch.kernel import Clock, Health
@@ -15,7 +15,7 @@
 from waxwingwinch.placement import home_instances
 from waxwingwinch.usage._counters import Counters
 from waxwingwinch.usage._messages import UsagePush, UsageReply, UsageRequest
-from waxwingwinch.usage._rows import CounterName, UsageRow, UsageSource, counts_of
+from waxwingwinch.usage._rows import CounterName, UsageRow, counts_of
 
 #: Interval of the pushes; a killed process loses at most as much usage.
 PUSH_INTERVAL_SECONDS = 1.0
@@ -62,7 +62,7 @@
 
     def __init__(
         self,
-        source: UsageSource,
+        source: ProcessId,
         zone: ZoneName,
         clock: Clock,
         configuration: Callable[[], Configuration],
--- a/src/waxwingwinch/usage/_rows.py
+++ b/src/waxwingwinch/usage/_rows.py
@@ -2,7 +2,7 @@
 
 from attrs import astuple, frozen
 
-from waxwingwinch._types import CustomerId, InstanceId
+from waxwingwinch._types import CustomerId, ProcessId
 from waxwingwinch.contracts import UsageDelta
 
 
@@ -59,19 +59,6 @@
     )
 
 
-@frozen
-class UsageSource:
-    """
-    An entry process that counts.
-
-    :param instance_id: Its instance.
-    :param incarnation: Unique name of the process start.
-    """
-
-    instance_id: InstanceId
-    incarnation: str
-
-
 @frozen
 class CounterName:
     """
@@ -82,7 +69,7 @@
     :param customer_id: The customer.
     """
 
-    source: UsageSource
+    source: ProcessId
     window_start_seconds: int
     customer_id: CustomerId
 
--- a/src/waxwingwinch/usage/tests/test_report.py
+++ b/src/waxwingwinch/usage/tests/test_report.py
@@ -7,7 +7,7 @@
 from attrs import define, field
 from hypothesis import given, settings, strategies as st
 
-from waxwingwinch._types import CustomerId, Epoch, InstanceId
+from waxwingwinch._types import CustomerId, Epoch, InstanceId, ProcessId
 from waxwingwinch.codec import decode_message, encode_message
 from waxwingwinch.streams import Applied, RecordId
 from waxwingwinch.usage import (
@@ -16,7 +16,6 @@
     ReportTable,
     UsageCounts,
     UsageRow,
-    UsageSource,
     Window,
     WindowFixed,
     fix_window,
@@ -30,7 +29,7 @@
 
 
 def name(number=0, start=0, customer=CUSTOMER):
-    source = UsageSource(InstanceId(f"i{number}"), "start")
+    source = ProcessId(InstanceId(f"i{number}"), "start")
     return CounterName(source, start, customer)
 
 
--- a/src/waxwingwinch/usage/tests/test_services.py
+++ b/src/waxwingwinch/usage/tests/test_services.py
@@ -4,7 +4,7 @@
 
 from waxwing_testbed.fakes import ManualClock, MemoryLog
 from waxwingwinch._exceptions import PeerUnavailable, PlatformUnavailable
-from waxwingwinch._types import CustomerId, Epoch, InstanceId, ZoneName
+from waxwingwinch._types import CustomerId, Epoch, InstanceId, ProcessId, ZoneName
 from waxwingwinch.configuration import Configuration
 from waxwingwinch.contracts import UsageDelta
 from waxwingwinch.kernel import SystemClock
@@ -14,7 +14,6 @@
     UsagePush,
     UsageReportRunner,
     UsageRequest,
-    UsageSource,
 )
 
 CUSTOMER = CustomerId("tahi")
@@ -69,7 +68,7 @@
 
     def _ledger(self, number):
         return EntryUsageLedger(
-            UsageSource(InstanceId(f"i{number}"), "start"),
+            ProcessId(InstanceId(f"i{number}"), "start"),
             ZoneName(f"z{number % 3}"),
             self.clock,
             Configuration,
