--- a/features/environment.py
+++ b/features/environment.py
@@ -4,6 +4,7 @@
 Each feature runs in one deployment. A feature names its size by a tag
 ``@instances.N``; ``@plan.NAME`` picks its upstreams and its market, and
 ``@log_records.N`` says how many records the log keeps of each stream.
+``@no_world`` is for a feature that starts its own programs.
 """
 
 from attrs import evolve
@@ -26,6 +27,9 @@
 
 
 def before_feature(context, feature):
+    context.world = None
+    if "no_world" in feature.tags:
+        return
     instances = int(find_tag(feature, "instances.", str(DEFAULT_INSTANCES)))
     plan = named_plan(find_tag(feature, "plan.", "tahi"))
     records = int(find_tag(feature, "log_records.", str(plan.log.max_records)))
@@ -36,18 +40,23 @@
 
 
 def before_scenario(context, scenario):
+    if context.world is None:
+        return
     context.world.notes.clear()
     context.takeover = Takeover(context.world)
     context.callers = BackgroundCallers(context.world)
 
 
 def after_scenario(context, scenario):
+    if context.world is None:
+        return
     context.callers.stop()
     context.world.restore()
 
 
 def after_feature(context, feature):
-    context.world.close()
+    if context.world is not None:
+        context.world.close()
 
 
 def find_tag(feature, prefix, default):
