Ask a zone that refused only once in a plan

Cause: all purchases of a plan were placed although the zone had refused the first of that price class; with a market without capacity each plan wrote an intent and an outcome for every engine that was missing. Ruled out: the pause after a refusal, which holds from the next plan on. Change: a purchase whose zone and price class refused meanwhile is left out.

--- a/src/waxwingwinch/control/_buying_runner.py
+++ b/src/waxwingwinch/control/_buying_runner.py
@@ -243,6 +243,10 @@
                     self._explain(kind, decision.upstream_id, decision.reason)
 
     def _buy(self, purchase: Purchase, now_seconds: float) -> None:
+        known = self._term.refusals.get(_refusal_key(purchase))
+        if known is not None and now_seconds < known.until_seconds:
+            # An earlier purchase of the same plan was refused there.
+            return
         action = OrderUpstream(
             purchase.zone, purchase.price_class, purchase.model, purchase.role
         )
@@ -257,8 +261,7 @@
         self, purchase: Purchase, refused: MarketRefusal, now_seconds: float
     ) -> None:
         pause_seconds = refused.retry_after_seconds or REFUSED_SECONDS
-        key = (purchase.zone, purchase.price_class.value)
-        self._term.refusals[key] = Refusal(
+        self._term.refusals[_refusal_key(purchase)] = Refusal(
             purchase.zone, purchase.price_class, now_seconds + pause_seconds
         )
 
@@ -282,3 +285,7 @@
         view.listed.price_per_hour,
         view.load.running if view.load is not None else 0,
     )
+
+
+def _refusal_key(purchase: Purchase) -> tuple[ZoneName, str]:
+    return purchase.zone, purchase.price_class.value
--- a/src/waxwingwinch/control/tests/test_runners.py
+++ b/src/waxwingwinch/control/tests/test_runners.py
@@ -202,6 +202,24 @@
     assert world.observer.directives_draining() == ()
 
 
+def test_one_refusal_of_a_zone_ends_its_orders_of_that_plan(world):
+    world.market.refusal = PlatformRefused("no capacity", 600.0)
+    world.configuration = evolve(
+        world.configuration,
+        defaults=evolve(
+            world.configuration.defaults,
+            min_engines_per_model=len(world.market.rows) + 12,
+            max_engines_per_model=len(world.market.rows) + 12,
+        ),
+    )
+    run(world, buying_runner(world, 3), 30)
+    asked = [
+        (order.action.zone, order.action.price_class) for order in world.market.sent
+    ]
+    assert asked
+    assert len(asked) == len(set(asked))
+
+
 def test_refused_return_puts_the_engine_back(world):
     world.market.refusal = PlatformRefused("not now")
     journal = world.journal("buying-c", Epoch(3))
