--- a/src/waxwing_testbed/bench/_report.py
+++ b/src/waxwing_testbed/bench/_report.py
@@ -53,7 +53,8 @@
     return f"""\
 # Measurements
 
-Written by the bench (`make bench`) from the files in `raw/`. Real processes \
+Written by the bench (`make bench`) from the files in `raw/`; findings and \
+limits are in [NOTES.md](NOTES.md). Real processes \
 on the loopback interface: {INSTANCE_COUNT} entry instances, each with its \
 control, {ENGINE_COUNT} stand-in engines in one process (the first fleet of \
 `reclaim` is what the planner buys), the platform's stand-in. Engines read \
