Count only role changes as such in the demo; wait for grants before its load

Cause: the demo counted every order that an engine ran as a role change, loads of adapters among them, so that its figures of 4 to 9 changes were wrong. Its table also held refusals of the first seconds, before any rate was granted.

--- a/src/waxwing_testbed/demo/_script.py
+++ b/src/waxwing_testbed/demo/_script.py
@@ -6,7 +6,13 @@
 from attrs import frozen
 
 from waxwing_testbed.deployment import Deployment, DeploymentPlan, TestOperator
-from waxwing_testbed.history import CallEvent, History, UpstreamExecution
+from waxwing_testbed.history import (
+    CallEvent,
+    CallKind,
+    CallOutcome,
+    History,
+    UpstreamExecution,
+)
 from waxwing_testbed.load import (
     Caller,
     CallSender,
@@ -14,11 +20,13 @@
     Discovery,
     Phase,
     PlainMix,
+    PlainRequest,
     TrafficSource,
 )
 from waxwing_testbed.standins import PlatformJournal
 from waxwingwinch._types import ModelName
 from waxwingwinch.configuration import Configuration, SetDefault
+from waxwingwinch.interfaces import SetRole
 
 #: Length of each of the two phases of load.
 PHASE_SECONDS = 14.0
@@ -102,6 +110,7 @@
         operator.publish([SetDefault("usage_window_seconds", WINDOW_SECONDS)])
         configuration = operator.configuration().configuration
         history = History()
+        _wait_for_grants(plan, deployment, configuration)
         sources = _sources(plan, deployment, configuration, history)
         started_seconds = time.monotonic()
         for source in sources:
@@ -123,6 +132,21 @@
         )
 
 
+def _wait_for_grants(
+    plan: DemoPlan, deployment: Deployment, configuration: Configuration
+) -> None:
+    """Wait until the first grantor has given each customer a share."""
+    address = deployment.instances[0].address
+    read = PlainRequest(CallKind.READ, "GET", plan.plain.read_path)
+    for customer in configuration.customers.values():
+        sender = CallSender(customer.customer_id, plain_key(customer.keys[0].key_id))
+
+        def is_served(sender: CallSender = sender) -> bool:
+            return sender.send(address, read).outcome is CallOutcome.WHOLE
+
+        deployment.wait_for(is_served, f"{customer.customer_id} is served")
+
+
 def _sources(
     plan: DemoPlan,
     deployment: Deployment,
@@ -173,7 +197,9 @@
         ),
         platform=admin.platform_journal(),
         role_changes=sum(
-            order.result == "run" for journal in engines for order in journal.orders
+            received.result == "run" and isinstance(received.order.action, SetRole)
+            for journal in engines
+            for received in journal.orders
         ),
         cut_streams=sum(journal.cut_streams for journal in engines),
         configuration=configuration,
