--- a/features/environment.py
+++ b/features/environment.py
@@ -14,6 +14,8 @@
 
 #: Instances of a feature without a tag.
 DEFAULT_INSTANCES = 3
+#: Short, so that scenarios outlast it within seconds.
+LEASE_SECONDS = 3.0
 #: Settings that make faults show within seconds.
 TEST_DEFAULTS = Defaults(
     usage_window_seconds=5,
@@ -34,7 +36,7 @@
     plan = named_plan(find_tag(feature, "plan.", "tahi"))
     records = int(find_tag(feature, "log_records.", str(plan.log.max_records)))
     log = evolve(plan.log, max_records=records)
-    plan = evolve(plan, instances=instances, log=log)
+    plan = evolve(plan, instances=instances, log=log, lease_seconds=LEASE_SECONDS)
     context.world = World(plan, TEST_DEFAULTS)
     context.world.start()
 
--- a/src/waxwing_testbed/deployment/_plan.py
+++ b/src/waxwing_testbed/deployment/_plan.py
@@ -84,7 +84,7 @@
     market: MarketSettings = MarketSettings()
     spare_engines: int = 0
     crash_word: str = "crash-please"
-    lease_seconds: float = 3.0
+    lease_seconds: float = 8.0
     instance_list_lag_seconds: float = 0.5
     weight_load_seconds: float = 1.0
     entry_settings: dict[str, object] = field(factory=dict)
