--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -133,7 +133,7 @@
                 "--no-capture",
                 "--format=plain",
                 "--format=json",
-                f"--outfile={os.devnull}",
+                "--outfile=-",
                 f"--outfile={report}",
                 str(feature.relative_to(ROOT)),
             ]
