--- a/src/waxwingwinch/adapters/_http.py
+++ b/src/waxwingwinch/adapters/_http.py
@@ -159,7 +159,8 @@
             raise AnswerMissing(f"{address}: {error!r}") from error
 
     def _send(self, request: HttpRequest, timeout_seconds: float) -> HTTPResponse:
-        self._socket.settimeout(timeout_seconds)
+        # The connection sets its own timeout again when it sends.
+        self._connection.timeout = timeout_seconds
         headers = HTTPHeaderDict(request.headers)
         headers["Connection"] = "close"
         self._connection.request(
--- /dev/null
+++ b/src/waxwingwinch/gateway/__init__.py
@@ -0,0 +1,99 @@
+"""
+The gateway: relays callers' requests to upstreams, on every instance.
+
+It knows nothing of how the platform spells its messages; an adapter hands it
+typed values.
+"""
+
+from waxwingwinch.gateway._connections import (
+    Cancellation,
+    Cancelled,
+    ConnectionPool,
+    UpstreamConnection,
+)
+from waxwingwinch.gateway._front import RawRequest, RequestDecoder
+from waxwingwinch.gateway._heads import MalformedRequest
+from waxwingwinch.gateway._members import Member
+from waxwingwinch.gateway._model import (
+    CallerLimits,
+    CustomerRules,
+    EngineTraits,
+    GatewayConfiguration,
+    QuotaUnit,
+    RequestKind,
+    Route,
+    ScalingRules,
+    ServiceRules,
+    WeightedService,
+)
+from waxwingwinch.gateway._process import (
+    GatewayAdapter,
+    GatewayOptions,
+    GatewayProcess,
+)
+from waxwingwinch.gateway._requests import (
+    AnswerHead,
+    GatewayRequest,
+    Prompt,
+    PromptPart,
+)
+from waxwingwinch.gateway._scaling import UpstreamCount
+from waxwingwinch.gateway._steward import StaleFence, StewardCalls
+from waxwingwinch.gateway._store import (
+    AppendConflict,
+    KeyedRecord,
+    KeyedSnapshot,
+    PlatformStore,
+)
+from waxwingwinch.gateway._transport import (
+    ReadPrompt,
+    Run,
+    RunFromCache,
+    UpstreamAnswer,
+    UpstreamCall,
+    UpstreamTransport,
+)
+from waxwingwinch.gateway._upstreams import RegisteredState, Upstream
+
+__all__ = [
+    "AnswerHead",
+    "AppendConflict",
+    "CallerLimits",
+    "Cancellation",
+    "Cancelled",
+    "ConnectionPool",
+    "CustomerRules",
+    "EngineTraits",
+    "GatewayAdapter",
+    "GatewayConfiguration",
+    "GatewayOptions",
+    "GatewayProcess",
+    "GatewayRequest",
+    "KeyedRecord",
+    "KeyedSnapshot",
+    "MalformedRequest",
+    "Member",
+    "PlatformStore",
+    "Prompt",
+    "PromptPart",
+    "QuotaUnit",
+    "RawRequest",
+    "ReadPrompt",
+    "RegisteredState",
+    "RequestDecoder",
+    "RequestKind",
+    "Route",
+    "Run",
+    "RunFromCache",
+    "ScalingRules",
+    "ServiceRules",
+    "StaleFence",
+    "StewardCalls",
+    "Upstream",
+    "UpstreamAnswer",
+    "UpstreamCall",
+    "UpstreamConnection",
+    "UpstreamCount",
+    "UpstreamTransport",
+    "WeightedService",
+]
--- /dev/null
+++ b/src/waxwingwinch/gateway/_follower.py
@@ -0,0 +1,157 @@
+"""Following a keyed topic of the platform's store, in one thread."""
+
+import threading
+from collections.abc import Callable
+
+import eliot
+from attrs import frozen
+
+from waxwingwinch._exceptions import (
+    PlatformRefused,
+    PlatformUnavailable,
+    RecordsExpired,
+)
+from waxwingwinch.gateway._store import KeyedRecord, PlatformStore
+from waxwingwinch.kernel import Clock
+
+#: First pause after a failed call; doubles up to the longest.
+MIN_PAUSE_SECONDS = 0.1
+#: Longest pause between attempts while the store is away, well below the
+#: time within which a change has to be in force.
+MAX_PAUSE_SECONDS = 0.5
+
+
+@frozen
+class FollowPlan:
+    """
+    How a topic is followed.
+
+    :param topic: The topic.
+    :param wait_seconds: How long the store may hold a read.
+    :param pause_seconds: Pause between two reads. A topic whose records come
+        all the time is read at intervals, since each call has a price.
+    """
+
+    topic: str
+    wait_seconds: float
+    pause_seconds: float = 0.0
+
+
+class TopicFollower:
+    """
+    Applies the newest records of a keyed topic and then its changes.
+
+    :param store: The platform's store.
+    :param plan: How the topic is followed.
+    :param clock: Source of the present time.
+    :param apply: Called with each record.
+    :param replaced: Called with all keys of a new snapshot, so that the owner
+        can drop the others.
+    :param after_read: Called after each successful read.
+    """
+
+    def __init__(
+        self,
+        store: PlatformStore,
+        plan: FollowPlan,
+        clock: Clock,
+        apply: Callable[[KeyedRecord], None],
+        replaced: Callable[[frozenset[str]], None] | None = None,
+        after_read: Callable[[], None] | None = None,
+    ) -> None:
+        self._store = store
+        self._plan = plan
+        self._clock = clock
+        self._apply = apply
+        self._replaced = replaced
+        self._after_read = after_read
+        self._next_offset: int | None = None
+        self._read_seconds: float | None = None
+        self._away_since_seconds: float | None = None
+        self._back_seconds = 0.0
+        self._wake = threading.Event()
+        self._thread = threading.Thread(
+            target=self._run, name=f"follow-{plan.topic}", daemon=True
+        )
+
+    def start(self) -> None:
+        """Start following."""
+        self._thread.start()
+
+    def wake(self) -> None:
+        """Read now instead of after the pause."""
+        self._wake.set()
+
+    @property
+    def read_seconds(self) -> float | None:
+        """Monotonic time of the last successful read."""
+        return self._read_seconds
+
+    def was_away_since(self, since_seconds: float) -> bool:
+        """
+        Tell whether the store failed to answer after a time.
+
+        :param since_seconds: Monotonic time.
+        """
+        return (
+            self._away_since_seconds is not None or self._back_seconds > since_seconds
+        )
+
+    def _run(self) -> None:
+        pause_seconds = MIN_PAUSE_SECONDS
+        while True:
+            try:
+                self._step()
+            except RecordsExpired as error:
+                eliot.log_message(
+                    "store:history_lost",
+                    topic=self._plan.topic,
+                    first_offset=error.first_offset,
+                )
+                self._next_offset = None
+                continue
+            except (PlatformUnavailable, PlatformRefused) as error:
+                self._note_away(error)
+                self._pause(pause_seconds)
+                pause_seconds = min(2 * pause_seconds, MAX_PAUSE_SECONDS)
+                continue
+            pause_seconds = MIN_PAUSE_SECONDS
+            self._pause(self._plan.pause_seconds)
+
+    def _pause(self, seconds: float) -> None:
+        if seconds > 0 and self._wake.wait(seconds):
+            self._wake.clear()
+
+    def _step(self) -> None:
+        if self._next_offset is None:
+            snapshot = self._store.snapshot(self._plan.topic)
+            if self._replaced is not None:
+                self._replaced(frozenset(record.key for record in snapshot.records))
+        else:
+            snapshot = self._store.changes(
+                self._plan.topic, self._next_offset, self._plan.wait_seconds
+            )
+        self._note_back()
+        for record in snapshot.records:
+            self._apply(record)
+        self._next_offset = snapshot.end_offset
+        self._read_seconds = self._clock.now_seconds()
+        if self._after_read is not None:
+            self._after_read()
+
+    def _note_away(self, error: Exception) -> None:
+        if self._away_since_seconds is None:
+            self._away_since_seconds = self._clock.now_seconds()
+            eliot.log_message("store:lost", topic=self._plan.topic, reason=str(error))
+
+    def _note_back(self) -> None:
+        if self._away_since_seconds is None:
+            return
+        now_seconds = self._clock.now_seconds()
+        eliot.log_message(
+            "store:back",
+            topic=self._plan.topic,
+            away_seconds=now_seconds - self._away_since_seconds,
+        )
+        self._away_since_seconds = None
+        self._back_seconds = now_seconds
--- /dev/null
+++ b/src/waxwingwinch/gateway/_gossip.py
@@ -0,0 +1,276 @@
+"""Reports that the instances send one another several times a second."""
+
+import threading
+from collections import deque
+from collections.abc import Callable
+
+import eliot
+from attrs import field, frozen
+
+from waxwingwinch._exceptions import PeerUnavailable
+from waxwingwinch._types import CustomerId, InstanceId, UpstreamId
+from waxwingwinch.codec import message
+from waxwingwinch.gateway._members import Member, MemberDirectory
+from waxwingwinch.gateway._requests import PromptPart
+from waxwingwinch.kernel import Clock
+from waxwingwinch.peers import PeerIdentity, PeerLink, PeerServer
+
+#: Interval of the reports. What an instance believes of another's work is
+#: at most this old, plus the way.
+REPORT_SECONDS = 0.2
+#: Placements of prompts that are kept until all peers were told; far more
+#: than one instance makes in an interval.
+PLACEMENTS_KEPT = 256
+#: Interval at which the links are compared with the members.
+RECONCILE_SECONDS = 0.5
+
+
+@message("gateway_prompt_placement")
+@frozen
+class PromptPlacement:
+    """
+    A prompt that was sent to an engine.
+
+    :param sequence: Grows with each placement of the sender.
+    :param upstream_id: The engine.
+    :param part_ids: The parts that may be shared.
+    :param part_tokens: Their lengths.
+    """
+
+    sequence: int
+    upstream_id: UpstreamId
+    part_ids: tuple[str, ...]
+    part_tokens: tuple[int, ...]
+
+    def parts(self) -> tuple[PromptPart, ...]:
+        """Return the parts."""
+        pairs = zip(self.part_ids, self.part_tokens, strict=True)
+        return tuple(PromptPart(part_id, tokens) for part_id, tokens in pairs)
+
+
+@message("gateway_report")
+@frozen
+class InstanceReport:
+    """
+    What an instance tells the others.
+
+    :param instance_id: Who sends it.
+    :param incarnation: Which start of it.
+    :param is_ready: True if it takes callers.
+    :param configuration_version: The version in force there.
+    :param held_epoch: Epoch of the duty that it holds; None if it holds none.
+    :param waiting_tokens: Prompt tokens to be read, by upstream.
+    :param running: Requests under way, by upstream.
+    :param quota_totals: Units admitted since its start, by customer.
+    :param usage: Requests that began, by window and customer.
+    :param placements: Recent placements of prompts.
+    """
+
+    instance_id: InstanceId
+    incarnation: str
+    is_ready: bool
+    configuration_version: int
+    held_epoch: int | None = None
+    waiting_tokens: dict[UpstreamId, int] = field(factory=dict)
+    running: dict[UpstreamId, int] = field(factory=dict)
+    quota_totals: dict[CustomerId, float] = field(factory=dict)
+    usage: dict[int, dict[CustomerId, int]] = field(factory=dict)
+    placements: tuple[PromptPlacement, ...] = ()
+
+
+@message("gateway_configuration_request")
+@frozen
+class ConfigurationRequest:
+    """Asks a peer for the newest configuration that it read."""
+
+
+@message("gateway_configuration_reply")
+@frozen
+class ConfigurationReply:
+    """
+    The newest configuration that a peer read.
+
+    :param payload: As the store holds it; empty if it read none.
+    """
+
+    payload: bytes = field(repr=False)
+
+
+class PlacementLog:
+    """The recent placements of prompts of this process."""
+
+    def __init__(self) -> None:
+        self._placements: deque[PromptPlacement] = deque(maxlen=PLACEMENTS_KEPT)
+        self._sequence = 0
+        self._lock = threading.Lock()
+
+    def add(self, upstream_id: UpstreamId, parts: tuple[PromptPart, ...]) -> None:
+        """
+        Note a placement.
+
+        :param upstream_id: The engine.
+        :param parts: The parts that may be shared.
+        """
+        with self._lock:
+            self._sequence += 1
+            self._placements.append(
+                PromptPlacement(
+                    self._sequence,
+                    upstream_id,
+                    tuple(part.part_id for part in parts),
+                    tuple(part.tokens for part in parts),
+                )
+            )
+
+    def after(self, sequence: int) -> tuple[PromptPlacement, ...]:
+        """
+        Return the placements after a position.
+
+        :param sequence: The last one that is known already.
+        """
+        with self._lock:
+            return tuple(
+                placement
+                for placement in self._placements
+                if placement.sequence > sequence
+            )
+
+
+#: Builds the report for a peer that knows the placements up to a position.
+ReportSource = Callable[[int], InstanceReport]
+
+
+class _PeerSender:
+    """
+    Sends reports to one peer, in one thread.
+
+    :param link: The link to the peer.
+    :param make_report: Builds each report.
+    """
+
+    def __init__(self, link: PeerLink, make_report: ReportSource) -> None:
+        self.link = link
+        self._make_report = make_report
+        self._stopping = threading.Event()
+        self._thread = threading.Thread(
+            target=self._run, name=f"report-{link.address}", daemon=True
+        )
+
+    def start(self) -> None:
+        """Dial the peer and start sending."""
+        self.link.start()
+        self._thread.start()
+
+    def stop(self) -> None:
+        """End the thread and the link without waiting for the peer."""
+        self._stopping.set()
+        threading.Thread(target=self.link.stop, daemon=True).start()
+
+    def _run(self) -> None:
+        known_sequence = 0
+        was_up = False
+        while not self._stopping.wait(REPORT_SECONDS):
+            report = self._make_report(known_sequence)
+            try:
+                self.link.send(report)
+            except PeerUnavailable as error:
+                if was_up:
+                    was_up = False
+                    eliot.log_message(
+                        "peer:lost", address=str(self.link.address), reason=str(error)
+                    )
+                continue
+            if report.placements:
+                known_sequence = report.placements[-1].sequence
+            if not was_up:
+                was_up = True
+                eliot.log_message("peer:reached", address=str(self.link.address))
+
+
+class Gossip:
+    """
+    Keeps a link to each other instance and sends reports over it.
+
+    :param members: The instances.
+    :param identity: Who this process is.
+    :param secret: Shared by all instances of the deployment.
+    :param clock: Source of the present time.
+    :param make_report: Builds each report.
+    """
+
+    def __init__(
+        self,
+        members: MemberDirectory,
+        identity: PeerIdentity,
+        secret: str,
+        clock: Clock,
+        make_report: ReportSource,
+    ) -> None:
+        self._members = members
+        self._identity = identity
+        self._secret = secret
+        self._clock = clock
+        self._make_report = make_report
+        self._senders: dict[Member, _PeerSender] = {}
+        self._server = PeerServer(members.own.peer_address, identity, [secret])
+        self._thread = threading.Thread(target=self._run, name="gossip", daemon=True)
+
+    def on_report(self, handle: Callable[[InstanceReport], None]) -> None:
+        """
+        Register what is done with the reports of peers.
+
+        :param handle: Called from the thread of the peer's connection.
+        """
+
+        def handler(_: PeerIdentity, report: InstanceReport) -> None:
+            handle(report)
+
+        self._server.handle(InstanceReport, handler)
+
+    def on_configuration_request(self, current: Callable[[], bytes]) -> None:
+        """
+        Register who knows the newest configuration.
+
+        :param current: Returns it as the store holds it.
+        """
+
+        def handler(_: PeerIdentity, __: ConfigurationRequest) -> ConfigurationReply:
+            return ConfigurationReply(current())
+
+        self._server.handle(ConfigurationRequest, handler)
+
+    def start(self) -> None:
+        """Serve peers and dial them."""
+        self._server.start()
+        self._thread.start()
+
+    def ask_configuration(self, peer: InstanceId, timeout_seconds: float) -> bytes:
+        """
+        Ask a peer for the newest configuration.
+
+        :param peer: The instance.
+        :param timeout_seconds: Longest wait.
+        :raises PeerUnavailable: If it did not answer.
+        """
+        for member, sender in list(self._senders.items()):
+            if member.instance_id == peer:
+                reply = sender.link.request(ConfigurationRequest(), timeout_seconds)
+                if isinstance(reply, ConfigurationReply):
+                    return reply.payload
+        raise PeerUnavailable(f"no link to {peer}")
+
+    def _run(self) -> None:
+        pause = threading.Event()
+        while True:
+            self._reconcile()
+            pause.wait(RECONCILE_SECONDS)
+
+    def _reconcile(self) -> None:
+        wanted = set(self._members.others())
+        for member in set(self._senders) - wanted:
+            self._senders.pop(member).stop()
+        for member in wanted - set(self._senders):
+            link = PeerLink(member.peer_address, self._identity, [self._secret])
+            sender = _PeerSender(link, self._make_report)
+            self._senders[member] = sender
+            sender.start()
--- /dev/null
+++ b/src/waxwingwinch/gateway/_handler.py
@@ -0,0 +1,204 @@
+"""From a request to its answer: route, key, quota, relay."""
+
+import threading
+
+import eliot
+
+from waxwingwinch.gateway._connections import Cancellation
+from waxwingwinch.gateway._generation_relay import GenerationRelay
+from waxwingwinch.gateway._job import Job, RelayTools
+from waxwingwinch.gateway._model import CustomerRules, QuotaUnit, Route
+from waxwingwinch.gateway._outcomes import (
+    CallerLost,
+    RefusalReason,
+    RequestEnded,
+    Responder,
+)
+from waxwingwinch.gateway._plain_relay import PlainRelay
+from waxwingwinch.gateway._quota import QuotaBook
+from waxwingwinch.gateway._requests import GatewayRequest
+from waxwingwinch.gateway._routes import RouteTable, choose_service
+from waxwingwinch.gateway._tables import CurrentTable
+from waxwingwinch.gateway._watcher import CallerWatcher
+
+#: Time kept for the answer's way back to the caller.
+ANSWER_MARGIN_SECONDS = 0.02
+#: When to come back to an instance that has no configuration yet.
+STARTING_RETRY_SECONDS = 0.5
+
+
+class RequestHandler:
+    """
+    Serves the requests of callers.
+
+    :param tools: What the relays of the process share.
+    :param table: The configuration in force.
+    :param quotas: Customers' quotas.
+    :param watcher: Notices callers who leave.
+    """
+
+    def __init__(
+        self,
+        tools: RelayTools,
+        table: CurrentTable,
+        quotas: QuotaBook,
+        watcher: CallerWatcher,
+    ) -> None:
+        self._tools = tools
+        self._table = table
+        self._quotas = quotas
+        self._watcher = watcher
+        self._plain = PlainRelay(tools)
+        self._generations = GenerationRelay(tools)
+        self._under_way = 0
+        self._lock = threading.Lock()
+
+    @property
+    def under_way(self) -> int:
+        """Number of requests that are being served."""
+        with self._lock:
+            return self._under_way
+
+    def handle(self, request: GatewayRequest, responder: Responder) -> None:
+        """
+        Serve a request.
+
+        :param request: The request.
+        :param responder: Writes the answer.
+        """
+        with self._lock:
+            self._under_way += 1
+        try:
+            self._serve(request, responder)
+        except RequestEnded as ended:
+            self._refuse(request, responder, ended)
+        except CallerLost as lost:
+            eliot.log_message(
+                "request:caller_gone",
+                request_id=request.request_id,
+                reason=str(lost),
+            )
+            responder.abort()
+        finally:
+            with self._lock:
+                self._under_way -= 1
+
+    def _serve(self, request: GatewayRequest, responder: Responder) -> None:
+        table = self._table.get()
+        if table is None:
+            raise RequestEnded(
+                503, RefusalReason.NO_CONFIGURATION, STARTING_RETRY_SECONDS
+            )
+        route = table.route(request.host, request.path)
+        if route is None:
+            raise RequestEnded(404, RefusalReason.NO_ROUTE)
+        customer = self._authenticate(table, route, request)
+        job = self._job(table, route, customer, request)
+        cost = self._take_quota(customer, request)
+        self._tools.budget.requested(job.service.name, request.arrived_seconds)
+        if request.connection is not None:
+            self._watcher.add(request.connection, job.cancellation)
+        try:
+            self._relay(job, responder)
+        except RequestEnded as ended:
+            if ended.status in (429, 503) and customer is not None:
+                self._quotas.give_back(customer, cost)
+            raise
+        finally:
+            self._watcher.remove(job.cancellation)
+        eliot.log_message(
+            "request:answered",
+            request_id=request.request_id,
+            route=route.name,
+            customer=job.customer_id,
+            version=table.configuration.version,
+            took_seconds=self._tools.clock.now_seconds() - request.arrived_seconds,
+        )
+
+    def _relay(self, job: Job, responder: Responder) -> None:
+        if job.service.engine is not None and job.request.prompt is not None:
+            self._generations.serve(job, job.request.prompt, responder)
+        else:
+            self._plain.serve(job, responder)
+
+    def _authenticate(
+        self, table: RouteTable, route: Route, request: GatewayRequest
+    ) -> CustomerRules | None:
+        if route.is_public or not table.needs_keys:
+            return None
+        customer = table.customer(request.key) if request.key else None
+        if customer is None:
+            raise RequestEnded(401, RefusalReason.UNKNOWN_KEY)
+        return customer
+
+    def _job(
+        self,
+        table: RouteTable,
+        route: Route,
+        customer: CustomerRules | None,
+        request: GatewayRequest,
+    ) -> Job:
+        service = table.configuration.services.get(
+            choose_service(route, request.request_id)
+        )
+        if service is None:
+            raise RequestEnded(503, RefusalReason.NO_UPSTREAM, STARTING_RETRY_SECONDS)
+        end_seconds = request.arrived_seconds + route.timeout_seconds
+        if request.deadline_seconds is not None:
+            end_seconds = min(end_seconds, request.deadline_seconds)
+        return Job(
+            request,
+            route,
+            service,
+            customer,
+            end_seconds - ANSWER_MARGIN_SECONDS,
+            Cancellation(),
+        )
+
+    def _take_quota(
+        self, customer: CustomerRules | None, request: GatewayRequest
+    ) -> float:
+        if customer is None:
+            return 0.0
+        cost = quota_cost(customer, request)
+        wait_seconds = self._quotas.admit(customer, cost, request.arrived_seconds)
+        if wait_seconds is not None:
+            raise RequestEnded(429, RefusalReason.OVER_QUOTA, wait_seconds)
+        return cost
+
+    def _refuse(
+        self, request: GatewayRequest, responder: Responder, ended: RequestEnded
+    ) -> None:
+        eliot.log_message(
+            "request:refused",
+            request_id=request.request_id,
+            status=ended.status,
+            reason=ended.reason.value,
+            retry_after_seconds=ended.retry_after_seconds,
+            took_seconds=self._tools.clock.now_seconds() - request.arrived_seconds,
+        )
+        headers: tuple[tuple[str, str], ...] = ()
+        if ended.retry_after_seconds is not None:
+            headers = (("Retry-After", f"{ended.retry_after_seconds:.3f}"),)
+        try:
+            responder.respond(ended.status, headers, b"")
+        except CallerLost as lost:
+            eliot.log_message(
+                "request:caller_gone",
+                request_id=request.request_id,
+                reason=str(lost),
+            )
+
+
+def quota_cost(customer: CustomerRules, request: GatewayRequest) -> float:
+    """
+    Return what a request counts against its customer's quota.
+
+    :param customer: The customer.
+    :param request: The request.
+    """
+    if customer.unit is QuotaUnit.REQUESTS:
+        return 1.0
+    if request.prompt is None:
+        return customer.plain_cost
+    return float(request.prompt.input_tokens + request.prompt.max_output_tokens)
--- /dev/null
+++ b/src/waxwingwinch/gateway/_loads.py
@@ -0,0 +1,146 @@
+"""Work under way at each upstream, as far as this process knows."""
+
+import threading
+
+from attrs import define, field, frozen
+
+from waxwingwinch._types import UpstreamId
+
+#: How long a peer's figures count; from the peer's report interval.
+PEER_FIGURES_SECONDS = 1.5
+
+
+@frozen
+class UpstreamLoad:
+    """
+    Work at one upstream.
+
+    :param waiting_tokens: Prompt tokens still to be read.
+    :param running: Requests under way.
+    """
+
+    waiting_tokens: int = 0
+    running: int = 0
+
+    def __add__(self, other: "UpstreamLoad") -> "UpstreamLoad":
+        """
+        Return the sum of two loads.
+
+        :param other: What to add.
+        """
+        return UpstreamLoad(
+            self.waiting_tokens + other.waiting_tokens, self.running + other.running
+        )
+
+
+NO_LOAD = UpstreamLoad()
+
+
+@frozen
+class _PeerFigures:
+    """
+    What one peer has under way.
+
+    :param loads: By upstream.
+    :param heard_seconds: Monotonic time of the message.
+    """
+
+    loads: dict[UpstreamId, UpstreamLoad]
+    heard_seconds: float
+
+
+@define(eq=False)
+class WorkTicket:
+    """
+    One request at one upstream.
+
+    :param book: Where it counts.
+    :param upstream_id: The upstream.
+    :param waiting_tokens: Prompt tokens that it still has to read.
+    """
+
+    book: "LoadBook" = field(repr=False)
+    upstream_id: UpstreamId
+    waiting_tokens: int
+    _is_open: bool = True
+
+    def prompt_read(self) -> None:
+        """Note that the prompt was read."""
+        self.book.change(self.upstream_id, -self.waiting_tokens, 0)
+        self.waiting_tokens = 0
+
+    def end(self) -> None:
+        """Note that the request has left the upstream."""
+        if self._is_open:
+            self._is_open = False
+            self.book.change(self.upstream_id, -self.waiting_tokens, -1)
+
+
+class LoadBook:
+    """Counts this process's work and what its peers report."""
+
+    def __init__(self) -> None:
+        self._own: dict[UpstreamId, UpstreamLoad] = {}
+        self._peers: dict[str, _PeerFigures] = {}
+        self._lock = threading.Lock()
+
+    def begin(self, upstream_id: UpstreamId, waiting_tokens: int) -> WorkTicket:
+        """
+        Count a request that is sent to an upstream.
+
+        :param upstream_id: The upstream.
+        :param waiting_tokens: Prompt tokens that it has to read.
+        """
+        self.change(upstream_id, waiting_tokens, 1)
+        return WorkTicket(self, upstream_id, waiting_tokens)
+
+    def change(self, upstream_id: UpstreamId, tokens: int, requests: int) -> None:
+        """
+        Adjust the own figures.
+
+        :param upstream_id: The upstream.
+        :param tokens: Added prompt tokens.
+        :param requests: Added requests.
+        """
+        with self._lock:
+            changed = self._own.get(upstream_id, NO_LOAD) + UpstreamLoad(
+                tokens, requests
+            )
+            if changed == NO_LOAD:
+                self._own.pop(upstream_id, None)
+            else:
+                self._own[upstream_id] = changed
+
+    def heard(
+        self, peer: str, loads: dict[UpstreamId, UpstreamLoad], now_seconds: float
+    ) -> None:
+        """
+        Take in what a peer has under way.
+
+        :param peer: Name of its process.
+        :param loads: Its work by upstream.
+        :param now_seconds: Monotonic time.
+        """
+        with self._lock:
+            self._peers[peer] = _PeerFigures(loads, now_seconds)
+
+    def own(self) -> dict[UpstreamId, UpstreamLoad]:
+        """Return this process's work by upstream."""
+        with self._lock:
+            return dict(self._own)
+
+    def totals(self, now_seconds: float) -> dict[UpstreamId, UpstreamLoad]:
+        """
+        Return the work of all processes by upstream.
+
+        :param now_seconds: Monotonic time.
+        """
+        oldest_seconds = now_seconds - PEER_FIGURES_SECONDS
+        with self._lock:
+            totals = dict(self._own)
+            for figures in self._peers.values():
+                if figures.heard_seconds < oldest_seconds:
+                    continue
+                for upstream_id, load in figures.loads.items():
+                    totals[upstream_id] = totals.get(upstream_id, NO_LOAD) + load
+        return totals
--- /dev/null
+++ b/src/waxwingwinch/gateway/_log_writer.py
@@ -0,0 +1,70 @@
+"""A file for logs that never makes its writers wait."""
+
+import queue
+import threading
+from typing import IO
+
+#: Messages that may wait to be written. At a few hundred bytes each this
+#: is a small part of an instance's memory.
+QUEUE_MESSAGES = 2_000
+
+
+class LogWriter:
+    """
+    Writes to a file in a thread of its own.
+
+    What comes while the queue is full is dropped and counted.
+
+    :param file: Where messages go.
+    """
+
+    def __init__(self, file: IO[bytes]) -> None:
+        self._file = file
+        self._queue: queue.Queue[bytes] = queue.Queue(QUEUE_MESSAGES)
+        self._dropped = 0
+        self._thread = threading.Thread(target=self._run, name="logs", daemon=True)
+        self._thread.start()
+
+    @property
+    def dropped(self) -> int:
+        """Messages dropped since the start."""
+        return self._dropped
+
+    def write(self, data: bytes) -> int:
+        """
+        Queue a message.
+
+        :param data: The message.
+        """
+        try:
+            self._queue.put_nowait(data)
+        except queue.Full:
+            self._dropped += 1
+        return len(data)
+
+    def flush(self) -> None:
+        """Do nothing; the thread writes as soon as it can."""
+
+    def drain(self, timeout_seconds: float) -> None:
+        """
+        Wait until the queue is empty.
+
+        :param timeout_seconds: Longest wait.
+        """
+        waiter = threading.Thread(target=self._queue.join, daemon=True)
+        waiter.start()
+        waiter.join(timeout_seconds)
+
+    def _run(self) -> None:
+        reported = 0
+        while True:
+            data = self._queue.get()
+            try:
+                if self._dropped > reported:
+                    reported = self._dropped
+                    self._file.write(b'{"logs_dropped": %d}\n' % reported)
+                self._file.write(data)
+                if self._queue.empty():
+                    self._file.flush()
+            finally:
+                self._queue.task_done()
--- /dev/null
+++ b/src/waxwingwinch/gateway/_placement.py
@@ -0,0 +1,268 @@
+"""Where a request goes: a pure decision on loads and caches."""
+
+from collections.abc import Sequence
+
+from attrs import frozen
+
+from waxwingwinch._types import EngineRole, UpstreamId, ZoneName
+from waxwingwinch.gateway._loads import UpstreamLoad
+from waxwingwinch.gateway._routes import stable_hash
+
+#: Prompt tokens that a prefill engine reads in a second; from the users'
+#: sheet of engines.
+PREFILL_TOKENS_PER_SECOND = 51_000.0
+#: The same for a decode engine, which reads at half the speed.
+DECODE_READ_TOKENS_PER_SECOND = PREFILL_TOKENS_PER_SECOND / 2
+#: Seconds for each pair of a new token and one before it, on a prefill
+#: engine; the attention of the prompt, from the users' sheet of engines.
+PREFILL_PAIR_SECONDS = 0.323e-9
+#: Time from the last prompt token to the first event.
+FIRST_EVENT_SECONDS = 0.06
+#: Time to hand a KV cache from one engine to another.
+TRANSFER_SECONDS = 0.03
+#: Added time to the first event for each request that runs at the engine.
+PER_RUNNING_SECONDS = 0.0005
+#: What a byte-for-byte equal choice in another availability zone must gain.
+OTHER_ZONE_SECONDS = 0.01
+#: What going through a prefill engine must gain, for the moved KV cache.
+SPLIT_SECONDS = 0.05
+#: Spread of the preference among engines that hold nothing of a prompt, so
+#: that all instances choose the same one.
+HOME_SECONDS = 0.15
+#: Requests above the slots that a plain upstream may have waiting, relative
+#: to its slots.
+PLAIN_QUEUE_RATIO = 3.0
+
+
+@frozen
+class EngineOption:
+    """
+    An engine that could take a request.
+
+    :param upstream_id: The engine.
+    :param role: Its stage.
+    :param zone: Its availability zone.
+    :param load: Work under way there.
+    :param cached_tokens: Leading tokens of the prompt that it holds.
+    :param speed_ratio: How fast it answers relative to others.
+    """
+
+    upstream_id: UpstreamId
+    role: EngineRole
+    zone: ZoneName
+    load: UpstreamLoad
+    cached_tokens: int = 0
+    speed_ratio: float = 1.0
+
+
+@frozen
+class PromptSize:
+    """
+    What counts of a prompt for its placement.
+
+    :param tokens: Its length.
+    :param shared_id: Names its shared beginning.
+    """
+
+    tokens: int
+    shared_id: str
+
+
+@frozen
+class RunDirectly:
+    """
+    One engine reads the prompt and generates.
+
+    :param upstream_id: The engine.
+    :param read_tokens: Prompt tokens that it has to read.
+    :param expected_seconds: Estimated time to the first event.
+    """
+
+    upstream_id: UpstreamId
+    read_tokens: int
+    expected_seconds: float
+
+
+@frozen
+class RunSplit:
+    """
+    A prefill engine reads the prompt, a decode engine generates.
+
+    :param prefill_id: Reads the prompt.
+    :param decode_id: Fetches the KV cache and generates.
+    :param read_tokens: Prompt tokens that the prefill engine has to read.
+    :param expected_seconds: Estimated time to the first event.
+    """
+
+    prefill_id: UpstreamId
+    decode_id: UpstreamId
+    read_tokens: int
+    expected_seconds: float
+
+
+Placement = RunDirectly | RunSplit
+
+
+def place_prompt(
+    prompt: PromptSize, options: Sequence[EngineOption], own_zone: ZoneName
+) -> Placement | None:
+    """
+    Choose the engines that give the first event soonest.
+
+    :param prompt: The prompt.
+    :param options: All usable engines of the service.
+    :param own_zone: Where this process runs.
+    :returns: None if no engine generates.
+    """
+    decoders = [option for option in options if option.role is not EngineRole.PREFILL]
+    if not decoders:
+        return None
+    direct = min(
+        (_direct(prompt, option) for option in decoders),
+        key=lambda plan: (
+            plan.expected_seconds
+            + _home_seconds(prompt, plan.upstream_id, plan.read_tokens)
+            + _zone_seconds(options, plan.upstream_id, own_zone)
+        ),
+    )
+    split = _best_split(prompt, options, decoders)
+    if split is None:
+        return direct
+    if split.expected_seconds + SPLIT_SECONDS < direct.expected_seconds:
+        return split
+    return direct
+
+
+def read_seconds(prompt_tokens: int, cached_tokens: int) -> float:
+    """
+    Return how long a prefill engine reads a prompt.
+
+    :param prompt_tokens: Its length.
+    :param cached_tokens: Leading tokens that are held already.
+    """
+    new = max(prompt_tokens - cached_tokens, 0)
+    pairs = new * (cached_tokens + new / 2)
+    return new / PREFILL_TOKENS_PER_SECOND + pairs * PREFILL_PAIR_SECONDS
+
+
+def _direct(prompt: PromptSize, option: EngineOption) -> RunDirectly:
+    cached = min(option.cached_tokens, prompt.tokens)
+    is_decoder = option.role is EngineRole.DECODE
+    slowdown = 2.0 if is_decoder else 1.0
+    seconds = slowdown * (
+        option.load.waiting_tokens / PREFILL_TOKENS_PER_SECOND
+        + read_seconds(prompt.tokens, cached)
+    )
+    seconds += FIRST_EVENT_SECONDS + option.load.running * PER_RUNNING_SECONDS
+    return RunDirectly(
+        option.upstream_id, prompt.tokens - cached, seconds / option.speed_ratio
+    )
+
+
+def _best_split(
+    prompt: PromptSize,
+    options: Sequence[EngineOption],
+    decoders: Sequence[EngineOption],
+) -> RunSplit | None:
+    readers = [option for option in options if option.role is EngineRole.PREFILL]
+    if not readers:
+        return None
+    reader = min(readers, key=lambda option: _reader_seconds(prompt, option))
+    decoder = min(
+        decoders,
+        key=lambda option: (
+            _decoder_seconds(option)
+            + HOME_SECONDS * _home_rank(prompt, option.upstream_id)
+        ),
+    )
+    expected = (
+        _reader_seconds(prompt, reader)
+        + TRANSFER_SECONDS
+        + _decoder_seconds(decoder)
+        + FIRST_EVENT_SECONDS
+    )
+    cached = min(reader.cached_tokens, prompt.tokens)
+    return RunSplit(
+        reader.upstream_id, decoder.upstream_id, prompt.tokens - cached, expected
+    )
+
+
+def _reader_seconds(prompt: PromptSize, option: EngineOption) -> float:
+    cached = min(option.cached_tokens, prompt.tokens)
+    return (
+        option.load.waiting_tokens / PREFILL_TOKENS_PER_SECOND
+        + read_seconds(prompt.tokens, cached)
+    ) / option.speed_ratio
+
+
+def _decoder_seconds(option: EngineOption) -> float:
+    # A decode engine takes over a KV cache between the pieces of the prompts
+    # that it reads, so only the number of requests delays it.
+    return option.load.running * 4 * PER_RUNNING_SECONDS
+
+
+def _home_rank(prompt: PromptSize, upstream_id: UpstreamId) -> float:
+    """Return a number from 0 to 1, the same in all processes."""
+    return stable_hash(f"{prompt.shared_id}/{upstream_id}") / 2**64
+
+
+def _home_seconds(
+    prompt: PromptSize, upstream_id: UpstreamId, read_tokens: int
+) -> float:
+    share = read_tokens / prompt.tokens if prompt.tokens else 0.0
+    return HOME_SECONDS * share * _home_rank(prompt, upstream_id)
+
+
+def _zone_seconds(
+    options: Sequence[EngineOption], upstream_id: UpstreamId, own_zone: ZoneName
+) -> float:
+    zone = next(option.zone for option in options if option.upstream_id == upstream_id)
+    return 0.0 if zone == own_zone else OTHER_ZONE_SECONDS
+
+
+@frozen
+class PlainOption:
+    """
+    A plain upstream that could take a request.
+
+    :param upstream_id: The upstream.
+    :param zone: Its availability zone.
+    :param slots: Requests that it serves at once.
+    :param running: Requests under way there.
+    :param is_cold: True while it is slow after its start.
+    """
+
+    upstream_id: UpstreamId
+    zone: ZoneName
+    slots: int
+    running: int
+    is_cold: bool = False
+
+
+def place_plain(
+    options: Sequence[PlainOption], own_zone: ZoneName
+) -> UpstreamId | None:
+    """
+    Choose the plain upstream that has the most room.
+
+    :param options: All usable upstreams of the service.
+    :param own_zone: Where this process runs.
+    :returns: None if all have as much waiting as they may.
+    """
+    open_options = [
+        option
+        for option in options
+        if option.running < option.slots * (1 + PLAIN_QUEUE_RATIO)
+    ]
+    if not open_options:
+        return None
+    best = min(
+        open_options,
+        key=lambda option: (
+            option.running // max(option.slots // 2, 1) + (1 if option.is_cold else 0),
+            option.zone != own_zone,
+            option.running,
+            stable_hash(option.upstream_id),
+        ),
+    )
+    return best.upstream_id
--- /dev/null
+++ b/src/waxwingwinch/gateway/_quota.py
@@ -0,0 +1,170 @@
+"""Customers' quotas over all instances, without asking anybody."""
+
+import threading
+
+from attrs import define, field
+
+from waxwingwinch._types import CustomerId
+from waxwingwinch.gateway._model import CustomerRules
+
+#: Share of the tolerated overshoot that may be used; the rest covers what
+#: other instances admit before their figures arrive.
+SLACK_SHARE = 0.3
+#: How long a peer that fell silent is taken to serve on; longer than a cut
+#: link is likely to last.
+SILENT_PEER_SECONDS = 15.0
+#: Silence after which a peer's consumption is assumed instead of known.
+PEER_FRESH_SECONDS = 1.0
+
+
+@define
+class _Bucket:
+    """
+    What is left of a customer's quota.
+
+    :param level: Units that may be used now, by all instances.
+    :param filled_seconds: Monotonic time of the last refill.
+    :param own_total: Units that this process has admitted.
+    """
+
+    level: float
+    filled_seconds: float
+    own_total: float = 0.0
+
+
+@define
+class _Peer:
+    """
+    What a peer has admitted.
+
+    :param heard_seconds: Monotonic time of its last message.
+    :param totals: Units by customer since its start.
+    """
+
+    heard_seconds: float
+    totals: dict[CustomerId, float] = field(factory=dict)
+
+
+class QuotaBook:
+    """
+    Decides whether a customer's request is within its quota.
+
+    Each process keeps the bucket of all instances together: it takes its own
+    requests out at once and those of its peers when it hears of them. A peer
+    that fell silent is taken to use an equal part of the rate.
+
+    :param slack_units: How far the quota may be exceeded for a short time.
+    :param starts_full: True if nothing can have been used before.
+    """
+
+    def __init__(self, slack_units: float, starts_full: bool) -> None:
+        self._reserve_units = slack_units * SLACK_SHARE
+        self._starts_full = starts_full
+        self._buckets: dict[CustomerId, _Bucket] = {}
+        self._peers: dict[str, _Peer] = {}
+        self._lock = threading.Lock()
+
+    def admit(
+        self, customer: CustomerRules, cost: float, now_seconds: float
+    ) -> float | None:
+        """
+        Take a request's cost out of its customer's quota.
+
+        :param customer: The customer.
+        :param cost: Units that the request counts.
+        :param now_seconds: Monotonic time.
+        :returns: None if it is within the quota, else the time in seconds
+            after which it would be.
+        """
+        if customer.rate_per_second <= 0:
+            return None
+        with self._lock:
+            bucket = self._filled(customer, now_seconds)
+            needed = min(cost, customer.burst) - self._reserve_units
+            if bucket.level < needed:
+                return (needed - bucket.level) / customer.rate_per_second
+            bucket.level -= cost
+            bucket.own_total += cost
+            return None
+
+    def give_back(self, customer: CustomerRules, cost: float) -> None:
+        """
+        Undo an admission whose request never reached an upstream.
+
+        :param customer: The customer.
+        :param cost: Units that were taken.
+        """
+        with self._lock:
+            bucket = self._buckets.get(customer.customer_id)
+            if bucket is not None:
+                bucket.level = min(bucket.level + cost, customer.burst)
+                bucket.own_total -= cost
+
+    def heard(
+        self, peer: str, totals: dict[CustomerId, float], now_seconds: float
+    ) -> None:
+        """
+        Take in what a peer has admitted since its start.
+
+        :param peer: Name of its process.
+        :param totals: Units by customer.
+        :param now_seconds: Monotonic time.
+        """
+        with self._lock:
+            known = self._peers.get(peer)
+            if known is None:
+                # What a peer admitted earlier is older than this process.
+                self._peers[peer] = _Peer(now_seconds, totals)
+                return
+            was_silent = now_seconds - known.heard_seconds > PEER_FRESH_SECONDS
+            for customer_id, total in totals.items():
+                bucket = self._buckets.get(customer_id)
+                if bucket is None:
+                    continue
+                used = total - known.totals.get(customer_id, 0.0)
+                # Its use while it was silent has been assumed already.
+                bucket.level -= 0.0 if was_silent else used
+            known.heard_seconds = now_seconds
+            known.totals = totals
+
+    def left(self, peer: str) -> None:
+        """
+        Note that a peer's process has ended.
+
+        :param peer: Name of its process.
+        """
+        with self._lock:
+            self._peers.pop(peer, None)
+
+    def own_totals(self) -> dict[CustomerId, float]:
+        """Return the units that this process has admitted, by customer."""
+        with self._lock:
+            return {
+                customer_id: bucket.own_total
+                for customer_id, bucket in self._buckets.items()
+            }
+
+    def _filled(self, customer: CustomerRules, now_seconds: float) -> _Bucket:
+        bucket = self._buckets.get(customer.customer_id)
+        if bucket is None:
+            level = customer.burst if self._starts_full else 0.0
+            bucket = _Bucket(level, now_seconds)
+            self._buckets[customer.customer_id] = bucket
+            return bucket
+        elapsed_seconds = max(now_seconds - bucket.filled_seconds, 0.0)
+        share = 1.0 - self._silent_share(now_seconds)
+        refill = elapsed_seconds * customer.rate_per_second * share
+        bucket.level = min(bucket.level + refill, customer.burst)
+        bucket.filled_seconds = now_seconds
+        return bucket
+
+    def _silent_share(self, now_seconds: float) -> float:
+        """Return the part of each rate that silent peers may be using."""
+        silent = sum(
+            1
+            for peer in self._peers.values()
+            if PEER_FRESH_SECONDS
+            < now_seconds - peer.heard_seconds
+            < SILENT_PEER_SECONDS
+        )
+        return silent / (len(self._peers) + 1)
--- /dev/null
+++ b/src/waxwingwinch/gateway/_routes.py
@@ -0,0 +1,105 @@
+"""Finding the route and the customer of a request."""
+
+from hashlib import blake2b
+
+from attrs import frozen
+
+from waxwingwinch._types import CustomerId
+from waxwingwinch.gateway._model import CustomerRules, GatewayConfiguration, Route
+
+
+@frozen
+class RouteTable:
+    """
+    Lookups in one version of the configuration.
+
+    :param configuration: The version.
+    """
+
+    configuration: GatewayConfiguration
+    _routes_by_host: dict[str, tuple[Route, ...]]
+    _customers_by_key: dict[str, CustomerRules]
+    _customers_by_id: dict[CustomerId, CustomerRules]
+
+    @classmethod
+    def build(cls, configuration: GatewayConfiguration) -> "RouteTable":
+        """
+        Prepare the lookups.
+
+        :param configuration: The version to look up in.
+        """
+        by_host: dict[str, list[Route]] = {}
+        for route in configuration.routes:
+            by_host.setdefault(route.host, []).append(route)
+        longest_first = {
+            host: tuple(sorted(routes, key=lambda route: -len(route.path_prefix)))
+            for host, routes in by_host.items()
+        }
+        by_key = {
+            key: customer
+            for customer in configuration.customers
+            for key in customer.keys
+        }
+        by_id = {customer.customer_id: customer for customer in configuration.customers}
+        return cls(configuration, longest_first, by_key, by_id)
+
+    def route(self, host: str, path: str) -> Route | None:
+        """
+        Return the route with the longest prefix that begins the path.
+
+        :param host: Host name, with or without a port.
+        :param path: Path without the query.
+        """
+        name = host.lower().rpartition(":")[0] if ":" in host else host.lower()
+        for route in self._routes_by_host.get(name, ()):
+            if path.startswith(route.path_prefix):
+                return route
+        return None
+
+    def customer(self, key: str) -> CustomerRules | None:
+        """
+        Return the customer that holds a key.
+
+        :param key: As it came with a request.
+        """
+        return self._customers_by_key.get(key)
+
+    @property
+    def needs_keys(self) -> bool:
+        """Tell whether requests carry keys at all."""
+        return bool(self.configuration.customers)
+
+
+def choose_service(route: Route, request_id: str) -> str:
+    """
+    Choose the target of a request by the weights of its route.
+
+    All attempts of one request get the same target.
+
+    :param route: The request's route.
+    :param request_id: Names the request.
+    """
+    if len(route.targets) == 1:
+        return route.targets[0].service
+    total = sum(target.weight for target in route.targets)
+    position = _unit_hash(request_id) * total
+    for target in route.targets:
+        position -= target.weight
+        if position < 0:
+            return target.service
+    return route.targets[-1].service
+
+
+def _unit_hash(text: str) -> float:
+    """Return a number from 0 to 1 that depends on the text alone."""
+    return stable_hash(text) / 2**64
+
+
+def stable_hash(text: str) -> int:
+    """
+    Return a 64-bit hash that is the same in all processes.
+
+    :param text: What to hash.
+    """
+    digest = blake2b(text.encode(), digest_size=8).digest()
+    return int.from_bytes(digest, "big")
--- /dev/null
+++ b/src/waxwingwinch/gateway/_steward.py
@@ -0,0 +1,269 @@
+"""The work of the instance that holds the duty."""
+
+import threading
+from collections.abc import Sequence
+from typing import Protocol
+
+import eliot
+
+from waxwingwinch._exceptions import PlatformRefused, PlatformUnavailable
+from waxwingwinch._types import CustomerId, EngineRole, InstanceId, ZoneName
+from waxwingwinch.gateway._duty import NotHolding, StewardDuty
+from waxwingwinch.gateway._members import MemberDirectory
+from waxwingwinch.gateway._scaling import (
+    UpstreamCount,
+    wanted_counts,
+    wanted_stage_change,
+)
+from waxwingwinch.gateway._tables import CurrentTable
+from waxwingwinch.gateway._upstreams import Upstream, UpstreamDirectory
+from waxwingwinch.gateway._usage_table import UsageTable
+from waxwingwinch.kernel import Clock
+
+#: Pause between two rounds of the thread.
+ROUND_SECONDS = 0.25
+#: Silence of the holder's reports after which an instance reads the ledger.
+HOLDER_SILENT_SECONDS = 1.0
+#: How long the store may hold a read of a challenger.
+CHALLENGE_WAIT_SECONDS = 1.0
+#: Time from the end of a usage window until its figures are fixed; the
+#: reports of all instances have arrived by then.
+WINDOW_SETTLE_SECONDS = 1.5
+#: Windows back from the present one that are still reported; older ones are
+#: past the time at which they are due.
+WINDOWS_REPORTED = 3
+#: Pause before an order that was not confirmed is given again.
+ORDER_AGAIN_SECONDS = 5.0
+#: Pause before a refused order for upstreams is given again.
+SCALE_REFUSED_SECONDS = 2.0
+#: Pause between two changes of a stage.
+STAGE_PAUSE_SECONDS = 0.5
+
+
+class StaleFence(PlatformRefused):
+    """A higher fencing token was seen."""
+
+
+class StewardCalls(Protocol):
+    """
+    The calls that only the holder of the duty makes.
+
+    Every method raises ``PlatformUnavailable`` if no answer came,
+    ``PlatformRefused`` if the call was turned away, and :class:`StaleFence`
+    if a higher fencing token was seen.
+    """
+
+    def report_usage(
+        self, window: int, counts: dict[CustomerId, int], epoch: int
+    ) -> None:
+        """
+        Report the usage of a window.
+
+        :param window: Number of the window.
+        :param counts: Requests by customer.
+        :param epoch: The fencing token.
+        """
+
+    def order_upstreams(self, wanted: UpstreamCount, epoch: int) -> None:
+        """
+        Order a number of upstreams.
+
+        :param wanted: The number, and of which kind.
+        :param epoch: The fencing token.
+        """
+
+    def change_stage(self, engine: Upstream, role: EngineRole, epoch: int) -> None:
+        """
+        Order an engine to change its stage.
+
+        :param engine: The engine.
+        :param role: Its new stage.
+        :param epoch: The fencing token.
+        """
+
+
+class Steward:
+    """
+    Stands for the duty and does its work, in one thread.
+
+    :param duty: The duty.
+    :param calls: The calls of its holder.
+    :param table: The configuration in force.
+    :param directory: The upstreams.
+    :param members: The instances.
+    :param usage: Usage of all instances.
+    :param zones: All availability zones.
+    :param window_seconds: Length of a usage window.
+    :param clock: Source of the present time.
+    """
+
+    def __init__(
+        self,
+        duty: StewardDuty,
+        calls: StewardCalls,
+        table: CurrentTable,
+        directory: UpstreamDirectory,
+        members: MemberDirectory,
+        usage: UsageTable,
+        zones: Sequence[ZoneName],
+        window_seconds: float,
+        clock: Clock,
+    ) -> None:
+        self._duty = duty
+        self._calls = calls
+        self._table = table
+        self._directory = directory
+        self._members = members
+        self._usage = usage
+        self._zones = tuple(zones)
+        self._window_seconds = window_seconds
+        self._clock = clock
+        self._holder_heard_seconds: float | None = None
+        self._started_wall_seconds = clock.wall_seconds()
+        self._reported: set[int] = set()
+        self._ordered: dict[tuple[str, ZoneName, bool], tuple[int, float]] = {}
+        self._stage_seconds = 0.0
+        self._stopping = threading.Event()
+        self._thread = threading.Thread(target=self._run, name="steward", daemon=True)
+
+    def start(self) -> None:
+        """Start the thread."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Give the duty up and end the thread."""
+        self._stopping.set()
+        self._thread.join()
+        self._duty.release()
+
+    def held_epoch(self) -> int | None:
+        """Return the epoch of the duty if it is held here."""
+        return self._duty.held_epoch()
+
+    def holder_heard(self, instance_id: InstanceId, now_seconds: float) -> None:
+        """
+        Note that another instance holds the duty.
+
+        :param instance_id: The instance.
+        :param now_seconds: Monotonic time.
+        """
+        if instance_id != self._members.own.instance_id:
+            self._holder_heard_seconds = now_seconds
+
+    def _run(self) -> None:
+        while not self._stopping.wait(ROUND_SECONDS):
+            try:
+                self._round()
+            except NotHolding as error:
+                self._duty.step_down(str(error))
+            except StaleFence as error:
+                self._duty.step_down(str(error))
+            except (PlatformUnavailable, PlatformRefused) as error:
+                eliot.log_message("steward:unanswered", reason=str(error))
+
+    def _round(self) -> None:
+        if self._duty.held_epoch() is None:
+            self._duty.step_down("the lease ended")
+            self._challenge()
+            return
+        self._duty.renew()
+        for work in (self._order_upstreams, self._change_stages, self._report_usage):
+            try:
+                work()
+            except StaleFence:
+                raise
+            except (PlatformUnavailable, PlatformRefused) as error:
+                eliot.log_message(
+                    "steward:unanswered", work=work.__name__, reason=str(error)
+                )
+
+    def _challenge(self) -> None:
+        heard_seconds = self._holder_heard_seconds
+        now_seconds = self._clock.now_seconds()
+        if (
+            heard_seconds is not None
+            and now_seconds - heard_seconds < HOLDER_SILENT_SECONDS
+        ):
+            return
+        self._duty.read(CHALLENGE_WAIT_SECONDS)
+        if self._duty.challenge():
+            self._ordered.clear()
+
+    def _order_upstreams(self) -> None:
+        table = self._table.get()
+        if table is None:
+            return
+        for service in table.configuration.services.values():
+            if service.scaling is None:
+                continue
+            upstreams = [
+                one for one in self._directory.all() if one.service == service.name
+            ]
+            if not upstreams:
+                continue
+            for wanted in wanted_counts(
+                service.name, service.scaling, self._zones, upstreams
+            ):
+                self._order(wanted)
+
+    def _order(self, wanted: UpstreamCount) -> None:
+        key = (wanted.service, wanted.zone, wanted.is_spot)
+        now_seconds = self._clock.now_seconds()
+        count, again_seconds = self._ordered.get(key, (-1, 0.0))
+        if count == wanted.count:
+            return
+        if count < 0 and now_seconds < again_seconds:
+            return
+        self._ordered[key] = (-1, now_seconds + SCALE_REFUSED_SECONDS)
+        self._calls.order_upstreams(wanted, self._duty.check())
+        self._ordered[key] = (wanted.count, now_seconds)
+        eliot.log_message(
+            "steward:ordered",
+            service=wanted.service,
+            zone=wanted.zone,
+            count=wanted.count,
+            is_spot=wanted.is_spot,
+        )
+
+    def _change_stages(self) -> None:
+        now_seconds = self._clock.now_seconds()
+        table = self._table.get()
+        if table is None or now_seconds < self._stage_seconds:
+            return
+        for service in table.configuration.services.values():
+            if service.engine is None:
+                continue
+            usable = self._directory.usable(service.name, now_seconds)
+            change = wanted_stage_change(usable)
+            engine = self._directory.get(change.upstream_id) if change else None
+            if change is None or engine is None:
+                continue
+            self._stage_seconds = now_seconds + STAGE_PAUSE_SECONDS
+            self._calls.change_stage(engine, change.role, self._duty.check())
+            self._directory.assume_role(engine, change.role)
+            eliot.log_message(
+                "steward:stage_changed",
+                upstream_id=engine.upstream_id,
+                role=change.role.value,
+            )
+
+    def _report_usage(self) -> None:
+        wall_seconds = self._clock.wall_seconds()
+        newest = int((wall_seconds - WINDOW_SETTLE_SECONDS) // self._window_seconds)
+        for window in range(newest - WINDOWS_REPORTED, newest):
+            if window in self._reported:
+                continue
+            if (window + 1) * self._window_seconds < self._started_wall_seconds:
+                if window not in self._duty.state.fixed:
+                    continue
+            self._report_window(window)
+
+    def _report_window(self, window: int) -> None:
+        if not self._duty.fix_window(window, self._usage.total(window)):
+            return
+        counts = self._duty.state.fixed[window]
+        self._calls.report_usage(window, counts, self._duty.check())
+        self._reported.add(window)
+        eliot.log_message(
+            "steward:usage_reported", window=window, requests=sum(counts.values())
+        )
--- /dev/null
+++ b/src/waxwingwinch/gateway/_upstreams.py
@@ -0,0 +1,236 @@
+"""Upstreams as they registered themselves, and what was seen of them."""
+
+import enum
+import threading
+
+from attrs import evolve, frozen
+
+from waxwingwinch._types import Address, EngineRole, UpstreamId, ZoneName
+
+#: How long an upstream is avoided after a failed connection; doubles with
+#: each further failure. Short, since most restarts take a few seconds.
+FIRST_EJECTION_SECONDS = 0.5
+#: Longest time for which failures keep an upstream out.
+MAX_EJECTION_SECONDS = 4.0
+#: How long an entry that vanished during an outage of the store is kept
+#: after the outage; from the platform's promise that entries are back.
+LAPSED_GRACE_SECONDS = 2.0
+
+
+class RegisteredState(enum.Enum):
+    """What an upstream says about itself."""
+
+    READY = "ready"
+    DRAINING = "draining"
+
+
+@frozen
+class Upstream:
+    """
+    One incarnation of an upstream.
+
+    :param upstream_id: Its id.
+    :param born_ms: Unix time of its start in milliseconds; 0 if unknown.
+    :param service: Name of its service.
+    :param address: Where it serves.
+    :param zone: Its availability zone.
+    :param state: Whether it takes new work.
+    :param slots: Requests that it serves at once.
+    :param cold_until_seconds: Monotonic time until which it is slow.
+    :param role: Its stage, for engines.
+    :param is_spot: True if it may be reclaimed.
+    :param order_count: Orders that it has accepted.
+    """
+
+    upstream_id: UpstreamId
+    born_ms: int
+    service: str
+    address: Address
+    zone: ZoneName
+    state: RegisteredState
+    slots: int
+    cold_until_seconds: float = 0.0
+    role: EngineRole | None = None
+    is_spot: bool = False
+    order_count: int = 0
+
+
+@frozen
+class _Trouble:
+    """
+    Failures of an upstream in a row.
+
+    :param failures: How many.
+    :param out_until_seconds: Monotonic time until which it is avoided.
+    """
+
+    failures: int
+    out_until_seconds: float
+
+
+class UpstreamDirectory:
+    """The registered upstreams; may be used from all threads."""
+
+    def __init__(self) -> None:
+        self._upstreams: dict[UpstreamId, Upstream] = {}
+        self._lapsed: dict[UpstreamId, float] = {}
+        self._troubles: dict[UpstreamId, _Trouble] = {}
+        self._lock = threading.Lock()
+
+    def put(self, upstream: Upstream) -> Upstream | None:
+        """
+        Take in an entry.
+
+        An entry of an earlier start is ignored.
+
+        :param upstream: The entry.
+        :returns: The entry that it replaces.
+        """
+        with self._lock:
+            known = self._upstreams.get(upstream.upstream_id)
+            if known is not None and upstream.born_ms < known.born_ms:
+                return known
+            if known is not None and upstream.born_ms > known.born_ms:
+                self._troubles.pop(upstream.upstream_id, None)
+            self._upstreams[upstream.upstream_id] = upstream
+            self._lapsed.pop(upstream.upstream_id, None)
+            return known
+
+    def remove(self, upstream_id: UpstreamId) -> None:
+        """
+        Forget an upstream.
+
+        :param upstream_id: Whose entry was removed.
+        """
+        with self._lock:
+            self._upstreams.pop(upstream_id, None)
+            self._lapsed.pop(upstream_id, None)
+            self._troubles.pop(upstream_id, None)
+
+    def lapse(self, upstream_id: UpstreamId, now_seconds: float) -> None:
+        """
+        Note that an entry vanished while the store was away.
+
+        :param upstream_id: Whose entry.
+        :param now_seconds: Monotonic time.
+        """
+        with self._lock:
+            if upstream_id in self._upstreams:
+                until_seconds = now_seconds + LAPSED_GRACE_SECONDS
+                self._lapsed.setdefault(upstream_id, until_seconds)
+
+    def expire_lapsed(self, now_seconds: float) -> list[UpstreamId]:
+        """
+        Forget the lapsed entries that did not come back.
+
+        :param now_seconds: Monotonic time.
+        :returns: Whose entries were forgotten.
+        """
+        with self._lock:
+            gone = [
+                upstream_id
+                for upstream_id, until_seconds in self._lapsed.items()
+                if until_seconds <= now_seconds
+            ]
+        for upstream_id in gone:
+            self.remove(upstream_id)
+        return gone
+
+    def misdirected(self, upstream: Upstream) -> None:
+        """
+        Note that another upstream answers at an address.
+
+        :param upstream: Whose address it was.
+        """
+        with self._lock:
+            if self._upstreams.get(upstream.upstream_id) == upstream:
+                drained = evolve(upstream, state=RegisteredState.DRAINING)
+                self._upstreams[upstream.upstream_id] = drained
+
+    def assume_role(self, upstream: Upstream, role: EngineRole) -> None:
+        """
+        Note that an engine was ordered to change its stage.
+
+        :param upstream: The engine as it was.
+        :param role: Its new stage.
+        """
+        with self._lock:
+            if self._upstreams.get(upstream.upstream_id) == upstream:
+                self._upstreams[upstream.upstream_id] = evolve(upstream, role=role)
+
+    def failed(self, upstream_id: UpstreamId, now_seconds: float) -> float:
+        """
+        Note that an upstream could not be used.
+
+        :param upstream_id: The upstream.
+        :param now_seconds: Monotonic time.
+        :returns: For how long it is avoided.
+        """
+        with self._lock:
+            known = self._troubles.get(upstream_id)
+            failures = known.failures + 1 if known is not None else 1
+            pause_seconds: float = min(
+                FIRST_EJECTION_SECONDS * 2 ** (failures - 1), MAX_EJECTION_SECONDS
+            )
+            self._troubles[upstream_id] = _Trouble(
+                failures, now_seconds + pause_seconds
+            )
+            return pause_seconds
+
+    def succeeded(self, upstream_id: UpstreamId) -> None:
+        """
+        Note that an upstream answered.
+
+        :param upstream_id: The upstream.
+        """
+        with self._lock:
+            self._troubles.pop(upstream_id, None)
+
+    def get(self, upstream_id: UpstreamId) -> Upstream | None:
+        """
+        Return an upstream.
+
+        :param upstream_id: Its id.
+        """
+        with self._lock:
+            return self._upstreams.get(upstream_id)
+
+    def all(self) -> tuple[Upstream, ...]:
+        """Return all known upstreams."""
+        with self._lock:
+            return tuple(self._upstreams.values())
+
+    def usable(self, service: str, now_seconds: float) -> tuple[Upstream, ...]:
+        """
+        Return the upstreams that new work of a service may go to.
+
+        If all ready ones have failed lately, those are returned that come
+        back first, since one of them may have recovered.
+
+        :param service: Name of the service.
+        :param now_seconds: Monotonic time.
+        """
+        with self._lock:
+            ready = [
+                upstream
+                for upstream in self._upstreams.values()
+                if upstream.service == service
+                and upstream.state is RegisteredState.READY
+            ]
+            sound = tuple(
+                upstream
+                for upstream in ready
+                if self._out_until(upstream.upstream_id) <= now_seconds
+            )
+            if sound or not ready:
+                return sound
+            first = min(self._out_until(upstream.upstream_id) for upstream in ready)
+            return tuple(
+                upstream
+                for upstream in ready
+                if self._out_until(upstream.upstream_id) == first
+            )
+
+    def _out_until(self, upstream_id: UpstreamId) -> float:
+        trouble = self._troubles.get(upstream_id)
+        return trouble.out_until_seconds if trouble is not None else 0.0
--- /dev/null
+++ b/src/waxwingwinch/gateway/_usage_counts.py
@@ -0,0 +1,45 @@
+"""Counts of the requests that ran, by usage window and customer."""
+
+import threading
+
+from waxwingwinch._types import CustomerId
+
+#: Windows that are kept; older ones have been reported.
+WINDOWS_KEPT = 6
+
+WindowCounts = dict[int, dict[CustomerId, int]]
+
+
+class UsageCounts:
+    """
+    Counts requests by the window in which an upstream began to run them.
+
+    :param window_seconds: Length of a window; the first begins in 1970.
+    """
+
+    def __init__(self, window_seconds: float) -> None:
+        #: Length of a window.
+        self.window_seconds = window_seconds
+        self._counts: WindowCounts = {}
+        self._lock = threading.Lock()
+
+    def began(self, customer_id: CustomerId | None, wall_seconds: float) -> None:
+        """
+        Count a request.
+
+        :param customer_id: Whose it is; None is not counted.
+        :param wall_seconds: Unix time at which it began to run.
+        """
+        if customer_id is None:
+            return
+        window = int(wall_seconds // self.window_seconds)
+        with self._lock:
+            counts = self._counts.setdefault(window, {})
+            counts[customer_id] = counts.get(customer_id, 0) + 1
+            for old in [key for key in self._counts if key < window - WINDOWS_KEPT]:
+                del self._counts[old]
+
+    def windows(self) -> WindowCounts:
+        """Return the counts of the kept windows."""
+        with self._lock:
+            return {window: dict(counts) for window, counts in self._counts.items()}
--- /dev/null
+++ b/src/waxwingwinch/gateway/_usage_table.py
@@ -0,0 +1,41 @@
+"""Usage of all instances, as their reports tell it."""
+
+import threading
+
+from waxwingwinch._types import CustomerId
+from waxwingwinch.gateway._usage_counts import WINDOWS_KEPT, WindowCounts
+
+
+class UsageTable:
+    """Keeps the counts of each start of each instance, the ended included."""
+
+    def __init__(self) -> None:
+        self._counts: dict[str, WindowCounts] = {}
+        self._lock = threading.Lock()
+
+    def heard(self, incarnation: str, windows: WindowCounts) -> None:
+        """
+        Take in the counts of an instance.
+
+        :param incarnation: Which start of which instance.
+        :param windows: Its counts since then, by window.
+        """
+        with self._lock:
+            known = self._counts.setdefault(incarnation, {})
+            known.update(windows)
+            newest = max(known, default=0)
+            for window in [key for key in known if key < newest - WINDOWS_KEPT]:
+                del known[window]
+
+    def total(self, window: int) -> dict[CustomerId, int]:
+        """
+        Return the requests of a window by customer.
+
+        :param window: Number of the window.
+        """
+        totals: dict[CustomerId, int] = {}
+        with self._lock:
+            for windows in self._counts.values():
+                for customer_id, count in windows.get(window, {}).items():
+                    totals[customer_id] = totals.get(customer_id, 0) + count
+        return totals
--- /dev/null
+++ b/src/waxwingwinch/gateway/_watcher.py
@@ -0,0 +1,92 @@
+"""One thread that notices callers who leave before their answer."""
+
+import select
+import socket
+import threading
+
+from attrs import frozen
+
+from waxwingwinch.gateway._connections import Cancellation, CancelReason
+
+#: How often the callers' connections are looked at. Work for a caller that
+#: has left has to end within half a second.
+SCAN_SECONDS = 0.1
+
+
+@frozen(eq=False)
+class _Watch:
+    """
+    A caller that waits for its answer.
+
+    :param connection: Its socket.
+    :param cancellation: Ends the work for it.
+    """
+
+    connection: socket.socket
+    cancellation: Cancellation
+
+
+class CallerWatcher:
+    """Cancels the requests whose callers close their connections."""
+
+    def __init__(self) -> None:
+        self._watches: dict[int, _Watch] = {}
+        self._lock = threading.Lock()
+        self._stopping = threading.Event()
+        self._thread = threading.Thread(
+            target=self._run, name="caller-watcher", daemon=True
+        )
+
+    def start(self) -> None:
+        """Start the thread."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """End the thread."""
+        self._stopping.set()
+        self._thread.join()
+
+    def add(self, connection: socket.socket, cancellation: Cancellation) -> None:
+        """
+        Watch a caller until :meth:`remove`.
+
+        :param connection: Its socket.
+        :param cancellation: Cancelled once it has gone.
+        """
+        with self._lock:
+            self._watches[id(cancellation)] = _Watch(connection, cancellation)
+
+    def remove(self, cancellation: Cancellation) -> None:
+        """
+        Stop watching a caller.
+
+        :param cancellation: As given to :meth:`add`.
+        """
+        with self._lock:
+            self._watches.pop(id(cancellation), None)
+
+    def _run(self) -> None:
+        while not self._stopping.wait(SCAN_SECONDS):
+            with self._lock:
+                watches = list(self._watches.values())
+            for watch in watches:
+                if is_gone(watch.connection):
+                    watch.cancellation.cancel(CancelReason.CALLER_GONE)
+
+
+def is_gone(connection: socket.socket) -> bool:
+    """
+    Tell whether a caller has closed its connection.
+
+    :param connection: The caller's socket.
+    """
+    try:
+        # The socket has a timeout, so that a receive alone would wait for it
+        # whatever its flags say.
+        poller = select.poll()
+        poller.register(connection, select.POLLIN)
+        if not poller.poll(0):
+            return False
+        return connection.recv(1, socket.MSG_PEEK) == b""
+    except (OSError, ValueError):
+        return True
--- /dev/null
+++ b/src/waxwingwinch/platform/_configuration.py
@@ -0,0 +1,137 @@
+"""Decoding the operators' configuration."""
+
+import json
+from typing import Any
+
+from waxwingwinch._exceptions import MalformedMessage
+from waxwingwinch._types import CustomerId, ZoneName
+from waxwingwinch.gateway import (
+    CallerLimits,
+    CustomerRules,
+    EngineTraits,
+    GatewayConfiguration,
+    QuotaUnit,
+    RequestKind,
+    Route,
+    ScalingRules,
+    ServiceRules,
+    WeightedService,
+)
+
+#: Unit of a quota that counts tokens; all others count requests.
+TOKEN_UNIT = "token_stream"
+#: Requests that a quota counts for one without announced tokens.
+PLAIN_TOKENS_DEFAULT = 1
+
+_MILLISECONDS_PER_SECOND = 1_000
+
+
+def decode_configuration(payload: bytes) -> GatewayConfiguration:
+    """
+    Decode a version of the configuration.
+
+    :param payload: As the store holds it.
+    :raises MalformedMessage: If it is not a configuration.
+    """
+    try:
+        wire = json.loads(payload)
+        return GatewayConfiguration(
+            version=int(wire["version"]),
+            routes=tuple(_route(route) for route in wire.get("routes", ())),
+            services={
+                service["name"]: _service(service)
+                for service in wire.get("services", ())
+            },
+            customers=tuple(_customer(tenant) for tenant in wire.get("tenants", ())),
+            limits=_limits(wire.get("limits", {})),
+        )
+    except (ValueError, KeyError, TypeError, AttributeError) as error:
+        raise MalformedMessage(f"configuration: {error!r}") from error
+
+
+def _route(wire: dict[str, Any]) -> Route:
+    split = wire.get("split")
+    targets = (
+        tuple(WeightedService(one["service"], float(one["weight"])) for one in split)
+        if split
+        else (WeightedService(wire["service"], 1.0),)
+    )
+    timeout_ms = wire.get("timeoutMs", 30_000)
+    return Route(
+        name=wire["name"],
+        host=wire["host"].lower(),
+        path_prefix=wire["pathPrefix"],
+        kind=RequestKind(wire["routeKind"]),
+        timeout_seconds=timeout_ms / _MILLISECONDS_PER_SECOND,
+        # The wire calls the objective of a single route its SLO.
+        target_seconds=wire.get("sloMs", timeout_ms) / _MILLISECONDS_PER_SECOND,
+        priority=wire.get("priority", 0),
+        targets=targets,
+        max_attempts=max(wire.get("attempts", 1), 1),
+        is_public=wire.get("public", False),
+        is_resumable=wire.get("resumable", False),
+    )
+
+
+def _service(wire: dict[str, Any]) -> ServiceRules:
+    engine = wire.get("engine")
+    scaling = wire.get("scaling")
+    return ServiceRules(
+        name=wire["name"],
+        max_connections=wire.get("maxConns", 0),
+        engine=_engine(engine) if engine else None,
+        scaling=_scaling(scaling) if scaling else None,
+    )
+
+
+def _engine(wire: dict[str, Any]) -> EngineTraits:
+    return EngineTraits(
+        slots=wire["slots"],
+        kv_capacity_tokens=wire["kvCapacity"],
+        stage_switch_seconds=wire.get("stageSwitchS", 0.0),
+    )
+
+
+def _scaling(wire: dict[str, Any]) -> ScalingRules:
+    return ScalingRules(
+        min_per_zone=wire["min"],
+        max_per_zone=wire["max"],
+        boot_seconds=wire.get("bootS", 0.0),
+        spot_price=wire.get("spotPrice"),
+        zone_prices={
+            ZoneName(zone): price for zone, price in wire.get("zonePrices", {}).items()
+        },
+    )
+
+
+def _customer(wire: dict[str, Any]) -> CustomerRules:
+    counts_tokens = wire.get("unit") == TOKEN_UNIT
+    return CustomerRules(
+        customer_id=CustomerId(wire["name"]),
+        keys=frozenset(wire.get("apiKeys", ())),
+        rate_per_second=float(wire.get("ratePerS", 0)),
+        burst=float(wire.get("burst", 0)),
+        unit=QuotaUnit.TOKENS if counts_tokens else QuotaUnit.REQUESTS,
+        plain_cost=float(wire.get("plainTokens", PLAIN_TOKENS_DEFAULT)),
+        priority=wire.get("priority"),
+    )
+
+
+def _limits(wire: dict[str, Any]) -> CallerLimits:
+    default = CallerLimits()
+    header_ms = wire.get("headerTimeoutMs")
+    idle_ms = wire.get("idleTimeoutMs")
+    return CallerLimits(
+        max_header_bytes=wire.get("maxHeaderBytes", default.max_header_bytes),
+        max_body_bytes=wire.get("maxBodyBytes", default.max_body_bytes),
+        header_timeout_seconds=(
+            header_ms / _MILLISECONDS_PER_SECOND
+            if header_ms
+            else default.header_timeout_seconds
+        ),
+        idle_timeout_seconds=(
+            idle_ms / _MILLISECONDS_PER_SECOND
+            if idle_ms
+            else default.idle_timeout_seconds
+        ),
+    )
