Order upstreams again until they serve

Cause: an order for reclaimable upstreams was given once, while the directory was still filling, and not again after a reclaim.

Change: orders wait until upstreams are known, and are repeated while the number is not there.

--- a/src/waxwingwinch/gateway/_front.py
+++ b/src/waxwingwinch/gateway/_front.py
@@ -275,7 +275,7 @@
         return table.configuration.limits if table is not None else CallerLimits()
 
     @property
-    def timeout(self) -> float:  # type: ignore[override]
+    def timeout(self) -> float:
         """How long an idle connection is kept."""
         return self.limits.idle_timeout_seconds + IDLE_MARGIN_SECONDS
 
--- a/src/waxwingwinch/gateway/_scaling.py
+++ b/src/waxwingwinch/gateway/_scaling.py
@@ -12,6 +12,9 @@
 #: Part of the engines that reads prompts for the others. Long prompts are
 #: read twice as fast there, while generation itself needs few engines.
 PREFILL_SHARE = 0.34
+#: Upstreams of an availability zone that are not reclaimable; one keeps the
+#: zone served while its reclaimable ones are gone.
+LASTING_MIN = 1
 #: Engines of one stage below which no other is switched away from it.
 STAGE_MIN = 1
 
@@ -33,14 +36,42 @@
     is_spot: bool
 
 
+@frozen
+class ZoneFleet:
+    """
+    The ready upstreams of a service in one availability zone.
+
+    :param zone: The availability zone.
+    :param lasting: Those that are not reclaimable.
+    :param spot: Those that are.
+    """
+
+    zone: ZoneName
+    lasting: int
+    spot: int
+
+    @classmethod
+    def of(cls, zone: ZoneName, upstreams: Sequence[Upstream]) -> "ZoneFleet":
+        """
+        Count the ready upstreams in an availability zone.
+
+        :param zone: The availability zone.
+        :param upstreams: All upstreams of the service.
+        """
+        ready = [
+            one
+            for one in upstreams
+            if one.zone == zone and one.state is RegisteredState.READY
+        ]
+        spot = sum(1 for one in ready if one.is_spot)
+        return cls(zone, len(ready) - spot, spot)
+
+
 def wanted_counts(
-    service: str,
-    rules: ScalingRules,
-    zones: Sequence[ZoneName],
-    upstreams: Sequence[Upstream],
-) -> list[UpstreamCount]:
+    service: str, rules: ScalingRules, fleet: ZoneFleet
+) -> tuple[UpstreamCount, ...]:
     """
-    Decide how many upstreams each availability zone gets.
+    Decide how many upstreams an availability zone gets.
 
     Reclaimable ones are bought up to what the rules leave beside the fewest
     others, since the loss of one availability zone leaves the rest. Others
@@ -48,42 +79,17 @@
 
     :param service: Name of the service.
     :param rules: Bounds and prices.
-    :param zones: Availability zones in which it runs.
-    :param upstreams: Its present upstreams.
+    :param fleet: What serves there now.
     """
-    counts: list[UpstreamCount] = []
-    for zone in zones:
-        if rules.spot_price is None:
-            continue
-        ready_spot = sum(
-            1
-            for upstream in upstreams
-            if upstream.zone == zone
-            and upstream.is_spot
-            and upstream.state is RegisteredState.READY
-        )
-        lasting = max(rules.min_per_zone, 1)
-        spot = max(rules.max_per_zone - lasting, 0)
-        present = _lasting_in(zone, upstreams)
-        # Both kinds count together, so that room is made step by step.
-        on_demand = max(lasting, min(present, lasting + spot - ready_spot))
-        first_spot = max(rules.max_per_zone - max(present, lasting), 0)
-        counts.append(
-            UpstreamCount(
-                service, zone, spot if present <= lasting else first_spot, True
-            )
-        )
-        counts.append(UpstreamCount(service, zone, on_demand, False))
-    return counts
-
-
-def _lasting_in(zone: ZoneName, upstreams: Sequence[Upstream]) -> int:
-    return sum(
-        1
-        for upstream in upstreams
-        if upstream.zone == zone
-        and not upstream.is_spot
-        and upstream.state is RegisteredState.READY
+    if rules.spot_price is None:
+        return ()
+    lasting = max(rules.min_per_zone, LASTING_MIN)
+    room = max(rules.max_per_zone - max(fleet.lasting, lasting), 0)
+    may_give_back = fleet.lasting > lasting and fleet.spot >= room
+    kept = lasting if may_give_back else max(fleet.lasting, lasting)
+    return (
+        UpstreamCount(service, fleet.zone, room, is_spot=True),
+        UpstreamCount(service, fleet.zone, kept, is_spot=False),
     )
 
 
--- a/src/waxwingwinch/gateway/_steward.py
+++ b/src/waxwingwinch/gateway/_steward.py
@@ -5,6 +5,7 @@
 from typing import Protocol
 
 import eliot
+from attrs import frozen
 
 from waxwingwinch._exceptions import PlatformRefused, PlatformUnavailable
 from waxwingwinch._types import CustomerId, EngineRole, InstanceId, ZoneName
@@ -12,6 +13,7 @@
 from waxwingwinch.gateway._members import MemberDirectory
 from waxwingwinch.gateway._scaling import (
     UpstreamCount,
+    ZoneFleet,
     wanted_counts,
     wanted_stage_change,
 )
@@ -32,8 +34,11 @@
 #: Windows back from the present one that are still reported; older ones are
 #: past the time at which they are due.
 WINDOWS_REPORTED = 3
-#: Pause before an order that was not confirmed is given again.
-ORDER_AGAIN_SECONDS = 5.0
+#: Time after a start in which upstreams and instances become known.
+SETTLE_SECONDS = 2.5
+#: Time beyond the start of an upstream after which it should have registered
+#: itself; about two heartbeats. A missing one is ordered again.
+ORDER_MARGIN_SECONDS = 2.5
 #: Pause before a refused order for upstreams is given again.
 SCALE_REFUSED_SECONDS = 2.0
 #: Pause between two changes of a stage.
@@ -82,6 +87,20 @@
         """
 
 
+@frozen
+class _Order:
+    """
+    The last order for upstreams of a kind.
+
+    :param count: The ordered number.
+    :param again_seconds: Monotonic time after which it is repeated if that
+        number is not there.
+    """
+
+    count: int
+    again_seconds: float
+
+
 class Steward:
     """
     Stands for the duty and does its work, in one thread.
@@ -121,7 +140,8 @@
         self._holder_heard_seconds: float | None = None
         self._started_wall_seconds = clock.wall_seconds()
         self._reported: set[int] = set()
-        self._ordered: dict[tuple[str, ZoneName, bool], tuple[int, float]] = {}
+        self._started_seconds = clock.now_seconds()
+        self._ordered: dict[tuple[str, ZoneName, bool], _Order] = {}
         self._stage_seconds = 0.0
         self._stopping = threading.Event()
         self._thread = threading.Thread(target=self._run, name="steward", daemon=True)
@@ -191,37 +211,44 @@
 
     def _order_upstreams(self) -> None:
         table = self._table.get()
-        if table is None:
+        now_seconds = self._clock.now_seconds()
+        if table is None or now_seconds - self._started_seconds < SETTLE_SECONDS:
             return
         for service in table.configuration.services.values():
-            if service.scaling is None:
+            rules = service.scaling
+            if rules is None:
                 continue
             upstreams = [
                 one for one in self._directory.all() if one.service == service.name
             ]
-            if not upstreams:
-                continue
-            for wanted in wanted_counts(
-                service.name, service.scaling, self._zones, upstreams
-            ):
-                self._order(wanted)
-
-    def _order(self, wanted: UpstreamCount) -> None:
+            for zone in self._zones:
+                fleet = ZoneFleet.of(zone, upstreams)
+                for wanted in wanted_counts(service.name, rules, fleet):
+                    present = fleet.spot if wanted.is_spot else fleet.lasting
+                    self._order(wanted, present, rules.boot_seconds)
+
+    def _order(self, wanted: UpstreamCount, present: int, boot_seconds: float) -> None:
+        """Order a number unless it is there or was ordered lately."""
         key = (wanted.service, wanted.zone, wanted.is_spot)
         now_seconds = self._clock.now_seconds()
-        count, again_seconds = self._ordered.get(key, (-1, 0.0))
-        if count == wanted.count:
+        last = self._ordered.get(key)
+        if last is not None and last.count == wanted.count:
+            is_due = now_seconds >= last.again_seconds
+            if present == wanted.count or not is_due:
+                return
+        elif last is None and present == wanted.count:
             return
-        if count < 0 and now_seconds < again_seconds:
-            return
-        self._ordered[key] = (-1, now_seconds + SCALE_REFUSED_SECONDS)
+        self._ordered[key] = _Order(wanted.count, now_seconds + SCALE_REFUSED_SECONDS)
         self._calls.order_upstreams(wanted, self._duty.check())
-        self._ordered[key] = (wanted.count, now_seconds)
+        self._ordered[key] = _Order(
+            wanted.count, now_seconds + boot_seconds + ORDER_MARGIN_SECONDS
+        )
         eliot.log_message(
             "steward:ordered",
             service=wanted.service,
             zone=wanted.zone,
             count=wanted.count,
+            present=present,
             is_spot=wanted.is_spot,
         )
 
