Read prompts on more engines and replace reclaimed ones at once

Cause: two availability zones lost their reclaimable engines while none were to be had; long prompts were refused, since their own reading counted as queue; a decode engine was not checked again after the prompt was read; an old entry could revive an upstream that had left.

--- a/src/waxwingwinch/gateway/_admission.py
+++ b/src/waxwingwinch/gateway/_admission.py
@@ -2,13 +2,14 @@
 
 from attrs import frozen
 
-#: Expected time to the first event up to which a generation is let in,
+#: Expected wait behind other requests up to which a generation is let in,
 #: relative to its latency objective. Later answers are worth little to the
-#: caller and delay those behind them.
-ADMIT_TARGETS = 1.5
+#: caller and delay those behind them. The time for its own prompt doesn't
+#: count, so that long prompts are let in like short ones.
+ADMIT_TARGETS = 1.0
 #: Largest part of the time that is left which may pass before the first
 #: event, so that the rest of the answer still arrives.
-ADMIT_LEFT_SHARE = 0.6
+ADMIT_LEFT_SHARE = 0.75
 #: Shortest time after which a refused caller is asked back; below it the
 #: caller finds the same queue.
 MIN_RETRY_SECONDS = 0.2
@@ -34,16 +35,23 @@
 
 
 def admit_generation(
-    expected_seconds: float, target_seconds: float, left_seconds: float
+    expected_seconds: float,
+    own_seconds: float,
+    target_seconds: float,
+    left_seconds: float,
 ) -> Admission:
     """
     Decide whether a generation is worth starting.
 
     :param expected_seconds: Estimated time to its first event.
+    :param own_seconds: The part of it that idle engines would take.
     :param target_seconds: Its latency objective.
     :param left_seconds: Time until its caller gives up.
     """
-    limit_seconds = min(ADMIT_TARGETS * target_seconds, ADMIT_LEFT_SHARE * left_seconds)
+    limit_seconds = min(
+        own_seconds + ADMIT_TARGETS * target_seconds,
+        ADMIT_LEFT_SHARE * left_seconds,
+    )
     if expected_seconds <= limit_seconds:
         return Admit()
     return Refuse(max(expected_seconds - limit_seconds, MIN_RETRY_SECONDS))
--- a/src/waxwingwinch/gateway/_front.py
+++ b/src/waxwingwinch/gateway/_front.py
@@ -274,7 +274,7 @@
         table = self._table.get()
         return table.configuration.limits if table is not None else CallerLimits()
 
-    @property
+    @property  # type: ignore[override]
     def timeout(self) -> float:
         """How long an idle connection is kept."""
         return self.limits.idle_timeout_seconds + IDLE_MARGIN_SECONDS
--- a/src/waxwingwinch/gateway/_generation_relay.py
+++ b/src/waxwingwinch/gateway/_generation_relay.py
@@ -3,7 +3,7 @@
 import eliot
 from attrs import define, field, frozen
 
-from waxwingwinch._types import EngineRole
+from waxwingwinch._types import EngineRole, UpstreamId
 from waxwingwinch.adapters import AnswerMissing, NotSent
 from waxwingwinch.gateway._admission import Admit, Refuse, admit_generation
 from waxwingwinch.gateway._connections import Cancelled
@@ -141,7 +141,10 @@
     def _admit(self, job: Job, placement: Placement, now_seconds: float) -> None:
         left_seconds = job.end_seconds - now_seconds
         decision = admit_generation(
-            placement.expected_seconds, job.route.target_seconds, left_seconds
+            placement.expected_seconds,
+            placement.own_seconds,
+            job.route.target_seconds,
+            left_seconds,
         )
         match decision:
             case Admit():
@@ -168,15 +171,12 @@
     def _run(self, stream: _Stream, prompt: Prompt, placement: Placement) -> bool:
         """Send the request as placed; return whether it was answered."""
         match placement:
-            case RunDirectly(engine_id, read_tokens, _):
-                engine = self._tools.directory.get(engine_id)
-                if engine is None:
-                    return False
+            case RunDirectly(engine_id, read_tokens):
+                engine = self._tools.directory.ready(engine_id)
                 phase: Phase = Run()
             case RunSplit(prefill_id, decode_id, read_tokens, expected_seconds):
-                engine = self._tools.directory.get(decode_id)
-                reader = self._tools.directory.get(prefill_id)
-                if engine is None or reader is None:
+                reader = self._tools.directory.ready(prefill_id)
+                if reader is None:
                     return False
                 handle = self._read_prompt(
                     stream, prompt, reader, read_tokens, expected_seconds
@@ -185,6 +185,10 @@
                     return False
                 phase = RunFromCache(handle.engine.address, handle.name)
                 read_tokens = 0
+                engine = self._decoder(stream, prompt, decode_id)
+        if engine is None:
+            self._drop_handle(phase, stream.job)
+            return False
         ticket = self._tools.loads.begin(engine.upstream_id, read_tokens)
         self._note_prefix(engine, prompt, stream.job)
         try:
@@ -192,6 +196,22 @@
         finally:
             ticket.end()
 
+    def _decoder(
+        self, stream: _Stream, prompt: Prompt, decode_id: UpstreamId
+    ) -> Upstream | None:
+        """Return the chosen engine, or another if it has left meanwhile."""
+        chosen = self._tools.directory.ready(decode_id)
+        if chosen is not None:
+            return chosen
+        now_seconds = self._tools.clock.now_seconds()
+        options = self._options(stream.job, prompt, stream.progress, now_seconds)
+        decoders = [one for one in options if one.role is not EngineRole.PREFILL]
+        size = PromptSize(prompt.input_tokens, prompt.shared_id)
+        placement = place_prompt(size, decoders, self._tools.zone)
+        if not isinstance(placement, RunDirectly):
+            return None
+        return self._tools.directory.ready(placement.upstream_id)
+
     def _note_prefix(self, engine: Upstream, prompt: Prompt, job: Job) -> None:
         traits = job.service.engine
         if traits is not None:
--- a/src/waxwingwinch/gateway/_placement.py
+++ b/src/waxwingwinch/gateway/_placement.py
@@ -44,7 +44,6 @@
     :param zone: Its availability zone.
     :param load: Work under way there.
     :param cached_tokens: Leading tokens of the prompt that it holds.
-    :param speed_ratio: How fast it answers relative to others.
     """
 
     upstream_id: UpstreamId
@@ -52,7 +51,6 @@
     zone: ZoneName
     load: UpstreamLoad
     cached_tokens: int = 0
-    speed_ratio: float = 1.0
 
 
 @frozen
@@ -74,13 +72,15 @@
     One engine reads the prompt and generates.
 
     :param upstream_id: The engine.
-    :param read_tokens: Prompt tokens that it has to read.
+    :param read_tokens: What it has to read, as tokens without attention.
     :param expected_seconds: Estimated time to the first event.
+    :param own_seconds: The part of it that an idle engine would take.
     """
 
     upstream_id: UpstreamId
     read_tokens: int
     expected_seconds: float
+    own_seconds: float
 
 
 @frozen
@@ -90,14 +90,17 @@
 
     :param prefill_id: Reads the prompt.
     :param decode_id: Fetches the KV cache and generates.
-    :param read_tokens: Prompt tokens that the prefill engine has to read.
+    :param read_tokens: What the prefill engine has to read, as tokens
+        without attention.
     :param expected_seconds: Estimated time to the first event.
+    :param own_seconds: The part of it that idle engines would take.
     """
 
     prefill_id: UpstreamId
     decode_id: UpstreamId
     read_tokens: int
     expected_seconds: float
+    own_seconds: float
 
 
 Placement = RunDirectly | RunSplit
@@ -145,18 +148,23 @@
     return new / PREFILL_TOKENS_PER_SECOND + pairs * PREFILL_PAIR_SECONDS
 
 
+def read_work_tokens(seconds: float) -> int:
+    """
+    Return the tokens that a prefill engine would read without attention.
+
+    :param seconds: Time of a reading with it.
+    """
+    return int(seconds * PREFILL_TOKENS_PER_SECOND)
+
+
 def _direct(prompt: PromptSize, option: EngineOption) -> RunDirectly:
     cached = min(option.cached_tokens, prompt.tokens)
-    is_decoder = option.role is EngineRole.DECODE
-    slowdown = 2.0 if is_decoder else 1.0
-    seconds = slowdown * (
-        option.load.waiting_tokens / PREFILL_TOKENS_PER_SECOND
-        + read_seconds(prompt.tokens, cached)
-    )
-    seconds += FIRST_EVENT_SECONDS + option.load.running * PER_RUNNING_SECONDS
-    return RunDirectly(
-        option.upstream_id, prompt.tokens - cached, seconds / option.speed_ratio
-    )
+    slowdown = 2.0 if option.role is EngineRole.DECODE else 1.0
+    reading = read_seconds(prompt.tokens, cached)
+    own = slowdown * reading + FIRST_EVENT_SECONDS
+    queue = slowdown * option.load.waiting_tokens / PREFILL_TOKENS_PER_SECOND
+    queue += option.load.running * PER_RUNNING_SECONDS
+    return RunDirectly(option.upstream_id, read_work_tokens(reading), queue + own, own)
 
 
 def _best_split(
@@ -167,7 +175,17 @@
     readers = [option for option in options if option.role is EngineRole.PREFILL]
     if not readers:
         return None
-    reader = min(readers, key=lambda option: _reader_seconds(prompt, option))
+    reader = min(
+        readers,
+        key=lambda option: (
+            _reader_seconds(prompt, option)
+            + _home_seconds(
+                prompt,
+                option.upstream_id,
+                prompt.tokens - min(option.cached_tokens, prompt.tokens),
+            )
+        ),
+    )
     decoder = min(
         decoders,
         key=lambda option: (
@@ -175,24 +193,26 @@
             + HOME_SECONDS * _home_rank(prompt, option.upstream_id)
         ),
     )
-    expected = (
-        _reader_seconds(prompt, reader)
-        + TRANSFER_SECONDS
-        + _decoder_seconds(decoder)
-        + FIRST_EVENT_SECONDS
-    )
     cached = min(reader.cached_tokens, prompt.tokens)
+    reading = read_seconds(prompt.tokens, cached)
+    own = reading + TRANSFER_SECONDS + FIRST_EVENT_SECONDS
+    queue = _queue_seconds(reader) + _decoder_seconds(decoder)
     return RunSplit(
-        reader.upstream_id, decoder.upstream_id, prompt.tokens - cached, expected
+        reader.upstream_id,
+        decoder.upstream_id,
+        read_work_tokens(reading),
+        queue + own,
+        own,
     )
 
 
 def _reader_seconds(prompt: PromptSize, option: EngineOption) -> float:
     cached = min(option.cached_tokens, prompt.tokens)
-    return (
-        option.load.waiting_tokens / PREFILL_TOKENS_PER_SECOND
-        + read_seconds(prompt.tokens, cached)
-    ) / option.speed_ratio
+    return _queue_seconds(option) + read_seconds(prompt.tokens, cached)
+
+
+def _queue_seconds(option: EngineOption) -> float:
+    return option.load.waiting_tokens / PREFILL_TOKENS_PER_SECOND
 
 
 def _decoder_seconds(option: EngineOption) -> float:
@@ -209,7 +229,7 @@
 def _home_seconds(
     prompt: PromptSize, upstream_id: UpstreamId, read_tokens: int
 ) -> float:
-    share = read_tokens / prompt.tokens if prompt.tokens else 0.0
+    share = min(read_tokens / prompt.tokens, 1.0) if prompt.tokens else 0.0
     return HOME_SECONDS * share * _home_rank(prompt, upstream_id)
 
 
--- a/src/waxwingwinch/gateway/_quota.py
+++ b/src/waxwingwinch/gateway/_quota.py
@@ -9,7 +9,7 @@
 
 #: Share of the tolerated overshoot that may be used; the rest covers what
 #: other instances admit before their figures arrive.
-SLACK_SHARE = 0.3
+SLACK_SHARE = 0.5
 #: How long a peer that fell silent is taken to serve on; longer than a cut
 #: link is likely to last.
 SILENT_PEER_SECONDS = 15.0
--- a/src/waxwingwinch/gateway/_scaling.py
+++ b/src/waxwingwinch/gateway/_scaling.py
@@ -11,10 +11,13 @@
 
 #: Part of the engines that reads prompts for the others. Long prompts are
 #: read twice as fast there, while generation itself needs few engines.
-PREFILL_SHARE = 0.34
+PREFILL_SHARE = 0.55
 #: Upstreams of an availability zone that are not reclaimable; one keeps the
 #: zone served while its reclaimable ones are gone.
 LASTING_MIN = 1
+#: Places of an availability zone that are left for reclaimable upstreams
+#: while none are to be had, so that they can come back.
+DRY_ROOM = 2
 #: Engines of one stage below which no other is switched away from it.
 STAGE_MIN = 1
 
@@ -68,22 +71,27 @@
 
 
 def wanted_counts(
-    service: str, rules: ScalingRules, fleet: ZoneFleet
+    service: str, rules: ScalingRules, fleet: ZoneFleet, is_dry: bool
 ) -> tuple[UpstreamCount, ...]:
     """
     Decide how many upstreams an availability zone gets.
 
     Reclaimable ones are bought up to what the rules leave beside the fewest
     others, since the loss of one availability zone leaves the rest. Others
-    are given back only once the reclaimable ones serve.
+    are given back only once the reclaimable ones serve. While none are to be
+    had, others take their place.
 
     :param service: Name of the service.
     :param rules: Bounds and prices.
     :param fleet: What serves there now.
+    :param is_dry: True if reclaimable ones were refused lately.
     """
     if rules.spot_price is None:
         return ()
     lasting = max(rules.min_per_zone, LASTING_MIN)
+    if is_dry:
+        filled = rules.max_per_zone - DRY_ROOM - fleet.spot
+        lasting = min(max(lasting, filled), rules.max_per_zone)
     room = max(rules.max_per_zone - max(fleet.lasting, lasting), 0)
     may_give_back = fleet.lasting > lasting and fleet.spot >= room
     kept = lasting if may_give_back else max(fleet.lasting, lasting)
--- a/src/waxwingwinch/gateway/_steward.py
+++ b/src/waxwingwinch/gateway/_steward.py
@@ -41,6 +41,9 @@
 ORDER_MARGIN_SECONDS = 2.5
 #: Pause before a refused order for upstreams is given again.
 SCALE_REFUSED_SECONDS = 2.0
+#: How long reclaimable upstreams count as not to be had after a refusal;
+#: longer than the pause between two orders.
+DRY_SECONDS = 3.0
 #: Pause between two changes of a stage.
 STAGE_PAUSE_SECONDS = 0.5
 
@@ -141,6 +144,7 @@
         self._started_wall_seconds = clock.wall_seconds()
         self._reported: set[int] = set()
         self._started_seconds = clock.now_seconds()
+        self._dry_until: dict[ZoneName, float] = {}
         self._ordered: dict[tuple[str, ZoneName, bool], _Order] = {}
         self._stage_seconds = 0.0
         self._stopping = threading.Event()
@@ -223,7 +227,8 @@
             ]
             for zone in self._zones:
                 fleet = ZoneFleet.of(zone, upstreams)
-                for wanted in wanted_counts(service.name, rules, fleet):
+                is_dry = now_seconds < self._dry_until.get(zone, 0.0)
+                for wanted in wanted_counts(service.name, rules, fleet, is_dry):
                     present = fleet.spot if wanted.is_spot else fleet.lasting
                     self._order(wanted, present, rules.boot_seconds)
 
@@ -239,7 +244,16 @@
         elif last is None and present == wanted.count:
             return
         self._ordered[key] = _Order(wanted.count, now_seconds + SCALE_REFUSED_SECONDS)
-        self._calls.order_upstreams(wanted, self._duty.check())
+        try:
+            self._calls.order_upstreams(wanted, self._duty.check())
+        except PlatformRefused as error:
+            if not wanted.is_spot:
+                raise
+            self._dry_until[wanted.zone] = now_seconds + DRY_SECONDS
+            eliot.log_message(
+                "steward:spot_refused", zone=wanted.zone, reason=str(error)
+            )
+            return
         self._ordered[key] = _Order(
             wanted.count, now_seconds + boot_seconds + ORDER_MARGIN_SECONDS
         )
--- a/src/waxwingwinch/gateway/_upstreams.py
+++ b/src/waxwingwinch/gateway/_upstreams.py
@@ -2,6 +2,7 @@
 
 import enum
 import threading
+from collections import OrderedDict
 
 from attrs import evolve, frozen
 
@@ -17,6 +18,10 @@
 LAPSED_GRACE_SECONDS = 2.0
 
 
+#: Upstreams that left whose last entries are remembered.
+LEFT_MAX = 1_000
+
+
 class RegisteredState(enum.Enum):
     """What an upstream says about itself."""
 
@@ -39,7 +44,7 @@
     :param cold_until_seconds: Monotonic time until which it is slow.
     :param role: Its stage, for engines.
     :param is_spot: True if it may be reclaimed.
-    :param order_count: Orders that it has accepted.
+    :param sequence: Grows with each entry of one start.
     """
 
     upstream_id: UpstreamId
@@ -52,7 +57,15 @@
     cold_until_seconds: float = 0.0
     role: EngineRole | None = None
     is_spot: bool = False
-    order_count: int = 0
+    sequence: int = 0
+
+    def is_older_than(self, other: "Upstream") -> bool:
+        """
+        Tell whether an entry was written before another of the same id.
+
+        :param other: The other entry.
+        """
+        return (self.born_ms, self.sequence) < (other.born_ms, other.sequence)
 
 
 @frozen
@@ -73,6 +86,8 @@
 
     def __init__(self) -> None:
         self._upstreams: dict[UpstreamId, Upstream] = {}
+        # The last entries of those that left; an older one may turn up again.
+        self._left: OrderedDict[UpstreamId, Upstream] = OrderedDict()
         self._lapsed: dict[UpstreamId, float] = {}
         self._troubles: dict[UpstreamId, _Trouble] = {}
         self._lock = threading.Lock()
@@ -81,14 +96,17 @@
         """
         Take in an entry.
 
-        An entry of an earlier start is ignored.
+        An entry that was written before the known one is ignored.
 
         :param upstream: The entry.
         :returns: The entry that it replaces.
         """
         with self._lock:
+            left = self._left.get(upstream.upstream_id)
+            if left is not None and not left.is_older_than(upstream):
+                return left
             known = self._upstreams.get(upstream.upstream_id)
-            if known is not None and upstream.born_ms < known.born_ms:
+            if known is not None and upstream.is_older_than(known):
                 return known
             if known is not None and upstream.born_ms > known.born_ms:
                 self._troubles.pop(upstream.upstream_id, None)
@@ -103,7 +121,12 @@
         :param upstream_id: Whose entry was removed.
         """
         with self._lock:
-            self._upstreams.pop(upstream_id, None)
+            left = self._upstreams.pop(upstream_id, None)
+            if left is not None:
+                self._left[upstream_id] = left
+                self._left.move_to_end(upstream_id)
+            while len(self._left) > LEFT_MAX:
+                self._left.popitem(last=False)
             self._lapsed.pop(upstream_id, None)
             self._troubles.pop(upstream_id, None)
 
@@ -195,6 +218,17 @@
         with self._lock:
             return self._upstreams.get(upstream_id)
 
+    def ready(self, upstream_id: UpstreamId) -> Upstream | None:
+        """
+        Return an upstream if it takes new work.
+
+        :param upstream_id: Its id.
+        """
+        upstream = self.get(upstream_id)
+        if upstream is None or upstream.state is not RegisteredState.READY:
+            return None
+        return upstream
+
     def all(self) -> tuple[Upstream, ...]:
         """Return all known upstreams."""
         with self._lock:
--- a/src/waxwingwinch/platform/_upstreams.py
+++ b/src/waxwingwinch/platform/_upstreams.py
@@ -36,6 +36,8 @@
             cold_until_seconds=now_seconds + cold_seconds if cold_seconds else 0.0,
             role=EngineRole(_text(stage)) if stage is not None else None,
             is_spot=bool(wire.get("spot", False)),
+            # Here this counts the entry's own versions, not orders.
+            sequence=_integer(wire.get("seqNo", 0)),
         )
     except (ValueError, KeyError, TypeError) as error:
         raise MalformedMessage(f"entry {upstream_id}: {error!r}") from error
