Test the gateway's decisions and relays without a network

Found by them and mended: a customer's use at other instances was not counted before its first request here, and several instances let large requests in at the same moment (720,000 tokens in a window against 655,300 allowed); failed decode engines were not tried again while a prefill engine was sound; an unanswered claim of the duty was not taken up when it was read back.

--- a/src/waxwingwinch/gateway/_duty.py
+++ b/src/waxwingwinch/gateway/_duty.py
@@ -79,6 +79,9 @@
         self._state = LedgerState()
         self._tenure: Tenure | None = None
         self._renewed_seconds = 0.0
+        # The record that was sent last, as it may be read back unanswered.
+        self._sent_nonce = ""
+        self._sent_seconds = 0.0
 
     @property
     def state(self) -> LedgerState:
@@ -199,6 +202,9 @@
     def _append(self, record: LedgerRecord) -> bool:
         """Append a record where the ledger was read to; return whether."""
         at_offset = self._state.end_offset
+        if isinstance(record, DutyClaim | DutyRenewal):
+            self._sent_nonce = record.nonce
+            self._sent_seconds = self._clock.now_seconds()
         try:
             self._store.append(LEDGER_TOPIC, [encode_message(record)], at_offset)
         except AppendConflict as error:
@@ -238,6 +244,11 @@
             eliot.log_message("ledger:malformed", offset=offset, reason=str(error))
             record = None
         self._state.apply(offset, record, now_seconds)
+        match record:
+            case DutyClaim(_, nonce) if nonce == self._sent_nonce:
+                self._set_tenure(offset, self._sent_seconds)
+            case DutyRenewal(epoch, nonce) if nonce == self._sent_nonce:
+                self._set_tenure(epoch, self._sent_seconds)
         tenure = self._tenure
         if tenure is not None and self._state.epoch != tenure.epoch:
             self.step_down("another instance claimed the duty")
--- a/src/waxwingwinch/gateway/_generation_relay.py
+++ b/src/waxwingwinch/gateway/_generation_relay.py
@@ -125,8 +125,7 @@
         if not may_try(job, progress, now_seconds):
             return None
         options = self._options(job, prompt, progress, now_seconds)
-        size = PromptSize(prompt.input_tokens, prompt.shared_id)
-        placement = place_prompt(size, options, self._tools.zone)
+        placement = place_prompt(_size(job, prompt), options, self._tools.zone)
         if placement is None:
             return None
         if progress.sends:
@@ -164,8 +163,9 @@
                 totals.get(upstream.upstream_id, NO_LOAD),
                 self._tools.prefixes.cached_tokens(upstream.upstream_id, prompt.parts),
             )
-            for upstream in self._tools.directory.usable(job.service.name, now_seconds)
-            if upstream.upstream_id not in progress.excluded
+            for upstream in self._tools.directory.usable(
+                job.service.name, now_seconds, progress.excluded
+            )
         ]
 
     def _run(self, stream: _Stream, prompt: Prompt, placement: Placement) -> bool:
@@ -206,7 +206,7 @@
         now_seconds = self._tools.clock.now_seconds()
         options = self._options(stream.job, prompt, stream.progress, now_seconds)
         decoders = [one for one in options if one.role is not EngineRole.PREFILL]
-        size = PromptSize(prompt.input_tokens, prompt.shared_id)
+        size = _size(stream.job, prompt)
         placement = place_prompt(size, decoders, self._tools.zone)
         if not isinstance(placement, RunDirectly):
             return None
@@ -404,6 +404,10 @@
             raise CallerLost(str(error)) from error
 
 
+def _size(job: Job, prompt: Prompt) -> PromptSize:
+    return PromptSize(prompt.input_tokens, prompt.shared_id, job.route.target_seconds)
+
+
 def _log_placement(
     job: Job, prompt: Prompt, placement: Placement, options: list[EngineOption]
 ) -> None:
--- a/src/waxwingwinch/gateway/_placement.py
+++ b/src/waxwingwinch/gateway/_placement.py
@@ -26,6 +26,9 @@
 OTHER_ZONE_SECONDS = 0.01
 #: What going through a prefill engine must gain, for the moved KV cache.
 SPLIT_SECONDS = 0.05
+#: Part of the latency objective within which one engine does all, although
+#: two would be faster; moving a KV cache has a price.
+COMFORT_SHARE = 0.5
 #: Spread of the preference among engines that hold nothing of a prompt, so
 #: that all instances choose the same one.
 HOME_SECONDS = 0.15
@@ -60,10 +63,12 @@
 
     :param tokens: Its length.
     :param shared_id: Names its shared beginning.
+    :param target_seconds: Latency objective of the first event.
     """
 
     tokens: int
     shared_id: str
+    target_seconds: float
 
 
 @frozen
@@ -131,6 +136,8 @@
     split = _best_split(prompt, options, decoders)
     if split is None:
         return direct
+    if direct.expected_seconds <= COMFORT_SHARE * prompt.target_seconds:
+        return direct
     if split.expected_seconds + SPLIT_SECONDS < direct.expected_seconds:
         return split
     return direct
--- a/src/waxwingwinch/gateway/_plain_relay.py
+++ b/src/waxwingwinch/gateway/_plain_relay.py
@@ -106,9 +106,10 @@
         totals = self._tools.loads.totals(now_seconds)
         usable = {
             upstream.upstream_id: upstream
-            for upstream in self._tools.directory.usable(job.service.name, now_seconds)
-            if upstream.upstream_id not in progress.excluded
-            and upstream.role is not EngineRole.PREFILL
+            for upstream in self._tools.directory.usable(
+                job.service.name, now_seconds, progress.excluded
+            )
+            if upstream.role is not EngineRole.PREFILL
         }
         options = [
             PlainOption(
--- a/src/waxwingwinch/gateway/_process.py
+++ b/src/waxwingwinch/gateway/_process.py
@@ -218,7 +218,12 @@
         self._loads = LoadBook()
         self._prefixes = PrefixIndex()
         self._placements = PlacementLog()
-        self._quotas = QuotaBook(options.quota_slack_units, options.is_first_start)
+        self._quotas = QuotaBook(
+            self._own.incarnation,
+            options.quota_slack_units,
+            options.is_first_start,
+            clock.now_seconds(),
+        )
         self._budget = RetryBudget(
             options.retry_ratio, options.retry_slack, options.retry_window_seconds
         )
--- a/src/waxwingwinch/gateway/_quota.py
+++ b/src/waxwingwinch/gateway/_quota.py
@@ -6,6 +6,7 @@
 
 from waxwingwinch._types import CustomerId
 from waxwingwinch.gateway._model import CustomerRules
+from waxwingwinch.gateway._routes import stable_hash
 
 #: Share of the tolerated overshoot that may be used; the rest covers what
 #: other instances admit before their figures arrive.
@@ -13,6 +14,10 @@
 #: How long a peer that fell silent is taken to serve on; longer than a cut
 #: link is likely to last.
 SILENT_PEER_SECONDS = 15.0
+#: Time after a start in which the links to peers are made.
+JOIN_SECONDS = 2.0
+#: Time in which a peer hears what was admitted elsewhere.
+TURN_SECONDS = 0.3
 #: Silence after which a peer's consumption is assumed instead of known.
 PEER_FRESH_SECONDS = 1.0
 
@@ -20,16 +25,18 @@
 @define
 class _Bucket:
     """
-    What is left of a customer's quota.
+    What was used of a customer's quota, by all instances.
 
-    :param level: Units that may be used now, by all instances.
-    :param filled_seconds: Monotonic time of the last refill.
+    :param used: Units that the rate has not made up for yet.
+    :param filled_seconds: Monotonic time up to which it has.
     :param own_total: Units that this process has admitted.
+    :param is_new: True until this process knows the customer's burst.
     """
 
-    level: float
+    used: float
     filled_seconds: float
     own_total: float = 0.0
+    is_new: bool = True
 
 
 @define
@@ -53,11 +60,21 @@
     requests out at once and those of its peers when it hears of them. A peer
     that fell silent is taken to use an equal part of the rate.
 
+    :param own_name: Name of this process among its peers.
     :param slack_units: How far the quota may be exceeded for a short time.
     :param starts_full: True if nothing can have been used before.
+    :param now_seconds: Monotonic time of the start.
     """
 
-    def __init__(self, slack_units: float, starts_full: bool) -> None:
+    def __init__(
+        self,
+        own_name: str,
+        slack_units: float,
+        starts_full: bool,
+        now_seconds: float,
+    ) -> None:
+        self._started_seconds = now_seconds
+        self._own_name = own_name
         self._reserve_units = slack_units * SLACK_SHARE
         self._starts_full = starts_full
         self._buckets: dict[CustomerId, _Bucket] = {}
@@ -80,10 +97,14 @@
             return None
         with self._lock:
             bucket = self._filled(customer, now_seconds)
-            needed = min(cost, customer.burst) - self._reserve_units
-            if bucket.level < needed:
-                return (needed - bucket.level) / customer.rate_per_second
-            bucket.level -= cost
+            needed = cost - self._reserve_units
+            turn_units = min(customer.rate_per_second * TURN_SECONDS, cost)
+            needed += self._turn(customer.customer_id) * turn_units
+            needed = min(needed, customer.burst)
+            level = customer.burst - bucket.used
+            if level < needed:
+                return (needed - level) / customer.rate_per_second
+            bucket.used += cost
             bucket.own_total += cost
             return None
 
@@ -97,7 +118,7 @@
         with self._lock:
             bucket = self._buckets.get(customer.customer_id)
             if bucket is not None:
-                bucket.level = min(bucket.level + cost, customer.burst)
+                bucket.used = max(bucket.used - cost, 0.0)
                 bucket.own_total -= cost
 
     def heard(
@@ -113,20 +134,29 @@
         with self._lock:
             known = self._peers.get(peer)
             if known is None:
-                # What a peer admitted earlier is older than this process.
-                self._peers[peer] = _Peer(now_seconds, totals)
-                return
+                known = _Peer(now_seconds)
+                self._peers[peer] = known
+                if now_seconds - self._started_seconds < JOIN_SECONDS:
+                    # What it admitted may be older than this process.
+                    known.totals = totals
             was_silent = now_seconds - known.heard_seconds > PEER_FRESH_SECONDS
-            for customer_id, total in totals.items():
-                bucket = self._buckets.get(customer_id)
-                if bucket is None:
-                    continue
-                used = total - known.totals.get(customer_id, 0.0)
-                # Its use while it was silent has been assumed already.
-                bucket.level -= 0.0 if was_silent else used
+            if not was_silent:
+                self._add_use(known, totals, now_seconds)
+            # Its use while it was silent has been assumed already.
             known.heard_seconds = now_seconds
             known.totals = totals
 
+    def _add_use(
+        self, known: _Peer, totals: dict[CustomerId, float], now_seconds: float
+    ) -> None:
+        for customer_id, total in totals.items():
+            used = total - known.totals.get(customer_id, 0.0)
+            bucket = self._buckets.get(customer_id)
+            if bucket is None:
+                bucket = _Bucket(0.0, now_seconds)
+                self._buckets[customer_id] = bucket
+            bucket.used = max(bucket.used + used, 0.0)
+
     def left(self, peer: str) -> None:
         """
         Note that a peer's process has ended.
@@ -147,17 +177,32 @@
     def _filled(self, customer: CustomerRules, now_seconds: float) -> _Bucket:
         bucket = self._buckets.get(customer.customer_id)
         if bucket is None:
-            level = customer.burst if self._starts_full else 0.0
-            bucket = _Bucket(level, now_seconds)
+            bucket = _Bucket(0.0, now_seconds)
             self._buckets[customer.customer_id] = bucket
-            return bucket
+        if bucket.is_new:
+            bucket.is_new = False
+            bucket.used += 0.0 if self._starts_full else customer.burst
         elapsed_seconds = max(now_seconds - bucket.filled_seconds, 0.0)
         share = 1.0 - self._silent_share(now_seconds)
-        refill = elapsed_seconds * customer.rate_per_second * share
-        bucket.level = min(bucket.level + refill, customer.burst)
+        made_up = elapsed_seconds * customer.rate_per_second * share
+        bucket.used = max(bucket.used - made_up, 0.0)
         bucket.filled_seconds = now_seconds
         return bucket
 
+    def _turn(self, customer_id: CustomerId) -> int:
+        """
+        Return this process's place among all, another for each customer.
+
+        Processes that see the same level let a request in one after the
+        other, so that each hears of the one before.
+        """
+        own_place = stable_hash(f"{customer_id}/{self._own_name}")
+        return sum(
+            1
+            for peer in self._peers
+            if stable_hash(f"{customer_id}/{peer}") < own_place
+        )
+
     def _silent_share(self, now_seconds: float) -> float:
         """Return the part of each rate that silent peers may be using."""
         silent = sum(
--- a/src/waxwingwinch/gateway/_upstreams.py
+++ b/src/waxwingwinch/gateway/_upstreams.py
@@ -234,37 +234,44 @@
         with self._lock:
             return tuple(self._upstreams.values())
 
-    def usable(self, service: str, now_seconds: float) -> tuple[Upstream, ...]:
+    def usable(
+        self,
+        service: str,
+        now_seconds: float,
+        excluded: frozenset[UpstreamId] = frozenset(),
+    ) -> tuple[Upstream, ...]:
         """
         Return the upstreams that new work of a service may go to.
 
-        If all ready ones have failed lately, those are returned that come
+        If all of a stage have failed lately, those are returned that come
         back first, since one of them may have recovered.
 
         :param service: Name of the service.
         :param now_seconds: Monotonic time.
+        :param excluded: Upstreams that must not be returned.
         """
+        by_role: dict[EngineRole | None, list[Upstream]] = {}
         with self._lock:
-            ready = [
-                upstream
-                for upstream in self._upstreams.values()
-                if upstream.service == service
-                and upstream.state is RegisteredState.READY
-            ]
-            sound = tuple(
-                upstream
-                for upstream in ready
-                if self._out_until(upstream.upstream_id) <= now_seconds
-            )
-            if sound or not ready:
-                return sound
-            first = min(self._out_until(upstream.upstream_id) for upstream in ready)
+            for upstream in self._upstreams.values():
+                is_ready = upstream.state is RegisteredState.READY
+                is_wanted = upstream.upstream_id not in excluded
+                if upstream.service == service and is_ready and is_wanted:
+                    by_role.setdefault(upstream.role, []).append(upstream)
             return tuple(
                 upstream
-                for upstream in ready
-                if self._out_until(upstream.upstream_id) == first
+                for ready in by_role.values()
+                for upstream in self._soundest(ready, now_seconds)
             )
 
+    def _soundest(self, ready: list[Upstream], now_seconds: float) -> list[Upstream]:
+        out_until = [self._out_until(one.upstream_id) for one in ready]
+        limit_seconds = max(now_seconds, min(out_until))
+        return [
+            upstream
+            for upstream, until_seconds in zip(ready, out_until, strict=True)
+            if until_seconds <= limit_seconds
+        ]
+
     def _out_until(self, upstream_id: UpstreamId) -> float:
         trouble = self._troubles.get(upstream_id)
         return trouble.out_until_seconds if trouble is not None else 0.0
--- /dev/null
+++ b/src/waxwingwinch/gateway/tests/fakes.py
@@ -0,0 +1,147 @@
+"""Stand-ins inside the process: a clock, a store, the duty's calls."""
+
+from collections.abc import Callable
+from typing import Any
+
+from attrs import define, field
+
+from waxwingwinch._exceptions import PlatformUnavailable, RecordsExpired
+from waxwingwinch.gateway._store import AppendConflict, KeyedRecord, KeyedSnapshot
+from waxwingwinch.interfaces import LogPage, LogRecord
+
+
+@define
+class FakeClock:
+    """A clock that tests set."""
+
+    seconds: float = 100.0
+    wall_offset_seconds: float = 1_000_000.0
+
+    def now_seconds(self):
+        return self.seconds
+
+    def wall_seconds(self):
+        return self.seconds + self.wall_offset_seconds
+
+
+@define
+class _Late:
+    """An append that was not answered and may yet be carried out."""
+
+    topic: str
+    payloads: list[Any]
+    at_offset: int | None
+
+
+@define
+class FakeStore:
+    """A store in memory whose answers can be lost."""
+
+    topics: dict[Any, Any] = field(factory=dict)
+    first_offsets: dict[Any, Any] = field(factory=dict)
+    is_down: bool = False
+    #: What becomes of the next append: "lost" is carried out and not
+    #: answered, "late" is not answered and carried out by ``carry_out_late``.
+    next_append: str | None = None
+    late: list[Any] = field(factory=list)
+    before_append: Callable[[], object] | None = None
+    calls: int = 0
+
+    def append(self, topic, payloads, at_offset=None):
+        self._call()
+        if self.before_append is not None:
+            self.before_append()
+        fate, self.next_append = self.next_append, None
+        if fate == "late":
+            self.late.append(_Late(topic, list(payloads), at_offset))
+            raise PlatformUnavailable("no answer", True)
+        offset = self._append(topic, payloads, at_offset)
+        if fate == "lost":
+            raise PlatformUnavailable("no answer", True)
+        return offset
+
+    def carry_out_late(self):
+        """Carry out the late appends; return how many took effect."""
+        effects = 0
+        for late in self.late:
+            try:
+                self._append(late.topic, late.payloads, late.at_offset)
+                effects += 1
+            except AppendConflict:
+                continue
+        self.late.clear()
+        return effects
+
+    def read(self, topic, from_offset, wait_seconds):
+        self._call()
+        first = self.first_offsets.get(topic, 0)
+        if from_offset < first:
+            raise RecordsExpired(first)
+        records = self.topics.get(topic, [])
+        page = tuple(
+            LogRecord(offset, payload)
+            for offset, payload in enumerate(records)
+            if offset >= from_offset
+        )
+        return LogPage(first, len(records), page)
+
+    def snapshot(self, topic):
+        self._call()
+        newest: dict[str, KeyedRecord] = {}
+        records = self.topics.get("keyed." + topic, [])
+        for offset, (key, value) in enumerate(records):
+            if value is None:
+                newest.pop(key, None)
+            else:
+                newest[key] = KeyedRecord(key, value, offset)
+        return KeyedSnapshot(tuple(newest.values()), len(records))
+
+    def changes(self, topic, from_offset, wait_seconds):
+        page = self.read("keyed." + topic, from_offset, wait_seconds)
+        records = tuple(
+            KeyedRecord(record.payload[0], record.payload[1], record.offset)
+            for record in page.records
+        )
+        return KeyedSnapshot(records, page.end_offset)
+
+    def put(self, topic, key, value):
+        self.append("keyed." + topic, [(key, value)])
+
+    def put_first(self, topic, key, value):
+        self.append("keyed." + topic, [(key, value)], at_offset=0)
+
+    def _call(self):
+        self.calls += 1
+        if self.is_down:
+            raise PlatformUnavailable("down", False)
+
+    def _append(self, topic, payloads, at_offset):
+        records = self.topics.setdefault(topic, [])
+        if at_offset is not None and at_offset != len(records):
+            raise AppendConflict(len(records))
+        records.extend(payloads)
+        return len(records) - len(payloads)
+
+
+@define
+class FakeStewardCalls:
+    """Records the calls of the duty's holder."""
+
+    usage: list[Any] = field(factory=list)
+    orders: list[Any] = field(factory=list)
+    stages: list[Any] = field(factory=list)
+    usage_error: Exception | None = None
+    spot_error: Exception | None = None
+
+    def report_usage(self, window, counts, epoch):
+        if self.usage_error is not None:
+            raise self.usage_error
+        self.usage.append((window, dict(counts), epoch))
+
+    def order_upstreams(self, wanted, epoch):
+        if wanted.is_spot and self.spot_error is not None:
+            raise self.spot_error
+        self.orders.append((wanted, epoch))
+
+    def change_stage(self, engine, role, epoch):
+        self.stages.append((engine.upstream_id, role, epoch))
--- /dev/null
+++ b/src/waxwingwinch/gateway/tests/test_events.py
@@ -0,0 +1,35 @@
+"""Only whole events are passed on."""
+
+from hypothesis import given, strategies
+
+from waxwingwinch.gateway._events import EventSplitter
+
+STREAM = b"".join(b"id: %d\ndata: token %d\n\n" % (n, n) for n in range(1, 8))
+
+
+@given(strategies.lists(strategies.integers(1, 40), min_size=1, max_size=40))
+def test_any_cutting_gives_the_same_whole_events(sizes):
+    splitter = EventSplitter()
+    given_out, position = b"", 0
+    for size in sizes:
+        given_out += splitter.feed(STREAM[position : position + size])
+        position = min(position + size, len(STREAM))
+    assert STREAM[:position].startswith(given_out)
+    assert given_out == b"" or given_out.endswith(b"\n\n")
+    assert splitter.events == given_out.count(b"id:")
+    expected = str(splitter.events) if splitter.events else None
+    assert splitter.last_event_id == expected
+
+
+def test_a_partial_event_is_noticed_and_can_be_dropped():
+    splitter = EventSplitter()
+    assert splitter.feed(b"id: 1\ndata: a\n\nid: 2\nda") == b"id: 1\ndata: a\n\n"
+    assert splitter.has_partial_event
+    splitter.drop_partial_event()
+    assert not splitter.has_partial_event
+    assert splitter.last_event_id == "1"
+
+
+def test_carriage_returns_end_events_too():
+    splitter = EventSplitter()
+    assert splitter.feed(b"id: 1\r\ndata: a\r\n\r\nid") == b"id: 1\r\ndata: a\r\n\r\n"
--- /dev/null
+++ b/src/waxwingwinch/gateway/tests/test_heads.py
@@ -0,0 +1,104 @@
+"""Requests that other readers could read differently are refused."""
+
+import io
+
+import pytest
+from hypothesis import given, strategies
+
+from waxwingwinch.gateway._heads import (
+    BodyTooLong,
+    HeaderTable,
+    MalformedRequest,
+    StrictHeaderReader,
+    read_body,
+)
+
+LIMIT_BYTES = 1_000
+
+
+def read_head(*lines):
+    data = b"".join(line + b"\r\n" for line in lines) + b"\r\n"
+    return StrictHeaderReader()(io.BytesIO(data), HeaderTable())
+
+
+def test_headers_keep_their_names_and_order():
+    table = read_head(b"Host: a", b"X-one: 1", b"x-ONE:2")
+    assert table.pairs == [("Host", "a"), ("X-one", "1"), ("x-ONE", "2")]
+
+
+@pytest.mark.parametrize(
+    "lines",
+    [
+        (b"Host: a", b"Content-Length: 3", b"Content-Length: 3"),
+        (b"Host: a", b"Content-Length: 3", b"Transfer-Encoding: chunked"),
+        (b"Host: a", b"Content-Length: +3"),
+        (b"Host: a", b"Content-Length: 3, 3"),
+        (b"Host: a", b"Content-Length : 3"),
+        (b"Host: a", b"Transfer-Encoding: xchunked"),
+        (b"Host: a", b"Transfer-Encoding: chunked, identity"),
+        (b"Host: a", b"Transfer-Encoding : chunked"),
+        (b"Host: a", b" folded: 1"),
+        (b"Host: a", b"X: a\rb"),
+        (b"Host: a", b"X: a\x00b"),
+        (b"Host: a", b"Host: b"),
+        (b"X: no host",),
+        (b"Host: a", b"no colon"),
+    ],
+)
+def test_ambiguous_heads_are_refused(lines):
+    with pytest.raises(ValueError):
+        read_head(*lines)
+
+
+def test_a_bare_line_feed_is_refused():
+    with pytest.raises(ValueError):
+        StrictHeaderReader()(io.BytesIO(b"Host: a\nX: b\r\n\r\n"), HeaderTable())
+
+
+def chunked_table():
+    return read_head(b"Host: a", b"Transfer-Encoding: chunked")
+
+
+def test_chunks_are_joined_and_the_rest_is_left():
+    source = io.BytesIO(b"3\r\nabc\r\n2;x=y\r\nde\r\n0\r\n\r\nNEXT")
+    assert read_body(source, chunked_table(), LIMIT_BYTES) == b"abcde"
+    assert source.read() == b"NEXT"
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"+3\r\nabc\r\n0\r\n\r\n",
+        b"0x3\r\nabc\r\n0\r\n\r\n",
+        b"3\nabc\r\n0\r\n\r\n",
+        b"3\r\nabcd\r\n0\r\n\r\n",
+        b"3\r\nab",
+        b"\r\nabc\r\n0\r\n\r\n",
+        b"1_0\r\n0123456789abcdef\r\n0\r\n\r\n",
+    ],
+)
+def test_malformed_chunks_are_refused(body):
+    with pytest.raises(MalformedRequest):
+        read_body(io.BytesIO(body), chunked_table(), LIMIT_BYTES)
+
+
+def test_long_bodies_are_refused_before_they_are_read():
+    table = read_head(b"Host: a", b"Content-Length: 1001")
+    with pytest.raises(BodyTooLong):
+        read_body(io.BytesIO(b""), table, LIMIT_BYTES)
+    with pytest.raises(BodyTooLong):
+        read_body(io.BytesIO(b"fff\r\n"), chunked_table(), LIMIT_BYTES)
+
+
+def test_a_cut_body_is_refused():
+    table = read_head(b"Host: a", b"Content-Length: 5")
+    with pytest.raises(MalformedRequest):
+        read_body(io.BytesIO(b"abc"), table, LIMIT_BYTES)
+
+
+@given(strategies.binary(max_size=200), strategies.integers(1, 50))
+def test_any_chunking_gives_the_same_body(body, size):
+    parts = [body[start : start + size] for start in range(0, len(body), size)]
+    wire = b"".join(b"%x\r\n%b\r\n" % (len(part), part) for part in parts)
+    source = io.BytesIO(wire + b"0\r\n\r\n")
+    assert read_body(source, chunked_table(), LIMIT_BYTES) == body
--- /dev/null
+++ b/src/waxwingwinch/gateway/tests/test_quota.py
@@ -0,0 +1,133 @@
+"""Quotas hold over all instances, and callers within them are let in."""
+
+import pytest
+
+from waxwingwinch._types import CustomerId
+from waxwingwinch.gateway._gossip import REPORT_SECONDS
+from waxwingwinch.gateway._model import CustomerRules, QuotaUnit
+from waxwingwinch.gateway._quota import QuotaBook
+
+RATE = 47_000.0
+SLACK = 190_000.0
+OVERSHOOT = 0.1
+WINDOW_SECONDS = 8.0
+INSTANCES = 7
+#: The processes started well before the customers came.
+START_SECONDS = -10.0
+
+CUSTOMER = CustomerRules(
+    CustomerId("c"), frozenset(), RATE, RATE, QuotaUnit.TOKENS, 200.0
+)
+
+
+class Cluster:
+    """Instances that tell one another what they admitted."""
+
+    def __init__(self, count=INSTANCES, slack=SLACK):
+        self.books = [
+            QuotaBook(
+                f"peer-{index}", slack, starts_full=True, now_seconds=START_SECONDS
+            )
+            for index in range(count)
+        ]
+        self.admitted = []
+        self.reported_seconds = 0.0
+        self.cut = set()
+
+    def report(self, now_seconds):
+        if now_seconds - self.reported_seconds < REPORT_SECONDS:
+            return
+        self.reported_seconds = now_seconds
+        totals = [book.own_totals() for book in self.books]
+        for index, book in enumerate(self.books):
+            for peer, total in enumerate(totals):
+                apart = (index in self.cut) != (peer in self.cut)
+                if peer != index and not apart:
+                    book.heard(f"peer-{peer}", dict(total), now_seconds)
+
+    def ask(self, index, cost, now_seconds):
+        if self.books[index].admit(CUSTOMER, cost, now_seconds) is None:
+            self.admitted.append((now_seconds, cost))
+
+    def most_in_a_window(self):
+        most = 0.0
+        for start, _ in self.admitted:
+            inside = [
+                cost
+                for at, cost in self.admitted
+                if start <= at < start + WINDOW_SECONDS
+            ]
+            most = max(most, sum(inside))
+        return most
+
+
+def allowed():
+    return (RATE * WINDOW_SECONDS + RATE) * (1 + OVERSHOOT) + SLACK
+
+
+def play(cluster, ask_every_seconds, cost, until_seconds, from_seconds=0.0):
+    now_seconds, index = from_seconds, 0
+    while now_seconds < until_seconds:
+        cluster.report(now_seconds)
+        cluster.ask(index % len(cluster.books), cost, now_seconds)
+        index += 1
+        now_seconds += ask_every_seconds
+
+
+@pytest.mark.parametrize("cost", [2_000.0, 12_000.0, 60_000.0])
+def test_a_customer_at_many_times_its_rate_stays_within_the_bound(cost):
+    cluster = Cluster()
+    play(cluster, cost / (7.5 * RATE), cost, 20.0)
+    assert cluster.most_in_a_window() <= allowed()
+    assert sum(cost for _, cost in cluster.admitted) >= RATE * 18
+
+
+def test_a_customer_at_its_rate_is_not_refused():
+    cluster = Cluster()
+    play(cluster, 10_000.0 / (0.9 * RATE), 10_000.0, 20.0)
+    asked = 20.0 / (10_000.0 / (0.9 * RATE))
+    assert len(cluster.admitted) >= asked - 1
+
+
+def test_two_groups_that_do_not_hear_each_other_share_the_rate():
+    cluster = Cluster()
+    play(cluster, 8_000.0 / (7.5 * RATE), 8_000.0, 4.0)
+    cluster.cut = {0, 1}
+    play(cluster, 8_000.0 / (7.5 * RATE), 8_000.0, 12.0, from_seconds=4.0)
+    cluster.cut = set()
+    play(cluster, 8_000.0 / (7.5 * RATE), 8_000.0, 20.0, from_seconds=12.0)
+    assert cluster.most_in_a_window() <= allowed()
+
+
+def test_a_request_above_the_burst_is_let_in_when_nothing_was_used():
+    book = QuotaBook("own", 0.0, starts_full=True, now_seconds=START_SECONDS)
+    assert book.admit(CUSTOMER, 2 * RATE, 0.0) is None
+    wait_seconds = book.admit(CUSTOMER, 10.0, 0.0)
+    assert wait_seconds == pytest.approx(1.0, rel=0.01)
+
+
+def test_a_new_start_begins_with_an_empty_bucket():
+    book = QuotaBook("own", 0.0, starts_full=False, now_seconds=0.0)
+    assert book.admit(CUSTOMER, RATE, 0.0) is not None
+    assert book.admit(CUSTOMER, RATE / 2, 0.6) is None
+
+
+def test_an_admission_without_effect_is_given_back():
+    book = QuotaBook("own", 0.0, starts_full=True, now_seconds=START_SECONDS)
+    assert book.admit(CUSTOMER, RATE, 0.0) is None
+    book.give_back(CUSTOMER, RATE)
+    assert book.admit(CUSTOMER, RATE, 0.0) is None
+
+
+def test_use_elsewhere_counts_before_the_first_request_here():
+    book = QuotaBook("own", 0.0, starts_full=True, now_seconds=START_SECONDS)
+    book.heard("peer", {}, 0.0)
+    book.heard("peer", {CUSTOMER.customer_id: RATE}, 0.1)
+    assert book.admit(CUSTOMER, RATE / 2, 0.1) is not None
+    assert book.admit(CUSTOMER, RATE / 2, 0.7) is None
+
+
+def test_no_rate_means_no_limit():
+    unlimited = CustomerRules(CustomerId("u"), frozenset())
+    book = QuotaBook("own", 0.0, starts_full=False, now_seconds=START_SECONDS)
+    assert all(book.admit(unlimited, 1e9, 0.0) is None for _ in range(5))
--- /dev/null
+++ b/src/waxwingwinch/gateway/tests/test_retry_budget.py
@@ -0,0 +1,48 @@
+"""Repeats of all instances together stay within their budget."""
+
+from waxwingwinch.gateway._retry_budget import RetryBudget
+
+RATIO = 0.2
+SLACK = 54.0
+WINDOW_SECONDS = 10.0
+INSTANCES = 7
+
+
+def make_budgets():
+    budgets = [RetryBudget(RATIO, SLACK, WINDOW_SECONDS) for _ in range(INSTANCES)]
+    for budget in budgets:
+        budget.set_instances(INSTANCES)
+    return budgets
+
+
+def test_an_outage_of_a_service_does_not_multiply_its_requests():
+    budgets = make_budgets()
+    requests, repeats = [], []
+    for step in range(3_000):
+        now_seconds = step * 0.01
+        budget = budgets[step % INSTANCES]
+        budget.requested("shop", now_seconds)
+        requests.append(now_seconds)
+        while budget.spend("shop", now_seconds):
+            repeats.append(now_seconds)
+    for start in range(20):
+        end = start + WINDOW_SECONDS
+        spent = sum(1 for at in repeats if start <= at < end)
+        asked = sum(1 for at in requests if start <= at < end)
+        assert spent <= RATIO * asked + SLACK
+
+
+def test_all_instances_starting_anew_stay_within_the_slack():
+    before, after = make_budgets(), make_budgets()
+    spent = 0
+    for budget in before + after:
+        while budget.spend("shop", 0.0):
+            spent += 1
+    assert spent <= SLACK
+
+
+def test_services_have_budgets_of_their_own():
+    budget = RetryBudget(RATIO, 5.0, WINDOW_SECONDS)
+    while budget.spend("shop", 0.0):
+        pass
+    assert budget.spend("other", 0.0)
--- /dev/null
+++ b/src/waxwingwinch/gateway/tests/test_routes.py
@@ -0,0 +1,61 @@
+"""Routes, splits and keys."""
+
+from waxwingwinch._types import CustomerId
+from waxwingwinch.gateway._model import (
+    CustomerRules,
+    GatewayConfiguration,
+    RequestKind,
+    Route,
+    WeightedService,
+)
+from waxwingwinch.gateway._routes import RouteTable, choose_service
+from waxwingwinch.gateway._tables import CurrentTable
+
+SHOP = (WeightedService("shop", 1.0),)
+
+
+def make_route(prefix, host="shop.example", targets=SHOP):
+    return Route(prefix, host, prefix, RequestKind.IDEMPOTENT, 1.0, 0.1, 0, targets, 2)
+
+
+def make_table(*routes, customers=()):
+    return RouteTable.build(
+        GatewayConfiguration(1, tuple(routes), customers=tuple(customers))
+    )
+
+
+def test_longest_prefix_of_the_host_is_chosen():
+    table = make_table(make_route("/a/"), make_route("/a/b/"), make_route("/"))
+    assert table.route("shop.example", "/a/b/c").path_prefix == "/a/b/"
+    assert table.route("SHOP.example:8080", "/a/x").path_prefix == "/a/"
+    assert table.route("shop.example", "/z").path_prefix == "/"
+    assert table.route("other.example", "/a/") is None
+
+
+def test_a_prefix_does_not_match_within_a_segment():
+    table = make_table(make_route("/a/"))
+    assert table.route("shop.example", "/ab") is None
+
+
+def test_split_follows_weights_and_is_stable_for_a_request():
+    targets = (WeightedService("one", 90.0), WeightedService("two", 10.0))
+    route = make_route("/", targets=targets)
+    chosen = [choose_service(route, f"request-{index}") for index in range(2_000)]
+    assert 0.06 < chosen.count("two") / len(chosen) < 0.14
+    assert choose_service(route, "request-7") == choose_service(route, "request-7")
+
+
+def test_keys_find_their_customer():
+    customer = CustomerRules(CustomerId("c"), frozenset({"k1", "k2"}))
+    table = make_table(customers=[customer])
+    assert table.needs_keys
+    assert table.customer("k2") is customer
+    assert table.customer("k3") is None
+
+
+def test_an_older_version_is_not_put_in_force():
+    current = CurrentTable()
+    assert current.publish(GatewayConfiguration(7))
+    assert not current.publish(GatewayConfiguration(5))
+    assert not current.publish(GatewayConfiguration(7))
+    assert current.version == 7
--- /dev/null
+++ b/src/waxwingwinch/gateway/tests/test_upstreams.py
@@ -0,0 +1,114 @@
+"""What is believed of upstreams from entries of any age."""
+
+from attrs import evolve
+
+from waxwingwinch._types import Address, EngineRole, UpstreamId, ZoneName
+from waxwingwinch.gateway._upstreams import (
+    FIRST_EJECTION_SECONDS,
+    LAPSED_GRACE_SECONDS,
+    MAX_EJECTION_SECONDS,
+    RegisteredState,
+    Upstream,
+    UpstreamDirectory,
+)
+
+SHOP = "shop"
+ENTRY = Upstream(
+    UpstreamId("u"),
+    1_000,
+    SHOP,
+    Address("10.0.0.1", 80),
+    ZoneName("z"),
+    RegisteredState.READY,
+    6,
+    sequence=5,
+)
+DRAINING = evolve(ENTRY, state=RegisteredState.DRAINING, sequence=6)
+
+
+def usable(directory, now_seconds=0.0):
+    return [one.upstream_id for one in directory.usable(SHOP, now_seconds)]
+
+
+def test_a_late_entry_does_not_revive_a_draining_upstream():
+    directory = UpstreamDirectory()
+    directory.put(DRAINING)
+    directory.put(ENTRY)
+    assert usable(directory) == []
+
+
+def test_a_late_entry_does_not_revive_one_that_left():
+    directory = UpstreamDirectory()
+    directory.put(DRAINING)
+    directory.remove(ENTRY.upstream_id)
+    directory.put(ENTRY)
+    assert usable(directory) == []
+
+
+def test_a_new_start_under_the_same_id_is_used():
+    directory = UpstreamDirectory()
+    directory.put(DRAINING)
+    directory.remove(ENTRY.upstream_id)
+    directory.put(evolve(ENTRY, born_ms=2_000, sequence=1))
+    assert usable(directory) == ["u"]
+
+
+def test_an_entry_that_lapsed_in_an_outage_is_kept_for_a_while():
+    directory = UpstreamDirectory()
+    directory.put(ENTRY)
+    directory.lapse(ENTRY.upstream_id, 10.0)
+    assert directory.expire_lapsed(10.0 + LAPSED_GRACE_SECONDS - 0.1) == []
+    assert usable(directory) == ["u"]
+    assert directory.expire_lapsed(10.0 + LAPSED_GRACE_SECONDS) == ["u"]
+    assert usable(directory) == []
+
+
+def test_an_entry_that_is_back_after_an_outage_stays():
+    directory = UpstreamDirectory()
+    directory.put(ENTRY)
+    directory.lapse(ENTRY.upstream_id, 10.0)
+    directory.put(evolve(ENTRY, sequence=9))
+    assert directory.expire_lapsed(20.0) == []
+    assert usable(directory) == ["u"]
+
+
+def test_failures_in_a_row_keep_an_upstream_out_for_longer():
+    directory = UpstreamDirectory()
+    directory.put(ENTRY)
+    directory.put(evolve(ENTRY, upstream_id=UpstreamId("v")))
+    assert directory.failed(ENTRY.upstream_id, 0.0) == FIRST_EJECTION_SECONDS
+    assert usable(directory, 0.1) == ["v"]
+    assert usable(directory, FIRST_EJECTION_SECONDS) == ["u", "v"]
+    for _ in range(6):
+        pause_seconds = directory.failed(ENTRY.upstream_id, 1.0)
+    assert pause_seconds == MAX_EJECTION_SECONDS
+    directory.succeeded(ENTRY.upstream_id)
+    assert usable(directory, 1.1) == ["u", "v"]
+
+
+def test_the_last_upstream_is_tried_although_it_failed():
+    directory = UpstreamDirectory()
+    directory.put(ENTRY)
+    directory.failed(ENTRY.upstream_id, 0.0)
+    assert usable(directory, 0.1) == ["u"]
+
+
+def test_failed_decoders_are_tried_although_a_prefill_engine_is_sound():
+    directory = UpstreamDirectory()
+    decoder = evolve(ENTRY, role=EngineRole.DECODE)
+    directory.put(decoder)
+    prefill = UpstreamId("p")
+    directory.put(evolve(ENTRY, upstream_id=prefill, role=EngineRole.PREFILL))
+    directory.failed(decoder.upstream_id, 0.0)
+    assert usable(directory, 0.1) == ["u", "p"]
+    excluded = frozenset({decoder.upstream_id})
+    assert [one.upstream_id for one in directory.usable(SHOP, 0.1, excluded)] == ["p"]
+
+
+def test_an_address_that_answers_for_another_is_not_used():
+    directory = UpstreamDirectory()
+    directory.put(ENTRY)
+    directory.misdirected(ENTRY)
+    assert usable(directory) == []
+    directory.put(evolve(ENTRY, born_ms=2_000, sequence=1))
+    assert usable(directory) == ["u"]
--- /dev/null
+++ b/src/waxwingwinch/platform/tests/test_settings.py
@@ -0,0 +1,72 @@
+"""Every mistake in a settings file is placed and told at once."""
+
+from pathlib import Path
+
+import pytest
+
+from waxwingwinch._types import Address
+from waxwingwinch.platform._settings import parse_instance_settings
+from waxwingwinch.settings import SettingsInvalid, format_findings
+
+FILE = Path("boot.conf")
+GOOD = """
+nodeName=edge-north-1
+zone=north
+zones.north=region
+zones.south=region
+ip=10.1.0.14
+portRange=7600,7615
+listen.front=10.1.0.14:8221
+listen.readyAddr=10.1.0.14:8224
+listen.directoryAddr=10.1.0.14:8220
+platform.address=10.200.1.7:8225
+cloud.address=10.200.0.35:8225
+firstStart=true
+bounds.leaseMs=3000
+bounds.graceS=8
+bounds.usageWindowS=5
+bounds.quotaSlack=190000
+something.new=kept,for,later
+"""
+
+
+def test_a_good_file_is_read_and_unknown_settings_are_ignored():
+    settings = parse_instance_settings(GOOD, FILE)
+    assert settings.front_address == Address("10.1.0.14", 8221)
+    assert settings.peer_address == Address("10.1.0.14", 7600)
+    assert settings.zones == ("north", "south")
+    assert settings.is_first_start
+    assert settings.lease_seconds == 3.0
+    assert settings.budgets.quota_slack_units == 190_000
+    assert settings.orders_address == Address("10.200.0.35", 8225)
+
+
+def test_a_platform_without_orders_is_accepted():
+    text = GOOD.replace("cloud.address=10.200.0.35:8225\n", "")
+    assert parse_instance_settings(text, FILE).orders_address is None
+
+
+def test_six_mistakes_give_six_findings():
+    text = (
+        GOOD.replace("zone=north\n", "zone=\n", 1)
+        .replace("portRange=7600,7615", "portRange=7615,7600")
+        .replace("listen.front=10.1.0.14:8221", "listen.front=10.1.0.14")
+        .replace("platform.address=10.200.1.7:8225\n", "")
+        .replace("firstStart=true", "firstStart=yes")
+        .replace("bounds.graceS=8", "bounds.graceS 8")
+    )
+    with pytest.raises(SettingsInvalid) as raised:
+        parse_instance_settings(text, FILE)
+    findings = format_findings(raised.value).splitlines()
+    assert len(findings) == 6
+    places = [finding.split(":")[1] for finding in findings]
+    assert len(set(places)) == 6
+    for name in ("zone", "portRange", "listen.front", "platform.address"):
+        assert any(name in finding for finding in findings)
+
+
+@pytest.mark.parametrize("value", ["nan", "-1", "inf", "ten"])
+def test_numbers_must_be_finite_and_positive(value):
+    text = GOOD.replace("bounds.leaseMs=3000", f"bounds.leaseMs={value}")
+    with pytest.raises(SettingsInvalid):
+        parse_instance_settings(text, FILE)
