Tell entries that lapsed in an outage from those that were removed

Cause: an instance that the store had turned away for seconds took an entry removed just after its return as lapsed and kept the upstream for two seconds more; requests reached it 2.2 to 2.7 s after it had left.

Change: peers say when they read the store. If it served them meanwhile, entries vanish for good; else only those lapse that vanish in the first second after the return.

--- a/src/waxwingwinch/gateway/_follower.py
+++ b/src/waxwingwinch/gateway/_follower.py
@@ -11,6 +11,7 @@
     PlatformUnavailable,
     RecordsExpired,
 )
+from waxwingwinch.gateway._outage import OutageTracker
 from waxwingwinch.gateway._store import KeyedRecord, PlatformStore
 from waxwingwinch.kernel import Clock
 
@@ -48,6 +49,7 @@
     :param replaced: Called with all keys of a new snapshot, so that the owner
         can drop the others.
     :param after_read: Called after each successful read.
+    :param outage: Told when the store goes and comes back.
     """
 
     def __init__(
@@ -58,6 +60,7 @@
         apply: Callable[[KeyedRecord], None],
         replaced: Callable[[frozenset[str]], None] | None = None,
         after_read: Callable[[], None] | None = None,
+        outage: OutageTracker | None = None,
     ) -> None:
         self._store = store
         self._plan = plan
@@ -67,8 +70,8 @@
         self._after_read = after_read
         self._next_offset: int | None = None
         self._read_seconds: float | None = None
-        self._away_since_seconds: float | None = None
-        self._back_seconds = 0.0
+        self._outage = outage or OutageTracker()
+        self._is_away = False
         self._wake = threading.Event()
         self._thread = threading.Thread(
             target=self._run, name=f"follow-{plan.topic}", daemon=True
@@ -87,16 +90,6 @@
         """Monotonic time of the last successful read."""
         return self._read_seconds
 
-    def was_away_since(self, since_seconds: float) -> bool:
-        """
-        Tell whether the store failed to answer after a time.
-
-        :param since_seconds: Monotonic time.
-        """
-        return (
-            self._away_since_seconds is not None or self._back_seconds > since_seconds
-        )
-
     def _run(self) -> None:
         pause_seconds = MIN_PAUSE_SECONDS
         while True:
@@ -140,18 +133,15 @@
             self._after_read()
 
     def _note_away(self, error: Exception) -> None:
-        if self._away_since_seconds is None:
-            self._away_since_seconds = self._clock.now_seconds()
+        self._outage.lost(self._clock.now_seconds())
+        if not self._is_away:
+            self._is_away = True
             eliot.log_message("store:lost", topic=self._plan.topic, reason=str(error))
 
     def _note_back(self) -> None:
-        if self._away_since_seconds is None:
-            return
-        now_seconds = self._clock.now_seconds()
-        eliot.log_message(
-            "store:back",
-            topic=self._plan.topic,
-            away_seconds=now_seconds - self._away_since_seconds,
-        )
-        self._away_since_seconds = None
-        self._back_seconds = now_seconds
+        away_seconds = self._outage.back(self._clock.now_seconds())
+        if away_seconds is not None:
+            self._is_away = False
+            eliot.log_message(
+                "store:back", topic=self._plan.topic, away_seconds=away_seconds
+            )
--- a/src/waxwingwinch/gateway/_gossip.py
+++ b/src/waxwingwinch/gateway/_gossip.py
@@ -59,6 +59,8 @@
     :param is_ready: True if it takes callers.
     :param configuration_version: The version in force there.
     :param held_epoch: Epoch of the duty that it holds; None if it holds none.
+    :param store_age_seconds: Time since it read the platform's store; None
+        if it never could.
     :param waiting_tokens: Prompt tokens to be read, by upstream.
     :param running: Requests under way, by upstream.
     :param quota_totals: Units admitted since its start, by customer.
@@ -71,6 +73,7 @@
     is_ready: bool
     configuration_version: int
     held_epoch: int | None = None
+    store_age_seconds: float | None = None
     waiting_tokens: dict[UpstreamId, int] = field(factory=dict)
     running: dict[UpstreamId, int] = field(factory=dict)
     quota_totals: dict[CustomerId, float] = field(factory=dict)
--- a/src/waxwingwinch/gateway/_process.py
+++ b/src/waxwingwinch/gateway/_process.py
@@ -28,6 +28,7 @@
 from waxwingwinch.gateway._loads import LoadBook, UpstreamLoad
 from waxwingwinch.gateway._members import Member, MemberDirectory, addresses_for
 from waxwingwinch.gateway._model import GatewayConfiguration
+from waxwingwinch.gateway._outage import OutageTracker
 from waxwingwinch.gateway._prefixes import PrefixIndex
 from waxwingwinch.gateway._quota import QuotaBook
 from waxwingwinch.gateway._requests import PromptPart
@@ -59,9 +60,6 @@
 UPSTREAMS_PAUSE_SECONDS = 0.6
 #: Pause before the store is asked again for what a start needs.
 START_PAUSE_SECONDS = 0.2
-#: Time in which the store counts as just back, after which a vanished entry
-#: is meant as such.
-STORE_BACK_SECONDS = 3.0
 #: Time for which callers may use an answer about addresses.
 ADDRESS_LIFE_SECONDS = 1.0
 #: Part of the time to stop after which no new connection is accepted; until
@@ -262,6 +260,7 @@
             clock,
         )
         self._gossip: Gossip | None = None
+        self._outage = OutageTracker()
         self._configuration = TopicFollower(
             adapter.store,
             FollowPlan(adapter.configuration_topic, CONFIGURATION_WAIT_SECONDS),
@@ -275,6 +274,7 @@
             self._apply_upstream,
             self._keep_upstreams,
             self._expire_upstreams,
+            self._outage,
         )
         self._member_records = TopicFollower(
             adapter.store,
@@ -397,7 +397,7 @@
             )
 
     def _drop_upstream(self, upstream_id: UpstreamId, now_seconds: float) -> None:
-        if self._upstreams.was_away_since(now_seconds - STORE_BACK_SECONDS):
+        if self._outage.may_have_lapsed(now_seconds):
             self._directory.lapse(upstream_id, now_seconds)
         else:
             self._directory.remove(upstream_id)
@@ -435,6 +435,7 @@
             is_ready=self._is_ready(),
             configuration_version=self._table.version,
             held_epoch=self._steward.held_epoch(),
+            store_age_seconds=self._store_age_seconds(),
             waiting_tokens={key: load.waiting_tokens for key, load in loads.items()},
             running={key: load.running for key, load in loads.items()},
             quota_totals=self._quotas.own_totals(),
@@ -442,6 +443,12 @@
             placements=self._placements.after(known_sequence),
         )
 
+    def _store_age_seconds(self) -> float | None:
+        read_seconds = self._upstreams.read_seconds
+        if read_seconds is None:
+            return None
+        return self._clock.now_seconds() - read_seconds
+
     def _apply_report(self, report: InstanceReport) -> None:
         now_seconds = self._clock.now_seconds()
         self._members.heard(report.instance_id, report.is_ready, now_seconds)
@@ -453,6 +460,8 @@
         self._quotas.heard(report.incarnation, report.quota_totals, now_seconds)
         self._usage_table.heard(report.incarnation, report.usage)
         self._budget.set_instances(self._members.sharing_count(now_seconds))
+        if report.store_age_seconds is not None:
+            self._outage.peer_read(report.store_age_seconds, now_seconds)
         if report.held_epoch is not None:
             self._steward.holder_heard(report.instance_id, now_seconds)
         for placement in report.placements:
