Place prompts by what reading costs, share unreachable upstreams

Cause: estimates took direct reading at a decode engine for too cheap and the handing over of a KV cache for free, so that long prompts slowed down short ones; each instance found an upstream without power by itself.

--- a/src/waxwingwinch/gateway/_connections.py
+++ b/src/waxwingwinch/gateway/_connections.py
@@ -14,9 +14,10 @@
 from waxwingwinch._types import Address
 from waxwingwinch.adapters import TRANSPORT_ERRORS, AnswerMissing, NotSent
 
-#: Longest wait for a connection; links have a delay of a few milliseconds,
-#: and a lost opening packet is repeated after a second.
-CONNECT_TIMEOUT_SECONDS = 1.0
+#: Longest wait for a connection. Links have a delay of a few milliseconds; a
+#: lost opening packet is repeated only after a second, and another upstream
+#: is reached sooner.
+CONNECT_TIMEOUT_SECONDS = 0.3
 #: Silence after which the kernel asks whether the other side still exists.
 KEEPALIVE_SECONDS = 1
 #: Unanswered questions after which it gives the connection up.
--- a/src/waxwingwinch/gateway/_generation_relay.py
+++ b/src/waxwingwinch/gateway/_generation_relay.py
@@ -24,7 +24,12 @@
     RunSplit,
     place_prompt,
 )
-from waxwingwinch.gateway._plain_relay import give_up, may_try, note_rejection
+from waxwingwinch.gateway._plain_relay import (
+    give_up,
+    may_try,
+    note_failure,
+    note_rejection,
+)
 from waxwingwinch.gateway._requests import AnswerHead, Prompt
 from waxwingwinch.gateway._transport import (
     Phase,
@@ -41,6 +46,11 @@
 READ_PATIENCE_SECONDS = 0.5
 
 
+#: Silence within a stream after which it goes on elsewhere if its kind
+#: allows; callers give up after twice that.
+STALL_SECONDS = 1.0
+
+
 class _Interrupted(Exception):
     """The stream broke; it may go on elsewhere if its kind allows."""
 
@@ -68,6 +78,8 @@
     :param progress: What was tried.
     :param splitter: Cuts the stream into events.
     :param has_begun: True once the caller got the head of the answer.
+    :param expected_seconds: Estimated time to the first event.
+    :param placement: How the request was placed last.
     """
 
     job: Job
@@ -75,6 +87,8 @@
     progress: Progress = field(factory=Progress)
     splitter: EventSplitter = field(factory=EventSplitter)
     has_begun: bool = False
+    expected_seconds: float = 0.0
+    placement: str = ""
 
 
 class GenerationRelay:
@@ -134,6 +148,8 @@
                 return None
         elif not progress.connect_failures:
             self._admit(job, placement, now_seconds)
+        stream.expected_seconds = placement.expected_seconds
+        stream.placement = type(placement).__name__
         _log_placement(job, prompt, placement, options)
         return placement
 
@@ -257,7 +273,7 @@
             return _Handle(reader, name)
         except (NotSent, AnswerMissing, Cancelled) as error:
             self._raise_if_cancelled(job, error)
-            self._note_failure(job, reader, error)
+            note_failure(self._tools, job, reader, error)
             stream.progress = stream.progress.not_sent(reader.upstream_id)
             return None
         finally:
@@ -277,13 +293,13 @@
                 job.end_seconds - now_seconds,
             )
         except NotSent as error:
-            self._note_failure(job, engine, error)
+            note_failure(self._tools, job, engine, error)
             self._drop_handle(phase, job)
             stream.progress = stream.progress.not_sent(engine.upstream_id)
             return False
         except (AnswerMissing, Cancelled) as error:
             self._raise_if_cancelled(job, error)
-            self._note_failure(job, engine, error)
+            note_failure(self._tools, job, engine, error)
             stream.progress = stream.progress.ran(engine.upstream_id)
             return False
         if answer.head.not_executed:
@@ -295,7 +311,7 @@
         except _Interrupted as error:
             answer.abort()
             self._raise_if_cancelled(job, error)
-            self._note_failure(job, engine, error)
+            note_failure(self._tools, job, engine, error)
             stream.splitter.drop_partial_event()
             return False
         except CallerLost:
@@ -327,7 +343,7 @@
         if not head.is_signed:
             raise _Interrupted("the upstream did not sign a success")
         is_first = True
-        while piece := self._read(stream.job, answer):
+        while piece := self._read(stream, answer):
             events = self._split(stream, piece)
             if not events:
                 continue
@@ -337,6 +353,7 @@
                 self._tools.usage.began(
                     stream.job.customer_id, self._tools.clock.wall_seconds()
                 )
+                self._log_first_event(stream)
             self._begin(stream, head)
             stream.responder.write(events)
         if stream.splitter.has_partial_event:
@@ -346,6 +363,18 @@
         answer.finish()
         return True
 
+    def _log_first_event(self, stream: _Stream) -> None:
+        arrived_seconds = stream.job.request.arrived_seconds
+        eliot.log_message(
+            "stream:first_event",
+            request_id=stream.job.request.request_id,
+            route=stream.job.route.name,
+            sends=stream.progress.sends,
+            took_seconds=self._tools.clock.now_seconds() - arrived_seconds,
+            expected_seconds=stream.expected_seconds,
+            placement=stream.placement,
+        )
+
     def _relay_failure(self, stream: _Stream, answer: UpstreamAnswer) -> bool:
         job = stream.job
         try:
@@ -364,8 +393,12 @@
             stream.has_begun = True
             stream.responder.begin(head.status, head.headers)
 
-    def _read(self, job: Job, answer: UpstreamAnswer) -> bytes:
+    def _read(self, stream: _Stream, answer: UpstreamAnswer) -> bytes:
+        job = stream.job
         left_seconds = job.end_seconds - self._tools.clock.now_seconds()
+        may_resume = job.route.is_repeatable and stream.has_begun
+        if may_resume and stream.progress.sends < job.route.max_attempts:
+            left_seconds = min(left_seconds, STALL_SECONDS)
         try:
             return answer.read_some(left_seconds)
         except AnswerMissing as error:
@@ -385,19 +418,6 @@
                 self._tools.transport.drop_handle(upstream, phase.handle)
                 return
 
-    def _note_failure(self, job: Job, upstream: Upstream, error: Exception) -> None:
-        out_seconds = self._tools.directory.failed(
-            upstream.upstream_id, self._tools.clock.now_seconds()
-        )
-        eliot.log_message(
-            "upstream:failed",
-            request_id=job.request.request_id,
-            upstream_id=upstream.upstream_id,
-            error=type(error).__name__,
-            reason=str(error),
-            avoided_seconds=out_seconds,
-        )
-
     @staticmethod
     def _raise_if_cancelled(job: Job, error: Exception) -> None:
         if job.cancellation.reason is not None:
--- a/src/waxwingwinch/gateway/_gossip.py
+++ b/src/waxwingwinch/gateway/_gossip.py
@@ -65,6 +65,7 @@
     :param running: Requests under way, by upstream.
     :param quota_totals: Units admitted since its start, by customer.
     :param usage: Requests that began, by window and customer.
+    :param unreachable: Upstreams that it could not reach lately.
     :param placements: Recent placements of prompts.
     """
 
@@ -78,6 +79,7 @@
     running: dict[UpstreamId, int] = field(factory=dict)
     quota_totals: dict[CustomerId, float] = field(factory=dict)
     usage: dict[int, dict[CustomerId, int]] = field(factory=dict)
+    unreachable: tuple[UpstreamId, ...] = ()
     placements: tuple[PromptPlacement, ...] = ()
 
 
--- a/src/waxwingwinch/gateway/_handler.py
+++ b/src/waxwingwinch/gateway/_handler.py
@@ -163,6 +163,15 @@
         cost = quota_cost(customer, request)
         wait_seconds = self._quotas.admit(customer, cost, request.arrived_seconds)
         if wait_seconds is not None:
+            eliot.log_message(
+                "quota:exceeded",
+                request_id=request.request_id,
+                customer=customer.customer_id,
+                cost=cost,
+                rate_per_second=customer.rate_per_second,
+                burst=customer.burst,
+                wait_seconds=wait_seconds,
+            )
             raise RequestEnded(429, RefusalReason.OVER_QUOTA, wait_seconds)
         return cost
 
--- a/src/waxwingwinch/gateway/_placement.py
+++ b/src/waxwingwinch/gateway/_placement.py
@@ -11,19 +11,23 @@
 #: Prompt tokens that a prefill engine reads in a second; from the users'
 #: sheet of engines.
 PREFILL_TOKENS_PER_SECOND = 51_000.0
-#: The same for a decode engine, which reads at half the speed.
-DECODE_READ_TOKENS_PER_SECOND = PREFILL_TOKENS_PER_SECOND / 2
+#: How much longer a decode engine takes for a prompt: it reads at half the
+#: speed, in small pieces between the tokens of other requests.
+DECODE_SLOWDOWN = 6.0
 #: Seconds for each pair of a new token and one before it, on a prefill
 #: engine; the attention of the prompt, from the users' sheet of engines.
 PREFILL_PAIR_SECONDS = 0.323e-9
 #: Time from the last prompt token to the first event.
 FIRST_EVENT_SECONDS = 0.06
 #: Time to hand a KV cache from one engine to another.
-TRANSFER_SECONDS = 0.03
+TRANSFER_SECONDS = 0.12
 #: Added time to the first event for each request that runs at the engine.
 PER_RUNNING_SECONDS = 0.0005
 #: What a byte-for-byte equal choice in another availability zone must gain.
 OTHER_ZONE_SECONDS = 0.01
+#: What moving a KV cache to another availability zone must gain; it takes
+#: twice as long and costs up to three times as much.
+MOVE_ZONE_SECONDS = 0.1
 #: What going through a prefill engine must gain, for the moved KV cache.
 SPLIT_SECONDS = 0.05
 #: Part of the latency objective within which one engine does all, although
@@ -31,7 +35,7 @@
 COMFORT_SHARE = 0.5
 #: Spread of the preference among engines that hold nothing of a prompt, so
 #: that all instances choose the same one.
-HOME_SECONDS = 0.15
+HOME_SECONDS = 0.3
 #: Requests above the slots that a plain upstream may have waiting, relative
 #: to its slots.
 PLAIN_QUEUE_RATIO = 3.0
@@ -133,7 +137,7 @@
             + _zone_seconds(options, plan.upstream_id, own_zone)
         ),
     )
-    split = _best_split(prompt, options, decoders)
+    split = _best_split(prompt, options, decoders, own_zone)
     if split is None:
         return direct
     if direct.expected_seconds <= COMFORT_SHARE * prompt.target_seconds:
@@ -166,7 +170,7 @@
 
 def _direct(prompt: PromptSize, option: EngineOption) -> RunDirectly:
     cached = min(option.cached_tokens, prompt.tokens)
-    slowdown = 2.0 if option.role is EngineRole.DECODE else 1.0
+    slowdown = DECODE_SLOWDOWN if option.role is EngineRole.DECODE else 1.0
     reading = read_seconds(prompt.tokens, cached)
     own = slowdown * reading + FIRST_EVENT_SECONDS
     queue = slowdown * option.load.waiting_tokens / PREFILL_TOKENS_PER_SECOND
@@ -178,6 +182,7 @@
     prompt: PromptSize,
     options: Sequence[EngineOption],
     decoders: Sequence[EngineOption],
+    own_zone: ZoneName,
 ) -> RunSplit | None:
     readers = [option for option in options if option.role is EngineRole.PREFILL]
     if not readers:
@@ -191,6 +196,7 @@
                 option.upstream_id,
                 prompt.tokens - min(option.cached_tokens, prompt.tokens),
             )
+            + (0.0 if option.zone == own_zone else OTHER_ZONE_SECONDS)
         ),
     )
     decoder = min(
@@ -198,6 +204,7 @@
         key=lambda option: (
             _decoder_seconds(option)
             + HOME_SECONDS * _home_rank(prompt, option.upstream_id)
+            + (0.0 if option.zone == reader.zone else MOVE_ZONE_SECONDS)
         ),
     )
     cached = min(reader.cached_tokens, prompt.tokens)
--- a/src/waxwingwinch/gateway/_plain_relay.py
+++ b/src/waxwingwinch/gateway/_plain_relay.py
@@ -80,15 +80,15 @@
             try:
                 answer = self._try(job, upstream, progress)
             except NotSent as error:
-                self._note_failure(job, upstream, error)
+                note_failure(self._tools, job, upstream, error)
                 progress = progress.not_sent(upstream.upstream_id)
                 continue
             except AnswerMissing as error:
-                self._note_failure(job, upstream, error)
+                note_failure(self._tools, job, upstream, error)
                 progress = progress.ran(upstream.upstream_id)
                 continue
             if answer.head.not_executed:
-                self._note_rejection(job, upstream, answer.head)
+                note_rejection(self._tools, job, upstream, answer.head)
                 progress = progress.rejected(upstream.upstream_id)
                 continue
             self._tools.directory.succeeded(upstream.upstream_id)
@@ -164,21 +164,31 @@
         finally:
             ticket.end()
 
-    def _note_failure(self, job: Job, upstream: Upstream, error: Exception) -> None:
-        out_seconds = self._tools.directory.failed(
-            upstream.upstream_id, self._tools.clock.now_seconds()
-        )
-        eliot.log_message(
-            "upstream:failed",
-            request_id=job.request.request_id,
-            upstream_id=upstream.upstream_id,
-            error=type(error).__name__,
-            reason=str(error),
-            avoided_seconds=out_seconds,
-        )
-
-    def _note_rejection(self, job: Job, upstream: Upstream, head: AnswerHead) -> None:
-        note_rejection(self._tools, job, upstream, head)
+
+def note_failure(
+    tools: RelayTools, job: Job, upstream: Upstream, error: Exception
+) -> None:
+    """
+    Remember that an upstream could not be used.
+
+    :param tools: What the relays of the process share.
+    :param job: The request.
+    :param upstream: The upstream.
+    :param error: What happened.
+    """
+    now_seconds = tools.clock.now_seconds()
+    if isinstance(error, NotSent):
+        out_seconds = tools.directory.unreached(upstream.upstream_id, now_seconds)
+    else:
+        out_seconds = tools.directory.failed(upstream.upstream_id, now_seconds)
+    eliot.log_message(
+        "upstream:failed",
+        request_id=job.request.request_id,
+        upstream_id=upstream.upstream_id,
+        error=type(error).__name__,
+        reason=str(error),
+        avoided_seconds=out_seconds,
+    )
 
 
 def note_rejection(
--- a/src/waxwingwinch/gateway/_process.py
+++ b/src/waxwingwinch/gateway/_process.py
@@ -440,6 +440,7 @@
             running={key: load.running for key, load in loads.items()},
             quota_totals=self._quotas.own_totals(),
             usage=self._usage.windows(),
+            unreachable=self._directory.unreachable(self._clock.now_seconds()),
             placements=self._placements.after(known_sequence),
         )
 
@@ -464,6 +465,8 @@
             self._outage.peer_read(report.store_age_seconds, now_seconds)
         if report.held_epoch is not None:
             self._steward.holder_heard(report.instance_id, now_seconds)
+        for upstream_id in report.unreachable:
+            self._directory.unreached_elsewhere(upstream_id, now_seconds)
         for placement in report.placements:
             self._note_placement(placement.upstream_id, placement.parts())
         if report.configuration_version > self._table.version:
--- a/src/waxwingwinch/gateway/_scaling.py
+++ b/src/waxwingwinch/gateway/_scaling.py
@@ -11,7 +11,7 @@
 
 #: Part of the engines that reads prompts for the others. Long prompts are
 #: read twice as fast there, while generation itself needs few engines.
-PREFILL_SHARE = 0.55
+PREFILL_SHARE = 0.6
 #: Upstreams of an availability zone that are not reclaimable; one keeps the
 #: zone served while its reclaimable ones are gone.
 LASTING_MIN = 1
--- a/src/waxwingwinch/gateway/_upstreams.py
+++ b/src/waxwingwinch/gateway/_upstreams.py
@@ -90,6 +90,7 @@
         self._left: OrderedDict[UpstreamId, Upstream] = OrderedDict()
         self._lapsed: dict[UpstreamId, float] = {}
         self._troubles: dict[UpstreamId, _Trouble] = {}
+        self._unreached: dict[UpstreamId, float] = {}
         self._lock = threading.Lock()
 
     def put(self, upstream: Upstream) -> Upstream | None:
@@ -129,6 +130,7 @@
                 self._left.popitem(last=False)
             self._lapsed.pop(upstream_id, None)
             self._troubles.pop(upstream_id, None)
+            self._unreached.pop(upstream_id, None)
 
     def lapse(self, upstream_id: UpstreamId, now_seconds: float) -> None:
         """
@@ -200,6 +202,44 @@
             )
             return pause_seconds
 
+    def unreachable(self, now_seconds: float) -> tuple[UpstreamId, ...]:
+        """
+        Return the upstreams that could not be reached lately from here.
+
+        :param now_seconds: Monotonic time.
+        """
+        with self._lock:
+            return tuple(
+                upstream_id
+                for upstream_id, at_seconds in self._unreached.items()
+                if now_seconds - at_seconds < FIRST_EJECTION_SECONDS
+            )
+
+    def unreached(self, upstream_id: UpstreamId, now_seconds: float) -> float:
+        """
+        Note that an upstream did not answer a connection attempt.
+
+        :param upstream_id: The upstream.
+        :param now_seconds: Monotonic time.
+        :returns: For how long it is avoided.
+        """
+        with self._lock:
+            self._unreached[upstream_id] = now_seconds
+        return self.failed(upstream_id, now_seconds)
+
+    def unreached_elsewhere(self, upstream_id: UpstreamId, now_seconds: float) -> None:
+        """
+        Note that a peer could not reach an upstream.
+
+        :param upstream_id: The upstream.
+        :param now_seconds: Monotonic time.
+        """
+        with self._lock:
+            if self._out_until(upstream_id) <= now_seconds:
+                self._troubles[upstream_id] = _Trouble(
+                    1, now_seconds + FIRST_EJECTION_SECONDS
+                )
+
     def succeeded(self, upstream_id: UpstreamId) -> None:
         """
         Note that an upstream answered.
