--- a/src/waxwingwinch/gateway/_scaling.py
+++ b/src/waxwingwinch/gateway/_scaling.py
@@ -3,7 +3,7 @@
 import math
 from collections.abc import Sequence
 
-from attrs import frozen
+from attrs import evolve, frozen
 
 from waxwingwinch._types import EngineRole, UpstreamId, ZoneName
 from waxwingwinch.gateway._model import ScalingRules
@@ -71,7 +71,11 @@
 
 
 def wanted_counts(
-    service: str, rules: ScalingRules, fleet: ZoneFleet, is_dry: bool
+    service: str,
+    rules: ScalingRules,
+    fleet: ZoneFleet,
+    is_dry: bool = False,
+    is_idle: bool = False,
 ) -> tuple[UpstreamCount, ...]:
     """
     Decide how many upstreams an availability zone gets.
@@ -85,6 +89,8 @@
     :param rules: Bounds and prices.
     :param fleet: What serves there now.
     :param is_dry: True if reclaimable ones were refused lately.
+    :param is_idle: True if nothing was asked for yet, so that nothing has to
+        serve until the reclaimable ones do.
     """
     if rules.spot_price is None:
         return ()
@@ -92,12 +98,15 @@
     if is_dry:
         filled = rules.max_per_zone - DRY_ROOM - fleet.spot
         lasting = min(max(lasting, filled), rules.max_per_zone)
+    if is_idle:
+        fleet = evolve(fleet, lasting=min(fleet.lasting, lasting))
     room = max(rules.max_per_zone - max(fleet.lasting, lasting), 0)
     may_give_back = fleet.lasting > lasting and fleet.spot >= room
     kept = lasting if may_give_back else max(fleet.lasting, lasting)
     return (
-        UpstreamCount(service, fleet.zone, room, is_spot=True),
+        # Giving back comes first, as both kinds share the room.
         UpstreamCount(service, fleet.zone, kept, is_spot=False),
+        UpstreamCount(service, fleet.zone, room, is_spot=True),
     )
 
 
--- a/src/waxwingwinch/gateway/_steward.py
+++ b/src/waxwingwinch/gateway/_steward.py
@@ -218,6 +218,7 @@
         now_seconds = self._clock.now_seconds()
         if table is None or now_seconds - self._started_seconds < SETTLE_SECONDS:
             return
+        is_idle = self._usage.is_empty()
         for service in table.configuration.services.values():
             rules = service.scaling
             if rules is None:
@@ -228,7 +229,9 @@
             for zone in self._zones:
                 fleet = ZoneFleet.of(zone, upstreams)
                 is_dry = now_seconds < self._dry_until.get(zone, 0.0)
-                for wanted in wanted_counts(service.name, rules, fleet, is_dry):
+                for wanted in wanted_counts(
+                    service.name, rules, fleet, is_dry, is_idle
+                ):
                     present = fleet.spot if wanted.is_spot else fleet.lasting
                     self._order(wanted, present, rules.boot_seconds)
 
--- a/src/waxwingwinch/gateway/_usage_table.py
+++ b/src/waxwingwinch/gateway/_usage_table.py
@@ -27,6 +27,15 @@
             for window in [key for key in known if key < newest - WINDOWS_KEPT]:
                 del known[window]
 
+    def is_empty(self) -> bool:
+        """Tell whether no request has run yet, as far as known."""
+        with self._lock:
+            return not any(
+                any(counts.values())
+                for windows in self._counts.values()
+                for counts in windows.values()
+            )
+
     def total(self, window: int) -> dict[CustomerId, int]:
         """
         Return the requests of a window by customer.
--- a/src/waxwingwinch/gateway/tests/test_scaling.py
+++ b/src/waxwingwinch/gateway/tests/test_scaling.py
@@ -14,8 +14,10 @@
 RULES = ScalingRules(1, 6, 4.0, 0.18)
 
 
-def counts(lasting, spot, is_dry=False, rules=RULES):
-    wanted = wanted_counts("llm", rules, ZoneFleet(ZONE, lasting, spot), is_dry)
+def counts(lasting, spot, is_dry=False, rules=RULES, is_idle=False):
+    wanted = wanted_counts(
+        "llm", rules, ZoneFleet(ZONE, lasting, spot), is_dry, is_idle
+    )
     return {one.is_spot: one.count for one in wanted}
 
 
@@ -24,6 +26,10 @@
     assert counts(lasting=3, spot=0) == {True: 3, False: 3}
 
 
+def test_lasting_ones_are_given_back_before_anything_is_asked_for():
+    assert counts(lasting=3, spot=0, is_idle=True) == {True: 5, False: 1}
+
+
 def test_lasting_ones_are_given_back_once_the_others_serve():
     assert counts(lasting=3, spot=3) == {True: 3, False: 1}
     assert counts(lasting=1, spot=3) == {True: 5, False: 1}
