--- a/src/waxwingwinch/gateway/_scaling.py
+++ b/src/waxwingwinch/gateway/_scaling.py
@@ -18,6 +18,9 @@
 #: Places of an availability zone that are left for reclaimable upstreams
 #: while none are to be had, so that they can come back.
 DRY_ROOM = 2
+#: Engines that can't be reclaimed and generate; with two, the loss of one
+#: more engine leaves an answer to every prompt.
+LASTING_DECODERS_MIN = 2
 #: Engines of one stage below which no other is switched away from it.
 STAGE_MIN = 1
 
@@ -128,7 +131,8 @@
     Decide which engine changes its stage next.
 
     One change at a time, as each takes an engine away for seconds. Engines
-    of the best covered availability zone change first.
+    that can't be reclaimed generate, so that the loss of the others never
+    leaves prompts that nobody can answer.
 
     :param upstreams: The engines of a service.
     """
@@ -141,20 +145,38 @@
     decoders = [one for one in ready if one.role is EngineRole.DECODE]
     wanted = math.floor(len(ready) * PREFILL_SHARE + 0.5)
     wanted = min(max(wanted, STAGE_MIN), max(len(ready) - STAGE_MIN, 0))
+    lasting_reader = _surplus_lasting_reader(ready)
+    if lasting_reader is not None:
+        return StageChange(lasting_reader.upstream_id, EngineRole.DECODE)
     if len(readers) < wanted and len(decoders) > STAGE_MIN:
-        return StageChange(_most_common_zone(decoders, readers), EngineRole.PREFILL)
+        giver = _giver(decoders, readers, prefer_spot=True)
+        return StageChange(giver.upstream_id, EngineRole.PREFILL)
     if len(readers) > wanted + 1 and len(readers) > STAGE_MIN:
-        return StageChange(_most_common_zone(readers, decoders), EngineRole.DECODE)
+        giver = _giver(readers, decoders, prefer_spot=False)
+        return StageChange(giver.upstream_id, EngineRole.DECODE)
     return None
 
 
-def _most_common_zone(
-    givers: Sequence[Upstream], takers: Sequence[Upstream]
-) -> UpstreamId:
-    def surplus(upstream: Upstream) -> int:
+def _surplus_lasting_reader(ready: Sequence[Upstream]) -> Upstream | None:
+    """Return a lasting engine that should generate instead of reading."""
+    lasting = [one for one in ready if not one.is_spot]
+    decoders = sum(1 for one in lasting if one.role is EngineRole.DECODE)
+    readers = [one for one in lasting if one.role is EngineRole.PREFILL]
+    if not readers or decoders >= LASTING_DECODERS_MIN:
+        return None
+    has_spot = any(one.is_spot for one in ready)
+    return min(readers, key=lambda one: one.upstream_id) if has_spot else None
+
+
+def _giver(
+    givers: Sequence[Upstream], takers: Sequence[Upstream], prefer_spot: bool
+) -> Upstream:
+    """Return the engine that changes, from the zone that has most of them."""
+
+    def rank(upstream: Upstream) -> tuple[bool, int, str]:
         given = sum(1 for other in givers if other.zone == upstream.zone)
         taken = sum(1 for other in takers if other.zone == upstream.zone)
-        return given - taken
+        is_preferred = upstream.is_spot is prefer_spot
+        return is_preferred, given - taken, upstream.upstream_id
 
-    chosen = max(givers, key=lambda upstream: (surplus(upstream), upstream.upstream_id))
-    return chosen.upstream_id
+    return max(givers, key=rank)
--- a/src/waxwingwinch/gateway/tests/test_scaling.py
+++ b/src/waxwingwinch/gateway/tests/test_scaling.py
@@ -55,7 +55,7 @@
     return None if change is None else change.role
 
 
-def engine(name, role, zone="north"):
+def engine(name, role, zone="north", is_spot=True):
     return Upstream(
         UpstreamId(name),
         1,
@@ -65,6 +65,7 @@
         RegisteredState.READY,
         64,
         role=role,
+        is_spot=is_spot,
     )
 
 
@@ -87,6 +88,30 @@
     assert wanted_stage_change([]) is None
 
 
+def test_lasting_engines_generate():
+    """Pattern: all reclaimable engines of two zones are taken back at once."""
+    fleet = [
+        engine("l0", EngineRole.PREFILL, is_spot=False),
+        engine("l1", EngineRole.DECODE, is_spot=False),
+        *engines(4, 4),
+    ]
+    change = wanted_stage_change(fleet)
+    assert change is not None
+    assert (change.upstream_id, change.role) == ("l0", EngineRole.DECODE)
+
+
+def test_reclaimable_engines_read():
+    fleet = [
+        engine("l0", EngineRole.DECODE, is_spot=False),
+        engine("l1", EngineRole.DECODE, is_spot=False),
+        *engines(1, 4),
+    ]
+    change = wanted_stage_change(fleet)
+    assert change is not None
+    assert change.upstream_id.startswith("d")
+    assert change.role is EngineRole.PREFILL
+
+
 def test_the_zone_with_most_of_a_stage_gives_one():
     fleet = engines(0, 3) + [engine("south", EngineRole.DECODE, "south")]
     change = wanted_stage_change(fleet)
