Tell an outcome only once its change is in force

Ruled out: a publish that timed out; it would have raised.

Change: the change is put in force first, also when a peer's state is adopted. The test looks at the moment in which the outcome is noted; it failed before.

--- a/src/waxwingwinch/configuration/service/_service.py
+++ b/src/waxwingwinch/configuration/service/_service.py
@@ -206,9 +206,10 @@
         if reply.snapshot is not None:
             self._withdrawn.merge(reply.snapshot.withdrawn_key_ids)
             with self._lock:
-                self._outcomes.add(self._replica.adopt(reply.snapshot))
+                outcomes = self._replica.adopt(reply.snapshot)
                 self._was_adopted = self._was_adopted or self._replica.is_whole
                 self._refresh_view()
+                self._outcomes.add(outcomes)
         return not self.needs_state()
 
     def submit(self, record: object, timeout_seconds: float) -> AppendTicket:
@@ -263,9 +264,11 @@
         self._withdrawn.merge(key_ids)
         with self._lock:
             self._logged_withdrawals.update(key_ids)
-            self._outcomes.add(self._replica.read(applied.offset, applied.body))
+            outcomes = self._replica.read(applied.offset, applied.body)
             if self._is_ready:
                 self._refresh_view()
+            # Whoever waits for an outcome finds its change in force.
+            self._outcomes.add(outcomes)
 
     def _miss_records(self, first_offset: int) -> None:
         with self._lock:
--- a/src/waxwingwinch/configuration/service/tests/test_service.py
+++ b/src/waxwingwinch/configuration/service/tests/test_service.py
@@ -90,6 +90,20 @@
     assert [entry.version for entry in service.history()] == [1]
 
 
+def test_an_outcome_is_known_only_once_its_change_is_in_force(start, monkeypatch):
+    service = start()
+    versions = []
+    add = service._outcomes.add
+
+    def add_and_look(results):
+        versions.append(service._view.configuration.version)
+        add(results)
+
+    monkeypatch.setattr(service._outcomes, "add", add_and_look)
+    service.publish(change(0, SetDefault("drain_seconds", 7.0)), WAIT_SECONDS)
+    assert versions == [1]
+
+
 def test_one_of_two_racing_operators_wins(start):
     services = [start(), start()]
     results: list[Any] = [None, None]
