Record metrics of the gateway and bound its logs

Cause: refusals, repeats and placements could only be counted from logs, and the logs' bound of five lines of a kind a second hid most decisions.

Change: counters and times on the metrics address, 50 lines of a kind a second; a full pipe drops and counts.

Figures: tests with a reader that stopped and with 1,000 lines at once pass.

--- a/src/waxwingwinch/gateway/_generation_relay.py
+++ b/src/waxwingwinch/gateway/_generation_relay.py
@@ -31,6 +31,7 @@
     note_rejection,
 )
 from waxwingwinch.gateway._requests import AnswerHead, Prompt
+from waxwingwinch.gateway._telemetry import CounterName
 from waxwingwinch.gateway._transport import (
     Phase,
     ReadPrompt,
@@ -150,6 +151,7 @@
             self._admit(job, placement, now_seconds)
         stream.expected_seconds = placement.expected_seconds
         stream.placement = type(placement).__name__
+        self._tools.telemetry.count(CounterName.PLACEMENTS, stream.placement)
         _log_placement(job, prompt, placement, options)
         return placement
 
@@ -365,6 +367,17 @@
 
     def _log_first_event(self, stream: _Stream) -> None:
         arrived_seconds = stream.job.request.arrived_seconds
+        if stream.progress.sends > 1 and stream.splitter.events > 1:
+            self._tools.telemetry.count(
+                CounterName.RESUMED_STREAMS, stream.job.route.name
+            )
+        else:
+            self._tools.telemetry.answered(
+                stream.job.customer_id,
+                stream.job.route.name,
+                self._tools.clock.now_seconds() - arrived_seconds,
+                stream.job.route.target_seconds,
+            )
         eliot.log_message(
             "stream:first_event",
             request_id=stream.job.request.request_id,
--- a/src/waxwingwinch/gateway/_handler.py
+++ b/src/waxwingwinch/gateway/_handler.py
@@ -103,6 +103,7 @@
         except RequestEnded as ended:
             if ended.status in (429, 503) and customer is not None:
                 self._quotas.give_back(customer, cost)
+            self._tools.telemetry.ended(job.customer_id, route.name, ended.reason)
             raise
         finally:
             self._watcher.remove(job.cancellation)
@@ -172,6 +173,9 @@
                 burst=customer.burst,
                 wait_seconds=wait_seconds,
             )
+            self._tools.telemetry.ended(
+                customer.customer_id, "", RefusalReason.OVER_QUOTA
+            )
             raise RequestEnded(429, RefusalReason.OVER_QUOTA, wait_seconds)
         return cost
 
--- a/src/waxwingwinch/gateway/_job.py
+++ b/src/waxwingwinch/gateway/_job.py
@@ -10,6 +10,7 @@
 from waxwingwinch.gateway._prefixes import PrefixIndex
 from waxwingwinch.gateway._requests import GatewayRequest
 from waxwingwinch.gateway._retry_budget import RetryBudget
+from waxwingwinch.gateway._telemetry import Telemetry
 from waxwingwinch.gateway._transport import Phase, UpstreamCall, UpstreamTransport
 from waxwingwinch.gateway._upstreams import UpstreamDirectory
 from waxwingwinch.gateway._usage_counts import UsageCounts
@@ -134,6 +135,7 @@
     :param budget: Repeats that are left.
     :param transport: Carries calls.
     :param usage: Counts what ran.
+    :param telemetry: Records what happens.
     """
 
     clock: Clock = field(repr=False)
@@ -145,3 +147,4 @@
     budget: RetryBudget = field(repr=False)
     transport: UpstreamTransport = field(repr=False)
     usage: UsageCounts = field(repr=False)
+    telemetry: Telemetry = field(repr=False)
--- a/src/waxwingwinch/gateway/_log_writer.py
+++ b/src/waxwingwinch/gateway/_log_writer.py
@@ -2,13 +2,27 @@
 
 import queue
 import threading
-from typing import IO
+from typing import Protocol
 
 #: Messages that may wait to be written. At a few hundred bytes each this
 #: is a small part of an instance's memory.
 QUEUE_MESSAGES = 2_000
 
 
+class BinaryFile(Protocol):
+    """What logs are written to."""
+
+    def write(self, data: bytes, /) -> int:
+        """
+        Write bytes.
+
+        :param data: The bytes.
+        """
+
+    def flush(self) -> None:
+        """Pass on what was written."""
+
+
 class LogWriter:
     """
     Writes to a file in a thread of its own.
@@ -18,7 +32,7 @@
     :param file: Where messages go.
     """
 
-    def __init__(self, file: IO[bytes]) -> None:
+    def __init__(self, file: BinaryFile) -> None:
         self._file = file
         self._queue: queue.Queue[bytes] = queue.Queue(QUEUE_MESSAGES)
         self._dropped = 0
--- a/src/waxwingwinch/gateway/_plain_relay.py
+++ b/src/waxwingwinch/gateway/_plain_relay.py
@@ -22,6 +22,7 @@
 )
 from waxwingwinch.gateway._placement import PlainOption, place_plain
 from waxwingwinch.gateway._requests import AnswerHead
+from waxwingwinch.gateway._telemetry import CounterName
 from waxwingwinch.gateway._transport import Run
 from waxwingwinch.gateway._upstreams import Upstream
 
@@ -65,6 +66,12 @@
         :raises CallerLost: If the caller has gone.
         """
         answer = self._answer(job)
+        self._tools.telemetry.answered(
+            job.customer_id,
+            job.route.name,
+            self._tools.clock.now_seconds() - job.request.arrived_seconds,
+            job.route.target_seconds,
+        )
         responder.respond(answer.head.status, answer.head.headers, answer.body)
 
     def _answer(self, job: Job) -> _WholeAnswer:
@@ -177,6 +184,7 @@
     :param error: What happened.
     """
     now_seconds = tools.clock.now_seconds()
+    tools.telemetry.count(CounterName.UPSTREAM_FAILURES, type(error).__name__)
     if isinstance(error, NotSent):
         out_seconds = tools.directory.unreached(upstream.upstream_id, now_seconds)
     else:
--- a/src/waxwingwinch/gateway/_process.py
+++ b/src/waxwingwinch/gateway/_process.py
@@ -36,6 +36,7 @@
 from waxwingwinch.gateway._steward import Steward, StewardCalls
 from waxwingwinch.gateway._store import AppendConflict, KeyedRecord, PlatformStore
 from waxwingwinch.gateway._tables import CurrentTable
+from waxwingwinch.gateway._telemetry import Gauge, Telemetry
 from waxwingwinch.gateway._transport import UpstreamTransport
 from waxwingwinch.gateway._upstreams import Upstream, UpstreamDirectory
 from waxwingwinch.gateway._usage_counts import UsageCounts
@@ -70,6 +71,9 @@
 #: Pause between two looks at what is still under way.
 STOP_POLL_SECONDS = 0.05
 
+#: Path of the metrics.
+METRICS_PATH = "/metrics"
+
 _SECRET_BYTES = 16
 
 T = TypeVar("T")
@@ -228,6 +232,7 @@
         self._usage = UsageCounts(options.usage_window_seconds)
         self._usage_table = UsageTable()
         self._watcher = CallerWatcher()
+        self._telemetry = Telemetry()
         tools = RelayTools(
             clock,
             options.zone,
@@ -238,6 +243,7 @@
             self._budget,
             adapter.transport,
             self._usage,
+            self._telemetry,
         )
         self._handler = RequestHandler(tools, self._table, self._quotas, self._watcher)
         self._front = FrontServer(
@@ -245,6 +251,7 @@
         )
         self._ready = InfoServer(options.ready_address, self._answer_ready)
         self._resolver = InfoServer(options.directory_address, self._answer_resolve)
+        self._metrics = InfoServer(options.metrics_address, self._answer_metrics)
         duty = StewardDuty(
             adapter.store, options.instance_id, options.lease_seconds, clock
         )
@@ -298,6 +305,7 @@
         self._upstreams.start()
         self._ready.start()
         self._resolver.start()
+        self._metrics.start()
         self._front.run()
         threading.Thread(target=self._join, name="join", daemon=True).start()
         self._steward.start()
@@ -515,6 +523,44 @@
         body = self._adapter.encode_resolve(addresses, ADDRESS_LIFE_SECONDS)
         return InfoReply("200 OK", body)
 
+    def _answer_metrics(self, path: str, query: str) -> InfoReply:
+        if path != METRICS_PATH:
+            return InfoReply("404 Not Found")
+        text = self._telemetry.text(self._gauges())
+        return InfoReply("200 OK", text, "text/plain; version=0.0.4")
+
+    def _gauges(self) -> list[Gauge]:
+        now_seconds = self._clock.now_seconds()
+        upstreams: dict[tuple[str, str], int] = {}
+        for upstream in self._directory.all():
+            key = (upstream.service, upstream.state.value)
+            upstreams[key] = upstreams.get(key, 0) + 1
+        epoch = self._steward.held_epoch()
+        age_seconds = self._store_age_seconds()
+        return [
+            Gauge("waxwing_configuration_version", (), self._table.version),
+            Gauge("waxwing_requests_under_way", (), self._handler.under_way),
+            Gauge("waxwing_duty_epoch", (), -1 if epoch is None else epoch),
+            Gauge(
+                "waxwing_store_age_seconds",
+                (),
+                -1 if age_seconds is None else age_seconds,
+            ),
+            Gauge(
+                "waxwing_instances_heard",
+                (),
+                len(self._members.ready_others(now_seconds)),
+            ),
+            *(
+                Gauge(
+                    "waxwing_upstreams",
+                    (("service", service), ("state", state)),
+                    count,
+                )
+                for (service, state), count in upstreams.items()
+            ),
+        ]
+
     def _stop(self) -> None:
         started_seconds = self._clock.now_seconds()
         grace_seconds = self._options.grace_seconds
--- a/src/waxwingwinch/gateway/tests/relay_world.py
+++ b/src/waxwingwinch/gateway/tests/relay_world.py
@@ -32,6 +32,7 @@
 )
 from waxwingwinch.gateway._retry_budget import RetryBudget
 from waxwingwinch.gateway._tables import CurrentTable
+from waxwingwinch.gateway._telemetry import Telemetry
 from waxwingwinch.gateway._transport import ReadPrompt
 from waxwingwinch.gateway._upstreams import (
     RegisteredState,
@@ -203,6 +204,7 @@
         self.loads = LoadBook()
         self.prefixes = PrefixIndex()
         self.usage = UsageCounts(5.0)
+        self.telemetry = Telemetry()
         self.quotas = QuotaBook("own", 0.0, True, self.clock.seconds)
         self.table = CurrentTable()
         tools = RelayTools(
@@ -215,6 +217,7 @@
             RetryBudget(0.2, slack, 10.0),
             self.transport,
             self.usage,
+            self.telemetry,
         )
         self.handler = RequestHandler(tools, self.table, self.quotas, CallerWatcher())
         self.version = 0
--- /dev/null
+++ b/src/waxwingwinch/gateway/tests/test_logs_and_metrics.py
@@ -0,0 +1,93 @@
+"""Logs never hold a request up; metrics tell how requests ended."""
+
+import io
+import threading
+
+import eliot
+
+from waxwingwinch._types import CustomerId
+from waxwingwinch.gateway._log_writer import QUEUE_MESSAGES, LogWriter
+from waxwingwinch.gateway._outcomes import RefusalReason
+from waxwingwinch.gateway._telemetry import CounterName, Gauge, Telemetry
+from waxwingwinch.gateway.tests.fakes import FakeClock
+from waxwingwinch.gateway.tests.relay_world import World, upstream
+from waxwingwinch.observability import set_up_logs
+
+
+class StuckFile:
+    """A pipe whose reader has stopped reading."""
+
+    def __init__(self):
+        self.released = threading.Event()
+        self.written = []
+
+    def write(self, data: bytes) -> int:
+        self.released.wait(10.0)
+        self.written.append(bytes(data))
+        return len(data)
+
+    def flush(self) -> None:
+        """Nothing is kept back."""
+
+
+def test_a_full_pipe_drops_and_counts():
+    file = StuckFile()
+    writer = LogWriter(file)
+    for number in range(QUEUE_MESSAGES + 100):
+        writer.write(b"%d\n" % number)
+    assert 90 <= writer.dropped <= 100
+    dropped = writer.dropped
+    file.released.set()
+    writer.drain(10.0)
+    assert b'{"logs_dropped": %d}\n' % dropped in file.written
+
+
+def test_lines_of_one_kind_are_bounded_and_the_rest_is_told():
+    clock = FakeClock()
+    file = io.BytesIO()
+    destination = set_up_logs(file, clock, messages_per_second=50.0)
+    try:
+        for _ in range(1_000):
+            eliot.log_message("test:bounded")
+        clock.seconds += 1.0
+        eliot.log_message("test:bounded")
+    finally:
+        eliot.remove_destination(destination)
+    lines = [line for line in file.getvalue().splitlines() if b"test:bounded" in line]
+    assert len(lines) == 51
+    assert b'"dropped_before":950' in lines[-1].replace(b" ", b"")
+
+
+def test_keys_and_bodies_are_not_logged():
+    file = io.BytesIO()
+    destination = set_up_logs(file, FakeClock(), messages_per_second=1_000.0)
+    try:
+        world = World()
+        world.add(upstream("u1"))
+        world.publish()
+        world.ask()
+        world.ask(key="planted-key")
+        world.ask(path="/nowhere")
+    finally:
+        eliot.remove_destination(destination)
+    text = file.getvalue()
+    assert b"request:answered" in text and b"unknown_key" in text
+    for secret in (b"planted-key", b"key-a", b"body"):
+        assert secret not in text
+
+
+def test_metrics_tell_results_and_reasons():
+    telemetry = Telemetry()
+    alice = CustomerId("alice")
+    telemetry.answered(alice, "r", 0.05, 0.1)
+    telemetry.answered(alice, "r", 0.5, 0.1)
+    telemetry.ended(alice, "r", RefusalReason.OVERLOADED)
+    telemetry.ended(alice, "r", RefusalReason.OVER_QUOTA)
+    telemetry.count(CounterName.PLACEMENTS, "RunSplit")
+    text = telemetry.text([Gauge("waxwing_x", (("state", "ready"),), 3)]).decode()
+    assert 'result="served",route="r"} 1.0' in text
+    assert 'result="late",route="r"} 1.0' in text
+    assert 'result="refused_over_rate",route="r"} 1.0' in text
+    assert 'waxwing_refusals_total{kind="overloaded"} 1.0' in text
+    assert 'waxwing_placements_total{kind="RunSplit"} 1.0' in text
+    assert 'waxwing_x{state="ready"} 3.0' in text
--- a/src/waxwingwinch/observability/_logs.py
+++ b/src/waxwingwinch/observability/_logs.py
@@ -66,9 +66,14 @@
 
 
 class RateBound:
-    """Bounds the messages of each type."""
+    """
+    Bounds the messages of each type.
+
+    :param messages_per_second: Messages of one type in the long run.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, messages_per_second: float = MESSAGES_PER_SECOND) -> None:
+        self._messages_per_second = messages_per_second
         self._rates: dict[str, _TypeRate] = {}
         self._lock = threading.Lock()
 
@@ -81,7 +86,7 @@
         """
         with self._lock:
             rate = self._rate(message_type, now_seconds)
-            refill = (now_seconds - rate.filled_seconds) * MESSAGES_PER_SECOND
+            refill = (now_seconds - rate.filled_seconds) * self._messages_per_second
             rate.messages = min(MESSAGE_BURST, rate.messages + refill)
             rate.filled_seconds = now_seconds
             if rate.messages < 1.0:
@@ -124,12 +129,18 @@
 
     :param file: Where messages are written, one JSON object a line.
     :param clock: Source of the present time.
+    :param messages_per_second: Messages of one type in the long run.
     """
 
-    def __init__(self, file: IO[str], clock: Clock) -> None:
+    def __init__(
+        self,
+        file: IO[Any],
+        clock: Clock,
+        messages_per_second: float = MESSAGES_PER_SECOND,
+    ) -> None:
         self._write = FileDestination(file=file)
         self._clock = clock
-        self._bound = RateBound()
+        self._bound = RateBound(messages_per_second)
 
     def __call__(self, message: dict[str, Any]) -> None:
         """
@@ -147,14 +158,19 @@
         self._write(safe)
 
 
-def set_up_logs(file: IO[str], clock: Clock) -> LogDestination:
+def set_up_logs(
+    file: IO[Any],
+    clock: Clock,
+    messages_per_second: float = MESSAGES_PER_SECOND,
+) -> LogDestination:
     """
     Send all eliot messages of the process to a file.
 
     :param file: For example ``sys.stderr``.
     :param clock: Source of the present time.
+    :param messages_per_second: Messages of one type in the long run.
     :returns: The destination, for :func:`eliot.remove_destination`.
     """
-    destination = LogDestination(file, clock)
+    destination = LogDestination(file, clock, messages_per_second)
     eliot.add_destinations(destination)
     return destination
--- a/src/waxwingwinch/platform/_main.py
+++ b/src/waxwingwinch/platform/_main.py
@@ -14,6 +14,9 @@
 from waxwingwinch.platform._settings import load_instance_settings, settings_path
 from waxwingwinch.settings import SettingsInvalid, format_findings
 
+#: Log lines of one kind in a second. With about thirty kinds, of which few
+#: come often, an instance writes at most some 100 KB a second.
+MESSAGES_PER_SECOND = 50.0
 #: Longest wait for the last log lines.
 LOG_DRAIN_SECONDS = 0.3
 
@@ -28,7 +31,7 @@
         return 2
     clock = SystemClock()
     logs = LogWriter(sys.stdout.buffer)
-    set_up_logs(logs, clock)  # type: ignore[arg-type]
+    set_up_logs(logs, clock, MESSAGES_PER_SECOND)  # type: ignore[arg-type]
     adapter = PlatformAdapter.from_settings(settings, clock)
     process = GatewayProcess(gateway_options(settings), adapter, clock)
     signal.signal(signal.SIGTERM, lambda *_: process.request_stop())
