Give an engine no work while it changes its stage

Change: changes of stage are told to all instances and held against older entries; while callers ask, stages may differ by one engine; all but one place of a zone is filled while no reclaimable ones are to be had.

--- a/src/waxwingwinch/gateway/_gossip.py
+++ b/src/waxwingwinch/gateway/_gossip.py
@@ -8,7 +8,7 @@
 from attrs import field, frozen
 
 from waxwingwinch._exceptions import PeerUnavailable
-from waxwingwinch._types import CustomerId, InstanceId, UpstreamId
+from waxwingwinch._types import CustomerId, EngineRole, InstanceId, UpstreamId
 from waxwingwinch.codec import message
 from waxwingwinch.gateway._members import Member, MemberDirectory
 from waxwingwinch.gateway._requests import PromptPart
@@ -48,6 +48,22 @@
         return tuple(PromptPart(part_id, tokens) for part_id, tokens in pairs)
 
 
+@message("gateway_stage_switch")
+@frozen
+class StageSwitchReport:
+    """
+    A change of an engine's stage under way.
+
+    :param upstream_id: The engine.
+    :param role: Its new stage.
+    :param left_seconds: Time until it serves again.
+    """
+
+    upstream_id: UpstreamId
+    role: EngineRole
+    left_seconds: float
+
+
 @message("gateway_report")
 @frozen
 class InstanceReport:
@@ -66,6 +82,7 @@
     :param quota_totals: Units admitted since its start, by customer.
     :param usage: Requests that began, by window and customer.
     :param unreachable: Upstreams that it could not reach lately.
+    :param switching: Engines that it ordered to change their stage.
     :param placements: Recent placements of prompts.
     """
 
@@ -80,6 +97,7 @@
     quota_totals: dict[CustomerId, float] = field(factory=dict)
     usage: dict[int, dict[CustomerId, int]] = field(factory=dict)
     unreachable: tuple[UpstreamId, ...] = ()
+    switching: tuple[StageSwitchReport, ...] = ()
     placements: tuple[PromptPlacement, ...] = ()
 
 
--- a/src/waxwingwinch/gateway/_process.py
+++ b/src/waxwingwinch/gateway/_process.py
@@ -21,7 +21,12 @@
 from waxwingwinch.gateway._duty import StewardDuty
 from waxwingwinch.gateway._follower import FollowPlan, TopicFollower
 from waxwingwinch.gateway._front import FrontServer, RequestDecoder
-from waxwingwinch.gateway._gossip import Gossip, InstanceReport, PlacementLog
+from waxwingwinch.gateway._gossip import (
+    Gossip,
+    InstanceReport,
+    PlacementLog,
+    StageSwitchReport,
+)
 from waxwingwinch.gateway._handler import RequestHandler
 from waxwingwinch.gateway._info_server import InfoReply, InfoServer
 from waxwingwinch.gateway._job import RelayTools
@@ -435,6 +440,7 @@
             self._members.put(member)
 
     def _report(self, known_sequence: int) -> InstanceReport:
+        now_seconds = self._clock.now_seconds()
         loads = self._loads.own()
         self._usage_table.heard(self._own.incarnation, self._usage.windows())
         return InstanceReport(
@@ -448,10 +454,21 @@
             running={key: load.running for key, load in loads.items()},
             quota_totals=self._quotas.own_totals(),
             usage=self._usage.windows(),
-            unreachable=self._directory.unreachable(self._clock.now_seconds()),
+            unreachable=self._directory.unreachable(now_seconds),
+            switching=self._switching(now_seconds),
             placements=self._placements.after(known_sequence),
         )
 
+    def _switching(self, now_seconds: float) -> tuple[StageSwitchReport, ...]:
+        if self._steward.held_epoch() is None:
+            return ()
+        return tuple(
+            StageSwitchReport(
+                upstream_id, switch.role, switch.until_seconds - now_seconds
+            )
+            for upstream_id, switch in self._directory.switches(now_seconds).items()
+        )
+
     def _store_age_seconds(self) -> float | None:
         read_seconds = self._upstreams.read_seconds
         if read_seconds is None:
@@ -475,6 +492,10 @@
             self._steward.holder_heard(report.instance_id, now_seconds)
         for upstream_id in report.unreachable:
             self._directory.unreached_elsewhere(upstream_id, now_seconds)
+        for switch in report.switching:
+            self._directory.switch_stage(
+                switch.upstream_id, switch.role, now_seconds + switch.left_seconds
+            )
         for placement in report.placements:
             self._note_placement(placement.upstream_id, placement.parts())
         if report.configuration_version > self._table.version:
--- a/src/waxwingwinch/gateway/_scaling.py
+++ b/src/waxwingwinch/gateway/_scaling.py
@@ -17,10 +17,13 @@
 LASTING_MIN = 1
 #: Places of an availability zone that are left for reclaimable upstreams
 #: while none are to be had, so that they can come back.
-DRY_ROOM = 2
+DRY_ROOM = 1
 #: Engines that can't be reclaimed and generate; with two, the loss of one
 #: more engine leaves an answer to every prompt.
 LASTING_DECODERS_MIN = 2
+#: Engines by which the stages may differ from what is wanted; a change takes
+#: an engine away for seconds and pays only for more.
+STAGE_TOLERANCE = 1
 #: Engines of one stage below which no other is switched away from it.
 STAGE_MIN = 1
 
@@ -126,7 +129,9 @@
     role: EngineRole
 
 
-def wanted_stage_change(upstreams: Sequence[Upstream]) -> StageChange | None:
+def wanted_stage_change(
+    upstreams: Sequence[Upstream], is_idle: bool = False
+) -> StageChange | None:
     """
     Decide which engine changes its stage next.
 
@@ -135,7 +140,10 @@
     leaves prompts that nobody can answer.
 
     :param upstreams: The engines of a service.
+    :param is_idle: True if nothing was asked for yet, so that changes cost
+        nobody anything.
     """
+    tolerance = 0 if is_idle else STAGE_TOLERANCE
     ready = [
         upstream
         for upstream in upstreams
@@ -146,12 +154,12 @@
     wanted = math.floor(len(ready) * PREFILL_SHARE + 0.5)
     wanted = min(max(wanted, STAGE_MIN), max(len(ready) - STAGE_MIN, 0))
     lasting_reader = _surplus_lasting_reader(ready)
-    if lasting_reader is not None:
+    if lasting_reader is not None and (is_idle or not decoders):
         return StageChange(lasting_reader.upstream_id, EngineRole.DECODE)
-    if len(readers) < wanted and len(decoders) > STAGE_MIN:
+    if len(readers) < wanted - tolerance and len(decoders) > STAGE_MIN:
         giver = _giver(decoders, readers, prefer_spot=True)
         return StageChange(giver.upstream_id, EngineRole.PREFILL)
-    if len(readers) > wanted + 1 and len(readers) > STAGE_MIN:
+    if len(readers) > wanted + tolerance and len(readers) > STAGE_MIN:
         giver = _giver(readers, decoders, prefer_spot=False)
         return StageChange(giver.upstream_id, EngineRole.DECODE)
     return None
--- a/src/waxwingwinch/gateway/_steward.py
+++ b/src/waxwingwinch/gateway/_steward.py
@@ -44,6 +44,9 @@
 #: How long reclaimable upstreams count as not to be had after a refusal;
 #: longer than the pause between two orders.
 DRY_SECONDS = 3.0
+#: Time beyond that of a change of stage until the engine gets work again;
+#: its running requests are finished first.
+STAGE_MARGIN_SECONDS = 0.3
 #: Pause between two changes of a stage.
 STAGE_PAUSE_SECONDS = 0.5
 
@@ -277,14 +280,19 @@
         for service in table.configuration.services.values():
             if service.engine is None:
                 continue
-            usable = self._directory.usable(service.name, now_seconds)
-            change = wanted_stage_change(usable)
+            engines = [
+                one for one in self._directory.all() if one.service == service.name
+            ]
+            change = wanted_stage_change(engines, self._usage.is_empty())
             engine = self._directory.get(change.upstream_id) if change else None
             if change is None or engine is None:
                 continue
             self._stage_seconds = now_seconds + STAGE_PAUSE_SECONDS
             self._calls.change_stage(engine, change.role, self._duty.check())
-            self._directory.assume_role(engine, change.role)
+            back_seconds = now_seconds + service.engine.stage_switch_seconds
+            self._directory.switch_stage(
+                engine.upstream_id, change.role, back_seconds + STAGE_MARGIN_SECONDS
+            )
             eliot.log_message(
                 "steward:stage_changed",
                 upstream_id=engine.upstream_id,
--- a/src/waxwingwinch/gateway/_upstreams.py
+++ b/src/waxwingwinch/gateway/_upstreams.py
@@ -81,6 +81,19 @@
     out_until_seconds: float
 
 
+@frozen
+class StageSwitch:
+    """
+    An ordered change of an engine's stage.
+
+    :param role: Its new stage.
+    :param until_seconds: Monotonic time at which it serves again.
+    """
+
+    role: EngineRole
+    until_seconds: float
+
+
 class UpstreamDirectory:
     """The registered upstreams; may be used from all threads."""
 
@@ -91,6 +104,7 @@
         self._lapsed: dict[UpstreamId, float] = {}
         self._troubles: dict[UpstreamId, _Trouble] = {}
         self._unreached: dict[UpstreamId, float] = {}
+        self._switches: dict[UpstreamId, StageSwitch] = {}
         self._lock = threading.Lock()
 
     def put(self, upstream: Upstream) -> Upstream | None:
@@ -111,10 +125,17 @@
                 return known
             if known is not None and upstream.born_ms > known.born_ms:
                 self._troubles.pop(upstream.upstream_id, None)
-            self._upstreams[upstream.upstream_id] = upstream
+            self._upstreams[upstream.upstream_id] = self._as_switched(upstream)
             self._lapsed.pop(upstream.upstream_id, None)
             return known
 
+    def _as_switched(self, upstream: Upstream) -> Upstream:
+        """Return an entry with the stage that was ordered since."""
+        switch = self._switches.get(upstream.upstream_id)
+        if switch is None or switch.role is upstream.role:
+            return upstream
+        return evolve(upstream, role=switch.role)
+
     def remove(self, upstream_id: UpstreamId) -> None:
         """
         Forget an upstream.
@@ -131,6 +152,7 @@
             self._lapsed.pop(upstream_id, None)
             self._troubles.pop(upstream_id, None)
             self._unreached.pop(upstream_id, None)
+            self._switches.pop(upstream_id, None)
 
     def lapse(self, upstream_id: UpstreamId, now_seconds: float) -> None:
         """
@@ -172,16 +194,37 @@
                 drained = evolve(upstream, state=RegisteredState.DRAINING)
                 self._upstreams[upstream.upstream_id] = drained
 
-    def assume_role(self, upstream: Upstream, role: EngineRole) -> None:
+    def switch_stage(
+        self, upstream_id: UpstreamId, role: EngineRole, until_seconds: float
+    ) -> None:
         """
         Note that an engine was ordered to change its stage.
 
-        :param upstream: The engine as it was.
+        It gets no new work until then, and its entries may still name the
+        stage before.
+
+        :param upstream_id: The engine.
         :param role: Its new stage.
+        :param until_seconds: Monotonic time at which it serves again.
         """
         with self._lock:
-            if self._upstreams.get(upstream.upstream_id) == upstream:
-                self._upstreams[upstream.upstream_id] = evolve(upstream, role=role)
+            self._switches[upstream_id] = StageSwitch(role, until_seconds)
+            known = self._upstreams.get(upstream_id)
+            if known is not None:
+                self._upstreams[upstream_id] = evolve(known, role=role)
+
+    def switches(self, now_seconds: float) -> dict[UpstreamId, StageSwitch]:
+        """
+        Return the changes of stages under way.
+
+        :param now_seconds: Monotonic time.
+        """
+        with self._lock:
+            return {
+                upstream_id: switch
+                for upstream_id, switch in self._switches.items()
+                if switch.until_seconds > now_seconds
+            }
 
     def failed(self, upstream_id: UpstreamId, now_seconds: float) -> float:
         """
@@ -294,7 +337,9 @@
         with self._lock:
             for upstream in self._upstreams.values():
                 is_ready = upstream.state is RegisteredState.READY
-                is_wanted = upstream.upstream_id not in excluded
+                switch = self._switches.get(upstream.upstream_id)
+                is_back = switch is None or switch.until_seconds <= now_seconds
+                is_wanted = is_back and upstream.upstream_id not in excluded
                 if upstream.service == service and is_ready and is_wanted:
                     by_role.setdefault(upstream.role, []).append(upstream)
             return tuple(
--- a/src/waxwingwinch/gateway/tests/test_upstreams.py
+++ b/src/waxwingwinch/gateway/tests/test_upstreams.py
@@ -105,6 +105,18 @@
     assert [one.upstream_id for one in directory.usable(SHOP, 0.1, excluded)] == ["p"]
 
 
+def test_an_engine_that_changes_its_stage_gets_no_work_meanwhile():
+    directory = UpstreamDirectory()
+    decoder = evolve(ENTRY, role=EngineRole.DECODE)
+    directory.put(decoder)
+    directory.switch_stage(decoder.upstream_id, EngineRole.PREFILL, 3.0)
+    # Its next entry may still name the stage before.
+    directory.put(evolve(decoder, sequence=9))
+    assert usable(directory, 2.9) == []
+    (engine,) = directory.usable(SHOP, 3.0)
+    assert engine.role is EngineRole.PREFILL
+
+
 def test_an_address_that_answers_for_another_is_not_used():
     directory = UpstreamDirectory()
     directory.put(ENTRY)
