--- a/src/waxwingwinch/gateway/_handler.py
+++ b/src/waxwingwinch/gateway/_handler.py
@@ -7,7 +7,12 @@
 from waxwingwinch.gateway._connections import Cancellation
 from waxwingwinch.gateway._generation_relay import GenerationRelay
 from waxwingwinch.gateway._job import Job, RelayTools
-from waxwingwinch.gateway._model import CustomerRules, QuotaUnit, Route
+from waxwingwinch.gateway._model import (
+    CustomerRules,
+    QuotaUnit,
+    RequestKind,
+    Route,
+)
 from waxwingwinch.gateway._outcomes import (
     CallerLost,
     RefusalReason,
@@ -16,11 +21,13 @@
 )
 from waxwingwinch.gateway._plain_relay import PlainRelay
 from waxwingwinch.gateway._quota import QuotaBook
-from waxwingwinch.gateway._requests import GatewayRequest
+from waxwingwinch.gateway._requests import GatewayRequest, Prompt
 from waxwingwinch.gateway._routes import RouteTable, choose_service
 from waxwingwinch.gateway._tables import CurrentTable
 from waxwingwinch.gateway._watcher import CallerWatcher
 
+#: Stands in for the prompt of a stream that announces none.
+NO_PROMPT = Prompt("", 0, 0)
 #: Time kept for the answer's way back to the caller.
 ANSWER_MARGIN_SECONDS = 0.02
 #: When to come back to an instance that has no configuration yet.
@@ -117,8 +124,10 @@
         )
 
     def _relay(self, job: Job, responder: Responder) -> None:
-        if job.service.engine is not None and job.request.prompt is not None:
-            self._generations.serve(job, job.request.prompt, responder)
+        prompt = job.request.prompt
+        is_generation = job.service.engine is not None and prompt is not None
+        if job.route.kind is RequestKind.STREAMING or is_generation:
+            self._generations.serve(job, prompt or NO_PROMPT, responder)
         else:
             self._plain.serve(job, responder)
 
--- /dev/null
+++ b/src/waxwingwinch/platform/tests/standin.py
@@ -0,0 +1,307 @@
+"""A store and upstreams that speak the platform's protocol, for tests."""
+
+import base64
+import json
+import socket
+import struct
+import subprocess
+import sys
+import threading
+import time
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from pathlib import Path
+from typing import Any
+from urllib.parse import parse_qs, urlsplit
+
+SOURCE = Path(__file__).resolve().parents[3]
+HOST = "127.0.0.1"
+KEY = "key-alice"
+WAIT_SECONDS = 15.0
+
+
+def wait_until(predicate, timeout_seconds=WAIT_SECONDS):
+    """Wait for a condition and return whether it came true."""
+    end_seconds = time.monotonic() + timeout_seconds
+    while time.monotonic() < end_seconds:
+        if predicate():
+            return True
+        time.sleep(0.02)
+    return bool(predicate())
+
+
+class QuietHandler(BaseHTTPRequestHandler):
+    protocol_version = "HTTP/1.1"
+    owner: Any
+
+    def log_message(self, format, *arguments):
+        """Keep the output of the tests clean."""
+
+    def answer(self, status, body=b"", headers=()):
+        self.send_response(status)
+        for name, value in headers:
+            self.send_header(name, value)
+        self.send_header("Content-Length", str(len(body)))
+        try:
+            self.end_headers()
+            self.wfile.write(body)
+        except OSError:
+            self.close_connection = True
+
+    def body(self):
+        return self.rfile.read(int(self.headers.get("Content-Length", 0)))
+
+
+class Standin:
+    """A server in threads of the test's process."""
+
+    handler: type[BaseHTTPRequestHandler]
+
+    def __init__(self):
+        outer = self
+
+        class Handler(self.handler):  # type: ignore[name-defined,misc]
+            owner = outer
+
+        self.server = ThreadingHTTPServer((HOST, 0), Handler)
+        self.server.daemon_threads = True
+        self.port = self.server.server_address[1]
+        threading.Thread(target=self.server.serve_forever, daemon=True).start()
+
+    def stop(self):
+        self.server.shutdown()
+        self.server.server_close()
+
+
+class StoreHandler(QuietHandler):
+    def do_GET(self):
+        self.route()
+
+    def do_POST(self):
+        self.route()
+
+    def route(self):
+        body = self.body()
+        if self.owner.is_down:
+            self.answer(503)
+            return
+        url = urlsplit(self.path)
+        query = {key: values[0] for key, values in parse_qs(url.query).items()}
+        match url.path:
+            case "/v1/log-append":
+                self.append(query, body)
+            case "/v1/log-read":
+                self.read(query)
+            case "/v1/log-newest":
+                self.newest(query)
+            case _:
+                self.answer(404)
+
+    def append(self, query, body):
+        records = []
+        while body:
+            (length,) = struct.unpack_from(">I", body)
+            records.append(body[4 : 4 + length])
+            body = body[4 + length :]
+        with self.owner.changed:
+            topic = self.owner.topics.setdefault(query["topic"], [])
+            end = len(topic)
+            if "at" in query and int(query["at"]) != end:
+                self.answer(412, json.dumps({"end": end}).encode())
+                return
+            topic.extend(records)
+            self.owner.changed.notify_all()
+        reply = {"offset": end, "end": end + len(records)}
+        self.answer(200, json.dumps(reply).encode())
+
+    def read(self, query):
+        start = int(query["from"])
+        wait_seconds = int(query.get("waitMs", 0)) / 1_000
+        with self.owner.changed:
+            topic = self.owner.topics.setdefault(query["topic"], [])
+            self.owner.changed.wait_for(lambda: len(topic) > start, wait_seconds)
+            records = list(topic)
+        page = struct.pack(">QQ", len(records), 0)
+        for record in records[start:]:
+            page += struct.pack(">I", len(record)) + record
+        self.answer(200, page)
+
+    def newest(self, query):
+        newest = {}
+        with self.owner.changed:
+            topic = list(self.owner.topics.get(query["topic"], []))
+        for offset, record in enumerate(topic):
+            key, value = split_keyed(record)
+            if value:
+                newest[key] = (value, offset)
+            else:
+                newest.pop(key, None)
+        items = [
+            {
+                "key": key,
+                "value": base64.b64encode(value).decode(),
+                "offset": offset,
+            }
+            for key, (value, offset) in newest.items()
+        ]
+        reply = {"items": items, "hasMore": False, "end": len(topic)}
+        self.answer(200, json.dumps(reply).encode())
+
+
+def split_keyed(record):
+    """Return key and value of a record of a keyed topic."""
+    length = record[0]
+    return record[1 : 1 + length].decode(), record[1 + length :]
+
+
+class StoreStandin(Standin):
+    """The platform's store."""
+
+    handler = StoreHandler
+
+    def __init__(self):
+        self.topics = {}
+        self.changed = threading.Condition()
+        self.is_down = False
+        super().__init__()
+
+    def put(self, topic, key, value):
+        encoded = key.encode()
+        payload = json.dumps(value).encode() if value is not None else b""
+        record = bytes([len(encoded)]) + encoded + payload
+        with self.changed:
+            self.topics.setdefault(f"keyed.{topic}", []).append(record)
+            self.changed.notify_all()
+
+
+class UpstreamHandler(QuietHandler):
+    def do_GET(self):
+        self.serve()
+
+    def do_POST(self):
+        self.serve()
+
+    def serve(self):
+        body = self.body()
+        owner = self.owner
+        request_id = self.headers["X-Waxwingwinch-Request-Id"]
+        owner.requests.append((self.path, dict(self.headers.items()), body))
+        signed = (
+            ("X-Waxwingwinch-Request-Id", request_id),
+            ("X-Waxwingwinch-Response-Stamp", f"stamp-{owner.name}"),
+        )
+        if self.path.endswith("/stream"):
+            self.stream(signed)
+            return
+        time.sleep(owner.work_seconds)
+        self.answer(200, b"from " + owner.name.encode(), signed)
+
+    def stream(self, signed):
+        self.send_response(200)
+        for name, value in signed:
+            self.send_header(name, value)
+        self.send_header("Content-Type", "text/event-stream")
+        self.send_header("Transfer-Encoding", "chunked")
+        self.end_headers()
+        try:
+            for number in range(1, self.owner.events + 1):
+                event = b"id: %d\ndata: t\n\n" % number
+                self.wfile.write(b"%x\r\n%b\r\n" % (len(event), event))
+                time.sleep(self.owner.pause_seconds)
+            self.wfile.write(b"0\r\n\r\n")
+            self.owner.finished += 1
+        except OSError:
+            self.owner.broken += 1
+
+
+class UpstreamStandin(Standin):
+    """An upstream of a plain service."""
+
+    handler = UpstreamHandler
+
+    def __init__(self, name):
+        self.name = name
+        self.requests = []
+        self.work_seconds = 0.0
+        self.events = 5
+        self.pause_seconds = 0.01
+        self.finished = 0
+        self.broken = 0
+        self.sequence = 0
+        super().__init__()
+
+    def register(self, store, state="ready"):
+        self.sequence += 1
+        entry = {
+            "service": "shop",
+            "address": f"{HOST}:{self.port}",
+            "zone": "north",
+            "slots": 6,
+            "state": state,
+            "coldLeftMs": 0,
+            "seqNo": self.sequence,
+            "born": 1_000,
+        }
+        store.put("servers", self.name, entry)
+
+
+def make_configuration(version, keys=(KEY,), prefix="/a/"):
+    """Return a configuration with a plain and a streaming route."""
+    route = {
+        "host": "shop.example",
+        "timeoutMs": 4000,
+        "sloMs": 500,
+        "service": "shop",
+        "attempts": 2,
+    }
+    return {
+        "version": version,
+        "routes": [
+            {**route, "name": "r", "pathPrefix": prefix, "routeKind": "idempotent"},
+            {**route, "name": "s", "pathPrefix": "/s/", "routeKind": "streaming"},
+        ],
+        "services": [{"name": "shop", "maxConns": 100}],
+        "limits": {"maxBodyBytes": 10_000},
+        "tenants": [{"name": "alice", "apiKeys": list(keys)}],
+    }
+
+
+def free_ports(count):
+    """Return ports that nobody listens on."""
+    sockets = [socket.socket() for _ in range(count)]
+    for one in sockets:
+        one.bind((HOST, 0))
+    ports = [one.getsockname()[1] for one in sockets]
+    for one in sockets:
+        one.close()
+    return sorted(ports)
+
+
+class Gateway:
+    """The real program with a settings file of its own."""
+
+    def __init__(self, folder, store, name):
+        first, second, self.front, self.ready, self.directory = free_ports(5)
+        self.metrics = second
+        settings = folder / f"{name}.conf"
+        settings.write_text(
+            f"nodeName={name}\nzone=north\nzones.north=region\nip={HOST}\n"
+            f"listen.front={HOST}:{self.front}\n"
+            f"listen.readyAddr={HOST}:{self.ready}\n"
+            f"listen.directoryAddr={HOST}:{self.directory}\n"
+            f"portRange={first},{second}\nfirstStart=true\n"
+            f"platform.address={HOST}:{store.port}\nbounds.graceS=4\n"
+        )
+        self.log = (folder / f"{name}.log").open("wb")
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", "waxwingwinch.platform", str(settings)],
+            cwd=SOURCE,
+            env={"PYTHONPATH": str(SOURCE)},
+            stdout=self.log,
+            stderr=subprocess.STDOUT,
+        )
+
+    def stop(self):
+        if self.process.poll() is None:
+            self.process.kill()
+        self.process.wait()
+        self.log.close()
