Split the gateway's process by what its parts do

Change: state, record intake, report exchange, answers and joining in modules of their own; behaviour as before.

--- a/src/waxwingwinch/gateway/__init__.py
+++ b/src/waxwingwinch/gateway/__init__.py
@@ -26,11 +26,8 @@
     ServiceRules,
     WeightedService,
 )
-from waxwingwinch.gateway._process import (
-    GatewayAdapter,
-    GatewayOptions,
-    GatewayProcess,
-)
+from waxwingwinch.gateway._options import GatewayAdapter, GatewayOptions
+from waxwingwinch.gateway._process import GatewayProcess
 from waxwingwinch.gateway._requests import (
     AnswerHead,
     GatewayRequest,
--- /dev/null
+++ b/src/waxwingwinch/gateway/_answers.py
@@ -0,0 +1,117 @@
+"""Answers to questions about the instance."""
+
+from collections.abc import Callable
+from urllib.parse import parse_qs
+
+from waxwingwinch.gateway._info_server import InfoReply
+from waxwingwinch.gateway._members import addresses_for
+from waxwingwinch.gateway._options import GatewayAdapter
+from waxwingwinch.gateway._state import GatewayState
+from waxwingwinch.gateway._telemetry import Gauge
+from waxwingwinch.kernel import Clock
+
+#: Time for which callers may use an answer about addresses.
+ADDRESS_LIFE_SECONDS = 1.0
+#: Path of the metrics.
+METRICS_PATH = "/metrics"
+#: Value of a gauge that is not known.
+UNKNOWN = -1.0
+
+
+class InstanceAnswers:
+    """
+    Tells whether the instance is ready, whom to connect to, and its metrics.
+
+    :param state: The state of the process.
+    :param adapter: Spells questions and answers about addresses.
+    :param clock: Source of the present time.
+    :param under_way: Returns the number of requests that are being served.
+    :param held_epoch: Returns the epoch of the duty if it is held here.
+    :param store_age_seconds: Returns how long ago the store was read.
+    """
+
+    def __init__(
+        self,
+        state: GatewayState,
+        adapter: GatewayAdapter,
+        clock: Clock,
+        under_way: Callable[[], int],
+        held_epoch: Callable[[], int | None],
+        store_age_seconds: Callable[[], float | None],
+    ) -> None:
+        self._state = state
+        self._adapter = adapter
+        self._clock = clock
+        self._under_way = under_way
+        self._held_epoch = held_epoch
+        self._store_age_seconds = store_age_seconds
+
+    def ready(self, path: str, query: str) -> InfoReply:
+        """
+        Answer whether the instance takes callers.
+
+        :param path: Unused; every path asks the same.
+        :param query: Unused.
+        """
+        is_ready = self._state.is_ready
+        return InfoReply("200 OK" if is_ready else "503 Service Unavailable")
+
+    def resolve(self, path: str, query: str) -> InfoReply:
+        """
+        Answer which addresses a caller may use.
+
+        :param path: Path of the question.
+        :param query: Its query.
+        """
+        zone = self._adapter.read_resolve(path, parse_qs(query))
+        if zone is None:
+            return InfoReply("404 Not Found")
+        now_seconds = self._clock.now_seconds()
+        candidates = list(self._state.members.ready_others(now_seconds))
+        if self._state.is_ready:
+            candidates.append(self._state.own)
+        if not candidates:
+            return InfoReply("503 Service Unavailable")
+        addresses = addresses_for(zone, candidates)
+        body = self._adapter.encode_resolve(addresses, ADDRESS_LIFE_SECONDS)
+        return InfoReply("200 OK", body)
+
+    def metrics(self, path: str, query: str) -> InfoReply:
+        """
+        Answer with the metrics.
+
+        :param path: Path of the question.
+        :param query: Unused.
+        """
+        if path != METRICS_PATH:
+            return InfoReply("404 Not Found")
+        text = self._state.telemetry.text(self._gauges())
+        return InfoReply("200 OK", text, "text/plain; version=0.0.4")
+
+    def _gauges(self) -> list[Gauge]:
+        now_seconds = self._clock.now_seconds()
+        epoch = self._held_epoch()
+        age_seconds = self._store_age_seconds()
+        heard = len(self._state.members.ready_others(now_seconds))
+        return [
+            Gauge("waxwing_configuration_version", (), self._state.table.version),
+            Gauge("waxwing_requests_under_way", (), self._under_way()),
+            Gauge("waxwing_duty_epoch", (), UNKNOWN if epoch is None else epoch),
+            Gauge(
+                "waxwing_store_age_seconds",
+                (),
+                UNKNOWN if age_seconds is None else age_seconds,
+            ),
+            Gauge("waxwing_instances_heard", (), heard),
+            *self._upstream_gauges(),
+        ]
+
+    def _upstream_gauges(self) -> list[Gauge]:
+        counts: dict[tuple[str, str], int] = {}
+        for upstream in self._state.directory.all():
+            key = (upstream.service, upstream.state.value)
+            counts[key] = counts.get(key, 0) + 1
+        return [
+            Gauge("waxwing_upstreams", (("service", service), ("state", state)), count)
+            for (service, state), count in counts.items()
+        ]
--- /dev/null
+++ b/src/waxwingwinch/gateway/_joining.py
@@ -0,0 +1,67 @@
+"""Becoming known to the other instances."""
+
+import secrets
+import time
+from collections.abc import Callable
+from typing import TypeVar
+
+import eliot
+
+from waxwingwinch._exceptions import PlatformRefused, PlatformUnavailable
+from waxwingwinch.codec import encode_message
+from waxwingwinch.gateway._members import Member
+from waxwingwinch.gateway._store import AppendConflict, PlatformStore
+
+#: Topic of the instances' records.
+MEMBERS_TOPIC = "members"
+#: Topic of the secret that the instances share.
+SECRET_TOPIC = "peer-secret"
+#: Key of that secret.
+SECRET_KEY = "secret"
+#: Pause before the store is asked again for what a start needs.
+START_PAUSE_SECONDS = 0.2
+#: Bytes of the secret.
+SECRET_BYTES = 16
+
+T = TypeVar("T")
+
+
+def shared_secret(store: PlatformStore) -> str:
+    """
+    Return the secret that all instances share, making it if there is none.
+
+    :param store: The platform's store.
+    """
+    proposal = secrets.token_hex(SECRET_BYTES).encode()
+
+    def read_or_propose() -> str:
+        try:
+            store.put_first(SECRET_TOPIC, SECRET_KEY, proposal)
+        except AppendConflict:
+            eliot.log_message("gateway:secret_exists")
+        for record in store.snapshot(SECRET_TOPIC).records:
+            if record.key == SECRET_KEY and record.value is not None:
+                return record.value.decode()
+        raise PlatformUnavailable("the store holds no shared secret", False)
+
+    return _until_answered(read_or_propose)
+
+
+def publish_member(store: PlatformStore, member: Member) -> None:
+    """
+    Write this instance's record.
+
+    :param store: The platform's store.
+    :param member: The record.
+    """
+    payload = encode_message(member)
+    _until_answered(lambda: store.put(MEMBERS_TOPIC, member.instance_id, payload))
+
+
+def _until_answered(call: Callable[[], T]) -> T:
+    while True:
+        try:
+            return call()
+        except (PlatformUnavailable, PlatformRefused) as error:
+            eliot.log_message("store:unanswered", reason=str(error))
+            time.sleep(START_PAUSE_SECONDS)
--- /dev/null
+++ b/src/waxwingwinch/gateway/_records.py
@@ -0,0 +1,131 @@
+"""Taking in the records of the platform's store."""
+
+import eliot
+
+from waxwingwinch._exceptions import MalformedMessage
+from waxwingwinch._types import InstanceId, UpstreamId
+from waxwingwinch.codec import decode_message
+from waxwingwinch.gateway._members import Member
+from waxwingwinch.gateway._options import GatewayAdapter
+from waxwingwinch.gateway._state import GatewayState
+from waxwingwinch.gateway._store import KeyedRecord
+from waxwingwinch.kernel import Clock
+
+
+class RecordIntake:
+    """
+    Applies records to the state of the process.
+
+    :param state: The state.
+    :param adapter: Decodes the records.
+    :param clock: Source of the present time.
+    """
+
+    def __init__(
+        self, state: GatewayState, adapter: GatewayAdapter, clock: Clock
+    ) -> None:
+        self._state = state
+        self._adapter = adapter
+        self._clock = clock
+
+    def apply_configuration(self, record: KeyedRecord) -> None:
+        """
+        Take in a record of the configuration's topic.
+
+        :param record: The record.
+        """
+        if record.key == self._adapter.configuration_key and record.value:
+            self.put_configuration(record.value)
+
+    def put_configuration(self, payload: bytes) -> None:
+        """
+        Put a version in force unless it is malformed or older.
+
+        :param payload: The version as the store holds it.
+        """
+        try:
+            configuration = self._adapter.decode_configuration(payload)
+        except MalformedMessage as error:
+            eliot.log_message("configuration:malformed", reason=str(error))
+            return
+        if self._state.table.publish(configuration):
+            self._state.configuration_payload = payload
+
+    def apply_upstream(self, record: KeyedRecord) -> None:
+        """
+        Take in an upstream's entry, or its removal.
+
+        :param record: The record.
+        """
+        upstream_id = UpstreamId(record.key)
+        if record.value is None:
+            self._drop_upstream(upstream_id)
+            return
+        now_seconds = self._clock.now_seconds()
+        try:
+            upstream = self._adapter.decode_upstream(
+                record.key, record.value, now_seconds
+            )
+        except MalformedMessage as error:
+            eliot.log_message("upstream:malformed", reason=str(error))
+            self._drop_upstream(upstream_id)
+            return
+        before = self._state.directory.put(upstream)
+        if before is not None and before.born_ms != upstream.born_ms:
+            self._state.prefixes.forget(upstream_id)
+        if before is None or before.state is not upstream.state:
+            eliot.log_message(
+                "upstream:registered",
+                upstream_id=upstream_id,
+                service=upstream.service,
+                zone=upstream.zone,
+                state=upstream.state.value,
+                role=upstream.role.value if upstream.role else None,
+                is_spot=upstream.is_spot,
+                offset=record.offset,
+            )
+
+    def keep_upstreams(self, keys: frozenset[str]) -> None:
+        """
+        Drop the upstreams that a snapshot does not name.
+
+        :param keys: The keys of the snapshot.
+        """
+        for upstream in self._state.directory.all():
+            if upstream.upstream_id not in keys:
+                self._drop_upstream(upstream.upstream_id)
+
+    def expire_upstreams(self) -> None:
+        """Forget the entries that lapsed and did not come back."""
+        now_seconds = self._clock.now_seconds()
+        for upstream_id in self._state.directory.expire_lapsed(now_seconds):
+            eliot.log_message("upstream:lapsed", upstream_id=upstream_id)
+
+    def apply_member(self, record: KeyedRecord) -> None:
+        """
+        Take in an instance's record, or its removal.
+
+        :param record: The record.
+        """
+        if record.value is None:
+            self._state.members.remove(InstanceId(record.key))
+            return
+        try:
+            member = decode_message(record.value)
+        except MalformedMessage as error:
+            eliot.log_message("member:malformed", reason=str(error))
+            return
+        if isinstance(member, Member):
+            self._state.members.put(member)
+
+    def _drop_upstream(self, upstream_id: UpstreamId) -> None:
+        now_seconds = self._clock.now_seconds()
+        may_be_back = self._state.outage.may_have_lapsed(now_seconds)
+        if may_be_back:
+            self._state.directory.lapse(upstream_id, now_seconds)
+        else:
+            self._state.directory.remove(upstream_id)
+        self._state.prefixes.forget(upstream_id)
+        eliot.log_message(
+            "upstream:entry_gone", upstream_id=upstream_id, may_be_back=may_be_back
+        )
--- /dev/null
+++ b/src/waxwingwinch/gateway/_reports.py
@@ -0,0 +1,148 @@
+"""Making this instance's reports and taking in those of the others."""
+
+from collections.abc import Callable
+
+import eliot
+
+from waxwingwinch._exceptions import MalformedMessage, PeerUnavailable
+from waxwingwinch._types import InstanceId
+from waxwingwinch.gateway._gossip import (
+    InstanceReport,
+    PromptPlacement,
+    StageSwitchReport,
+)
+from waxwingwinch.gateway._loads import UpstreamLoad
+from waxwingwinch.gateway._records import RecordIntake
+from waxwingwinch.gateway._state import GatewayState
+from waxwingwinch.gateway._steward import Steward
+from waxwingwinch.kernel import Clock
+
+#: Longest wait for a peer's configuration.
+ASK_SECONDS = 1.0
+
+#: Asks a peer for the newest configuration, within a time in seconds.
+AskConfiguration = Callable[[InstanceId, float], bytes]
+
+
+class ReportExchange:
+    """
+    Turns the state into reports, and reports into state.
+
+    :param state: The state of the process.
+    :param steward: Stands for the duty.
+    :param intake: Puts configurations in force.
+    :param read_seconds: Returns when the upstreams' entries were last read.
+    :param clock: Source of the present time.
+    """
+
+    def __init__(
+        self,
+        state: GatewayState,
+        steward: Steward,
+        intake: RecordIntake,
+        read_seconds: Callable[[], float | None],
+        clock: Clock,
+    ) -> None:
+        self._state = state
+        self._steward = steward
+        self._intake = intake
+        self._read_seconds = read_seconds
+        self._clock = clock
+
+    def make(self, known_sequence: int) -> InstanceReport:
+        """
+        Build a report.
+
+        :param known_sequence: The last placement that the peer knows.
+        """
+        state, now_seconds = self._state, self._clock.now_seconds()
+        loads = state.loads.own()
+        usage = state.usage.windows()
+        state.usage_table.heard(state.own.incarnation, usage)
+        return InstanceReport(
+            instance_id=state.own.instance_id,
+            incarnation=state.own.incarnation,
+            is_ready=state.is_ready,
+            configuration_version=state.table.version,
+            held_epoch=self._steward.held_epoch(),
+            store_age_seconds=self.store_age_seconds(),
+            waiting_tokens={key: load.waiting_tokens for key, load in loads.items()},
+            running={key: load.running for key, load in loads.items()},
+            quota_totals=state.quotas.own_totals(),
+            usage=usage,
+            unreachable=state.directory.unreachable(now_seconds),
+            switching=self._switching(now_seconds),
+            placements=state.placements.after(known_sequence),
+        )
+
+    def store_age_seconds(self) -> float | None:
+        """Return how long ago the store was read; None if it never was."""
+        read_seconds = self._read_seconds()
+        if read_seconds is None:
+            return None
+        return self._clock.now_seconds() - read_seconds
+
+    def apply(self, report: InstanceReport, ask: AskConfiguration) -> None:
+        """
+        Take in a report.
+
+        :param report: The report.
+        :param ask: Asks its sender for a newer configuration.
+        """
+        state, now_seconds = self._state, self._clock.now_seconds()
+        state.members.heard(report.instance_id, report.is_ready, now_seconds)
+        loads = {
+            key: UpstreamLoad(report.waiting_tokens.get(key, 0), running)
+            for key, running in report.running.items()
+        }
+        state.loads.heard(report.instance_id, loads, now_seconds)
+        state.quotas.heard(report.incarnation, report.quota_totals, now_seconds)
+        state.usage_table.heard(report.incarnation, report.usage)
+        state.budget.set_instances(state.members.sharing_count(now_seconds))
+        if report.store_age_seconds is not None:
+            state.outage.peer_read(report.store_age_seconds, now_seconds)
+        if report.held_epoch is not None:
+            self._steward.holder_heard(report.instance_id, now_seconds)
+        for upstream_id in report.unreachable:
+            state.directory.unreached_elsewhere(upstream_id, now_seconds)
+        for switch in report.switching:
+            state.directory.switch_stage(
+                switch.upstream_id, switch.role, now_seconds + switch.left_seconds
+            )
+        for placement in report.placements:
+            self._note_placement(placement)
+        if report.configuration_version > state.table.version:
+            self._fetch_configuration(report.instance_id, ask)
+
+    def _switching(self, now_seconds: float) -> tuple[StageSwitchReport, ...]:
+        if self._steward.held_epoch() is None:
+            return ()
+        switches = self._state.directory.switches(now_seconds)
+        return tuple(
+            StageSwitchReport(
+                upstream_id, switch.role, switch.until_seconds - now_seconds
+            )
+            for upstream_id, switch in switches.items()
+        )
+
+    def _note_placement(self, placement: PromptPlacement) -> None:
+        upstream = self._state.directory.get(placement.upstream_id)
+        table = self._state.table.get()
+        if upstream is None or table is None:
+            return
+        service = table.configuration.services.get(upstream.service)
+        if service is not None and service.engine is not None:
+            self._state.prefixes.used(
+                placement.upstream_id,
+                placement.parts(),
+                service.engine.kv_capacity_tokens,
+            )
+
+    def _fetch_configuration(self, peer: InstanceId, ask: AskConfiguration) -> None:
+        try:
+            payload = ask(peer, ASK_SECONDS)
+        except (PeerUnavailable, MalformedMessage) as error:
+            eliot.log_message("configuration:unanswered", reason=str(error))
+            return
+        if payload:
+            self._intake.put_configuration(payload)
