--- a/src/waxwingwinch/gateway/__init__.py
+++ b/src/waxwingwinch/gateway/__init__.py
@@ -13,6 +13,7 @@
 )
 from waxwingwinch.gateway._front import RawRequest, RequestDecoder
 from waxwingwinch.gateway._heads import MalformedRequest
+from waxwingwinch.gateway._log_writer import LogWriter
 from waxwingwinch.gateway._members import Member
 from waxwingwinch.gateway._model import (
     CallerLimits,
@@ -68,6 +69,7 @@
     "GatewayRequest",
     "KeyedRecord",
     "KeyedSnapshot",
+    "LogWriter",
     "MalformedRequest",
     "Member",
     "PlatformStore",
--- a/src/waxwingwinch/gateway/_process.py
+++ b/src/waxwingwinch/gateway/_process.py
@@ -114,6 +114,18 @@
         """Begin a planned stop; may be called from a signal handler."""
         self._state.stopping.set()
 
+    def update(self, options: GatewayOptions) -> None:
+        """
+        Follow changed bounds; addresses of its own need a new start.
+
+        :param options: The new options.
+        """
+        self._options = options
+        self._state.budget.set_terms(
+            options.retry_ratio, options.retry_slack, options.retry_window_seconds
+        )
+        self._state.quotas.set_slack(options.quota_slack_units)
+
     def _make_handler(self) -> RequestHandler:
         state = self._state
         tools = RelayTools(
--- a/src/waxwingwinch/gateway/_quota.py
+++ b/src/waxwingwinch/gateway/_quota.py
@@ -81,6 +81,15 @@
         self._peers: dict[str, _Peer] = {}
         self._lock = threading.Lock()
 
+    def set_slack(self, slack_units: float) -> None:
+        """
+        Follow a changed bound.
+
+        :param slack_units: How far the quota may be exceeded for a short time.
+        """
+        with self._lock:
+            self._reserve_units = slack_units * SLACK_SHARE
+
     def admit(
         self, customer: CustomerRules, cost: float, now_seconds: float
     ) -> float | None:
--- a/src/waxwingwinch/gateway/_retry_budget.py
+++ b/src/waxwingwinch/gateway/_retry_budget.py
@@ -39,6 +39,19 @@
         self._accounts: dict[str, _Account] = {}
         self._lock = threading.Lock()
 
+    def set_terms(self, ratio: float, slack: float, window_seconds: float) -> None:
+        """
+        Follow changed bounds.
+
+        :param ratio: Repeats allowed for each request.
+        :param slack: Repeats allowed besides, by all instances in one window.
+        :param window_seconds: The window.
+        """
+        with self._lock:
+            self._ratio = ratio
+            self._slack = slack
+            self._window_seconds = window_seconds
+
     def set_instances(self, count: int) -> None:
         """
         Note how many instances share the slack.
--- a/src/waxwingwinch/platform/_adapter.py
+++ b/src/waxwingwinch/platform/_adapter.py
@@ -57,6 +57,15 @@
             PlatformRequestDecoder(),
         )
 
+    def update(self, settings: InstanceSettings) -> None:
+        """
+        Follow changed addresses of the platform.
+
+        :param settings: The new settings.
+        """
+        self.store.address = settings.store_address
+        self.steward_calls.address = settings.orders_address
+
     def decode_configuration(self, payload: bytes) -> GatewayConfiguration:
         """
         Decode a version of the configuration.
--- a/src/waxwingwinch/platform/_steward_calls.py
+++ b/src/waxwingwinch/platform/_steward_calls.py
@@ -1,6 +1,6 @@
 """The calls that only the holder of the steward's duty makes."""
 
-from attrs import frozen
+from attrs import define
 
 from waxwingwinch._exceptions import PlatformRefused, PlatformUnavailable
 from waxwingwinch._types import Address, CustomerId, EngineRole, InstanceId
@@ -24,7 +24,7 @@
 CALL_SECONDS = 0.7
 
 
-@frozen
+@define(eq=False)
 class PlatformStewardCalls:
     """
     Reports usage and gives orders.
--- a/src/waxwingwinch/platform/_store.py
+++ b/src/waxwingwinch/platform/_store.py
@@ -8,7 +8,7 @@
 from typing import Any
 from urllib.parse import urlencode
 
-from attrs import frozen
+from attrs import define
 
 from waxwingwinch._exceptions import (
     PlatformRefused,
@@ -40,7 +40,7 @@
 _PAGE_HEAD = struct.Struct(">QQ")
 
 
-@frozen
+@define(eq=False)
 class PlatformStoreClient:
     """
     Calls the store, each time on a connection of its own.
--- a/src/waxwingwinch/platform/tests/test_program.py
+++ b/src/waxwingwinch/platform/tests/test_program.py
@@ -4,6 +4,8 @@
 import json
 import signal
 import socket
+import subprocess
+import sys
 import time
 
 import pytest
@@ -11,6 +13,7 @@
 from waxwingwinch.platform.tests.standin import (
     HOST,
     KEY,
+    SOURCE,
     Gateway,
     StoreStandin,
     UpstreamStandin,
@@ -191,6 +194,34 @@
     assert world.gateways[0].process.wait(6.0) == 0
 
 
+def test_a_changed_settings_file_does_not_cut_requests(world):
+    world.begin()
+    gateway = world.gateways[0]
+    for upstream in world.upstreams:
+        upstream.work_seconds = 0.5
+    connection = http.client.HTTPConnection(HOST, gateway.front, timeout=5.0)
+    connection.request("POST", "/a/x", b"", world.headers())
+    path = world.folder / "edge-0.conf"
+    path.write_text(path.read_text() + "bounds.retrySlack=7\n")
+    gateway.process.send_signal(signal.SIGHUP)
+    assert connection.getresponse().status == 200
+    connection.close()
+    log = world.folder / "edge-0.log"
+    assert wait_until(lambda: b"settings:reloaded" in log.read_bytes(), 3.0)
+    assert world.ask()[0] == 200
+
+
+def test_mistakes_of_the_settings_end_the_program(tmp_path):
+    file = tmp_path / "bad.conf"
+    file.write_text("nodeName=\n")
+    command = [sys.executable, "-m", "waxwingwinch.platform", str(file), "--check"]
+    done = subprocess.run(
+        command, cwd=SOURCE, capture_output=True, text=True, check=False
+    )
+    assert done.returncode == 2
+    assert "bad.conf:1:1: nodeName" in done.stderr
+
+
 def test_callers_are_told_of_all_instances_that_take_them(world):
     world.begin(gateways=2)
 
--- a/src/waxwingwinch/platform/tests/test_settings.py
+++ b/src/waxwingwinch/platform/tests/test_settings.py
@@ -5,7 +5,11 @@
 import pytest
 
 from waxwingwinch._types import Address
-from waxwingwinch.platform._settings import parse_instance_settings
+from waxwingwinch.platform._reload import SettingsReloader
+from waxwingwinch.platform._settings import (
+    InstanceSettings,
+    parse_instance_settings,
+)
 from waxwingwinch.settings import SettingsInvalid, format_findings
 
 FILE = Path("boot.conf")
@@ -41,6 +45,22 @@
     assert settings.orders_address == Address("10.200.0.35", 8225)
 
 
+def test_changed_settings_are_applied_and_mistakes_change_nothing(tmp_path):
+    file = tmp_path / "boot.conf"
+    file.write_text(GOOD)
+    applied: list[InstanceSettings] = []
+    reloader = SettingsReloader(file, applied.append)
+    assert not reloader.look()
+    file.write_text(GOOD.replace("10.200.1.7:8225", "10.200.1.8:8225"))
+    assert reloader.look()
+    assert applied[0].store_address == Address("10.200.1.8", 8225)
+    file.write_text("nonsense")
+    assert not reloader.look()
+    file.unlink()
+    assert not reloader.look()
+    assert len(applied) == 1
+
+
 def test_a_platform_without_orders_is_accepted():
     text = GOOD.replace("cloud.address=10.200.0.35:8225\n", "")
     assert parse_instance_settings(text, FILE).orders_address is None
