--- a/src/waxwingwinch/gateway/_prefixes.py
+++ b/src/waxwingwinch/gateway/_prefixes.py
@@ -8,7 +8,7 @@
 
 #: Share of an engine's KV cache that is counted on for prompt parts; the
 #: rest is taken by running requests and by parts that are used only once.
-CACHED_SHARE = 0.7
+CACHED_SHARE = 0.9
 
 
 class PrefixIndex:
--- a/src/waxwingwinch/gateway/tests/test_placement.py
+++ b/src/waxwingwinch/gateway/tests/test_placement.py
@@ -145,7 +145,7 @@
     assert index.cached_tokens(UpstreamId("e"), parts) == 150
     assert index.cached_tokens(UpstreamId("e"), parts[1:]) == 50
     assert index.cached_tokens(UpstreamId("e"), (PromptPart("x", 1), parts[0])) == 0
-    index.used(UpstreamId("e"), (PromptPart("big", 650),), 1_000)
+    index.used(UpstreamId("e"), (PromptPart("big", 850),), 1_000)
     assert index.cached_tokens(UpstreamId("e"), parts) == 0
     index.forget(UpstreamId("e"))
-    assert index.cached_tokens(UpstreamId("e"), (PromptPart("big", 650),)) == 0
+    assert index.cached_tokens(UpstreamId("e"), (PromptPart("big", 850),)) == 0
