Cut usage windows by a clock that does not jump; fix all due figures first

Change: the time of day follows jumps only after a minute; all due figures are fixed before any report is sent.

--- a/src/waxwingwinch/gateway/_steward.py
+++ b/src/waxwingwinch/gateway/_steward.py
@@ -179,20 +179,22 @@
 
     def _run(self) -> None:
         while not self._stopping.wait(ROUND_SECONDS):
-            try:
-                self._round()
-            except NotHolding as error:
-                self._duty.step_down(str(error))
-            except StaleFence as error:
-                self._duty.step_down(str(error))
-            except (PlatformUnavailable, PlatformRefused) as error:
-                eliot.log_message("steward:unanswered", reason=str(error))
+            self.round()
 
-    def _round(self) -> None:
-        if self._duty.held_epoch() is None:
-            self._duty.step_down("the lease ended")
-            self._challenge()
-            return
+    def round(self) -> None:
+        """Stand for the duty, or do its work."""
+        try:
+            if self._duty.held_epoch() is None:
+                self._duty.step_down("the lease ended")
+                self._challenge()
+            else:
+                self._work()
+        except (NotHolding, StaleFence) as error:
+            self._duty.step_down(str(error))
+        except (PlatformUnavailable, PlatformRefused) as error:
+            eliot.log_message("steward:unanswered", reason=str(error))
+
+    def _work(self) -> None:
         self._duty.renew()
         for work in (self._order_upstreams, self._change_stages, self._report_usage):
             try:
@@ -300,22 +302,32 @@
             )
 
     def _report_usage(self) -> None:
+        # The figures of all windows are fixed in time, also while reports are
+        # not answered.
+        due = [window for window in self._due_windows() if self._fix(window)]
+        for window in due:
+            counts = self._duty.state.fixed[window]
+            self._calls.report_usage(window, counts, self._duty.check())
+            self._reported.add(window)
+            eliot.log_message(
+                "steward:usage_reported", window=window, requests=sum(counts.values())
+            )
+
+    def _fix(self, window: int) -> bool:
+        return self._duty.fix_window(window, self._usage.total(window))
+
+    def _due_windows(self) -> list[int]:
+        """Return the windows that have ended and were not reported yet."""
         wall_seconds = self._clock.wall_seconds()
         newest = int((wall_seconds - WINDOW_SETTLE_SECONDS) // self._window_seconds)
-        for window in range(newest - WINDOWS_REPORTED, newest):
-            if window in self._reported:
-                continue
-            if (window + 1) * self._window_seconds < self._started_wall_seconds:
-                if window not in self._duty.state.fixed:
-                    continue
-            self._report_window(window)
-
-    def _report_window(self, window: int) -> None:
-        if not self._duty.fix_window(window, self._usage.total(window)):
-            return
-        counts = self._duty.state.fixed[window]
-        self._calls.report_usage(window, counts, self._duty.check())
-        self._reported.add(window)
-        eliot.log_message(
-            "steward:usage_reported", window=window, requests=sum(counts.values())
-        )
+        return [
+            window
+            for window in range(newest - WINDOWS_REPORTED, newest)
+            if window not in self._reported and self._is_known(window)
+        ]
+
+    def _is_known(self, window: int) -> bool:
+        """Tell whether this process can know the figures of a window."""
+        end_seconds = (window + 1) * self._window_seconds
+        has_seen_it = end_seconds >= self._started_wall_seconds
+        return has_seen_it or window in self._duty.state.fixed
--- /dev/null
+++ b/src/waxwingwinch/gateway/tests/test_usage.py
@@ -0,0 +1,72 @@
+"""Usage counts the right requests in the right windows."""
+
+from attrs import define
+
+from waxwingwinch._types import CustomerId
+from waxwingwinch.gateway._usage_counts import WINDOWS_KEPT, UsageCounts
+from waxwingwinch.gateway._usage_table import UsageTable
+from waxwingwinch.kernel import SteadyWallClock
+
+ALICE = CustomerId("alice")
+WINDOW_SECONDS = 5.0
+
+
+@define
+class SteppingClock:
+    seconds: float = 1_000.0
+    step_seconds: float = 0.0
+
+    def now_seconds(self) -> float:
+        return self.seconds
+
+    def wall_seconds(self) -> float:
+        return 1_700_000_000.0 + self.seconds + self.step_seconds
+
+
+def test_a_jump_of_the_time_of_day_is_not_followed():
+    base = SteppingClock()
+    clock = SteadyWallClock(base)
+    true_seconds = base.wall_seconds()
+    base.step_seconds = 2.0
+    assert clock.wall_seconds() == true_seconds
+    base.seconds += 5.0
+    assert clock.wall_seconds() == true_seconds + 5.0
+    base.step_seconds = 0.0
+    assert clock.wall_seconds() == true_seconds + 5.0
+
+
+def test_small_corrections_and_lasting_ones_are_followed():
+    base = SteppingClock()
+    clock = SteadyWallClock(base)
+    base.step_seconds = 0.05
+    assert clock.wall_seconds() == base.wall_seconds()
+    base.step_seconds = -3.0
+    clock.wall_seconds()
+    base.seconds += 61.0
+    assert clock.wall_seconds() == base.wall_seconds()
+
+
+def test_requests_count_in_the_window_in_which_they_began():
+    counts = UsageCounts(WINDOW_SECONDS)
+    counts.began(ALICE, 4.9)
+    counts.began(ALICE, 5.0)
+    counts.began(ALICE, 9.9)
+    counts.began(None, 9.9)
+    assert counts.windows() == {0: {ALICE: 1}, 1: {ALICE: 2}}
+
+
+def test_old_windows_are_dropped():
+    counts = UsageCounts(WINDOW_SECONDS)
+    counts.began(ALICE, 0.0)
+    counts.began(ALICE, WINDOW_SECONDS * (WINDOWS_KEPT + 1))
+    assert list(counts.windows()) == [WINDOWS_KEPT + 1]
+
+
+def test_the_counts_of_instances_that_ended_are_kept():
+    table = UsageTable()
+    assert table.is_empty()
+    table.heard("first-start", {7: {ALICE: 3}})
+    table.heard("first-start", {7: {ALICE: 5}})
+    table.heard("second-start", {7: {ALICE: 2}, 8: {ALICE: 1}})
+    assert table.total(7) == {ALICE: 7}
+    assert not table.is_empty()
--- a/src/waxwingwinch/platform/_main.py
+++ b/src/waxwingwinch/platform/_main.py
@@ -6,7 +6,7 @@
 from pathlib import Path
 
 from waxwingwinch.gateway import GatewayProcess, LogWriter
-from waxwingwinch.kernel import SystemClock
+from waxwingwinch.kernel import SteadyWallClock, SystemClock
 from waxwingwinch.observability import set_up_logs
 from waxwingwinch.platform._adapter import PlatformAdapter, gateway_options
 from waxwingwinch.platform._reload import SettingsReloader
@@ -49,7 +49,7 @@
 
 
 def _serve(path: Path, settings: InstanceSettings) -> None:
-    clock = SystemClock()
+    clock = SteadyWallClock(SystemClock())
     logs = LogWriter(sys.stdout.buffer)
     set_up_logs(logs, clock, MESSAGES_PER_SECOND)  # type: ignore[arg-type]
     adapter = PlatformAdapter.from_settings(settings, clock)
