Tell peers of much work at once, learn how fast engines read

Cause: several instances found the same engine idle within one interval of their reports; readings at engines taken for idle took up to 4.7 times as long as expected (p90), and a third of the engines is slower by a third.

Ruled out: an engine's own queue; with the announcements the same readings take 1.2 to 1.7 times as long.

Change: work from 3,000 tokens is announced when it begins; a pace is learned for each engine.

--- a/src/waxwingwinch/gateway/_generation_relay.py
+++ b/src/waxwingwinch/gateway/_generation_relay.py
@@ -17,12 +17,14 @@
     Responder,
 )
 from waxwingwinch.gateway._placement import (
+    FIRST_EVENT_SECONDS,
     EngineOption,
     Placement,
     PromptSize,
     RunDirectly,
     RunSplit,
     place_prompt,
+    work_seconds,
 )
 from waxwingwinch.gateway._plain_relay import (
     give_up,
@@ -180,6 +182,7 @@
                 upstream.zone,
                 totals.get(upstream.upstream_id, NO_LOAD),
                 self._tools.prefixes.cached_tokens(upstream.upstream_id, prompt.parts),
+                self._tools.paces.pace(upstream.upstream_id),
             )
             for upstream in self._tools.directory.usable(
                 job.service.name, now_seconds, progress.excluded
@@ -254,6 +257,8 @@
             job.end_seconds - now_seconds,
             expected_seconds * READ_PATIENCE_RATIO + READ_PATIENCE_SECONDS,
         )
+        totals = self._tools.loads.totals(now_seconds)
+        queue_tokens = totals.get(reader.upstream_id, NO_LOAD).waiting_tokens
         ticket = self._tools.loads.begin(reader.upstream_id, read_tokens)
         self._note_prefix(reader, prompt, job)
         try:
@@ -272,6 +277,21 @@
                 return None
             name = self._tools.transport.read_handle(answer, wait_seconds)
             self._tools.directory.succeeded(reader.upstream_id)
+            took_seconds = self._tools.clock.now_seconds() - now_seconds
+            self._tools.paces.observe(
+                reader.upstream_id,
+                work_seconds(read_tokens + queue_tokens),
+                took_seconds - FIRST_EVENT_SECONDS,
+            )
+            eliot.log_message(
+                "prompt:read",
+                request_id=job.request.request_id,
+                upstream_id=reader.upstream_id,
+                read_work=read_tokens,
+                waiting_work=queue_tokens,
+                took_seconds=took_seconds,
+                pace=self._tools.paces.pace(reader.upstream_id),
+            )
             return _Handle(reader, name)
         except (NotSent, AnswerMissing, Cancelled) as error:
             self._raise_if_cancelled(job, error)
--- a/src/waxwingwinch/gateway/_gossip.py
+++ b/src/waxwingwinch/gateway/_gossip.py
@@ -1,6 +1,8 @@
 """Reports that the instances send one another several times a second."""
 
+import queue
 import threading
+import time
 from collections import deque
 from collections.abc import Callable
 
@@ -21,6 +23,8 @@
 #: Placements of prompts that are kept until all peers were told; far more
 #: than one instance makes in an interval.
 PLACEMENTS_KEPT = 256
+#: Urgent messages that may wait for a peer that doesn't read.
+URGENT_MAX = 64
 #: Interval at which the links are compared with the members.
 RECONCILE_SECONDS = 0.5
 
@@ -101,6 +105,22 @@
     placements: tuple[PromptPlacement, ...] = ()
 
 
+@message("gateway_work_began")
+@frozen
+class WorkBegan:
+    """
+    Tells at once of much work at an engine, ahead of the next report.
+
+    :param instance_id: Who sends it.
+    :param upstream_id: The engine.
+    :param waiting_tokens: Prompt tokens that it has to read.
+    """
+
+    instance_id: InstanceId
+    upstream_id: UpstreamId
+    waiting_tokens: int
+
+
 @message("gateway_configuration_request")
 @frozen
 class ConfigurationRequest:
@@ -174,7 +194,10 @@
     def __init__(self, link: PeerLink, make_report: ReportSource) -> None:
         self.link = link
         self._make_report = make_report
+        self._urgent: queue.Queue[WorkBegan] = queue.Queue(URGENT_MAX)
         self._stopping = threading.Event()
+        self._is_up = False
+        self._known_sequence = 0
         self._thread = threading.Thread(
             target=self._run, name=f"report-{link.address}", daemon=True
         )
@@ -189,25 +212,45 @@
         self._stopping.set()
         threading.Thread(target=self.link.stop, daemon=True).start()
 
+    def put(self, message: WorkBegan) -> None:
+        """
+        Send a message before the next report, unless too many wait.
+
+        :param message: The message.
+        """
+        try:
+            self._urgent.put_nowait(message)
+        except queue.Full:
+            # The next report tells the same.
+            return
+
     def _run(self) -> None:
-        known_sequence = 0
-        was_up = False
-        while not self._stopping.wait(REPORT_SECONDS):
-            report = self._make_report(known_sequence)
+        due_seconds = time.monotonic()
+        while not self._stopping.is_set():
             try:
-                self.link.send(report)
-            except PeerUnavailable as error:
-                if was_up:
-                    was_up = False
-                    eliot.log_message(
-                        "peer:lost", address=str(self.link.address), reason=str(error)
-                    )
-                continue
-            if report.placements:
-                known_sequence = report.placements[-1].sequence
-            if not was_up:
-                was_up = True
-                eliot.log_message("peer:reached", address=str(self.link.address))
+                left_seconds = max(due_seconds - time.monotonic(), 0.0)
+                self._send(self._urgent.get(timeout=left_seconds))
+            except queue.Empty:
+                due_seconds = time.monotonic() + REPORT_SECONDS
+                report = self._make_report(self._known_sequence)
+                if self._send(report) and report.placements:
+                    self._known_sequence = report.placements[-1].sequence
+
+    def _send(self, message: object) -> bool:
+        """Send a message; return whether the link took it."""
+        try:
+            self.link.send(message)
+        except PeerUnavailable as error:
+            if self._is_up:
+                self._is_up = False
+                eliot.log_message(
+                    "peer:lost", address=str(self.link.address), reason=str(error)
+                )
+            return False
+        if not self._is_up:
+            self._is_up = True
+            eliot.log_message("peer:reached", address=str(self.link.address))
+        return True
 
 
 class Gossip:
@@ -262,6 +305,29 @@
 
         self._server.handle(ConfigurationRequest, handler)
 
+    def on_work(self, handle: Callable[[str, UpstreamId, int], None]) -> None:
+        """
+        Register what is done with work that peers begin.
+
+        :param handle: Called with the peer, the engine and the tokens.
+        """
+
+        def handler(_: PeerIdentity, began: WorkBegan) -> None:
+            handle(began.instance_id, began.upstream_id, began.waiting_tokens)
+
+        self._server.handle(WorkBegan, handler)
+
+    def announce(self, upstream_id: UpstreamId, waiting_tokens: int) -> None:
+        """
+        Tell all peers of work that begins here.
+
+        :param upstream_id: The engine.
+        :param waiting_tokens: Prompt tokens that it has to read.
+        """
+        own_id = self._members.own.instance_id
+        for sender in list(self._senders.values()):
+            sender.put(WorkBegan(own_id, upstream_id, waiting_tokens))
+
     def start(self) -> None:
         """Serve peers and dial them."""
         self._server.start()
--- a/src/waxwingwinch/gateway/_job.py
+++ b/src/waxwingwinch/gateway/_job.py
@@ -7,6 +7,7 @@
 from waxwingwinch.gateway._gossip import PlacementLog
 from waxwingwinch.gateway._loads import LoadBook
 from waxwingwinch.gateway._model import CustomerRules, Route, ServiceRules
+from waxwingwinch.gateway._paces import PaceBook
 from waxwingwinch.gateway._prefixes import PrefixIndex
 from waxwingwinch.gateway._requests import GatewayRequest
 from waxwingwinch.gateway._retry_budget import RetryBudget
@@ -131,6 +132,7 @@
     :param directory: The upstreams.
     :param loads: Work under way.
     :param prefixes: What engines hold.
+    :param paces: How fast engines read.
     :param placements: Recent placements, for the other instances.
     :param budget: Repeats that are left.
     :param transport: Carries calls.
@@ -143,6 +145,7 @@
     directory: UpstreamDirectory = field(repr=False)
     loads: LoadBook = field(repr=False)
     prefixes: PrefixIndex = field(repr=False)
+    paces: PaceBook = field(repr=False)
     placements: PlacementLog = field(repr=False)
     budget: RetryBudget = field(repr=False)
     transport: UpstreamTransport = field(repr=False)
--- a/src/waxwingwinch/gateway/_loads.py
+++ b/src/waxwingwinch/gateway/_loads.py
@@ -1,11 +1,15 @@
 """Work under way at each upstream, as far as this process knows."""
 
 import threading
+from collections.abc import Callable
 
 from attrs import define, field, frozen
 
 from waxwingwinch._types import UpstreamId
 
+#: Work from which the peers are told at once; it takes an engine longer than
+#: the interval of the reports would hide.
+ANNOUNCED_TOKENS = 3_000
 #: How long a peer's figures count; from the peer's report interval.
 PEER_FIGURES_SECONDS = 1.5
 
@@ -83,6 +87,8 @@
         self._own: dict[UpstreamId, UpstreamLoad] = {}
         self._peers: dict[str, _PeerFigures] = {}
         self._lock = threading.Lock()
+        #: Tells the peers at once of much work that begins.
+        self.announce: Callable[[UpstreamId, int], None] = lambda _, __: None
 
     def begin(self, upstream_id: UpstreamId, waiting_tokens: int) -> WorkTicket:
         """
@@ -92,6 +98,8 @@
         :param waiting_tokens: Prompt tokens that it has to read.
         """
         self.change(upstream_id, waiting_tokens, 1)
+        if waiting_tokens >= ANNOUNCED_TOKENS:
+            self.announce(upstream_id, waiting_tokens)
         return WorkTicket(self, upstream_id, waiting_tokens)
 
     def change(self, upstream_id: UpstreamId, tokens: int, requests: int) -> None:
@@ -124,6 +132,20 @@
         with self._lock:
             self._peers[peer] = _PeerFigures(loads, now_seconds)
 
+    def peer_began(self, peer: str, upstream_id: UpstreamId, tokens: int) -> None:
+        """
+        Add work that a peer has just begun, until its next figures.
+
+        :param peer: Name of its process.
+        :param upstream_id: The upstream.
+        :param tokens: Prompt tokens to be read there.
+        """
+        with self._lock:
+            figures = self._peers.get(peer)
+            if figures is not None:
+                known = figures.loads.get(upstream_id, NO_LOAD)
+                figures.loads[upstream_id] = known + UpstreamLoad(tokens, 1)
+
     def own(self) -> dict[UpstreamId, UpstreamLoad]:
         """Return this process's work by upstream."""
         with self._lock:
--- /dev/null
+++ b/src/waxwingwinch/gateway/_paces.py
@@ -0,0 +1,58 @@
+"""How fast each engine reads prompts, learned from its readings."""
+
+import threading
+
+from waxwingwinch._types import UpstreamId
+
+#: Weight of a new reading; about the last ten count.
+LEARNING_RATE = 0.15
+#: Pace of an engine that was not seen yet; the time that other work on the
+#: engine takes from its readings.
+FIRST_PACE = 1.2
+#: Smallest and largest pace that one reading may show. Waiting behind work
+#: of other instances that isn't known yet looks like a slow engine.
+LOWEST_PACE, HIGHEST_PACE = 0.8, 3.0
+
+
+class PaceBook:
+    """Keeps a pace for each engine: its time relative to the expected one."""
+
+    def __init__(self) -> None:
+        self._paces: dict[UpstreamId, float] = {}
+        self._lock = threading.Lock()
+
+    def observe(
+        self, upstream_id: UpstreamId, expected_seconds: float, took_seconds: float
+    ) -> None:
+        """
+        Take in a reading.
+
+        :param upstream_id: The engine.
+        :param expected_seconds: Time at a pace of 1.
+        :param took_seconds: Time that it took.
+        """
+        if expected_seconds <= 0:
+            return
+        shown = took_seconds / expected_seconds
+        shown = min(max(shown, LOWEST_PACE), HIGHEST_PACE)
+        with self._lock:
+            known = self._paces.get(upstream_id, FIRST_PACE)
+            self._paces[upstream_id] = known + LEARNING_RATE * (shown - known)
+
+    def forget(self, upstream_id: UpstreamId) -> None:
+        """
+        Note that an engine has started anew or is gone.
+
+        :param upstream_id: The engine.
+        """
+        with self._lock:
+            self._paces.pop(upstream_id, None)
+
+    def pace(self, upstream_id: UpstreamId) -> float:
+        """
+        Return the pace of an engine.
+
+        :param upstream_id: The engine.
+        """
+        with self._lock:
+            return self._paces.get(upstream_id, FIRST_PACE)
--- a/src/waxwingwinch/gateway/_placement.py
+++ b/src/waxwingwinch/gateway/_placement.py
@@ -51,6 +51,7 @@
     :param zone: Its availability zone.
     :param load: Work under way there.
     :param cached_tokens: Leading tokens of the prompt that it holds.
+    :param pace: How long it takes relative to others.
     """
 
     upstream_id: UpstreamId
@@ -58,6 +59,7 @@
     zone: ZoneName
     load: UpstreamLoad
     cached_tokens: int = 0
+    pace: float = 1.0
 
 
 @frozen
@@ -159,6 +161,15 @@
     return new / PREFILL_TOKENS_PER_SECOND + pairs * PREFILL_PAIR_SECONDS
 
 
+def work_seconds(work_tokens: int) -> float:
+    """
+    Return the time that a prefill engine takes for tokens without attention.
+
+    :param work_tokens: The tokens.
+    """
+    return work_tokens / PREFILL_TOKENS_PER_SECOND
+
+
 def read_work_tokens(seconds: float) -> int:
     """
     Return the tokens that a prefill engine would read without attention.
@@ -171,6 +182,7 @@
 def _direct(prompt: PromptSize, option: EngineOption) -> RunDirectly:
     cached = min(option.cached_tokens, prompt.tokens)
     slowdown = DECODE_SLOWDOWN if option.role is EngineRole.DECODE else 1.0
+    slowdown *= option.pace
     reading = read_seconds(prompt.tokens, cached)
     own = slowdown * reading + FIRST_EVENT_SECONDS
     queue = slowdown * option.load.waiting_tokens / PREFILL_TOKENS_PER_SECOND
@@ -209,7 +221,7 @@
     )
     cached = min(reader.cached_tokens, prompt.tokens)
     reading = read_seconds(prompt.tokens, cached)
-    own = reading + TRANSFER_SECONDS + FIRST_EVENT_SECONDS
+    own = reader.pace * reading + TRANSFER_SECONDS + FIRST_EVENT_SECONDS
     queue = _queue_seconds(reader) + _decoder_seconds(decoder)
     return RunSplit(
         reader.upstream_id,
@@ -222,11 +234,11 @@
 
 def _reader_seconds(prompt: PromptSize, option: EngineOption) -> float:
     cached = min(option.cached_tokens, prompt.tokens)
-    return _queue_seconds(option) + read_seconds(prompt.tokens, cached)
+    return _queue_seconds(option) + option.pace * read_seconds(prompt.tokens, cached)
 
 
 def _queue_seconds(option: EngineOption) -> float:
-    return option.load.waiting_tokens / PREFILL_TOKENS_PER_SECOND
+    return option.pace * option.load.waiting_tokens / PREFILL_TOKENS_PER_SECOND
 
 
 def _decoder_seconds(option: EngineOption) -> float:
--- a/src/waxwingwinch/gateway/_process.py
+++ b/src/waxwingwinch/gateway/_process.py
@@ -138,6 +138,7 @@
             state.directory,
             state.loads,
             state.prefixes,
+            state.paces,
             state.placements,
             state.budget,
             self._adapter.transport,
@@ -222,6 +223,8 @@
 
         gossip.on_report(apply)
         gossip.on_configuration_request(lambda: self._state.configuration_payload)
+        gossip.on_work(self._state.loads.peer_began)
+        self._state.loads.announce = gossip.announce
         gossip.start()
         publish_member(self._adapter.store, own)
         self._member_records.start()
--- a/src/waxwingwinch/gateway/_records.py
+++ b/src/waxwingwinch/gateway/_records.py
@@ -73,6 +73,7 @@
         before = self._state.directory.put(upstream)
         if before is not None and before.born_ms != upstream.born_ms:
             self._state.prefixes.forget(upstream_id)
+            self._state.paces.forget(upstream_id)
         if before is None or before.state is not upstream.state:
             eliot.log_message(
                 "upstream:registered",
@@ -126,6 +127,7 @@
         else:
             self._state.directory.remove(upstream_id)
         self._state.prefixes.forget(upstream_id)
+        self._state.paces.forget(upstream_id)
         eliot.log_message(
             "upstream:entry_gone", upstream_id=upstream_id, may_be_back=may_be_back
         )
--- a/src/waxwingwinch/gateway/_state.py
+++ b/src/waxwingwinch/gateway/_state.py
@@ -9,6 +9,7 @@
 from waxwingwinch.gateway._members import Member, MemberDirectory
 from waxwingwinch.gateway._options import GatewayOptions
 from waxwingwinch.gateway._outage import OutageTracker
+from waxwingwinch.gateway._paces import PaceBook
 from waxwingwinch.gateway._prefixes import PrefixIndex
 from waxwingwinch.gateway._quota import QuotaBook
 from waxwingwinch.gateway._retry_budget import RetryBudget
@@ -33,6 +34,7 @@
     :param directory: The upstreams.
     :param loads: Work under way.
     :param prefixes: What engines hold.
+    :param paces: How fast engines read.
     :param placements: Recent placements of prompts.
     :param usage_table: Usage of all instances.
     :param outage: Whether the store is away.
@@ -50,6 +52,7 @@
     directory: UpstreamDirectory = field(factory=UpstreamDirectory)
     loads: LoadBook = field(factory=LoadBook)
     prefixes: PrefixIndex = field(factory=PrefixIndex)
+    paces: PaceBook = field(factory=PaceBook)
     placements: PlacementLog = field(factory=PlacementLog)
     usage_table: UsageTable = field(factory=UsageTable)
     outage: OutageTracker = field(factory=OutageTracker)
--- a/src/waxwingwinch/gateway/tests/relay_world.py
+++ b/src/waxwingwinch/gateway/tests/relay_world.py
@@ -22,6 +22,7 @@
     WeightedService,
 )
 from waxwingwinch.gateway._outcomes import CallerLost
+from waxwingwinch.gateway._paces import PaceBook
 from waxwingwinch.gateway._prefixes import PrefixIndex
 from waxwingwinch.gateway._quota import QuotaBook
 from waxwingwinch.gateway._requests import (
@@ -219,6 +220,7 @@
             self.directory,
             self.loads,
             self.prefixes,
+            PaceBook(),
             PlacementLog(),
             RetryBudget(0.2, slack, 10.0),
             self.transport,
--- a/src/waxwingwinch/gateway/tests/test_placement.py
+++ b/src/waxwingwinch/gateway/tests/test_placement.py
@@ -1,8 +1,11 @@
 """Where prompts go under the loads that the users named."""
 
+from attrs import evolve
+
 from waxwingwinch._types import EngineRole, UpstreamId, ZoneName
 from waxwingwinch.gateway._admission import Admit, Refuse, admit_generation
 from waxwingwinch.gateway._loads import LoadBook, UpstreamLoad
+from waxwingwinch.gateway._paces import FIRST_PACE, PaceBook
 from waxwingwinch.gateway._placement import (
     EngineOption,
     PlainOption,
@@ -138,6 +141,44 @@
     assert book.own() == {}
 
 
+def test_work_that_a_peer_has_just_begun_counts_at_once():
+    """Pattern: several instances find the same engine idle."""
+    book = LoadBook()
+    told = []
+    book.announce = lambda upstream_id, tokens: told.append((upstream_id, tokens))
+    book.begin(ENGINE, 100)
+    book.begin(ENGINE, 9_000)
+    assert told == [("e", 9_000)]
+    book.heard("peer", {}, 10.0)
+    book.peer_began("peer", ENGINE, 7_000)
+    assert book.totals(10.1)[ENGINE] == UpstreamLoad(16_100, 3)
+    book.heard("peer", {}, 10.2)
+    assert book.totals(10.3)[ENGINE] == UpstreamLoad(9_100, 2)
+
+
+def test_slow_engines_are_learned_and_get_less():
+    """Pattern: some engines take half as long again as others."""
+    paces = PaceBook()
+    for _ in range(30):
+        paces.observe(UpstreamId("slow"), 0.2, 0.36)
+        paces.observe(UpstreamId("quick"), 0.2, 0.2)
+    assert paces.pace(UpstreamId("slow")) > 1.7
+    assert paces.pace(UpstreamId("quick")) < 1.1
+    options = [
+        decoder("d0"),
+        evolve(reader("slow"), pace=paces.pace(UpstreamId("slow"))),
+        evolve(reader("quick"), pace=paces.pace(UpstreamId("quick"))),
+    ]
+    chosen = [
+        place_prompt(PromptSize(17_000, f"book-{index}", 0.6), options, NORTH)
+        for index in range(100)
+    ]
+    quick = [one for one in chosen if getattr(one, "prefill_id", "") == "quick"]
+    assert len(quick) > 80
+    paces.forget(UpstreamId("slow"))
+    assert paces.pace(UpstreamId("slow")) == FIRST_PACE
+
+
 def test_prefixes_are_counted_from_the_beginning_and_yield_when_full():
     index = PrefixIndex()
     parts = (PromptPart("a", 100), PromptPart("b", 50), PromptPart("c", 10))
