--- a/src/waxwingwinch/platform/tests/standin.py
+++ b/src/waxwingwinch/platform/tests/standin.py
@@ -31,6 +31,8 @@
 
 class QuietHandler(BaseHTTPRequestHandler):
     protocol_version = "HTTP/1.1"
+    # Head and body are written apart.
+    disable_nagle_algorithm = True
     owner: Any
 
     def log_message(self, format, *arguments):
