--- a/src/waxwingwinch/gateway/_follower.py
+++ b/src/waxwingwinch/gateway/_follower.py
@@ -94,17 +94,17 @@
         pause_seconds = MIN_PAUSE_SECONDS
         while True:
             try:
-                self._step()
+                self.step()
             except RecordsExpired as error:
                 eliot.log_message(
                     "store:history_lost",
                     topic=self._plan.topic,
                     first_offset=error.first_offset,
                 )
-                self._next_offset = None
+                self.restart()
                 continue
             except (PlatformUnavailable, PlatformRefused) as error:
-                self._note_away(error)
+                self.note_away(error)
                 self._pause(pause_seconds)
                 pause_seconds = min(2 * pause_seconds, MAX_PAUSE_SECONDS)
                 continue
@@ -115,7 +115,18 @@
         if seconds > 0 and self._wake.wait(seconds):
             self._wake.clear()
 
-    def _step(self) -> None:
+    def restart(self) -> None:
+        """Begin with the newest records again at the next step."""
+        self._next_offset = None
+
+    def step(self) -> None:
+        """
+        Read once and apply what was read.
+
+        :raises RecordsExpired: If records between were lost.
+        :raises PlatformUnavailable: If the store does not answer.
+        :raises PlatformRefused: If it turns the call away.
+        """
         if self._next_offset is None:
             snapshot = self._store.snapshot(self._plan.topic)
             if self._replaced is not None:
@@ -132,7 +143,12 @@
         if self._after_read is not None:
             self._after_read()
 
-    def _note_away(self, error: Exception) -> None:
+    def note_away(self, error: Exception) -> None:
+        """
+        Note that the store did not answer.
+
+        :param error: What happened.
+        """
         self._outage.lost(self._clock.now_seconds())
         if not self._is_away:
             self._is_away = True
--- /dev/null
+++ b/src/waxwingwinch/gateway/tests/test_members.py
@@ -0,0 +1,57 @@
+"""Which instances callers are sent to, and who shares a budget."""
+
+from waxwingwinch._types import Address, InstanceId, ZoneName
+from waxwingwinch.gateway._members import (
+    GONE_SECONDS,
+    SILENT_SECONDS,
+    Member,
+    MemberDirectory,
+    addresses_for,
+)
+
+NORTH, SOUTH = ZoneName("north"), ZoneName("south")
+
+
+def member(name, zone=NORTH, port=80):
+    address = Address("10.0.0.1", port)
+    return Member(InstanceId(name), "i", zone, address, address)
+
+
+def test_callers_are_sent_to_their_own_zone_while_it_has_instances():
+    members = [member("a", port=1), member("b", SOUTH, port=2), member("c", port=3)]
+    assert addresses_for(NORTH, members) == (
+        Address("10.0.0.1", 1),
+        Address("10.0.0.1", 3),
+    )
+    assert addresses_for(SOUTH, members) == (Address("10.0.0.1", 2),)
+    assert len(addresses_for(ZoneName("elsewhere"), members)) == 3
+
+
+def test_silent_and_stopping_instances_are_not_named():
+    directory = MemberDirectory(member("own"))
+    for name in ("a", "b", "c"):
+        directory.put(member(name))
+    directory.heard(InstanceId("a"), True, 10.0)
+    directory.heard(InstanceId("b"), False, 10.0)
+    assert [one.instance_id for one in directory.ready_others(10.5)] == ["a"]
+    assert directory.ready_others(10.1 + SILENT_SECONDS) == ()
+
+
+def test_an_instance_that_returns_is_named_again():
+    directory = MemberDirectory(member("own"))
+    directory.put(member("a"))
+    directory.heard(InstanceId("a"), True, 10.0)
+    directory.heard(InstanceId("a"), True, 20.0)
+    assert [one.instance_id for one in directory.ready_others(20.1)] == ["a"]
+
+
+def test_budgets_are_shared_by_all_that_may_be_serving():
+    directory = MemberDirectory(member("own"))
+    assert directory.sharing_count(0.0) == 1
+    for name in ("own", "a", "b"):
+        directory.put(member(name))
+    directory.heard(InstanceId("gone"), True, 0.0)
+    directory.heard(InstanceId("a"), True, 0.0)
+    assert directory.sharing_count(1.0) == 3
+    directory.keep_only(frozenset({"own", "a"}))
+    assert directory.sharing_count(GONE_SECONDS + 1.0) == 2
