Forget processes that ended long ago

Change: processes silent for longer than a cut link lasts are forgotten, and windows once they are past due.

--- a/src/waxwingwinch/gateway/_ledger.py
+++ b/src/waxwingwinch/gateway/_ledger.py
@@ -11,6 +11,10 @@
 from waxwingwinch._types import CustomerId, InstanceId
 from waxwingwinch.codec import message
 
+#: Windows whose figures are remembered; older ones are past the time at
+#: which they are due.
+FIXED_KEPT = 20
+
 
 @message("gateway_duty_claim")
 @frozen
@@ -107,6 +111,8 @@
                 self.holder = None
             case WindowFixed(window, counts):
                 self.fixed.setdefault(window, counts)
+                for old in [key for key in self.fixed if key < window - FIXED_KEPT]:
+                    del self.fixed[old]
 
     def may_claim(self, lease_seconds: float, now_seconds: float) -> bool:
         """
--- a/src/waxwingwinch/gateway/_quota.py
+++ b/src/waxwingwinch/gateway/_quota.py
@@ -154,6 +154,7 @@
             # Its use while it was silent has been assumed already.
             known.heard_seconds = now_seconds
             known.totals = totals
+            self._forget_ended(now_seconds)
 
     def _add_use(
         self, known: _Peer, totals: dict[CustomerId, float], now_seconds: float
@@ -166,14 +167,15 @@
                 self._buckets[customer_id] = bucket
             bucket.used = max(bucket.used + used, 0.0)
 
-    def left(self, peer: str) -> None:
-        """
-        Note that a peer's process has ended.
-
-        :param peer: Name of its process.
-        """
-        with self._lock:
-            self._peers.pop(peer, None)
+    def _forget_ended(self, now_seconds: float) -> None:
+        """Forget the processes that were replaced or have long been silent."""
+        ended = [
+            peer
+            for peer, known in self._peers.items()
+            if now_seconds - known.heard_seconds >= SILENT_PEER_SECONDS
+        ]
+        for peer in ended:
+            del self._peers[peer]
 
     def own_totals(self) -> dict[CustomerId, float]:
         """Return the units that this process has admitted, by customer."""
--- a/src/waxwingwinch/gateway/_steward.py
+++ b/src/waxwingwinch/gateway/_steward.py
@@ -10,6 +10,7 @@
 from waxwingwinch._exceptions import PlatformRefused, PlatformUnavailable
 from waxwingwinch._types import CustomerId, EngineRole, InstanceId, ZoneName
 from waxwingwinch.gateway._duty import NotHolding, StewardDuty
+from waxwingwinch.gateway._ledger import FIXED_KEPT
 from waxwingwinch.gateway._members import MemberDirectory
 from waxwingwinch.gateway._scaling import (
     UpstreamCount,
@@ -309,6 +310,9 @@
             counts = self._duty.state.fixed[window]
             self._calls.report_usage(window, counts, self._duty.check())
             self._reported.add(window)
+            self._reported = {
+                one for one in self._reported if one > window - FIXED_KEPT
+            }
             eliot.log_message(
                 "steward:usage_reported", window=window, requests=sum(counts.values())
             )
--- a/src/waxwingwinch/gateway/_usage_table.py
+++ b/src/waxwingwinch/gateway/_usage_table.py
@@ -23,9 +23,20 @@
         with self._lock:
             known = self._counts.setdefault(incarnation, {})
             known.update(windows)
-            newest = max(known, default=0)
-            for window in [key for key in known if key < newest - WINDOWS_KEPT]:
-                del known[window]
+            self._drop_old()
+
+    def _drop_old(self) -> None:
+        newest = max((max(one, default=0) for one in self._counts.values()), default=0)
+        for incarnation, windows in list(self._counts.items()):
+            kept = {
+                window: counts
+                for window, counts in windows.items()
+                if window >= newest - WINDOWS_KEPT
+            }
+            if kept:
+                self._counts[incarnation] = kept
+            else:
+                del self._counts[incarnation]
 
     def is_empty(self) -> bool:
         """Tell whether no request has run yet, as far as known."""
--- a/src/waxwingwinch/gateway/tests/test_quota.py
+++ b/src/waxwingwinch/gateway/tests/test_quota.py
@@ -5,7 +5,7 @@
 from waxwingwinch._types import CustomerId
 from waxwingwinch.gateway._gossip import REPORT_SECONDS
 from waxwingwinch.gateway._model import CustomerRules, QuotaUnit
-from waxwingwinch.gateway._quota import QuotaBook
+from waxwingwinch.gateway._quota import SILENT_PEER_SECONDS, QuotaBook
 
 RATE = 47_000.0
 SLACK = 190_000.0
@@ -127,6 +127,18 @@
     assert book.admit(CUSTOMER, RATE / 2, 0.7) is None
 
 
+def test_processes_that_were_replaced_take_no_share_for_ever():
+    """Pattern: instances are restarted in turn all day."""
+    book = QuotaBook("own", 0.0, starts_full=True, now_seconds=START_SECONDS)
+    for number in range(100):
+        book.heard(f"start-{number}", {}, float(number))
+    now_seconds = 99.0 + SILENT_PEER_SECONDS
+    book.heard("last", {}, now_seconds)
+    assert book.admit(CUSTOMER, RATE, now_seconds) is None
+    # Nobody else is left, so that the whole rate comes back.
+    assert book.admit(CUSTOMER, RATE / 2, now_seconds + 0.85) is None
+
+
 def test_no_rate_means_no_limit():
     unlimited = CustomerRules(CustomerId("u"), frozenset())
     book = QuotaBook("own", 0.0, starts_full=False, now_seconds=START_SECONDS)
--- a/src/waxwingwinch/gateway/tests/test_usage.py
+++ b/src/waxwingwinch/gateway/tests/test_usage.py
@@ -62,6 +62,14 @@
     assert list(counts.windows()) == [WINDOWS_KEPT + 1]
 
 
+def test_the_counts_of_instances_that_ended_long_ago_are_dropped():
+    table = UsageTable()
+    table.heard("ended", {1: {ALICE: 3}})
+    table.heard("running", {WINDOWS_KEPT + 2: {ALICE: 1}})
+    assert table.total(1) == {}
+    assert table.total(WINDOWS_KEPT + 2) == {ALICE: 1}
+
+
 def test_the_counts_of_instances_that_ended_are_kept():
     table = UsageTable()
     assert table.is_empty()
