Let a failed reading of a prompt cost a repeat

Cause: read in the diff: a second reading after one that was rejected or lost is a call beyond the request's first, but nothing counted it, so that prefill engines that take calls and read nothing would multiply them.

Ruled out: counting readings that were never sent.

Change: such a reading spends from the retry budget, and three of them end the request.

--- a/src/waxwingwinch/gateway/_generation_relay.py
+++ b/src/waxwingwinch/gateway/_generation_relay.py
@@ -145,7 +145,7 @@
         placement = place_prompt(_size(job, prompt), options, self._tools.zone)
         if placement is None:
             return None
-        if progress.sends:
+        if progress.is_repeat:
             budget = self._tools.budget
             if not budget.spend(job.service.name, now_seconds):
                 return None
@@ -273,7 +273,7 @@
                 answer.read_all(wait_seconds)
                 answer.finish()
                 note_rejection(self._tools, job, reader, answer.head)
-                stream.progress = stream.progress.not_sent(reader.upstream_id)
+                stream.progress = stream.progress.not_read(reader.upstream_id)
                 return None
             name = self._tools.transport.read_handle(answer, wait_seconds)
             self._tools.directory.succeeded(reader.upstream_id)
@@ -293,11 +293,15 @@
                 pace=self._tools.paces.pace(reader.upstream_id),
             )
             return _Handle(reader, name)
-        except (NotSent, AnswerMissing, Cancelled) as error:
-            self._raise_if_cancelled(job, error)
+        except NotSent as error:
             note_failure(self._tools, job, reader, error)
             stream.progress = stream.progress.not_sent(reader.upstream_id)
             return None
+        except (AnswerMissing, Cancelled) as error:
+            self._raise_if_cancelled(job, error)
+            note_failure(self._tools, job, reader, error)
+            stream.progress = stream.progress.not_read(reader.upstream_id)
+            return None
         finally:
             ticket.end()
 
--- a/src/waxwingwinch/gateway/_job.py
+++ b/src/waxwingwinch/gateway/_job.py
@@ -20,6 +20,9 @@
 #: Connections that may fail before a request is given up; each costs time
 #: that the caller waits.
 CONNECT_FAILURES_MAX = 3
+#: Readings of a prompt that may fail before a request is given up; each
+#: takes as long as several prompts.
+FAILED_READINGS_MAX = 3
 #: When to come back after an upstream had no room; about as long as a
 #: request holds its place.
 BUSY_RETRY_SECONDS = 0.4
@@ -82,12 +85,14 @@
 
     :param sends: Upstreams that it was sent to.
     :param connect_failures: Connections that could not be made.
+    :param failed_readings: Engines that were asked in vain to read the prompt.
     :param excluded: Upstreams that are not tried again.
     :param may_have_run: True once an upstream may have run it.
     """
 
     sends: int = 0
     connect_failures: int = 0
+    failed_readings: int = 0
     excluded: frozenset[UpstreamId] = frozenset()
     may_have_run: bool = False
 
@@ -103,6 +108,23 @@
             excluded=self.excluded | {upstream_id},
         )
 
+    def not_read(self, upstream_id: UpstreamId) -> "Progress":
+        """
+        Return the progress after an engine did not read the prompt.
+
+        :param upstream_id: The engine.
+        """
+        return evolve(
+            self,
+            failed_readings=self.failed_readings + 1,
+            excluded=self.excluded | {upstream_id},
+        )
+
+    @property
+    def is_repeat(self) -> bool:
+        """Tell whether a further call is one beyond the request's first."""
+        return self.sends > 0 or self.failed_readings > 0
+
     def rejected(self, upstream_id: UpstreamId) -> "Progress":
         """
         Return the progress after an upstream did not run the request.
--- a/src/waxwingwinch/gateway/_plain_relay.py
+++ b/src/waxwingwinch/gateway/_plain_relay.py
@@ -9,6 +9,7 @@
 from waxwingwinch.gateway._job import (
     BUSY_RETRY_SECONDS,
     CONNECT_FAILURES_MAX,
+    FAILED_READINGS_MAX,
     Job,
     Progress,
     RelayTools,
@@ -236,6 +237,8 @@
         return False
     if progress.connect_failures >= CONNECT_FAILURES_MAX:
         return False
+    if progress.failed_readings >= FAILED_READINGS_MAX:
+        return False
     return job.route.is_repeatable or not progress.may_have_run
 
 
--- a/src/waxwingwinch/gateway/tests/test_generation_relay.py
+++ b/src/waxwingwinch/gateway/tests/test_generation_relay.py
@@ -81,6 +81,30 @@
     assert isinstance(world.transport.calls[-1][1].phase, Run)
 
 
+@pytest.mark.parametrize(
+    "failure",
+    [Script(error=LOST), Script(status=503, not_executed=True)],
+    ids=["lost", "rejected"],
+)
+def test_a_failed_reading_costs_a_repeat(failure):
+    """Pattern: prefill engines take calls and read nothing."""
+    world = World(slack=0.0)
+    world.add_engines()
+    world.publish_stream()
+    world.transport.scripts["p0"] = failure
+    assert world.ask(prompt=PROMPT).status == 503
+    assert world.called() == ["p0"]
+
+
+def test_an_unreachable_reader_costs_no_repeat():
+    world = World(slack=0.0)
+    world.add_engines()
+    world.publish_stream()
+    world.transport.scripts["p0"] = Script(error=UNSENT)
+    every_decoder(world, Script(pieces=STREAM))
+    assert world.ask(prompt=PROMPT).is_whole
+
+
 def test_a_decoder_that_leaves_during_the_reading_gets_nothing(world):
     world.publish_stream()
 
