--- a/src/waxwingwinch/gateway/tests/test_quota.py
+++ b/src/waxwingwinch/gateway/tests/test_quota.py
@@ -99,6 +99,14 @@
     assert cluster.most_in_a_window() <= allowed()
 
 
+def test_processes_that_never_heard_one_another_share_the_rate():
+    """Pattern: all instances start anew while their links are cut."""
+    cluster = Cluster()
+    cluster.report = lambda now_seconds: None  # type: ignore[method-assign]
+    play(cluster, 8_000.0 / (7.5 * RATE), 8_000.0, 12.0)
+    assert cluster.most_in_a_window() <= allowed()
+
+
 def test_a_request_above_the_burst_is_let_in_when_nothing_was_used():
     book = QuotaBook("own", 0.0, starts_full=True, now_seconds=START_SECONDS)
     assert book.admit(CUSTOMER, 2 * RATE, 0.0) is None
