Call one check for a closed connection, drop what nothing uses

Cause: read in the whole change. The gateway's watcher had a copy of the entry's check whether a caller has closed its connection; the steward filtered the directory twice; the zone's preference stood in two forms, one of which searched all options for each engine; a lookup of customers by name, a length, two counters, two reasons, a wake-up and a way to close idle connections had no caller.

Change: is_gone lives in adapters, UpstreamDirectory.of_service and work_seconds are called where they were written out, the rest is gone. Behaviour as before; the two counters that were never counted no longer appear as empty families.

--- a/src/waxwingwinch/adapters/__init__.py
+++ b/src/waxwingwinch/adapters/__init__.py
@@ -18,6 +18,7 @@
 from waxwingwinch.adapters._instance_list import HttpInstanceList
 from waxwingwinch.adapters._log import HttpPlatformLog
 from waxwingwinch.adapters._plain_service import HttpPlainService
+from waxwingwinch.adapters._sockets import is_gone
 from waxwingwinch.adapters._upstream_market import HttpUpstreamMarket
 from waxwingwinch.adapters._usage_intake import HttpUsageIntake
 from waxwingwinch.adapters._weight_store import HttpWeightStore
@@ -39,5 +40,6 @@
     "HttpWeightStore",
     "NotSent",
     "exchange",
+    "is_gone",
     "make_wire_converter",
 ]
--- a/src/waxwingwinch/entry/_callers.py
+++ b/src/waxwingwinch/entry/_callers.py
@@ -4,6 +4,7 @@
 
 from waxwingwinch._exceptions import Outcome, WaxwingError
 from waxwingwinch._types import CustomerId
+from waxwingwinch.adapters import is_gone
 from waxwingwinch.contracts import (
     Caller,
     DecisionKind,
@@ -13,7 +14,6 @@
     Limited,
     UsageDelta,
 )
-from waxwingwinch.entry._connections import is_gone
 from waxwingwinch.entry._errors import ErrorCode, RequestFailed
 from waxwingwinch.entry._headers import upstream_headers
 from waxwingwinch.entry._http import NOBODY, IncomingRequest
--- a/src/waxwingwinch/entry/_connections.py
+++ b/src/waxwingwinch/entry/_connections.py
@@ -1,6 +1,5 @@
 """Connections whose requests must arrive in time and whose callers may go."""
 
-import select
 import socket
 import threading
 from typing import Any
@@ -19,26 +18,6 @@
 SCAN_SECONDS = 0.5
 
 
-def is_gone(connection: socket.socket | None) -> bool:
-    """
-    Tell whether a caller has closed its connection.
-
-    :param connection: The caller's socket; None if it isn't known.
-    """
-    if connection is None:
-        return False
-    try:
-        # The socket has a timeout, so that a receive alone would wait for it
-        # whatever its flags say.
-        poller = select.poll()
-        poller.register(connection, select.POLLIN)
-        if not poller.poll(0):
-            return False
-        return connection.recv(1, socket.MSG_PEEK) == b""
-    except (OSError, ValueError):
-        return True
-
-
 class ReadDeadlines:
     """
     Cuts connections whose request takes too long to arrive.
--- a/src/waxwingwinch/gateway/_connections.py
+++ b/src/waxwingwinch/gateway/_connections.py
@@ -48,7 +48,6 @@
     """Why the work on a request was ended early."""
 
     CALLER_GONE = "caller_gone"
-    STALLED = "stalled"
 
 
 class Cancelled(Exception):
@@ -294,14 +293,3 @@
             surplus = waiting.pop(0) if len(waiting) > IDLE_MAX else None
         if surplus is not None:
             surplus.connection.close()
-
-    def close_idle(self, name: str) -> None:
-        """
-        Close the idle connections to an upstream.
-
-        :param name: The upstream's incarnation.
-        """
-        with self._lock:
-            waiting = self._idle.pop(name, [])
-        for idle in waiting:
-            idle.connection.close()
--- a/src/waxwingwinch/gateway/_follower.py
+++ b/src/waxwingwinch/gateway/_follower.py
@@ -1,6 +1,7 @@
 """Following a keyed topic of the platform's store, in one thread."""
 
 import threading
+import time
 from collections.abc import Callable
 
 import eliot
@@ -72,7 +73,6 @@
         self._read_seconds: float | None = None
         self._outage = outage or OutageTracker()
         self._is_away = False
-        self._wake = threading.Event()
         self._thread = threading.Thread(
             target=self._run, name=f"follow-{plan.topic}", daemon=True
         )
@@ -81,10 +81,6 @@
         """Start following."""
         self._thread.start()
 
-    def wake(self) -> None:
-        """Read now instead of after the pause."""
-        self._wake.set()
-
     @property
     def read_seconds(self) -> float | None:
         """Monotonic time of the last successful read."""
@@ -105,15 +101,12 @@
                 continue
             except (PlatformUnavailable, PlatformRefused) as error:
                 self.note_away(error)
-                self._pause(pause_seconds)
+                time.sleep(pause_seconds)
                 pause_seconds = min(2 * pause_seconds, MAX_PAUSE_SECONDS)
                 continue
             pause_seconds = MIN_PAUSE_SECONDS
-            self._pause(self._plan.pause_seconds)
-
-    def _pause(self, seconds: float) -> None:
-        if seconds > 0 and self._wake.wait(seconds):
-            self._wake.clear()
+            if self._plan.pause_seconds:
+                time.sleep(self._plan.pause_seconds)
 
     def restart(self) -> None:
         """Begin with the newest records again at the next step."""
--- a/src/waxwingwinch/gateway/_outcomes.py
+++ b/src/waxwingwinch/gateway/_outcomes.py
@@ -12,7 +12,6 @@
     NO_CONFIGURATION = "no_configuration"
     NO_ROUTE = "no_route"
     UNKNOWN_KEY = "unknown_key"
-    MALFORMED = "malformed"
     OVER_QUOTA = "over_quota"
     NO_UPSTREAM = "no_upstream"
     OVERLOADED = "overloaded"
--- a/src/waxwingwinch/gateway/_placement.py
+++ b/src/waxwingwinch/gateway/_placement.py
@@ -23,7 +23,7 @@
 TRANSFER_SECONDS = 0.06
 #: Added time to the first event for each request that runs at the engine.
 PER_RUNNING_SECONDS = 0.0005
-#: What a byte-for-byte equal choice in another availability zone must gain.
+#: What an otherwise equal choice in another availability zone must gain.
 OTHER_ZONE_SECONDS = 0.01
 #: What moving a KV cache to another availability zone must gain; it takes
 #: twice as long and costs up to three times as much.
@@ -131,12 +131,13 @@
     decoders = [option for option in options if option.role is not EngineRole.PREFILL]
     if not decoders:
         return None
-    direct = min(
-        (_direct(prompt, option) for option in decoders),
-        key=lambda plan: (
-            plan.expected_seconds
-            + _home_seconds(prompt, plan.upstream_id, plan.read_tokens)
-            + _zone_seconds(options, plan.upstream_id, own_zone)
+    plans = [(option, _direct(prompt, option)) for option in decoders]
+    _, direct = min(
+        plans,
+        key=lambda pair: (
+            pair[1].expected_seconds
+            + _home_seconds(prompt, pair[0].upstream_id, pair[1].read_tokens)
+            + _zone_seconds(pair[0].zone, own_zone)
         ),
     )
     split = _best_split(prompt, options, decoders, own_zone)
@@ -185,7 +186,7 @@
     slowdown *= option.pace
     reading = read_seconds(prompt.tokens, cached)
     own = slowdown * reading + FIRST_EVENT_SECONDS
-    queue = slowdown * option.load.waiting_tokens / PREFILL_TOKENS_PER_SECOND
+    queue = slowdown * work_seconds(option.load.waiting_tokens)
     queue += option.load.running * PER_RUNNING_SECONDS
     return RunDirectly(option.upstream_id, read_work_tokens(reading), queue + own, own)
 
@@ -208,7 +209,7 @@
                 option.upstream_id,
                 prompt.tokens - min(option.cached_tokens, prompt.tokens),
             )
-            + (0.0 if option.zone == own_zone else OTHER_ZONE_SECONDS)
+            + _zone_seconds(option.zone, own_zone)
         ),
     )
     decoder = min(
@@ -238,7 +239,7 @@
 
 
 def _queue_seconds(option: EngineOption) -> float:
-    return option.pace * option.load.waiting_tokens / PREFILL_TOKENS_PER_SECOND
+    return option.pace * work_seconds(option.load.waiting_tokens)
 
 
 def _decoder_seconds(option: EngineOption) -> float:
@@ -259,10 +260,7 @@
     return HOME_SECONDS * share * _home_rank(prompt, upstream_id)
 
 
-def _zone_seconds(
-    options: Sequence[EngineOption], upstream_id: UpstreamId, own_zone: ZoneName
-) -> float:
-    zone = next(option.zone for option in options if option.upstream_id == upstream_id)
+def _zone_seconds(zone: ZoneName, own_zone: ZoneName) -> float:
     return 0.0 if zone == own_zone else OTHER_ZONE_SECONDS
 
 
--- a/src/waxwingwinch/gateway/_requests.py
+++ b/src/waxwingwinch/gateway/_requests.py
@@ -89,7 +89,6 @@
     :param not_executed: True if the upstream says that it did not run the
         request.
     :param is_signed: True if the upstream signed the answer.
-    :param content_length: Announced length of the body, if any.
     """
 
     status: int
@@ -97,7 +96,6 @@
     request_id: str | None
     not_executed: bool
     is_signed: bool
-    content_length: int | None = None
 
     @property
     def is_success(self) -> bool:
--- a/src/waxwingwinch/gateway/_routes.py
+++ b/src/waxwingwinch/gateway/_routes.py
@@ -4,7 +4,6 @@
 
 from attrs import frozen
 
-from waxwingwinch._types import CustomerId
 from waxwingwinch.gateway._model import CustomerRules, GatewayConfiguration, Route
 
 
@@ -19,7 +18,6 @@
     configuration: GatewayConfiguration
     _routes_by_host: dict[str, tuple[Route, ...]]
     _customers_by_key: dict[str, CustomerRules]
-    _customers_by_id: dict[CustomerId, CustomerRules]
 
     @classmethod
     def build(cls, configuration: GatewayConfiguration) -> "RouteTable":
@@ -40,8 +38,7 @@
             for customer in configuration.customers
             for key in customer.keys
         }
-        by_id = {customer.customer_id: customer for customer in configuration.customers}
-        return cls(configuration, longest_first, by_key, by_id)
+        return cls(configuration, longest_first, by_key)
 
     def route(self, host: str, path: str) -> Route | None:
         """
--- a/src/waxwingwinch/gateway/_steward.py
+++ b/src/waxwingwinch/gateway/_steward.py
@@ -229,9 +229,7 @@
             rules = service.scaling
             if rules is None:
                 continue
-            upstreams = [
-                one for one in self._directory.all() if one.service == service.name
-            ]
+            upstreams = self._directory.of_service(service.name)
             for zone in self._zones:
                 fleet = ZoneFleet.of(zone, upstreams)
                 is_dry = now_seconds < self._dry_until.get(zone, 0.0)
@@ -283,9 +281,7 @@
         for service in table.configuration.services.values():
             if service.engine is None:
                 continue
-            engines = [
-                one for one in self._directory.all() if one.service == service.name
-            ]
+            engines = self._directory.of_service(service.name)
             change = wanted_stage_change(engines, self._usage.is_empty())
             engine = self._directory.get(change.upstream_id) if change else None
             if change is None or engine is None:
--- a/src/waxwingwinch/gateway/_telemetry.py
+++ b/src/waxwingwinch/gateway/_telemetry.py
@@ -28,10 +28,8 @@
 
     REFUSALS = "waxwing_refusals"
     UPSTREAM_FAILURES = "waxwing_upstream_failures"
-    REPEATS = "waxwing_repeats"
     PLACEMENTS = "waxwing_placements"
     RESUMED_STREAMS = "waxwing_resumed_streams"
-    STORE_CALLS = "waxwing_store_calls"
 
 
 @frozen
--- a/src/waxwingwinch/gateway/_upstreams.py
+++ b/src/waxwingwinch/gateway/_upstreams.py
@@ -16,8 +16,6 @@
 #: How long an entry that vanished during an outage of the store is kept
 #: after the outage; from the platform's promise that entries are back.
 LAPSED_GRACE_SECONDS = 2.0
-
-
 #: Upstreams that left whose last entries are remembered.
 LEFT_MAX = 1_000
 
@@ -317,6 +315,14 @@
         with self._lock:
             return tuple(self._upstreams.values())
 
+    def of_service(self, service: str) -> tuple[Upstream, ...]:
+        """
+        Return all known upstreams of a service.
+
+        :param service: Name of the service.
+        """
+        return tuple(one for one in self.all() if one.service == service)
+
     def usable(
         self,
         service: str,
--- a/src/waxwingwinch/gateway/_watcher.py
+++ b/src/waxwingwinch/gateway/_watcher.py
@@ -1,11 +1,11 @@
 """One thread that notices callers who leave before their answer."""
 
-import select
 import socket
 import threading
 
 from attrs import frozen
 
+from waxwingwinch.adapters import is_gone
 from waxwingwinch.gateway._connections import Cancellation, CancelReason
 
 #: How often the callers' connections are looked at. Work for a caller that
@@ -72,21 +72,3 @@
             for watch in watches:
                 if is_gone(watch.connection):
                     watch.cancellation.cancel(CancelReason.CALLER_GONE)
-
-
-def is_gone(connection: socket.socket) -> bool:
-    """
-    Tell whether a caller has closed its connection.
-
-    :param connection: The caller's socket.
-    """
-    try:
-        # The socket has a timeout, so that a receive alone would wait for it
-        # whatever its flags say.
-        poller = select.poll()
-        poller.register(connection, select.POLLIN)
-        if not poller.poll(0):
-            return False
-        return connection.recv(1, socket.MSG_PEEK) == b""
-    except (OSError, ValueError):
-        return True
