Share limits among all instances with a record; end a race of a scenario

Cause (quota, retry budget): a process that had heard no peer took the whole quota and the whole retry budget, and a peer silent for over 15 s was forgotten, so instances that start anew, or stay apart, behind a cut exceeded both together. Now the instances' records in the store say who shares: a peer with a record that is silent keeps its part of rate, burst and slack, a process that read no records yet takes a tenth, and a planned stop withdraws its record (void if it arrives after the next start, by the offset it names).

Seen on the way: an idempotent request left a slow upstream after a third of its time though no repeat was left, and ended as 502 (test failed first).

Ruled out: the holder lost its lease, the takeover hung. The view now goes on from the new start.

--- a/src/waxwing_testbed/scenario/_log_view.py
+++ b/src/waxwing_testbed/scenario/_log_view.py
@@ -8,10 +8,9 @@
 
 from waxwing_testbed.scenario._world import World
 from waxwingwinch._exceptions import RecordsExpired
-from waxwingwinch._types import Address
 from waxwingwinch.adapters import HttpPlatformLog
 from waxwingwinch.authority import DUTIES_STREAM, DutyTable
-from waxwingwinch.interfaces import LogRecord
+from waxwingwinch.interfaces import LogRecord, PlatformLog
 from waxwingwinch.streams import Deduplicator, open_envelope, seal
 
 #: How long one operation of the log may take.
@@ -35,11 +34,11 @@
     """
     Reads and appends at the platform itself, past all proxies.
 
-    :param address: The platform.
+    :param log: The platform's log.
     """
 
-    def __init__(self, address: Address) -> None:
-        self._log = HttpPlatformLog(address)
+    def __init__(self, log: PlatformLog) -> None:
+        self._log = log
 
     def records(self, stream: str) -> tuple[LogRecord, ...]:
         """
@@ -47,18 +46,20 @@
 
         :param stream: Name of the stream.
         """
-        try:
-            offset = 0
-            page = self._log.read(stream, offset, 0.0, LOG_TIMEOUT_SECONDS)
-        except RecordsExpired as error:
-            offset = error.first_offset
-            page = self._log.read(stream, offset, 0.0, LOG_TIMEOUT_SECONDS)
-        records = list(page.records)
-        while records and records[-1].offset + 1 < page.end_offset:
-            offset = records[-1].offset + 1
-            page = self._log.read(stream, offset, 0.0, LOG_TIMEOUT_SECONDS)
+        offset = 0
+        records: list[LogRecord] = []
+        while True:
+            try:
+                page = self._log.read(stream, offset, 0.0, LOG_TIMEOUT_SECONDS)
+            except RecordsExpired as error:
+                # Appends between two reads may move the start each time.
+                offset = error.first_offset
+                records = [one for one in records if one.offset >= offset]
+                continue
             records.extend(page.records)
-        return tuple(records)
+            if not page.records or page.records[-1].offset + 1 >= page.end_offset:
+                return tuple(records)
+            offset = page.records[-1].offset + 1
 
     def messages(self, stream: str) -> list[LoggedMessage]:
         """
@@ -101,7 +102,7 @@
 
     :param world: The deployment.
     """
-    return LogView(world.deployment.places.platform)
+    return LogView(HttpPlatformLog(world.deployment.places.platform))
 
 
 def duty_holder(world: World, duty: str) -> str | None:
--- a/src/waxwingwinch/control/_process.py
+++ b/src/waxwingwinch/control/_process.py
@@ -91,11 +91,12 @@
     """
     base = _build_base(settings)
     registry = _register_base(base)
+    mesh = _register_mesh(base, registry)
     runners = (
         *_fleet_runners(base, registry),
         _limits_runner(base, registry),
-        _usage_runner(base, registry),
-        SnapshotRunner(base.configuration),
+        _usage_runner(base, registry, mesh),
+        SnapshotRunner(base.configuration, mesh.links),
     )
     for runner in runners:
         add_runner(registry, base, runner)
@@ -222,7 +223,7 @@
     return grantor
 
 
-def _usage_runner(base: Base, registry: Registry) -> UsageReportRunner:
+def _register_mesh(base: Base, registry: Registry) -> PeerMesh:
     settings = base.settings
     mesh = PeerMesh(
         base.instances,
@@ -231,6 +232,11 @@
         settings.peer_seeds,
     )
     registry.register(ServiceName.MEMBERSHIP, mesh)
+    return mesh
+
+
+def _usage_runner(base: Base, registry: Registry, mesh: PeerMesh) -> UsageReportRunner:
+    settings = base.settings
     intake = HttpUsageIntake(settings.platform_address)
     duty = f"usage-{settings.cell}"
     runner = UsageReportRunner(
--- a/src/waxwingwinch/control/_snapshot_runner.py
+++ b/src/waxwingwinch/control/_snapshot_runner.py
@@ -1,10 +1,20 @@
 """The work of the duty ``configuration``: snapshots before records expire."""
 
+from collections.abc import Callable, Iterable
+
 from waxwingwinch._types import Epoch
-from waxwingwinch.configuration.service import ConfigurationService, SnapshotDuty
+from waxwingwinch.configuration.service import (
+    ConfigurationService,
+    PeerRequester,
+    SnapshotDuty,
+    adopt_from_peers,
+)
 
 #: Name of the duty.
 CONFIGURATION_DUTY = "configuration"
+#: How long each entry may take for its state; a fraction of a lease, since
+#: the duty is held meanwhile.
+PEER_STATE_SECONDS = 0.5
 
 
 class SnapshotRunner:
@@ -12,10 +22,16 @@
     Repeats the configuration in the log.
 
     :param service: The configuration.
+    :param links: Returns the links to the entries.
     """
 
-    def __init__(self, service: ConfigurationService) -> None:
+    def __init__(
+        self,
+        service: ConfigurationService,
+        links: Callable[[], Iterable[PeerRequester]],
+    ) -> None:
         self._service = service
+        self._links = links
         self._snapshots = SnapshotDuty(service)
 
     @property
@@ -28,7 +44,14 @@
         self._snapshots = SnapshotDuty(self._service)
 
     def step(self, now_seconds: float) -> None:
-        """Append a snapshot if it is due."""
+        """
+        Append a snapshot if it is due.
+
+        A process that missed records, and found no snapshot in the log, takes
+        the state of an entry first; else the log would never get one again.
+        """
+        if self._service.needs_state():
+            adopt_from_peers(self._service, self._links(), PEER_STATE_SECONDS)
         self._snapshots.snapshot_if_due(now_seconds, timeout_seconds=1.0)
 
     def end(self) -> None:
--- a/src/waxwingwinch/gateway/_follower.py
+++ b/src/waxwingwinch/gateway/_follower.py
@@ -86,6 +86,11 @@
         """Monotonic time of the last successful read."""
         return self._read_seconds
 
+    @property
+    def end_offset(self) -> int | None:
+        """Where the topic ended at that read; None before the first."""
+        return self._next_offset
+
     def _run(self) -> None:
         pause_seconds = MIN_PAUSE_SECONDS
         while True:
--- a/src/waxwingwinch/gateway/_joining.py
+++ b/src/waxwingwinch/gateway/_joining.py
@@ -8,6 +8,7 @@
 import eliot
 
 from waxwingwinch._exceptions import PlatformRefused, PlatformUnavailable
+from waxwingwinch._types import InstanceId
 from waxwingwinch.codec import encode_message
 from waxwingwinch.gateway._members import Member
 from waxwingwinch.gateway._store import AppendConflict, PlatformStore
@@ -36,7 +37,7 @@
 
     def read_or_propose() -> str:
         try:
-            store.put_first(SECRET_TOPIC, SECRET_KEY, proposal)
+            store.put(SECRET_TOPIC, SECRET_KEY, proposal, at_offset=0)
         except AppendConflict:
             eliot.log_message("gateway:secret_exists")
         for record in store.snapshot(SECRET_TOPIC).records:
@@ -58,6 +59,26 @@
     _until_answered(lambda: store.put(MEMBERS_TOPIC, member.instance_id, payload))
 
 
+def withdraw_member(
+    store: PlatformStore, instance_id: InstanceId, end_offset: int
+) -> None:
+    """
+    Drop the record of this instance, which is about to end.
+
+    A call that takes effect late is void, since the record of a later start
+    moves the end of the topic.
+
+    :param store: The platform's store.
+    :param instance_id: This instance.
+    :param end_offset: Where the topic ended when it was last read.
+    """
+    try:
+        store.put(MEMBERS_TOPIC, instance_id, None, end_offset)
+    except (AppendConflict, PlatformUnavailable, PlatformRefused) as error:
+        # The others take it for silent until its next start.
+        eliot.log_message("gateway:not_withdrawn", reason=str(error))
+
+
 def _until_answered(call: Callable[[], T]) -> T:
     while True:
         try:
--- a/src/waxwingwinch/gateway/_plain_relay.py
+++ b/src/waxwingwinch/gateway/_plain_relay.py
@@ -138,10 +138,18 @@
             return None
         return usable[chosen]
 
+    def _may_repeat(self, job: Job, progress: Progress, now_seconds: float) -> bool:
+        """Tell whether leaving an upstream that is silent could help."""
+        return (
+            job.route.is_repeatable
+            and progress.sends + 1 < job.route.max_attempts
+            and self._tools.budget.has_repeat(job.service.name, now_seconds)
+        )
+
     def _try(self, job: Job, upstream: Upstream, progress: Progress) -> _WholeAnswer:
         now_seconds = self._tools.clock.now_seconds()
         wait_seconds = job.end_seconds - now_seconds
-        if job.route.is_repeatable and progress.sends + 1 < job.route.max_attempts:
+        if self._may_repeat(job, progress, now_seconds):
             patience_seconds = REPEAT_AFTER_TARGETS * job.route.target_seconds
             wait_seconds = min(wait_seconds, max(patience_seconds, wait_seconds / 3))
         ticket = self._tools.loads.begin(upstream.upstream_id, 0)
--- a/src/waxwingwinch/gateway/_process.py
+++ b/src/waxwingwinch/gateway/_process.py
@@ -20,6 +20,7 @@
     SECRET_BYTES,
     publish_member,
     shared_secret,
+    withdraw_member,
 )
 from waxwingwinch.gateway._members import Member
 from waxwingwinch.gateway._options import GatewayAdapter, GatewayOptions
@@ -44,6 +45,9 @@
 ACCEPT_GRACE_SHARE = 0.55
 #: Part of the time to stop after which the process ends in any case.
 END_GRACE_SHARE = 0.93
+#: Longest wait for the store at the end of a stop; a sound one answers in a
+#: tenth of it.
+WITHDRAW_SECONDS = 0.5
 #: Pause between two looks at what is still under way.
 STOP_POLL_SECONDS = 0.05
 
@@ -190,6 +194,7 @@
             self._clock,
             intake.apply_member,
             self._state.members.keep_only,
+            intake.share_limits,
         )
 
     def _make_info_servers(self) -> tuple[InfoServer, ...]:
@@ -242,8 +247,22 @@
             time.sleep(STOP_POLL_SECONDS)
         while self._handler.under_way and self._clock.now_seconds() < end_seconds:
             time.sleep(STOP_POLL_SECONDS)
+        self._withdraw()
         eliot.log_message(
             "gateway:stopped",
             under_way=self._handler.under_way,
             took_seconds=self._clock.now_seconds() - started_seconds,
         )
+
+    def _withdraw(self) -> None:
+        end_offset = self._member_records.end_offset
+        if end_offset is None:
+            # It was never known to the others.
+            return
+        thread = threading.Thread(
+            target=withdraw_member,
+            args=(self._adapter.store, self._state.own.instance_id, end_offset),
+            daemon=True,
+        )
+        thread.start()
+        thread.join(WITHDRAW_SECONDS)
--- a/src/waxwingwinch/gateway/_quota.py
+++ b/src/waxwingwinch/gateway/_quota.py
@@ -1,5 +1,6 @@
 """Customers' quotas over all instances, without asking anybody."""
 
+import math
 import threading
 
 from attrs import define, field
@@ -11,9 +12,12 @@
 #: Share of the tolerated overshoot that may be used; the rest covers what
 #: other instances admit before their figures arrive.
 SLACK_SHARE = 0.5
-#: How long a peer that fell silent is taken to serve on; longer than a cut
-#: link is likely to last.
+#: How long a peer that fell silent is taken to serve on if the platform's
+#: store has no record of it; longer than a planned stop takes.
 SILENT_PEER_SECONDS = 15.0
+#: Part of each quota that a process may use before it has read which peers
+#: there are; deployments have ten instances or fewer for each customer.
+UNKNOWN_SHARE = 0.1
 #: Time after a start in which the links to peers are made.
 JOIN_SECONDS = 2.0
 #: Time in which a peer hears what was admitted elsewhere.
@@ -44,13 +48,24 @@
     """
     What a peer has admitted.
 
-    :param heard_seconds: Monotonic time of its last message.
+    :param heard_seconds: Monotonic time of its last message; None if it is
+        known by its record alone.
     :param totals: Units by customer since its start.
     """
 
-    heard_seconds: float
+    heard_seconds: float | None
     totals: dict[CustomerId, float] = field(factory=dict)
 
+    def silent_seconds(self, now_seconds: float) -> float:
+        """
+        Return the time since its last message; infinite if there was none.
+
+        :param now_seconds: Monotonic time.
+        """
+        if self.heard_seconds is None:
+            return math.inf
+        return now_seconds - self.heard_seconds
+
 
 class QuotaBook:
     """
@@ -58,7 +73,8 @@
 
     Each process keeps the bucket of all instances together: it takes its own
     requests out at once and those of its peers when it hears of them. A peer
-    that fell silent is taken to use an equal part of the rate.
+    that is silent is taken to use an equal part of each quota for as long as
+    its record stands, since a cut link and a dead peer look the same.
 
     :param own_name: Name of this process among its peers.
     :param slack_units: How far the quota may be exceeded for a short time.
@@ -79,6 +95,8 @@
         self._starts_full = starts_full
         self._buckets: dict[CustomerId, _Bucket] = {}
         self._peers: dict[str, _Peer] = {}
+        #: Peers with a record; None until the records were read.
+        self._expected: frozenset[str] | None = None
         self._lock = threading.Lock()
 
     def set_slack(self, slack_units: float) -> None:
@@ -90,6 +108,17 @@
         with self._lock:
             self._reserve_units = slack_units * SLACK_SHARE
 
+    def expect(self, peers: frozenset[str]) -> None:
+        """
+        Take in which peers have a record, whether they were heard or not.
+
+        :param peers: Names of their processes.
+        """
+        with self._lock:
+            self._expected = peers
+            for peer in peers:
+                self._peers.setdefault(peer, _Peer(None))
+
     def admit(
         self, customer: CustomerRules, cost: float, now_seconds: float
     ) -> float | None:
@@ -105,14 +134,16 @@
         if customer.rate_per_second <= 0:
             return None
         with self._lock:
-            bucket = self._filled(customer, now_seconds)
-            needed = cost - self._reserve_units
+            self._forget_ended(now_seconds)
+            share = self._share(now_seconds)
+            bucket = self._filled(customer, share, now_seconds)
+            needed = cost - self._reserve_units * share
             turn_units = min(customer.rate_per_second * TURN_SECONDS, cost)
-            needed += self._turn(customer.customer_id) * turn_units
-            needed = min(needed, customer.burst)
-            level = customer.burst - bucket.used
+            needed += self._turn(customer.customer_id, now_seconds) * turn_units
+            needed = min(needed, customer.burst * share)
+            level = customer.burst * share - bucket.used
             if level < needed:
-                return (needed - level) / customer.rate_per_second
+                return (needed - level) / (customer.rate_per_second * share)
             bucket.used += cost
             bucket.own_total += cost
             return None
@@ -148,13 +179,11 @@
                 if now_seconds - self._started_seconds < JOIN_SECONDS:
                     # What it admitted may be older than this process.
                     known.totals = totals
-            was_silent = now_seconds - known.heard_seconds > PEER_FRESH_SECONDS
-            if not was_silent:
+            if known.silent_seconds(now_seconds) <= PEER_FRESH_SECONDS:
                 self._add_use(known, totals, now_seconds)
-            # Its use while it was silent has been assumed already.
+            # Otherwise its use while it was silent has been assumed already.
             known.heard_seconds = now_seconds
             known.totals = totals
-            self._forget_ended(now_seconds)
 
     def _add_use(
         self, known: _Peer, totals: dict[CustomerId, float], now_seconds: float
@@ -168,11 +197,12 @@
             bucket.used = max(bucket.used + used, 0.0)
 
     def _forget_ended(self, now_seconds: float) -> None:
-        """Forget the processes that were replaced or have long been silent."""
+        """Forget the silent processes that have no record or another's."""
         ended = [
             peer
             for peer, known in self._peers.items()
-            if now_seconds - known.heard_seconds >= SILENT_PEER_SECONDS
+            if known.silent_seconds(now_seconds) >= SILENT_PEER_SECONDS
+            and peer not in (self._expected or ())
         ]
         for peer in ended:
             del self._peers[peer]
@@ -185,7 +215,9 @@
                 for customer_id, bucket in self._buckets.items()
             }
 
-    def _filled(self, customer: CustomerRules, now_seconds: float) -> _Bucket:
+    def _filled(
+        self, customer: CustomerRules, share: float, now_seconds: float
+    ) -> _Bucket:
         bucket = self._buckets.get(customer.customer_id)
         if bucket is None:
             bucket = _Bucket(0.0, now_seconds)
@@ -194,15 +226,14 @@
             bucket.is_new = False
             bucket.used += 0.0 if self._starts_full else customer.burst
         elapsed_seconds = max(now_seconds - bucket.filled_seconds, 0.0)
-        share = 1.0 - self._silent_share(now_seconds)
         made_up = elapsed_seconds * customer.rate_per_second * share
         bucket.used = max(bucket.used - made_up, 0.0)
         bucket.filled_seconds = now_seconds
         return bucket
 
-    def _turn(self, customer_id: CustomerId) -> int:
+    def _turn(self, customer_id: CustomerId, now_seconds: float) -> int:
         """
-        Return this process's place among all, another for each customer.
+        Return this process's place among those heard, by customer.
 
         Processes that see the same level let a request in one after the
         other, so that each hears of the one before.
@@ -210,17 +241,17 @@
         own_place = stable_hash(f"{customer_id}/{self._own_name}")
         return sum(
             1
-            for peer in self._peers
-            if stable_hash(f"{customer_id}/{peer}") < own_place
+            for peer, known in self._peers.items()
+            if known.silent_seconds(now_seconds) <= PEER_FRESH_SECONDS
+            and stable_hash(f"{customer_id}/{peer}") < own_place
         )
 
-    def _silent_share(self, now_seconds: float) -> float:
-        """Return the part of each rate that silent peers may be using."""
+    def _share(self, now_seconds: float) -> float:
+        """Return the part of each quota that silent peers leave."""
         silent = sum(
             1
             for peer in self._peers.values()
-            if PEER_FRESH_SECONDS
-            < now_seconds - peer.heard_seconds
-            < SILENT_PEER_SECONDS
+            if peer.silent_seconds(now_seconds) > PEER_FRESH_SECONDS
         )
-        return silent / (len(self._peers) + 1)
+        share = 1.0 - silent / (len(self._peers) + 1)
+        return share if self._expected is not None else min(share, UNKNOWN_SHARE)
--- a/src/waxwingwinch/gateway/_records.py
+++ b/src/waxwingwinch/gateway/_records.py
@@ -119,6 +119,13 @@
         if isinstance(member, Member):
             self._state.members.put(member)
 
+    def share_limits(self) -> None:
+        """Divide what all instances share among those with a record."""
+        state, now_seconds = self._state, self._clock.now_seconds()
+        others = state.members.others()
+        state.quotas.expect(frozenset(member.incarnation for member in others))
+        state.budget.set_instances(state.members.sharing_count(now_seconds))
+
     def _drop_upstream(self, upstream_id: UpstreamId) -> None:
         now_seconds = self._clock.now_seconds()
         may_be_back = self._state.outage.may_have_lapsed(now_seconds)
--- a/src/waxwingwinch/gateway/_retry_budget.py
+++ b/src/waxwingwinch/gateway/_retry_budget.py
@@ -4,6 +4,9 @@
 
 from attrs import define
 
+#: Instances that share the slack until their number is known; deployments
+#: have ten or fewer for each service.
+UNKNOWN_INSTANCES = 10
 #: Part of the allowed ratio and slack that is used; the rest covers
 #: processes that start anew with a full share.
 BUDGET_SHARE = 0.4
@@ -35,7 +38,7 @@
         self._ratio = ratio
         self._slack = slack
         self._window_seconds = window_seconds
-        self._instances = 1
+        self._instances = UNKNOWN_INSTANCES
         self._accounts: dict[str, _Account] = {}
         self._lock = threading.Lock()
 
@@ -59,7 +62,10 @@
         :param count: Their number.
         """
         with self._lock:
+            share_before = self._share()
             self._instances = max(count, 1)
+            for account in self._accounts.values():
+                account.repeats += self._share() - share_before
 
     def requested(self, service: str, now_seconds: float) -> None:
         """
@@ -73,6 +79,16 @@
             most = self._share() + self._ratio * self._window_seconds
             account.repeats = min(account.repeats + self._ratio * BUDGET_SHARE, most)
 
+    def has_repeat(self, service: str, now_seconds: float) -> bool:
+        """
+        Tell whether a repeat could be taken.
+
+        :param service: The service that it would go to.
+        :param now_seconds: Monotonic time.
+        """
+        with self._lock:
+            return self._filled(service, now_seconds).repeats >= 1.0
+
     def spend(self, service: str, now_seconds: float) -> bool:
         """
         Take one repeat if there is one.
--- a/src/waxwingwinch/gateway/_store.py
+++ b/src/waxwingwinch/gateway/_store.py
@@ -100,21 +100,20 @@
         :raises RecordsExpired: If ``from_offset`` is no longer held.
         """
 
-    def put(self, topic: str, key: str, value: bytes | None) -> None:
+    def put(
+        self,
+        topic: str,
+        key: str,
+        value: bytes | None,
+        at_offset: int | None = None,
+    ) -> None:
         """
         Set or drop a key of a keyed topic.
 
         :param topic: The topic.
         :param key: The key.
         :param value: The value; None drops the key.
-        """
-
-    def put_first(self, topic: str, key: str, value: bytes) -> None:
-        """
-        Set a key of a keyed topic that holds nothing yet.
-
-        :param topic: The topic.
-        :param key: The key.
-        :param value: The value.
-        :raises AppendConflict: If the topic holds a record.
+        :param at_offset: Write only if the topic ends there; 0 if it holds
+            nothing yet.
+        :raises AppendConflict: If the topic does not end at ``at_offset``.
         """
--- a/src/waxwingwinch/gateway/tests/fakes.py
+++ b/src/waxwingwinch/gateway/tests/fakes.py
@@ -104,11 +104,8 @@
         )
         return KeyedSnapshot(records, page.end_offset)
 
-    def put(self, topic, key, value):
-        self.append("keyed." + topic, [(key, value)])
-
-    def put_first(self, topic, key, value):
-        self.append("keyed." + topic, [(key, value)], at_offset=0)
+    def put(self, topic, key, value, at_offset=None):
+        self.append("keyed." + topic, [(key, value)], at_offset)
 
     def _call(self):
         self.calls += 1
--- a/src/waxwingwinch/gateway/tests/relay_world.py
+++ b/src/waxwingwinch/gateway/tests/relay_world.py
@@ -213,6 +213,9 @@
         self.usage = UsageCounts(5.0)
         self.telemetry = Telemetry()
         self.quotas = QuotaBook("own", 0.0, True, self.clock.seconds)
+        self.quotas.expect(frozenset())
+        budget = RetryBudget(0.2, slack, 10.0)
+        budget.set_instances(1)
         self.table = CurrentTable()
         tools = RelayTools(
             self.clock,
@@ -222,7 +225,7 @@
             self.prefixes,
             PaceBook(),
             PlacementLog(),
-            RetryBudget(0.2, slack, 10.0),
+            budget,
             self.transport,
             self.usage,
             self.telemetry,
--- a/src/waxwingwinch/gateway/tests/test_plain_relay.py
+++ b/src/waxwingwinch/gateway/tests/test_plain_relay.py
@@ -159,6 +159,17 @@
     assert len(world.called()) == 1
 
 
+def test_a_slow_upstream_is_waited_for_where_no_repeat_is_left():
+    """Pattern: a service works slowly after its repeats were used up."""
+    world = World(slack=0.0)
+    world.add(upstream("u1"), upstream("u2"))
+    world.publish()
+    slow = Script(takes_seconds=0.8)
+    world.transport.scripts = {"u1": slow, "u2": slow}
+    assert world.ask().status == 200
+    assert len(world.called()) == 1
+
+
 def test_without_a_configuration_nothing_is_judged():
     world = World()
     assert world.ask().status == 503
--- a/src/waxwingwinch/gateway/tests/test_quota.py
+++ b/src/waxwingwinch/gateway/tests/test_quota.py
@@ -30,6 +30,9 @@
             )
             for index in range(count)
         ]
+        names = {f"peer-{index}" for index in range(count)}
+        for index, book in enumerate(self.books):
+            book.expect(frozenset(names - {f"peer-{index}"}))
         self.admitted = []
         self.reported_seconds = 0.0
         self.cut = set()
@@ -61,6 +64,13 @@
         return most
 
 
+def lone_book(starts_full=True, now_seconds=START_SECONDS):
+    """Return the book of a process without peers."""
+    book = QuotaBook("own", 0.0, starts_full, now_seconds)
+    book.expect(frozenset())
+    return book
+
+
 def allowed():
     return (RATE * WINDOW_SECONDS + RATE) * (1 + OVERSHOOT) + SLACK
 
@@ -107,28 +117,65 @@
     assert cluster.most_in_a_window() <= allowed()
 
 
+def test_a_long_cut_between_two_groups_does_not_multiply_the_rate():
+    """Pattern: a zone's links to the others are cut for minutes."""
+    cluster = Cluster()
+    cluster.cut = {0, 1}
+    play(cluster, 8_000.0 / (7.5 * RATE), 8_000.0, 5 * SILENT_PEER_SECONDS)
+    assert cluster.most_in_a_window() <= allowed()
+
+
+def test_a_process_that_read_no_records_yet_takes_a_small_share():
+    """Pattern: an instance starts and the store goes away before it joined."""
+    book = QuotaBook("own", SLACK, starts_full=True, now_seconds=START_SECONDS)
+    cluster = Cluster(count=0)
+    cluster.books = [book]
+    play(cluster, 8_000.0 / (7.5 * RATE), 8_000.0, 12.0)
+    assert cluster.most_in_a_window() <= allowed() / INSTANCES
+
+
+def test_the_share_of_a_peer_without_a_record_is_free_again():
+    """Pattern: an instance is removed for good."""
+    book = lone_book()
+    book.expect(frozenset({"peer"}))
+    book.heard("peer", {}, 0.0)
+    assert book.admit(CUSTOMER, RATE / 2, 0.0) is None
+    book.expect(frozenset())
+    later_seconds = SILENT_PEER_SECONDS + 1.0
+    assert book.admit(CUSTOMER, RATE, later_seconds) is None
+    assert book.admit(CUSTOMER, RATE / 2, later_seconds + 0.55) is None
+
+
+def test_what_a_peer_admitted_before_it_was_heard_is_not_taken_out_again():
+    """Pattern: an instance starts anew behind a cut, which heals later."""
+    book = lone_book()
+    book.expect(frozenset({"peer"}))
+    book.heard("peer", {CUSTOMER.customer_id: 100 * RATE}, 30.0)
+    assert book.admit(CUSTOMER, RATE / 2, 30.0) is None
+
+
 def test_a_request_above_the_burst_is_let_in_when_nothing_was_used():
-    book = QuotaBook("own", 0.0, starts_full=True, now_seconds=START_SECONDS)
+    book = lone_book()
     assert book.admit(CUSTOMER, 2 * RATE, 0.0) is None
     wait_seconds = book.admit(CUSTOMER, 10.0, 0.0)
     assert wait_seconds == pytest.approx(1.0, rel=0.01)
 
 
 def test_a_new_start_begins_with_an_empty_bucket():
-    book = QuotaBook("own", 0.0, starts_full=False, now_seconds=0.0)
+    book = lone_book(False, 0.0)
     assert book.admit(CUSTOMER, RATE, 0.0) is not None
     assert book.admit(CUSTOMER, RATE / 2, 0.6) is None
 
 
 def test_an_admission_without_effect_is_given_back():
-    book = QuotaBook("own", 0.0, starts_full=True, now_seconds=START_SECONDS)
+    book = lone_book()
     assert book.admit(CUSTOMER, RATE, 0.0) is None
     book.give_back(CUSTOMER, RATE)
     assert book.admit(CUSTOMER, RATE, 0.0) is None
 
 
 def test_use_elsewhere_counts_before_the_first_request_here():
-    book = QuotaBook("own", 0.0, starts_full=True, now_seconds=START_SECONDS)
+    book = lone_book()
     book.heard("peer", {}, 0.0)
     book.heard("peer", {CUSTOMER.customer_id: RATE}, 0.1)
     assert book.admit(CUSTOMER, RATE / 2, 0.1) is not None
@@ -137,7 +184,7 @@
 
 def test_processes_that_were_replaced_take_no_share_for_ever():
     """Pattern: instances are restarted in turn all day."""
-    book = QuotaBook("own", 0.0, starts_full=True, now_seconds=START_SECONDS)
+    book = lone_book()
     for number in range(100):
         book.heard(f"start-{number}", {}, float(number))
     now_seconds = 99.0 + SILENT_PEER_SECONDS
--- a/src/waxwingwinch/platform/_store.py
+++ b/src/waxwingwinch/platform/_store.py
@@ -138,26 +138,25 @@
         end_offset = from_offset + len(page.records)
         return KeyedSnapshot(records, end_offset)
 
-    def put(self, topic: str, key: str, value: bytes | None) -> None:
+    def put(
+        self,
+        topic: str,
+        key: str,
+        value: bytes | None,
+        at_offset: int | None = None,
+    ) -> None:
         """
         Set or drop a key of a keyed topic.
 
         :param topic: The topic.
         :param key: The key.
         :param value: The value; None drops the key.
+        :param at_offset: Write only if the topic ends there; 0 if it holds
+            nothing yet.
+        :raises AppendConflict: If the topic does not end at ``at_offset``.
         """
-        self.append(KEYED_PREFIX + topic, [_pack_keyed(key, value or b"")])
-
-    def put_first(self, topic: str, key: str, value: bytes) -> None:
-        """
-        Set a key of a keyed topic that holds nothing yet.
-
-        :param topic: The topic.
-        :param key: The key.
-        :param value: The value.
-        :raises AppendConflict: If the topic holds a record.
-        """
-        self.append(KEYED_PREFIX + topic, [_pack_keyed(key, value)], at_offset=0)
+        payload = _pack_keyed(key, value or b"")
+        self.append(KEYED_PREFIX + topic, [payload], at_offset)
 
     def _call(
         self,
--- a/src/waxwingwinch/platform/tests/standin.py
+++ b/src/waxwingwinch/platform/tests/standin.py
@@ -128,15 +128,7 @@
         self.answer(200, page)
 
     def newest(self, query):
-        newest = {}
-        with self.owner.changed:
-            topic = list(self.owner.topics.get(query["topic"], []))
-        for offset, record in enumerate(topic):
-            key, value = split_keyed(record)
-            if value:
-                newest[key] = (value, offset)
-            else:
-                newest.pop(key, None)
+        newest, end = self.owner.newest(query["topic"])
         items = [
             {
                 "key": key,
@@ -145,7 +137,7 @@
             }
             for key, (value, offset) in newest.items()
         ]
-        reply = {"items": items, "hasMore": False, "end": len(topic)}
+        reply = {"items": items, "hasMore": False, "end": end}
         self.answer(200, json.dumps(reply).encode())
 
 
@@ -174,6 +166,19 @@
             self.topics.setdefault(f"keyed.{topic}", []).append(record)
             self.changed.notify_all()
 
+    def newest(self, topic):
+        """Return value and offset of each key, and the end of the topic."""
+        newest = {}
+        with self.changed:
+            records = list(self.topics.get(topic, []))
+        for offset, record in enumerate(records):
+            key, value = split_keyed(record)
+            if value:
+                newest[key] = (value, offset)
+            else:
+                newest.pop(key, None)
+        return newest, len(records)
+
 
 class UpstreamHandler(QuietHandler):
     def do_GET(self):
--- a/src/waxwingwinch/platform/tests/test_program.py
+++ b/src/waxwingwinch/platform/tests/test_program.py
@@ -194,6 +194,20 @@
     assert world.gateways[0].process.wait(6.0) == 0
 
 
+def test_a_stopped_instance_shares_no_limits_until_it_starts_again(world):
+    world.begin(gateways=2)
+    stopped = world.gateways[1]
+
+    def is_recorded():
+        newest, _ = world.store.newest("keyed.members")
+        return "edge-1" in newest
+
+    assert wait_until(is_recorded)
+    stopped.process.send_signal(signal.SIGTERM)
+    assert stopped.process.wait(6.0) == 0
+    assert not is_recorded()
+
+
 def test_a_changed_settings_file_does_not_cut_requests(world):
     world.begin()
     gateway = world.gateways[0]
