Write log lines as typed records, with the inputs of each decision

Cause: lines were ad-hoc fields at each call; a refusal for overload told no inputs, a refusal over quota not which share of it was usable, a whole answer not which upstream it waited for, and nothing told the age of the upstreams' entries. Each line is a class now, in three modules by subject. New lines: admission:refused, request:sent, upstream:answered, limits:shared.

The age of the entries is kept by the directory alone; the follower's own copy is gone.

--- a/src/waxwingwinch/gateway/__init__.py
+++ b/src/waxwingwinch/gateway/__init__.py
@@ -5,6 +5,7 @@
 typed values.
 """
 
+from waxwingwinch.gateway._belief_lines import HandleKept
 from waxwingwinch.gateway._connections import (
     Cancellation,
     Cancelled,
@@ -29,6 +30,12 @@
 )
 from waxwingwinch.gateway._options import GatewayAdapter, GatewayOptions
 from waxwingwinch.gateway._process import GatewayProcess
+from waxwingwinch.gateway._process_lines import (
+    SettingsRejected,
+    SettingsReloaded,
+    SettingsReloadRequested,
+    SettingsUnreadable,
+)
 from waxwingwinch.gateway._requests import (
     AnswerHead,
     GatewayRequest,
@@ -54,6 +61,11 @@
 from waxwingwinch.gateway._upstreams import RegisteredState, Upstream
 
 __all__ = [
+    "HandleKept",
+    "SettingsRejected",
+    "SettingsReloaded",
+    "SettingsReloadRequested",
+    "SettingsUnreadable",
     "AnswerHead",
     "AppendConflict",
     "CallerLimits",
--- a/src/waxwingwinch/gateway/_cache_survey.py
+++ b/src/waxwingwinch/gateway/_cache_survey.py
@@ -2,10 +2,9 @@
 
 import threading
 
-import eliot
-
 from waxwingwinch._types import ZoneName
 from waxwingwinch.adapters import AnswerMissing, NotSent
+from waxwingwinch.gateway._belief_lines import SurveyRead, SurveyUnanswered
 from waxwingwinch.gateway._state import GatewayState
 from waxwingwinch.gateway._transport import UpstreamTransport
 from waxwingwinch.gateway._upstreams import Upstream
@@ -57,20 +56,18 @@
             try:
                 parts = self._transport.held_parts(engine)
             except (NotSent, AnswerMissing) as error:
-                eliot.log_message(
-                    "survey:unanswered",
+                SurveyUnanswered(
                     upstream_id=engine.upstream_id,
                     reason=str(error),
-                )
+                ).write()
                 continue
             self._state.prefixes.used(engine.upstream_id, parts, capacity_tokens)
             self._state.placements.add(engine.upstream_id, parts)
-            eliot.log_message(
-                "survey:read",
+            SurveyRead(
                 upstream_id=engine.upstream_id,
                 parts=len(parts),
                 held=sum(part.tokens for part in parts),
-            )
+            ).write()
 
     def _engines(self) -> list[tuple[Upstream, int]]:
         """Return the engines of the zone and the tokens that each holds."""
--- a/src/waxwingwinch/gateway/_duty.py
+++ b/src/waxwingwinch/gateway/_duty.py
@@ -2,7 +2,6 @@
 
 import secrets
 
-import eliot
 from attrs import frozen
 
 from waxwingwinch._exceptions import (
@@ -22,6 +21,15 @@
     LedgerState,
     WindowFixed,
 )
+from waxwingwinch.gateway._process_lines import (
+    DutyClaimed,
+    DutyReleased,
+    DutySteppedDown,
+    LedgerConflict,
+    LedgerMalformed,
+    LedgerRefused,
+    LedgerUnanswered,
+)
 from waxwingwinch.gateway._store import AppendConflict, PlatformStore
 from waxwingwinch.kernel import Clock
 
@@ -144,7 +152,7 @@
             return False
         epoch = self._state.end_offset - 1
         self._set_tenure(epoch, now_seconds)
-        eliot.log_message("duty:claimed", epoch=epoch)
+        DutyClaimed(epoch=epoch).write()
         return True
 
     def renew(self) -> None:
@@ -180,7 +188,7 @@
         epoch = self.held_epoch()
         self._tenure = None
         if epoch is not None and self._append(DutyRelease(epoch)):
-            eliot.log_message("duty:released", epoch=epoch)
+            DutyReleased(epoch=epoch).write()
 
     def step_down(self, reason: str) -> None:
         """
@@ -189,9 +197,7 @@
         :param reason: Why.
         """
         if self._tenure is not None:
-            eliot.log_message(
-                "duty:stepped_down", epoch=self._tenure.epoch, reason=reason
-            )
+            DutySteppedDown(epoch=self._tenure.epoch, reason=reason).write()
         self._tenure = None
 
     def _set_tenure(self, epoch: int, sent_seconds: float) -> None:
@@ -208,18 +214,16 @@
         try:
             self._store.append(LEDGER_TOPIC, [encode_message(record)], at_offset)
         except AppendConflict as error:
-            eliot.log_message(
-                "ledger:conflict", at_offset=at_offset, end_offset=error.end_offset
-            )
+            LedgerConflict(at_offset=at_offset, end_offset=error.end_offset).write()
             self._after_conflict()
             return self._is_applied(record)
         except PlatformUnavailable as error:
             # It may be appended yet; reading tells, and a later record at the
             # same offset makes it void.
-            eliot.log_message("ledger:unanswered", reason=str(error))
+            LedgerUnanswered(reason=str(error)).write()
             return False
         except PlatformRefused as error:
-            eliot.log_message("ledger:refused", reason=str(error))
+            LedgerRefused(reason=str(error)).write()
             return False
         self._state.apply(at_offset, record, self._clock.now_seconds())
         return True
@@ -228,7 +232,7 @@
         try:
             self.read(0.0)
         except (PlatformUnavailable, PlatformRefused) as error:
-            eliot.log_message("ledger:unanswered", reason=str(error))
+            LedgerUnanswered(reason=str(error)).write()
 
     def _is_applied(self, record: LedgerRecord) -> bool:
         match record:
@@ -241,7 +245,7 @@
         try:
             record = decode_message(payload)
         except MalformedMessage as error:
-            eliot.log_message("ledger:malformed", offset=offset, reason=str(error))
+            LedgerMalformed(offset=offset, reason=str(error)).write()
             record = None
         self._state.apply(offset, record, now_seconds)
         match record:
--- a/src/waxwingwinch/gateway/_follower.py
+++ b/src/waxwingwinch/gateway/_follower.py
@@ -4,7 +4,6 @@
 import time
 from collections.abc import Callable
 
-import eliot
 from attrs import frozen
 
 from waxwingwinch._exceptions import (
@@ -12,6 +11,7 @@
     PlatformUnavailable,
     RecordsExpired,
 )
+from waxwingwinch.gateway._belief_lines import StoreBack, StoreHistoryLost, StoreLost
 from waxwingwinch.gateway._outage import OutageTracker
 from waxwingwinch.gateway._store import KeyedRecord, PlatformStore
 from waxwingwinch.kernel import Clock
@@ -70,7 +70,6 @@
         self._replaced = replaced
         self._after_read = after_read
         self._next_offset: int | None = None
-        self._read_seconds: float | None = None
         self._outage = outage or OutageTracker()
         self._is_away = False
         self._thread = threading.Thread(
@@ -81,14 +80,9 @@
         """Start following."""
         self._thread.start()
 
-    @property
-    def read_seconds(self) -> float | None:
-        """Monotonic time of the last successful read."""
-        return self._read_seconds
-
     @property
     def end_offset(self) -> int | None:
-        """Where the topic ended at that read; None before the first."""
+        """Where the topic ended at the last read; None before the first."""
         return self._next_offset
 
     def _run(self) -> None:
@@ -97,11 +91,10 @@
             try:
                 self.step()
             except RecordsExpired as error:
-                eliot.log_message(
-                    "store:history_lost",
+                StoreHistoryLost(
                     topic=self._plan.topic,
                     first_offset=error.first_offset,
-                )
+                ).write()
                 self.restart()
                 continue
             except (PlatformUnavailable, PlatformRefused) as error:
@@ -137,7 +130,6 @@
         for record in snapshot.records:
             self._apply(record)
         self._next_offset = snapshot.end_offset
-        self._read_seconds = self._clock.now_seconds()
         if self._after_read is not None:
             self._after_read()
 
@@ -150,12 +142,10 @@
         self._outage.lost(self._clock.now_seconds())
         if not self._is_away:
             self._is_away = True
-            eliot.log_message("store:lost", topic=self._plan.topic, reason=str(error))
+            StoreLost(topic=self._plan.topic, reason=str(error)).write()
 
     def _note_back(self) -> None:
         away_seconds = self._outage.back(self._clock.now_seconds())
         if away_seconds is not None:
             self._is_away = False
-            eliot.log_message(
-                "store:back", topic=self._plan.topic, away_seconds=away_seconds
-            )
+            StoreBack(topic=self._plan.topic, away_seconds=away_seconds).write()
--- a/src/waxwingwinch/gateway/_front.py
+++ b/src/waxwingwinch/gateway/_front.py
@@ -4,7 +4,6 @@
 from http import HTTPStatus
 from typing import Any, Protocol
 
-import eliot
 from attrs import frozen
 from cheroot.server import HTTPConnection, HTTPRequest, HTTPServer
 
@@ -19,6 +18,8 @@
 )
 from waxwingwinch.gateway._model import CallerLimits
 from waxwingwinch.gateway._outcomes import CallerLost
+from waxwingwinch.gateway._process_lines import FrontServerError
+from waxwingwinch.gateway._request_lines import CallerGone, RequestMalformed
 from waxwingwinch.gateway._requests import GatewayRequest
 from waxwingwinch.gateway._tables import CurrentTable
 from waxwingwinch.kernel import Clock
@@ -189,14 +190,14 @@
             self.close_connection = True
 
     def _reject(self, responder: FrontResponder, error: ValueError) -> None:
-        eliot.log_message("request:malformed", reason=str(error))
+        status = 413 if isinstance(error, BodyTooLong) else 400
+        RequestMalformed(status, str(error)).write()
         # What follows on the connection can't be told apart from the body.
         self.close_connection = True
-        status = 413 if isinstance(error, BodyTooLong) else 400
         try:
             responder.respond(status, (), b"")
         except CallerLost as lost:
-            eliot.log_message("request:caller_gone", reason=str(lost))
+            CallerGone(None, str(lost)).write()
 
     def simple_response(self, status: str, msg: str = "") -> None:
         """
@@ -206,12 +207,12 @@
         :param msg: What is wrong.
         """
         self.close_connection = True
-        eliot.log_message("request:malformed", status=str(status), reason=str(msg))
+        RequestMalformed(int(str(status).partition(" ")[0]), str(msg)).write()
         head = f"HTTP/1.1 {status}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
         try:
             self.conn.wfile.write(head.encode("latin-1"))
         except OSError as error:
-            eliot.log_message("request:caller_gone", reason=repr(error))
+            CallerGone(None, repr(error)).write()
 
 
 class FrontConnection(HTTPConnection):  # type: ignore[misc]
@@ -307,4 +308,4 @@
         :param level: Severity.
         :param traceback: Unused; a traceback could show prompts.
         """
-        eliot.log_message("front:server_error", reason=msg, level=level)
+        FrontServerError(reason=msg, level=level).write()
--- a/src/waxwingwinch/gateway/_generation_relay.py
+++ b/src/waxwingwinch/gateway/_generation_relay.py
@@ -1,6 +1,5 @@
 """Relaying a generation: placement, prompt reading, streaming, resuming."""
 
-import eliot
 from attrs import define, field, frozen
 
 from waxwingwinch._types import EngineRole, UpstreamId
@@ -32,6 +31,13 @@
     note_failure,
     note_rejection,
 )
+from waxwingwinch.gateway._request_lines import (
+    AdmissionRefused,
+    FirstEvent,
+    PromptRead,
+    RequestPlaced,
+    StreamBrokenOff,
+)
 from waxwingwinch.gateway._requests import AnswerHead, Prompt
 from waxwingwinch.gateway._telemetry import CounterName
 from waxwingwinch.gateway._transport import (
@@ -127,12 +133,11 @@
     def _end_unserved(self, stream: _Stream, now_seconds: float) -> None:
         if not stream.has_begun:
             raise give_up(stream.job, stream.progress, now_seconds)
-        eliot.log_message(
-            "stream:broken_off",
+        StreamBrokenOff(
             request_id=stream.job.request.request_id,
             sends=stream.progress.sends,
             events=stream.splitter.events,
-        )
+        ).write()
         stream.responder.abort()
 
     def _place(
@@ -150,14 +155,23 @@
             if not budget.spend(job.service.name, now_seconds):
                 return None
         elif not progress.connect_failures:
-            self._admit(job, placement, now_seconds)
+            self._admit(job, placement, len(options), now_seconds)
         stream.expected_seconds = placement.expected_seconds
         stream.placement = type(placement).__name__
         self._tools.telemetry.count(CounterName.PLACEMENTS, stream.placement)
-        _log_placement(job, prompt, placement, options)
+        RequestPlaced(
+            request_id=job.request.request_id,
+            route=job.route.name,
+            entries_age_seconds=self._tools.directory.age_seconds(now_seconds),
+            prompt_tokens=prompt.input_tokens,
+            placement=repr(placement),
+            engines=len(options),
+        ).write()
         return placement
 
-    def _admit(self, job: Job, placement: Placement, now_seconds: float) -> None:
+    def _admit(
+        self, job: Job, placement: Placement, engines: int, now_seconds: float
+    ) -> None:
         left_seconds = job.end_seconds - now_seconds
         decision = admit_generation(
             placement.expected_seconds,
@@ -169,6 +183,15 @@
             case Admit():
                 return
             case Refuse(retry_after_seconds):
+                AdmissionRefused(
+                    request_id=job.request.request_id,
+                    route=job.route.name,
+                    expected_seconds=placement.expected_seconds,
+                    own_seconds=placement.own_seconds,
+                    target_seconds=job.route.target_seconds,
+                    left_seconds=left_seconds,
+                    engines=engines,
+                ).write()
                 raise RequestEnded(503, RefusalReason.OVERLOADED, retry_after_seconds)
 
     def _options(
@@ -283,15 +306,14 @@
                 work_seconds(read_tokens + queue_tokens),
                 took_seconds - FIRST_EVENT_SECONDS,
             )
-            eliot.log_message(
-                "prompt:read",
+            PromptRead(
                 request_id=job.request.request_id,
                 upstream_id=reader.upstream_id,
                 read_work=read_tokens,
                 waiting_work=queue_tokens,
                 took_seconds=took_seconds,
                 pace=self._tools.paces.pace(reader.upstream_id),
-            )
+            ).write()
             return _Handle(reader, name)
         except NotSent as error:
             note_failure(self._tools, job, reader, error)
@@ -402,15 +424,14 @@
                 self._tools.clock.now_seconds() - arrived_seconds,
                 stream.job.route.target_seconds,
             )
-        eliot.log_message(
-            "stream:first_event",
+        FirstEvent(
             request_id=stream.job.request.request_id,
             route=stream.job.route.name,
             sends=stream.progress.sends,
             took_seconds=self._tools.clock.now_seconds() - arrived_seconds,
             expected_seconds=stream.expected_seconds,
             placement=stream.placement,
-        )
+        ).write()
 
     def _relay_failure(self, stream: _Stream, answer: UpstreamAnswer) -> bool:
         job = stream.job
@@ -463,16 +484,3 @@
 
 def _size(job: Job, prompt: Prompt) -> PromptSize:
     return PromptSize(prompt.input_tokens, prompt.shared_id, job.route.target_seconds)
-
-
-def _log_placement(
-    job: Job, prompt: Prompt, placement: Placement, options: list[EngineOption]
-) -> None:
-    eliot.log_message(
-        "request:placed",
-        request_id=job.request.request_id,
-        route=job.route.name,
-        prompt_tokens=prompt.input_tokens,
-        placement=repr(placement),
-        engines=len(options),
-    )
--- a/src/waxwingwinch/gateway/_gossip.py
+++ b/src/waxwingwinch/gateway/_gossip.py
@@ -6,12 +6,12 @@
 from collections import deque
 from collections.abc import Callable
 
-import eliot
 from attrs import field, frozen
 
 from waxwingwinch._exceptions import PeerUnavailable
 from waxwingwinch._types import CustomerId, EngineRole, InstanceId, UpstreamId
 from waxwingwinch.codec import message
+from waxwingwinch.gateway._belief_lines import PeerLost, PeerReached
 from waxwingwinch.gateway._members import Member, MemberDirectory
 from waxwingwinch.gateway._requests import PromptPart
 from waxwingwinch.kernel import Clock
@@ -243,13 +243,11 @@
         except PeerUnavailable as error:
             if self._is_up:
                 self._is_up = False
-                eliot.log_message(
-                    "peer:lost", address=str(self.link.address), reason=str(error)
-                )
+                PeerLost(address=str(self.link.address), reason=str(error)).write()
             return False
         if not self._is_up:
             self._is_up = True
-            eliot.log_message("peer:reached", address=str(self.link.address))
+            PeerReached(address=str(self.link.address)).write()
         return True
 
 
--- a/src/waxwingwinch/gateway/_handler.py
+++ b/src/waxwingwinch/gateway/_handler.py
@@ -2,8 +2,6 @@
 
 import threading
 
-import eliot
-
 from waxwingwinch.gateway._connections import Cancellation
 from waxwingwinch.gateway._generation_relay import GenerationRelay
 from waxwingwinch.gateway._job import Job, RelayTools
@@ -21,6 +19,12 @@
 )
 from waxwingwinch.gateway._plain_relay import PlainRelay
 from waxwingwinch.gateway._quota import QuotaBook
+from waxwingwinch.gateway._request_lines import (
+    CallerGone,
+    QuotaExceeded,
+    RequestAnswered,
+    RequestRefused,
+)
 from waxwingwinch.gateway._requests import GatewayRequest, Prompt
 from waxwingwinch.gateway._routes import RouteTable, choose_service
 from waxwingwinch.gateway._tables import CurrentTable
@@ -80,11 +84,10 @@
         except RequestEnded as ended:
             self._refuse(request, responder, ended)
         except CallerLost as lost:
-            eliot.log_message(
-                "request:caller_gone",
+            CallerGone(
                 request_id=request.request_id,
                 reason=str(lost),
-            )
+            ).write()
             responder.abort()
         finally:
             with self._lock:
@@ -114,14 +117,14 @@
             raise
         finally:
             self._watcher.remove(job.cancellation)
-        eliot.log_message(
-            "request:answered",
+        RequestAnswered(
             request_id=request.request_id,
             route=route.name,
             customer=job.customer_id,
             version=table.configuration.version,
             took_seconds=self._tools.clock.now_seconds() - request.arrived_seconds,
-        )
+            target_seconds=route.target_seconds,
+        ).write()
 
     def _relay(self, job: Job, responder: Responder) -> None:
         prompt = job.request.prompt
@@ -171,45 +174,46 @@
         if customer is None:
             return 0.0
         cost = quota_cost(customer, request)
-        wait_seconds = self._quotas.admit(customer, cost, request.arrived_seconds)
-        if wait_seconds is not None:
-            eliot.log_message(
-                "quota:exceeded",
+        beyond = self._quotas.admit(customer, cost, request.arrived_seconds)
+        if beyond is not None:
+            QuotaExceeded(
                 request_id=request.request_id,
                 customer=customer.customer_id,
                 cost=cost,
+                used=beyond.used_units,
                 rate_per_second=customer.rate_per_second,
                 burst=customer.burst,
-                wait_seconds=wait_seconds,
-            )
+                share=beyond.share,
+                silent_peers=beyond.silent_peers,
+                wait_seconds=beyond.wait_seconds,
+            ).write()
             self._tools.telemetry.ended(
                 customer.customer_id, "", RefusalReason.OVER_QUOTA
             )
-            raise RequestEnded(429, RefusalReason.OVER_QUOTA, wait_seconds)
+            raise RequestEnded(429, RefusalReason.OVER_QUOTA, beyond.wait_seconds)
         return cost
 
     def _refuse(
         self, request: GatewayRequest, responder: Responder, ended: RequestEnded
     ) -> None:
-        eliot.log_message(
-            "request:refused",
+        RequestRefused(
             request_id=request.request_id,
+            version=self._table.version,
             status=ended.status,
             reason=ended.reason.value,
             retry_after_seconds=ended.retry_after_seconds,
             took_seconds=self._tools.clock.now_seconds() - request.arrived_seconds,
-        )
+        ).write()
         headers: tuple[tuple[str, str], ...] = ()
         if ended.retry_after_seconds is not None:
             headers = (("Retry-After", f"{ended.retry_after_seconds:.3f}"),)
         try:
             responder.respond(ended.status, headers, b"")
         except CallerLost as lost:
-            eliot.log_message(
-                "request:caller_gone",
+            CallerGone(
                 request_id=request.request_id,
                 reason=str(lost),
-            )
+            ).write()
 
 
 def quota_cost(customer: CustomerRules, request: GatewayRequest) -> float:
--- a/src/waxwingwinch/gateway/_joining.py
+++ b/src/waxwingwinch/gateway/_joining.py
@@ -5,12 +5,12 @@
 from collections.abc import Callable
 from typing import TypeVar
 
-import eliot
-
 from waxwingwinch._exceptions import PlatformRefused, PlatformUnavailable
 from waxwingwinch._types import InstanceId
 from waxwingwinch.codec import encode_message
+from waxwingwinch.gateway._belief_lines import StoreUnanswered
 from waxwingwinch.gateway._members import Member
+from waxwingwinch.gateway._process_lines import GatewayNotWithdrawn, SecretExists
 from waxwingwinch.gateway._store import AppendConflict, PlatformStore
 
 #: Topic of the instances' records.
@@ -39,7 +39,7 @@
         try:
             store.put(SECRET_TOPIC, SECRET_KEY, proposal, at_offset=0)
         except AppendConflict:
-            eliot.log_message("gateway:secret_exists")
+            SecretExists().write()
         for record in store.snapshot(SECRET_TOPIC).records:
             if record.key == SECRET_KEY and record.value is not None:
                 return record.value.decode()
@@ -76,7 +76,7 @@
         store.put(MEMBERS_TOPIC, instance_id, None, end_offset)
     except (AppendConflict, PlatformUnavailable, PlatformRefused) as error:
         # The others take it for silent until its next start.
-        eliot.log_message("gateway:not_withdrawn", reason=str(error))
+        GatewayNotWithdrawn(reason=str(error)).write()
 
 
 def _until_answered(call: Callable[[], T]) -> T:
@@ -84,5 +84,5 @@
         try:
             return call()
         except (PlatformUnavailable, PlatformRefused) as error:
-            eliot.log_message("store:unanswered", reason=str(error))
+            StoreUnanswered(reason=str(error)).write()
             time.sleep(START_PAUSE_SECONDS)
--- a/src/waxwingwinch/gateway/_plain_relay.py
+++ b/src/waxwingwinch/gateway/_plain_relay.py
@@ -1,6 +1,5 @@
 """Relaying a request to a plain service."""
 
-import eliot
 from attrs import frozen
 
 from waxwingwinch._types import EngineRole
@@ -22,6 +21,12 @@
     Responder,
 )
 from waxwingwinch.gateway._placement import PlainOption, place_plain
+from waxwingwinch.gateway._request_lines import (
+    RequestSent,
+    UpstreamAnswered,
+    UpstreamFailed,
+    UpstreamRejected,
+)
 from waxwingwinch.gateway._requests import AnswerHead
 from waxwingwinch.gateway._telemetry import CounterName
 from waxwingwinch.gateway._transport import Run
@@ -136,8 +141,32 @@
             job.service.name, now_seconds
         ):
             return None
+        self._log_sent(job, usable[chosen], options, progress, now_seconds)
         return usable[chosen]
 
+    def _log_sent(
+        self,
+        job: Job,
+        upstream: Upstream,
+        options: list[PlainOption],
+        progress: Progress,
+        now_seconds: float,
+    ) -> None:
+        running = next(
+            option.running
+            for option in options
+            if option.upstream_id == upstream.upstream_id
+        )
+        RequestSent(
+            request_id=job.request.request_id,
+            route=job.route.name,
+            entries_age_seconds=self._tools.directory.age_seconds(now_seconds),
+            upstream_id=upstream.upstream_id,
+            running=running,
+            options=len(options),
+            sends=progress.sends + 1,
+        ).write()
+
     def _may_repeat(self, job: Job, progress: Progress, now_seconds: float) -> bool:
         """Tell whether leaving an upstream that is silent could help."""
         return (
@@ -172,6 +201,12 @@
             answer.finish()
             if answer.head.is_success and not answer.head.is_signed:
                 raise AnswerMissing("the upstream did not sign a success")
+            UpstreamAnswered(
+                job.request.request_id,
+                upstream.upstream_id,
+                answer.head.status,
+                self._tools.clock.now_seconds() - now_seconds,
+            ).write()
             return _WholeAnswer(answer.head, body)
         except (AnswerMissing, Cancelled) as error:
             if job.cancellation.reason is not None:
@@ -198,14 +233,13 @@
         out_seconds = tools.directory.unreached(upstream.upstream_id, now_seconds)
     else:
         out_seconds = tools.directory.failed(upstream.upstream_id, now_seconds)
-    eliot.log_message(
-        "upstream:failed",
+    UpstreamFailed(
         request_id=job.request.request_id,
         upstream_id=upstream.upstream_id,
         error=type(error).__name__,
         reason=str(error),
         avoided_seconds=out_seconds,
-    )
+    ).write()
 
 
 def note_rejection(
@@ -223,12 +257,11 @@
         tools.directory.misdirected(upstream)
     else:
         tools.directory.failed(upstream.upstream_id, tools.clock.now_seconds())
-    eliot.log_message(
-        "upstream:rejected",
+    UpstreamRejected(
         request_id=job.request.request_id,
         upstream_id=upstream.upstream_id,
         status=head.status,
-    )
+    ).write()
 
 
 def may_try(job: Job, progress: Progress, now_seconds: float) -> bool:
--- a/src/waxwingwinch/gateway/_process.py
+++ b/src/waxwingwinch/gateway/_process.py
@@ -4,8 +4,6 @@
 import threading
 import time
 
-import eliot
-
 from waxwingwinch.gateway._answers import InstanceAnswers
 from waxwingwinch.gateway._cache_survey import CacheSurvey
 from waxwingwinch.gateway._duty import StewardDuty
@@ -24,6 +22,12 @@
 )
 from waxwingwinch.gateway._members import Member
 from waxwingwinch.gateway._options import GatewayAdapter, GatewayOptions
+from waxwingwinch.gateway._process_lines import (
+    GatewayJoined,
+    GatewayStarting,
+    GatewayStopped,
+    GatewayStopping,
+)
 from waxwingwinch.gateway._records import RecordIntake
 from waxwingwinch.gateway._reports import ReportExchange
 from waxwingwinch.gateway._state import GatewayState
@@ -91,7 +95,6 @@
             self._state,
             self._steward,
             self._intake,
-            lambda: self._upstreams.read_seconds,
             clock,
         )
         self._info_servers = self._make_info_servers()
@@ -99,12 +102,11 @@
 
     def run(self) -> None:
         """Serve until :meth:`request_stop`, then stop in good order."""
-        eliot.log_message(
-            "gateway:starting",
+        GatewayStarting(
             instance_id=self._state.own.instance_id,
             incarnation=self._state.own.incarnation,
             is_first_start=self._options.is_first_start,
-        )
+        ).write()
         self._watcher.start()
         self._configuration.start()
         self._upstreams.start()
@@ -185,7 +187,7 @@
             self._clock,
             intake.apply_upstream,
             intake.keep_upstreams,
-            intake.expire_upstreams,
+            intake.upstreams_read,
             self._state.outage,
         )
         self._member_records = TopicFollower(
@@ -233,12 +235,12 @@
         gossip.start()
         publish_member(self._adapter.store, own)
         self._member_records.start()
-        eliot.log_message("gateway:joined", instance_id=own.instance_id)
+        GatewayJoined(instance_id=own.instance_id).write()
 
     def _stop(self) -> None:
         started_seconds = self._clock.now_seconds()
         grace_seconds = self._options.grace_seconds
-        eliot.log_message("gateway:stopping", under_way=self._handler.under_way)
+        GatewayStopping(under_way=self._handler.under_way).write()
         self._front.is_stopping = True
         self._steward.stop()
         accept_until_seconds = started_seconds + grace_seconds * ACCEPT_GRACE_SHARE
@@ -248,11 +250,10 @@
         while self._handler.under_way and self._clock.now_seconds() < end_seconds:
             time.sleep(STOP_POLL_SECONDS)
         self._withdraw()
-        eliot.log_message(
-            "gateway:stopped",
+        GatewayStopped(
             under_way=self._handler.under_way,
             took_seconds=self._clock.now_seconds() - started_seconds,
-        )
+        ).write()
 
     def _withdraw(self) -> None:
         end_offset = self._member_records.end_offset
--- /dev/null
+++ b/src/waxwingwinch/gateway/_process_lines.py
@@ -0,0 +1,299 @@
+"""Log lines about the process itself and its duty."""
+
+from attrs import frozen
+
+from waxwingwinch.gateway._log_line import LogLine, log_line
+
+
+@log_line("gateway:starting")
+@frozen
+class GatewayStarting(LogLine):
+    """
+    The start of the process.
+
+    :param instance_id: The instance.
+    :param incarnation: Unique name of the start.
+    :param is_first_start: True if nothing was started before.
+    """
+
+    instance_id: str
+    incarnation: str
+    is_first_start: bool
+
+
+@log_line("gateway:joined")
+@frozen
+class GatewayJoined(LogLine):
+    """
+    The process is known to the other instances.
+
+    :param instance_id: The instance.
+    """
+
+    instance_id: str
+
+
+@log_line("gateway:stopping")
+@frozen
+class GatewayStopping(LogLine):
+    """
+    A planned stop began.
+
+    :param under_way: Requests that are being served.
+    """
+
+    under_way: int
+
+
+@log_line("gateway:stopped")
+@frozen
+class GatewayStopped(LogLine):
+    """
+    A planned stop ended.
+
+    :param under_way: Requests that are being served.
+    :param took_seconds: Time that it took.
+    """
+
+    under_way: int
+    took_seconds: float
+
+
+@log_line("gateway:not_withdrawn")
+@frozen
+class GatewayNotWithdrawn(LogLine):
+    """
+    The record of the process stands after its stop.
+
+    :param reason: What was seen.
+    """
+
+    reason: str
+
+
+@log_line("gateway:secret_exists")
+@frozen
+class SecretExists(LogLine):
+    """Another instance made the shared secret."""
+
+
+@log_line("front:server_error")
+@frozen
+class FrontServerError(LogLine):
+    """
+    A message of the HTTP server.
+
+    :param reason: What was seen.
+    :param level: Level of the message.
+    """
+
+    reason: str
+    level: int
+
+
+@log_line("settings:reload_requested")
+@frozen
+class SettingsReloadRequested(LogLine):
+    """A signal asks for the settings file."""
+
+
+@log_line("settings:reloaded")
+@frozen
+class SettingsReloaded(LogLine):
+    """
+    The settings file has changed.
+
+    :param instance_id: The instance.
+    """
+
+    instance_id: str
+
+
+@log_line("settings:invalid")
+@frozen
+class SettingsRejected(LogLine):
+    """
+    A changed settings file with mistakes, which is not used.
+
+    :param findings: The mistakes with their places.
+    """
+
+    findings: str
+
+
+@log_line("settings:unreadable")
+@frozen
+class SettingsUnreadable(LogLine):
+    """
+    A settings file that can't be read.
+
+    :param reason: What was seen.
+    """
+
+    reason: str
+
+
+@log_line("duty:claimed")
+@frozen
+class DutyClaimed(LogLine):
+    """
+    The duty is held here.
+
+    :param epoch: Epoch of the duty.
+    """
+
+    epoch: int
+
+
+@log_line("duty:released")
+@frozen
+class DutyReleased(LogLine):
+    """
+    The duty was handed back.
+
+    :param epoch: Epoch of the duty.
+    """
+
+    epoch: int
+
+
+@log_line("duty:stepped_down")
+@frozen
+class DutySteppedDown(LogLine):
+    """
+    The duty is no longer held here.
+
+    :param epoch: Epoch of the duty.
+    :param reason: What was seen.
+    """
+
+    epoch: int
+    reason: str
+
+
+@log_line("ledger:conflict")
+@frozen
+class LedgerConflict(LogLine):
+    """
+    Another instance wrote to the ledger first.
+
+    :param at_offset: Where the topic was expected to end.
+    :param end_offset: Where it ends.
+    """
+
+    at_offset: int | None
+    end_offset: int
+
+
+@log_line("ledger:unanswered")
+@frozen
+class LedgerUnanswered(LogLine):
+    """
+    An append or read whose outcome is unknown.
+
+    :param reason: What was seen.
+    """
+
+    reason: str
+
+
+@log_line("ledger:refused")
+@frozen
+class LedgerRefused(LogLine):
+    """
+    An append that the store turned away.
+
+    :param reason: What was seen.
+    """
+
+    reason: str
+
+
+@log_line("ledger:malformed")
+@frozen
+class LedgerMalformed(LogLine):
+    """
+    A record of the ledger that could not be read.
+
+    :param offset: Position of the record.
+    :param reason: What was seen.
+    """
+
+    offset: int
+    reason: str
+
+
+@log_line("steward:unanswered")
+@frozen
+class StewardUnanswered(LogLine):
+    """
+    Work of the duty that a dependency did not answer.
+
+    :param work: What was being done.
+    :param reason: What was seen.
+    """
+
+    work: str
+    reason: str
+
+
+@log_line("steward:spot_refused")
+@frozen
+class StewardSpotRefused(LogLine):
+    """
+    Spot upstreams that were not to be had.
+
+    :param zone: The availability zone.
+    :param reason: What was seen.
+    """
+
+    zone: str
+    reason: str
+
+
+@log_line("steward:ordered")
+@frozen
+class StewardOrdered(LogLine):
+    """
+    Upstreams that were ordered.
+
+    :param service: Its service.
+    :param zone: The availability zone.
+    :param count: Upstreams that were ordered.
+    :param present: Upstreams that are there.
+    :param is_spot: True if it may be reclaimed.
+    """
+
+    service: str
+    zone: str
+    count: int
+    present: int
+    is_spot: bool
+
+
+@log_line("steward:stage_changed")
+@frozen
+class StewardStageChanged(LogLine):
+    """
+    An engine that was told to change its stage.
+
+    :param upstream_id: The upstream.
+    :param role: Its stage; None if it has none.
+    """
+
+    upstream_id: str
+    role: str | None
+
+
+@log_line("steward:usage_reported")
+@frozen
+class StewardUsageReported(LogLine):
+    """
+    A usage window that was reported.
+
+    :param window: Number of the window.
+    :param requests: Requests that began in it.
+    """
+
+    window: int
+    requests: int
--- a/src/waxwingwinch/gateway/_quota.py
+++ b/src/waxwingwinch/gateway/_quota.py
@@ -3,7 +3,7 @@
 import math
 import threading
 
-from attrs import define, field
+from attrs import define, field, frozen
 
 from waxwingwinch._types import CustomerId
 from waxwingwinch.gateway._model import CustomerRules
@@ -67,6 +67,23 @@
         return now_seconds - self.heard_seconds
 
 
+@frozen
+class OverQuota:
+    """
+    Why a request is beyond its customer's quota.
+
+    :param wait_seconds: Time after which it would be within.
+    :param used_units: What was used and not made up for yet.
+    :param share: Part of the quota that this process may use.
+    :param silent_peers: Peers that are taken to use the rest.
+    """
+
+    wait_seconds: float
+    used_units: float
+    share: float
+    silent_peers: int
+
+
 class QuotaBook:
     """
     Decides whether a customer's request is within its quota.
@@ -108,28 +125,30 @@
         with self._lock:
             self._reserve_units = slack_units * SLACK_SHARE
 
-    def expect(self, peers: frozenset[str]) -> None:
+    def expect(self, peers: frozenset[str]) -> bool:
         """
         Take in which peers have a record, whether they were heard or not.
 
         :param peers: Names of their processes.
+        :returns: True if others had one before.
         """
         with self._lock:
+            has_changed = peers != self._expected
             self._expected = peers
             for peer in peers:
                 self._peers.setdefault(peer, _Peer(None))
+            return has_changed
 
     def admit(
         self, customer: CustomerRules, cost: float, now_seconds: float
-    ) -> float | None:
+    ) -> OverQuota | None:
         """
         Take a request's cost out of its customer's quota.
 
         :param customer: The customer.
         :param cost: Units that the request counts.
         :param now_seconds: Monotonic time.
-        :returns: None if it is within the quota, else the time in seconds
-            after which it would be.
+        :returns: None if it is within the quota.
         """
         if customer.rate_per_second <= 0:
             return None
@@ -143,7 +162,12 @@
             needed = min(needed, customer.burst * share)
             level = customer.burst * share - bucket.used
             if level < needed:
-                return (needed - level) / (customer.rate_per_second * share)
+                return OverQuota(
+                    (needed - level) / (customer.rate_per_second * share),
+                    bucket.used,
+                    share,
+                    self._silent_count(now_seconds),
+                )
             bucket.used += cost
             bucket.own_total += cost
             return None
@@ -248,10 +272,12 @@
 
     def _share(self, now_seconds: float) -> float:
         """Return the part of each quota that silent peers leave."""
-        silent = sum(
+        share = 1.0 - self._silent_count(now_seconds) / (len(self._peers) + 1)
+        return share if self._expected is not None else min(share, UNKNOWN_SHARE)
+
+    def _silent_count(self, now_seconds: float) -> int:
+        return sum(
             1
             for peer in self._peers.values()
             if peer.silent_seconds(now_seconds) > PEER_FRESH_SECONDS
         )
-        share = 1.0 - silent / (len(self._peers) + 1)
-        return share if self._expected is not None else min(share, UNKNOWN_SHARE)
--- a/src/waxwingwinch/gateway/_records.py
+++ b/src/waxwingwinch/gateway/_records.py
@@ -1,10 +1,17 @@
 """Taking in the records of the platform's store."""
 
-import eliot
-
 from waxwingwinch._exceptions import MalformedMessage
 from waxwingwinch._types import InstanceId, UpstreamId
 from waxwingwinch.codec import decode_message
+from waxwingwinch.gateway._belief_lines import (
+    ConfigurationMalformed,
+    LimitsShared,
+    MemberMalformed,
+    UpstreamEntryGone,
+    UpstreamLapsed,
+    UpstreamMalformed,
+    UpstreamRegistered,
+)
 from waxwingwinch.gateway._members import Member
 from waxwingwinch.gateway._options import GatewayAdapter
 from waxwingwinch.gateway._state import GatewayState
@@ -46,7 +53,7 @@
         try:
             configuration = self._adapter.decode_configuration(payload)
         except MalformedMessage as error:
-            eliot.log_message("configuration:malformed", reason=str(error))
+            ConfigurationMalformed(reason=str(error)).write()
             return
         if self._state.table.publish(configuration):
             self._state.configuration_payload = payload
@@ -67,7 +74,7 @@
                 record.key, record.value, now_seconds
             )
         except MalformedMessage as error:
-            eliot.log_message("upstream:malformed", reason=str(error))
+            UpstreamMalformed(record.key, str(error)).write()
             self._drop_upstream(upstream_id)
             return
         before = self._state.directory.put(upstream)
@@ -75,16 +82,16 @@
             self._state.prefixes.forget(upstream_id)
             self._state.paces.forget(upstream_id)
         if before is None or before.state is not upstream.state:
-            eliot.log_message(
-                "upstream:registered",
+            UpstreamRegistered(
                 upstream_id=upstream_id,
                 service=upstream.service,
                 zone=upstream.zone,
                 state=upstream.state.value,
                 role=upstream.role.value if upstream.role else None,
                 is_spot=upstream.is_spot,
+                cold_seconds=max(upstream.cold_until_seconds - now_seconds, 0.0),
                 offset=record.offset,
-            )
+            ).write()
 
     def keep_upstreams(self, keys: frozenset[str]) -> None:
         """
@@ -96,11 +103,12 @@
             if upstream.upstream_id not in keys:
                 self._drop_upstream(upstream.upstream_id)
 
-    def expire_upstreams(self) -> None:
-        """Forget the entries that lapsed and did not come back."""
+    def upstreams_read(self) -> None:
+        """Note a reading, and forget the entries that did not come back."""
         now_seconds = self._clock.now_seconds()
+        self._state.directory.was_read(now_seconds)
         for upstream_id in self._state.directory.expire_lapsed(now_seconds):
-            eliot.log_message("upstream:lapsed", upstream_id=upstream_id)
+            UpstreamLapsed(upstream_id=upstream_id).write()
 
     def apply_member(self, record: KeyedRecord) -> None:
         """
@@ -114,7 +122,7 @@
         try:
             member = decode_message(record.value)
         except MalformedMessage as error:
-            eliot.log_message("member:malformed", reason=str(error))
+            MemberMalformed(record.key, str(error)).write()
             return
         if isinstance(member, Member):
             self._state.members.put(member)
@@ -123,7 +131,9 @@
         """Divide what all instances share among those with a record."""
         state, now_seconds = self._state, self._clock.now_seconds()
         others = state.members.others()
-        state.quotas.expect(frozenset(member.incarnation for member in others))
+        peers = frozenset(member.incarnation for member in others)
+        if state.quotas.expect(peers):
+            LimitsShared(len(peers) + 1).write()
         state.budget.set_instances(state.members.sharing_count(now_seconds))
 
     def _drop_upstream(self, upstream_id: UpstreamId) -> None:
@@ -135,6 +145,4 @@
             self._state.directory.remove(upstream_id)
         self._state.prefixes.forget(upstream_id)
         self._state.paces.forget(upstream_id)
-        eliot.log_message(
-            "upstream:entry_gone", upstream_id=upstream_id, may_be_back=may_be_back
-        )
+        UpstreamEntryGone(upstream_id=upstream_id, may_be_back=may_be_back).write()
--- a/src/waxwingwinch/gateway/_reports.py
+++ b/src/waxwingwinch/gateway/_reports.py
@@ -2,10 +2,9 @@
 
 from collections.abc import Callable
 
-import eliot
-
 from waxwingwinch._exceptions import MalformedMessage, PeerUnavailable
 from waxwingwinch._types import InstanceId
+from waxwingwinch.gateway._belief_lines import ConfigurationUnanswered
 from waxwingwinch.gateway._gossip import (
     InstanceReport,
     PromptPlacement,
@@ -31,7 +30,6 @@
     :param state: The state of the process.
     :param steward: Stands for the duty.
     :param intake: Puts configurations in force.
-    :param read_seconds: Returns when the upstreams' entries were last read.
     :param clock: Source of the present time.
     """
 
@@ -40,13 +38,11 @@
         state: GatewayState,
         steward: Steward,
         intake: RecordIntake,
-        read_seconds: Callable[[], float | None],
         clock: Clock,
     ) -> None:
         self._state = state
         self._steward = steward
         self._intake = intake
-        self._read_seconds = read_seconds
         self._clock = clock
 
     def make(self, known_sequence: int) -> InstanceReport:
@@ -77,10 +73,7 @@
 
     def store_age_seconds(self) -> float | None:
         """Return how long ago the store was read; None if it never was."""
-        read_seconds = self._read_seconds()
-        if read_seconds is None:
-            return None
-        return self._clock.now_seconds() - read_seconds
+        return self._state.directory.age_seconds(self._clock.now_seconds())
 
     def apply(self, report: InstanceReport, ask: AskConfiguration) -> None:
         """
@@ -142,7 +135,7 @@
         try:
             payload = ask(peer, ASK_SECONDS)
         except (PeerUnavailable, MalformedMessage) as error:
-            eliot.log_message("configuration:unanswered", reason=str(error))
+            ConfigurationUnanswered(peer, str(error)).write()
             return
         if payload:
             self._intake.put_configuration(payload)
--- a/src/waxwingwinch/gateway/_steward.py
+++ b/src/waxwingwinch/gateway/_steward.py
@@ -4,7 +4,6 @@
 from collections.abc import Sequence
 from typing import Protocol
 
-import eliot
 from attrs import frozen
 
 from waxwingwinch._exceptions import PlatformRefused, PlatformUnavailable
@@ -12,6 +11,13 @@
 from waxwingwinch.gateway._duty import NotHolding, StewardDuty
 from waxwingwinch.gateway._ledger import FIXED_KEPT
 from waxwingwinch.gateway._members import MemberDirectory
+from waxwingwinch.gateway._process_lines import (
+    StewardOrdered,
+    StewardSpotRefused,
+    StewardStageChanged,
+    StewardUnanswered,
+    StewardUsageReported,
+)
 from waxwingwinch.gateway._scaling import (
     UpstreamCount,
     ZoneFleet,
@@ -193,7 +199,7 @@
         except (NotHolding, StaleFence) as error:
             self._duty.step_down(str(error))
         except (PlatformUnavailable, PlatformRefused) as error:
-            eliot.log_message("steward:unanswered", reason=str(error))
+            StewardUnanswered("hold the duty", str(error)).write()
 
     def _work(self) -> None:
         self._duty.renew()
@@ -203,9 +209,7 @@
             except StaleFence:
                 raise
             except (PlatformUnavailable, PlatformRefused) as error:
-                eliot.log_message(
-                    "steward:unanswered", work=work.__name__, reason=str(error)
-                )
+                StewardUnanswered(work=work.__name__, reason=str(error)).write()
 
     def _challenge(self) -> None:
         heard_seconds = self._holder_heard_seconds
@@ -257,21 +261,18 @@
             if not wanted.is_spot:
                 raise
             self._dry_until[wanted.zone] = now_seconds + DRY_SECONDS
-            eliot.log_message(
-                "steward:spot_refused", zone=wanted.zone, reason=str(error)
-            )
+            StewardSpotRefused(zone=wanted.zone, reason=str(error)).write()
             return
         self._ordered[key] = _Order(
             wanted.count, now_seconds + boot_seconds + ORDER_MARGIN_SECONDS
         )
-        eliot.log_message(
-            "steward:ordered",
+        StewardOrdered(
             service=wanted.service,
             zone=wanted.zone,
             count=wanted.count,
             present=present,
             is_spot=wanted.is_spot,
-        )
+        ).write()
 
     def _change_stages(self) -> None:
         now_seconds = self._clock.now_seconds()
@@ -292,11 +293,10 @@
             self._directory.switch_stage(
                 engine.upstream_id, change.role, back_seconds + STAGE_MARGIN_SECONDS
             )
-            eliot.log_message(
-                "steward:stage_changed",
+            StewardStageChanged(
                 upstream_id=engine.upstream_id,
                 role=change.role.value,
-            )
+            ).write()
 
     def _report_usage(self) -> None:
         # The figures of all windows are fixed in time, also while reports are
@@ -309,9 +309,7 @@
             self._reported = {
                 one for one in self._reported if one > window - FIXED_KEPT
             }
-            eliot.log_message(
-                "steward:usage_reported", window=window, requests=sum(counts.values())
-            )
+            StewardUsageReported(window=window, requests=sum(counts.values())).write()
 
     def _fix(self, window: int) -> bool:
         return self._duty.fix_window(window, self._usage.total(window))
--- a/src/waxwingwinch/gateway/_tables.py
+++ b/src/waxwingwinch/gateway/_tables.py
@@ -2,8 +2,7 @@
 
 import threading
 
-import eliot
-
+from waxwingwinch.gateway._belief_lines import ConfigurationInForce
 from waxwingwinch.gateway._model import GatewayConfiguration
 from waxwingwinch.gateway._routes import RouteTable
 
@@ -36,10 +35,9 @@
             if configuration.version <= self.version:
                 return False
             self._table = RouteTable.build(configuration)
-        eliot.log_message(
-            "configuration:in_force",
+        ConfigurationInForce(
             version=configuration.version,
             routes=len(configuration.routes),
             customers=len(configuration.customers),
-        )
+        ).write()
         return True
--- a/src/waxwingwinch/gateway/_upstreams.py
+++ b/src/waxwingwinch/gateway/_upstreams.py
@@ -103,8 +103,26 @@
         self._troubles: dict[UpstreamId, _Trouble] = {}
         self._unreached: dict[UpstreamId, float] = {}
         self._switches: dict[UpstreamId, StageSwitch] = {}
+        self._read_seconds: float | None = None
         self._lock = threading.Lock()
 
+    def was_read(self, now_seconds: float) -> None:
+        """
+        Note that the entries were read.
+
+        :param now_seconds: Monotonic time.
+        """
+        self._read_seconds = now_seconds
+
+    def age_seconds(self, now_seconds: float) -> float | None:
+        """
+        Return the time since the entries were read; None if they never were.
+
+        :param now_seconds: Monotonic time.
+        """
+        read_seconds = self._read_seconds
+        return None if read_seconds is None else now_seconds - read_seconds
+
     def put(self, upstream: Upstream) -> Upstream | None:
         """
         Take in an entry.
--- a/src/waxwingwinch/gateway/tests/test_follower.py
+++ b/src/waxwingwinch/gateway/tests/test_follower.py
@@ -17,7 +17,7 @@
         self.outage = OutageTracker()
         self.applied: list[tuple[str, bytes | None]] = []
         self.kept: list[frozenset[str]] = []
-        self.reads = 0
+        self.read_times: list[float] = []
         self.follower = TopicFollower(
             self.store,
             FollowPlan(TOPIC, 0.0),
@@ -29,7 +29,7 @@
         )
 
     def count(self):
-        self.reads += 1
+        self.read_times.append(self.clock.seconds)
 
 
 @pytest.fixture
@@ -47,7 +47,7 @@
     world.store.put(TOPIC, "b", b"3")
     world.follower.step()
     assert world.applied[1:] == [("a", None), ("b", b"3")]
-    assert world.reads == 2
+    assert len(world.read_times) == 2
 
 
 def test_a_lost_history_is_replaced_by_the_newest_records(world):
@@ -73,4 +73,5 @@
     world.store.is_down = False
     world.follower.step()
     assert world.outage.may_have_lapsed(world.clock.seconds)
-    assert world.follower.read_seconds == world.clock.seconds
+    assert len(world.read_times) == 2
+    assert world.read_times[-1] == world.clock.seconds
--- a/src/waxwingwinch/gateway/tests/test_quota.py
+++ b/src/waxwingwinch/gateway/tests/test_quota.py
@@ -157,8 +157,8 @@
 def test_a_request_above_the_burst_is_let_in_when_nothing_was_used():
     book = lone_book()
     assert book.admit(CUSTOMER, 2 * RATE, 0.0) is None
-    wait_seconds = book.admit(CUSTOMER, 10.0, 0.0)
-    assert wait_seconds == pytest.approx(1.0, rel=0.01)
+    beyond = book.admit(CUSTOMER, 10.0, 0.0)
+    assert beyond.wait_seconds == pytest.approx(1.0, rel=0.01)
 
 
 def test_a_new_start_begins_with_an_empty_bucket():
--- a/src/waxwingwinch/gateway/tests/test_upstreams.py
+++ b/src/waxwingwinch/gateway/tests/test_upstreams.py
@@ -124,3 +124,10 @@
     assert usable(directory) == []
     directory.put(evolve(ENTRY, born_ms=2_000, sequence=1))
     assert usable(directory) == ["u"]
+
+
+def test_the_age_of_the_entries_is_known_once_they_were_read():
+    directory = UpstreamDirectory()
+    assert directory.age_seconds(5.0) is None
+    directory.was_read(5.0)
+    assert directory.age_seconds(7.5) == 2.5
--- a/src/waxwingwinch/platform/_reload.py
+++ b/src/waxwingwinch/platform/_reload.py
@@ -4,8 +4,12 @@
 from collections.abc import Callable
 from pathlib import Path
 
-import eliot
-
+from waxwingwinch.gateway import (
+    SettingsRejected,
+    SettingsReloaded,
+    SettingsReloadRequested,
+    SettingsUnreadable,
+)
 from waxwingwinch.platform._settings import InstanceSettings, parse_instance_settings
 from waxwingwinch.settings import SettingsInvalid, format_findings
 
@@ -43,7 +47,7 @@
         try:
             text = self._path.read_text()
         except OSError as error:
-            eliot.log_message("settings:unreadable", reason=str(error))
+            SettingsUnreadable(reason=str(error)).write()
             return False
         if text == self._text:
             return False
@@ -51,15 +55,15 @@
         try:
             settings = parse_instance_settings(text, self._path)
         except SettingsInvalid as error:
-            eliot.log_message("settings:invalid", findings=format_findings(error))
+            SettingsRejected(findings=format_findings(error)).write()
             return False
         self._apply(settings)
-        eliot.log_message("settings:reloaded", instance_id=settings.instance_id)
+        SettingsReloaded(instance_id=settings.instance_id).write()
         return True
 
     def _run(self) -> None:
         while True:
             if self._look.wait(LOOK_SECONDS):
                 self._look.clear()
-                eliot.log_message("settings:reload_requested")
+                SettingsReloadRequested().write()
             self.look()
--- a/src/waxwingwinch/platform/_transport.py
+++ b/src/waxwingwinch/platform/_transport.py
@@ -3,7 +3,6 @@
 import json
 import re
 
-import eliot
 from urllib3 import HTTPResponse
 
 from waxwingwinch.adapters import AnswerMissing, HttpRequest, NotSent, exchange
@@ -12,6 +11,7 @@
     Cancellation,
     Cancelled,
     ConnectionPool,
+    HandleKept,
     PromptPart,
     ReadPrompt,
     Run,
@@ -247,11 +247,10 @@
             exchange(upstream.address, request, DROP_SECONDS)
         except (NotSent, AnswerMissing) as error:
             # It lapses by itself after a few seconds.
-            eliot.log_message(
-                "upstream:handle_kept",
+            HandleKept(
                 upstream_id=upstream.upstream_id,
                 reason=str(error),
-            )
+            ).write()
 
 
 def _headers(
