Trace a request through saved logs; count store calls, repeats and caches

Metrics: calls of the store with their times, repeats and ejections by service, levels of quotas and retry budgets, waiting prompt tokens, cached and read tokens by engine.

--- a/src/waxwingwinch/gateway/_answers.py
+++ b/src/waxwingwinch/gateway/_answers.py
@@ -4,6 +4,7 @@
 from urllib.parse import parse_qs
 
 from waxwingwinch.gateway._info_server import InfoReply
+from waxwingwinch.gateway._loads import NO_LOAD
 from waxwingwinch.gateway._members import addresses_for
 from waxwingwinch.gateway._options import GatewayAdapter
 from waxwingwinch.gateway._state import GatewayState
@@ -104,6 +105,8 @@
             ),
             Gauge("waxwing_instances_heard", (), heard),
             *self._upstream_gauges(),
+            *self._limit_gauges(now_seconds),
+            *self._load_gauges(now_seconds),
         ]
 
     def _upstream_gauges(self) -> list[Gauge]:
@@ -115,3 +118,41 @@
             Gauge("waxwing_upstreams", (("service", service), ("state", state)), count)
             for (service, state), count in counts.items()
         ]
+
+    def _limit_gauges(self, now_seconds: float) -> list[Gauge]:
+        """Return what is left of quotas and retry budgets."""
+        state = self._state
+        table = state.table.get()
+        if table is None:
+            return []
+        configuration = table.configuration
+        gauges = [Gauge("waxwing_quota_share", (), state.quotas.share(now_seconds))]
+        for customer in configuration.customers:
+            level = state.quotas.level(customer, now_seconds)
+            if level is not None:
+                labels = (("customer", str(customer.customer_id)),)
+                gauges.append(Gauge("waxwing_quota_level_units", labels, level))
+        for service in configuration.services:
+            level = state.budget.level(service, now_seconds)
+            labels = (("service", service),)
+            gauges.append(Gauge("waxwing_retry_budget_level", labels, level))
+        return gauges
+
+    def _load_gauges(self, now_seconds: float) -> list[Gauge]:
+        """Return the work under way by service, that of peers included."""
+        waiting: dict[str, int] = {}
+        running: dict[str, int] = {}
+        totals = self._state.loads.totals(now_seconds)
+        for upstream in self._state.directory.all():
+            load = totals.get(upstream.upstream_id, NO_LOAD)
+            service = upstream.service
+            waiting[service] = waiting.get(service, 0) + load.waiting_tokens
+            running[service] = running.get(service, 0) + load.running
+        return [
+            Gauge(name, (("service", service),), count)
+            for name, counts in (
+                ("waxwing_waiting_prompt_tokens", waiting),
+                ("waxwing_running_requests", running),
+            )
+            for service, count in counts.items()
+        ]
--- a/src/waxwingwinch/gateway/_generation_relay.py
+++ b/src/waxwingwinch/gateway/_generation_relay.py
@@ -154,6 +154,7 @@
             budget = self._tools.budget
             if not budget.spend(job.service.name, now_seconds):
                 return None
+            self._tools.telemetry.count(CounterName.REPEATS, job.service.name)
         elif not progress.connect_failures:
             self._admit(job, placement, len(options), now_seconds)
         stream.expected_seconds = placement.expected_seconds
@@ -218,10 +219,12 @@
             case RunDirectly(engine_id, read_tokens):
                 engine = self._tools.directory.ready(engine_id)
                 phase: Phase = Run()
+                self._count_prompt(engine_id, prompt, read_tokens)
             case RunSplit(prefill_id, decode_id, read_tokens, expected_seconds):
                 reader = self._tools.directory.ready(prefill_id)
                 if reader is None:
                     return False
+                self._count_prompt(prefill_id, prompt, read_tokens)
                 handle = self._read_prompt(
                     stream, prompt, reader, read_tokens, expected_seconds
                 )
@@ -240,6 +243,12 @@
         finally:
             ticket.end()
 
+    def _count_prompt(
+        self, engine_id: UpstreamId, prompt: Prompt, read_tokens: int
+    ) -> None:
+        cached_tokens = max(prompt.input_tokens - read_tokens, 0)
+        self._tools.telemetry.prompt_given(engine_id, read_tokens, cached_tokens)
+
     def _decoder(
         self, stream: _Stream, prompt: Prompt, decode_id: UpstreamId
     ) -> Upstream | None:
--- /dev/null
+++ b/src/waxwingwinch/gateway/_measured_store.py
@@ -0,0 +1,89 @@
+"""The platform's store with its calls counted and timed."""
+
+from collections.abc import Callable, Sequence
+from typing import TypeVar
+
+from waxwingwinch._exceptions import PlatformRefused, PlatformUnavailable
+from waxwingwinch.gateway._store import KeyedSnapshot, PlatformStore
+from waxwingwinch.gateway._telemetry import StoreCallResult, Telemetry
+from waxwingwinch.interfaces import LogPage
+from waxwingwinch.kernel import Clock
+
+T = TypeVar("T")
+
+
+class MeasuredStore:
+    """
+    Passes calls on to a store and records them.
+
+    :param store: The store.
+    :param telemetry: Where calls are recorded.
+    :param clock: Source of the present time.
+    """
+
+    def __init__(
+        self, store: PlatformStore, telemetry: Telemetry, clock: Clock
+    ) -> None:
+        self._store = store
+        self._telemetry = telemetry
+        self._clock = clock
+
+    def append(
+        self, topic: str, payloads: Sequence[bytes], at_offset: int | None = None
+    ) -> int:
+        """Append records; see :class:`PlatformStore`."""
+        return self._timed(
+            "append", lambda: self._store.append(topic, payloads, at_offset)
+        )
+
+    def read(self, topic: str, from_offset: int, wait_seconds: float) -> LogPage:
+        """Read records; see :class:`PlatformStore`."""
+        return self._timed(
+            _reading(wait_seconds),
+            lambda: self._store.read(topic, from_offset, wait_seconds),
+        )
+
+    def snapshot(self, topic: str) -> KeyedSnapshot:
+        """Read the newest values; see :class:`PlatformStore`."""
+        return self._timed("snapshot", lambda: self._store.snapshot(topic))
+
+    def changes(
+        self, topic: str, from_offset: int, wait_seconds: float
+    ) -> KeyedSnapshot:
+        """Read the records of a keyed topic; see :class:`PlatformStore`."""
+        return self._timed(
+            _reading(wait_seconds),
+            lambda: self._store.changes(topic, from_offset, wait_seconds),
+        )
+
+    def put(
+        self,
+        topic: str,
+        key: str,
+        value: bytes | None,
+        at_offset: int | None = None,
+    ) -> None:
+        """Set or drop a key; see :class:`PlatformStore`."""
+        self._timed("put", lambda: self._store.put(topic, key, value, at_offset))
+
+    def _timed(self, call: str, make: Callable[[], T]) -> T:
+        started_seconds = self._clock.now_seconds()
+        result = StoreCallResult.FAILED
+        try:
+            answer = make()
+            result = StoreCallResult.ANSWERED
+            return answer
+        except PlatformRefused:
+            result = StoreCallResult.REFUSED
+            raise
+        except PlatformUnavailable:
+            result = StoreCallResult.UNANSWERED
+            raise
+        finally:
+            took_seconds = self._clock.now_seconds() - started_seconds
+            self._telemetry.store_called(call, result, took_seconds)
+
+
+def _reading(wait_seconds: float) -> str:
+    """Tell reads that the store may hold from those it answers at once."""
+    return "wait" if wait_seconds > 0 else "read"
--- a/src/waxwingwinch/gateway/_plain_relay.py
+++ b/src/waxwingwinch/gateway/_plain_relay.py
@@ -137,10 +137,10 @@
         chosen = place_plain(options, self._tools.zone)
         if chosen is None:
             return None
-        if progress.sends and not self._tools.budget.spend(
-            job.service.name, now_seconds
-        ):
-            return None
+        if progress.sends:
+            if not self._tools.budget.spend(job.service.name, now_seconds):
+                return None
+            self._tools.telemetry.count(CounterName.REPEATS, job.service.name)
         self._log_sent(job, usable[chosen], options, progress, now_seconds)
         return usable[chosen]
 
@@ -229,6 +229,7 @@
     """
     now_seconds = tools.clock.now_seconds()
     tools.telemetry.count(CounterName.UPSTREAM_FAILURES, type(error).__name__)
+    tools.telemetry.count(CounterName.EJECTIONS, job.service.name)
     if isinstance(error, NotSent):
         out_seconds = tools.directory.unreached(upstream.upstream_id, now_seconds)
     else:
--- a/src/waxwingwinch/gateway/_process.py
+++ b/src/waxwingwinch/gateway/_process.py
@@ -20,6 +20,7 @@
     shared_secret,
     withdraw_member,
 )
+from waxwingwinch.gateway._measured_store import MeasuredStore
 from waxwingwinch.gateway._members import Member
 from waxwingwinch.gateway._options import GatewayAdapter, GatewayOptions
 from waxwingwinch.gateway._process_lines import (
@@ -79,6 +80,7 @@
             options.peer_address,
         )
         self._state = GatewayState.begin(own, options, clock.now_seconds())
+        self._store = MeasuredStore(adapter.store, self._state.telemetry, clock)
         self._intake = RecordIntake(self._state, adapter, clock)
         self._watcher = CallerWatcher()
         self._handler = self._make_handler()
@@ -156,7 +158,7 @@
     def _make_steward(self) -> Steward:
         state, options = self._state, self._options
         duty = StewardDuty(
-            self._adapter.store,
+            self._store,
             options.instance_id,
             options.lease_seconds,
             self._clock,
@@ -176,13 +178,13 @@
     def _make_followers(self) -> None:
         adapter, intake = self._adapter, self._intake
         self._configuration = TopicFollower(
-            adapter.store,
+            self._store,
             FollowPlan(adapter.configuration_topic, CONFIGURATION_WAIT_SECONDS),
             self._clock,
             intake.apply_configuration,
         )
         self._upstreams = TopicFollower(
-            adapter.store,
+            self._store,
             FollowPlan(adapter.upstreams_topic, 0.0, UPSTREAMS_PAUSE_SECONDS),
             self._clock,
             intake.apply_upstream,
@@ -191,7 +193,7 @@
             self._state.outage,
         )
         self._member_records = TopicFollower(
-            adapter.store,
+            self._store,
             FollowPlan(MEMBERS_TOPIC, MEMBERS_WAIT_SECONDS),
             self._clock,
             intake.apply_member,
@@ -220,7 +222,7 @@
         gossip = Gossip(
             self._state.members,
             PeerIdentity(own.instance_id, PeerProgram.ENTRY, own.zone, "gateway"),
-            shared_secret(self._adapter.store),
+            shared_secret(self._store),
             self._clock,
             self._reports.make,
         )
@@ -233,7 +235,7 @@
         gossip.on_work(self._state.loads.peer_began)
         self._state.loads.announce = gossip.announce
         gossip.start()
-        publish_member(self._adapter.store, own)
+        publish_member(self._store, own)
         self._member_records.start()
         GatewayJoined(instance_id=own.instance_id).write()
 
@@ -262,7 +264,7 @@
             return
         thread = threading.Thread(
             target=withdraw_member,
-            args=(self._adapter.store, self._state.own.instance_id, end_offset),
+            args=(self._store, self._state.own.instance_id, end_offset),
             daemon=True,
         )
         thread.start()
--- a/src/waxwingwinch/gateway/_quota.py
+++ b/src/waxwingwinch/gateway/_quota.py
@@ -172,6 +172,29 @@
             bucket.own_total += cost
             return None
 
+    def share(self, now_seconds: float) -> float:
+        """
+        Return the part of each quota that this process may use.
+
+        :param now_seconds: Monotonic time.
+        """
+        with self._lock:
+            return self._share(now_seconds)
+
+    def level(self, customer: CustomerRules, now_seconds: float) -> float | None:
+        """
+        Return the units that a customer may use at once; None without a rate.
+
+        :param customer: The customer.
+        :param now_seconds: Monotonic time.
+        """
+        if customer.rate_per_second <= 0:
+            return None
+        with self._lock:
+            share = self._share(now_seconds)
+            bucket = self._filled(customer, share, now_seconds)
+            return customer.burst * share - bucket.used
+
     def give_back(self, customer: CustomerRules, cost: float) -> None:
         """
         Undo an admission whose request never reached an upstream.
--- a/src/waxwingwinch/gateway/_retry_budget.py
+++ b/src/waxwingwinch/gateway/_retry_budget.py
@@ -79,6 +79,16 @@
             most = self._share() + self._ratio * self._window_seconds
             account.repeats = min(account.repeats + self._ratio * BUDGET_SHARE, most)
 
+    def level(self, service: str, now_seconds: float) -> float:
+        """
+        Return the repeats that are left.
+
+        :param service: The service that they would go to.
+        :param now_seconds: Monotonic time.
+        """
+        with self._lock:
+            return self._filled(service, now_seconds).repeats
+
     def has_repeat(self, service: str, now_seconds: float) -> bool:
         """
         Tell whether a repeat could be taken.
@@ -86,8 +96,7 @@
         :param service: The service that it would go to.
         :param now_seconds: Monotonic time.
         """
-        with self._lock:
-            return self._filled(service, now_seconds).repeats >= 1.0
+        return self.level(service, now_seconds) >= 1.0
 
     def spend(self, service: str, now_seconds: float) -> bool:
         """
--- a/src/waxwingwinch/gateway/_telemetry.py
+++ b/src/waxwingwinch/gateway/_telemetry.py
@@ -2,14 +2,22 @@
 
 import enum
 import threading
+from bisect import bisect_left
+from collections import OrderedDict
 from collections.abc import Iterable
+from copy import deepcopy
+from itertools import accumulate
 
-from attrs import frozen
+from attrs import define, field, frozen
 from prometheus_client import CollectorRegistry, generate_latest
-from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
+from prometheus_client.core import (
+    CounterMetricFamily,
+    GaugeMetricFamily,
+    HistogramMetricFamily,
+)
 from prometheus_client.metrics_core import Metric
 
-from waxwingwinch._types import CustomerId
+from waxwingwinch._types import CustomerId, UpstreamId
 from waxwingwinch.gateway._outcomes import RefusalReason
 from waxwingwinch.observability import (
     LatencyKind,
@@ -19,6 +27,11 @@
     prometheus_text,
 )
 
+#: Upper bounds in seconds of the classes in which calls of the store are
+#: counted; a sound one answers within the first two.
+STORE_CALL_BOUNDS_SECONDS = (0.01, 0.05, 0.25, 1.0, 5.0)
+#: Engines whose prompts are counted apart; the least recent are forgotten.
+COUNTED_ENGINES_MAX = 100
 #: Customer under which requests on routes open to all are recorded.
 NOBODY = CustomerId("")
 
@@ -30,6 +43,18 @@
     UPSTREAM_FAILURES = "waxwing_upstream_failures"
     PLACEMENTS = "waxwing_placements"
     RESUMED_STREAMS = "waxwing_resumed_streams"
+    REPEATS = "waxwing_repeats"
+    EJECTIONS = "waxwing_ejections"
+
+
+class StoreCallResult(enum.Enum):
+    """How a call of the platform's store ended."""
+
+    ANSWERED = "answered"
+    REFUSED = "refused"
+    UNANSWERED = "unanswered"
+    #: The answer said that the call could not be carried out as asked.
+    FAILED = "failed"
 
 
 @frozen
@@ -47,19 +72,69 @@
     value: float
 
 
+@define
+class _CallTimes:
+    """
+    Calls of one kind that ended in one way.
+
+    :param counts: Calls by class of their time, the longest last.
+    :param sum_seconds: Time of all calls.
+    """
+
+    counts: list[int] = field(
+        factory=lambda: [0] * (len(STORE_CALL_BOUNDS_SECONDS) + 1)
+    )
+    sum_seconds: float = 0.0
+
+    def add(self, took_seconds: float) -> None:
+        """
+        Count a call.
+
+        :param took_seconds: Time that it took.
+        """
+        self.counts[bisect_left(STORE_CALL_BOUNDS_SECONDS, took_seconds)] += 1
+        self.sum_seconds += took_seconds
+
+    def buckets(self) -> list[tuple[str, float]]:
+        """Return upper bounds with the calls up to each."""
+        bounds = [*(str(bound) for bound in STORE_CALL_BOUNDS_SECONDS), "+Inf"]
+        return list(zip(bounds, accumulate(self.counts), strict=True))
+
+
+@define
+class _PromptCounts:
+    """
+    Prompts that one engine was given.
+
+    :param read: Tokens that it had to read.
+    :param cached: Tokens that it was believed to hold.
+    """
+
+    read: int = 0
+    cached: int = 0
+
+
 class _GatewayCollector:
     """
     Hands counters and gauges to the Prometheus library.
 
     :param counters: Values by name and label.
     :param gauges: The gauges.
+    :param store_calls: Calls of the platform's store by kind and result.
+    :param prompts: Prompts by engine.
     """
 
     def __init__(
-        self, counters: dict[tuple[CounterName, str], int], gauges: Iterable[Gauge]
+        self,
+        counters: dict[tuple[CounterName, str], int],
+        gauges: Iterable[Gauge],
+        store_calls: dict[tuple[str, StoreCallResult], _CallTimes],
+        prompts: dict[UpstreamId, _PromptCounts],
     ) -> None:
         self._counters = counters
         self._gauges = gauges
+        self._store_calls = store_calls
+        self._prompts = prompts
 
     def collect(self) -> Iterable[Metric]:
         """Return the metric families."""
@@ -69,6 +144,8 @@
                 if counted is name:
                     family.add_metric([label], value)
             yield family
+        yield self._store_family()
+        yield self._prompt_family()
         families: dict[str, GaugeMetricFamily] = {}
         for gauge in self._gauges:
             names = [label for label, _ in gauge.labels]
@@ -80,6 +157,21 @@
             )
         yield from families.values()
 
+    def _store_family(self) -> Metric:
+        name = "waxwing_store_call_seconds"
+        family = HistogramMetricFamily(name, name, labels=["call", "result"])
+        for (call, result), times in self._store_calls.items():
+            family.add_metric([call, result.value], times.buckets(), times.sum_seconds)
+        return family
+
+    def _prompt_family(self) -> Metric:
+        name = "waxwing_engine_prompt_tokens"
+        family = CounterMetricFamily(name, name, labels=["upstream", "kind"])
+        for upstream_id, counts in self._prompts.items():
+            family.add_metric([upstream_id, "read"], counts.read)
+            family.add_metric([upstream_id, "cached"], counts.cached)
+        return family
+
 
 class Telemetry:
     """Records what happens to requests; may be used from all threads."""
@@ -87,6 +179,8 @@
     def __init__(self) -> None:
         self._metrics = Metrics()
         self._counters: dict[tuple[CounterName, str], int] = {}
+        self._store_calls: dict[tuple[str, StoreCallResult], _CallTimes] = {}
+        self._prompts: OrderedDict[UpstreamId, _PromptCounts] = OrderedDict()
         self._lock = threading.Lock()
 
     def count(self, name: CounterName, label: str) -> None:
@@ -99,6 +193,36 @@
         with self._lock:
             self._counters[name, label] = self._counters.get((name, label), 0) + 1
 
+    def store_called(
+        self, call: str, result: StoreCallResult, took_seconds: float
+    ) -> None:
+        """
+        Record a call of the platform's store.
+
+        :param call: Kind of the call, one of few.
+        :param result: How it ended.
+        :param took_seconds: Time that it took.
+        """
+        with self._lock:
+            times = self._store_calls.setdefault((call, result), _CallTimes())
+            times.add(took_seconds)
+
+    def prompt_given(self, upstream_id: UpstreamId, read: int, cached: int) -> None:
+        """
+        Record a prompt that an engine was given.
+
+        :param upstream_id: The engine.
+        :param read: Tokens that it has to read.
+        :param cached: Tokens that it is believed to hold.
+        """
+        with self._lock:
+            counts = self._prompts.setdefault(upstream_id, _PromptCounts())
+            self._prompts.move_to_end(upstream_id)
+            counts.read += read
+            counts.cached += cached
+            if len(self._prompts) > COUNTED_ENGINES_MAX:
+                self._prompts.popitem(last=False)
+
     def answered(
         self,
         customer_id: CustomerId | None,
@@ -148,9 +272,12 @@
         :param gauges: Values at this moment.
         """
         with self._lock:
-            counters = dict(self._counters)
+            collector = _GatewayCollector(
+                dict(self._counters),
+                gauges,
+                deepcopy(self._store_calls),
+                deepcopy(dict(self._prompts)),
+            )
         registry = CollectorRegistry(auto_describe=False)
-        registry.register(
-            _GatewayCollector(counters, gauges)  # type: ignore[arg-type]
-        )
+        registry.register(collector)  # type: ignore[arg-type]
         return prometheus_text(self._metrics.snapshot()) + generate_latest(registry)
--- a/src/waxwingwinch/gateway/tests/test_logs_and_metrics.py
+++ b/src/waxwingwinch/gateway/tests/test_logs_and_metrics.py
@@ -4,12 +4,22 @@
 import threading
 
 import eliot
+import pytest
 
-from waxwingwinch._types import CustomerId
+from waxwingwinch._exceptions import PlatformUnavailable
+from waxwingwinch._types import CustomerId, UpstreamId
 from waxwingwinch.gateway._log_writer import QUEUE_MESSAGES, LogWriter
+from waxwingwinch.gateway._measured_store import MeasuredStore
 from waxwingwinch.gateway._outcomes import RefusalReason
-from waxwingwinch.gateway._telemetry import CounterName, Gauge, Telemetry
-from waxwingwinch.gateway.tests.fakes import FakeClock
+from waxwingwinch.gateway._store import AppendConflict
+from waxwingwinch.gateway._telemetry import (
+    COUNTED_ENGINES_MAX,
+    CounterName,
+    Gauge,
+    StoreCallResult,
+    Telemetry,
+)
+from waxwingwinch.gateway.tests.fakes import FakeClock, FakeStore
 from waxwingwinch.gateway.tests.relay_world import World, upstream
 from waxwingwinch.observability import set_up_logs
 
@@ -91,3 +101,44 @@
     assert 'waxwing_refusals_total{kind="overloaded"} 1.0' in text
     assert 'waxwing_placements_total{kind="RunSplit"} 1.0' in text
     assert 'waxwing_x{state="ready"} 3.0' in text
+
+
+def test_calls_of_the_store_are_counted_by_how_they_ended():
+    telemetry, clock, inner = Telemetry(), FakeClock(), FakeStore()
+    store = MeasuredStore(inner, telemetry, clock)
+    store.put("t", "k", b"v")
+    store.snapshot("t")
+    with pytest.raises(AppendConflict):
+        store.put("t", "k", b"v", at_offset=0)
+    inner.is_down = True
+    with pytest.raises(PlatformUnavailable):
+        store.changes("t", 0, 1.0)
+    text = telemetry.text([]).decode()
+    for call, result in (
+        ("put", "answered"),
+        ("snapshot", "answered"),
+        ("put", "failed"),
+        ("wait", "unanswered"),
+    ):
+        name = "waxwing_store_call_seconds_count"
+        assert f'{name}{{call="{call}",result="{result}"}} 1.0' in text
+
+
+def test_slow_calls_of_the_store_are_told_from_fast_ones():
+    telemetry = Telemetry()
+    telemetry.store_called("put", StoreCallResult.ANSWERED, 0.005)
+    telemetry.store_called("put", StoreCallResult.ANSWERED, 0.7)
+    text = telemetry.text([]).decode()
+    bucket = 'waxwing_store_call_seconds_bucket{call="put",le="%s",result="answered"}'
+    assert bucket % "0.25" + " 1.0" in text
+    assert bucket % "1.0" + " 2.0" in text
+
+
+def test_cached_prompts_are_told_by_engine_for_a_bounded_number():
+    telemetry = Telemetry()
+    for number in range(COUNTED_ENGINES_MAX + 5):
+        telemetry.prompt_given(UpstreamId(f"e{number}"), read=10, cached=30)
+    text = telemetry.text([]).decode()
+    name = "waxwing_engine_prompt_tokens_total"
+    assert f'{name}{{kind="cached",upstream="e104"}} 30.0' in text
+    assert text.count(f'{name}{{kind="read"') == COUNTED_ENGINES_MAX
--- a/src/waxwingwinch/observability/__init__.py
+++ b/src/waxwingwinch/observability/__init__.py
@@ -18,6 +18,12 @@
     ExplainRequest,
     MemoryDecisionLog,
 )
+from waxwingwinch.observability._traces import (
+    LoggedLine,
+    RequestTrace,
+    read_log,
+    trace_request,
+)
 
 __all__ = [
     "ExplainHandler",
@@ -28,11 +34,15 @@
     "LatencyKind",
     "LatencyMetric",
     "LogDestination",
+    "LoggedLine",
     "MetricKey",
     "Metrics",
     "MetricsSnapshot",
     "RequestResult",
+    "RequestTrace",
     "merge_snapshots",
     "prometheus_text",
+    "read_log",
     "set_up_logs",
+    "trace_request",
 ]
--- /dev/null
+++ b/src/waxwingwinch/observability/tests/test_traces.py
@@ -0,0 +1,80 @@
+"""What one request met, put together from the logs of several processes."""
+
+import json
+
+from waxwingwinch.observability import LoggedLine, read_log, trace_request
+
+
+def entry(wall_seconds, message_type, **fields):
+    return json.dumps(
+        {"timestamp": wall_seconds, "message_type": message_type, **fields}
+    )
+
+
+FIRST = [
+    entry(1.0, "gateway:starting", instance_id="i1"),
+    entry(2.0, "upstream:registered", upstream_id="u1", state="ready"),
+    entry(2.5, "upstream:registered", upstream_id="u2", state="ready"),
+    entry(3.0, "upstream:registered", upstream_id="u1", state="draining"),
+    entry(3.4, "upstream:failed", request_id="r0", upstream_id="u1"),
+    entry(3.5, "upstream:answered", request_id="r0", upstream_id="u1"),
+    entry(4.0, "request:placed", request_id="r1", upstream_id="u1"),
+    entry(4.2, "request:placed", request_id="r2", upstream_id="u2"),
+    entry(4.5, "store:lost", topic="op"),
+    entry(5.0, "upstream:failed", request_id="r1", upstream_id="u1"),
+    entry(6.0, "store:back", topic="op"),
+]
+SECOND = [
+    entry(0.5, "gateway:starting", instance_id="i2"),
+    entry(0.6, "configuration:in_force", version=7),
+    "not json",
+    entry(5.5, "request:refused", request_id="r1", status=503, dropped_before=3),
+]
+THIRD = [entry(0.1, "gateway:starting", instance_id="i3")]
+
+
+def trace(request_id):
+    lines: list[LoggedLine] = []
+    for name, texts in (("a.log", FIRST), ("b.log", SECOND), ("c.log", THIRD)):
+        lines.extend(read_log(name, texts))
+    return trace_request(request_id, lines)
+
+
+def kinds(lines):
+    return [(line.source, line.message_type) for line in lines]
+
+
+def test_lines_of_all_processes_are_put_in_order():
+    assert kinds(trace("r1").lines) == [
+        ("i1", "request:placed"),
+        ("i1", "store:lost"),
+        ("i1", "upstream:failed"),
+        ("i2", "request:refused"),
+    ]
+
+
+def test_only_the_newest_beliefs_of_processes_that_took_part_are_told():
+    found = trace("r1")
+    assert kinds(found.beliefs) == [
+        ("i2", "gateway:starting"),
+        ("i2", "configuration:in_force"),
+        ("i1", "gateway:starting"),
+        ("i1", "upstream:registered"),
+        ("i1", "upstream:failed"),
+    ]
+    assert found.beliefs[-2].fields["state"] == "draining"
+
+
+def test_lines_that_were_left_out_are_told():
+    assert trace("r1").left_out == 3
+    assert trace("r2").left_out == 0
+
+
+def test_a_log_of_several_processes_names_them_before_each_line():
+    text = f" 3.25 edge-7 {entry(1.0, 'request:refused', request_id='r9')}"
+    (line,) = read_log("all.log", [text])
+    assert line.source == "edge-7"
+
+
+def test_nothing_is_told_of_an_unknown_request():
+    assert trace("r7").lines == ()
--- a/src/waxwingwinch/operators/_app.py
+++ b/src/waxwingwinch/operators/_app.py
@@ -10,6 +10,7 @@
 from waxwingwinch.operators._rule_commands import add_rule_commands
 from waxwingwinch.operators._session import JsonOption, Session
 from waxwingwinch.operators._status_commands import add_status_commands
+from waxwingwinch.operators._trace_command import add_trace_command
 
 #: How long commands wait until a change is in force everywhere.
 WAIT_SECONDS = 15.0
@@ -32,6 +33,7 @@
     add_customer_commands(app)
     add_rule_commands(app)
     add_status_commands(app)
+    add_trace_command(app)
     return app
 
 
--- a/src/waxwingwinch/operators/tests/test_ctl.py
+++ b/src/waxwingwinch/operators/tests/test_ctl.py
@@ -227,3 +227,21 @@
     result = CliRunner().invoke(make_app(), ["key", "create", "--help"])
     assert "Example: waxwing-ctl key create" in result.stdout
     assert ":param" not in CliRunner().invoke(make_app(), ["--help"]).stdout
+
+
+def test_a_request_is_traced_through_saved_logs(ctl, tmp_path):
+    log = tmp_path / "i1.log"
+    log.write_text(
+        '{"timestamp": 1.0, "message_type": "gateway:starting", "instance_id": "i1"}\n'
+        '{"timestamp": 2.0, "message_type": "quota:exceeded", "request_id": "r",'
+        ' "share": 0.5}\n'
+    )
+    result = ctl("trace", "r", str(log))
+    assert result.exit_code == 0
+    assert "gateway:starting" in result.stdout.partition("request r:")[0]
+    assert "share=0.500" in result.stdout.partition("request r:")[2]
+    document = json.loads(ctl("trace", "r", str(log), "--json").stdout)
+    assert document["lines"][0]["fields"]["share"] == 0.5
+    unknown = ctl("trace", "other", str(log))
+    assert unknown.exit_code == 1
+    assert "no line tells of request other" in unknown.stdout
--- a/src/waxwingwinch/platform/tests/standin.py
+++ b/src/waxwingwinch/platform/tests/standin.py
@@ -200,6 +200,9 @@
             self.stream(signed)
             return
         time.sleep(owner.work_seconds)
+        if owner.loses_answers:
+            self.close_connection = True
+            return
         self.answer(200, b"from " + owner.name.encode(), signed)
 
     def stream(self, signed):
@@ -229,6 +232,8 @@
         self.name = name
         self.requests = []
         self.work_seconds = 0.0
+        self.loses_answers = False
+        self.cold_ms = 0
         self.events = 5
         self.pause_seconds = 0.01
         self.finished = 0
@@ -244,15 +249,19 @@
             "zone": "north",
             "slots": 6,
             "state": state,
-            "coldLeftMs": 0,
+            "coldLeftMs": self.cold_ms,
             "seqNo": self.sequence,
             "born": 1_000,
         }
         store.put("servers", self.name, entry)
 
 
-def make_configuration(version, keys=(KEY,), prefix="/a/"):
-    """Return a configuration with a plain and a streaming route."""
+def make_configuration(version, keys=(KEY,), prefix="/a/", quota=None):
+    """
+    Return a configuration with a plain, a streaming and an unsafe route.
+
+    The quota holds the platform's own fields.
+    """
     route = {
         "host": "shop.example",
         "timeoutMs": 4000,
@@ -265,10 +274,11 @@
         "routes": [
             {**route, "name": "r", "pathPrefix": prefix, "routeKind": "idempotent"},
             {**route, "name": "s", "pathPrefix": "/s/", "routeKind": "streaming"},
+            {**route, "name": "u", "pathPrefix": "/u/", "routeKind": "non_idempotent"},
         ],
         "services": [{"name": "shop", "maxConns": 100}],
         "limits": {"maxBodyBytes": 10_000},
-        "tenants": [{"name": "alice", "apiKeys": list(keys)}],
+        "tenants": [{"name": "alice", "apiKeys": list(keys), **(quota or {})}],
     }
 
 
--- a/src/waxwingwinch/platform/tests/test_program.py
+++ b/src/waxwingwinch/platform/tests/test_program.py
@@ -296,3 +296,11 @@
     status, body = world.get(world.gateways[0].metrics, "/metrics")
     assert status == 200
     assert b"waxwing_configuration_version 1.0" in body
+    for name in (
+        b"waxwing_store_call_seconds_bucket",
+        b"waxwing_retry_budget_level",
+        b"waxwing_running_requests",
+        b"waxwing_quota_share",
+        b"waxwing_store_age_seconds",
+    ):
+        assert name in body
