Close idle connections to upstreams that left

Cause: connections that were too old were closed only when the same upstream was asked again, so up to eight stayed open for each upstream that had left. Each return of a connection now closes all that are too old, once a second at most (test_connections, which failed for those that left).

--- a/src/waxwingwinch/gateway/_connections.py
+++ b/src/waxwingwinch/gateway/_connections.py
@@ -31,6 +31,9 @@
 IDLE_SHARE = 0.5
 #: Idle connections kept for each upstream.
 IDLE_MAX = 8
+#: Interval at which idle connections that are too old are closed; a small
+#: part of the time for which they are kept.
+SWEEP_SECONDS = 1.0
 
 _READ_BYTES = 65_536
 
@@ -247,6 +250,7 @@
 
     def __init__(self) -> None:
         self._idle: dict[str, list[_IdleConnection]] = {}
+        self._swept_seconds = 0.0
         self._lock = threading.Lock()
 
     def take(self, name: str, now_seconds: float) -> UpstreamConnection | None:
@@ -290,6 +294,22 @@
         with self._lock:
             waiting = self._idle.setdefault(name, [])
             waiting.append(idle)
-            surplus = waiting.pop(0) if len(waiting) > IDLE_MAX else None
-        if surplus is not None:
-            surplus.connection.close()
+            unused = [waiting.pop(0)] if len(waiting) > IDLE_MAX else []
+            unused += self._take_expired(now_seconds)
+        for one in unused:
+            one.connection.close()
+
+    def _take_expired(self, now_seconds: float) -> list[_IdleConnection]:
+        """Remove what nobody may use again, of upstreams that left as well."""
+        if now_seconds < self._swept_seconds + SWEEP_SECONDS:
+            return []
+        self._swept_seconds = now_seconds
+        expired = []
+        for name, waiting in list(self._idle.items()):
+            kept = [one for one in waiting if now_seconds < one.usable_until_seconds]
+            expired += [one for one in waiting if one not in kept]
+            if kept:
+                self._idle[name] = kept
+            else:
+                del self._idle[name]
+        return expired
