Tell peers only what has changed since the last report

Cause: each report repeated all loads, quota totals and usage windows five times a second to every peer: 1,233 bytes with 20 engines, 327 without the loads and windows. A connection begins with a whole report; later ones hold changes. Work that was announced ahead is corrected by the next report, and a lost report or a new connection makes the next one whole (test_told).

--- a/src/waxwingwinch/gateway/_gossip.py
+++ b/src/waxwingwinch/gateway/_gossip.py
@@ -14,6 +14,7 @@
 from waxwingwinch.gateway._belief_lines import PeerLost, PeerReached
 from waxwingwinch.gateway._members import Member, MemberDirectory
 from waxwingwinch.gateway._requests import PromptPart
+from waxwingwinch.gateway._told import ToldReports
 from waxwingwinch.kernel import Clock
 from waxwingwinch.peers import PeerIdentity, PeerLink, PeerServer
 
@@ -77,6 +78,7 @@
     :param instance_id: Who sends it.
     :param incarnation: Which start of it.
     :param is_ready: True if it takes callers.
+    :param is_whole: False if it leaves out what it told before.
     :param configuration_version: The version in force there.
     :param held_epoch: Epoch of the duty that it holds; None if it holds none.
     :param store_age_seconds: Time since it read the platform's store; None
@@ -93,6 +95,7 @@
     instance_id: InstanceId
     incarnation: str
     is_ready: bool
+    is_whole: bool
     configuration_version: int
     held_epoch: int | None = None
     store_age_seconds: float | None = None
@@ -179,8 +182,8 @@
             )
 
 
-#: Builds the report for a peer that knows the placements up to a position.
-ReportSource = Callable[[int], InstanceReport]
+#: Builds the next report for a peer, given what it was told.
+ReportSource = Callable[[ToldReports], InstanceReport]
 
 
 class _PeerSender:
@@ -197,7 +200,8 @@
         self._urgent: queue.Queue[WorkBegan] = queue.Queue(URGENT_MAX)
         self._stopping = threading.Event()
         self._is_up = False
-        self._known_sequence = 0
+        self._told = ToldReports()
+        self._connection_number = 0
         self._thread = threading.Thread(
             target=self._run, name=f"report-{link.address}", daemon=True
         )
@@ -229,12 +233,25 @@
         while not self._stopping.is_set():
             try:
                 left_seconds = max(due_seconds - time.monotonic(), 0.0)
-                self._send(self._urgent.get(timeout=left_seconds))
+                self._send_urgent(self._urgent.get(timeout=left_seconds))
             except queue.Empty:
                 due_seconds = time.monotonic() + REPORT_SECONDS
-                report = self._make_report(self._known_sequence)
-                if self._send(report) and report.placements:
-                    self._known_sequence = report.placements[-1].sequence
+                self._report()
+
+    def _send_urgent(self, began: WorkBegan) -> None:
+        self._told.announced(began.upstream_id)
+        self._send(began)
+
+    def _report(self) -> None:
+        connection_number = self.link.connections_made
+        if connection_number != self._connection_number:
+            self._connection_number = connection_number
+            self._told.forget()
+        report = self._make_report(self._told)
+        if not self._send(report):
+            self._told.forget()
+        elif report.placements:
+            self._told.sequence = report.placements[-1].sequence
 
     def _send(self, message: object) -> bool:
         """Send a message; return whether the link took it."""
--- a/src/waxwingwinch/gateway/_loads.py
+++ b/src/waxwingwinch/gateway/_loads.py
@@ -120,17 +120,26 @@
                 self._own[upstream_id] = changed
 
     def heard(
-        self, peer: str, loads: dict[UpstreamId, UpstreamLoad], now_seconds: float
+        self,
+        peer: str,
+        loads: dict[UpstreamId, UpstreamLoad],
+        is_whole: bool,
+        now_seconds: float,
     ) -> None:
         """
         Take in what a peer has under way.
 
         :param peer: Name of its process.
         :param loads: Its work by upstream.
+        :param is_whole: False if work that has not changed is left out.
         :param now_seconds: Monotonic time.
         """
         with self._lock:
-            self._peers[peer] = _PeerFigures(loads, now_seconds)
+            known = self._peers.get(peer)
+            if known is not None and not is_whole:
+                loads = known.loads | loads
+            running = {key: load for key, load in loads.items() if load != NO_LOAD}
+            self._peers[peer] = _PeerFigures(running, now_seconds)
 
     def peer_began(self, peer: str, upstream_id: UpstreamId, tokens: int) -> None:
         """
--- a/src/waxwingwinch/gateway/_quota.py
+++ b/src/waxwingwinch/gateway/_quota.py
@@ -215,7 +215,8 @@
         Take in what a peer has admitted since its start.
 
         :param peer: Name of its process.
-        :param totals: Units by customer.
+        :param totals: Units by customer; those that have not changed may be
+            left out.
         :param now_seconds: Monotonic time.
         """
         with self._lock:
@@ -230,7 +231,7 @@
                 self._add_use(known, totals, now_seconds)
             # Otherwise its use while it was silent has been assumed already.
             known.heard_seconds = now_seconds
-            known.totals = totals
+            known.totals = known.totals | totals
 
     def _add_use(
         self, known: _Peer, totals: dict[CustomerId, float], now_seconds: float
--- a/src/waxwingwinch/gateway/_reports.py
+++ b/src/waxwingwinch/gateway/_reports.py
@@ -14,6 +14,7 @@
 from waxwingwinch.gateway._records import RecordIntake
 from waxwingwinch.gateway._state import GatewayState
 from waxwingwinch.gateway._steward import Steward
+from waxwingwinch.gateway._told import ToldReports
 from waxwingwinch.kernel import Clock
 
 #: Longest wait for a peer's configuration.
@@ -45,30 +46,32 @@
         self._intake = intake
         self._clock = clock
 
-    def make(self, known_sequence: int) -> InstanceReport:
+    def make(self, told: ToldReports) -> InstanceReport:
         """
         Build a report.
 
-        :param known_sequence: The last placement that the peer knows.
+        :param told: What its receiver was told; follows the report.
         """
         state, now_seconds = self._state, self._clock.now_seconds()
-        loads = state.loads.own()
+        is_whole, told.is_empty = told.is_empty, False
+        loads = told.tell_loads(state.loads.own())
         usage = state.usage.windows()
         state.usage_table.heard(state.own.incarnation, usage)
         return InstanceReport(
             instance_id=state.own.instance_id,
             incarnation=state.own.incarnation,
             is_ready=state.is_ready,
+            is_whole=is_whole,
             configuration_version=state.table.version,
             held_epoch=self._steward.held_epoch(),
             store_age_seconds=self.store_age_seconds(),
             waiting_tokens={key: load.waiting_tokens for key, load in loads.items()},
             running={key: load.running for key, load in loads.items()},
-            quota_totals=state.quotas.own_totals(),
-            usage=usage,
+            quota_totals=told.tell_quota_totals(state.quotas.own_totals()),
+            usage=told.tell_usage(usage),
             unreachable=state.directory.unreachable(now_seconds),
             switching=self._switching(now_seconds),
-            placements=state.placements.after(known_sequence),
+            placements=state.placements.after(told.sequence),
         )
 
     def store_age_seconds(self) -> float | None:
@@ -88,7 +91,7 @@
             key: UpstreamLoad(report.waiting_tokens.get(key, 0), running)
             for key, running in report.running.items()
         }
-        state.loads.heard(report.instance_id, loads, now_seconds)
+        state.loads.heard(report.instance_id, loads, report.is_whole, now_seconds)
         state.quotas.heard(report.incarnation, report.quota_totals, now_seconds)
         state.usage_table.heard(report.incarnation, report.usage)
         state.budget.set_instances(state.members.sharing_count(now_seconds))
--- a/src/waxwingwinch/gateway/tests/test_placement.py
+++ b/src/waxwingwinch/gateway/tests/test_placement.py
@@ -135,7 +135,7 @@
 def test_loads_of_silent_peers_do_not_count():
     book = LoadBook()
     ticket = book.begin(UpstreamId("e"), 5_000)
-    book.heard("peer", {UpstreamId("e"): UpstreamLoad(3_000, 2)}, 10.0)
+    book.heard("peer", {UpstreamId("e"): UpstreamLoad(3_000, 2)}, True, 10.0)
     assert book.totals(10.5)[ENGINE] == UpstreamLoad(8_000, 3)
     assert book.totals(20.0)[ENGINE] == UpstreamLoad(5_000, 1)
     ticket.prompt_read()
@@ -153,10 +153,10 @@
     book.begin(ENGINE, 100)
     book.begin(ENGINE, 9_000)
     assert told == [("e", 9_000)]
-    book.heard("peer", {}, 10.0)
+    book.heard("peer", {}, True, 10.0)
     book.peer_began("peer", ENGINE, 7_000)
     assert book.totals(10.1)[ENGINE] == UpstreamLoad(16_100, 3)
-    book.heard("peer", {}, 10.2)
+    book.heard("peer", {}, True, 10.2)
     assert book.totals(10.3)[ENGINE] == UpstreamLoad(9_100, 2)
 
 
--- /dev/null
+++ b/src/waxwingwinch/gateway/tests/test_told.py
@@ -0,0 +1,155 @@
+"""Reports hold what has changed, and a peer still knows everything."""
+
+from typing import Any
+
+from attrs import define, field
+
+from waxwingwinch._exceptions import PeerUnavailable
+from waxwingwinch._types import CustomerId, InstanceId, UpstreamId
+from waxwingwinch.gateway._gossip import InstanceReport, WorkBegan, _PeerSender
+from waxwingwinch.gateway._loads import LoadBook, UpstreamLoad
+from waxwingwinch.gateway._told import ToldReports
+
+E1, E2 = UpstreamId("e1"), UpstreamId("e2")
+OWN = InstanceId("own")
+ALICE = CustomerId("alice")
+
+
+@define
+class FakeLink:
+    """A link whose connection can be replaced or broken."""
+
+    connections_made: int = 1
+    is_up: bool = True
+    address: str = "peer"
+    sent: list[Any] = field(factory=list)
+
+    def send(self, body):
+        if not self.is_up:
+            raise PeerUnavailable("down")
+        self.sent.append(body)
+
+
+@define
+class World:
+    """One process's work, told to a peer that keeps a book of it."""
+
+    own: LoadBook = field(factory=LoadBook)
+    heard: LoadBook = field(factory=LoadBook)
+    link: FakeLink = field(factory=FakeLink)
+    totals: dict[CustomerId, float] = field(factory=dict)
+
+    def sender(self) -> Any:
+        link: Any = self.link
+        return _PeerSender(link, self.make)
+
+    def make(self, told):
+        is_whole, told.is_empty = told.is_empty, False
+        loads = told.tell_loads(self.own.own())
+        return InstanceReport(
+            OWN,
+            "start",
+            True,
+            is_whole,
+            1,
+            waiting_tokens={key: load.waiting_tokens for key, load in loads.items()},
+            running={key: load.running for key, load in loads.items()},
+            quota_totals=told.tell_quota_totals(self.totals),
+        )
+
+    def deliver(self, body):
+        if isinstance(body, WorkBegan):
+            self.heard.peer_began("own", body.upstream_id, body.waiting_tokens)
+            return
+        loads = {
+            key: UpstreamLoad(body.waiting_tokens[key], running)
+            for key, running in body.running.items()
+        }
+        self.heard.heard("own", loads, body.is_whole, 0.0)
+
+    def believed(self):
+        return self.heard.totals(0.0)
+
+
+def test_only_changes_are_told_and_everything_is_known():
+    world = World()
+    sender = world.sender()
+    ticket = world.own.begin(E1, 500)
+    world.own.begin(E2, 300)
+    world.totals = {ALICE: 5.0}
+    sender._report()
+    ticket.prompt_read()
+    sender._report()
+    sender._report()
+    first, second, third = world.link.sent
+    assert first.is_whole and set(first.running) == {E1, E2}
+    assert first.quota_totals == {ALICE: 5.0}
+    assert not second.is_whole and set(second.running) == {E1}
+    assert not third.running and not third.quota_totals
+    for report in world.link.sent:
+        world.deliver(report)
+    assert world.believed() == world.own.own()
+
+
+def test_work_that_ended_is_told_once():
+    world = World()
+    sender = world.sender()
+    ticket = world.own.begin(E1, 500)
+    sender._report()
+    ticket.end()
+    sender._report()
+    sender._report()
+    for report in world.link.sent:
+        world.deliver(report)
+    assert world.believed() == {}
+    assert world.link.sent[1].running == {E1: 0}
+    assert world.link.sent[2].running == {}
+
+
+def test_work_that_was_announced_and_ended_before_the_report_is_corrected():
+    """Pattern: a long prompt ends within one interval of the reports."""
+    world = World()
+    sender = world.sender()
+    sender._report()
+    ticket = world.own.begin(E1, 5_000)
+    sender.put(WorkBegan(OWN, E1, 5_000))
+    sender._send_urgent(sender._urgent.get_nowait())
+    ticket.end()
+    sender._report()
+    for body in world.link.sent:
+        world.deliver(body)
+    assert world.believed() == {}
+
+
+def test_a_new_connection_begins_with_a_whole_report():
+    """Pattern: a peer starts anew between two reports."""
+    world = World()
+    sender = world.sender()
+    world.own.begin(E1, 500)
+    sender._report()
+    world.link.connections_made += 1
+    sender._report()
+    assert world.link.sent[-1].is_whole
+    assert set(world.link.sent[-1].running) == {E1}
+
+
+def test_a_report_that_was_lost_is_made_up_for():
+    world = World()
+    sender = world.sender()
+    sender._report()
+    world.own.begin(E1, 500)
+    world.link.is_up = False
+    sender._report()
+    world.link.is_up = True
+    sender._report()
+    assert world.link.sent[-1].is_whole
+    assert set(world.link.sent[-1].running) == {E1}
+
+
+def test_windows_are_told_when_their_counts_change():
+    told = ToldReports()
+    assert told.tell_usage({7: {ALICE: 1}, 8: {ALICE: 2}}) == {
+        7: {ALICE: 1},
+        8: {ALICE: 2},
+    }
+    assert told.tell_usage({7: {ALICE: 1}, 8: {ALICE: 3}}) == {8: {ALICE: 3}}
--- a/src/waxwingwinch/peers/_link.py
+++ b/src/waxwingwinch/peers/_link.py
@@ -59,6 +59,7 @@
         self._shared_secrets = tuple(shared_secrets)
         self._connection: ClientConnection | None = None
         self._peer: PeerIdentity | None = None
+        self._connections_made = 0
         self._waiters: dict[int, _Waiter] = {}
         self._next_correlation = NO_REPLY + 1
         self._lock = threading.Lock()
@@ -73,6 +74,12 @@
         with self._lock:
             return self._peer
 
+    @property
+    def connections_made(self) -> int:
+        """Connections so far; messages over earlier ones may be lost."""
+        with self._lock:
+            return self._connections_made
+
     def start(self) -> None:
         """Start dialing."""
         self._thread.start()
@@ -176,6 +183,7 @@
             self._connection = connection
             self._peer = peer
             if connection is not None:
+                self._connections_made += 1
                 return
             waiters = list(self._waiters.values())
         for waiter in waiters:
