Split the relay of generations; hold the gateway's options once

The settings of an instance hold the gateway's options instead of a copy of each field. Settings without effect are gone: the longest life of an address and the connections of an upstream.

--- a/src/waxwingwinch/gateway/_generation_relay.py
+++ b/src/waxwingwinch/gateway/_generation_relay.py
@@ -1,29 +1,21 @@
-"""Relaying a generation: placement, prompt reading, streaming, resuming."""
+"""Relaying a generation: streaming, resuming, ending."""
 
-from attrs import define, field, frozen
+from attrs import define, field
 
-from waxwingwinch._types import EngineRole, UpstreamId
 from waxwingwinch.adapters import AnswerMissing, NotSent
-from waxwingwinch.gateway._admission import Admit, Refuse, admit_generation
 from waxwingwinch.gateway._connections import Cancelled
+from waxwingwinch.gateway._engine_choice import EngineChooser
 from waxwingwinch.gateway._events import EventSplitter, EventTooLong
-from waxwingwinch.gateway._job import Job, Progress, RelayTools
-from waxwingwinch.gateway._loads import NO_LOAD, WorkTicket
+from waxwingwinch.gateway._job import Job, Progress, RelayTools, raise_if_caller_left
+from waxwingwinch.gateway._loads import WorkTicket
 from waxwingwinch.gateway._outcomes import (
     CallerLost,
-    RefusalReason,
-    RequestEnded,
     Responder,
 )
 from waxwingwinch.gateway._placement import (
-    FIRST_EVENT_SECONDS,
-    EngineOption,
     Placement,
-    PromptSize,
     RunDirectly,
     RunSplit,
-    place_prompt,
-    work_seconds,
 )
 from waxwingwinch.gateway._plain_relay import (
     give_up,
@@ -31,30 +23,24 @@
     note_failure,
     note_rejection,
 )
+from waxwingwinch.gateway._prompt_reader import (
+    PromptNotRead,
+    PromptReader,
+    WaitingCache,
+)
 from waxwingwinch.gateway._request_lines import (
-    AdmissionRefused,
     FirstEvent,
-    PromptRead,
-    RequestPlaced,
     StreamBrokenOff,
 )
 from waxwingwinch.gateway._requests import AnswerHead, Prompt
 from waxwingwinch.gateway._telemetry import CounterName
 from waxwingwinch.gateway._transport import (
-    Phase,
-    ReadPrompt,
     Run,
     RunFromCache,
     UpstreamAnswer,
 )
 from waxwingwinch.gateway._upstreams import Upstream
 
-#: How long a prompt may take to be read, relative to the estimate.
-READ_PATIENCE_RATIO = 3.0
-#: What is added to it; several times the time of one reading step.
-READ_PATIENCE_SECONDS = 0.5
-
-
 #: Silence within a stream after which it goes on elsewhere if its kind
 #: allows; callers give up after twice that.
 STALL_SECONDS = 1.0
@@ -64,19 +50,6 @@
     """The stream broke; it may go on elsewhere if its kind allows."""
 
 
-@frozen
-class _Handle:
-    """
-    A KV cache that waits to be fetched.
-
-    :param engine: The engine that read the prompt.
-    :param name: Names it there.
-    """
-
-    engine: Upstream
-    name: str
-
-
 @define(eq=False)
 class _Stream:
     """
@@ -109,6 +82,8 @@
 
     def __init__(self, tools: RelayTools) -> None:
         self._tools = tools
+        self._engines = EngineChooser(tools)
+        self._reader = PromptReader(tools)
 
     def serve(self, job: Job, prompt: Prompt, responder: Responder) -> None:
         """
@@ -123,10 +98,12 @@
         stream = _Stream(job, responder)
         while True:
             now_seconds = self._tools.clock.now_seconds()
-            placement = self._place(stream, prompt, now_seconds)
+            placement = self._engines.choose(job, prompt, stream.progress, now_seconds)
             if placement is None:
                 self._end_unserved(stream, now_seconds)
                 return
+            stream.expected_seconds = placement.expected_seconds
+            stream.placement = type(placement).__name__
             if self._run(stream, prompt, placement):
                 return
 
@@ -140,206 +117,64 @@
         ).write()
         stream.responder.abort()
 
-    def _place(
-        self, stream: _Stream, prompt: Prompt, now_seconds: float
-    ) -> Placement | None:
-        job, progress = stream.job, stream.progress
-        if not may_try(job, progress, now_seconds):
-            return None
-        options = self._options(job, prompt, progress, now_seconds)
-        placement = place_prompt(_size(job, prompt), options, self._tools.zone)
-        if placement is None:
-            return None
-        if progress.is_repeat:
-            budget = self._tools.budget
-            if not budget.spend(job.service.name, now_seconds):
-                return None
-            self._tools.telemetry.count(CounterName.REPEATS, job.service.name)
-        elif not progress.connect_failures:
-            self._admit(job, placement, len(options), now_seconds)
-        stream.expected_seconds = placement.expected_seconds
-        stream.placement = type(placement).__name__
-        self._tools.telemetry.count(CounterName.PLACEMENTS, stream.placement)
-        RequestPlaced(
-            request_id=job.request.request_id,
-            route=job.route.name,
-            entries_age_seconds=self._tools.directory.age_seconds(now_seconds),
-            prompt_tokens=prompt.input_tokens,
-            placement=repr(placement),
-            engines=len(options),
-        ).write()
-        return placement
-
-    def _admit(
-        self, job: Job, placement: Placement, engines: int, now_seconds: float
-    ) -> None:
-        left_seconds = job.end_seconds - now_seconds
-        decision = admit_generation(
-            placement.expected_seconds,
-            placement.own_seconds,
-            job.route.target_seconds,
-            left_seconds,
-        )
-        match decision:
-            case Admit():
-                return
-            case Refuse(retry_after_seconds):
-                AdmissionRefused(
-                    request_id=job.request.request_id,
-                    route=job.route.name,
-                    expected_seconds=placement.expected_seconds,
-                    own_seconds=placement.own_seconds,
-                    target_seconds=job.route.target_seconds,
-                    left_seconds=left_seconds,
-                    engines=engines,
-                ).write()
-                raise RequestEnded(503, RefusalReason.OVERLOADED, retry_after_seconds)
-
-    def _options(
-        self, job: Job, prompt: Prompt, progress: Progress, now_seconds: float
-    ) -> list[EngineOption]:
-        totals = self._tools.loads.totals(now_seconds)
-        return [
-            EngineOption(
-                upstream.upstream_id,
-                upstream.role or EngineRole.MIXED,
-                upstream.zone,
-                totals.get(upstream.upstream_id, NO_LOAD),
-                self._tools.prefixes.cached_tokens(upstream.upstream_id, prompt.parts),
-                self._tools.paces.pace(upstream.upstream_id),
-            )
-            for upstream in self._tools.directory.usable(
-                job.service.name, now_seconds, progress.excluded
-            )
-        ]
-
     def _run(self, stream: _Stream, prompt: Prompt, placement: Placement) -> bool:
         """Send the request as placed; return whether it was answered."""
         match placement:
             case RunDirectly(engine_id, read_tokens):
                 engine = self._tools.directory.ready(engine_id)
-                phase: Phase = Run()
-                self._count_prompt(engine_id, prompt, read_tokens)
-            case RunSplit(prefill_id, decode_id, read_tokens, expected_seconds):
-                reader = self._tools.directory.ready(prefill_id)
-                if reader is None:
+                cache = None
+                if engine is not None:
+                    self._engines.note_prompt(
+                        stream.job, prompt, engine_id, read_tokens
+                    )
+            case RunSplit(decode_id=decode_id):
+                cache = self._read_prompt(stream, prompt, placement)
+                if cache is None:
                     return False
-                self._count_prompt(prefill_id, prompt, read_tokens)
-                handle = self._read_prompt(
-                    stream, prompt, reader, read_tokens, expected_seconds
-                )
-                if handle is None:
-                    return False
-                phase = RunFromCache(handle.engine.address, handle.name)
                 read_tokens = 0
-                engine = self._decoder(stream, prompt, decode_id)
+                engine = self._engines.decoder(
+                    stream.job, prompt, stream.progress, decode_id
+                )
+                if engine is None:
+                    self._reader.drop(cache)
+                else:
+                    self._engines.note_prefix(stream.job, prompt, engine.upstream_id)
         if engine is None:
-            self._drop_handle(phase, stream.job)
             return False
         ticket = self._tools.loads.begin(engine.upstream_id, read_tokens)
-        self._note_prefix(engine, prompt, stream.job)
         try:
-            return self._generate(stream, engine, phase, ticket)
+            return self._generate(stream, engine, cache, ticket)
         finally:
             ticket.end()
 
-    def _count_prompt(
-        self, engine_id: UpstreamId, prompt: Prompt, read_tokens: int
-    ) -> None:
-        cached_tokens = max(prompt.input_tokens - read_tokens, 0)
-        self._tools.telemetry.prompt_given(engine_id, read_tokens, cached_tokens)
-
-    def _decoder(
-        self, stream: _Stream, prompt: Prompt, decode_id: UpstreamId
-    ) -> Upstream | None:
-        """Return the chosen engine, or another if it has left meanwhile."""
-        chosen = self._tools.directory.ready(decode_id)
-        if chosen is not None:
-            return chosen
-        now_seconds = self._tools.clock.now_seconds()
-        options = self._options(stream.job, prompt, stream.progress, now_seconds)
-        decoders = [one for one in options if one.role is not EngineRole.PREFILL]
-        size = _size(stream.job, prompt)
-        placement = place_prompt(size, decoders, self._tools.zone)
-        if not isinstance(placement, RunDirectly):
-            return None
-        return self._tools.directory.ready(placement.upstream_id)
-
-    def _note_prefix(self, engine: Upstream, prompt: Prompt, job: Job) -> None:
-        traits = job.service.engine
-        if traits is not None:
-            shared = prompt.parts[:-1] or prompt.parts
-            self._tools.prefixes.used(
-                engine.upstream_id, shared, traits.kv_capacity_tokens
-            )
-            self._tools.placements.add(engine.upstream_id, shared)
-
     def _read_prompt(
-        self,
-        stream: _Stream,
-        prompt: Prompt,
-        reader: Upstream,
-        read_tokens: int,
-        expected_seconds: float,
-    ) -> _Handle | None:
+        self, stream: _Stream, prompt: Prompt, placement: RunSplit
+    ) -> WaitingCache | None:
         """Have the prompt read; return None if another engine has to."""
-        job = stream.job
-        now_seconds = self._tools.clock.now_seconds()
-        wait_seconds = min(
-            job.end_seconds - now_seconds,
-            expected_seconds * READ_PATIENCE_RATIO + READ_PATIENCE_SECONDS,
+        reader = self._tools.directory.ready(placement.prefill_id)
+        if reader is None:
+            return None
+        self._engines.note_prompt(
+            stream.job, prompt, reader.upstream_id, placement.read_tokens
         )
-        totals = self._tools.loads.totals(now_seconds)
-        queue_tokens = totals.get(reader.upstream_id, NO_LOAD).waiting_tokens
-        ticket = self._tools.loads.begin(reader.upstream_id, read_tokens)
-        self._note_prefix(reader, prompt, job)
-        try:
-            answer = self._tools.transport.open(
-                reader,
-                job.call(ReadPrompt()),
-                job.cancellation,
-                now_seconds,
-                wait_seconds,
-            )
-            if answer.head.not_executed:
-                answer.read_all(wait_seconds)
-                answer.finish()
-                note_rejection(self._tools, job, reader, answer.head)
-                stream.progress = stream.progress.not_read(reader.upstream_id)
+        match self._reader.read(stream.job, stream.progress, reader, placement):
+            case WaitingCache() as cache:
+                return cache
+            case PromptNotRead(progress):
+                stream.progress = progress
                 return None
-            name = self._tools.transport.read_handle(answer, wait_seconds)
-            self._tools.directory.succeeded(reader.upstream_id)
-            took_seconds = self._tools.clock.now_seconds() - now_seconds
-            self._tools.paces.observe(
-                reader.upstream_id,
-                work_seconds(read_tokens + queue_tokens),
-                took_seconds - FIRST_EVENT_SECONDS,
-            )
-            PromptRead(
-                request_id=job.request.request_id,
-                upstream_id=reader.upstream_id,
-                read_work=read_tokens,
-                waiting_work=queue_tokens,
-                took_seconds=took_seconds,
-                pace=self._tools.paces.pace(reader.upstream_id),
-            ).write()
-            return _Handle(reader, name)
-        except NotSent as error:
-            note_failure(self._tools, job, reader, error)
-            stream.progress = stream.progress.not_sent(reader.upstream_id)
-            return None
-        except (AnswerMissing, Cancelled) as error:
-            self._raise_if_cancelled(job, error)
-            note_failure(self._tools, job, reader, error)
-            stream.progress = stream.progress.not_read(reader.upstream_id)
-            return None
-        finally:
-            ticket.end()
 
     def _generate(
-        self, stream: _Stream, engine: Upstream, phase: Phase, ticket: WorkTicket
+        self,
+        stream: _Stream,
+        engine: Upstream,
+        cache: WaitingCache | None,
+        ticket: WorkTicket,
     ) -> bool:
         job = stream.job
+        phase = (
+            Run() if cache is None else RunFromCache(cache.engine.address, cache.handle)
+        )
         now_seconds = self._tools.clock.now_seconds()
         try:
             answer = self._tools.transport.open(
@@ -351,11 +186,12 @@
             )
         except NotSent as error:
             note_failure(self._tools, job, engine, error)
-            self._drop_handle(phase, job)
+            if cache is not None:
+                self._reader.drop(cache)
             stream.progress = stream.progress.not_sent(engine.upstream_id)
             return False
         except (AnswerMissing, Cancelled) as error:
-            self._raise_if_cancelled(job, error)
+            raise_if_caller_left(job, error)
             note_failure(self._tools, job, engine, error)
             stream.progress = stream.progress.ran(engine.upstream_id)
             return False
@@ -367,7 +203,7 @@
             return self._relay(stream, answer, ticket)
         except _Interrupted as error:
             answer.abort()
-            self._raise_if_cancelled(job, error)
+            raise_if_caller_left(job, error)
             note_failure(self._tools, job, engine, error)
             stream.splitter.drop_partial_event()
             return False
@@ -386,7 +222,7 @@
             answer.finish()
         except AnswerMissing as error:
             answer.abort()
-            self._raise_if_cancelled(stream.job, error)
+            raise_if_caller_left(stream.job, error)
 
     def _relay(
         self, stream: _Stream, answer: UpstreamAnswer, ticket: WorkTicket
@@ -476,20 +312,3 @@
             return stream.splitter.feed(piece)
         except EventTooLong as error:
             raise _Interrupted(str(error)) from error
-
-    def _drop_handle(self, phase: Phase, job: Job) -> None:
-        if not isinstance(phase, RunFromCache):
-            return
-        for upstream in self._tools.directory.all():
-            if upstream.address == phase.source:
-                self._tools.transport.drop_handle(upstream, phase.handle)
-                return
-
-    @staticmethod
-    def _raise_if_cancelled(job: Job, error: Exception) -> None:
-        if job.cancellation.reason is not None:
-            raise CallerLost(str(error)) from error
-
-
-def _size(job: Job, prompt: Prompt) -> PromptSize:
-    return PromptSize(prompt.input_tokens, prompt.shared_id, job.route.target_seconds)
--- a/src/waxwingwinch/gateway/_job.py
+++ b/src/waxwingwinch/gateway/_job.py
@@ -7,6 +7,7 @@
 from waxwingwinch.gateway._gossip import PlacementLog
 from waxwingwinch.gateway._loads import LoadBook
 from waxwingwinch.gateway._model import CustomerRules, Route, ServiceRules
+from waxwingwinch.gateway._outcomes import CallerLost
 from waxwingwinch.gateway._paces import PaceBook
 from waxwingwinch.gateway._prefixes import PrefixIndex
 from waxwingwinch.gateway._requests import GatewayRequest
@@ -173,3 +174,15 @@
     transport: UpstreamTransport = field(repr=False)
     usage: UsageCounts = field(repr=False)
     telemetry: Telemetry = field(repr=False)
+
+
+def raise_if_caller_left(job: Job, error: Exception) -> None:
+    """
+    End a request whose call failed since its caller has gone.
+
+    :param job: The request.
+    :param error: What the call met.
+    :raises CallerLost: If the caller has gone.
+    """
+    if job.cancellation.reason is not None:
+        raise CallerLost(str(error)) from error
--- a/src/waxwingwinch/gateway/_model.py
+++ b/src/waxwingwinch/gateway/_model.py
@@ -114,13 +114,11 @@
     A service that routes lead to.
 
     :param name: Its name.
-    :param max_connections: Connections that one upstream accepts.
     :param engine: Traits of its engines; None for a plain service.
     :param scaling: None if its upstreams can't be ordered.
     """
 
     name: str
-    max_connections: int
     engine: EngineTraits | None = None
     scaling: ScalingRules | None = None
 
--- a/src/waxwingwinch/gateway/_plain_relay.py
+++ b/src/waxwingwinch/gateway/_plain_relay.py
@@ -12,10 +12,10 @@
     Job,
     Progress,
     RelayTools,
+    raise_if_caller_left,
 )
 from waxwingwinch.gateway._loads import NO_LOAD
 from waxwingwinch.gateway._outcomes import (
-    CallerLost,
     RefusalReason,
     RequestEnded,
     Responder,
@@ -209,8 +209,7 @@
             ).write()
             return _WholeAnswer(answer.head, body)
         except (AnswerMissing, Cancelled) as error:
-            if job.cancellation.reason is not None:
-                raise CallerLost(str(error)) from error
+            raise_if_caller_left(job, error)
             raise
         finally:
             ticket.end()
--- a/src/waxwingwinch/gateway/tests/relay_world.py
+++ b/src/waxwingwinch/gateway/tests/relay_world.py
@@ -46,8 +46,8 @@
 
 ZONE = ZoneName("north")
 ALICE = CustomerRules(CustomerId("alice"), frozenset({"key-a"}))
-LLM = ServiceRules("llm", 360, EngineTraits(64, 500_000, 3.0))
-SHOP = ServiceRules("shop", 100)
+LLM = ServiceRules("llm", EngineTraits(64, 500_000, 3.0))
+SHOP = ServiceRules("shop")
 SIGNED = (("X-Stamp", "s"),)
 PROMPT = Prompt("m", 17_000, 20, (PromptPart("book", 13_000), PromptPart("own", 4_000)))
 SHORT_PROMPT = Prompt("m", 300, 20, (PromptPart("ask", 200), PromptPart("own", 100)))
--- a/src/waxwingwinch/gateway/tests/test_steward.py
+++ b/src/waxwingwinch/gateway/tests/test_steward.py
@@ -22,9 +22,7 @@
 ALICE = CustomerId("alice")
 NORTH = ZoneName("north")
 NOWHERE = Address("127.0.0.1", 1)
-LLM = ServiceRules(
-    "llm", 10, EngineTraits(64, 1_000, 3.0), ScalingRules(1, 6, 4.0, 0.18)
-)
+LLM = ServiceRules("llm", EngineTraits(64, 1_000, 3.0), ScalingRules(1, 6, 4.0, 0.18))
 
 
 class World:
--- a/src/waxwingwinch/platform/_adapter.py
+++ b/src/waxwingwinch/platform/_adapter.py
@@ -5,7 +5,6 @@
 from waxwingwinch._types import Address, ZoneName
 from waxwingwinch.gateway import (
     GatewayConfiguration,
-    GatewayOptions,
     Upstream,
 )
 from waxwingwinch.kernel import Clock
@@ -53,7 +52,7 @@
         return cls(
             PlatformStoreClient(settings.store_address),
             PlatformTransport(clock),
-            PlatformStewardCalls(settings.orders_address, settings.instance_id),
+            PlatformStewardCalls(settings.orders_address, settings.options.instance_id),
             PlatformRequestDecoder(),
         )
 
@@ -112,30 +111,3 @@
         return encode_json(
             {"addresses": [str(one) for one in addresses], "ttlS": life_seconds}
         )
-
-
-def gateway_options(settings: InstanceSettings) -> GatewayOptions:
-    """
-    Return what the gateway is told at its start.
-
-    :param settings: The instance's settings.
-    """
-    budgets = settings.budgets
-    return GatewayOptions(
-        instance_id=settings.instance_id,
-        zone=settings.zone,
-        zones=settings.zones,
-        front_address=settings.front_address,
-        ready_address=settings.ready_address,
-        directory_address=settings.directory_address,
-        peer_address=settings.peer_address,
-        metrics_address=settings.metrics_address,
-        is_first_start=settings.is_first_start,
-        retry_ratio=budgets.retry_ratio,
-        retry_slack=budgets.retry_slack,
-        retry_window_seconds=budgets.retry_window_seconds,
-        quota_slack_units=budgets.quota_slack_units,
-        lease_seconds=settings.lease_seconds,
-        grace_seconds=settings.grace_seconds,
-        usage_window_seconds=settings.usage_window_seconds,
-    )
--- a/src/waxwingwinch/platform/_configuration.py
+++ b/src/waxwingwinch/platform/_configuration.py
@@ -78,7 +78,6 @@
     scaling = wire.get("scaling")
     return ServiceRules(
         name=wire["name"],
-        max_connections=wire.get("maxConns", 0),
         engine=_engine(engine) if engine else None,
         scaling=_scaling(scaling) if scaling else None,
     )
--- a/src/waxwingwinch/platform/_main.py
+++ b/src/waxwingwinch/platform/_main.py
@@ -8,7 +8,7 @@
 from waxwingwinch.gateway import GatewayProcess, LogWriter
 from waxwingwinch.kernel import SteadyWallClock, SystemClock
 from waxwingwinch.observability import set_up_logs
-from waxwingwinch.platform._adapter import PlatformAdapter, gateway_options
+from waxwingwinch.platform._adapter import PlatformAdapter
 from waxwingwinch.platform._reload import SettingsReloader
 from waxwingwinch.platform._settings import (
     InstanceSettings,
@@ -53,11 +53,11 @@
     logs = LogWriter(sys.stdout.buffer)
     set_up_logs(logs, clock, MESSAGES_PER_SECOND)  # type: ignore[arg-type]
     adapter = PlatformAdapter.from_settings(settings, clock)
-    process = GatewayProcess(gateway_options(settings), adapter, clock)
+    process = GatewayProcess(settings.options, adapter, clock)
 
     def apply(changed: InstanceSettings) -> None:
         adapter.update(changed)
-        process.update(gateway_options(changed))
+        process.update(changed.options)
 
     reloader = SettingsReloader(path, apply)
     reloader.start()
--- a/src/waxwingwinch/platform/_reload.py
+++ b/src/waxwingwinch/platform/_reload.py
@@ -58,7 +58,7 @@
             SettingsRejected(findings=format_findings(error)).write()
             return False
         self._apply(settings)
-        SettingsReloaded(instance_id=settings.instance_id).write()
+        SettingsReloaded(instance_id=settings.options.instance_id).write()
         return True
 
     def _run(self) -> None:
--- a/src/waxwingwinch/platform/_settings.py
+++ b/src/waxwingwinch/platform/_settings.py
@@ -8,6 +8,7 @@
 from attrs import field, frozen
 
 from waxwingwinch._types import Address, InstanceId, ZoneName
+from waxwingwinch.gateway import GatewayOptions
 from waxwingwinch.settings import SettingFinding, SettingsInvalid
 
 #: Variable that names the settings file.
@@ -16,65 +17,20 @@
 T = TypeVar("T")
 
 
-@frozen
-class BudgetSettings:
-    """
-    Bounds that hold over all instances together.
-
-    :param retry_ratio: Repeats allowed for each request to a service.
-    :param retry_slack: Repeats allowed besides in one window.
-    :param retry_window_seconds: The window.
-    :param quota_slack_units: Tolerated overshoot of a quota.
-    """
-
-    retry_ratio: float
-    retry_slack: float
-    retry_window_seconds: float
-    quota_slack_units: float
-
-
 @frozen
 class InstanceSettings:
     """
     What a process learns from its settings file.
 
-    :param instance_id: Name of the instance.
-    :param zone: Its availability zone.
-    :param zones: All availability zones.
-    :param front_address: Where callers connect.
-    :param ready_address: Where the platform asks whether it is ready.
-    :param directory_address: Where callers ask which address to use.
-    :param peer_address: Where other instances connect.
-    :param metrics_address: Where metrics are read.
+    :param options: What the gateway is told at its start.
     :param store_address: The platform's store.
     :param orders_address: Where upstreams are ordered and usage is reported;
         None if the platform has no such interface.
-    :param is_first_start: True only when the whole system starts for the
-        first time.
-    :param budgets: Bounds over all instances.
-    :param lease_seconds: Length of a lease on a duty.
-    :param grace_seconds: Time between the request to stop and the kill.
-    :param usage_window_seconds: Length of a usage window.
-    :param address_life_seconds: Longest time for which callers keep the
-        answer to which address they may use.
     """
 
-    instance_id: InstanceId
-    zone: ZoneName
-    zones: tuple[ZoneName, ...]
-    front_address: Address
-    ready_address: Address
-    directory_address: Address
-    peer_address: Address
-    metrics_address: Address
+    options: GatewayOptions
     store_address: Address
     orders_address: Address | None
-    is_first_start: bool
-    budgets: BudgetSettings
-    lease_seconds: float
-    grace_seconds: float
-    usage_window_seconds: float
-    address_life_seconds: float
 
 
 @frozen
@@ -199,8 +155,7 @@
         for name in reader.lines
         if name.startswith("zones.")
     )
-    orders = reader.get("cloud.address", _optional_address, None)
-    return InstanceSettings(
+    options = GatewayOptions(
         instance_id=InstanceId(reader.need("nodeName", _text, "node")),
         zone=zone,
         zones=zones or (zone,),
@@ -209,19 +164,19 @@
         directory_address=reader.need("listen.directoryAddr", Address.parse, nowhere),
         peer_address=Address(ip, ports[0]),
         metrics_address=Address(ip, ports[1]),
-        store_address=reader.need("platform.address", Address.parse, nowhere),
-        orders_address=orders,
         is_first_start=reader.get("firstStart", _flag, False),
-        budgets=BudgetSettings(
-            reader.get("bounds.retryRatio", _positive, 0.2),
-            reader.get("bounds.retrySlack", _positive, 10.0),
-            reader.get("bounds.retryWindowS", _positive, 10.0),
-            reader.get("bounds.quotaSlack", _positive, 0.0),
-        ),
+        retry_ratio=reader.get("bounds.retryRatio", _positive, 0.2),
+        retry_slack=reader.get("bounds.retrySlack", _positive, 10.0),
+        retry_window_seconds=reader.get("bounds.retryWindowS", _positive, 10.0),
+        quota_slack_units=reader.get("bounds.quotaSlack", _positive, 0.0),
         lease_seconds=reader.get("bounds.leaseMs", _positive, 3_000.0) / 1_000,
         grace_seconds=reader.get("bounds.graceS", _positive, 8.0),
         usage_window_seconds=reader.get("bounds.usageWindowS", _positive, 5.0),
-        address_life_seconds=reader.get("bounds.ttl_max_s", _positive, 5.0),
+    )
+    return InstanceSettings(
+        options,
+        reader.need("platform.address", Address.parse, nowhere),
+        reader.get("cloud.address", _optional_address, None),
     )
 
 
--- a/src/waxwingwinch/platform/tests/test_settings.py
+++ b/src/waxwingwinch/platform/tests/test_settings.py
@@ -36,12 +36,12 @@
 
 def test_a_good_file_is_read_and_unknown_settings_are_ignored():
     settings = parse_instance_settings(GOOD, FILE)
-    assert settings.front_address == Address("10.1.0.14", 8221)
-    assert settings.peer_address == Address("10.1.0.14", 7600)
-    assert settings.zones == ("north", "south")
-    assert settings.is_first_start
-    assert settings.lease_seconds == 3.0
-    assert settings.budgets.quota_slack_units == 190_000
+    assert settings.options.front_address == Address("10.1.0.14", 8221)
+    assert settings.options.peer_address == Address("10.1.0.14", 7600)
+    assert settings.options.zones == ("north", "south")
+    assert settings.options.is_first_start
+    assert settings.options.lease_seconds == 3.0
+    assert settings.options.quota_slack_units == 190_000
     assert settings.orders_address == Address("10.200.0.35", 8225)
 
 
