Let a process that knows no peers use a hundredth of each limit

Cause: a tenth rests on ten instances; the users' large deployments have 68 and 78, and all of them starting at once would have used several times a quota before they joined.

--- a/src/waxwingwinch/gateway/_quota.py
+++ b/src/waxwingwinch/gateway/_quota.py
@@ -16,8 +16,8 @@
 #: store has no record of it; longer than a planned stop takes.
 SILENT_PEER_SECONDS = 15.0
 #: Part of each quota that a process may use before it has read which peers
-#: there are; deployments have ten instances or fewer for each customer.
-UNKNOWN_SHARE = 0.1
+#: there are; deployments have a hundred instances or fewer.
+UNKNOWN_SHARE = 0.01
 #: Time after a start in which the links to peers are made.
 JOIN_SECONDS = 2.0
 #: Time in which a peer hears what was admitted elsewhere.
--- a/src/waxwingwinch/gateway/_retry_budget.py
+++ b/src/waxwingwinch/gateway/_retry_budget.py
@@ -5,8 +5,8 @@
 from attrs import define
 
 #: Instances that share the slack until their number is known; deployments
-#: have ten or fewer for each service.
-UNKNOWN_INSTANCES = 10
+#: have a hundred or fewer.
+UNKNOWN_INSTANCES = 100
 #: Part of the allowed ratio and slack that is used; the rest covers
 #: processes that start anew with a full share.
 BUDGET_SHARE = 0.4
