Keep bursts usable while peers are silent; share limits sooner after a start

A peer that was heard before it fell silent has told what it used, so only its part of the rate is kept now, not of the burst; one that was never heard keeps both. After a start of all instances the records of the starts before counted as further silent ones until new ones were read: a start that is heard replaces its record, and links are compared with the records ten times a second. Tests failed first, save for the long cut, which holds the bound.

--- a/src/waxwingwinch/gateway/_gossip.py
+++ b/src/waxwingwinch/gateway/_gossip.py
@@ -26,8 +26,9 @@
 PLACEMENTS_KEPT = 256
 #: Urgent messages that may wait for a peer that doesn't read.
 URGENT_MAX = 64
-#: Interval at which the links are compared with the members.
-RECONCILE_SECONDS = 0.5
+#: Interval at which the links are compared with the members; a start shares
+#: limits with the others only once it hears them.
+RECONCILE_SECONDS = 0.1
 
 
 @message("gateway_prompt_placement")
--- a/src/waxwingwinch/gateway/_members.py
+++ b/src/waxwingwinch/gateway/_members.py
@@ -63,6 +63,7 @@
         self.own = own
         self._members: dict[InstanceId, Member] = {}
         self._presences: dict[InstanceId, _Presence] = {}
+        self._heard_incarnations: dict[InstanceId, str] = {}
         self._lock = threading.Lock()
 
     def put(self, member: Member) -> None:
@@ -73,6 +74,7 @@
         """
         with self._lock:
             self._members[member.instance_id] = member
+            self._heard_incarnations.pop(member.instance_id, None)
 
     def remove(self, instance_id: InstanceId) -> None:
         """
@@ -108,6 +110,31 @@
         with self._lock:
             self._presences[instance_id] = _Presence(now_seconds, is_ready)
 
+    def heard_start(self, instance_id: InstanceId, incarnation: str) -> bool:
+        """
+        Note which start of an instance sent a report.
+
+        :param instance_id: Who sent it.
+        :param incarnation: Which start of it.
+        :returns: True if its record names an earlier one.
+        """
+        with self._lock:
+            member = self._members.get(instance_id)
+            known = self._heard_incarnations.get(instance_id)
+            if member is None or incarnation in (member.incarnation, known):
+                return False
+            self._heard_incarnations[instance_id] = incarnation
+            return True
+
+    def other_incarnations(self) -> frozenset[str]:
+        """Return the newest known start of each other instance."""
+        with self._lock:
+            return frozenset(
+                self._heard_incarnations.get(instance_id, member.incarnation)
+                for instance_id, member in self._members.items()
+                if instance_id != self.own.instance_id
+            )
+
     def others(self) -> tuple[Member, ...]:
         """Return all other instances."""
         with self._lock:
--- a/src/waxwingwinch/gateway/_quota.py
+++ b/src/waxwingwinch/gateway/_quota.py
@@ -90,8 +90,9 @@
 
     Each process keeps the bucket of all instances together: it takes its own
     requests out at once and those of its peers when it hears of them. A peer
-    that is silent is taken to use an equal part of each quota for as long as
-    its record stands, since a cut link and a dead peer look the same.
+    that is silent is taken to use an equal part of each rate for as long as
+    its record stands, since a cut link and a dead peer look the same; one that
+    was never heard, of the burst as well.
 
     :param own_name: Name of this process among its peers.
     :param slack_units: How far the quota may be exceeded for a short time.
@@ -154,13 +155,13 @@
             return None
         with self._lock:
             self._forget_ended(now_seconds)
-            share = self._share(now_seconds)
+            share, burst_share = self._share(now_seconds), self._burst_share()
             bucket = self._filled(customer, share, now_seconds)
-            needed = cost - self._reserve_units * share
+            needed = cost - self._reserve_units * burst_share
             turn_units = min(customer.rate_per_second * TURN_SECONDS, cost)
             needed += self._turn(customer.customer_id, now_seconds) * turn_units
-            needed = min(needed, customer.burst * share)
-            level = customer.burst * share - bucket.used
+            needed = min(needed, customer.burst * burst_share)
+            level = customer.burst * burst_share - bucket.used
             if level < needed:
                 return OverQuota(
                     (needed - level) / (customer.rate_per_second * share),
@@ -193,7 +194,7 @@
         with self._lock:
             share = self._share(now_seconds)
             bucket = self._filled(customer, share, now_seconds)
-            return customer.burst * share - bucket.used
+            return customer.burst * self._burst_share() - bucket.used
 
     def give_back(self, customer: CustomerRules, cost: float) -> None:
         """
@@ -299,6 +300,17 @@
         share = 1.0 - self._silent_count(now_seconds) / (len(self._peers) + 1)
         return share if self._expected is not None else min(share, UNKNOWN_SHARE)
 
+    def _burst_share(self) -> float:
+        """
+        Return the part of each burst that may be used.
+
+        What a peer had used when it fell silent is known; what one has used
+        that was never heard is not.
+        """
+        unheard = sum(peer.heard_seconds is None for peer in self._peers.values())
+        share = 1.0 - unheard / (len(self._peers) + 1)
+        return share if self._expected is not None else min(share, UNKNOWN_SHARE)
+
     def _silent_count(self, now_seconds: float) -> int:
         return sum(
             1
--- a/src/waxwingwinch/gateway/_records.py
+++ b/src/waxwingwinch/gateway/_records.py
@@ -130,8 +130,7 @@
     def share_limits(self) -> None:
         """Divide what all instances share among those with a record."""
         state, now_seconds = self._state, self._clock.now_seconds()
-        others = state.members.others()
-        peers = frozenset(member.incarnation for member in others)
+        peers = state.members.other_incarnations()
         if state.quotas.expect(peers):
             LimitsShared(len(peers) + 1).write()
         state.budget.set_instances(state.members.sharing_count(now_seconds))
--- a/src/waxwingwinch/gateway/_reports.py
+++ b/src/waxwingwinch/gateway/_reports.py
@@ -92,6 +92,8 @@
             for key, running in report.running.items()
         }
         state.loads.heard(report.instance_id, loads, report.is_whole, now_seconds)
+        if state.members.heard_start(report.instance_id, report.incarnation):
+            self._intake.share_limits()
         state.quotas.heard(report.incarnation, report.quota_totals, now_seconds)
         state.usage_table.heard(report.incarnation, report.usage)
         state.budget.set_instances(state.members.sharing_count(now_seconds))
--- a/src/waxwingwinch/gateway/tests/test_members.py
+++ b/src/waxwingwinch/gateway/tests/test_members.py
@@ -1,5 +1,7 @@
 """Which instances callers are sent to, and who shares a budget."""
 
+from attrs import evolve
+
 from waxwingwinch._types import Address, InstanceId, ZoneName
 from waxwingwinch.gateway._members import (
     GONE_SECONDS,
@@ -55,3 +57,19 @@
     assert directory.sharing_count(1.0) == 3
     directory.keep_only(frozenset({"own", "a"}))
     assert directory.sharing_count(GONE_SECONDS + 1.0) == 2
+
+
+def test_a_start_that_was_heard_before_its_record_replaces_the_one_before():
+    """Pattern: all instances start anew and the store is slow."""
+    directory = MemberDirectory(member("own"))
+    directory.put(member("a"))
+    before = directory.other_incarnations()
+    other = directory.others()[0]
+    assert not directory.heard_start(other.instance_id, other.incarnation)
+    assert directory.heard_start(other.instance_id, "later")
+    assert not directory.heard_start(other.instance_id, "later")
+    assert "later" in directory.other_incarnations()
+    assert len(directory.other_incarnations()) == len(before)
+    directory.put(evolve(other, incarnation="latest"))
+    assert "latest" in directory.other_incarnations()
+    assert "later" not in directory.other_incarnations()
--- a/src/waxwingwinch/gateway/tests/test_quota.py
+++ b/src/waxwingwinch/gateway/tests/test_quota.py
@@ -125,6 +125,28 @@
     assert cluster.most_in_a_window() <= allowed()
 
 
+def test_a_long_cut_after_all_were_heard_does_not_multiply_the_rate():
+    """Pattern: a cut that comes while a customer is at its limit."""
+    cluster = Cluster()
+    play(cluster, 8_000.0 / (7.5 * RATE), 8_000.0, 4.0)
+    cluster.cut = {0, 1, 2}
+    until_seconds = 4.0 + 3 * SILENT_PEER_SECONDS
+    play(cluster, 8_000.0 / (7.5 * RATE), 8_000.0, until_seconds, from_seconds=4.0)
+    assert cluster.most_in_a_window() <= allowed()
+
+
+def test_a_customer_keeps_its_burst_while_peers_are_silent():
+    """Pattern: instances are killed while a customer sends in short bursts."""
+    cluster = Cluster()
+    play(cluster, 10_000.0 / (0.5 * RATE), 10_000.0, 4.0)
+    cluster.cut = {4, 5, 6}
+    cost = 30_000.0
+    for second in range(4, 24):
+        for step in range(10):
+            cluster.report(second + step / 10)
+        assert cluster.books[0].admit(CUSTOMER, cost, second + 1.0) is None
+
+
 def test_a_process_that_read_no_records_yet_takes_a_small_share():
     """Pattern: an instance starts and the store goes away before it joined."""
     book = QuotaBook("own", SLACK, starts_full=True, now_seconds=START_SECONDS)
