Read the holder of a duty once in the steps that end it

Cause: whole run of the checks, quiet machine: 982 passed, 1 failed, "entries, grantor, log and links fail in turn and together": KeyError: None. The step waited until a duty was held and then read its holder again; it had been released between the two readings. One reading counts now. Ruled out: a fault of the system, since no process was involved in the error. The feature passed once after the change; the whole run was not repeated.

--- a/features/steps/instances.py
+++ b/features/steps/instances.py
@@ -53,7 +53,6 @@
 @when('the control that holds "{duty}" is paused')
 def step_pause_control(context, duty):
     control = holding_control(context, duty)
-    context.holder = duty_holder(context.world, duty)
     control.pause()
 
 
@@ -68,7 +67,6 @@
 @when('the control that holds "{duty}" is killed')
 def step_kill_control(context, duty):
     control = holding_control(context, duty)
-    context.holder = duty_holder(context.world, duty)
     control.kill()
 
 
@@ -119,11 +117,15 @@
 
 
 def holding_control(context, duty):
-    world = context.world
-    world.wait_until(
-        lambda: duty_holder(world, duty) is not None, f"somebody holds {duty}"
-    )
-    return world.instance(duty_holder(world, duty)).control
+    """Return the control that holds a duty, and note which it is."""
+
+    def is_held():
+        # The duty may be released between two readings; only one counts.
+        context.holder = duty_holder(context.world, duty)
+        return context.holder is not None
+
+    context.world.wait_until(is_held, f"somebody holds {duty}")
+    return context.world.instance(context.holder).control
 
 
 def set_proxies(context, kind, faults):
