Ask the directory for the age of its entries; drop a search and a method

The age of the upstreams' entries went through a method of the reports and a callable to the answers, which hold the state that knows it. The relay of plain services searched its options for a load that it had looked up before. The trace compared each line with all of the request's own where the request's id decides.

--- a/src/waxwingwinch/gateway/_answers.py
+++ b/src/waxwingwinch/gateway/_answers.py
@@ -28,7 +28,6 @@
     :param clock: Source of the present time.
     :param under_way: Returns the number of requests that are being served.
     :param held_epoch: Returns the epoch of the duty if it is held here.
-    :param store_age_seconds: Returns how long ago the store was read.
     """
 
     def __init__(
@@ -38,14 +37,12 @@
         clock: Clock,
         under_way: Callable[[], int],
         held_epoch: Callable[[], int | None],
-        store_age_seconds: Callable[[], float | None],
     ) -> None:
         self._state = state
         self._adapter = adapter
         self._clock = clock
         self._under_way = under_way
         self._held_epoch = held_epoch
-        self._store_age_seconds = store_age_seconds
 
     def ready(self, path: str, query: str) -> InfoReply:
         """
@@ -92,7 +89,7 @@
     def _gauges(self) -> list[Gauge]:
         now_seconds = self._clock.now_seconds()
         epoch = self._held_epoch()
-        age_seconds = self._store_age_seconds()
+        age_seconds = self._state.directory.age_seconds(now_seconds)
         heard = len(self._state.members.ready_others(now_seconds))
         return [
             Gauge("waxwing_configuration_version", (), self._state.table.version),
--- a/src/waxwingwinch/gateway/_plain_relay.py
+++ b/src/waxwingwinch/gateway/_plain_relay.py
@@ -141,31 +141,16 @@
             if not self._tools.budget.spend(job.service.name, now_seconds):
                 return None
             self._tools.telemetry.count(CounterName.REPEATS, job.service.name)
-        self._log_sent(job, usable[chosen], options, progress, now_seconds)
-        return usable[chosen]
-
-    def _log_sent(
-        self,
-        job: Job,
-        upstream: Upstream,
-        options: list[PlainOption],
-        progress: Progress,
-        now_seconds: float,
-    ) -> None:
-        running = next(
-            option.running
-            for option in options
-            if option.upstream_id == upstream.upstream_id
-        )
         RequestSent(
             request_id=job.request.request_id,
             route=job.route.name,
             entries_age_seconds=self._tools.directory.age_seconds(now_seconds),
-            upstream_id=upstream.upstream_id,
-            running=running,
+            upstream_id=chosen,
+            running=totals.get(chosen, NO_LOAD).running,
             options=len(options),
             sends=progress.sends + 1,
         ).write()
+        return usable[chosen]
 
     def _may_repeat(self, job: Job, progress: Progress, now_seconds: float) -> bool:
         """Tell whether leaving an upstream that is silent could help."""
--- a/src/waxwingwinch/gateway/_process.py
+++ b/src/waxwingwinch/gateway/_process.py
@@ -208,7 +208,6 @@
             self._clock,
             lambda: self._handler.under_way,
             self._steward.held_epoch,
-            self._reports.store_age_seconds,
         )
         return (
             InfoServer(self._options.ready_address, answers.ready),
--- a/src/waxwingwinch/gateway/_reports.py
+++ b/src/waxwingwinch/gateway/_reports.py
@@ -64,7 +64,7 @@
             is_whole=is_whole,
             configuration_version=state.table.version,
             held_epoch=self._steward.held_epoch(),
-            store_age_seconds=self.store_age_seconds(),
+            store_age_seconds=state.directory.age_seconds(now_seconds),
             waiting_tokens={key: load.waiting_tokens for key, load in loads.items()},
             running={key: load.running for key, load in loads.items()},
             quota_totals=told.tell_quota_totals(state.quotas.own_totals()),
@@ -74,10 +74,6 @@
             placements=state.placements.after(told.sequence),
         )
 
-    def store_age_seconds(self) -> float | None:
-        """Return how long ago the store was read; None if it never was."""
-        return self._state.directory.age_seconds(self._clock.now_seconds())
-
     def apply(self, report: InstanceReport, ask: AskConfiguration) -> None:
         """
         Take in a report.
--- a/src/waxwingwinch/observability/_traces.py
+++ b/src/waxwingwinch/observability/_traces.py
@@ -132,7 +132,9 @@
             continue
         left_out += sum(int(line.fields.get(name, 0)) for name in LEFT_OUT_FIELDS)
         key = line.belief_key
-        if key is None or line in own or not _concerns(line, upstreams):
+        if key is None or _is_about(line, request_id):
+            continue
+        if not _concerns(line, upstreams):
             continue
         if line.wall_seconds < begins[line.source]:
             beliefs[key] = line
