Wait for the notices of peers before a suspect prompt is sent again

Cause: an instance whose engine crashed judged the prompt and sent it again within a millisecond, while the notices of peers that had lost an engine to the same prompt were still on the way; and an instance that was asked next took it before it had heard of the second crash.

Ruled out: links that were down (all notices of these crashes arrived, 1 to 40 ms late), crashes that were not recognized (every look found the engine down), blame taken away by streams that ran beside it.

A prompt that crashed an engine before it gave anything now runs again when its last crash is 0.1 s old; streams that got on are resumed at once. Both tests failed without the pause.

--- a/src/waxwingwinch/entry/_completions.py
+++ b/src/waxwingwinch/entry/_completions.py
@@ -187,8 +187,8 @@
             prefix_hashes=prefix_hashes(completion.prompt),
             adapter=completion.adapter,
         )
-        now_seconds = self._services.clock.now_seconds()
-        match self._services.crashes.judge(fingerprint, now_seconds):
+        clock = self._services.clock
+        match self._services.crashes.judge_settled(fingerprint, clock):
             case Quarantined(retry_after_seconds):
                 raise quarantined(retry_after_seconds, Outcome.NOT_RUN)
             case Suspect(upstream_ids):
--- a/src/waxwingwinch/entry/_crash_guard.py
+++ b/src/waxwingwinch/entry/_crash_guard.py
@@ -1,7 +1,9 @@
 """Containing requests that crash each engine that runs them."""
 
 import hashlib
+import math
 import threading
+import time
 from collections import OrderedDict
 from collections.abc import Callable
 
@@ -9,6 +11,7 @@
 
 from waxwingwinch._types import CustomerId, InstanceId, UpstreamId
 from waxwingwinch.codec import message
+from waxwingwinch.kernel import Clock
 from waxwingwinch.peers import PeerIdentity
 
 #: Blame for a crash before the upstream gave anything for the request.
@@ -25,6 +28,9 @@
 CRASH_REFUSAL_SECONDS = 300.0
 #: How long a single crash is remembered.
 CRASH_MEMORY_SECONDS = 300.0
+#: Age of a crash at which peers that ran the same request at that moment have
+#: told of theirs; far more than a message between instances takes.
+CRASH_SETTLE_SECONDS = 0.1
 #: Requests that are remembered at most.
 CRASH_RECORDS_MAX = 10_000
 
@@ -87,6 +93,22 @@
     crashes: dict[UpstreamId, _Crash] = field(factory=dict)
     last_seconds: float = 0.0
 
+    def settle_seconds(self, now_seconds: float) -> float:
+        """
+        Return the time until peers have told of crashes of the same moment.
+
+        :param now_seconds: Monotonic time.
+        """
+        newest_seconds = max(
+            (
+                crash.seconds
+                for crash in self.crashes.values()
+                if crash.blame == BLAME_WITHOUT_PROGRESS
+            ),
+            default=-math.inf,
+        )
+        return max(newest_seconds + CRASH_SETTLE_SECONDS - now_seconds, 0.0)
+
     def blame(self) -> int:
         """Return the blame for all crashes."""
         return sum(crash.blame for crash in self.crashes.values())
@@ -115,9 +137,12 @@
     The request may have crashed upstreams.
 
     :param upstream_ids: Upstreams that crashed while they ran it.
+    :param settle_seconds: Time until peers have told of crashes of the same
+        moment; 0 if it was seen to get on.
     """
 
     upstream_ids: frozenset[UpstreamId]
+    settle_seconds: float = 0.0
 
 
 @frozen
@@ -171,7 +196,30 @@
                 return NotSuspect()
             if is_refused:
                 return Quarantined(limit_seconds - elapsed_seconds)
-            return Suspect(frozenset(record.crashes))
+            settle_seconds = record.settle_seconds(now_seconds)
+            return Suspect(frozenset(record.crashes), settle_seconds)
+
+    def judge_settled(
+        self,
+        fingerprint: str,
+        clock: Clock,
+        pause: Callable[[float], None] = time.sleep,
+    ) -> CrashVerdict:
+        """
+        Tell how a request may run, once peers have told what they saw.
+
+        A prompt that is sent to several instances at once crashes an engine
+        of each; without the pause each would crash a second one.
+
+        :param fingerprint: The request.
+        :param clock: Source of the present time.
+        :param pause: Waits for a time in seconds.
+        """
+        verdict = self.judge(fingerprint, clock.now_seconds())
+        while isinstance(verdict, Suspect) and verdict.settle_seconds > 0:
+            pause(verdict.settle_seconds)
+            verdict = self.judge(fingerprint, clock.now_seconds())
+        return verdict
 
     def crashed(
         self,
--- a/src/waxwingwinch/entry/_generation.py
+++ b/src/waxwingwinch/entry/_generation.py
@@ -239,13 +239,15 @@
                 )
         self._watch.check(self.outcome)
         policy = self._job.generation.routing.policy
-        match self._services.crashes.judge(self._job.fingerprint, now_seconds):
+        clock = self._services.clock
+        match self._services.crashes.judge_settled(self._job.fingerprint, clock):
             case Quarantined(retry_after_seconds):
                 raise quarantined(retry_after_seconds, self.outcome)
             case NotSuspect():
                 pass
             case _:
                 policy = FewestOthers()
+        now_seconds = clock.now_seconds()
         if self._services.configuration.freshness(now_seconds) is Freshness.STALE:
             raise self._given_up(f"{error}; this instance lost touch with the others")
         if is_free:
--- a/src/waxwingwinch/entry/tests/test_crash_guard.py
+++ b/src/waxwingwinch/entry/tests/test_crash_guard.py
@@ -5,6 +5,7 @@
 from waxwingwinch._types import InstanceId, UpstreamId
 from waxwingwinch.entry._crash_guard import (
     CRASH_MEMORY_SECONDS,
+    CRASH_SETTLE_SECONDS,
     CrashGuard,
     NotSuspect,
     Quarantined,
@@ -66,3 +67,66 @@
     assert isinstance(peer.judge("poison", 10.0), Quarantined)
     late_seconds = 10.0 + CRASH_MEMORY_SECONDS
     assert isinstance(peer.judge("poison", late_seconds), NotSuspect)
+
+
+class SlowMesh:
+    """Three instances whose notices take their time on the way."""
+
+    def __init__(self, way_seconds):
+        self.seconds = 1.0
+        self._way_seconds = way_seconds
+        self._on_the_way = []
+        self.guards = [
+            CrashGuard(InstanceId(f"i{number}"), self._broadcast) for number in range(3)
+        ]
+
+    def now_seconds(self):
+        return self.seconds
+
+    def wall_seconds(self):
+        return self.seconds
+
+    def pause(self, seconds):
+        self.seconds += seconds
+        for due_seconds, notice in list(self._on_the_way):
+            if due_seconds <= self.seconds:
+                self._on_the_way.remove((due_seconds, notice))
+                for guard in self.guards:
+                    guard.learn(notice, due_seconds)
+
+    def _broadcast(self, notice):
+        self._on_the_way.append((self.seconds + self._way_seconds, notice))
+
+
+def test_a_prompt_sent_to_all_instances_at_once_crashes_one_engine_of_each():
+    """Pattern: a client sends the same prompt to all instances at once."""
+    mesh = SlowMesh(way_seconds=0.03)
+    for number, guard in enumerate(mesh.guards):
+        guard.crashed("poison", UpstreamId(f"engine-{number}"), mesh.seconds)
+    for guard in mesh.guards:
+        verdict = guard.judge_settled("poison", mesh, mesh.pause)
+        assert isinstance(verdict, Quarantined)
+
+
+def test_a_prompt_sent_again_elsewhere_at_once_is_known_there():
+    """Pattern: a client tries the next instance before its peers heard."""
+    mesh = SlowMesh(way_seconds=0.03)
+    first, second, _ = mesh.guards
+    first.crashed("poison", FIRST, mesh.seconds)
+    mesh.pause(0.03)
+    first.crashed("poison", SECOND, mesh.seconds)
+    assert isinstance(second.judge("poison", mesh.seconds), Suspect)
+    verdict = second.judge_settled("poison", mesh, mesh.pause)
+    assert isinstance(verdict, Quarantined)
+
+
+def test_a_stream_that_got_on_is_resumed_at_once(guard):
+    guard.crashed("stream", FIRST, 1.0, had_progress=True)
+    assert guard.judge("stream", 1.0) == Suspect(frozenset({FIRST}), 0.0)
+
+
+def test_a_suspect_waits_no_longer_than_the_notices_take(guard):
+    guard.crashed("lone", FIRST, 1.0)
+    verdict = guard.judge("lone", 1.0)
+    assert verdict.settle_seconds == pytest.approx(CRASH_SETTLE_SECONDS)
+    assert guard.judge("lone", 1.0 + CRASH_SETTLE_SECONDS).settle_seconds == 0.0
