Serve and dial many peers in one thread

PeerHub serves and dials in one event loop. The handshake is written as steps without input or output, so that links with threads of their own and those of the hub share it. Ruled out: fewer threads for callers, which are needed when few instances are left.

Conclusion: one thread for any number of links.

--- a/src/waxwingwinch/peers/__init__.py
+++ b/src/waxwingwinch/peers/__init__.py
@@ -2,11 +2,20 @@
 Authenticated links between the system's own processes.
 
 Messages are CBOR over websockets. Each process serves its peers at one
-address and dials one link to each of them.
+address and dials one link to each of them: with threads of their own, whose
+handlers may block, or all in the one thread of a hub.
 """
 
 from waxwingwinch.peers._handshake import PeerIdentity, PeerProgram
+from waxwingwinch.peers._hub import HubLink, PeerHub
 from waxwingwinch.peers._link import PeerLink
 from waxwingwinch.peers._server import PeerServer
 
-__all__ = ["PeerIdentity", "PeerLink", "PeerProgram", "PeerServer"]
+__all__ = [
+    "HubLink",
+    "PeerHub",
+    "PeerIdentity",
+    "PeerLink",
+    "PeerProgram",
+    "PeerServer",
+]
--- a/src/waxwingwinch/peers/_frames.py
+++ b/src/waxwingwinch/peers/_frames.py
@@ -1,8 +1,11 @@
 """The frame that pairs requests with replies on one link."""
 
+from typing import Any
+
 from attrs import frozen
 
-from waxwingwinch.codec import message
+from waxwingwinch._exceptions import MalformedMessage
+from waxwingwinch.codec import decode_message, message
 
 #: Correlation of a message that expects no reply.
 NO_REPLY = 0
@@ -24,3 +27,18 @@
 
     correlation: int
     payload: bytes
+
+
+def decode_frame(data: Any) -> Frame:
+    """
+    Decode what a link received.
+
+    :param data: One message of the websocket connection.
+    :raises MalformedMessage: If it is no frame.
+    """
+    if not isinstance(data, bytes):
+        raise MalformedMessage("expected a binary message")
+    frame = decode_message(data)
+    if not isinstance(frame, Frame):
+        raise MalformedMessage("expected a frame")
+    return frame
--- a/src/waxwingwinch/peers/_handshake.py
+++ b/src/waxwingwinch/peers/_handshake.py
@@ -4,7 +4,7 @@
 import hashlib
 import hmac
 import secrets
-from collections.abc import Sequence
+from collections.abc import Generator, Sequence
 from typing import Any, Protocol, TypeVar
 
 from attrs import frozen
@@ -103,6 +103,11 @@
         """Receive one message."""
 
 
+#: One side of the handshake: yields each message to send, and None where it
+#: is to be sent the next message of the other side. Returns who that is.
+HandshakeSteps = Generator[bytes | None, Any, PeerIdentity]
+
+
 def _proof(secret: str, label: str, first: bytes, second: bytes, name: str) -> bytes:
     text = label.encode() + b"\0" + first + second + name.encode()
     return hmac.digest(secret.encode(), text, hashlib.sha256)
@@ -123,36 +128,21 @@
     return any(matches)
 
 
-def receive(connection: Connection, kind: type[T]) -> T:
-    """
-    Receive one handshake message.
-
-    :raises MalformedMessage: If it is of another kind.
-    :raises TimeoutError: If it doesn't come in time.
-    """
-    payload = connection.recv(timeout=STEP_TIMEOUT_SECONDS)
-    if not isinstance(payload, bytes):
-        raise MalformedMessage("expected a binary message")
-    decoded = decode_message(payload)
-    if not isinstance(decoded, kind):
-        raise MalformedMessage(f"expected {kind.__name__}")
-    return decoded
-
-
-def greet(
-    connection: Connection, identity: PeerIdentity, shared_secrets: Sequence[str]
-) -> PeerIdentity:
+def greeting_steps(
+    identity: PeerIdentity, shared_secrets: Sequence[str]
+) -> HandshakeSteps:
     """
-    Run the dialing side.
+    Return the dialing side.
 
+    :param identity: Who dials.
     :param shared_secrets: Accepted secrets; the first is used to sign. Two
         are listed while the secret is rotated.
-    :returns: Who serves.
     :raises PeerRejected: If the server doesn't know a secret.
+    :raises MalformedMessage: If it sent something else.
     """
     nonce = secrets.token_bytes(NONCE_BYTES)
-    connection.send(encode_message(Hello(identity, nonce)))
-    challenge = receive(connection, Challenge)
+    yield encode_message(Hello(identity, nonce))
+    challenge = _expect(Challenge, (yield None))
     server = challenge.identity
     name = server.instance_id
     signing = [
@@ -165,27 +155,66 @@
     # Signing with the secret that the server used lets a rotation proceed
     # one process at a time.
     proof = _proof(signing[0], "client", challenge.nonce, nonce, identity.instance_id)
-    connection.send(encode_message(Proof(proof)))
+    yield encode_message(Proof(proof))
     return server
 
 
-def admit(
-    connection: Connection, identity: PeerIdentity, shared_secrets: Sequence[str]
-) -> PeerIdentity:
+def admission_steps(
+    identity: PeerIdentity, shared_secrets: Sequence[str]
+) -> HandshakeSteps:
     """
-    Run the serving side.
+    Return the serving side.
 
-    :returns: Who dialed.
+    :param identity: Who serves.
+    :param shared_secrets: Accepted secrets.
     :raises PeerRejected: If the client doesn't know a secret.
+    :raises MalformedMessage: If it sent something else.
     """
-    hello = receive(connection, Hello)
+    hello = _expect(Hello, (yield None))
     nonce = secrets.token_bytes(NONCE_BYTES)
     proof = _proof(
         shared_secrets[0], "server", hello.nonce, nonce, identity.instance_id
     )
-    connection.send(encode_message(Challenge(identity, nonce, proof)))
-    answer = receive(connection, Proof)
+    yield encode_message(Challenge(identity, nonce, proof))
+    answer = _expect(Proof, (yield None))
     name = hello.identity.instance_id
     if not _is_valid(answer.proof, shared_secrets, "client", nonce, hello.nonce, name):
         raise PeerRejected(f"{name} does not know the shared secret")
     return hello.identity
+
+
+def shake_hands(connection: Connection, steps: HandshakeSteps) -> PeerIdentity:
+    """
+    Run one side of the handshake over a connection.
+
+    :param connection: The connection.
+    :param steps: The side.
+    :returns: Who is at the other end.
+    :raises TimeoutError: If a message doesn't come in time.
+    """
+    received = None
+    while True:
+        try:
+            to_send = steps.send(received)
+        except StopIteration as end:
+            identity: PeerIdentity = end.value
+            return identity
+        received = None
+        if to_send is None:
+            received = connection.recv(timeout=STEP_TIMEOUT_SECONDS)
+        else:
+            connection.send(to_send)
+
+
+def _expect(kind: type[T], payload: Any) -> T:
+    """
+    Decode one handshake message.
+
+    :raises MalformedMessage: If it is of another kind.
+    """
+    if not isinstance(payload, bytes):
+        raise MalformedMessage("expected a binary message")
+    decoded = decode_message(payload)
+    if not isinstance(decoded, kind):
+        raise MalformedMessage(f"expected {kind.__name__}")
+    return decoded
--- /dev/null
+++ b/src/waxwingwinch/peers/_hub.py
@@ -0,0 +1,381 @@
+"""Serving and dialing many peers in one thread."""
+
+import asyncio
+import threading
+from collections.abc import Callable, Coroutine, Sequence
+from typing import Any
+
+import eliot
+from attrs import define, field
+from websockets.asyncio.client import connect
+from websockets.asyncio.connection import Connection
+from websockets.asyncio.server import ServerConnection, serve
+from websockets.exceptions import ConnectionClosed, WebSocketException
+
+from waxwingwinch._exceptions import MalformedMessage, PeerUnavailable
+from waxwingwinch._types import Address
+from waxwingwinch.codec import decode_message, encode_message
+from waxwingwinch.peers._frames import (
+    MAX_FRAME_BYTES,
+    NO_REPLY,
+    Frame,
+    decode_frame,
+)
+from waxwingwinch.peers._handshake import (
+    STEP_TIMEOUT_SECONDS,
+    HandshakeSteps,
+    PeerIdentity,
+    PeerRejected,
+    admission_steps,
+    greeting_steps,
+)
+from waxwingwinch.peers._link import (
+    DIAL_TIMEOUT_SECONDS,
+    MAX_REDIAL_PAUSE_SECONDS,
+    MIN_REDIAL_PAUSE_SECONDS,
+)
+from waxwingwinch.peers._server import (
+    PING_INTERVAL_SECONDS,
+    PING_TIMEOUT_SECONDS,
+    Handler,
+)
+
+#: Messages that may wait for a peer that doesn't read; some seconds of what
+#: one process sends to another.
+BACKLOG_MAX = 256
+
+
+@define(eq=False)
+class _OpenConnection:
+    """
+    A connection to a peer that has proved itself.
+
+    :param connection: The connection.
+    :param backlog: Encoded frames that are to be sent.
+    """
+
+    connection: Connection
+    backlog: asyncio.Queue[bytes] = field(
+        factory=lambda: asyncio.Queue(BACKLOG_MAX), repr=False
+    )
+
+    async def write(self) -> None:
+        """Send what is put into the backlog, until the connection ends."""
+        while True:
+            await self.connection.send(await self.backlog.get())
+
+
+class HubLink:
+    """
+    Sends messages and requests to one peer, redialing when the link breaks.
+
+    Its methods are called in the thread of the hub.
+
+    :param address: Where the peer serves.
+    :param identity: Who this process is.
+    :param shared_secrets: Accepted secrets.
+    """
+
+    def __init__(
+        self,
+        address: Address,
+        identity: PeerIdentity,
+        shared_secrets: Sequence[str],
+    ) -> None:
+        #: Where the peer serves.
+        self.address = address
+        #: Connections so far; messages over earlier ones may be lost.
+        self.connections_made = 0
+        self._identity = identity
+        self._shared_secrets = tuple(shared_secrets)
+        self._open: _OpenConnection | None = None
+        self._is_up = asyncio.Event()
+        self._waiters: dict[int, asyncio.Future[bytes]] = {}
+        self._next_correlation = NO_REPLY + 1
+        self._task: asyncio.Task[None] | None = None
+
+    def start(self) -> None:
+        """Start dialing."""
+        self._task = asyncio.get_running_loop().create_task(self._run())
+
+    def stop(self) -> None:
+        """Close the link without waiting for the peer."""
+        if self._task is not None:
+            self._task.cancel()
+
+    def send(self, body: object) -> None:
+        """
+        Send a message that expects no reply.
+
+        :param body: The message.
+        :raises PeerUnavailable: If the link is down or the peer doesn't read;
+            a message that was sent may still be lost.
+        """
+        self._put(Frame(NO_REPLY, encode_message(body)))
+
+    async def request(self, body: object, timeout_seconds: float) -> Any:
+        """
+        Send a message and wait for its reply.
+
+        :param body: The message.
+        :param timeout_seconds: How long to wait, for the link as well.
+        :returns: The decoded reply, None if it only acknowledges.
+        :raises PeerUnavailable: If no reply came.
+        :raises MalformedMessage: If the reply can't be decoded.
+        """
+        correlation = self._next_correlation
+        self._next_correlation += 1
+        try:
+            async with asyncio.timeout(timeout_seconds):
+                await self._is_up.wait()
+                reply: asyncio.Future[bytes] = asyncio.Future()
+                self._waiters[correlation] = reply
+                self._put(Frame(correlation, encode_message(body)))
+                payload = await reply
+        except TimeoutError as error:
+            raise PeerUnavailable(f"no reply from {self.address}") from error
+        finally:
+            self._waiters.pop(correlation, None)
+        return decode_message(payload) if payload else None
+
+    def _put(self, frame: Frame) -> None:
+        opened = self._open
+        if opened is None:
+            raise PeerUnavailable(f"no link to {self.address}")
+        try:
+            opened.backlog.put_nowait(encode_message(frame))
+        except asyncio.QueueFull as error:
+            opened.connection.transport.abort()
+            raise PeerUnavailable(f"{self.address} does not read") from error
+
+    async def _run(self) -> None:
+        pause_seconds = MIN_REDIAL_PAUSE_SECONDS
+        while True:
+            if await self._dial_and_receive():
+                pause_seconds = MIN_REDIAL_PAUSE_SECONDS
+            else:
+                pause_seconds = min(2 * pause_seconds, MAX_REDIAL_PAUSE_SECONDS)
+            await asyncio.sleep(pause_seconds)
+
+    async def _dial_and_receive(self) -> bool:
+        """Keep one connection until it breaks; return whether it was up."""
+        was_up = False
+        try:
+            async with connect(
+                f"ws://{self.address}",
+                open_timeout=DIAL_TIMEOUT_SECONDS,
+                close_timeout=DIAL_TIMEOUT_SECONDS,
+                max_size=MAX_FRAME_BYTES,
+                compression=None,
+                proxy=None,
+                ping_interval=PING_INTERVAL_SECONDS,
+                ping_timeout=PING_TIMEOUT_SECONDS,
+            ) as connection:
+                steps = greeting_steps(self._identity, self._shared_secrets)
+                await shake_hands_async(connection, steps)
+                was_up = True
+                await self._use(connection)
+        except (WebSocketException, OSError, TimeoutError):
+            # The link is dialed again; who needs it sees that it is down.
+            pass
+        except (PeerRejected, MalformedMessage) as error:
+            eliot.log_message(
+                "peer:rejected", address=str(self.address), reason=str(error)
+            )
+        return was_up
+
+    async def _use(self, connection: Connection) -> None:
+        opened = _OpenConnection(connection)
+        writer = asyncio.get_running_loop().create_task(opened.write())
+        self._open = opened
+        self.connections_made += 1
+        self._is_up.set()
+        try:
+            async for payload in connection:
+                frame = decode_frame(payload)
+                waiter = self._waiters.get(frame.correlation)
+                if waiter is not None and not waiter.done():
+                    waiter.set_result(frame.payload)
+        finally:
+            self._open = None
+            self._is_up.clear()
+            writer.cancel()
+            await asyncio.gather(writer, return_exceptions=True)
+            self._fail_waiters()
+
+    def _fail_waiters(self) -> None:
+        for waiter in self._waiters.values():
+            if not waiter.done():
+                waiter.set_exception(PeerUnavailable(f"link to {self.address} broke"))
+
+
+class PeerHub:
+    """
+    Serves peers and dials them, all in one thread.
+
+    :param address: Where to listen.
+    :param identity: Who this process is.
+    :param shared_secrets: Accepted secrets; the first is used to sign.
+    """
+
+    def __init__(
+        self,
+        address: Address,
+        identity: PeerIdentity,
+        shared_secrets: Sequence[str],
+    ) -> None:
+        self._address = address
+        self._identity = identity
+        self._shared_secrets = tuple(shared_secrets)
+        self._handlers: dict[type, Handler] = {}
+        self._loop = asyncio.new_event_loop()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._stopped: asyncio.Event | None = None
+        self._has_started = threading.Event()
+        self._failure: OSError | None = None
+        self._thread = threading.Thread(
+            target=self._run_thread, name="peer-hub", daemon=True
+        )
+
+    def handle(self, kind: type, handler: Handler) -> None:
+        """
+        Register the handler of a message class.
+
+        :param kind: The message class.
+        :param handler: Called in the hub's thread; it must not block.
+        """
+        self._handlers[kind] = handler
+
+    def start(self) -> None:
+        """
+        Start the thread and listen.
+
+        :raises OSError: If the address can't be listened at.
+        """
+        self._thread.start()
+        self._has_started.wait()
+        if self._failure is not None:
+            raise self._failure
+
+    def stop(self) -> None:
+        """Close all connections and end the thread."""
+        stopped = self._stopped
+        if stopped is not None:
+            self.call(stopped.set)
+        self._thread.join()
+
+    def call(self, function: Callable[..., None], *arguments: Any) -> None:
+        """
+        Call a function in the hub's thread, without waiting for it.
+
+        :param function: What to call; it must not block.
+        :param arguments: Its arguments.
+        """
+        self._loop.call_soon_threadsafe(function, *arguments)
+
+    def spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
+        """
+        Run work beside what else the hub does; called in its thread.
+
+        :param work: What to run.
+        """
+        task = self._loop.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._work_ended)
+        return task
+
+    def dial(self, address: Address) -> HubLink:
+        """
+        Return a link to a peer that dials from now on.
+
+        :param address: Where the peer serves.
+        """
+        link = HubLink(address, self._identity, self._shared_secrets)
+        link.start()
+        return link
+
+    def _work_ended(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            eliot.log_message("peer:work_failed", reason=repr(task.exception()))
+
+    def _run_thread(self) -> None:
+        asyncio.set_event_loop(self._loop)
+        self._loop.run_until_complete(self._serve())
+        pending = asyncio.all_tasks(self._loop)
+        for task in pending:
+            task.cancel()
+        self._loop.run_until_complete(asyncio.gather(*pending, return_exceptions=True))
+        self._loop.close()
+
+    async def _serve(self) -> None:
+        stopped = asyncio.Event()
+        try:
+            server = await serve(
+                self._serve_peer,
+                self._address.host,
+                self._address.port,
+                max_size=MAX_FRAME_BYTES,
+                compression=None,
+                ping_interval=PING_INTERVAL_SECONDS,
+                ping_timeout=PING_TIMEOUT_SECONDS,
+            )
+        except OSError as error:
+            self._failure = error
+            self._has_started.set()
+            return
+        self._stopped = stopped
+        self._has_started.set()
+        async with server:
+            await stopped.wait()
+
+    async def _serve_peer(self, connection: ServerConnection) -> None:
+        try:
+            steps = admission_steps(self._identity, self._shared_secrets)
+            peer = await shake_hands_async(connection, steps)
+            async for payload in connection:
+                await self._answer(connection, peer, decode_frame(payload))
+        except (PeerRejected, MalformedMessage, TimeoutError) as error:
+            eliot.log_message("peer:rejected", reason=str(error))
+        except ConnectionClosed:
+            # The peer dials again if it needs the link.
+            pass
+
+    async def _answer(
+        self, connection: ServerConnection, peer: PeerIdentity, frame: Frame
+    ) -> None:
+        body = decode_message(frame.payload)
+        handler = self._handlers.get(type(body))
+        if handler is None:
+            raise MalformedMessage(f"no handler for {type(body).__name__}")
+        reply = handler(peer, body)
+        if frame.correlation == NO_REPLY:
+            return
+        payload = b"" if reply is None else encode_message(reply)
+        await connection.send(encode_message(Frame(frame.correlation, payload)))
+
+
+async def shake_hands_async(
+    connection: Connection, steps: HandshakeSteps
+) -> PeerIdentity:
+    """
+    Run one side of the handshake over a connection.
+
+    :param connection: The connection.
+    :param steps: The side.
+    :returns: Who is at the other end.
+    :raises TimeoutError: If a message doesn't come in time.
+    """
+    received = None
+    while True:
+        try:
+            to_send = steps.send(received)
+        except StopIteration as end:
+            identity: PeerIdentity = end.value
+            return identity
+        received = None
+        if to_send is None:
+            async with asyncio.timeout(STEP_TIMEOUT_SECONDS):
+                received = await connection.recv()
+        else:
+            await connection.send(to_send)
--- a/src/waxwingwinch/peers/_link.py
+++ b/src/waxwingwinch/peers/_link.py
@@ -13,8 +13,18 @@
 from waxwingwinch._types import Address
 from waxwingwinch.codec import decode_message, encode_message
 from waxwingwinch.kernel import Health
-from waxwingwinch.peers._frames import MAX_FRAME_BYTES, NO_REPLY, Frame
-from waxwingwinch.peers._handshake import PeerIdentity, PeerRejected, greet
+from waxwingwinch.peers._frames import (
+    MAX_FRAME_BYTES,
+    NO_REPLY,
+    Frame,
+    decode_frame,
+)
+from waxwingwinch.peers._handshake import (
+    PeerIdentity,
+    PeerRejected,
+    greeting_steps,
+    shake_hands,
+)
 from waxwingwinch.peers._server import PING_INTERVAL_SECONDS, PING_TIMEOUT_SECONDS
 
 #: How long dialing may take.
@@ -162,7 +172,8 @@
                 ping_interval=PING_INTERVAL_SECONDS,
                 ping_timeout=PING_TIMEOUT_SECONDS,
             ) as connection:
-                peer = greet(connection, self._identity, self._shared_secrets)
+                steps = greeting_steps(self._identity, self._shared_secrets)
+                peer = shake_hands(connection, steps)
                 was_up = True
                 self._set_connection(connection, peer)
                 self._receive_replies(connection)
@@ -191,11 +202,7 @@
 
     def _receive_replies(self, connection: ClientConnection) -> None:
         for payload in connection:
-            if not isinstance(payload, bytes):
-                raise MalformedMessage("expected a binary message")
-            frame = decode_message(payload)
-            if not isinstance(frame, Frame):
-                raise MalformedMessage("expected a frame")
+            frame = decode_frame(payload)
             with self._lock:
                 waiter = self._waiters.get(frame.correlation)
             if waiter is not None:
--- a/src/waxwingwinch/peers/_server.py
+++ b/src/waxwingwinch/peers/_server.py
@@ -12,8 +12,18 @@
 from waxwingwinch._types import Address
 from waxwingwinch.codec import decode_message, encode_message
 from waxwingwinch.kernel import Health
-from waxwingwinch.peers._frames import MAX_FRAME_BYTES, NO_REPLY, Frame
-from waxwingwinch.peers._handshake import PeerIdentity, PeerRejected, admit
+from waxwingwinch.peers._frames import (
+    MAX_FRAME_BYTES,
+    NO_REPLY,
+    Frame,
+    decode_frame,
+)
+from waxwingwinch.peers._handshake import (
+    PeerIdentity,
+    PeerRejected,
+    admission_steps,
+    shake_hands,
+)
 
 #: A function that handles a message and returns the reply, if there is one.
 Handler = Callable[[PeerIdentity, Any], object | None]
@@ -94,7 +104,8 @@
         with self._lock:
             self._connections.add(connection)
         try:
-            peer = admit(connection, self._identity, self._shared_secrets)
+            steps = admission_steps(self._identity, self._shared_secrets)
+            peer = shake_hands(connection, steps)
             self._serve_messages(connection, peer)
         except (PeerRejected, MalformedMessage, TimeoutError) as error:
             eliot.log_message("peer:rejected", reason=str(error))
@@ -106,11 +117,7 @@
 
     def _serve_messages(self, connection: ServerConnection, peer: PeerIdentity) -> None:
         for payload in connection:
-            if not isinstance(payload, bytes):
-                raise MalformedMessage("expected a binary message")
-            frame = decode_message(payload)
-            if not isinstance(frame, Frame):
-                raise MalformedMessage("expected a frame")
+            frame = decode_frame(payload)
             reply = self._dispatch(peer, decode_message(frame.payload))
             if frame.correlation == NO_REPLY:
                 continue
