--- a/src/waxwingwinch/gateway/_belief_lines.py
+++ b/src/waxwingwinch/gateway/_belief_lines.py
@@ -127,6 +127,42 @@
     address: str
 
 
+@log_line("cell:lost")
+@frozen
+class CellLost(LogLine):
+    """
+    An instance that no longer tells what its cell has under way.
+
+    :param zone: Availability zone of the cell.
+    :param number: Tells the cells of a zone apart.
+    :param address: Where the instance listens for others.
+    :param reason: What was seen.
+    """
+
+    zone: str
+    number: int
+    address: str
+    reason: str
+
+
+@log_line("cell:reached")
+@frozen
+class CellReached(LogLine):
+    """
+    An instance that tells what its cell has under way.
+
+    :param zone: Availability zone of the cell.
+    :param number: Tells the cells of a zone apart.
+    :param address: Where the instance listens for others.
+    :param instances: Instances that it tells of.
+    """
+
+    zone: str
+    number: int
+    address: str
+    instances: int
+
+
 @log_line("limits:shared")
 @frozen
 class LimitsShared(LogLine):
--- a/src/waxwingwinch/gateway/_gossip.py
+++ b/src/waxwingwinch/gateway/_gossip.py
@@ -1,283 +1,178 @@
-"""Reports that the instances send one another several times a second."""
+"""Telling the other instances what this one does, and hearing of them."""
 
-import queue
-import threading
-import time
-from collections import deque
+import asyncio
 from collections.abc import Callable
-
-from attrs import field, frozen
-
-from waxwingwinch._exceptions import PeerUnavailable
-from waxwingwinch._types import CustomerId, EngineRole, InstanceId, UpstreamId
-from waxwingwinch.codec import message
-from waxwingwinch.gateway._belief_lines import PeerLost, PeerReached
+from typing import Protocol
+
+from attrs import define, frozen
+
+from waxwingwinch._exceptions import MalformedMessage, PeerUnavailable
+from waxwingwinch._types import Address, InstanceId, UpstreamId
+from waxwingwinch.gateway._belief_lines import (
+    ConfigurationUnanswered,
+    PeerLost,
+    PeerReached,
+)
+from waxwingwinch.gateway._cell_reader import CellReader
+from waxwingwinch.gateway._cells import Cell, plan_links
+from waxwingwinch.gateway._digests import DigestBook
 from waxwingwinch.gateway._members import Member, MemberDirectory
-from waxwingwinch.gateway._requests import PromptPart
+from waxwingwinch.gateway._report_messages import (
+    ConfigurationReply,
+    ConfigurationRequest,
+    Digest,
+    DigestRequest,
+    InstanceReport,
+    WorkBegan,
+)
 from waxwingwinch.gateway._told import ToldReports
 from waxwingwinch.kernel import Clock
-from waxwingwinch.peers import PeerIdentity, PeerLink, PeerServer
+from waxwingwinch.peers import HubLink, PeerHub, PeerIdentity
 
 #: Interval of the reports. What an instance believes of another's work is
 #: at most this old, plus the way.
 REPORT_SECONDS = 0.2
-#: Placements of prompts that are kept until all peers were told; far more
-#: than one instance makes in an interval.
-PLACEMENTS_KEPT = 256
-#: Urgent messages that may wait for a peer that doesn't read.
-URGENT_MAX = 64
 #: Interval at which the links are compared with the members; a start shares
 #: limits with the others only once it hears them.
 RECONCILE_SECONDS = 0.1
+#: Longest wait for a peer's configuration.
+ASK_SECONDS = 1.0
 
 
-@message("gateway_prompt_placement")
-@frozen
-class PromptPlacement:
-    """
-    A prompt that was sent to an engine.
-
-    :param sequence: Grows with each placement of the sender.
-    :param upstream_id: The engine.
-    :param part_ids: The parts that may be shared.
-    :param part_tokens: Their lengths.
-    """
-
-    sequence: int
-    upstream_id: UpstreamId
-    part_ids: tuple[str, ...]
-    part_tokens: tuple[int, ...]
-
-    def parts(self) -> tuple[PromptPart, ...]:
-        """Return the parts."""
-        pairs = zip(self.part_ids, self.part_tokens, strict=True)
-        return tuple(PromptPart(part_id, tokens) for part_id, tokens in pairs)
-
-
-@message("gateway_stage_switch")
-@frozen
-class StageSwitchReport:
-    """
-    A change of an engine's stage under way.
-
-    :param upstream_id: The engine.
-    :param role: Its new stage.
-    :param left_seconds: Time until it serves again.
-    """
-
-    upstream_id: UpstreamId
-    role: EngineRole
-    left_seconds: float
+class ReportLink(Protocol):
+    """What a sender of reports needs of a link."""
 
+    address: Address
+    connections_made: int
 
-@message("gateway_report")
-@frozen
-class InstanceReport:
-    """
-    What an instance tells the others.
-
-    :param instance_id: Who sends it.
-    :param incarnation: Which start of it.
-    :param is_ready: True if it takes callers.
-    :param is_whole: False if it leaves out what it told before.
-    :param configuration_version: The version in force there.
-    :param held_epoch: Epoch of the duty that it holds; None if it holds none.
-    :param store_age_seconds: Time since it read the platform's store; None
-        if it never could.
-    :param waiting_tokens: Prompt tokens to be read, by upstream.
-    :param running: Requests under way, by upstream.
-    :param quota_totals: Units admitted since its start, by customer.
-    :param usage: Requests that began, by window and customer.
-    :param unreachable: Upstreams that it could not reach lately.
-    :param switching: Engines that it ordered to change their stage.
-    :param placements: Recent placements of prompts.
-    """
+    def send(self, body: object) -> None:
+        """Send a message; raises PeerUnavailable if the link is down."""
 
-    instance_id: InstanceId
-    incarnation: str
-    is_ready: bool
-    is_whole: bool
-    configuration_version: int
-    held_epoch: int | None = None
-    store_age_seconds: float | None = None
-    waiting_tokens: dict[UpstreamId, int] = field(factory=dict)
-    running: dict[UpstreamId, int] = field(factory=dict)
-    quota_totals: dict[CustomerId, float] = field(factory=dict)
-    usage: dict[int, dict[CustomerId, int]] = field(factory=dict)
-    unreachable: tuple[UpstreamId, ...] = ()
-    switching: tuple[StageSwitchReport, ...] = ()
-    placements: tuple[PromptPlacement, ...] = ()
-
-
-@message("gateway_work_began")
-@frozen
-class WorkBegan:
-    """
-    Tells at once of much work at an engine, ahead of the next report.
 
-    :param instance_id: Who sends it.
-    :param upstream_id: The engine.
-    :param waiting_tokens: Prompt tokens that it has to read.
-    """
-
-    instance_id: InstanceId
-    upstream_id: UpstreamId
-    waiting_tokens: int
-
-
-@message("gateway_configuration_request")
 @frozen
-class ConfigurationRequest:
-    """Asks a peer for the newest configuration that it read."""
-
-
-@message("gateway_configuration_reply")
-@frozen
-class ConfigurationReply:
+class GossipHandlers:
     """
-    The newest configuration that a peer read.
-
-    :param payload: As the store holds it; empty if it read none.
+    What the process does with what it hears; called in the hub's thread.
+
+    :param make_report: Makes a whole report of the process.
+    :param apply_report: Takes in a report and the monotonic time at which it
+        was made; returns True if its sender has a newer configuration.
+    :param work_began: Takes in work that a peer begins: the peer, the engine,
+        and the prompt tokens that it has to read.
+    :param current_configuration: Returns the newest configuration as the
+        store holds it.
+    :param put_configuration: Takes in a configuration in the same form.
     """
 
-    payload: bytes = field(repr=False)
+    make_report: Callable[[], InstanceReport]
+    apply_report: Callable[[InstanceReport, float], bool]
+    work_began: Callable[[str, UpstreamId, int], None]
+    current_configuration: Callable[[], bytes]
+    put_configuration: Callable[[bytes], None]
 
 
-class PlacementLog:
-    """The recent placements of prompts of this process."""
-
-    def __init__(self) -> None:
-        self._placements: deque[PromptPlacement] = deque(maxlen=PLACEMENTS_KEPT)
-        self._sequence = 0
-        self._lock = threading.Lock()
-
-    def add(self, upstream_id: UpstreamId, parts: tuple[PromptPart, ...]) -> None:
-        """
-        Note a placement.
-
-        :param upstream_id: The engine.
-        :param parts: The parts that may be shared.
-        """
-        with self._lock:
-            self._sequence += 1
-            self._placements.append(
-                PromptPlacement(
-                    self._sequence,
-                    upstream_id,
-                    tuple(part.part_id for part in parts),
-                    tuple(part.tokens for part in parts),
-                )
-            )
-
-    def after(self, sequence: int) -> tuple[PromptPlacement, ...]:
-        """
-        Return the placements after a position.
-
-        :param sequence: The last one that is known already.
-        """
-        with self._lock:
-            return tuple(
-                placement
-                for placement in self._placements
-                if placement.sequence > sequence
-            )
-
-
-#: Builds the next report for a peer, given what it was told.
-ReportSource = Callable[[ToldReports], InstanceReport]
-
-
-class _PeerSender:
+class PeerSender:
     """
-    Sends reports to one peer, in one thread.
+    Tells one peer what has changed since it was last told.
 
     :param link: The link to the peer.
-    :param make_report: Builds each report.
     """
 
-    def __init__(self, link: PeerLink, make_report: ReportSource) -> None:
-        self.link = link
-        self._make_report = make_report
-        self._urgent: queue.Queue[WorkBegan] = queue.Queue(URGENT_MAX)
-        self._stopping = threading.Event()
+    def __init__(self, link: ReportLink) -> None:
+        self._link = link
         self._is_up = False
         self._told = ToldReports()
         self._connection_number = 0
-        self._thread = threading.Thread(
-            target=self._run, name=f"report-{link.address}", daemon=True
-        )
-
-    def start(self) -> None:
-        """Dial the peer and start sending."""
-        self.link.start()
-        self._thread.start()
 
-    def stop(self) -> None:
-        """End the thread and the link without waiting for the peer."""
-        self._stopping.set()
-        threading.Thread(target=self.link.stop, daemon=True).start()
-
-    def put(self, message: WorkBegan) -> None:
+    def report(self, whole: InstanceReport) -> None:
         """
-        Send a message before the next report, unless too many wait.
+        Send a report.
 
-        :param message: The message.
+        :param whole: All that there is to tell.
         """
-        try:
-            self._urgent.put_nowait(message)
-        except queue.Full:
-            # The next report tells the same.
-            return
-
-    def _run(self) -> None:
-        due_seconds = time.monotonic()
-        while not self._stopping.is_set():
-            try:
-                left_seconds = max(due_seconds - time.monotonic(), 0.0)
-                self._send_urgent(self._urgent.get(timeout=left_seconds))
-            except queue.Empty:
-                due_seconds = time.monotonic() + REPORT_SECONDS
-                self._report()
-
-    def _send_urgent(self, began: WorkBegan) -> None:
-        self._told.announced(began.upstream_id)
-        self._send(began)
-
-    def _report(self) -> None:
-        connection_number = self.link.connections_made
+        connection_number = self._link.connections_made
         if connection_number != self._connection_number:
             self._connection_number = connection_number
             self._told.forget()
-        report = self._make_report(self._told)
-        if not self._send(report):
+        sequence = self._told.sequence
+        if not self._send(self._told.reduce(whole)):
             self._told.forget()
-        elif report.placements:
-            self._told.sequence = report.placements[-1].sequence
+            self._told.sequence = sequence
+
+    def announce(self, began: WorkBegan) -> None:
+        """
+        Tell of work ahead of the next report.
+
+        :param began: The work.
+        """
+        self._told.announced(began.upstream_id)
+        self._send(began)
 
     def _send(self, message: object) -> bool:
         """Send a message; return whether the link took it."""
         try:
-            self.link.send(message)
+            self._link.send(message)
         except PeerUnavailable as error:
             if self._is_up:
                 self._is_up = False
-                PeerLost(address=str(self.link.address), reason=str(error)).write()
+                PeerLost(address=str(self._link.address), reason=str(error)).write()
             return False
         if not self._is_up:
             self._is_up = True
-            PeerReached(address=str(self.link.address)).write()
+            PeerReached(address=str(self._link.address)).write()
         return True
 
 
+@frozen(eq=False)
+class _Neighbour:
+    """
+    An instance of the own cell.
+
+    :param link: The link to it.
+    :param sender: Sends it reports.
+    """
+
+    link: HubLink
+    sender: PeerSender
+
+
+@frozen(eq=False)
+class _OtherCell:
+    """
+    Another cell.
+
+    :param reader: Reads what it has under way.
+    :param task: Runs the reader.
+    """
+
+    reader: CellReader
+    task: asyncio.Task[None]
+
+
+@define
+class _LastPlacement:
+    """
+    The last placement that is known of an instance.
+
+    :param incarnation: Start of the instance.
+    :param sequence: Sequence of the placement.
+    """
+
+    incarnation: str
+    sequence: int
+
+
 class Gossip:
     """
-    Keeps a link to each other instance and sends reports over it.
+    Exchanges reports with the neighbours and reads those of other cells.
+
+    All but the start and the announcements happens in the hub's thread.
 
     :param members: The instances.
     :param identity: Who this process is.
     :param secret: Shared by all instances of the deployment.
+    :param handlers: What is done with what is heard.
     :param clock: Source of the present time.
-    :param make_report: Builds each report.
     """
 
     def __init__(
@@ -285,97 +180,159 @@
         members: MemberDirectory,
         identity: PeerIdentity,
         secret: str,
+        handlers: GossipHandlers,
         clock: Clock,
-        make_report: ReportSource,
     ) -> None:
         self._members = members
-        self._identity = identity
-        self._secret = secret
+        self._handlers = handlers
         self._clock = clock
-        self._make_report = make_report
-        self._senders: dict[Member, _PeerSender] = {}
-        self._server = PeerServer(members.own.peer_address, identity, [secret])
-        self._thread = threading.Thread(target=self._run, name="gossip", daemon=True)
-
-    def on_report(self, handle: Callable[[InstanceReport], None]) -> None:
-        """
-        Register what is done with the reports of peers.
-
-        :param handle: Called from the thread of the peer's connection.
-        """
-
-        def handler(_: PeerIdentity, report: InstanceReport) -> None:
-            handle(report)
-
-        self._server.handle(InstanceReport, handler)
-
-    def on_configuration_request(self, current: Callable[[], bytes]) -> None:
-        """
-        Register who knows the newest configuration.
-
-        :param current: Returns it as the store holds it.
-        """
-
-        def handler(_: PeerIdentity, __: ConfigurationRequest) -> ConfigurationReply:
-            return ConfigurationReply(current())
+        self._planned: frozenset[Member] = frozenset()
+        self._neighbours: dict[Member, _Neighbour] = {}
+        self._cells: dict[Cell, _OtherCell] = {}
+        self._book = DigestBook()
+        self._placements: dict[InstanceId, _LastPlacement] = {}
+        self._is_fetching = False
+        self._hub = PeerHub(members.own.peer_address, identity, [secret])
+        self._hub.handle(InstanceReport, self._report_heard)
+        self._hub.handle(WorkBegan, self._work_heard)
+        self._hub.handle(ConfigurationRequest, self._configuration_asked)
+        self._hub.handle(DigestRequest, self._digest_asked)
 
-        self._server.handle(ConfigurationRequest, handler)
-
-    def on_work(self, handle: Callable[[str, UpstreamId, int], None]) -> None:
+    def start(self) -> None:
         """
-        Register what is done with work that peers begin.
+        Serve peers and dial them.
 
-        :param handle: Called with the peer, the engine and the tokens.
+        :raises OSError: If the address for peers can't be listened at.
         """
+        self._hub.start()
+        self._hub.call(self._begin)
 
-        def handler(_: PeerIdentity, began: WorkBegan) -> None:
-            handle(began.instance_id, began.upstream_id, began.waiting_tokens)
-
-        self._server.handle(WorkBegan, handler)
+    def stop(self) -> None:
+        """Close all links."""
+        self._hub.stop()
 
     def announce(self, upstream_id: UpstreamId, waiting_tokens: int) -> None:
         """
-        Tell all peers of work that begins here.
+        Tell the neighbours at once of work that begins here.
+
+        May be called in any thread.
 
         :param upstream_id: The engine.
         :param waiting_tokens: Prompt tokens that it has to read.
         """
         own_id = self._members.own.instance_id
-        for sender in list(self._senders.values()):
-            sender.put(WorkBegan(own_id, upstream_id, waiting_tokens))
+        began = WorkBegan(own_id, upstream_id, waiting_tokens)
+        self._hub.call(self._announce, began)
 
-    def start(self) -> None:
-        """Serve peers and dial them."""
-        self._server.start()
-        self._thread.start()
+    def _begin(self) -> None:
+        self._hub.spawn(self._run())
 
-    def ask_configuration(self, peer: InstanceId, timeout_seconds: float) -> bytes:
-        """
-        Ask a peer for the newest configuration.
+    def _announce(self, began: WorkBegan) -> None:
+        for neighbour in self._neighbours.values():
+            neighbour.sender.announce(began)
 
-        :param peer: The instance.
-        :param timeout_seconds: Longest wait.
-        :raises PeerUnavailable: If it did not answer.
-        """
-        for member, sender in list(self._senders.items()):
-            if member.instance_id == peer:
-                reply = sender.link.request(ConfigurationRequest(), timeout_seconds)
-                if isinstance(reply, ConfigurationReply):
-                    return reply.payload
-        raise PeerUnavailable(f"no link to {peer}")
-
-    def _run(self) -> None:
-        pause = threading.Event()
+    async def _run(self) -> None:
+        due_seconds = self._clock.now_seconds()
         while True:
             self._reconcile()
-            pause.wait(RECONCILE_SECONDS)
+            now_seconds = self._clock.now_seconds()
+            if now_seconds >= due_seconds:
+                due_seconds = now_seconds + REPORT_SECONDS
+                self._report()
+            await asyncio.sleep(RECONCILE_SECONDS)
+
+    def _report(self) -> None:
+        whole = self._handlers.make_report()
+        for neighbour in self._neighbours.values():
+            neighbour.sender.report(whole)
 
     def _reconcile(self) -> None:
-        wanted = set(self._members.others())
-        for member in set(self._senders) - wanted:
-            self._senders.pop(member).stop()
-        for member in wanted - set(self._senders):
-            link = PeerLink(member.peer_address, self._identity, [self._secret])
-            sender = _PeerSender(link, self._make_report)
-            self._senders[member] = sender
-            sender.start()
+        others = frozenset(self._members.others())
+        if others == self._planned:
+            return
+        self._planned = others
+        plan = plan_links(self._members.own, others)
+        for member in self._neighbours.keys() - plan.neighbours:
+            self._neighbours.pop(member).link.stop()
+        for member in plan.neighbours - self._neighbours.keys():
+            link = self._hub.dial(member.peer_address)
+            self._neighbours[member] = _Neighbour(link, PeerSender(link))
+        for cell in self._cells.keys() - plan.cells.keys():
+            self._cells.pop(cell).task.cancel()
+        for cell, members in plan.cells.items():
+            self._read_cell(cell, members)
+
+    def _read_cell(self, cell: Cell, members: tuple[Member, ...]) -> None:
+        known = self._cells.get(cell)
+        if known is not None:
+            known.reader.follow(members)
+            return
+        reader = CellReader(
+            self._hub,
+            cell,
+            members,
+            self._known_placements,
+            self._digest_heard,
+            self._clock,
+        )
+        self._cells[cell] = _OtherCell(reader, self._hub.spawn(reader.run()))
+
+    def _report_heard(self, _: PeerIdentity, report: InstanceReport) -> None:
+        now_seconds = self._clock.now_seconds()
+        self._book.heard(report, now_seconds)
+        if self._take(report, now_seconds):
+            for member, neighbour in self._neighbours.items():
+                if member.instance_id == report.instance_id:
+                    self._fetch_configuration(member, neighbour.link)
+
+    def _work_heard(self, _: PeerIdentity, began: WorkBegan) -> None:
+        self._handlers.work_began(
+            began.instance_id, began.upstream_id, began.waiting_tokens
+        )
+
+    def _configuration_asked(
+        self, _: PeerIdentity, __: ConfigurationRequest
+    ) -> ConfigurationReply:
+        return ConfigurationReply(self._handlers.current_configuration())
+
+    def _digest_asked(self, peer: PeerIdentity, request: DigestRequest) -> Digest:
+        own = self._handlers.make_report()
+        now_seconds = self._clock.now_seconds()
+        return self._book.digest(peer.instance_id, request, own, now_seconds)
+
+    def _digest_heard(self, digest: Digest, member: Member, link: HubLink) -> None:
+        now_seconds = self._clock.now_seconds()
+        for relayed in digest.reports:
+            report = relayed.report
+            if report.instance_id == self._members.own.instance_id:
+                continue
+            is_newer = self._take(report, now_seconds - relayed.age_seconds)
+            if is_newer and report.instance_id == member.instance_id:
+                self._fetch_configuration(member, link)
+
+    def _take(self, report: InstanceReport, made_seconds: float) -> bool:
+        """Take in a report; tell if its sender has a newer configuration."""
+        if report.placements:
+            self._placements[report.instance_id] = _LastPlacement(
+                report.incarnation, report.placements[-1].sequence
+            )
+        return self._handlers.apply_report(report, made_seconds)
+
+    def _known_placements(self) -> dict[str, int]:
+        return {last.incarnation: last.sequence for last in self._placements.values()}
+
+    def _fetch_configuration(self, member: Member, link: HubLink) -> None:
+        if not self._is_fetching:
+            self._is_fetching = True
+            self._hub.spawn(self._ask_configuration(member, link))
+
+    async def _ask_configuration(self, member: Member, link: HubLink) -> None:
+        try:
+            reply = await link.request(ConfigurationRequest(), ASK_SECONDS)
+        except (PeerUnavailable, MalformedMessage) as error:
+            ConfigurationUnanswered(member.instance_id, str(error)).write()
+            return
+        finally:
+            self._is_fetching = False
+        if isinstance(reply, ConfigurationReply) and reply.payload:
+            self._handlers.put_configuration(reply.payload)
--- a/src/waxwingwinch/gateway/_job.py
+++ b/src/waxwingwinch/gateway/_job.py
@@ -4,11 +4,11 @@
 
 from waxwingwinch._types import CustomerId, UpstreamId, ZoneName
 from waxwingwinch.gateway._connections import Cancellation
-from waxwingwinch.gateway._gossip import PlacementLog
 from waxwingwinch.gateway._loads import LoadBook
 from waxwingwinch.gateway._model import CustomerRules, Route, ServiceRules
 from waxwingwinch.gateway._outcomes import CallerLost
 from waxwingwinch.gateway._paces import PaceBook
+from waxwingwinch.gateway._placement_log import PlacementLog
 from waxwingwinch.gateway._prefixes import PrefixIndex
 from waxwingwinch.gateway._requests import GatewayRequest
 from waxwingwinch.gateway._retry_budget import RetryBudget
--- a/src/waxwingwinch/gateway/_loads.py
+++ b/src/waxwingwinch/gateway/_loads.py
@@ -168,10 +168,18 @@
         """
         oldest_seconds = now_seconds - PEER_FIGURES_SECONDS
         with self._lock:
-            totals = dict(self._own)
-            for figures in self._peers.values():
-                if figures.heard_seconds < oldest_seconds:
-                    continue
-                for upstream_id, load in figures.loads.items():
-                    totals[upstream_id] = totals.get(upstream_id, NO_LOAD) + load
-        return totals
+            books = [self._own] + [
+                figures.loads
+                for figures in self._peers.values()
+                if figures.heard_seconds >= oldest_seconds
+            ]
+            # Plain sums; a deployment has hundreds of these for each request.
+            waiting: dict[UpstreamId, int] = {}
+            running: dict[UpstreamId, int] = {}
+            for loads in books:
+                for key, load in loads.items():
+                    waiting[key] = waiting.get(key, 0) + load.waiting_tokens
+                    running[key] = running.get(key, 0) + load.running
+        return {
+            key: UpstreamLoad(waiting[key], count) for key, count in running.items()
+        }
--- a/src/waxwingwinch/gateway/_members.py
+++ b/src/waxwingwinch/gateway/_members.py
@@ -105,10 +105,13 @@
 
         :param instance_id: Who sent it.
         :param is_ready: True if it takes callers.
-        :param now_seconds: Monotonic time.
+        :param now_seconds: Monotonic time at which it was made.
         """
         with self._lock:
-            self._presences[instance_id] = _Presence(now_seconds, is_ready)
+            presence = self._presences.get(instance_id)
+            # The same report may come once more through another instance.
+            if presence is None or presence.heard_seconds <= now_seconds:
+                self._presences[instance_id] = _Presence(now_seconds, is_ready)
 
     def heard_start(self, instance_id: InstanceId, incarnation: str) -> bool:
         """
--- a/src/waxwingwinch/gateway/_placement.py
+++ b/src/waxwingwinch/gateway/_placement.py
@@ -6,7 +6,7 @@
 
 from waxwingwinch._types import EngineRole, UpstreamId, ZoneName
 from waxwingwinch.gateway._loads import UpstreamLoad
-from waxwingwinch.gateway._routes import stable_hash
+from waxwingwinch.gateway._routes import stable_hash, stable_rank
 
 #: Prompt tokens that a prefill engine reads in a second; from the users'
 #: sheet of engines.
@@ -216,7 +216,7 @@
         decoders,
         key=lambda option: (
             _decoder_seconds(option)
-            + HOME_SECONDS * _home_rank(prompt, option.upstream_id)
+            + HOME_SECONDS * stable_rank(prompt.shared_id, option.upstream_id)
             + (0.0 if option.zone == reader.zone else MOVE_ZONE_SECONDS)
         ),
     )
@@ -248,16 +248,11 @@
     return option.load.running * 4 * PER_RUNNING_SECONDS
 
 
-def _home_rank(prompt: PromptSize, upstream_id: UpstreamId) -> float:
-    """Return a number from 0 to 1, the same in all processes."""
-    return stable_hash(f"{prompt.shared_id}/{upstream_id}") / 2**64
-
-
 def _home_seconds(
     prompt: PromptSize, upstream_id: UpstreamId, read_tokens: int
 ) -> float:
     share = min(read_tokens / prompt.tokens, 1.0) if prompt.tokens else 0.0
-    return HOME_SECONDS * share * _home_rank(prompt, upstream_id)
+    return HOME_SECONDS * share * stable_rank(prompt.shared_id, upstream_id)
 
 
 def _zone_seconds(zone: ZoneName, own_zone: ZoneName) -> float:
--- /dev/null
+++ b/src/waxwingwinch/gateway/_placement_log.py
@@ -0,0 +1,44 @@
+"""The recent placements of prompts of this process."""
+
+import threading
+from collections import deque
+
+from waxwingwinch._types import UpstreamId
+from waxwingwinch.gateway._report_messages import PromptPlacement
+from waxwingwinch.gateway._requests import PromptPart
+
+#: Placements of prompts that are kept until all peers were told; far more
+#: than one instance makes in an interval of its reports.
+PLACEMENTS_KEPT = 256
+
+
+class PlacementLog:
+    """The recent placements of prompts of this process."""
+
+    def __init__(self) -> None:
+        self._placements: deque[PromptPlacement] = deque(maxlen=PLACEMENTS_KEPT)
+        self._sequence = 0
+        self._lock = threading.Lock()
+
+    def add(self, upstream_id: UpstreamId, parts: tuple[PromptPart, ...]) -> None:
+        """
+        Note a placement.
+
+        :param upstream_id: The engine.
+        :param parts: The parts that may be shared.
+        """
+        with self._lock:
+            self._sequence += 1
+            self._placements.append(
+                PromptPlacement(
+                    self._sequence,
+                    upstream_id,
+                    tuple(part.part_id for part in parts),
+                    tuple(part.tokens for part in parts),
+                )
+            )
+
+    def recent(self) -> tuple[PromptPlacement, ...]:
+        """Return the placements that are kept, the oldest first."""
+        with self._lock:
+            return tuple(self._placements)
--- a/src/waxwingwinch/gateway/_process.py
+++ b/src/waxwingwinch/gateway/_process.py
@@ -9,7 +9,7 @@
 from waxwingwinch.gateway._duty import StewardDuty
 from waxwingwinch.gateway._follower import FollowPlan, TopicFollower
 from waxwingwinch.gateway._front import FrontServer
-from waxwingwinch.gateway._gossip import Gossip, InstanceReport
+from waxwingwinch.gateway._gossip import Gossip, GossipHandlers
 from waxwingwinch.gateway._handler import RequestHandler
 from waxwingwinch.gateway._info_server import InfoServer
 from waxwingwinch.gateway._job import RelayTools
@@ -222,16 +222,15 @@
             self._state.members,
             PeerIdentity(own.instance_id, PeerProgram.ENTRY, own.zone, "gateway"),
             shared_secret(self._store),
+            GossipHandlers(
+                make_report=self._reports.make,
+                apply_report=self._reports.apply,
+                work_began=self._state.loads.peer_began,
+                current_configuration=lambda: self._state.configuration_payload,
+                put_configuration=self._intake.put_configuration,
+            ),
             self._clock,
-            self._reports.make,
         )
-
-        def apply(report: InstanceReport) -> None:
-            self._reports.apply(report, gossip.ask_configuration)
-
-        gossip.on_report(apply)
-        gossip.on_configuration_request(lambda: self._state.configuration_payload)
-        gossip.on_work(self._state.loads.peer_began)
         self._state.loads.announce = gossip.announce
         gossip.start()
         publish_member(self._store, own)
--- a/src/waxwingwinch/gateway/_reports.py
+++ b/src/waxwingwinch/gateway/_reports.py
@@ -1,28 +1,15 @@
 """Making this instance's reports and taking in those of the others."""
 
-from collections.abc import Callable
-
-from waxwingwinch._exceptions import MalformedMessage, PeerUnavailable
-from waxwingwinch._types import InstanceId
-from waxwingwinch.gateway._belief_lines import ConfigurationUnanswered
-from waxwingwinch.gateway._gossip import (
+from waxwingwinch.gateway._records import RecordIntake
+from waxwingwinch.gateway._report_messages import (
     InstanceReport,
     PromptPlacement,
     StageSwitchReport,
 )
-from waxwingwinch.gateway._loads import UpstreamLoad
-from waxwingwinch.gateway._records import RecordIntake
 from waxwingwinch.gateway._state import GatewayState
 from waxwingwinch.gateway._steward import Steward
-from waxwingwinch.gateway._told import ToldReports
 from waxwingwinch.kernel import Clock
 
-#: Longest wait for a peer's configuration.
-ASK_SECONDS = 1.0
-
-#: Asks a peer for the newest configuration, within a time in seconds.
-AskConfiguration = Callable[[InstanceId, float], bytes]
-
 
 class ReportExchange:
     """
@@ -46,67 +33,59 @@
         self._intake = intake
         self._clock = clock
 
-    def make(self, told: ToldReports) -> InstanceReport:
-        """
-        Build a report.
-
-        :param told: What its receiver was told; follows the report.
-        """
+    def make(self) -> InstanceReport:
+        """Build a whole report of this process."""
         state, now_seconds = self._state, self._clock.now_seconds()
-        is_whole, told.is_empty = told.is_empty, False
-        loads = told.tell_loads(state.loads.own())
-        usage = state.usage.windows()
+        state.budget.set_instances(state.members.sharing_count(now_seconds))
+        loads, usage = state.loads.own(), state.usage.windows()
         state.usage_table.heard(state.own.incarnation, usage)
         return InstanceReport(
             instance_id=state.own.instance_id,
             incarnation=state.own.incarnation,
             is_ready=state.is_ready,
-            is_whole=is_whole,
+            is_whole=True,
             configuration_version=state.table.version,
             held_epoch=self._steward.held_epoch(),
             store_age_seconds=state.directory.age_seconds(now_seconds),
             waiting_tokens={key: load.waiting_tokens for key, load in loads.items()},
             running={key: load.running for key, load in loads.items()},
-            quota_totals=told.tell_quota_totals(state.quotas.own_totals()),
-            usage=told.tell_usage(usage),
+            quota_totals=state.quotas.own_totals(),
+            usage=usage,
             unreachable=state.directory.unreachable(now_seconds),
             switching=self._switching(now_seconds),
-            placements=state.placements.after(told.sequence),
+            placements=state.placements.recent(),
         )
 
-    def apply(self, report: InstanceReport, ask: AskConfiguration) -> None:
+    def apply(self, report: InstanceReport, made_seconds: float) -> bool:
         """
         Take in a report.
 
         :param report: The report.
-        :param ask: Asks its sender for a newer configuration.
+        :param made_seconds: Monotonic time at which its sender made it.
+        :returns: True if its sender has a newer configuration.
         """
-        state, now_seconds = self._state, self._clock.now_seconds()
-        state.members.heard(report.instance_id, report.is_ready, now_seconds)
-        loads = {
-            key: UpstreamLoad(report.waiting_tokens.get(key, 0), running)
-            for key, running in report.running.items()
-        }
-        state.loads.heard(report.instance_id, loads, report.is_whole, now_seconds)
+        state = self._state
+        state.members.heard(report.instance_id, report.is_ready, made_seconds)
+        state.loads.heard(
+            report.instance_id, report.loads(), report.is_whole, made_seconds
+        )
         if state.members.heard_start(report.instance_id, report.incarnation):
             self._intake.share_limits()
-        state.quotas.heard(report.incarnation, report.quota_totals, now_seconds)
+        state.quotas.heard(report.incarnation, report.quota_totals, made_seconds)
         state.usage_table.heard(report.incarnation, report.usage)
-        state.budget.set_instances(state.members.sharing_count(now_seconds))
         if report.store_age_seconds is not None:
-            state.outage.peer_read(report.store_age_seconds, now_seconds)
+            state.outage.peer_read(report.store_age_seconds, made_seconds)
         if report.held_epoch is not None:
-            self._steward.holder_heard(report.instance_id, now_seconds)
+            self._steward.holder_heard(report.instance_id, made_seconds)
         for upstream_id in report.unreachable:
-            state.directory.unreached_elsewhere(upstream_id, now_seconds)
+            state.directory.unreached_elsewhere(upstream_id, made_seconds)
         for switch in report.switching:
             state.directory.switch_stage(
-                switch.upstream_id, switch.role, now_seconds + switch.left_seconds
+                switch.upstream_id, switch.role, made_seconds + switch.left_seconds
             )
         for placement in report.placements:
             self._note_placement(placement)
-        if report.configuration_version > state.table.version:
-            self._fetch_configuration(report.instance_id, ask)
+        return report.configuration_version > state.table.version
 
     def _switching(self, now_seconds: float) -> tuple[StageSwitchReport, ...]:
         if self._steward.held_epoch() is None:
@@ -131,12 +110,3 @@
                 placement.parts(),
                 service.engine.kv_capacity_tokens,
             )
-
-    def _fetch_configuration(self, peer: InstanceId, ask: AskConfiguration) -> None:
-        try:
-            payload = ask(peer, ASK_SECONDS)
-        except (PeerUnavailable, MalformedMessage) as error:
-            ConfigurationUnanswered(peer, str(error)).write()
-            return
-        if payload:
-            self._intake.put_configuration(payload)
--- a/src/waxwingwinch/gateway/_routes.py
+++ b/src/waxwingwinch/gateway/_routes.py
@@ -1,11 +1,18 @@
 """Finding the route and the customer of a request."""
 
+from functools import lru_cache
 from hashlib import blake2b
 
 from attrs import frozen
 
 from waxwingwinch.gateway._model import CustomerRules, GatewayConfiguration, Route
 
+#: Hashes that are kept; those of all instances, upstreams and the prompt parts
+#: in use, at about 200 bytes each.
+HASHES_KEPT = 16_384
+#: Bits of a hash.
+MASK_64 = 2**64 - 1
+
 
 @frozen
 class RouteTable:
@@ -92,6 +99,7 @@
     return stable_hash(text) / 2**64
 
 
+@lru_cache(HASHES_KEPT)
 def stable_hash(text: str) -> int:
     """
     Return a 64-bit hash that is the same in all processes.
@@ -100,3 +108,17 @@
     """
     digest = blake2b(text.encode(), digest_size=8).digest()
     return int.from_bytes(digest, "big")
+
+
+def stable_rank(first: str, second: str) -> float:
+    """
+    Return a number from 0 to 1 for two texts, the same in all processes.
+
+    :param first: One text.
+    :param second: The other.
+    """
+    mixed = stable_hash(first) ^ stable_hash(second)
+    # The finalizer of SplitMix64; far cheaper than a hash of each pair.
+    mixed = (mixed ^ mixed >> 30) * 0xBF58476D1CE4E5B9 & MASK_64
+    mixed = (mixed ^ mixed >> 27) * 0x94D049BB133111EB & MASK_64
+    return (mixed ^ mixed >> 31) / 2**64
--- a/src/waxwingwinch/gateway/_state.py
+++ b/src/waxwingwinch/gateway/_state.py
@@ -4,12 +4,12 @@
 
 from attrs import define, field
 
-from waxwingwinch.gateway._gossip import PlacementLog
 from waxwingwinch.gateway._loads import LoadBook
 from waxwingwinch.gateway._members import Member, MemberDirectory
 from waxwingwinch.gateway._options import GatewayOptions
 from waxwingwinch.gateway._outage import OutageTracker
 from waxwingwinch.gateway._paces import PaceBook
+from waxwingwinch.gateway._placement_log import PlacementLog
 from waxwingwinch.gateway._prefixes import PrefixIndex
 from waxwingwinch.gateway._quota import QuotaBook
 from waxwingwinch.gateway._retry_budget import RetryBudget
--- a/src/waxwingwinch/gateway/_told.py
+++ b/src/waxwingwinch/gateway/_told.py
@@ -2,10 +2,11 @@
 
 from typing import TypeVar
 
-from attrs import define, field
+from attrs import define, evolve, field
 
 from waxwingwinch._types import CustomerId, UpstreamId
 from waxwingwinch.gateway._loads import NO_LOAD, UpstreamLoad
+from waxwingwinch.gateway._report_messages import InstanceReport, PromptPlacement
 from waxwingwinch.gateway._usage_counts import WindowCounts
 
 Key = TypeVar("Key")
@@ -37,6 +38,24 @@
         self.quota_totals = {}
         self.usage = {}
 
+    def reduce(self, whole: InstanceReport) -> InstanceReport:
+        """
+        Return a report of what has changed, and take it as told.
+
+        :param whole: All that there is to tell of an instance.
+        """
+        is_whole, self.is_empty = self.is_empty, False
+        loads = self.tell_loads(whole.loads())
+        return evolve(
+            whole,
+            is_whole=is_whole,
+            waiting_tokens={key: load.waiting_tokens for key, load in loads.items()},
+            running={key: load.running for key, load in loads.items()},
+            quota_totals=self.tell_quota_totals(whole.quota_totals),
+            usage=self.tell_usage(whole.usage),
+            placements=self.tell_placements(whole.placements),
+        )
+
     def announced(self, upstream_id: UpstreamId) -> None:
         """
         Have the next report correct what was told ahead of it.
@@ -58,6 +77,19 @@
         self.loads = dict(loads)
         return changed
 
+    def tell_placements(
+        self, placements: tuple[PromptPlacement, ...]
+    ) -> tuple[PromptPlacement, ...]:
+        """
+        Return the placements to tell.
+
+        :param placements: All that are kept, the oldest first.
+        """
+        new = tuple(one for one in placements if one.sequence > self.sequence)
+        if new:
+            self.sequence = new[-1].sequence
+        return new
+
     def tell_quota_totals(
         self, totals: dict[CustomerId, float]
     ) -> dict[CustomerId, float]:
--- a/src/waxwingwinch/gateway/_usage_table.py
+++ b/src/waxwingwinch/gateway/_usage_table.py
@@ -11,6 +11,7 @@
 
     def __init__(self) -> None:
         self._counts: dict[str, WindowCounts] = {}
+        self._newest = 0
         self._lock = threading.Lock()
 
     def heard(self, incarnation: str, windows: WindowCounts) -> None:
@@ -23,10 +24,12 @@
         with self._lock:
             known = self._counts.setdefault(incarnation, {})
             known.update(windows)
-            self._drop_old()
+            newest = max(windows, default=0)
+            if newest > self._newest:
+                self._newest = newest
+                self._drop_old(newest)
 
-    def _drop_old(self) -> None:
-        newest = max((max(one, default=0) for one in self._counts.values()), default=0)
+    def _drop_old(self, newest: int) -> None:
         for incarnation, windows in list(self._counts.items()):
             kept = {
                 window: counts
--- a/src/waxwingwinch/gateway/tests/relay_world.py
+++ b/src/waxwingwinch/gateway/tests/relay_world.py
@@ -8,7 +8,6 @@
 from waxwingwinch._types import Address, CustomerId, EngineRole, UpstreamId, ZoneName
 from waxwingwinch.adapters import AnswerMissing, NotSent
 from waxwingwinch.gateway._connections import CancelReason
-from waxwingwinch.gateway._gossip import PlacementLog
 from waxwingwinch.gateway._handler import RequestHandler
 from waxwingwinch.gateway._job import RelayTools
 from waxwingwinch.gateway._loads import LoadBook
@@ -23,6 +22,7 @@
 )
 from waxwingwinch.gateway._outcomes import CallerLost
 from waxwingwinch.gateway._paces import PaceBook
+from waxwingwinch.gateway._placement_log import PlacementLog
 from waxwingwinch.gateway._prefixes import PrefixIndex
 from waxwingwinch.gateway._quota import QuotaBook
 from waxwingwinch.gateway._requests import (
--- a/src/waxwingwinch/gateway/tests/test_cache_survey.py
+++ b/src/waxwingwinch/gateway/tests/test_cache_survey.py
@@ -49,5 +49,5 @@
     CacheSurvey(state, transport, ZONE, clock).run()
     part = (PromptPart("held-d0", 1_000),)
     assert state.prefixes.cached_tokens(near.upstream_id, part) == 1_000
-    (told,) = state.placements.after(0)
+    (told,) = state.placements.recent()
     assert (told.upstream_id, told.parts()) == ("d0", part)
--- /dev/null
+++ b/src/waxwingwinch/gateway/tests/test_gossip.py
@@ -0,0 +1,171 @@
+"""Instances in several cells hear of one another, over real links."""
+
+import threading
+import time
+
+import pytest
+from attrs import define, field
+
+from waxwingwinch._types import Address, InstanceId, UpstreamId, ZoneName
+from waxwingwinch.gateway._gossip import Gossip, GossipHandlers
+from waxwingwinch.gateway._members import Member, MemberDirectory
+from waxwingwinch.gateway._report_messages import InstanceReport
+from waxwingwinch.kernel import SystemClock
+from waxwingwinch.peers import PeerIdentity, PeerProgram
+from waxwingwinch.peers.tests.test_peers import _free_port
+
+WAIT_SECONDS = 30.0
+#: Age of what is heard; far more than the intervals, for busy machines.
+FRESH_SECONDS = 3.0
+E1 = UpstreamId("e1")
+
+
+@define(eq=False)
+class Instance:
+    """One process's gossip, with what it was told."""
+
+    member: Member
+    running: int = 0
+    version: int = 1
+    heard: dict[str, InstanceReport] = field(factory=dict)
+    made_seconds: dict[str, float] = field(factory=dict)
+    payloads: list[bytes] = field(factory=list)
+    began: list[tuple[str, str, int]] = field(factory=list)
+    gossip: Gossip | None = None
+
+    def start(self, members):
+        directory = MemberDirectory(self.member)
+        for member in members:
+            directory.put(member)
+        handlers = GossipHandlers(
+            self.make_report,
+            self.apply_report,
+            lambda *work: self.began.append(work),
+            lambda: b"version %d" % self.version,
+            self.payloads.append,
+        )
+        own = self.member
+        identity = PeerIdentity(own.instance_id, PeerProgram.ENTRY, own.zone, "c")
+        self.gossip = Gossip(directory, identity, "s", handlers, SystemClock())
+        self.gossip.start()
+
+    def make_report(self):
+        return InstanceReport(
+            self.member.instance_id,
+            self.member.incarnation,
+            True,
+            True,
+            self.version,
+            waiting_tokens={E1: 0},
+            running={E1: self.running},
+        )
+
+    def apply_report(self, report, made_seconds):
+        self.heard[report.instance_id] = report
+        self.made_seconds[report.instance_id] = made_seconds
+        return report.configuration_version > self.version
+
+    def age_seconds(self, instance_id):
+        made_seconds = self.made_seconds.get(instance_id)
+        return time.monotonic() - made_seconds if made_seconds else float("inf")
+
+
+def make_instances(count):
+    return [
+        Instance(
+            Member(
+                InstanceId(f"i{number}"),
+                f"start-{number}",
+                ZoneName(f"z{number % 2}"),
+                Address("127.0.0.1", 1),
+                Address("127.0.0.1", _free_port()),
+            )
+        )
+        for number in range(count)
+    ]
+
+
+@pytest.fixture
+def instances():
+    """Eighteen instances in four cells."""
+    made = make_instances(18)
+    for one in made:
+        one.start([other.member for other in made])
+    yield made
+    for one in made:
+        if one.gossip is not None:
+            one.gossip.stop()
+
+
+def wait_until(condition, what):
+    pause = threading.Event()
+    end_seconds = time.monotonic() + WAIT_SECONDS
+    while time.monotonic() < end_seconds:
+        if condition():
+            return
+        pause.wait(0.05)
+    raise AssertionError(f"not within {WAIT_SECONDS} s: {what}")
+
+
+def all_hear_all(instances):
+    return all(
+        one.age_seconds(other.member.instance_id) < FRESH_SECONDS
+        for one in instances
+        for other in instances
+        if one is not other
+    )
+
+
+def test_all_hear_of_all(instances):
+    wait_until(lambda: all_hear_all(instances), "all hear of all")
+    assert all(len(one.gossip._neighbours) < 17 for one in instances)
+    instances[0].running = 7
+    wait_until(
+        lambda: all(
+            one.heard["i0"].running.get(E1) == 7
+            for one in instances[1:]
+            if E1 in one.heard["i0"].running
+        ),
+        "the change is heard",
+    )
+
+
+def test_a_cell_is_read_through_another_instance_when_one_ends(instances):
+    """Pattern: the instance that a cell is read through is killed."""
+    wait_until(lambda: all_hear_all(instances), "all hear of all")
+    reader = instances[0].gossip
+    [cell] = [one.reader for one in list(reader._cells.values())[:1]]
+    ended_id = cell._members[0].instance_id
+    [ended] = [one for one in instances if one.member.instance_id == ended_id]
+    ended.gossip.stop()
+    ended.gossip = None
+    left = [one for one in instances if one is not ended]
+    wait_until(
+        lambda: instances[0].age_seconds(ended_id) > FRESH_SECONDS, "it is silent"
+    )
+    wait_until(lambda: all_hear_all(left), "the others are heard")
+
+
+def test_a_newer_configuration_spreads_over_the_cells(instances):
+    """Pattern: the store reaches one instance alone."""
+    wait_until(lambda: all_hear_all(instances), "all hear of all")
+    instances[0].version = 2
+
+    def follow():
+        for one in instances:
+            if b"version 2" in one.payloads:
+                one.version = 2
+        return all(one.version == 2 for one in instances)
+
+    wait_until(follow, "all have the version")
+
+
+def test_work_that_begins_is_told_to_the_neighbours_at_once(instances):
+    wait_until(lambda: all_hear_all(instances), "all hear of all")
+    neighbours = [one.instance_id for one in instances[0].gossip._neighbours]
+    instances[0].gossip.announce(E1, 5_000)
+    beside = [one for one in instances if one.member.instance_id in neighbours]
+    assert beside
+    wait_until(
+        lambda: all(("i0", E1, 5_000) in one.began for one in beside), "it is told"
+    )
--- a/src/waxwingwinch/gateway/tests/test_quota.py
+++ b/src/waxwingwinch/gateway/tests/test_quota.py
@@ -1,6 +1,7 @@
 """Quotas hold over all instances, and callers within them are let in."""
 
 import pytest
+from attrs import evolve
 
 from waxwingwinch._types import CustomerId
 from waxwingwinch.gateway._gossip import REPORT_SECONDS
@@ -10,6 +11,8 @@
 RATE = 47_000.0
 SLACK = 190_000.0
 OVERSHOOT = 0.1
+#: The largest customer of a deployment with many instances.
+MANY_RATE = 8 * RATE
 WINDOW_SECONDS = 8.0
 INSTANCES = 7
 #: The processes started well before the customers came.
@@ -23,7 +26,12 @@
 class Cluster:
     """Instances that tell one another what they admitted."""
 
-    def __init__(self, count=INSTANCES, slack=SLACK):
+    def __init__(
+        self, count=INSTANCES, slack=SLACK, customer=CUSTOMER, way_seconds=0.0
+    ):
+        self.customer = customer
+        self.way_seconds = way_seconds
+        self.on_the_way = []
         self.books = [
             QuotaBook(
                 f"peer-{index}", slack, starts_full=True, now_seconds=START_SECONDS
@@ -42,14 +50,18 @@
             return
         self.reported_seconds = now_seconds
         totals = [book.own_totals() for book in self.books]
+        self.on_the_way.append((now_seconds, totals))
+        if now_seconds - self.on_the_way[0][0] < self.way_seconds:
+            return
+        made_seconds, totals = self.on_the_way.pop(0)
         for index, book in enumerate(self.books):
             for peer, total in enumerate(totals):
                 apart = (index in self.cut) != (peer in self.cut)
                 if peer != index and not apart:
-                    book.heard(f"peer-{peer}", dict(total), now_seconds)
+                    book.heard(f"peer-{peer}", dict(total), made_seconds)
 
     def ask(self, index, cost, now_seconds):
-        if self.books[index].admit(CUSTOMER, cost, now_seconds) is None:
+        if self.books[index].admit(self.customer, cost, now_seconds) is None:
             self.admitted.append((now_seconds, cost))
 
     def most_in_a_window(self):
@@ -99,6 +111,41 @@
     assert len(cluster.admitted) >= asked - 1
 
 
+def many_instances():
+    """Return instances in cells; what others admitted is heard later."""
+    customer = evolve(CUSTOMER, rate_per_second=MANY_RATE, burst=MANY_RATE)
+    return Cluster(78, customer=customer, way_seconds=0.5)
+
+
+def test_a_customer_at_its_rate_is_not_refused_by_many_instances():
+    """Pattern: 78 instances that each see few requests of a customer."""
+    cluster = many_instances()
+    play(cluster, 12_000.0 / (0.9 * MANY_RATE), 12_000.0, 10.0)
+    asked = 10.0 / (12_000.0 / (0.9 * MANY_RATE))
+    assert len(cluster.admitted) >= asked - 1
+
+
+def test_a_burst_within_the_quota_is_not_refused_by_many_instances():
+    """Pattern: a customer asks half more than its rate for a second."""
+    cluster, asked = many_instances(), 0
+    for second in range(0, 9, 3):
+        every_seconds = 12_000.0 / (1.5 * MANY_RATE)
+        play(cluster, every_seconds, 12_000.0, second + 1.0, from_seconds=second)
+        asked += int(1.0 / every_seconds)
+        for tenth in range(10, 30):
+            cluster.report(second + tenth / 10)
+    assert len(cluster.admitted) >= asked
+
+
+def test_a_customer_at_many_times_its_rate_stays_within_it_at_many_instances():
+    """Pattern: a burst of one customer over 78 instances."""
+    cluster = many_instances()
+    play(cluster, 12_000.0 / (3.0 * MANY_RATE), 12_000.0, 10.0)
+    most = (MANY_RATE * WINDOW_SECONDS + MANY_RATE) * (1 + OVERSHOOT) + SLACK
+    assert cluster.most_in_a_window() <= most
+    assert sum(cost for _, cost in cluster.admitted) >= MANY_RATE * 9
+
+
 def test_two_groups_that_do_not_hear_each_other_share_the_rate():
     cluster = Cluster()
     play(cluster, 8_000.0 / (7.5 * RATE), 8_000.0, 4.0)
--- a/src/waxwingwinch/gateway/tests/test_routes.py
+++ b/src/waxwingwinch/gateway/tests/test_routes.py
@@ -8,7 +8,7 @@
     Route,
     WeightedService,
 )
-from waxwingwinch.gateway._routes import RouteTable, choose_service
+from waxwingwinch.gateway._routes import RouteTable, choose_service, stable_rank
 from waxwingwinch.gateway._tables import CurrentTable
 
 SHOP = (WeightedService("shop", 1.0),)
@@ -59,3 +59,24 @@
     assert not current.publish(GatewayConfiguration(5))
     assert not current.publish(GatewayConfiguration(7))
     assert current.version == 7
+
+
+def test_ranks_are_spread_evenly_over_pairs():
+    ranks = [
+        stable_rank(f"prompt-{prompt}", f"engine-{engine}")
+        for prompt in range(40)
+        for engine in range(25)
+    ]
+    for tenth in range(10):
+        share = sum(tenth <= 10 * rank < tenth + 1 for rank in ranks) / len(ranks)
+        assert 0.06 < share < 0.14
+    homes = [
+        max(range(25), key=lambda one: stable_rank(f"prompt-{prompt}", f"engine-{one}"))
+        for prompt in range(500)
+    ]
+    assert max(homes.count(engine) for engine in range(25)) < 45
+
+
+def test_ranks_are_the_same_in_all_processes():
+    assert stable_rank("prompt", "engine") == stable_rank("prompt", "engine")
+    assert round(stable_rank("prompt", "engine"), 12) == 0.090974056883
--- a/src/waxwingwinch/gateway/tests/test_told.py
+++ b/src/waxwingwinch/gateway/tests/test_told.py
@@ -6,8 +6,9 @@
 
 from waxwingwinch._exceptions import PeerUnavailable
 from waxwingwinch._types import CustomerId, InstanceId, UpstreamId
-from waxwingwinch.gateway._gossip import InstanceReport, WorkBegan, _PeerSender
-from waxwingwinch.gateway._loads import LoadBook, UpstreamLoad
+from waxwingwinch.gateway._gossip import PeerSender
+from waxwingwinch.gateway._loads import LoadBook
+from waxwingwinch.gateway._report_messages import InstanceReport, WorkBegan
 from waxwingwinch.gateway._told import ToldReports
 
 E1, E2 = UpstreamId("e1"), UpstreamId("e2")
@@ -41,31 +42,29 @@
 
     def sender(self) -> Any:
         link: Any = self.link
-        return _PeerSender(link, self.make)
-
-    def make(self, told):
-        is_whole, told.is_empty = told.is_empty, False
-        loads = told.tell_loads(self.own.own())
-        return InstanceReport(
-            OWN,
-            "start",
-            True,
-            is_whole,
-            1,
-            waiting_tokens={key: load.waiting_tokens for key, load in loads.items()},
-            running={key: load.running for key, load in loads.items()},
-            quota_totals=told.tell_quota_totals(self.totals),
+        return PeerSender(link)
+
+    def report(self, sender):
+        """Have a sender report all that there is."""
+        loads = self.own.own()
+        sender.report(
+            InstanceReport(
+                OWN,
+                "start",
+                True,
+                True,
+                1,
+                waiting_tokens={key: one.waiting_tokens for key, one in loads.items()},
+                running={key: one.running for key, one in loads.items()},
+                quota_totals=self.totals,
+            )
         )
 
     def deliver(self, body):
         if isinstance(body, WorkBegan):
             self.heard.peer_began("own", body.upstream_id, body.waiting_tokens)
             return
-        loads = {
-            key: UpstreamLoad(body.waiting_tokens[key], running)
-            for key, running in body.running.items()
-        }
-        self.heard.heard("own", loads, body.is_whole, 0.0)
+        self.heard.heard("own", body.loads(), body.is_whole, 0.0)
 
     def believed(self):
         return self.heard.totals(0.0)
@@ -77,10 +76,10 @@
     ticket = world.own.begin(E1, 500)
     world.own.begin(E2, 300)
     world.totals = {ALICE: 5.0}
-    sender._report()
+    world.report(sender)
     ticket.prompt_read()
-    sender._report()
-    sender._report()
+    world.report(sender)
+    world.report(sender)
     first, second, third = world.link.sent
     assert first.is_whole and set(first.running) == {E1, E2}
     assert first.quota_totals == {ALICE: 5.0}
@@ -95,10 +94,10 @@
     world = World()
     sender = world.sender()
     ticket = world.own.begin(E1, 500)
-    sender._report()
+    world.report(sender)
     ticket.end()
-    sender._report()
-    sender._report()
+    world.report(sender)
+    world.report(sender)
     for report in world.link.sent:
         world.deliver(report)
     assert world.believed() == {}
@@ -110,12 +109,11 @@
     """Pattern: a long prompt ends within one interval of the reports."""
     world = World()
     sender = world.sender()
-    sender._report()
+    world.report(sender)
     ticket = world.own.begin(E1, 5_000)
-    sender.put(WorkBegan(OWN, E1, 5_000))
-    sender._send_urgent(sender._urgent.get_nowait())
+    sender.announce(WorkBegan(OWN, E1, 5_000))
     ticket.end()
-    sender._report()
+    world.report(sender)
     for body in world.link.sent:
         world.deliver(body)
     assert world.believed() == {}
@@ -126,9 +124,9 @@
     world = World()
     sender = world.sender()
     world.own.begin(E1, 500)
-    sender._report()
+    world.report(sender)
     world.link.connections_made += 1
-    sender._report()
+    world.report(sender)
     assert world.link.sent[-1].is_whole
     assert set(world.link.sent[-1].running) == {E1}
 
@@ -136,12 +134,12 @@
 def test_a_report_that_was_lost_is_made_up_for():
     world = World()
     sender = world.sender()
-    sender._report()
+    world.report(sender)
     world.own.begin(E1, 500)
     world.link.is_up = False
-    sender._report()
+    world.report(sender)
     world.link.is_up = True
-    sender._report()
+    world.report(sender)
     assert world.link.sent[-1].is_whole
     assert set(world.link.sent[-1].running) == {E1}
 
