--- a/src/waxwingwinch/gateway/_gossip.py
+++ b/src/waxwingwinch/gateway/_gossip.py
@@ -46,7 +46,12 @@
     connections_made: int
 
     def send(self, body: object) -> None:
-        """Send a message; raises PeerUnavailable if the link is down."""
+        """
+        Send a message.
+
+        :param body: The message.
+        :raises PeerUnavailable: If the link is down.
+        """
 
 
 @frozen
--- a/src/waxwingwinch/gateway/tests/test_gossip.py
+++ b/src/waxwingwinch/gateway/tests/test_gossip.py
@@ -12,7 +12,7 @@
 from waxwingwinch.gateway._report_messages import InstanceReport
 from waxwingwinch.kernel import SystemClock
 from waxwingwinch.peers import PeerIdentity, PeerProgram
-from waxwingwinch.peers.tests.test_peers import _free_port
+from waxwingwinch.peers.tests.ports import free_port
 
 WAIT_SECONDS = 30.0
 #: Age of what is heard; far more than the intervals, for busy machines.
@@ -78,7 +78,7 @@
                 f"start-{number}",
                 ZoneName(f"z{number % 2}"),
                 Address("127.0.0.1", 1),
-                Address("127.0.0.1", _free_port()),
+                Address("127.0.0.1", free_port()),
             )
         )
         for number in range(count)
--- a/src/waxwingwinch/peers/_handshake.py
+++ b/src/waxwingwinch/peers/_handshake.py
@@ -1,5 +1,6 @@
 """Mutual authentication by a shared secret, before any other message."""
 
+import asyncio
 import enum
 import hashlib
 import hmac
@@ -103,6 +104,16 @@
         """Receive one message."""
 
 
+class AsyncConnection(Protocol):
+    """The same of a connection of an event loop."""
+
+    async def send(self, message: bytes) -> None:
+        """Send one binary message."""
+
+    async def recv(self) -> Any:
+        """Receive one message."""
+
+
 #: One side of the handshake: yields each message to send, and None where it
 #: is to be sent the next message of the other side. Returns who that is.
 HandshakeSteps = Generator[bytes | None, Any, PeerIdentity]
@@ -206,6 +217,32 @@
             connection.send(to_send)
 
 
+async def shake_hands_async(
+    connection: AsyncConnection, steps: HandshakeSteps
+) -> PeerIdentity:
+    """
+    Run one side of the handshake over a connection of an event loop.
+
+    :param connection: The connection.
+    :param steps: The side.
+    :returns: Who is at the other end.
+    :raises TimeoutError: If a message doesn't come in time.
+    """
+    received = None
+    while True:
+        try:
+            to_send = steps.send(received)
+        except StopIteration as end:
+            identity: PeerIdentity = end.value
+            return identity
+        received = None
+        if to_send is None:
+            async with asyncio.timeout(STEP_TIMEOUT_SECONDS):
+                received = await connection.recv()
+        else:
+            await connection.send(to_send)
+
+
 def _expect(kind: type[T], payload: Any) -> T:
     """
     Decode one handshake message.
--- a/src/waxwingwinch/peers/_hub.py
+++ b/src/waxwingwinch/peers/_hub.py
@@ -22,12 +22,11 @@
     decode_frame,
 )
 from waxwingwinch.peers._handshake import (
-    STEP_TIMEOUT_SECONDS,
-    HandshakeSteps,
     PeerIdentity,
     PeerRejected,
     admission_steps,
     greeting_steps,
+    shake_hands_async,
 )
 from waxwingwinch.peers._link import (
     DIAL_TIMEOUT_SECONDS,
@@ -353,29 +352,3 @@
             return
         payload = b"" if reply is None else encode_message(reply)
         await connection.send(encode_message(Frame(frame.correlation, payload)))
-
-
-async def shake_hands_async(
-    connection: Connection, steps: HandshakeSteps
-) -> PeerIdentity:
-    """
-    Run one side of the handshake over a connection.
-
-    :param connection: The connection.
-    :param steps: The side.
-    :returns: Who is at the other end.
-    :raises TimeoutError: If a message doesn't come in time.
-    """
-    received = None
-    while True:
-        try:
-            to_send = steps.send(received)
-        except StopIteration as end:
-            identity: PeerIdentity = end.value
-            return identity
-        received = None
-        if to_send is None:
-            async with asyncio.timeout(STEP_TIMEOUT_SECONDS):
-                received = await connection.recv()
-        else:
-            await connection.send(to_send)
--- a/src/waxwingwinch/peers/tests/test_hub.py
+++ b/src/waxwingwinch/peers/tests/test_hub.py
@@ -14,7 +14,7 @@
 from waxwingwinch.codec import message
 from waxwingwinch.peers import PeerHub, PeerIdentity, PeerLink, PeerProgram
 from waxwingwinch.peers._hub import BACKLOG_MAX
-from waxwingwinch.peers.tests.test_peers import _free_port
+from waxwingwinch.peers.tests.ports import free_port
 
 WAIT_SECONDS = 10.0
 
@@ -43,9 +43,7 @@
 
 
 def make_hub(name, address=None, secrets=("s",)):
-    hub = PeerHub(
-        address or Address("127.0.0.1", _free_port()), identity(name), secrets
-    )
+    hub = PeerHub(address or Address("127.0.0.1", free_port()), identity(name), secrets)
     hub.handle(Question, lambda peer, asked: Answer(asked.number + 1, peer.instance_id))
     return hub
 
@@ -130,7 +128,7 @@
 
 def test_link_comes_back_after_the_server_restarts(hubs):
     client = hubs("client")
-    address = Address("127.0.0.1", _free_port())
+    address = Address("127.0.0.1", free_port())
     first = make_hub("server", address)
     first.start()
     assert ask(client, address, 1) == Answer(2, "client")
--- a/src/waxwingwinch/peers/tests/test_peers.py
+++ b/src/waxwingwinch/peers/tests/test_peers.py
@@ -8,6 +8,7 @@
 from waxwingwinch._types import Address, InstanceId, ZoneName
 from waxwingwinch.codec import message
 from waxwingwinch.peers import PeerIdentity, PeerLink, PeerProgram, PeerServer
+from waxwingwinch.peers.tests.ports import free_port
 
 WAIT_SECONDS = 10.0
 
@@ -35,7 +36,7 @@
 
 @pytest.fixture
 def server_address():
-    address = Address("127.0.0.1", _free_port())
+    address = Address("127.0.0.1", free_port())
     server = PeerServer(address, identity("server"), ["new", "old"])
     server.handle(Question, answer)
     server.start()
@@ -43,14 +44,6 @@
     server.stop()
 
 
-def _free_port():
-    import socket
-
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
-
-
 def open_link(address, secrets):
     link = PeerLink(address, identity("client"), secrets)
     link.start()
@@ -94,7 +87,7 @@
 
 
 def test_link_comes_back_after_the_server_restarts():
-    address = Address("127.0.0.1", _free_port())
+    address = Address("127.0.0.1", free_port())
     link = open_link(address, ["s"])
     with pytest.raises(PeerUnavailable):
         link.request(Question(1), 0.1)
