Report all windows that are over in one round

The holder of the duty kept it all the time.

Cause, by reading: a round fixed one window, and each round waits up to two seconds for the end of the stream and about one for each of two records, of the five that a window lasts. What had piled up while nobody reported was made up for at a third of the speed or, beside load, not at all.

Ruled out: a lost lease, a store that was away (neither was logged).

A round goes on until no window is over. The test failed first. Rounds are logged with the window's age and whether all entries answered.

--- a/src/waxwingwinch/usage/_runner.py
+++ b/src/waxwingwinch/usage/_runner.py
@@ -143,7 +143,7 @@
 
     def run_round(self, wall_seconds: float, now_seconds: float) -> None:
         """
-        Report what is fixed, then fix the next window that is over.
+        Report what is fixed, then fix and report the windows that are over.
 
         :param wall_seconds: Unix time.
         :param now_seconds: Monotonic time before which the stream must have
@@ -152,20 +152,42 @@
         if not self._is_caught_up(now_seconds):
             return
         self._report_fixed()
+        # After a change of the reporter several windows are over; a round for
+        # each would take nearly as long as the windows themselves.
+        while self._fix_next(wall_seconds):
+            self._report_fixed()
+
+    def _fix_next(self, wall_seconds: float) -> bool:
+        """Fix the next window if it is over; return whether it was fixed."""
         with self._lock:
             epoch = self._epoch
             length_seconds = self._configuration().defaults.usage_window_seconds
             window = next_window(self._table, length_seconds, wall_seconds)
         if epoch is None or window is None:
-            return
+            return False
         collected = self._collect(window)
         age_seconds = wall_seconds - window.end_seconds
         if not collected.is_complete and age_seconds < ON_TIME_SECONDS:
-            return
+            eliot.log_message(
+                "usage:window_waits",
+                window=window.start_seconds,
+                age_seconds=age_seconds,
+            )
+            return False
         with self._lock:
             fixed = fix_window(self._table, window, collected.rows, epoch)
-        if self._record(fixed):
-            self._report_fixed()
+        is_applied = self._record(fixed)
+        with self._lock:
+            last = self._table.last
+        is_fixed = last is not None and last.window_end_seconds >= window.end_seconds
+        eliot.log_message(
+            "usage:window_fixed",
+            window=window.start_seconds,
+            age_seconds=age_seconds,
+            is_complete=collected.is_complete,
+            is_fixed=is_applied and is_fixed,
+        )
+        return is_applied and is_fixed
 
     def _run(self) -> None:
         while not self._stopping.wait(ROUND_INTERVAL_SECONDS):
--- a/src/waxwingwinch/usage/tests/test_services.py
+++ b/src/waxwingwinch/usage/tests/test_services.py
@@ -174,6 +174,30 @@
     assert usage.requests == 5
 
 
+def test_all_windows_that_are_over_are_reported_in_one_round(reporting):
+    """Pattern: two reporters in a row are lost, each for several windows."""
+    fleet, intake, (first, second) = reporting
+    fleet.add(0, 5)
+    first.begin(Epoch(1), 0.0)
+    run_round(first, 64.0)
+    first.end()
+    second.begin(Epoch(2), 0.0)
+    run_round(second, 304.0)
+    starts = [report.window_start_seconds for report in intake.reports]
+    assert starts == [0, 60, 120, 180, 240]
+
+
+def test_a_round_ends_when_an_entry_does_not_answer(reporting):
+    fleet, intake, (runner, _) = reporting
+    fleet.add(0, 5)
+    runner.begin(Epoch(1), 0.0)
+    run_round(runner, 64.0)
+    fleet.links[0].is_down = True
+    run_round(runner, 195.0)
+    starts = [report.window_start_seconds for report in intake.reports]
+    assert starts == [0, 60]
+
+
 def test_without_the_duty_nothing_is_sent(reporting):
     fleet, intake, (runner, _) = reporting
     run_round(runner, 64.0)
