Share what links of both kinds do, and drop what wasn't needed

The hub wrote again how a server answers a message, the options of connections and the pause before dialing again; both kinds call one copy now (HandlerTable, the options, next_redial_pause_seconds). Reports were split into two dictionaries of loads in three places. A class held a reader of cells only beside its task. The hub encoded each report for links that were down as well, placements and all, before it refused them.

Behaviour is unchanged. Left: constructors of links and servers, and a driver of the handshake for each kind of connection, which differ by the await alone.

--- a/src/waxwingwinch/gateway/_cell_reader.py
+++ b/src/waxwingwinch/gateway/_cell_reader.py
@@ -59,6 +59,16 @@
         self._clock = clock
         self._number = 0
         self._failures = 0
+        self._task: asyncio.Task[None] | None = None
+
+    def start(self) -> None:
+        """Start reading."""
+        self._task = self._hub.spawn(self._run())
+
+    def stop(self) -> None:
+        """Read no more."""
+        if self._task is not None:
+            self._task.cancel()
 
     def follow(self, members: tuple[Member, ...]) -> None:
         """
@@ -71,8 +81,7 @@
             # What was passed over in the last digests may count from now on.
             self._number = 0
 
-    async def run(self) -> None:
-        """Read digests until cancelled."""
+    async def _run(self) -> None:
         place = 0
         while True:
             member = self._members[place % len(self._members)]
--- a/src/waxwingwinch/gateway/_digests.py
+++ b/src/waxwingwinch/gateway/_digests.py
@@ -176,8 +176,6 @@
     return evolve(
         report,
         is_whole=True,
-        waiting_tokens={key: load.waiting_tokens for key, load in loads.items()},
-        running={key: load.running for key, load in loads.items()},
         quota_totals=known.quota_totals | report.quota_totals,
         usage={
             window: counts
@@ -185,4 +183,4 @@
             if window >= newest - WINDOWS_KEPT
         },
         placements=placements,
-    )
+    ).with_loads(loads)
--- a/src/waxwingwinch/gateway/_gossip.py
+++ b/src/waxwingwinch/gateway/_gossip.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 from typing import Protocol
 
-from attrs import define, frozen
+from attrs import frozen
 
 from waxwingwinch._exceptions import MalformedMessage, PeerUnavailable
 from waxwingwinch._types import Address, InstanceId, UpstreamId
@@ -141,20 +141,7 @@
     sender: PeerSender
 
 
-@frozen(eq=False)
-class _OtherCell:
-    """
-    Another cell.
-
-    :param reader: Reads what it has under way.
-    :param task: Runs the reader.
-    """
-
-    reader: CellReader
-    task: asyncio.Task[None]
-
-
-@define
+@frozen
 class _LastPlacement:
     """
     The last placement that is known of an instance.
@@ -193,7 +180,7 @@
         self._clock = clock
         self._planned: frozenset[Member] = frozenset()
         self._neighbours: dict[Member, _Neighbour] = {}
-        self._cells: dict[Cell, _OtherCell] = {}
+        self._cells: dict[Cell, CellReader] = {}
         self._book = DigestBook()
         self._placements: dict[InstanceId, _LastPlacement] = {}
         self._fetching_from: set[InstanceId] = set()
@@ -263,14 +250,14 @@
             link = self._hub.dial(member.peer_address)
             self._neighbours[member] = _Neighbour(link, PeerSender(link))
         for cell in self._cells.keys() - plan.cells.keys():
-            self._cells.pop(cell).task.cancel()
+            self._cells.pop(cell).stop()
         for cell, members in plan.cells.items():
             self._read_cell(cell, members)
 
     def _read_cell(self, cell: Cell, members: tuple[Member, ...]) -> None:
         known = self._cells.get(cell)
         if known is not None:
-            known.reader.follow(members)
+            known.follow(members)
             return
         reader = CellReader(
             self._hub,
@@ -280,7 +267,8 @@
             self._digest_heard,
             self._clock,
         )
-        self._cells[cell] = _OtherCell(reader, self._hub.spawn(reader.run()))
+        reader.start()
+        self._cells[cell] = reader
 
     def _report_heard(self, _: PeerIdentity, report: InstanceReport) -> None:
         now_seconds = self._clock.now_seconds()
--- a/src/waxwingwinch/gateway/_report_messages.py
+++ b/src/waxwingwinch/gateway/_report_messages.py
@@ -1,6 +1,6 @@
 """Messages between the instances of the gateway."""
 
-from attrs import field, frozen
+from attrs import evolve, field, frozen
 
 from waxwingwinch._types import CustomerId, EngineRole, InstanceId, UpstreamId
 from waxwingwinch.codec import message
@@ -92,6 +92,18 @@
             for key, running in self.running.items()
         }
 
+    def with_loads(self, loads: dict[UpstreamId, UpstreamLoad]) -> "InstanceReport":
+        """
+        Return the report with other work.
+
+        :param loads: The work by upstream.
+        """
+        return evolve(
+            self,
+            waiting_tokens={key: load.waiting_tokens for key, load in loads.items()},
+            running={key: load.running for key, load in loads.items()},
+        )
+
 
 @message("gateway_work_began")
 @frozen
@@ -149,8 +161,8 @@
 
     :param number: Number of the last digest that came; 0 if there is none, so
         that the next one has to be whole.
-    :param placements: Sequence of the last placement that is known, by
-        instance and start; only in a request for a whole digest.
+    :param placements: Sequence of the last placement that is known, by start
+        of an instance; only in a request for a whole digest.
     """
 
     number: int
--- a/src/waxwingwinch/gateway/_reports.py
+++ b/src/waxwingwinch/gateway/_reports.py
@@ -37,7 +37,7 @@
         """Build a whole report of this process."""
         state, now_seconds = self._state, self._clock.now_seconds()
         state.budget.set_instances(state.members.sharing_count(now_seconds))
-        loads, usage = state.loads.own(), state.usage.windows()
+        usage = state.usage.windows()
         state.usage_table.heard(state.own.incarnation, usage)
         return InstanceReport(
             instance_id=state.own.instance_id,
@@ -47,14 +47,12 @@
             configuration_version=state.table.version,
             held_epoch=self._steward.held_epoch(),
             store_age_seconds=state.directory.age_seconds(now_seconds),
-            waiting_tokens={key: load.waiting_tokens for key, load in loads.items()},
-            running={key: load.running for key, load in loads.items()},
             quota_totals=state.quotas.own_totals(),
             usage=usage,
             unreachable=state.directory.unreachable(now_seconds),
             switching=self._switching(now_seconds),
             placements=state.placements.recent(),
-        )
+        ).with_loads(state.loads.own())
 
     def apply(self, report: InstanceReport, made_seconds: float) -> bool:
         """
--- a/src/waxwingwinch/gateway/_told.py
+++ b/src/waxwingwinch/gateway/_told.py
@@ -49,12 +49,10 @@
         return evolve(
             whole,
             is_whole=is_whole,
-            waiting_tokens={key: load.waiting_tokens for key, load in loads.items()},
-            running={key: load.running for key, load in loads.items()},
             quota_totals=self.tell_quota_totals(whole.quota_totals),
             usage=self.tell_usage(whole.usage),
             placements=self.tell_placements(whole.placements),
-        )
+        ).with_loads(loads)
 
     def announced(self, upstream_id: UpstreamId) -> None:
         """
--- a/src/waxwingwinch/gateway/tests/test_gossip.py
+++ b/src/waxwingwinch/gateway/tests/test_gossip.py
@@ -134,7 +134,7 @@
     """Pattern: the instance that a cell is read through is killed."""
     wait_until(lambda: all_hear_all(instances), "all hear of all")
     reader = instances[0].gossip
-    [cell] = [one.reader for one in list(reader._cells.values())[:1]]
+    cell = next(iter(reader._cells.values()))
     ended_id = cell._members[0].instance_id
     [ended] = [one for one in instances if one.member.instance_id == ended_id]
     ended.gossip.stop()
--- a/src/waxwingwinch/peers/_hub.py
+++ b/src/waxwingwinch/peers/_hub.py
@@ -15,12 +15,8 @@
 from waxwingwinch._exceptions import MalformedMessage, PeerUnavailable
 from waxwingwinch._types import Address
 from waxwingwinch.codec import decode_message, encode_message
-from waxwingwinch.peers._frames import (
-    MAX_FRAME_BYTES,
-    NO_REPLY,
-    Frame,
-    decode_frame,
-)
+from waxwingwinch.peers._frames import NO_REPLY, Frame, decode_frame
+from waxwingwinch.peers._handlers import Handler, HandlerTable
 from waxwingwinch.peers._handshake import (
     PeerIdentity,
     PeerRejected,
@@ -28,15 +24,11 @@
     greeting_steps,
     shake_hands_async,
 )
-from waxwingwinch.peers._link import (
-    DIAL_TIMEOUT_SECONDS,
-    MAX_REDIAL_PAUSE_SECONDS,
+from waxwingwinch.peers._options import (
+    DIAL_OPTIONS,
     MIN_REDIAL_PAUSE_SECONDS,
-)
-from waxwingwinch.peers._server import (
-    PING_INTERVAL_SECONDS,
-    PING_TIMEOUT_SECONDS,
-    Handler,
+    SERVE_OPTIONS,
+    next_redial_pause_seconds,
 )
 
 #: Messages that may wait for a peer that doesn't read; some seconds of what
@@ -110,7 +102,7 @@
         :raises PeerUnavailable: If the link is down or the peer doesn't read;
             a message that was sent may still be lost.
         """
-        self._put(Frame(NO_REPLY, encode_message(body)))
+        self._put(NO_REPLY, body)
 
     async def request(self, body: object, timeout_seconds: float) -> Any:
         """
@@ -129,7 +121,7 @@
                 await self._is_up.wait()
                 reply: asyncio.Future[bytes] = asyncio.Future()
                 self._waiters[correlation] = reply
-                self._put(Frame(correlation, encode_message(body)))
+                self._put(correlation, body)
                 payload = await reply
         except TimeoutError as error:
             raise PeerUnavailable(f"no reply from {self.address}") from error
@@ -137,10 +129,11 @@
             self._waiters.pop(correlation, None)
         return decode_message(payload) if payload else None
 
-    def _put(self, frame: Frame) -> None:
+    def _put(self, correlation: int, body: object) -> None:
         opened = self._open
         if opened is None:
             raise PeerUnavailable(f"no link to {self.address}")
+        frame = Frame(correlation, encode_message(body))
         try:
             opened.backlog.put_nowait(encode_message(frame))
         except asyncio.QueueFull as error:
@@ -150,26 +143,15 @@
     async def _run(self) -> None:
         pause_seconds = MIN_REDIAL_PAUSE_SECONDS
         while True:
-            if await self._dial_and_receive():
-                pause_seconds = MIN_REDIAL_PAUSE_SECONDS
-            else:
-                pause_seconds = min(2 * pause_seconds, MAX_REDIAL_PAUSE_SECONDS)
+            was_up = await self._dial_and_receive()
+            pause_seconds = next_redial_pause_seconds(pause_seconds, was_up)
             await asyncio.sleep(pause_seconds)
 
     async def _dial_and_receive(self) -> bool:
         """Keep one connection until it breaks; return whether it was up."""
         was_up = False
         try:
-            async with connect(
-                f"ws://{self.address}",
-                open_timeout=DIAL_TIMEOUT_SECONDS,
-                close_timeout=DIAL_TIMEOUT_SECONDS,
-                max_size=MAX_FRAME_BYTES,
-                compression=None,
-                proxy=None,
-                ping_interval=PING_INTERVAL_SECONDS,
-                ping_timeout=PING_TIMEOUT_SECONDS,
-            ) as connection:
+            async with connect(f"ws://{self.address}", **DIAL_OPTIONS) as connection:
                 steps = greeting_steps(self._identity, self._shared_secrets)
                 await shake_hands_async(connection, steps)
                 was_up = True
@@ -226,7 +208,7 @@
         self._address = address
         self._identity = identity
         self._shared_secrets = tuple(shared_secrets)
-        self._handlers: dict[type, Handler] = {}
+        self._handlers = HandlerTable()
         self._loop = asyncio.new_event_loop()
         self._tasks: set[asyncio.Task[None]] = set()
         self._stopped: asyncio.Event | None = None
@@ -243,7 +225,7 @@
         :param kind: The message class.
         :param handler: Called in the hub's thread; it must not block.
         """
-        self._handlers[kind] = handler
+        self._handlers.handle(kind, handler)
 
     def start(self) -> None:
         """
@@ -314,10 +296,7 @@
                 self._serve_peer,
                 self._address.host,
                 self._address.port,
-                max_size=MAX_FRAME_BYTES,
-                compression=None,
-                ping_interval=PING_INTERVAL_SECONDS,
-                ping_timeout=PING_TIMEOUT_SECONDS,
+                **SERVE_OPTIONS,
             )
         except OSError as error:
             self._failure = error
@@ -333,22 +312,11 @@
             steps = admission_steps(self._identity, self._shared_secrets)
             peer = await shake_hands_async(connection, steps)
             async for payload in connection:
-                await self._answer(connection, peer, decode_frame(payload))
+                reply = self._handlers.answer(peer, payload)
+                if reply is not None:
+                    await connection.send(reply)
         except (PeerRejected, MalformedMessage, TimeoutError) as error:
             eliot.log_message("peer:rejected", reason=str(error))
         except ConnectionClosed:
             # The peer dials again if it needs the link.
             pass
-
-    async def _answer(
-        self, connection: ServerConnection, peer: PeerIdentity, frame: Frame
-    ) -> None:
-        body = decode_message(frame.payload)
-        handler = self._handlers.get(type(body))
-        if handler is None:
-            raise MalformedMessage(f"no handler for {type(body).__name__}")
-        reply = handler(peer, body)
-        if frame.correlation == NO_REPLY:
-            return
-        payload = b"" if reply is None else encode_message(reply)
-        await connection.send(encode_message(Frame(frame.correlation, payload)))
--- a/src/waxwingwinch/peers/_link.py
+++ b/src/waxwingwinch/peers/_link.py
@@ -13,26 +13,18 @@
 from waxwingwinch._types import Address
 from waxwingwinch.codec import decode_message, encode_message
 from waxwingwinch.kernel import Health
-from waxwingwinch.peers._frames import (
-    MAX_FRAME_BYTES,
-    NO_REPLY,
-    Frame,
-    decode_frame,
-)
+from waxwingwinch.peers._frames import NO_REPLY, Frame, decode_frame
 from waxwingwinch.peers._handshake import (
     PeerIdentity,
     PeerRejected,
     greeting_steps,
     shake_hands,
 )
-from waxwingwinch.peers._server import PING_INTERVAL_SECONDS, PING_TIMEOUT_SECONDS
-
-#: How long dialing may take.
-DIAL_TIMEOUT_SECONDS = 2.0
-#: First pause before dialing again; doubles with each failure.
-MIN_REDIAL_PAUSE_SECONDS = 0.2
-#: Longest pause before dialing again.
-MAX_REDIAL_PAUSE_SECONDS = 2.0
+from waxwingwinch.peers._options import (
+    DIAL_OPTIONS,
+    MIN_REDIAL_PAUSE_SECONDS,
+    next_redial_pause_seconds,
+)
 
 
 @define
@@ -152,26 +144,15 @@
     def _run(self) -> None:
         pause_seconds = MIN_REDIAL_PAUSE_SECONDS
         while not self._stopping.is_set():
-            if self._dial_and_receive():
-                pause_seconds = MIN_REDIAL_PAUSE_SECONDS
-            else:
-                pause_seconds = min(2 * pause_seconds, MAX_REDIAL_PAUSE_SECONDS)
+            was_up = self._dial_and_receive()
+            pause_seconds = next_redial_pause_seconds(pause_seconds, was_up)
             self._stopping.wait(pause_seconds)
 
     def _dial_and_receive(self) -> bool:
         """Keep one connection until it breaks; return whether it was up."""
         was_up = False
         try:
-            with connect(
-                f"ws://{self.address}",
-                open_timeout=DIAL_TIMEOUT_SECONDS,
-                close_timeout=DIAL_TIMEOUT_SECONDS,
-                max_size=MAX_FRAME_BYTES,
-                compression=None,
-                proxy=None,
-                ping_interval=PING_INTERVAL_SECONDS,
-                ping_timeout=PING_TIMEOUT_SECONDS,
-            ) as connection:
+            with connect(f"ws://{self.address}", **DIAL_OPTIONS) as connection:
                 steps = greeting_steps(self._identity, self._shared_secrets)
                 peer = shake_hands(connection, steps)
                 was_up = True
--- a/src/waxwingwinch/peers/_server.py
+++ b/src/waxwingwinch/peers/_server.py
@@ -1,8 +1,7 @@
 """Serving peers, with one thread for each connection."""
 
 import threading
-from collections.abc import Callable, Sequence
-from typing import Any
+from collections.abc import Sequence
 
 import eliot
 from websockets.exceptions import ConnectionClosed
@@ -10,28 +9,15 @@
 
 from waxwingwinch._exceptions import MalformedMessage
 from waxwingwinch._types import Address
-from waxwingwinch.codec import decode_message, encode_message
 from waxwingwinch.kernel import Health
-from waxwingwinch.peers._frames import (
-    MAX_FRAME_BYTES,
-    NO_REPLY,
-    Frame,
-    decode_frame,
-)
+from waxwingwinch.peers._handlers import Handler, HandlerTable
 from waxwingwinch.peers._handshake import (
     PeerIdentity,
     PeerRejected,
     admission_steps,
     shake_hands,
 )
-
-#: A function that handles a message and returns the reply, if there is one.
-Handler = Callable[[PeerIdentity, Any], object | None]
-
-#: Interval of the websocket pings that find dead connections.
-PING_INTERVAL_SECONDS = 5.0
-#: How long a ping may stay unanswered.
-PING_TIMEOUT_SECONDS = 5.0
+from waxwingwinch.peers._options import SERVE_OPTIONS
 
 
 class PeerServer:
@@ -52,7 +38,7 @@
         self._address = address
         self._identity = identity
         self._shared_secrets = tuple(shared_secrets)
-        self._handlers: dict[type, Handler] = {}
+        self._handlers = HandlerTable()
         self._server: Server | None = None
         self._thread: threading.Thread | None = None
         self._connections: set[ServerConnection] = set()
@@ -65,7 +51,7 @@
         :param kind: The message class.
         :param handler: Called from the thread of the connection.
         """
-        self._handlers[kind] = handler
+        self._handlers.handle(kind, handler)
 
     def start(self) -> None:
         """Listen and start the accepting thread."""
@@ -73,10 +59,7 @@
             self._serve_peer,
             self._address.host,
             self._address.port,
-            max_size=MAX_FRAME_BYTES,
-            compression=None,
-            ping_interval=PING_INTERVAL_SECONDS,
-            ping_timeout=PING_TIMEOUT_SECONDS,
+            **SERVE_OPTIONS,
         )
         self._thread = threading.Thread(
             target=self._server.serve_forever, name="peer-server", daemon=True
@@ -117,15 +100,6 @@
 
     def _serve_messages(self, connection: ServerConnection, peer: PeerIdentity) -> None:
         for payload in connection:
-            frame = decode_frame(payload)
-            reply = self._dispatch(peer, decode_message(frame.payload))
-            if frame.correlation == NO_REPLY:
-                continue
-            body = b"" if reply is None else encode_message(reply)
-            connection.send(encode_message(Frame(frame.correlation, body)))
-
-    def _dispatch(self, peer: PeerIdentity, body: Any) -> object | None:
-        handler = self._handlers.get(type(body))
-        if handler is None:
-            raise MalformedMessage(f"no handler for {type(body).__name__}")
-        return handler(peer, body)
+            reply = self._handlers.answer(peer, payload)
+            if reply is not None:
+                connection.send(reply)
--- a/src/waxwingwinch/usage/_runner.py
+++ b/src/waxwingwinch/usage/_runner.py
@@ -179,15 +179,19 @@
         is_applied = self._record(fixed)
         with self._lock:
             last = self._table.last
-        is_fixed = last is not None and last.window_end_seconds >= window.end_seconds
+        is_fixed = (
+            is_applied
+            and last is not None
+            and last.window_end_seconds >= window.end_seconds
+        )
         eliot.log_message(
             "usage:window_fixed",
             window=window.start_seconds,
             age_seconds=age_seconds,
             is_complete=collected.is_complete,
-            is_fixed=is_applied and is_fixed,
+            is_fixed=is_fixed,
         )
-        return is_applied and is_fixed
+        return is_fixed
 
     def _run(self) -> None:
         while not self._stopping.wait(ROUND_INTERVAL_SECONDS):
