Ask for a whole digest after any change of a cell

Found while reading: when a cell changed while its digest was awaited, the number of that digest replaced the request for a whole one. Concerns deployments of more than 16 instances alone. The test failed first (numbers 0, 1, 2, 3 in place of 0, 1, 0, 3).

--- a/src/waxwingwinch/gateway/_cell_reader.py
+++ b/src/waxwingwinch/gateway/_cell_reader.py
@@ -78,7 +78,7 @@
         """
         if members != self._members:
             self._members = members
-            # What was passed over in the last digests may count from now on.
+            # One that changed its cell may have been told of in two ways.
             self._number = 0
 
     async def _run(self) -> None:
@@ -101,7 +101,7 @@
         started_seconds = self._clock.now_seconds()
         is_up = False
         while member in self._members:
-            asked_seconds = self._clock.now_seconds()
+            asked_seconds, members = self._clock.now_seconds(), self._members
             try:
                 digest = await self._ask(link)
             except (PeerUnavailable, MalformedMessage) as error:
@@ -110,7 +110,7 @@
                     self._write_lost(member, str(error))
                 return
             self._failures = 0
-            self._number = digest.number
+            self._number = digest.number if members is self._members else 0
             self._handle(digest, member, link)
             now_seconds = self._clock.now_seconds()
             if not is_up:
