Wait for the reading of a usage record, not for a later read

"waited in vain until the calls are reported" (40 s). Each record of a window was waited for by `_is_caught_up(now)`, which needs a read of the stream that began after the append. A record is now waited for until it was applied, which ends the read at once. The test failed first: 21 reads were held in vain for five windows, now 4 or fewer. Ruled out: entries that don't answer (all windows were complete).

--- a/src/waxwingwinch/usage/_runner.py
+++ b/src/waxwingwinch/usage/_runner.py
@@ -91,6 +91,8 @@
         self._intake = intake
         self._table = ReportTable()
         self._lock = threading.Lock()
+        #: Sequence of the last applied record of each writer.
+        self._applied: dict[str, int] = {}
         self._epoch: Epoch | None = None
         self._writer = StreamWriter(log, REPORTS_STREAM, clock)
         self._follower = StreamFollower(
@@ -235,7 +237,11 @@
         """Append a record and wait until it is applied."""
         ticket = self._writer.submit(record, RECORD_TIMEOUT_SECONDS)
         ticket.wait()
-        return self._is_caught_up(self._clock.now_seconds())
+        record_id = ticket.record_id
+        return self._follower.wait_until(
+            lambda: self._applied.get(record_id.writer_id, 0) >= record_id.sequence,
+            RECORD_TIMEOUT_SECONDS,
+        )
 
     def _collect(self, window: Window) -> _Collected:
         """Ask all entries for their counters at once."""
@@ -253,6 +259,7 @@
     def _apply(self, applied: Applied) -> None:
         with self._lock:
             self._table.apply(applied)
+            self._applied[applied.record_id.writer_id] = applied.record_id.sequence
 
     def _note_gap(self, first_offset: int) -> None:
         with self._lock:
--- a/src/waxwingwinch/usage/tests/test_services.py
+++ b/src/waxwingwinch/usage/tests/test_services.py
@@ -88,6 +88,19 @@
             raise PlatformUnavailable("lost", may_have_taken_effect=True)
 
 
+class CountingLog(MemoryLog):
+    """Counts the reads that were held in vain."""
+
+    def __init__(self):
+        super().__init__()
+        self.empty_reads = 0
+
+    def read(self, *arguments):
+        page = super().read(*arguments)
+        self.empty_reads += not page.records
+        return page
+
+
 def test_usage_is_copied_to_two_other_zones():
     fleet = Fleet()
     fleet.add(0, 5)
@@ -187,6 +200,24 @@
     assert starts == [0, 60, 120, 180, 240]
 
 
+def test_own_records_are_not_waited_for_longer_than_until_they_are_read():
+    """Pattern: the store holds reads while many windows are made up for."""
+    fleet, intake, log = Fleet(), Intake(), CountingLog()
+    runner = _runner(fleet, intake, log)
+    try:
+        fleet.add(0, 5)
+        runner.begin(Epoch(1), 0.0)
+        run_round(runner, 64.0)
+        run_round(runner, 304.0)
+        empty_reads = log.empty_reads
+    finally:
+        runner._follower.stop()
+        runner._writer.stop()
+    assert len(intake.reports) == 5
+    # Each round may wait for the read under way and for the one after it.
+    assert empty_reads <= 2 * 2
+
+
 def test_a_round_ends_when_an_entry_does_not_answer(reporting):
     fleet, intake, (runner, _) = reporting
     fleet.add(0, 5)
