--- a/src/waxwingwinch/gateway/_members.py
+++ b/src/waxwingwinch/gateway/_members.py
@@ -76,7 +76,8 @@
         :param member: The record.
         """
         with self._lock:
-            self.changes += 1
+            if self._members.get(member.instance_id) != member:
+                self.changes += 1
             self._members[member.instance_id] = member
             self._heard_incarnations.pop(member.instance_id, None)
 
--- a/src/waxwingwinch/gateway/tests/test_members.py
+++ b/src/waxwingwinch/gateway/tests/test_members.py
@@ -10,6 +10,7 @@
     MemberDirectory,
     addresses_for,
 )
+from waxwingwinch.gateway._silence import DIRECT_MAX, RELAYED_SILENT_SECONDS
 
 NORTH, SOUTH = ZoneName("north"), ZoneName("south")
 
@@ -39,6 +40,31 @@
     assert directory.ready_others(10.1 + SILENT_SECONDS) == ()
 
 
+def test_instances_heard_through_others_may_be_silent_for_longer():
+    """Pattern: instances of other cells are heard every second or so."""
+    directory = MemberDirectory(member("own"))
+    for number in range(DIRECT_MAX):
+        directory.put(member(f"i{number}"))
+    directory.put(member("own"))
+    directory.heard(InstanceId("i0"), True, 10.0)
+    named = directory.ready_others(10.1 + SILENT_SECONDS)
+    assert [one.instance_id for one in named] == ["i0"]
+    assert directory.ready_others(10.1 + RELAYED_SILENT_SECONDS) == ()
+
+
+def test_only_changes_of_the_records_count_as_such():
+    directory = MemberDirectory(member("own"))
+    directory.put(member("a"))
+    changes = directory.changes
+    directory.heard(InstanceId("a"), True, 10.0)
+    directory.put(member("a"))
+    directory.keep_only(frozenset({"a"}))
+    assert directory.changes == changes
+    directory.put(evolve(member("a"), incarnation="later"))
+    directory.remove(InstanceId("a"))
+    assert directory.changes == changes + 2
+
+
 def test_an_instance_that_returns_is_named_again():
     directory = MemberDirectory(member("own"))
     directory.put(member("a"))
--- a/src/waxwingwinch/gateway/tests/test_quota.py
+++ b/src/waxwingwinch/gateway/tests/test_quota.py
@@ -7,6 +7,7 @@
 from waxwingwinch.gateway._gossip import REPORT_SECONDS
 from waxwingwinch.gateway._model import CustomerRules, QuotaUnit
 from waxwingwinch.gateway._quota import SILENT_PEER_SECONDS, QuotaBook
+from waxwingwinch.gateway._silence import DIRECT_MAX, RELAYED_SILENT_SECONDS
 
 RATE = 47_000.0
 SLACK = 190_000.0
@@ -104,6 +105,17 @@
     assert sum(cost for _, cost in cluster.admitted) >= RATE * 18
 
 
+def test_peers_of_other_cells_are_not_taken_for_silent_between_digests():
+    """Pattern: many instances, of which most are heard through others."""
+    book = QuotaBook("own", SLACK, starts_full=True, now_seconds=START_SECONDS)
+    peers = frozenset(f"peer-{index}" for index in range(DIRECT_MAX))
+    book.expect(peers)
+    for peer in peers:
+        book.heard(peer, {}, 0.0)
+    assert book.share(RELAYED_SILENT_SECONDS - 0.1) == 1.0
+    assert book.share(RELAYED_SILENT_SECONDS + 0.1) < 1.0
+
+
 def test_a_customer_at_its_rate_is_not_refused():
     cluster = Cluster()
     play(cluster, 10_000.0 / (0.9 * RATE), 10_000.0, 20.0)
