Read the upstreams' entries as often as their leaving asks for

The pause between them was 0.6 s everywhere, although a leaving upstream may get work for longer there.

The pause is 0.3 of that time now: 0.6 s where it is 2 s, as before, and 0.9 s where it is 3 s.

--- a/src/waxwingwinch/gateway/_options.py
+++ b/src/waxwingwinch/gateway/_options.py
@@ -105,6 +105,7 @@
     :param lease_seconds: Length of a lease on a duty.
     :param grace_seconds: Time from the request to stop until the end.
     :param usage_window_seconds: Length of a usage window.
+    :param drain_seconds: Time after which a leaving upstream gets no new work.
     """
 
     instance_id: InstanceId
@@ -123,3 +124,4 @@
     lease_seconds: float
     grace_seconds: float
     usage_window_seconds: float
+    drain_seconds: float
--- a/src/waxwingwinch/gateway/_process.py
+++ b/src/waxwingwinch/gateway/_process.py
@@ -45,9 +45,12 @@
 #: Pause between two reads of them, so that the records of many instances that
 #: start together come in few calls.
 MEMBERS_PAUSE_SECONDS = 0.2
-#: Interval at which the upstreams' entries are read; they are written all
-#: the time, and a leaving one has to be noticed within two seconds.
-UPSTREAMS_PAUSE_SECONDS = 0.6
+#: Pause between two reads of the upstreams' entries, which are written all the
+#: time, as a part of the time after which a leaving one gets no new work. Each
+#: read has a price; the rest is left for a read that is slow or repeated.
+UPSTREAMS_PAUSE_SHARE = 0.3
+#: Shortest such pause, whatever the settings say.
+UPSTREAMS_PAUSE_MIN_SECONDS = 0.2
 #: Part of the time to stop after which no new connection is accepted; until
 #: then callers who have not asked again still come.
 ACCEPT_GRACE_SHARE = 0.55
@@ -60,6 +63,15 @@
 STOP_POLL_SECONDS = 0.05
 
 
+def upstreams_pause_seconds(drain_seconds: float) -> float:
+    """
+    Return the pause between two reads of the upstreams' entries.
+
+    :param drain_seconds: Time after which a leaving upstream gets no new work.
+    """
+    return max(UPSTREAMS_PAUSE_SHARE * drain_seconds, UPSTREAMS_PAUSE_MIN_SECONDS)
+
+
 class GatewayProcess:
     """
     One start of the gateway on an instance.
@@ -188,7 +200,11 @@
         )
         self._upstreams = TopicFollower(
             self._store,
-            FollowPlan(adapter.upstreams_topic, 0.0, UPSTREAMS_PAUSE_SECONDS),
+            FollowPlan(
+                adapter.upstreams_topic,
+                0.0,
+                upstreams_pause_seconds(self._options.drain_seconds),
+            ),
             self._clock,
             intake.apply_upstream,
             intake.keep_upstreams,
--- a/src/waxwingwinch/platform/_settings.py
+++ b/src/waxwingwinch/platform/_settings.py
@@ -172,6 +172,7 @@
         lease_seconds=reader.get("bounds.leaseMs", _positive, 3_000.0) / 1_000,
         grace_seconds=reader.get("bounds.graceS", _positive, 8.0),
         usage_window_seconds=reader.get("bounds.usageWindowS", _positive, 5.0),
+        drain_seconds=reader.get("bounds.drainMs", _positive, 2_000.0) / 1_000,
     )
     return InstanceSettings(
         options,
--- a/src/waxwingwinch/platform/tests/test_settings.py
+++ b/src/waxwingwinch/platform/tests/test_settings.py
@@ -28,6 +28,7 @@
 firstStart=true
 bounds.leaseMs=3000
 bounds.graceS=8
+bounds.drainMs=3000
 bounds.usageWindowS=5
 bounds.quotaSlack=190000
 something.new=kept,for,later
@@ -42,6 +43,7 @@
     assert settings.options.is_first_start
     assert settings.options.lease_seconds == 3.0
     assert settings.options.quota_slack_units == 190_000
+    assert settings.options.drain_seconds == 3.0
     assert settings.orders_address == Address("10.200.0.35", 8225)
 
 
