Wait longer for the usage of instances in other cells

Found while reading: the figures of a window were fixed 1.5 s after its end, while a report of another cell may be 1.2 s old and a lost digest adds 0.6 s. The holder now waits for as long as silence takes there, 2.5 s; up to 16 instances nothing changes. The test failed first.

--- a/src/waxwingwinch/gateway/_steward.py
+++ b/src/waxwingwinch/gateway/_steward.py
@@ -215,9 +215,8 @@
     def _challenge(self) -> None:
         heard_seconds = self._holder_heard_seconds
         now_seconds = self._clock.now_seconds()
-        if heard_seconds is not None and now_seconds - heard_seconds < silence_seconds(
-            HOLDER_SILENT_SECONDS, len(self._members.others()) + 1
-        ):
+        silent_seconds = silence_seconds(HOLDER_SILENT_SECONDS, self._instances())
+        if heard_seconds is not None and now_seconds - heard_seconds < silent_seconds:
             return
         self._duty.read(CHALLENGE_WAIT_SECONDS)
         if self._duty.challenge():
@@ -317,13 +316,18 @@
     def _due_windows(self) -> list[int]:
         """Return the windows that have ended and were not reported yet."""
         wall_seconds = self._clock.wall_seconds()
-        newest = int((wall_seconds - WINDOW_SETTLE_SECONDS) // self._window_seconds)
+        # What is not heard by then comes from instances that are not there.
+        settle_seconds = silence_seconds(WINDOW_SETTLE_SECONDS, self._instances())
+        newest = int((wall_seconds - settle_seconds) // self._window_seconds)
         return [
             window
             for window in range(newest - WINDOWS_REPORTED, newest)
             if window not in self._reported and self._is_known(window)
         ]
 
+    def _instances(self) -> int:
+        return len(self._members.others()) + 1
+
     def _is_known(self, window: int) -> bool:
         """Tell whether this process can know the figures of a window."""
         end_seconds = (window + 1) * self._window_seconds
--- a/src/waxwingwinch/gateway/tests/test_steward.py
+++ b/src/waxwingwinch/gateway/tests/test_steward.py
@@ -12,6 +12,7 @@
     ScalingRules,
     ServiceRules,
 )
+from waxwingwinch.gateway._silence import DIRECT_MAX, RELAYED_SILENT_SECONDS
 from waxwingwinch.gateway._steward import StaleFence, Steward
 from waxwingwinch.gateway._tables import CurrentTable
 from waxwingwinch.gateway._upstreams import UpstreamDirectory
@@ -25,6 +26,10 @@
 LLM = ServiceRules("llm", EngineTraits(64, 1_000, 3.0), ScalingRules(1, 6, 4.0, 0.18))
 
 
+def make_member(name):
+    return Member(InstanceId(name), name, NORTH, NOWHERE, NOWHERE)
+
+
 class World:
     def __init__(self):
         self.clock = FakeClock()
@@ -36,14 +41,17 @@
         self.table.publish(GatewayConfiguration(1, (), {"llm": LLM}))
         self.steward = self.make("own")
 
-    def make(self, name):
-        own = Member(InstanceId(name), name, NORTH, NOWHERE, NOWHERE)
+    def make(self, name, others=0):
+        members = MemberDirectory(make_member(name))
+        for number in range(others):
+            members.put(make_member(f"other-{number}"))
+        own = members.own
         return Steward(
             StewardDuty(self.store, own.instance_id, 3.0, self.clock),
             self.calls,
             self.table,
             self.directory,
-            MemberDirectory(own),
+            members,
             self.usage,
             [NORTH],
             5.0,
@@ -80,6 +88,21 @@
     assert len(world.windows()) == len(set(world.windows())) >= 3
 
 
+def test_usage_that_is_heard_through_others_is_waited_for(world):
+    """Pattern: many instances, of which most are heard through others."""
+    steward = world.make("many", others=DIRECT_MAX)
+    window = current_window(world)
+    world.usage.heard("a", {window: {ALICE: 3}})
+    left_seconds = (window + 1) * 5.0 - world.clock.wall_seconds()
+    world.play(left_seconds + RELAYED_SILENT_SECONDS - 0.5, steward)
+    world.usage.heard("far", {window: {ALICE: 4}})
+    world.play(4.0, steward)
+    reports = [
+        counts for reported, counts, _ in world.calls.usage if reported == window
+    ]
+    assert reports == [{ALICE: 7}]
+
+
 def test_an_unanswered_report_is_repeated_with_the_same_figures(world):
     window = current_window(world)
     world.usage.heard("a", {window: {ALICE: 3}})
