--- a/src/waxwingwinch/gateway/_steward.py
+++ b/src/waxwingwinch/gateway/_steward.py
@@ -9,14 +9,12 @@
 from waxwingwinch._exceptions import PlatformRefused, PlatformUnavailable
 from waxwingwinch._types import CustomerId, EngineRole, InstanceId, ZoneName
 from waxwingwinch.gateway._duty import NotHolding, StewardDuty
-from waxwingwinch.gateway._ledger import FIXED_KEPT
 from waxwingwinch.gateway._members import MemberDirectory
 from waxwingwinch.gateway._process_lines import (
     StewardOrdered,
     StewardSpotRefused,
     StewardStageChanged,
     StewardUnanswered,
-    StewardUsageReported,
 )
 from waxwingwinch.gateway._scaling import (
     UpstreamCount,
@@ -27,6 +25,7 @@
 from waxwingwinch.gateway._silence import silence_seconds
 from waxwingwinch.gateway._tables import CurrentTable
 from waxwingwinch.gateway._upstreams import Upstream, UpstreamDirectory
+from waxwingwinch.gateway._usage_reporter import UsageReporter
 from waxwingwinch.gateway._usage_table import UsageTable
 from waxwingwinch.kernel import Clock
 
@@ -36,12 +35,6 @@
 HOLDER_SILENT_SECONDS = 1.0
 #: How long the store may hold a read of a challenger.
 CHALLENGE_WAIT_SECONDS = 1.0
-#: Time from the end of a usage window until its figures are fixed; the
-#: reports of all instances have arrived by then.
-WINDOW_SETTLE_SECONDS = 1.5
-#: Windows back from the present one that are still reported; older ones are
-#: past the time at which they are due.
-WINDOWS_REPORTED = 3
 #: Time after a start in which upstreams and instances become known.
 SETTLE_SECONDS = 2.5
 #: Time beyond the start of an upstream after which it should have registered
@@ -149,11 +142,11 @@
         self._members = members
         self._usage = usage
         self._zones = tuple(zones)
-        self._window_seconds = window_seconds
         self._clock = clock
+        self._reporter = UsageReporter(
+            duty, calls.report_usage, usage, self._instances, window_seconds, clock
+        )
         self._holder_heard_seconds: float | None = None
-        self._started_wall_seconds = clock.wall_seconds()
-        self._reported: set[int] = set()
         self._started_seconds = clock.now_seconds()
         self._dry_until: dict[ZoneName, float] = {}
         self._ordered: dict[tuple[str, ZoneName, bool], _Order] = {}
@@ -204,7 +197,11 @@
 
     def _work(self) -> None:
         self._duty.renew()
-        for work in (self._order_upstreams, self._change_stages, self._report_usage):
+        for work in (
+            self._order_upstreams,
+            self._change_stages,
+            self._reporter.report_usage,
+        ):
             try:
                 work()
             except StaleFence:
@@ -297,39 +294,5 @@
                 role=change.role.value,
             ).write()
 
-    def _report_usage(self) -> None:
-        # The figures of all windows are fixed in time, also while reports are
-        # not answered.
-        due = [window for window in self._due_windows() if self._fix(window)]
-        for window in due:
-            counts = self._duty.state.fixed[window]
-            self._calls.report_usage(window, counts, self._duty.check())
-            self._reported.add(window)
-            self._reported = {
-                one for one in self._reported if one > window - FIXED_KEPT
-            }
-            StewardUsageReported(window=window, requests=sum(counts.values())).write()
-
-    def _fix(self, window: int) -> bool:
-        return self._duty.fix_window(window, self._usage.total(window))
-
-    def _due_windows(self) -> list[int]:
-        """Return the windows that have ended and were not reported yet."""
-        wall_seconds = self._clock.wall_seconds()
-        # What is not heard by then comes from instances that are not there.
-        settle_seconds = silence_seconds(WINDOW_SETTLE_SECONDS, self._instances())
-        newest = int((wall_seconds - settle_seconds) // self._window_seconds)
-        return [
-            window
-            for window in range(newest - WINDOWS_REPORTED, newest)
-            if window not in self._reported and self._is_known(window)
-        ]
-
     def _instances(self) -> int:
         return len(self._members.others()) + 1
-
-    def _is_known(self, window: int) -> bool:
-        """Tell whether this process can know the figures of a window."""
-        end_seconds = (window + 1) * self._window_seconds
-        has_seen_it = end_seconds >= self._started_wall_seconds
-        return has_seen_it or window in self._duty.state.fixed
