--- a/src/waxwingwinch/gateway/_told.py
+++ b/src/waxwingwinch/gateway/_told.py
@@ -15,7 +15,7 @@
 @define
 class ToldReports:
     """
-    What the reports over one connection have told so far.
+    What reports have told so far.
 
     :param sequence: The last placement of a prompt.
     :param is_empty: True until the first report; that one is whole.
--- a/src/waxwingwinch/platform/tests/standin.py
+++ b/src/waxwingwinch/platform/tests/standin.py
@@ -83,6 +83,8 @@
 
     def route(self):
         body = self.body()
+        with self.owner.changed:
+            self.owner.calls += 1
         if self.owner.is_down:
             self.answer(503)
             return
@@ -156,6 +158,7 @@
         self.topics = {}
         self.changed = threading.Condition()
         self.is_down = False
+        self.calls = 0
         super().__init__()
 
     def put(self, topic, key, value):
@@ -296,12 +299,12 @@
 class Gateway:
     """The real program with a settings file of its own."""
 
-    def __init__(self, folder, store, name):
+    def __init__(self, folder, store, name, zone="north"):
         first, second, self.front, self.ready, self.directory = free_ports(5)
         self.metrics = second
         settings = folder / f"{name}.conf"
         settings.write_text(
-            f"nodeName={name}\nzone=north\nzones.north=region\nip={HOST}\n"
+            f"nodeName={name}\nzone={zone}\nzones.{zone}=region\nip={HOST}\n"
             f"listen.front={HOST}:{self.front}\n"
             f"listen.readyAddr={HOST}:{self.ready}\n"
             f"listen.directoryAddr={HOST}:{self.directory}\n"
