--- a/src/waxwingwinch/codec/_codec.py
+++ b/src/waxwingwinch/codec/_codec.py
@@ -7,7 +7,7 @@
 from attrs import has
 
 from waxwingwinch._exceptions import MalformedMessage
-from waxwingwinch.codec._converter import make_converter
+from waxwingwinch.codec._converter import make_converter, make_positional
 
 T = TypeVar("T")
 
@@ -16,11 +16,14 @@
 _CLASS_BY_KIND: dict[str, type] = {}
 
 
-def message(kind: str) -> Callable[[type[T]], type[T]]:
+def message(kind: str, is_positional: bool = False) -> Callable[[type[T]], type[T]]:
     """
     Register an attrs class as a message.
 
     :param kind: The tag that marks the class on the wire; never reused.
+    :param is_positional: True if fields are told apart by their place, which
+        is shorter than by their names. Fields may then only be added at the
+        end, with defaults.
     :returns: A class decorator that returns the class itself.
     """
 
@@ -32,6 +35,8 @@
             raise TypeError(f"message kind {kind!r} is already registered")
         _KIND_BY_CLASS[cls] = kind
         _CLASS_BY_KIND[kind] = cls
+        if is_positional:
+            make_positional(_CONVERTER, cls)
         return cls
 
     return register
--- a/src/waxwingwinch/codec/_converter.py
+++ b/src/waxwingwinch/codec/_converter.py
@@ -17,3 +17,14 @@
     converter.register_structure_hook(Address, lambda text, _: Address.parse(text))
     converter.register_structure_hook(bytes, lambda value, _: bytes(value))
     return converter
+
+
+def make_positional(converter: Converter, cls: type) -> None:
+    """
+    Have a converter write the fields of a class without their names.
+
+    :param converter: The converter.
+    :param cls: An attrs class.
+    """
+    converter.register_unstructure_hook(cls, converter.unstructure_attrs_astuple)
+    converter.register_structure_hook(cls, converter.structure_attrs_fromtuple)
--- a/src/waxwingwinch/gateway/_cell_reader.py
+++ b/src/waxwingwinch/gateway/_cell_reader.py
@@ -6,8 +6,9 @@
 from waxwingwinch._exceptions import MalformedMessage, PeerUnavailable
 from waxwingwinch.gateway._belief_lines import CellLost, CellReached
 from waxwingwinch.gateway._cells import Cell
+from waxwingwinch.gateway._digest_packing import unpack_digest
 from waxwingwinch.gateway._members import Member
-from waxwingwinch.gateway._report_messages import Digest, DigestRequest
+from waxwingwinch.gateway._report_messages import Digest, DigestRequest, PackedDigest
 from waxwingwinch.kernel import Clock
 from waxwingwinch.peers import HubLink, PeerHub
 
@@ -126,10 +127,10 @@
     async def _ask(self, link: HubLink) -> Digest:
         known = self._known_placements() if self._number == 0 else {}
         request = DigestRequest(self._number, known)
-        digest = await link.request(request, DIGEST_WAIT_SECONDS)
-        if not isinstance(digest, Digest):
+        packed = await link.request(request, DIGEST_WAIT_SECONDS)
+        if not isinstance(packed, PackedDigest):
             raise MalformedMessage("expected a digest")
-        return digest
+        return unpack_digest(packed)
 
     def _write_reached(self, member: Member, digest: Digest) -> None:
         CellReached(
--- a/src/waxwingwinch/gateway/_gossip.py
+++ b/src/waxwingwinch/gateway/_gossip.py
@@ -10,6 +10,7 @@
 from waxwingwinch.gateway._belief_lines import ConfigurationUnanswered
 from waxwingwinch.gateway._cell_reader import CellReader
 from waxwingwinch.gateway._cells import Cell, plan_links
+from waxwingwinch.gateway._digest_packing import pack_digest
 from waxwingwinch.gateway._digests import DigestBook
 from waxwingwinch.gateway._members import Member, MemberDirectory
 from waxwingwinch.gateway._report_messages import (
@@ -18,6 +19,7 @@
     Digest,
     DigestRequest,
     InstanceReport,
+    PackedDigest,
     WorkBegan,
 )
 from waxwingwinch.gateway._report_sender import Broadcast, PeerSender
@@ -228,8 +230,9 @@
     ) -> ConfigurationReply:
         return ConfigurationReply(self._handlers.current_configuration())
 
-    def _digest_asked(self, peer: PeerIdentity, request: DigestRequest) -> Digest:
-        return self._book.digest(peer.instance_id, request, self._clock.now_seconds())
+    def _digest_asked(self, peer: PeerIdentity, request: DigestRequest) -> PackedDigest:
+        now_seconds = self._clock.now_seconds()
+        return pack_digest(self._book.digest(peer.instance_id, request, now_seconds))
 
     def _digest_heard(self, digest: Digest, member: Member, link: HubLink) -> None:
         now_seconds = self._clock.now_seconds()
--- a/src/waxwingwinch/gateway/_report_messages.py
+++ b/src/waxwingwinch/gateway/_report_messages.py
@@ -8,7 +8,7 @@
 from waxwingwinch.gateway._requests import PromptPart
 
 
-@message("gateway_prompt_placement")
+@message("gateway_prompt_placement", is_positional=True)
 @frozen
 class PromptPlacement:
     """
@@ -31,7 +31,7 @@
         return tuple(PromptPart(part_id, tokens) for part_id, tokens in pairs)
 
 
-@message("gateway_stage_switch")
+@message("gateway_stage_switch", is_positional=True)
 @frozen
 class StageSwitchReport:
     """
@@ -47,7 +47,7 @@
     left_seconds: float
 
 
-@message("gateway_report")
+@message("gateway_report", is_positional=True)
 @frozen
 class InstanceReport:
     """
@@ -105,7 +105,7 @@
         )
 
 
-@message("gateway_work_began")
+@message("gateway_work_began", is_positional=True)
 @frozen
 class WorkBegan:
     """
@@ -139,7 +139,7 @@
     payload: bytes = field(repr=False)
 
 
-@message("gateway_relayed_report")
+@message("gateway_relayed_report", is_positional=True)
 @frozen
 class RelayedReport:
     """
@@ -169,7 +169,7 @@
     placements: dict[str, int] = field(factory=dict)
 
 
-@message("gateway_digest")
+@message("gateway_digest", is_positional=True)
 @frozen
 class Digest:
     """
@@ -181,3 +181,15 @@
 
     number: int
     reports: tuple[RelayedReport, ...]
+
+
+@message("gateway_packed_digest", is_positional=True)
+@frozen
+class PackedDigest:
+    """
+    A digest as it is sent.
+
+    :param payload: The compressed message.
+    """
+
+    payload: bytes = field(repr=False)
--- a/src/waxwingwinch/gateway/tests/test_cell_reader.py
+++ b/src/waxwingwinch/gateway/tests/test_cell_reader.py
@@ -8,6 +8,7 @@
 from waxwingwinch._types import ZoneName
 from waxwingwinch.gateway._cell_reader import CellReader
 from waxwingwinch.gateway._cells import Cell
+from waxwingwinch.gateway._digest_packing import pack_digest
 from waxwingwinch.gateway._report_messages import Digest, DigestRequest
 from waxwingwinch.gateway.tests.fakes import FakeClock
 from waxwingwinch.gateway.tests.test_cells import make_members
@@ -27,7 +28,7 @@
         if not self.before_answers:
             raise asyncio.CancelledError
         self.before_answers.pop(0)()
-        return Digest(len(self.asked), ())
+        return pack_digest(Digest(len(self.asked), ()))
 
 
 def test_a_change_of_the_cell_while_a_digest_is_awaited_has_all_told_anew():
