Give tests ports that no outgoing connection gets

Ports were probed in the range that the system gives to outgoing connections, so any connection of another test could take one before the server listened. The stand-ins of the gateway's tests take theirs from the same place.

--- a/src/waxwingwinch/platform/tests/standin.py
+++ b/src/waxwingwinch/platform/tests/standin.py
@@ -2,7 +2,6 @@
 
 import base64
 import json
-import socket
 import struct
 import subprocess
 import sys
@@ -13,6 +12,8 @@
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
 
+from waxwingwinch.peers.tests.ports import free_port
+
 SOURCE = Path(__file__).resolve().parents[3]
 HOST = "127.0.0.1"
 KEY = "key-alice"
@@ -285,22 +286,12 @@
     }
 
 
-def free_ports(count):
-    """Return ports that nobody listens on."""
-    sockets = [socket.socket() for _ in range(count)]
-    for one in sockets:
-        one.bind((HOST, 0))
-    ports = [one.getsockname()[1] for one in sockets]
-    for one in sockets:
-        one.close()
-    return sorted(ports)
-
-
 class Gateway:
     """The real program with a settings file of its own."""
 
     def __init__(self, folder, store, name, zone="north"):
-        first, second, self.front, self.ready, self.directory = free_ports(5)
+        ports = sorted(free_port() for _ in range(5))
+        first, second, self.front, self.ready, self.directory = ports
         self.metrics = second
         settings = folder / f"{name}.conf"
         settings.write_text(
