--- a/src/waxwingwinch/gateway/_cell_reader.py
+++ b/src/waxwingwinch/gateway/_cell_reader.py
@@ -15,7 +15,7 @@
 #: Interval of the digests. With that of the reports, what is believed of
 #: another cell is half as old as silence has to be.
 DIGEST_SECONDS = 0.8
-#: Longest wait for a digest, the time to connect included; half of the
+#: Longest wait for a digest, the time to connect included; a quarter of the
 #: silence after which the cell's instances would be given up.
 DIGEST_WAIT_SECONDS = 0.6
 #: Time for which an instance that hears little of its cell is kept, so that
