Start the threads of callers with their requests

A pool of the gateway's own starts a thread for each connection that finds none free, up to what memory and descriptors of the instance allow, and ends those that found no work for two seconds. Beyond the bound a request gets its 503 with Retry-After at once, from a few threads kept for that, and is counted. The threads that cheroot keeps for connections it can't serve are gone too: its queue has no bound.

Ruled out: cheroot's own grow(), which waits 0.1 s for each thread to run.

--- a/src/waxwingwinch/gateway/_front.py
+++ b/src/waxwingwinch/gateway/_front.py
@@ -22,11 +22,13 @@
 from waxwingwinch.gateway._request_lines import CallerGone, RequestMalformed
 from waxwingwinch.gateway._requests import GatewayRequest
 from waxwingwinch.gateway._tables import CurrentTable
+from waxwingwinch.gateway._thread_pool import ElasticServer
 from waxwingwinch.kernel import Clock
 
-#: Threads that serve callers; each holds one request, and a few times more
-#: requests are under way after a burst than in calm times.
-FRONT_THREADS = 128
+#: Threads that serve callers and are kept in calm times.
+FRONT_THREADS_FEWEST = 4
+#: Threads beyond the requests that may be under way; they turn callers away.
+REFUSING_THREADS = 8
 #: Connections that may wait to be accepted.
 ACCEPT_QUEUE = 512
 #: Added to the callers' own idle limit, so that a caller closes first.
@@ -232,7 +234,7 @@
             super()._conditional_error(req, response)  # type: ignore[misc]
 
 
-class FrontServer(HTTPServer):  # type: ignore[misc]
+class FrontServer(ElasticServer, HTTPServer):  # type: ignore[misc]
     """
     Serves callers, with one thread for each request under way.
 
@@ -241,6 +243,7 @@
     :param decoder: Interprets their headers.
     :param table: Names the limits on what callers send.
     :param clock: Source of the present time.
+    :param most_requests: Requests that may be under way at once.
     """
 
     ConnectionClass = FrontConnection
@@ -252,13 +255,10 @@
         decoder: RequestDecoder,
         table: CurrentTable,
         clock: Clock,
+        most_requests: int,
     ) -> None:
-        super().__init__(
-            (address.host, address.port),
-            gateway=None,
-            minthreads=FRONT_THREADS,
-            maxthreads=FRONT_THREADS,
-        )
+        super().__init__((address.host, address.port), gateway=None)
+        self.keep_threads(FRONT_THREADS_FEWEST, most_requests + REFUSING_THREADS)
         self.request_queue_size = ACCEPT_QUEUE
         # None means no limit.
         self.keep_alive_conn_limit = None  # type: ignore[assignment]
--- a/src/waxwingwinch/gateway/_handler.py
+++ b/src/waxwingwinch/gateway/_handler.py
@@ -36,6 +36,33 @@
 ANSWER_MARGIN_SECONDS = 0.02
 #: When to come back to an instance that has no configuration yet.
 STARTING_RETRY_SECONDS = 0.5
+#: When to come back to an instance that serves as many as it can; about as
+#: long as a request takes.
+FULL_RETRY_SECONDS = 0.5
+#: Requests that may be under way at most, however much memory there is; one
+#: interpreter makes no use of more.
+MOST_REQUESTS = 256
+#: Memory of a request under way: its thread and what is kept of the prompt
+#: and the answer.
+REQUEST_BYTES = 512 * 1_024
+#: Part of an instance's memory that requests may take. The program itself
+#: needs about a quarter of that of the smallest instances.
+REQUESTS_MEMORY_SHARE = 0.5
+#: Descriptors of a request: the caller, the upstream, and idle connections
+#: to both.
+REQUEST_DESCRIPTORS = 8
+
+
+def most_requests(memory_bytes: int, descriptors: int) -> int:
+    """
+    Return how many requests an instance may serve at once.
+
+    :param memory_bytes: Memory of its process.
+    :param descriptors: Descriptors that its process may open.
+    """
+    by_memory = int(memory_bytes * REQUESTS_MEMORY_SHARE) // REQUEST_BYTES
+    by_descriptors = descriptors // REQUEST_DESCRIPTORS
+    return max(min(MOST_REQUESTS, by_memory, by_descriptors), 1)
 
 
 class RequestHandler:
@@ -46,6 +73,7 @@
     :param table: The configuration in force.
     :param quotas: Customers' quotas.
     :param watcher: Notices callers who leave.
+    :param most_requests: Requests that may be under way at once.
     """
 
     def __init__(
@@ -54,11 +82,13 @@
         table: CurrentTable,
         quotas: QuotaBook,
         watcher: CallerWatcher,
+        most_requests: int = MOST_REQUESTS,
     ) -> None:
         self._tools = tools
         self._table = table
         self._quotas = quotas
         self._watcher = watcher
+        self._most_requests = most_requests
         self._plain = PlainRelay(tools)
         self._generations = GenerationRelay(tools)
         self._under_way = 0
@@ -79,7 +109,11 @@
         """
         with self._lock:
             self._under_way += 1
+            is_full = self._under_way > self._most_requests
         try:
+            if is_full:
+                self._tools.telemetry.ended(None, "", RefusalReason.INSTANCE_FULL)
+                raise RequestEnded(503, RefusalReason.INSTANCE_FULL, FULL_RETRY_SECONDS)
             self._serve(request, responder)
         except RequestEnded as ended:
             self._refuse(request, responder, ended)
--- a/src/waxwingwinch/gateway/_info_server.py
+++ b/src/waxwingwinch/gateway/_info_server.py
@@ -8,9 +8,12 @@
 from cheroot.wsgi import Server
 
 from waxwingwinch._types import Address
+from waxwingwinch.gateway._thread_pool import ElasticServer
 
 #: Threads of each server; questions are few and answered at once.
-INFO_THREADS = 4
+INFO_THREADS_FEWEST = 1
+#: The same when many ask together, as callers do after a start.
+INFO_THREADS_MOST = 16
 
 
 @frozen
@@ -32,6 +35,10 @@
 Answer = Callable[[str, str], InfoReply]
 
 
+class _QuestionServer(ElasticServer, Server):  # type: ignore[misc]
+    """A WSGI server with few threads."""
+
+
 class InfoServer:
     """
     Answers questions with short replies.
@@ -42,13 +49,13 @@
 
     def __init__(self, address: Address, answer: Answer) -> None:
         self._answer = answer
-        self._server = Server(
+        self._server = _QuestionServer(
             (address.host, address.port),
             self._application,
-            numthreads=INFO_THREADS,
             request_queue_size=64,
             timeout=5,
         )
+        self._server.keep_threads(INFO_THREADS_FEWEST, INFO_THREADS_MOST)
         # None means no limit.
         self._server.keep_alive_conn_limit = None  # type: ignore[assignment]
 
--- a/src/waxwingwinch/gateway/_options.py
+++ b/src/waxwingwinch/gateway/_options.py
@@ -106,6 +106,8 @@
     :param grace_seconds: Time from the request to stop until the end.
     :param usage_window_seconds: Length of a usage window.
     :param drain_seconds: Time after which a leaving upstream gets no new work.
+    :param memory_bytes: Memory that the process may use.
+    :param descriptors: Descriptors that the process may open.
     """
 
     instance_id: InstanceId
@@ -125,3 +127,5 @@
     grace_seconds: float
     usage_window_seconds: float
     drain_seconds: float
+    memory_bytes: int
+    descriptors: int
--- a/src/waxwingwinch/gateway/_process.py
+++ b/src/waxwingwinch/gateway/_process.py
@@ -10,7 +10,7 @@
 from waxwingwinch.gateway._follower import FollowPlan, TopicFollower
 from waxwingwinch.gateway._front import FrontServer
 from waxwingwinch.gateway._gossip import Gossip, GossipHandlers
-from waxwingwinch.gateway._handler import RequestHandler
+from waxwingwinch.gateway._handler import RequestHandler, most_requests
 from waxwingwinch.gateway._info_server import InfoServer
 from waxwingwinch.gateway._job import RelayTools
 from waxwingwinch.gateway._joining import (
@@ -98,6 +98,7 @@
         self._store = MeasuredStore(adapter.store, self._state.telemetry, clock)
         self._intake = RecordIntake(self._state, adapter, clock)
         self._watcher = CallerWatcher()
+        self._most_requests = most_requests(options.memory_bytes, options.descriptors)
         self._handler = self._make_handler()
         self._steward = self._make_steward()
         self._front = FrontServer(
@@ -106,6 +107,7 @@
             adapter.decoder,
             self._state.table,
             clock,
+            self._most_requests,
         )
         self._make_followers()
         self._reports = ReportExchange(
@@ -168,7 +170,9 @@
             state.usage,
             state.telemetry,
         )
-        return RequestHandler(tools, state.table, state.quotas, self._watcher)
+        return RequestHandler(
+            tools, state.table, state.quotas, self._watcher, self._most_requests
+        )
 
     def _make_steward(self) -> Steward:
         state, options = self._state, self._options
--- a/src/waxwingwinch/gateway/tests/test_plain_relay.py
+++ b/src/waxwingwinch/gateway/tests/test_plain_relay.py
@@ -222,3 +222,20 @@
 def test_a_service_that_the_configuration_lost_is_refused(world):
     world.publish(targets=(WeightedService("missing", 1.0),))
     assert world.ask().status == 503
+
+
+def test_an_instance_that_is_full_turns_callers_away_at_once(world):
+    """Pattern: more callers at one small instance than it has room for."""
+    world.publish()
+    world.handler._most_requests = 1
+    second = []
+    meanwhile = Script(during=lambda _: second.append(world.ask(request_id="r-2")))
+    world.transport.scripts = {"u1": meanwhile, "u2": meanwhile}
+    assert world.ask().status == 200
+    (refused,) = second
+    assert refused.status == 503
+    assert float(refused.header("Retry-After")) > 0
+    assert len(world.called()) == 1
+    counted = b'waxwing_refusals_total{kind="instance_full"} 1.0'
+    assert counted in world.telemetry.text(())
+    assert world.handler.under_way == 0
--- /dev/null
+++ b/src/waxwingwinch/gateway/tests/test_thread_pool.py
@@ -0,0 +1,125 @@
+"""Threads that come and go with the requests, without a network."""
+
+import threading
+import time
+
+from waxwingwinch.gateway import _thread_pool
+from waxwingwinch.gateway._handler import MOST_REQUESTS, most_requests
+from waxwingwinch.gateway._thread_pool import ElasticThreadPool
+
+FEWEST = 2
+MOST = 20
+
+
+class FakeServer:
+    def __init__(self):
+        self.faults: list[str] = []
+        self.requests = ElasticThreadPool(self, FEWEST, MOST)
+        self.requests.start()
+
+    def put_conn(self, connection):
+        raise AssertionError("the connection was to be closed")
+
+    def error_log(self, message):
+        self.faults.append(message)
+
+
+class HeldConnection:
+    """Is served until it is let go."""
+
+    def __init__(self, started, release):
+        self._started, self._release = started, release
+
+    def communicate(self):
+        self._started.release()
+        self._release.wait()
+        return False
+
+    def close(self):
+        """Nothing is open."""
+
+
+class Burst:
+    """Connections that come together."""
+
+    def __init__(self, server, count):
+        self.started, self.release = threading.Semaphore(0), threading.Event()
+        self.count = count
+        for _ in range(count):
+            server.requests.put(HeldConnection(self.started, self.release))
+
+    def wait_until_served(self, count, timeout_seconds=5.0):
+        end_seconds = time.monotonic() + timeout_seconds
+        for _ in range(count):
+            assert self.started.acquire(timeout=end_seconds - time.monotonic())
+
+
+def wait_for_size(server, size, timeout_seconds=10.0):
+    end_seconds = time.monotonic() + timeout_seconds
+    while server.requests.size != size and time.monotonic() < end_seconds:
+        time.sleep(0.01)
+    return server.requests.size
+
+
+def test_an_idle_server_keeps_the_fewest():
+    """Pattern: a large fleet whose instances see one request a second each."""
+    server = FakeServer()
+    assert server.requests.size == FEWEST
+    for _ in range(3 * MOST):
+        burst = Burst(server, 1)
+        burst.wait_until_served(1)
+        burst.release.set()
+        time.sleep(0.002)
+    assert server.requests.size <= FEWEST + 1
+
+
+def test_a_burst_finds_a_thread_for_each_request_at_once():
+    """Pattern: many users come at once to a small instance."""
+    server = FakeServer()
+    started_seconds = time.monotonic()
+    burst = Burst(server, MOST)
+    put_seconds = time.monotonic() - started_seconds
+    burst.wait_until_served(MOST)
+    assert put_seconds < 0.005 * MOST
+    burst.release.set()
+
+
+def test_threads_end_after_a_burst(monkeypatch):
+    monkeypatch.setattr(_thread_pool, "IDLE_THREAD_SECONDS", 0.05)
+    server = FakeServer()
+    burst = Burst(server, MOST)
+    burst.wait_until_served(MOST)
+    burst.release.set()
+    assert wait_for_size(server, FEWEST) == FEWEST
+    again = Burst(server, MOST)
+    again.wait_until_served(MOST)
+    again.release.set()
+
+
+def test_the_bound_holds_and_what_waits_is_served_later():
+    server = FakeServer()
+    burst = Burst(server, MOST + 5)
+    burst.wait_until_served(MOST)
+    assert server.requests.size == MOST
+    assert not burst.started.acquire(timeout=0.05)
+    burst.release.set()
+    burst.wait_until_served(5)
+
+
+def test_a_fault_in_one_request_ends_no_thread():
+    server = FakeServer()
+    connection = HeldConnection(None, None)
+    for _ in range(MOST):
+        server.requests.put(connection)
+    burst = Burst(server, MOST)
+    burst.wait_until_served(MOST)
+    assert len(server.faults) == MOST
+    burst.release.set()
+
+
+def test_the_bound_comes_from_what_the_instance_has():
+    mb = 1_048_576
+    assert most_requests(200 * mb, 3_900) == 200
+    assert most_requests(552 * mb, 7_900) == MOST_REQUESTS
+    assert most_requests(552 * mb, 400) == 50
+    assert most_requests(0, 0) == 1
--- a/src/waxwingwinch/platform/_settings.py
+++ b/src/waxwingwinch/platform/_settings.py
@@ -13,6 +13,14 @@
 
 #: Variable that names the settings file.
 SETTINGS_VARIABLE = "WAXWINGWINCH_CONFIG"
+#: Memory of an instance whose settings name none; the smallest known.
+DEFAULT_MEMORY_MB = 160.0
+#: The same for descriptors.
+DEFAULT_DESCRIPTORS = 4_100.0
+#: Descriptors that the platform keeps for files.
+FILE_DESCRIPTORS = 200
+
+BYTES_PER_MB = 1_048_576
 
 T = TypeVar("T")
 
@@ -173,6 +181,13 @@
         grace_seconds=reader.get("bounds.graceS", _positive, 8.0),
         usage_window_seconds=reader.get("bounds.usageWindowS", _positive, 5.0),
         drain_seconds=reader.get("bounds.drainMs", _positive, 2_000.0) / 1_000,
+        memory_bytes=int(
+            reader.get("limits.memoryMb", _positive, DEFAULT_MEMORY_MB) * BYTES_PER_MB
+        ),
+        descriptors=int(
+            reader.get("limits.maxFds", _positive, DEFAULT_DESCRIPTORS)
+            - FILE_DESCRIPTORS
+        ),
     )
     return InstanceSettings(
         options,
