Load only what a gateway needs at its start

Cause: importing the gateway loaded 609 modules, among them YAML and the configuration, settings, contracts and interfaces of the other programs, which came along through the __init__ of packages that hold light and heavy parts; and attrs wrote methods for comparing and showing some 60 kinds of log lines that are only ever written.

HTTP calls, findings, reasons and the Prometheus text are packages of their own now, so their users load no more than they name; metrics text is loaded when metrics are first read; log lines get no methods but the initializer.

Ruled out: the collector of garbage (no difference when it is off) and python3 -S (no difference).

What is left is eliot with zope.interface and pyrsistent, urllib3, websockets with asyncio, and the methods of the remaining attrs classes.

--- a/src/waxwing_testbed/capacity/_claims.py
+++ b/src/waxwing_testbed/capacity/_claims.py
@@ -13,11 +13,10 @@
     StandinProcess,
     StandinSettings,
 )
-from waxwingwinch._types import ProcessId
+from waxwingwinch._types import LogPage, ProcessId
 from waxwingwinch.adapters import HttpPlatformLog
 from waxwingwinch.contracts import ClaimHeld, StoredAnswer
 from waxwingwinch.idempotency import LogIdempotencyStore
-from waxwingwinch.interfaces import LogPage
 from waxwingwinch.kernel import Health, SystemClock
 
 #: Requests with an idempotency key.
--- a/src/waxwing_testbed/fakes/_log.py
+++ b/src/waxwing_testbed/fakes/_log.py
@@ -5,7 +5,7 @@
 from collections.abc import Sequence
 
 from waxwingwinch._exceptions import PlatformUnavailable, RecordsExpired
-from waxwingwinch.interfaces import LogPage, LogRecord
+from waxwingwinch._types import LogPage, LogRecord
 
 
 class AppendFault(enum.Enum):
--- a/src/waxwing_testbed/scenario/_log_view.py
+++ b/src/waxwing_testbed/scenario/_log_view.py
@@ -8,9 +8,10 @@
 
 from waxwing_testbed.scenario._world import World
 from waxwingwinch._exceptions import RecordsExpired
+from waxwingwinch._types import LogRecord
 from waxwingwinch.adapters import HttpPlatformLog
 from waxwingwinch.authority import DUTIES_STREAM, DutyTable
-from waxwingwinch.interfaces import LogRecord, PlatformLog
+from waxwingwinch.interfaces import PlatformLog
 from waxwingwinch.streams import Deduplicator, open_envelope, seal
 
 #: How long one operation of the log may take.
--- a/src/waxwing_testbed/standins/_log_store.py
+++ b/src/waxwing_testbed/standins/_log_store.py
@@ -8,7 +8,7 @@
 
 from waxwing_testbed.standins._settings import LogSettings
 from waxwingwinch._exceptions import PlatformRefused, RecordsExpired
-from waxwingwinch.interfaces import LogPage, LogRecord
+from waxwingwinch._types import LogPage, LogRecord
 
 #: Records in one page at most.
 _PAGE_RECORDS = 1_000
--- a/src/waxwingwinch/_types.py
+++ b/src/waxwingwinch/_types.py
@@ -100,3 +100,32 @@
 
     def __str__(self) -> str:
         return f"{self.host}:{self.port}"
+
+
+@frozen
+class LogRecord:
+    """
+    One record of a stream.
+
+    :param offset: Position in the stream; grows by one a record.
+    :param payload: The bytes that were appended.
+    """
+
+    offset: int
+    payload: bytes
+
+
+@frozen
+class LogPage:
+    """
+    Part of a stream.
+
+    :param first_offset: The oldest offset that the stream still holds.
+    :param end_offset: The offset that the next appended record will get.
+    :param records: Consecutive records, starting at the asked offset; empty
+        if there are none yet.
+    """
+
+    first_offset: int
+    end_offset: int
+    records: tuple[LogRecord, ...]
--- a/src/waxwingwinch/adapters/__init__.py
+++ b/src/waxwingwinch/adapters/__init__.py
@@ -5,41 +5,21 @@
 """
 
 from waxwingwinch.adapters._engine import HttpEngine
-from waxwingwinch.adapters._http import (
-    CONTROL_USER_TIMEOUT_SECONDS,
-    ORDER_SOCKET_OPTIONS,
-    TRANSPORT_ERRORS,
-    AnswerMissing,
-    HttpReply,
-    HttpRequest,
-    NotSent,
-    exchange,
-)
 from waxwingwinch.adapters._instance_list import HttpInstanceList
 from waxwingwinch.adapters._log import HttpPlatformLog
 from waxwingwinch.adapters._plain_service import HttpPlainService
-from waxwingwinch.adapters._sockets import is_gone
 from waxwingwinch.adapters._upstream_market import HttpUpstreamMarket
 from waxwingwinch.adapters._usage_intake import HttpUsageIntake
 from waxwingwinch.adapters._weight_store import HttpWeightStore
 from waxwingwinch.adapters._wire import make_wire_converter
 
 __all__ = [
-    "CONTROL_USER_TIMEOUT_SECONDS",
-    "ORDER_SOCKET_OPTIONS",
-    "TRANSPORT_ERRORS",
-    "AnswerMissing",
     "HttpEngine",
     "HttpInstanceList",
     "HttpPlainService",
     "HttpPlatformLog",
-    "HttpReply",
-    "HttpRequest",
     "HttpUpstreamMarket",
     "HttpUsageIntake",
     "HttpWeightStore",
-    "NotSent",
-    "exchange",
-    "is_gone",
     "make_wire_converter",
 ]
--- a/src/waxwingwinch/adapters/_calls.py
+++ b/src/waxwingwinch/adapters/_calls.py
@@ -10,7 +10,8 @@
     UpstreamFailed,
 )
 from waxwingwinch._types import Address
-from waxwingwinch.adapters._http import (
+from waxwingwinch.adapters._polling import poll
+from waxwingwinch.http import (
     ANSWER_TIMEOUT_SECONDS,
     PLAIN_SOCKET_OPTIONS,
     AnswerMissing,
@@ -20,7 +21,6 @@
     SocketOption,
     exchange,
 )
-from waxwingwinch.adapters._polling import poll
 
 STATUS_OK = 200
 STATUS_CONFLICT = 409
--- a/src/waxwingwinch/adapters/_engine.py
+++ b/src/waxwingwinch/adapters/_engine.py
@@ -13,8 +13,8 @@
     upstream_value,
 )
 from waxwingwinch.adapters._engine_stream import HttpEngineStream, open_stream
-from waxwingwinch.adapters._http import ORDER_SOCKET_OPTIONS
 from waxwingwinch.adapters._wire import make_wire_converter
+from waxwingwinch.http import ORDER_SOCKET_OPTIONS
 from waxwingwinch.interfaces import (
     CacheEventPage,
     EngineOrder,
--- a/src/waxwingwinch/adapters/_engine_stream.py
+++ b/src/waxwingwinch/adapters/_engine_stream.py
@@ -8,12 +8,7 @@
 from waxwingwinch._exceptions import Outcome, UpstreamFailed
 from waxwingwinch._types import Address
 from waxwingwinch.adapters._calls import STATUS_OK, error_code
-from waxwingwinch.adapters._http import (
-    AnswerMissing,
-    Exchange,
-    HttpRequest,
-    NotSent,
-)
+from waxwingwinch.http import AnswerMissing, Exchange, HttpRequest, NotSent
 from waxwingwinch.interfaces import GenerateCall, StreamEnd, StreamItem, StreamPart
 
 #: Error codes by which an engine says that it refused a call unread.
--- a/src/waxwingwinch/adapters/_log.py
+++ b/src/waxwingwinch/adapters/_log.py
@@ -6,7 +6,7 @@
 from urllib.parse import urlencode
 
 from waxwingwinch._exceptions import PlatformUnavailable, RecordsExpired
-from waxwingwinch._types import Address
+from waxwingwinch._types import Address, LogPage, LogRecord
 from waxwingwinch.adapters._calls import (
     STATUS_GONE,
     json_request,
@@ -14,7 +14,6 @@
     platform_poll,
     platform_value,
 )
-from waxwingwinch.interfaces import LogPage, LogRecord
 
 APPEND_PATH = "/log/append"
 READ_PATH = "/log/records"
--- a/src/waxwingwinch/adapters/_plain_service.py
+++ b/src/waxwingwinch/adapters/_plain_service.py
@@ -5,11 +5,7 @@
 from waxwingwinch._exceptions import Outcome, UpstreamFailed
 from waxwingwinch._types import Address
 from waxwingwinch.adapters._calls import upstream_exchange
-from waxwingwinch.adapters._http import (
-    CONNECT_TIMEOUT_SECONDS,
-    HttpReply,
-    HttpRequest,
-)
+from waxwingwinch.http import CONNECT_TIMEOUT_SECONDS, HttpReply, HttpRequest
 from waxwingwinch.interfaces import PlainAnswer, PlainCall
 
 REQUEST_ID_HEADER = "X-Request-Id"
--- a/src/waxwingwinch/adapters/_polling.py
+++ b/src/waxwingwinch/adapters/_polling.py
@@ -14,7 +14,7 @@
 )
 
 from waxwingwinch._types import Address
-from waxwingwinch.adapters._http import (
+from waxwingwinch.http import (
     CONNECT_TIMEOUT_SECONDS,
     MAX_BODY_BYTES,
     AnswerMissing,
--- a/src/waxwingwinch/adapters/_upstream_market.py
+++ b/src/waxwingwinch/adapters/_upstream_market.py
@@ -10,8 +10,8 @@
     platform_poll,
     platform_value,
 )
-from waxwingwinch.adapters._http import ORDER_SOCKET_OPTIONS
 from waxwingwinch.adapters._wire import make_wire_converter, structure_answer
+from waxwingwinch.http import ORDER_SOCKET_OPTIONS
 from waxwingwinch.interfaces import ListedUpstream, MarketOrder
 
 UPSTREAMS_PATH = "/upstreams"
--- a/src/waxwingwinch/adapters/_usage_intake.py
+++ b/src/waxwingwinch/adapters/_usage_intake.py
@@ -6,8 +6,8 @@
     platform_exchange,
     platform_value,
 )
-from waxwingwinch.adapters._http import ORDER_SOCKET_OPTIONS
 from waxwingwinch.adapters._wire import make_wire_converter
+from waxwingwinch.http import ORDER_SOCKET_OPTIONS
 from waxwingwinch.interfaces import UsageReport
 
 USAGE_REPORTS_PATH = "/usage-reports"
--- a/src/waxwingwinch/adapters/tests/test_http.py
+++ b/src/waxwingwinch/adapters/tests/test_http.py
@@ -3,7 +3,7 @@
 import time
 
 from waxwingwinch._types import Address
-from waxwingwinch.adapters import HttpRequest, exchange
+from waxwingwinch.http import HttpRequest, exchange
 
 
 def serve_late(listener, delay_seconds):
--- a/src/waxwingwinch/adapters/tests/test_platform.py
+++ b/src/waxwingwinch/adapters/tests/test_platform.py
@@ -16,12 +16,8 @@
     HttpUpstreamMarket,
     make_wire_converter,
 )
-from waxwingwinch.adapters._http import (
-    ORDER_SOCKET_OPTIONS,
-    Exchange,
-    HttpRequest,
-)
 from waxwingwinch.adapters.tests._raw_server import closed_port, raw_server
+from waxwingwinch.http import ORDER_SOCKET_OPTIONS, Exchange, HttpRequest
 from waxwingwinch.interfaces import MarketOrder, OrderUpstream
 
 
--- a/src/waxwingwinch/authority/tests/test_holder.py
+++ b/src/waxwingwinch/authority/tests/test_holder.py
@@ -10,7 +10,7 @@
 from waxwingwinch._types import Address, InstanceId
 from waxwingwinch.authority import DutyDirectory, DutyHolder
 from waxwingwinch.kernel import SystemClock
-from waxwingwinch.observability import MemoryDecisionLog
+from waxwingwinch.reasons import MemoryDecisionLog
 
 LEASE_SECONDS = 1.2
 WAIT_SECONDS = 20.0
--- a/src/waxwingwinch/control/_main.py
+++ b/src/waxwingwinch/control/_main.py
@@ -10,14 +10,10 @@
 import typer
 
 from waxwingwinch.control._process import build_process
+from waxwingwinch.findings import SettingsInvalid, format_findings
 from waxwingwinch.kernel import SystemClock
 from waxwingwinch.observability import set_up_logs
-from waxwingwinch.settings import (
-    ControlSettings,
-    SettingsInvalid,
-    format_findings,
-    load_settings,
-)
+from waxwingwinch.settings import ControlSettings, load_settings
 
 #: Exit status for a settings file with findings.
 EXIT_INVALID_SETTINGS = 2
--- a/src/waxwingwinch/control/_process.py
+++ b/src/waxwingwinch/control/_process.py
@@ -4,7 +4,6 @@
 
 from waxwingwinch._exceptions import AuthorityLost
 from waxwingwinch.adapters import (
-    CONTROL_USER_TIMEOUT_SECONDS,
     HttpEngine,
     HttpInstanceList,
     HttpPlatformLog,
@@ -34,16 +33,13 @@
     fleet_duty,
     fleet_stream,
 )
+from waxwingwinch.http import CONTROL_USER_TIMEOUT_SECONDS
 from waxwingwinch.interfaces import PlatformLog
 from waxwingwinch.kernel import Clock, Registry, SystemClock
 from waxwingwinch.limits import ExtraRequest, FloorRequest, GrantorDuty
 from waxwingwinch.membership import Heartbeat, InstanceDirectory, PeerMesh
-from waxwingwinch.observability import (
-    ExplainHandler,
-    ExplainRequest,
-    MemoryDecisionLog,
-)
 from waxwingwinch.peers import PeerIdentity, PeerProgram, PeerServer
+from waxwingwinch.reasons import ExplainHandler, ExplainRequest, MemoryDecisionLog
 from waxwingwinch.settings import ControlSettings
 from waxwingwinch.streams import StreamWriter
 from waxwingwinch.usage import UsageReportRunner
--- a/src/waxwingwinch/control/tests/test_runners.py
+++ b/src/waxwingwinch/control/tests/test_runners.py
@@ -13,7 +13,7 @@
 from waxwingwinch.control.tests._world import E1, FakeWeights, World
 from waxwingwinch.fleet import Directive, OrderIntent
 from waxwingwinch.interfaces import GiveBack, OrderUpstream, SetRole
-from waxwingwinch.observability import MemoryDecisionLog
+from waxwingwinch.reasons import MemoryDecisionLog
 from waxwingwinch.settings import BuyingPolicyKind, RolePolicyKind
 
 DECODE, MIXED, PREFILL = EngineRole.DECODE, EngineRole.MIXED, EngineRole.PREFILL
--- a/src/waxwingwinch/entry/_application.py
+++ b/src/waxwingwinch/entry/_application.py
@@ -32,8 +32,8 @@
 from waxwingwinch.entry._root import EntryRoot, application_configuration
 from waxwingwinch.entry._router import EngineRouter
 from waxwingwinch.entry._services import EntryServices, entry_services
+from waxwingwinch.exposition import prometheus_text
 from waxwingwinch.kernel import Health, Registry
-from waxwingwinch.observability import prometheus_text
 from waxwingwinch.peers import PeerIdentity, PeerServer
 
 #: How often peers are told what customers do here.
--- a/src/waxwingwinch/entry/_callers.py
+++ b/src/waxwingwinch/entry/_callers.py
@@ -4,7 +4,6 @@
 
 from waxwingwinch._exceptions import Outcome, WaxwingError
 from waxwingwinch._types import CustomerId
-from waxwingwinch.adapters import is_gone
 from waxwingwinch.contracts import (
     Caller,
     DecisionKind,
@@ -18,6 +17,7 @@
 from waxwingwinch.entry._headers import upstream_headers
 from waxwingwinch.entry._http import NOBODY, IncomingRequest
 from waxwingwinch.entry._services import EntryServices
+from waxwingwinch.http import is_gone
 from waxwingwinch.observability import MetricKey, RequestResult
 
 #: When callers of a stale instance are asked to come back.
--- a/src/waxwingwinch/entry/_cell_decisions.py
+++ b/src/waxwingwinch/entry/_cell_decisions.py
@@ -7,7 +7,7 @@
 
 from waxwingwinch._exceptions import MalformedMessage, PeerUnavailable
 from waxwingwinch.contracts import DecisionLog, Reason
-from waxwingwinch.observability import ExplainReply, ExplainRequest
+from waxwingwinch.reasons import ExplainReply, ExplainRequest
 
 #: How long one holder may take to answer.
 ASK_TIMEOUT_SECONDS = 1.0
--- a/src/waxwingwinch/entry/_main.py
+++ b/src/waxwingwinch/entry/_main.py
@@ -8,14 +8,10 @@
 import typer
 
 from waxwingwinch.entry._process import EntryProcess
+from waxwingwinch.findings import SettingsInvalid, format_findings
 from waxwingwinch.kernel import SystemClock
 from waxwingwinch.observability import set_up_logs
-from waxwingwinch.settings import (
-    EntrySettings,
-    SettingsInvalid,
-    format_findings,
-    load_settings,
-)
+from waxwingwinch.settings import EntrySettings, load_settings
 
 #: Exit status for settings with findings.
 EXIT_FINDINGS = 1
--- a/src/waxwingwinch/entry/_operator_requests.py
+++ b/src/waxwingwinch/entry/_operator_requests.py
@@ -12,8 +12,8 @@
 from waxwingwinch.fleet import buying_duty, fleet_duty
 from waxwingwinch.kernel import Registry
 from waxwingwinch.membership import HolderLinks
-from waxwingwinch.observability import MemoryDecisionLog
 from waxwingwinch.operators_api import OperatorRequests, make_metrics_reporter
+from waxwingwinch.reasons import MemoryDecisionLog
 from waxwingwinch.settings import EntrySettings
 
 
--- a/src/waxwingwinch/entry/_process.py
+++ b/src/waxwingwinch/entry/_process.py
@@ -39,10 +39,11 @@
     PeerMesh,
     decide_freshness,
 )
-from waxwingwinch.observability import MemoryDecisionLog, Metrics
+from waxwingwinch.observability import Metrics
 from waxwingwinch.operators_api import OperatorApi, OperatorRequests
 from waxwingwinch.peers import PeerIdentity, PeerProgram, PeerServer
 from waxwingwinch.placement import home_count, home_instances
+from waxwingwinch.reasons import MemoryDecisionLog
 from waxwingwinch.settings import EntrySettings, LimitsPolicyKind
 from waxwingwinch.usage import (
     EntryUsageLedger,
--- a/src/waxwingwinch/entry/tests/test_cell_decisions.py
+++ b/src/waxwingwinch/entry/tests/test_cell_decisions.py
@@ -3,11 +3,7 @@
 from waxwingwinch._exceptions import PeerUnavailable
 from waxwingwinch.contracts import DecisionKind, Reason
 from waxwingwinch.entry._cell_decisions import CellDecisions
-from waxwingwinch.observability import (
-    ExplainReply,
-    ExplainRequest,
-    MemoryDecisionLog,
-)
+from waxwingwinch.reasons import ExplainReply, ExplainRequest, MemoryDecisionLog
 
 
 def reason(wall_seconds: float, text: str) -> Reason:
--- a/src/waxwingwinch/gateway/_belief_lines.py
+++ b/src/waxwingwinch/gateway/_belief_lines.py
@@ -1,12 +1,9 @@
 """Log lines about what the process believes of others."""
 
-from attrs import frozen
-
 from waxwingwinch.gateway._log_line import LogLine, log_line
 
 
 @log_line("configuration:in_force")
-@frozen
 class ConfigurationInForce(LogLine):
     """
     A version that requests are judged by from now on.
@@ -22,7 +19,6 @@
 
 
 @log_line("configuration:malformed")
-@frozen
 class ConfigurationMalformed(LogLine):
     """
     A version that could not be read.
@@ -34,7 +30,6 @@
 
 
 @log_line("configuration:unanswered")
-@frozen
 class ConfigurationUnanswered(LogLine):
     """
     A peer that did not tell its newer version.
@@ -48,7 +43,6 @@
 
 
 @log_line("store:lost")
-@frozen
 class StoreLost(LogLine):
     """
     A topic of the platform's store that can't be read.
@@ -62,7 +56,6 @@
 
 
 @log_line("store:back")
-@frozen
 class StoreBack(LogLine):
     """
     A topic that can be read again.
@@ -76,7 +69,6 @@
 
 
 @log_line("store:history_lost")
-@frozen
 class StoreHistoryLost(LogLine):
     """
     Records that were dropped before they were read.
@@ -90,7 +82,6 @@
 
 
 @log_line("store:unanswered")
-@frozen
 class StoreUnanswered(LogLine):
     """
     A call of the start that the store did not answer.
@@ -102,7 +93,6 @@
 
 
 @log_line("peer:lost")
-@frozen
 class PeerLost(LogLine):
     """
     An instance that no reports reach.
@@ -116,7 +106,6 @@
 
 
 @log_line("peer:reached")
-@frozen
 class PeerReached(LogLine):
     """
     An instance that reports reach again.
@@ -128,7 +117,6 @@
 
 
 @log_line("cell:lost")
-@frozen
 class CellLost(LogLine):
     """
     An instance that no longer tells what its cell has under way.
@@ -146,7 +134,6 @@
 
 
 @log_line("cell:reached")
-@frozen
 class CellReached(LogLine):
     """
     An instance that tells what its cell has under way.
@@ -164,7 +151,6 @@
 
 
 @log_line("limits:shared")
-@frozen
 class LimitsShared(LogLine):
     """
     How many instances share quotas and budgets.
@@ -176,7 +162,6 @@
 
 
 @log_line("member:malformed")
-@frozen
 class MemberMalformed(LogLine):
     """
     An instance's record that could not be read.
@@ -190,7 +175,6 @@
 
 
 @log_line("upstream:registered")
-@frozen
 class UpstreamRegistered(LogLine):
     """
     A new upstream, or one in a new state.
@@ -216,7 +200,6 @@
 
 
 @log_line("upstream:malformed")
-@frozen
 class UpstreamMalformed(LogLine):
     """
     An entry that could not be read.
@@ -230,7 +213,6 @@
 
 
 @log_line("upstream:entry_gone")
-@frozen
 class UpstreamEntryGone(LogLine):
     """
     An entry that was dropped.
@@ -244,7 +226,6 @@
 
 
 @log_line("upstream:lapsed")
-@frozen
 class UpstreamLapsed(LogLine):
     """
     An upstream whose entry did not come back.
@@ -256,7 +237,6 @@
 
 
 @log_line("upstream:handle_kept")
-@frozen
 class HandleKept(LogLine):
     """
     A KV cache that an engine could not be told to drop.
@@ -270,7 +250,6 @@
 
 
 @log_line("survey:read")
-@frozen
 class SurveyRead(LogLine):
     """
     What an engine held after a start.
@@ -286,7 +265,6 @@
 
 
 @log_line("survey:unanswered")
-@frozen
 class SurveyUnanswered(LogLine):
     """
     An engine that did not tell what it holds.
--- a/src/waxwingwinch/gateway/_cache_survey.py
+++ b/src/waxwingwinch/gateway/_cache_survey.py
@@ -3,11 +3,11 @@
 import threading
 
 from waxwingwinch._types import ZoneName
-from waxwingwinch.adapters import AnswerMissing, NotSent
 from waxwingwinch.gateway._belief_lines import SurveyRead, SurveyUnanswered
 from waxwingwinch.gateway._state import GatewayState
 from waxwingwinch.gateway._transport import UpstreamTransport
 from waxwingwinch.gateway._upstreams import Upstream
+from waxwingwinch.http import AnswerMissing, NotSent
 from waxwingwinch.kernel import Clock
 
 #: How long a start waits for the upstreams' entries.
--- a/src/waxwingwinch/gateway/_connections.py
+++ b/src/waxwingwinch/gateway/_connections.py
@@ -12,7 +12,7 @@
 from urllib3.util import SKIP_HEADER
 
 from waxwingwinch._types import Address
-from waxwingwinch.adapters import TRANSPORT_ERRORS, AnswerMissing, NotSent
+from waxwingwinch.http import TRANSPORT_ERRORS, AnswerMissing, NotSent
 
 #: Longest wait for a connection. Links have a delay of a few milliseconds; a
 #: lost opening packet is repeated only after a second, and another upstream
--- a/src/waxwingwinch/gateway/_generation_relay.py
+++ b/src/waxwingwinch/gateway/_generation_relay.py
@@ -2,7 +2,6 @@
 
 from attrs import define, field
 
-from waxwingwinch.adapters import AnswerMissing, NotSent
 from waxwingwinch.gateway._connections import Cancelled
 from waxwingwinch.gateway._engine_choice import EngineChooser
 from waxwingwinch.gateway._events import EventSplitter, EventTooLong
@@ -40,6 +39,7 @@
     UpstreamAnswer,
 )
 from waxwingwinch.gateway._upstreams import Upstream
+from waxwingwinch.http import AnswerMissing, NotSent
 
 #: Silence within a stream after which it goes on elsewhere if its kind
 #: allows; callers give up after twice that.
--- a/src/waxwingwinch/gateway/_log_line.py
+++ b/src/waxwingwinch/gateway/_log_line.py
@@ -1,36 +1,46 @@
 """What a line of the log is."""
 
 from collections.abc import Callable
-from typing import ClassVar, TypeVar
+from typing import ClassVar, TypeVar, dataclass_transform
 
 import eliot
-from attrs import asdict, frozen
+from attrs import fields, frozen
 
 
-@frozen
 class LogLine:
     """A line of the log; its fields are written as they are."""
 
+    __slots__ = ()
+
     #: Tells the lines apart: a subject, a colon, and what happened to it.
     message_type: ClassVar[str]
+    #: Names of the fields.
+    field_names: ClassVar[tuple[str, ...]]
 
     def write(self) -> None:
         """Write the line."""
-        eliot.log_message(self.message_type, **asdict(self))
+        values = {name: getattr(self, name) for name in self.field_names}
+        eliot.log_message(self.message_type, **values)
 
 
 Line = TypeVar("Line", bound=type[LogLine])
 
 
+@dataclass_transform(frozen_default=True)
 def log_line(message_type: str) -> Callable[[Line], Line]:
     """
-    Name a kind of line.
+    Make an attrs class of a kind of line, and name it.
+
+    Lines are only written, never compared or shown; without the methods for
+    that a process starts sooner.
 
     :param message_type: Subject and event, as ``subject:event``.
     """
 
     def named(line: Line) -> Line:
-        line.message_type = message_type
-        return line
+        made = frozen(line, eq=False, repr=False)
+        made.message_type = message_type
+        made.field_names = tuple(one.name for one in fields(made))  # type: ignore[arg-type]
+        return made
 
     return named
--- a/src/waxwingwinch/gateway/_measured_store.py
+++ b/src/waxwingwinch/gateway/_measured_store.py
@@ -4,9 +4,9 @@
 from typing import TypeVar
 
 from waxwingwinch._exceptions import PlatformRefused, PlatformUnavailable
+from waxwingwinch._types import LogPage
 from waxwingwinch.gateway._store import KeyedSnapshot, PlatformStore
 from waxwingwinch.gateway._telemetry import StoreCallResult, Telemetry
-from waxwingwinch.interfaces import LogPage
 from waxwingwinch.kernel import Clock
 
 T = TypeVar("T")
--- a/src/waxwingwinch/gateway/_plain_relay.py
+++ b/src/waxwingwinch/gateway/_plain_relay.py
@@ -3,7 +3,6 @@
 from attrs import frozen
 
 from waxwingwinch._types import EngineRole
-from waxwingwinch.adapters import AnswerMissing, NotSent
 from waxwingwinch.gateway._connections import Cancelled
 from waxwingwinch.gateway._job import (
     BUSY_RETRY_SECONDS,
@@ -31,6 +30,7 @@
 from waxwingwinch.gateway._telemetry import CounterName
 from waxwingwinch.gateway._transport import Run
 from waxwingwinch.gateway._upstreams import Upstream
+from waxwingwinch.http import AnswerMissing, NotSent
 
 #: How long an answer that may be asked for again is waited for, relative to
 #: the latency objective of its route.
--- a/src/waxwingwinch/gateway/_process_lines.py
+++ b/src/waxwingwinch/gateway/_process_lines.py
@@ -1,12 +1,9 @@
 """Log lines about the process itself and its duty."""
 
-from attrs import frozen
-
 from waxwingwinch.gateway._log_line import LogLine, log_line
 
 
 @log_line("gateway:starting")
-@frozen
 class GatewayStarting(LogLine):
     """
     The start of the process.
@@ -22,7 +19,6 @@
 
 
 @log_line("gateway:joined")
-@frozen
 class GatewayJoined(LogLine):
     """
     The process is known to the other instances.
@@ -34,7 +30,6 @@
 
 
 @log_line("gateway:stopping")
-@frozen
 class GatewayStopping(LogLine):
     """
     A planned stop began.
@@ -46,7 +41,6 @@
 
 
 @log_line("gateway:stopped")
-@frozen
 class GatewayStopped(LogLine):
     """
     A planned stop ended.
@@ -60,7 +54,6 @@
 
 
 @log_line("gateway:not_withdrawn")
-@frozen
 class GatewayNotWithdrawn(LogLine):
     """
     The record of the process stands after its stop.
@@ -72,13 +65,11 @@
 
 
 @log_line("gateway:secret_exists")
-@frozen
 class SecretExists(LogLine):
     """Another instance made the shared secret."""
 
 
 @log_line("front:server_error")
-@frozen
 class FrontServerError(LogLine):
     """
     A message of the HTTP server.
@@ -92,13 +83,11 @@
 
 
 @log_line("settings:reload_requested")
-@frozen
 class SettingsReloadRequested(LogLine):
     """A signal asks for the settings file."""
 
 
 @log_line("settings:reloaded")
-@frozen
 class SettingsReloaded(LogLine):
     """
     The settings file has changed.
@@ -110,7 +99,6 @@
 
 
 @log_line("settings:invalid")
-@frozen
 class SettingsRejected(LogLine):
     """
     A changed settings file with mistakes, which is not used.
@@ -122,7 +110,6 @@
 
 
 @log_line("settings:unreadable")
-@frozen
 class SettingsUnreadable(LogLine):
     """
     A settings file that can't be read.
@@ -134,7 +121,6 @@
 
 
 @log_line("duty:claimed")
-@frozen
 class DutyClaimed(LogLine):
     """
     The duty is held here.
@@ -146,7 +132,6 @@
 
 
 @log_line("duty:released")
-@frozen
 class DutyReleased(LogLine):
     """
     The duty was handed back.
@@ -158,7 +143,6 @@
 
 
 @log_line("duty:stepped_down")
-@frozen
 class DutySteppedDown(LogLine):
     """
     The duty is no longer held here.
@@ -172,7 +156,6 @@
 
 
 @log_line("ledger:conflict")
-@frozen
 class LedgerConflict(LogLine):
     """
     Another instance wrote to the ledger first.
@@ -186,7 +169,6 @@
 
 
 @log_line("ledger:unanswered")
-@frozen
 class LedgerUnanswered(LogLine):
     """
     An append or read whose outcome is unknown.
@@ -198,7 +180,6 @@
 
 
 @log_line("ledger:refused")
-@frozen
 class LedgerRefused(LogLine):
     """
     An append that the store turned away.
@@ -210,7 +191,6 @@
 
 
 @log_line("ledger:malformed")
-@frozen
 class LedgerMalformed(LogLine):
     """
     A record of the ledger that could not be read.
@@ -224,7 +204,6 @@
 
 
 @log_line("steward:unanswered")
-@frozen
 class StewardUnanswered(LogLine):
     """
     Work of the duty that a dependency did not answer.
@@ -238,7 +217,6 @@
 
 
 @log_line("steward:spot_refused")
-@frozen
 class StewardSpotRefused(LogLine):
     """
     Spot upstreams that were not to be had.
@@ -252,7 +230,6 @@
 
 
 @log_line("steward:ordered")
-@frozen
 class StewardOrdered(LogLine):
     """
     Upstreams that were ordered.
@@ -272,7 +249,6 @@
 
 
 @log_line("steward:stage_changed")
-@frozen
 class StewardStageChanged(LogLine):
     """
     An engine that was told to change its stage.
@@ -286,7 +262,6 @@
 
 
 @log_line("steward:usage_reported")
-@frozen
 class StewardUsageReported(LogLine):
     """
     A usage window that was reported.
--- a/src/waxwingwinch/gateway/_prompt_reader.py
+++ b/src/waxwingwinch/gateway/_prompt_reader.py
@@ -2,7 +2,6 @@
 
 from attrs import frozen
 
-from waxwingwinch.adapters import AnswerMissing, NotSent
 from waxwingwinch.gateway._connections import Cancelled
 from waxwingwinch.gateway._job import Job, Progress, RelayTools, raise_if_caller_left
 from waxwingwinch.gateway._loads import NO_LOAD
@@ -11,6 +10,7 @@
 from waxwingwinch.gateway._request_lines import PromptRead
 from waxwingwinch.gateway._transport import ReadPrompt
 from waxwingwinch.gateway._upstreams import Upstream
+from waxwingwinch.http import AnswerMissing, NotSent
 
 #: How long a prompt may take to be read, relative to the estimate.
 READ_PATIENCE_RATIO = 3.0
--- a/src/waxwingwinch/gateway/_request_lines.py
+++ b/src/waxwingwinch/gateway/_request_lines.py
@@ -1,12 +1,9 @@
 """Log lines about single requests."""
 
-from attrs import frozen
-
 from waxwingwinch.gateway._log_line import LogLine, log_line
 
 
 @log_line("quota:exceeded")
-@frozen
 class QuotaExceeded(LogLine):
     """
     A request beyond its customer's quota.
@@ -34,7 +31,6 @@
 
 
 @log_line("admission:refused")
-@frozen
 class AdmissionRefused(LogLine):
     """
     A request that engines could not serve in time.
@@ -58,7 +54,6 @@
 
 
 @log_line("request:placed")
-@frozen
 class RequestPlaced(LogLine):
     """
     The engines chosen for a generation.
@@ -81,7 +76,6 @@
 
 
 @log_line("request:sent")
-@frozen
 class RequestSent(LogLine):
     """
     The upstream chosen for a whole answer.
@@ -106,7 +100,6 @@
 
 
 @log_line("upstream:answered")
-@frozen
 class UpstreamAnswered(LogLine):
     """
     A whole answer of an upstream.
@@ -124,7 +117,6 @@
 
 
 @log_line("upstream:failed")
-@frozen
 class UpstreamFailed(LogLine):
     """
     An upstream that gave no answer that could be used.
@@ -144,7 +136,6 @@
 
 
 @log_line("upstream:rejected")
-@frozen
 class UpstreamRejected(LogLine):
     """
     An upstream that did not run a request.
@@ -160,7 +151,6 @@
 
 
 @log_line("prompt:read")
-@frozen
 class PromptRead(LogLine):
     """
     A prompt that an engine has read for another.
@@ -182,7 +172,6 @@
 
 
 @log_line("stream:first_event")
-@frozen
 class FirstEvent(LogLine):
     """
     The first event of a generation that was passed on.
@@ -204,7 +193,6 @@
 
 
 @log_line("stream:broken_off")
-@frozen
 class StreamBrokenOff(LogLine):
     """
     A stream that could not go on.
@@ -220,7 +208,6 @@
 
 
 @log_line("request:answered")
-@frozen
 class RequestAnswered(LogLine):
     """
     A request that got an answer of an upstream.
@@ -242,7 +229,6 @@
 
 
 @log_line("request:refused")
-@frozen
 class RequestRefused(LogLine):
     """
     A request that got an answer of the gateway itself.
@@ -265,7 +251,6 @@
 
 
 @log_line("request:caller_gone")
-@frozen
 class CallerGone(LogLine):
     """
     A caller who left before the answer.
@@ -279,7 +264,6 @@
 
 
 @log_line("request:malformed")
-@frozen
 class RequestMalformed(LogLine):
     """
     Bytes of a caller that are no request.
--- a/src/waxwingwinch/gateway/_store.py
+++ b/src/waxwingwinch/gateway/_store.py
@@ -6,7 +6,7 @@
 from attrs import field, frozen
 
 from waxwingwinch._exceptions import WaxwingError
-from waxwingwinch.interfaces import LogPage
+from waxwingwinch._types import LogPage
 
 
 class AppendConflict(WaxwingError):
--- a/src/waxwingwinch/gateway/_telemetry.py
+++ b/src/waxwingwinch/gateway/_telemetry.py
@@ -1,4 +1,4 @@
-"""Counters and times of the gateway, in the text format of Prometheus."""
+"""Counters and times of the gateway."""
 
 import enum
 import threading
@@ -9,23 +9,10 @@
 from itertools import accumulate
 
 from attrs import define, field, frozen
-from prometheus_client import CollectorRegistry, generate_latest
-from prometheus_client.core import (
-    CounterMetricFamily,
-    GaugeMetricFamily,
-    HistogramMetricFamily,
-)
-from prometheus_client.metrics_core import Metric
 
 from waxwingwinch._types import CustomerId, UpstreamId
 from waxwingwinch.gateway._outcomes import RefusalReason
-from waxwingwinch.observability import (
-    LatencyKind,
-    MetricKey,
-    Metrics,
-    RequestResult,
-    prometheus_text,
-)
+from waxwingwinch.observability import LatencyKind, MetricKey, Metrics, RequestResult
 
 #: Upper bounds in seconds of the classes in which calls of the store are
 #: counted; a sound one answers within the first two.
@@ -73,7 +60,7 @@
 
 
 @define
-class _CallTimes:
+class CallTimes:
     """
     Calls of one kind that ended in one way.
 
@@ -102,7 +89,7 @@
 
 
 @define
-class _PromptCounts:
+class PromptCounts:
     """
     Prompts that one engine was given.
 
@@ -114,63 +101,21 @@
     cached: int = 0
 
 
-class _GatewayCollector:
+@frozen
+class GatewayCounts:
     """
-    Hands counters and gauges to the Prometheus library.
+    What is told beside the requests of customers.
 
-    :param counters: Values by name and label.
-    :param gauges: The gauges.
+    :param counters: Counts by name and label.
+    :param gauges: Values at the moment of the reading.
     :param store_calls: Calls of the platform's store by kind and result.
     :param prompts: Prompts by engine.
     """
 
-    def __init__(
-        self,
-        counters: dict[tuple[CounterName, str], int],
-        gauges: Iterable[Gauge],
-        store_calls: dict[tuple[str, StoreCallResult], _CallTimes],
-        prompts: dict[UpstreamId, _PromptCounts],
-    ) -> None:
-        self._counters = counters
-        self._gauges = gauges
-        self._store_calls = store_calls
-        self._prompts = prompts
-
-    def collect(self) -> Iterable[Metric]:
-        """Return the metric families."""
-        for name in CounterName:
-            family = CounterMetricFamily(name.value, name.value, labels=["kind"])
-            for (counted, label), value in self._counters.items():
-                if counted is name:
-                    family.add_metric([label], value)
-            yield family
-        yield self._store_family()
-        yield self._prompt_family()
-        families: dict[str, GaugeMetricFamily] = {}
-        for gauge in self._gauges:
-            names = [label for label, _ in gauge.labels]
-            family_of_gauge = families.setdefault(
-                gauge.name, GaugeMetricFamily(gauge.name, gauge.name, labels=names)
-            )
-            family_of_gauge.add_metric(
-                [value for _, value in gauge.labels], gauge.value
-            )
-        yield from families.values()
-
-    def _store_family(self) -> Metric:
-        name = "waxwing_store_call_seconds"
-        family = HistogramMetricFamily(name, name, labels=["call", "result"])
-        for (call, result), times in self._store_calls.items():
-            family.add_metric([call, result.value], times.buckets(), times.sum_seconds)
-        return family
-
-    def _prompt_family(self) -> Metric:
-        name = "waxwing_engine_prompt_tokens"
-        family = CounterMetricFamily(name, name, labels=["upstream", "kind"])
-        for upstream_id, counts in self._prompts.items():
-            family.add_metric([upstream_id, "read"], counts.read)
-            family.add_metric([upstream_id, "cached"], counts.cached)
-        return family
+    counters: dict[tuple[CounterName, str], int]
+    gauges: tuple[Gauge, ...]
+    store_calls: dict[tuple[str, StoreCallResult], CallTimes]
+    prompts: dict[UpstreamId, PromptCounts]
 
 
 class Telemetry:
@@ -179,8 +124,8 @@
     def __init__(self) -> None:
         self._metrics = Metrics()
         self._counters: dict[tuple[CounterName, str], int] = {}
-        self._store_calls: dict[tuple[str, StoreCallResult], _CallTimes] = {}
-        self._prompts: OrderedDict[UpstreamId, _PromptCounts] = OrderedDict()
+        self._store_calls: dict[tuple[str, StoreCallResult], CallTimes] = {}
+        self._prompts: OrderedDict[UpstreamId, PromptCounts] = OrderedDict()
         self._lock = threading.Lock()
 
     def count(self, name: CounterName, label: str) -> None:
@@ -204,7 +149,7 @@
         :param took_seconds: Time that it took.
         """
         with self._lock:
-            times = self._store_calls.setdefault((call, result), _CallTimes())
+            times = self._store_calls.setdefault((call, result), CallTimes())
             times.add(took_seconds)
 
     def prompt_given(self, upstream_id: UpstreamId, read: int, cached: int) -> None:
@@ -216,7 +161,7 @@
         :param cached: Tokens that it is believed to hold.
         """
         with self._lock:
-            counts = self._prompts.setdefault(upstream_id, _PromptCounts())
+            counts = self._prompts.setdefault(upstream_id, PromptCounts())
             self._prompts.move_to_end(upstream_id)
             counts.read += read
             counts.cached += cached
@@ -271,13 +216,14 @@
 
         :param gauges: Values at this moment.
         """
+        # Few processes are ever asked, and the library takes long to load.
+        from waxwingwinch.gateway._metrics_text import metrics_text
+
         with self._lock:
-            collector = _GatewayCollector(
+            counts = GatewayCounts(
                 dict(self._counters),
-                gauges,
+                tuple(gauges),
                 deepcopy(self._store_calls),
                 deepcopy(dict(self._prompts)),
             )
-        registry = CollectorRegistry(auto_describe=False)
-        registry.register(collector)  # type: ignore[arg-type]
-        return prometheus_text(self._metrics.snapshot()) + generate_latest(registry)
+        return metrics_text(self._metrics.snapshot(), counts)
--- a/src/waxwingwinch/gateway/_thread_pool.py
+++ b/src/waxwingwinch/gateway/_thread_pool.py
@@ -106,7 +106,7 @@
             return IDLE_THREAD_SECONDS if self._size > self.min else None
 
     def _may_end(self) -> bool:
-        """Count a thread that found no work out, if there are enough others."""
+        """Count a thread without work out, if there are enough others."""
         with self._lock:
             may_end = self._spare > 0 and self._size > self.min
             if may_end:
--- a/src/waxwingwinch/gateway/_watcher.py
+++ b/src/waxwingwinch/gateway/_watcher.py
@@ -5,8 +5,8 @@
 
 from attrs import frozen
 
-from waxwingwinch.adapters import is_gone
 from waxwingwinch.gateway._connections import Cancellation, CancelReason
+from waxwingwinch.http import is_gone
 
 #: How often the callers' connections are looked at. Work for a caller that
 #: has left has to end within half a second.
--- a/src/waxwingwinch/gateway/tests/fakes.py
+++ b/src/waxwingwinch/gateway/tests/fakes.py
@@ -6,8 +6,8 @@
 from attrs import define, field
 
 from waxwingwinch._exceptions import PlatformUnavailable, RecordsExpired
+from waxwingwinch._types import LogPage, LogRecord
 from waxwingwinch.gateway._store import AppendConflict, KeyedRecord, KeyedSnapshot
-from waxwingwinch.interfaces import LogPage, LogRecord
 
 
 @define
--- a/src/waxwingwinch/gateway/tests/relay_world.py
+++ b/src/waxwingwinch/gateway/tests/relay_world.py
@@ -6,7 +6,6 @@
 from attrs import define, evolve, field
 
 from waxwingwinch._types import Address, CustomerId, EngineRole, UpstreamId, ZoneName
-from waxwingwinch.adapters import AnswerMissing, NotSent
 from waxwingwinch.gateway._connections import CancelReason
 from waxwingwinch.gateway._handler import RequestHandler
 from waxwingwinch.gateway._job import RelayTools
@@ -43,6 +42,7 @@
 from waxwingwinch.gateway._usage_counts import UsageCounts
 from waxwingwinch.gateway._watcher import CallerWatcher
 from waxwingwinch.gateway.tests.fakes import FakeClock
+from waxwingwinch.http import AnswerMissing, NotSent
 
 ZONE = ZoneName("north")
 ALICE = CustomerRules(CustomerId("alice"), frozenset({"key-a"}))
--- a/src/waxwingwinch/interfaces/__init__.py
+++ b/src/waxwingwinch/interfaces/__init__.py
@@ -28,7 +28,7 @@
     InstanceState,
     ListedInstance,
 )
-from waxwingwinch.interfaces._log import LogPage, LogRecord, PlatformLog
+from waxwingwinch.interfaces._log import PlatformLog
 from waxwingwinch.interfaces._plain_service import (
     PlainAnswer,
     PlainCall,
@@ -65,8 +65,6 @@
     "LoadAdapter",
     "LoadModel",
     "LoadReport",
-    "LogPage",
-    "LogRecord",
     "MarketOrder",
     "OrderAction",
     "OrderResult",
--- a/src/waxwingwinch/observability/__init__.py
+++ b/src/waxwingwinch/observability/__init__.py
@@ -11,13 +11,6 @@
     RequestResult,
     merge_snapshots,
 )
-from waxwingwinch.observability._prometheus import prometheus_text
-from waxwingwinch.observability._reasons import (
-    ExplainHandler,
-    ExplainReply,
-    ExplainRequest,
-    MemoryDecisionLog,
-)
 from waxwingwinch.observability._traces import (
     LoggedLine,
     RequestTrace,
@@ -26,10 +19,6 @@
 )
 
 __all__ = [
-    "ExplainHandler",
-    "ExplainReply",
-    "ExplainRequest",
-    "MemoryDecisionLog",
     "CountMetric",
     "LatencyKind",
     "LatencyMetric",
@@ -41,7 +30,6 @@
     "RequestResult",
     "RequestTrace",
     "merge_snapshots",
-    "prometheus_text",
     "read_log",
     "set_up_logs",
     "trace_request",
--- a/src/waxwingwinch/observability/tests/test_metrics_and_logs.py
+++ b/src/waxwingwinch/observability/tests/test_metrics_and_logs.py
@@ -8,6 +8,7 @@
 
 from waxwingwinch._types import CustomerId
 from waxwingwinch.codec import decode_message, encode_message
+from waxwingwinch.exposition import prometheus_text
 from waxwingwinch.observability import (
     LatencyKind,
     MetricKey,
@@ -15,7 +16,6 @@
     MetricsSnapshot,
     RequestResult,
     merge_snapshots,
-    prometheus_text,
     set_up_logs,
 )
 
--- a/src/waxwingwinch/observability/tests/test_reasons.py
+++ b/src/waxwingwinch/observability/tests/test_reasons.py
@@ -1,7 +1,7 @@
 """Tests of the decision log."""
 
 from waxwingwinch.contracts import DecisionKind, Reason
-from waxwingwinch.observability import MemoryDecisionLog
+from waxwingwinch.reasons import MemoryDecisionLog
 
 
 def test_finds_subject_and_related_and_drops_the_oldest():
--- a/src/waxwingwinch/operators/_config_commands.py
+++ b/src/waxwingwinch/operators/_config_commands.py
@@ -15,6 +15,7 @@
     apply_changes,
     wrap_change,
 )
+from waxwingwinch.findings import SettingFinding, SettingsInvalid
 from waxwingwinch.operators._publishing import fetch_configuration, publish
 from waxwingwinch.operators._session import (
     ExitCode,
@@ -30,12 +31,7 @@
     session_of,
 )
 from waxwingwinch.operators_api import HistoryView, diff_configurations
-from waxwingwinch.settings import (
-    SettingFinding,
-    SettingsInvalid,
-    load_configuration,
-    write_configuration,
-)
+from waxwingwinch.settings import load_configuration, write_configuration
 
 FileArgument = Annotated[
     Path, typer.Argument(help="A configuration file.", show_default=False)
--- a/src/waxwingwinch/platform/_main.py
+++ b/src/waxwingwinch/platform/_main.py
@@ -5,6 +5,7 @@
 import sys
 from pathlib import Path
 
+from waxwingwinch.findings import SettingsInvalid, format_findings
 from waxwingwinch.gateway import GatewayProcess, LogWriter
 from waxwingwinch.kernel import SteadyWallClock, SystemClock
 from waxwingwinch.observability import set_up_logs
@@ -15,7 +16,6 @@
     load_instance_settings,
     settings_path,
 )
-from waxwingwinch.settings import SettingsInvalid, format_findings
 
 #: Log lines of one kind in a second. With about thirty kinds, of which few
 #: come often, an instance writes at most some 100 KB a second.
--- a/src/waxwingwinch/platform/_reload.py
+++ b/src/waxwingwinch/platform/_reload.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from pathlib import Path
 
+from waxwingwinch.findings import SettingsInvalid, format_findings
 from waxwingwinch.gateway import (
     SettingsRejected,
     SettingsReloaded,
@@ -11,7 +12,6 @@
     SettingsUnreadable,
 )
 from waxwingwinch.platform._settings import InstanceSettings, parse_instance_settings
-from waxwingwinch.settings import SettingsInvalid, format_findings
 
 #: Interval at which the file is looked at; it may change without a signal.
 LOOK_SECONDS = 1.0
--- a/src/waxwingwinch/platform/_settings.py
+++ b/src/waxwingwinch/platform/_settings.py
@@ -8,8 +8,8 @@
 from attrs import field, frozen
 
 from waxwingwinch._types import Address, InstanceId, ZoneName
+from waxwingwinch.findings import SettingFinding, SettingsInvalid
 from waxwingwinch.gateway import GatewayOptions
-from waxwingwinch.settings import SettingFinding, SettingsInvalid
 
 #: Variable that names the settings file.
 SETTINGS_VARIABLE = "WAXWINGWINCH_CONFIG"
--- a/src/waxwingwinch/platform/_steward_calls.py
+++ b/src/waxwingwinch/platform/_steward_calls.py
@@ -4,7 +4,8 @@
 
 from waxwingwinch._exceptions import PlatformRefused, PlatformUnavailable
 from waxwingwinch._types import Address, CustomerId, EngineRole, InstanceId
-from waxwingwinch.adapters import (
+from waxwingwinch.gateway import StaleFence, Upstream, UpstreamCount
+from waxwingwinch.http import (
     ORDER_SOCKET_OPTIONS,
     AnswerMissing,
     HttpReply,
@@ -12,7 +13,6 @@
     NotSent,
     exchange,
 )
-from waxwingwinch.gateway import StaleFence, Upstream, UpstreamCount
 from waxwingwinch.platform._headers import (
     DUTY_HOLDER,
     EXPECT_INSTANCE,
--- a/src/waxwingwinch/platform/_store.py
+++ b/src/waxwingwinch/platform/_store.py
@@ -15,16 +15,9 @@
     PlatformUnavailable,
     RecordsExpired,
 )
-from waxwingwinch._types import Address
-from waxwingwinch.adapters import (
-    AnswerMissing,
-    HttpReply,
-    HttpRequest,
-    NotSent,
-    exchange,
-)
+from waxwingwinch._types import Address, LogPage, LogRecord
 from waxwingwinch.gateway import AppendConflict, KeyedRecord, KeyedSnapshot
-from waxwingwinch.interfaces import LogPage, LogRecord
+from waxwingwinch.http import AnswerMissing, HttpReply, HttpRequest, NotSent, exchange
 
 #: Longest wait for the answer to a call, besides the time for which the
 #: store may hold it. The store answers within a few milliseconds in calm
--- a/src/waxwingwinch/platform/_transport.py
+++ b/src/waxwingwinch/platform/_transport.py
@@ -5,7 +5,6 @@
 
 from urllib3 import HTTPResponse
 
-from waxwingwinch.adapters import AnswerMissing, HttpRequest, NotSent, exchange
 from waxwingwinch.gateway import (
     AnswerHead,
     Cancellation,
@@ -21,6 +20,7 @@
     UpstreamCall,
     UpstreamConnection,
 )
+from waxwingwinch.http import AnswerMissing, HttpRequest, NotSent, exchange
 from waxwingwinch.kernel import Clock
 from waxwingwinch.platform._headers import (
     DEADLINE_MS,
--- a/src/waxwingwinch/platform/tests/test_settings.py
+++ b/src/waxwingwinch/platform/tests/test_settings.py
@@ -5,12 +5,12 @@
 import pytest
 
 from waxwingwinch._types import Address
+from waxwingwinch.findings import SettingsInvalid, format_findings
 from waxwingwinch.platform._reload import SettingsReloader
 from waxwingwinch.platform._settings import (
     InstanceSettings,
     parse_instance_settings,
 )
-from waxwingwinch.settings import SettingsInvalid, format_findings
 
 FILE = Path("boot.conf")
 GOOD = """
--- a/src/waxwingwinch/settings/__init__.py
+++ b/src/waxwingwinch/settings/__init__.py
@@ -10,11 +10,6 @@
     RouteDocument,
     load_configuration,
 )
-from waxwingwinch.settings._findings import (
-    SettingFinding,
-    SettingsInvalid,
-    format_findings,
-)
 from waxwingwinch.settings._loader import load_settings
 from waxwingwinch.settings._policies import (
     BuyingPolicyKind,
@@ -46,10 +41,7 @@
     "RolePolicyKind",
     "RouteDocument",
     "RoutingPolicyKind",
-    "SettingFinding",
-    "SettingsInvalid",
     "distinct",
-    "format_findings",
     "ip_address",
     "load_configuration",
     "load_settings",
--- a/src/waxwingwinch/settings/_document.py
+++ b/src/waxwingwinch/settings/_document.py
@@ -20,7 +20,7 @@
     digest_key,
     validate_configuration,
 )
-from waxwingwinch.settings._findings import SettingFinding, SettingsInvalid
+from waxwingwinch.findings import SettingFinding, SettingsInvalid
 from waxwingwinch.settings._loader import load_settings
 from waxwingwinch.settings._locate import locate_node
 from waxwingwinch.settings._nodes import place_of, read_root
--- a/src/waxwingwinch/settings/_loader.py
+++ b/src/waxwingwinch/settings/_loader.py
@@ -3,7 +3,7 @@
 from pathlib import Path
 from typing import TypeVar, cast
 
-from waxwingwinch.settings._findings import SettingsInvalid
+from waxwingwinch.findings import SettingsInvalid
 from waxwingwinch.settings._nodes import read_root
 from waxwingwinch.settings._structure import InvalidValue, Structurer
 
--- a/src/waxwingwinch/settings/_nodes.py
+++ b/src/waxwingwinch/settings/_nodes.py
@@ -7,7 +7,7 @@
 from ruamel.yaml.error import MarkedYAMLError, YAMLError
 from ruamel.yaml.nodes import MappingNode, Node, SequenceNode
 
-from waxwingwinch.settings._findings import Place, SettingFinding, SettingsInvalid
+from waxwingwinch.findings import Place, SettingFinding, SettingsInvalid
 
 
 def read_root(path: Path) -> Node:
--- a/src/waxwingwinch/settings/_structure.py
+++ b/src/waxwingwinch/settings/_structure.py
@@ -11,8 +11,8 @@
 from ruamel.yaml.nodes import MappingNode, Node, SequenceNode
 
 from waxwingwinch._types import Address
+from waxwingwinch.findings import SettingFinding
 from waxwingwinch.settings._converter import make_strict_converter
-from waxwingwinch.settings._findings import SettingFinding
 from waxwingwinch.settings._nodes import kind_of, place_of, plain_value
 
 
--- a/src/waxwingwinch/settings/tests/test_settings.py
+++ b/src/waxwingwinch/settings/tests/test_settings.py
@@ -6,11 +6,10 @@
 import pytest
 
 from waxwingwinch._types import Address
+from waxwingwinch.findings import SettingsInvalid, format_findings
 from waxwingwinch.settings import (
     ControlSettings,
     EntrySettings,
-    SettingsInvalid,
-    format_findings,
     load_configuration,
     load_settings,
     write_configuration,
--- a/src/waxwingwinch/streams/_follower.py
+++ b/src/waxwingwinch/streams/_follower.py
@@ -13,7 +13,8 @@
     PlatformUnavailable,
     RecordsExpired,
 )
-from waxwingwinch.interfaces import LogPage, LogRecord, PlatformLog
+from waxwingwinch._types import LogPage, LogRecord
+from waxwingwinch.interfaces import PlatformLog
 from waxwingwinch.kernel import Clock, Health
 from waxwingwinch.streams._envelope import Deduplicator, open_envelope
 from waxwingwinch.streams._writer import RecordId
