--- a/src/waxwingwinch/gateway/_belief_lines.py
+++ b/src/waxwingwinch/gateway/_belief_lines.py
@@ -141,13 +141,33 @@
     :param zone: Availability zone of the cell.
     :param number: Tells the cells of a zone apart.
     :param address: Where the instance listens for others.
-    :param instances: Instances that it tells of.
     """
 
     zone: str
     number: int
     address: str
-    instances: int
+
+
+@log_line("cell:collecting")
+class CollectingBegan(LogLine):
+    """
+    This instance collects for its cell.
+
+    :param cell: The cell.
+    """
+
+    cell: str
+
+
+@log_line("cell:collecting_ended")
+class CollectingEnded(LogLine):
+    """
+    This instance no longer collects for its cell.
+
+    :param cell: The cell.
+    """
+
+    cell: str
 
 
 @log_line("limits:shared")
--- a/src/waxwingwinch/gateway/_cells.py
+++ b/src/waxwingwinch/gateway/_cells.py
@@ -1,11 +1,11 @@
-"""Which instances report to one another, and which are read through others."""
+"""Which instances hear of one another directly, and which through others."""
 
 import math
 from collections.abc import Iterable
 
 from attrs import frozen
 
-from waxwingwinch._types import ZoneName
+from waxwingwinch._types import InstanceId, ZoneName
 from waxwingwinch.gateway._members import Member
 from waxwingwinch.gateway._routes import stable_hash
 from waxwingwinch.gateway._silence import has_cells
@@ -17,7 +17,7 @@
 @frozen
 class Cell:
     """
-    Instances of one availability zone that report to one another.
+    Instances of one availability zone that hear of the others through one.
 
     :param zone: The zone.
     :param number: Tells the cells of a zone apart.
@@ -26,18 +26,28 @@
     zone: ZoneName
     number: int
 
+    def __str__(self) -> str:
+        return f"{self.zone}/{self.number}"
+
 
 @frozen
 class LinkPlan:
     """
     How an instance hears of the others.
 
-    :param neighbours: Those it exchanges reports with.
-    :param cells: The others by cell, each in the order in which they are
-        asked what their cell has under way.
+    :param neighbours: Those it exchanges reports with, if all do with all.
+    :param own_cell: Its cell; None if there are no cells.
+    :param cell_ids: The instances of its cell, itself included.
+    :param superiors: Those of its cell that collect in its place, the first
+        before the others.
+    :param cells: The instances of the other cells, in the order in which
+        they collect.
     """
 
     neighbours: frozenset[Member]
+    own_cell: Cell | None
+    cell_ids: frozenset[InstanceId]
+    superiors: tuple[Member, ...]
     cells: dict[Cell, tuple[Member, ...]]
 
 
@@ -45,30 +55,30 @@
     """
     Plan the links of an instance.
 
-    Links grow with the square root of the number of instances. Instances
-    that know different ones plan different cells for a while; what one hears
-    through a cell is then heard twice or from another.
+    The links of one that collects grow with the square root of the number of
+    instances; all others have one. Instances that know different ones plan
+    different cells for a while, and then hear of one another in two ways.
 
     :param own: The instance.
     :param others: All other instances.
     """
     others = frozenset(others)
     if not has_cells(len(others) + 1):
-        return LinkPlan(others, {})
+        return LinkPlan(others, None, frozenset(), (), {})
     size = max(CELL_MIN, math.ceil(math.sqrt(len(others) + 1)))
     counts = _count_cells([own, *others], size)
-    own_cell = _cell_of(own, counts)
-    neighbours: set[Member] = set()
     cells: dict[Cell, list[Member]] = {}
-    for member in others:
-        cell = _cell_of(member, counts)
-        if cell == own_cell:
-            neighbours.add(member)
-        else:
-            cells.setdefault(cell, []).append(member)
+    for member in (own, *others):
+        cells.setdefault(_cell_of(member, counts), []).append(member)
+    ranked = {cell: _ranked(cell, members) for cell, members in cells.items()}
+    own_cell = _cell_of(own, counts)
+    beside = ranked.pop(own_cell)
     return LinkPlan(
-        frozenset(neighbours),
-        {cell: _in_asking_order(own, members) for cell, members in cells.items()},
+        frozenset(),
+        own_cell,
+        frozenset(member.instance_id for member in beside),
+        beside[: beside.index(own)],
+        ranked,
     )
 
 
@@ -88,11 +98,8 @@
     return Cell(member.zone, number)
 
 
-def _in_asking_order(own: Member, members: Iterable[Member]) -> tuple[Member, ...]:
-    """Return instances in an order that spreads the askers over them."""
+def _ranked(cell: Cell, members: Iterable[Member]) -> tuple[Member, ...]:
+    """Return the instances of a cell in an order that all agree on."""
     return tuple(
-        sorted(
-            members,
-            key=lambda one: stable_hash(f"{own.instance_id}/{one.instance_id}"),
-        )
+        sorted(members, key=lambda one: stable_hash(f"{cell}/{one.instance_id}"))
     )
--- a/src/waxwingwinch/gateway/_gossip.py
+++ b/src/waxwingwinch/gateway/_gossip.py
@@ -1,25 +1,25 @@
 """Telling the other instances what this one does, and hearing of them."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from attrs import frozen
 
 from waxwingwinch._exceptions import MalformedMessage, PeerUnavailable
 from waxwingwinch._types import InstanceId, UpstreamId
 from waxwingwinch.gateway._belief_lines import ConfigurationUnanswered
-from waxwingwinch.gateway._cell_reader import CellReader
-from waxwingwinch.gateway._cells import Cell, plan_links
-from waxwingwinch.gateway._digest_packing import pack_digest
-from waxwingwinch.gateway._digests import DigestBook
+from waxwingwinch.gateway._cells import plan_links
+from waxwingwinch.gateway._collecting import Collecting, HearingHandlers
 from waxwingwinch.gateway._members import Member, MemberDirectory
+from waxwingwinch.gateway._report_book import Heard, ReportBook, Taken
 from waxwingwinch.gateway._report_messages import (
+    ChangeSet,
     ConfigurationReply,
     ConfigurationRequest,
-    Digest,
-    DigestRequest,
+    ExchangeReply,
+    ExchangeRequest,
     InstanceReport,
-    PackedDigest,
+    RelayedReport,
     WorkBegan,
 )
 from waxwingwinch.gateway._report_sender import Broadcast, PeerSender
@@ -30,11 +30,13 @@
 #: Interval of the reports. What an instance believes of another's work is
 #: at most this old, plus the way.
 REPORT_SECONDS = 0.2
-#: The same in cells, where the reports of some tens of instances pass through
-#: each; work in other cells is known half as well in any case.
-CELL_REPORT_SECONDS = 0.4
-#: Interval at which the links are compared with the members; a start shares
-#: limits with the others only once it hears them.
+#: The same with cells, where it is told at the exchanges.
+CELL_REPORT_SECONDS = 0.3
+#: Part of the interval for which an own report is passed on before a new one
+#: is made for somebody who asks.
+OWN_REPORT_SHARE = 0.5
+#: Pause from a change of the instances until the links follow, so that many
+#: that start together are followed at once.
 RECONCILE_SECONDS = 0.1
 #: Longest wait for a peer's configuration.
 ASK_SECONDS = 1.0
@@ -47,17 +49,21 @@
 
     :param make_report: Makes a whole report of the process.
     :param apply_report: Takes in a report and the monotonic time at which it
-        was made; returns True if its sender has a newer configuration.
+        was made.
+    :param still_there: Takes in that instances have nothing new to tell.
     :param work_began: Takes in work that a peer begins: the peer, the engine,
         and the prompt tokens that it has to read.
+    :param configuration_version: Returns the version in force.
     :param current_configuration: Returns the newest configuration as the
         store holds it.
     :param put_configuration: Takes in a configuration in the same form.
     """
 
     make_report: Callable[[], InstanceReport]
-    apply_report: Callable[[InstanceReport, float], bool]
+    apply_report: Callable[[InstanceReport, float], None]
+    still_there: Callable[[Iterable[Heard]], None]
     work_began: Callable[[str, UpstreamId, int], None]
+    configuration_version: Callable[[], int]
     current_configuration: Callable[[], bytes]
     put_configuration: Callable[[bytes], None]
 
@@ -65,7 +71,7 @@
 @frozen(eq=False)
 class _Neighbour:
     """
-    An instance of the own cell.
+    An instance that reports are sent to.
 
     :param link: The link to it.
     :param sender: Sends it reports.
@@ -75,22 +81,9 @@
     sender: PeerSender
 
 
-@frozen
-class _LastPlacement:
-    """
-    The last placement that is known of an instance.
-
-    :param incarnation: Start of the instance.
-    :param sequence: Sequence of the placement.
-    """
-
-    incarnation: str
-    sequence: int
-
-
 class Gossip:
     """
-    Exchanges reports with the neighbours and reads those of other cells.
+    Exchanges reports with all instances, through cells if there are many.
 
     All but the start and the announcements happens in the hub's thread.
 
@@ -112,19 +105,22 @@
         self._members = members
         self._handlers = handlers
         self._clock = clock
-        self._planned_changes = 0
+        self._has_cells = False
         self._report_seconds = REPORT_SECONDS
+        self._reported_seconds: float | None = None
+        self._is_reconciling = False
         self._broadcast = Broadcast()
         self._neighbours: dict[Member, _Neighbour] = {}
-        self._cells: dict[Cell, CellReader] = {}
-        self._book = DigestBook()
-        self._placements: dict[InstanceId, _LastPlacement] = {}
         self._fetching_from: set[InstanceId] = set()
+        own_id = members.own.instance_id
+        self._book = ReportBook(own_id)
         self._hub = PeerHub(members.own.peer_address, identity, [secret])
+        hearing = HearingHandlers(self._taken, self._check_version, self._refresh_own)
+        self._collecting = Collecting(self._hub, own_id, self._book, hearing, clock)
         self._hub.handle(InstanceReport, self._report_heard)
         self._hub.handle(WorkBegan, self._work_heard)
         self._hub.handle(ConfigurationRequest, self._configuration_asked)
-        self._hub.handle(DigestRequest, self._digest_asked)
+        self._hub.handle(ExchangeRequest, self._exchange_asked)
 
     def start(self) -> None:
         """
@@ -133,57 +129,80 @@
         :raises OSError: If the address for peers can't be listened at.
         """
         self._hub.start()
+        self._members.on_change = lambda: self._hub.call(self._members_changed)
         self._hub.call(self._begin)
 
     def stop(self) -> None:
         """Close all links."""
+        self._members.on_change = lambda: None
         self._hub.stop()
 
     def announce(self, upstream_id: UpstreamId, waiting_tokens: int) -> None:
         """
         Tell the neighbours at once of work that begins here.
 
-        May be called in any thread.
+        May be called in any thread. With cells it is left to the reports: most
+        of the work is that of instances in other cells in any case.
 
         :param upstream_id: The engine.
         :param waiting_tokens: Prompt tokens that it has to read.
         """
+        if self._has_cells:
+            return
         own_id = self._members.own.instance_id
         began = WorkBegan(own_id, upstream_id, waiting_tokens)
         self._hub.call(self._announce, began)
 
     def _begin(self) -> None:
+        self._reconcile()
         self._hub.spawn(self._run())
 
     def _announce(self, began: WorkBegan) -> None:
         self._broadcast.announce(began, self._senders())
 
     async def _run(self) -> None:
-        due_seconds = self._clock.now_seconds()
         while True:
-            self._reconcile()
-            now_seconds = self._clock.now_seconds()
-            if now_seconds >= due_seconds:
-                due_seconds = now_seconds + self._report_seconds
-                self._report(now_seconds)
-            await asyncio.sleep(RECONCILE_SECONDS)
+            started_seconds = self._clock.now_seconds()
+            self._report(started_seconds)
+            if self._has_cells:
+                self._collecting.check()
+            took_seconds = self._clock.now_seconds() - started_seconds
+            await asyncio.sleep(max(self._report_seconds - took_seconds, 0.0))
 
     def _report(self, now_seconds: float) -> None:
         whole = self._handlers.make_report()
+        self._reported_seconds = now_seconds
         self._book.put_own(whole, now_seconds)
-        self._broadcast.report(whole, self._senders())
+        if self._neighbours:
+            self._broadcast.report(whole, self._senders())
+
+    def _refresh_own(self) -> None:
+        """Have the book hold an own report that is young enough to be told."""
+        now_seconds = self._clock.now_seconds()
+        last_seconds = self._reported_seconds
+        shortest_seconds = OWN_REPORT_SHARE * self._report_seconds
+        if last_seconds is None or now_seconds - last_seconds >= shortest_seconds:
+            self._reported_seconds = now_seconds
+            self._book.put_own(self._handlers.make_report(), now_seconds)
 
     def _senders(self) -> list[PeerSender]:
         return [neighbour.sender for neighbour in self._neighbours.values()]
 
+    def _members_changed(self) -> None:
+        if not self._is_reconciling:
+            self._is_reconciling = True
+            self._hub.spawn(self._reconcile_soon())
+
+    async def _reconcile_soon(self) -> None:
+        await asyncio.sleep(RECONCILE_SECONDS)
+        self._reconcile()
+
     def _reconcile(self) -> None:
-        changes = self._members.changes
-        if changes == self._planned_changes:
-            return
-        self._planned_changes = changes
+        self._is_reconciling = False
         others = self._members.others()
+        self._has_cells = has_cells(len(others) + 1)
         self._report_seconds = (
-            CELL_REPORT_SECONDS if has_cells(len(others) + 1) else REPORT_SECONDS
+            CELL_REPORT_SECONDS if self._has_cells else REPORT_SECONDS
         )
         plan = plan_links(self._members.own, others)
         for member in self._neighbours.keys() - plan.neighbours:
@@ -191,34 +210,14 @@
         for member in plan.neighbours - self._neighbours.keys():
             link = self._hub.dial(member.peer_address)
             self._neighbours[member] = _Neighbour(link, PeerSender(link))
-        for cell in self._cells.keys() - plan.cells.keys():
-            self._cells.pop(cell).stop()
-        for cell, members in plan.cells.items():
-            self._read_cell(cell, members)
-
-    def _read_cell(self, cell: Cell, members: tuple[Member, ...]) -> None:
-        known = self._cells.get(cell)
-        if known is not None:
-            known.follow(members)
-            return
-        reader = CellReader(
-            self._hub,
-            cell,
-            members,
-            self._known_placements,
-            self._digest_heard,
-            self._clock,
-        )
-        reader.start()
-        self._cells[cell] = reader
+        self._collecting.follow(plan)
 
     def _report_heard(self, _: PeerIdentity, report: InstanceReport) -> None:
         now_seconds = self._clock.now_seconds()
-        self._book.heard(report, now_seconds)
-        if self._take(report, now_seconds):
-            for member, neighbour in self._neighbours.items():
-                if member.instance_id == report.instance_id:
-                    self._fetch_configuration(member, neighbour.link)
+        changes = ChangeSet(False, (RelayedReport(0.0, report),))
+        self._book.take(f"reports {report.instance_id}", changes, now_seconds)
+        self._handlers.apply_report(report, now_seconds)
+        self._check_version(report.instance_id, None)
 
     def _work_heard(self, _: PeerIdentity, began: WorkBegan) -> None:
         self._handlers.work_began(
@@ -230,43 +229,49 @@
     ) -> ConfigurationReply:
         return ConfigurationReply(self._handlers.current_configuration())
 
-    def _digest_asked(self, peer: PeerIdentity, request: DigestRequest) -> PackedDigest:
-        now_seconds = self._clock.now_seconds()
-        return pack_digest(self._book.digest(peer.instance_id, request, now_seconds))
+    def _exchange_asked(
+        self, peer: PeerIdentity, request: ExchangeRequest
+    ) -> ExchangeReply:
+        return self._collecting.answer(peer.instance_id, request)
+
+    def _taken(self, taken: Taken) -> None:
+        for heard in taken.changed:
+            self._handlers.apply_report(heard.whole, heard.made_seconds)
+        self._handlers.still_there(taken.unchanged)
+
+    def _check_version(self, instance_id: InstanceId, link: HubLink | None) -> None:
+        """Fetch the configuration of an instance that has a newer one."""
+        report = self._book.told_by(instance_id)
+        version = self._handlers.configuration_version()
+        if report is None or report.configuration_version <= version:
+            return
+        if instance_id not in self._fetching_from:
+            self._fetching_from.add(instance_id)
+            self._hub.spawn(self._fetch_configuration(instance_id, link))
 
-    def _digest_heard(self, digest: Digest, member: Member, link: HubLink) -> None:
-        now_seconds = self._clock.now_seconds()
-        for relayed in digest.reports:
-            report = relayed.report
-            if report.instance_id == self._members.own.instance_id:
-                continue
-            is_newer = self._take(report, now_seconds - relayed.age_seconds)
-            if is_newer and report.instance_id == member.instance_id:
-                self._fetch_configuration(member, link)
-
-    def _take(self, report: InstanceReport, made_seconds: float) -> bool:
-        """Take in a report; tell if its sender has a newer configuration."""
-        if report.placements:
-            self._placements[report.instance_id] = _LastPlacement(
-                report.incarnation, report.placements[-1].sequence
-            )
-        return self._handlers.apply_report(report, made_seconds)
-
-    def _known_placements(self) -> dict[str, int]:
-        return {last.incarnation: last.sequence for last in self._placements.values()}
-
-    def _fetch_configuration(self, member: Member, link: HubLink) -> None:
-        if member.instance_id not in self._fetching_from:
-            self._fetching_from.add(member.instance_id)
-            self._hub.spawn(self._ask_configuration(member, link))
-
-    async def _ask_configuration(self, member: Member, link: HubLink) -> None:
+    async def _fetch_configuration(
+        self, instance_id: InstanceId, link: HubLink | None
+    ) -> None:
         try:
-            reply = await link.request(ConfigurationRequest(), ASK_SECONDS)
+            reply = await self._ask_configuration(instance_id, link)
         except (PeerUnavailable, MalformedMessage) as error:
-            ConfigurationUnanswered(member.instance_id, str(error)).write()
+            ConfigurationUnanswered(instance_id, str(error)).write()
             return
         finally:
-            self._fetching_from.discard(member.instance_id)
+            self._fetching_from.discard(instance_id)
         if isinstance(reply, ConfigurationReply) and reply.payload:
             self._handlers.put_configuration(reply.payload)
+
+    async def _ask_configuration(
+        self, instance_id: InstanceId, link: HubLink | None
+    ) -> object:
+        if link is not None:
+            return await link.request(ConfigurationRequest(), ASK_SECONDS)
+        for member in self._members.others():
+            if member.instance_id == instance_id:
+                dialed = self._hub.dial(member.peer_address)
+                try:
+                    return await dialed.request(ConfigurationRequest(), ASK_SECONDS)
+                finally:
+                    dialed.stop()
+        raise PeerUnavailable("the instance has no record")
--- a/src/waxwingwinch/gateway/_loads.py
+++ b/src/waxwingwinch/gateway/_loads.py
@@ -41,7 +41,7 @@
 NO_LOAD = UpstreamLoad()
 
 
-@frozen
+@define
 class _PeerFigures:
     """
     What one peer has under way.
@@ -142,6 +142,18 @@
             running = {key: load for key, load in loads.items() if load != NO_LOAD}
             self._peers[peer] = _PeerFigures(running, now_seconds)
 
+    def still_there(self, peer: str, now_seconds: float) -> None:
+        """
+        Note that a peer has the same work under way as before.
+
+        :param peer: Name of its process.
+        :param now_seconds: Monotonic time.
+        """
+        with self._lock:
+            known = self._peers.get(peer)
+            if known is not None:
+                known.heard_seconds = now_seconds
+
     def peer_began(self, peer: str, upstream_id: UpstreamId, tokens: int) -> None:
         """
         Add work that a peer has just begun, until its next figures.
--- a/src/waxwingwinch/gateway/_members.py
+++ b/src/waxwingwinch/gateway/_members.py
@@ -1,7 +1,7 @@
 """The instances of the gateway, and which of them callers are sent to."""
 
 import threading
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from attrs import define, frozen
 
@@ -62,8 +62,9 @@
     def __init__(self, own: Member) -> None:
         #: This instance.
         self.own = own
-        #: Number of changes of the records.
-        self.changes = 0
+        #: Called after each change of the records, in the thread of the
+        #: change.
+        self.on_change: Callable[[], None] = lambda: None
         self._members: dict[InstanceId, Member] = {}
         self._presences: dict[InstanceId, _Presence] = {}
         self._heard_incarnations: dict[InstanceId, str] = {}
@@ -76,10 +77,11 @@
         :param member: The record.
         """
         with self._lock:
-            if self._members.get(member.instance_id) != member:
-                self.changes += 1
+            is_known = self._members.get(member.instance_id) == member
             self._members[member.instance_id] = member
             self._heard_incarnations.pop(member.instance_id, None)
+        if not is_known:
+            self.on_change()
 
     def remove(self, instance_id: InstanceId) -> None:
         """
@@ -89,6 +91,7 @@
         """
         with self._lock:
             self._forget(instance_id)
+        self.on_change()
 
     def keep_only(self, instance_ids: frozenset[str]) -> None:
         """
@@ -97,8 +100,11 @@
         :param instance_ids: Those to keep.
         """
         with self._lock:
-            for instance_id in self._members.keys() - instance_ids:
+            dropped = self._members.keys() - instance_ids
+            for instance_id in dropped:
                 self._forget(instance_id)
+        if dropped:
+            self.on_change()
 
     def heard(
         self, instance_id: InstanceId, is_ready: bool, now_seconds: float
@@ -179,7 +185,6 @@
             return max(recent + 1, len(self._members))
 
     def _forget(self, instance_id: str) -> None:
-        self.changes += 1
         self._members.pop(InstanceId(instance_id), None)
         self._presences.pop(InstanceId(instance_id), None)
 
--- a/src/waxwingwinch/gateway/_process.py
+++ b/src/waxwingwinch/gateway/_process.py
@@ -248,7 +248,9 @@
             GossipHandlers(
                 make_report=self._reports.make,
                 apply_report=self._reports.apply,
+                still_there=self._reports.still_there,
                 work_began=self._state.loads.peer_began,
+                configuration_version=lambda: self._state.table.version,
                 current_configuration=lambda: self._state.configuration_payload,
                 put_configuration=self._intake.put_configuration,
             ),
--- a/src/waxwingwinch/gateway/_report_messages.py
+++ b/src/waxwingwinch/gateway/_report_messages.py
@@ -5,6 +5,7 @@
 from waxwingwinch._types import CustomerId, EngineRole, InstanceId, UpstreamId
 from waxwingwinch.codec import message
 from waxwingwinch.gateway._loads import UpstreamLoad
+from waxwingwinch.gateway._outage import PEER_READ_SECONDS
 from waxwingwinch.gateway._requests import PromptPart
 
 
@@ -68,6 +69,7 @@
     :param unreachable: Upstreams that it could not reach lately.
     :param switching: Engines that it ordered to change their stage.
     :param placements: Recent placements of prompts.
+    :param sequence: Grows with each report of a start.
     """
 
     instance_id: InstanceId
@@ -84,6 +86,13 @@
     unreachable: tuple[UpstreamId, ...] = ()
     switching: tuple[StageSwitchReport, ...] = ()
     placements: tuple[PromptPlacement, ...] = ()
+    sequence: int = 0
+
+    @property
+    def has_read_store(self) -> bool:
+        """Tell whether the store served the instance lately."""
+        age_seconds = self.store_age_seconds
+        return age_seconds is not None and age_seconds < PEER_READ_SECONDS
 
     def loads(self) -> dict[UpstreamId, UpstreamLoad]:
         """Return the work by upstream."""
@@ -153,43 +162,65 @@
     report: InstanceReport
 
 
-@message("gateway_digest_request")
+@message("gateway_change_set", is_positional=True)
 @frozen
-class DigestRequest:
+class ChangeSet:
     """
-    Asks an instance of another cell what it and its neighbours have under way.
+    What has changed at some instances since the change set before.
 
-    :param number: Number of the last digest that came; 0 if there is none, so
-        that the next one has to be whole.
-    :param placements: Sequence of the last placement that is known, by start
-        of an instance; only in a request for a whole digest.
+    :param is_whole: True if it stands alone.
+    :param reports: Of those at which something has changed.
+    :param ages_seconds: Time since the last report of the others that were
+        heard lately.
     """
 
-    number: int
-    placements: dict[str, int] = field(factory=dict)
+    is_whole: bool
+    reports: tuple[RelayedReport, ...] = ()
+    ages_seconds: dict[InstanceId, float] = field(factory=dict)
+
+
+@message("gateway_sent_change_set", is_positional=True)
+@frozen
+class SentChangeSet:
+    """
+    A change set on its way.
 
+    :param age_seconds: Time since it was made.
+    :param payload: The change set, compressed.
+    """
+
+    age_seconds: float
+    payload: bytes = field(repr=False)
 
-@message("gateway_digest", is_positional=True)
+
+@message("gateway_exchange_request", is_positional=True)
 @frozen
-class Digest:
+class ExchangeRequest:
     """
-    What an instance and its neighbours have under way.
+    Asks an instance what it has heard, and tells it what was heard here.
 
-    :param number: Tells the digests of the sender apart.
-    :param reports: One of each instance that was heard lately.
+    :param number: Number of the last change set that came; 0 if there is
+        none, so that the next one has to be whole.
+    :param wants_all: False to hear of the cell of the asked one only.
+    :param payload: A change set, compressed; empty if there is none to tell.
     """
 
     number: int
-    reports: tuple[RelayedReport, ...]
+    wants_all: bool
+    payload: bytes = field(default=b"", repr=False)
 
 
-@message("gateway_packed_digest", is_positional=True)
+@message("gateway_exchange_reply", is_positional=True)
 @frozen
-class PackedDigest:
+class ExchangeReply:
     """
-    A digest as it is sent.
+    What an instance has heard since it was asked last.
 
-    :param payload: The compressed message.
+    :param number: Number of the newest change set.
+    :param is_collector: True if it collects for its cell.
+    :param change_sets: In the order in which they were made.
     """
 
-    payload: bytes = field(repr=False)
+    number: int
+    is_collector: bool
+    change_sets: tuple[SentChangeSet, ...]
--- a/src/waxwingwinch/gateway/_reports.py
+++ b/src/waxwingwinch/gateway/_reports.py
@@ -1,6 +1,12 @@
 """Making this instance's reports and taking in those of the others."""
 
+from collections.abc import Iterable
+
+from attrs import frozen
+
+from waxwingwinch._types import InstanceId
 from waxwingwinch.gateway._records import RecordIntake
+from waxwingwinch.gateway._report_book import Heard
 from waxwingwinch.gateway._report_messages import (
     InstanceReport,
     PromptPlacement,
@@ -11,6 +17,28 @@
 from waxwingwinch.kernel import Clock
 
 
+@frozen
+class _LastPlacement:
+    """
+    The last placement that is known of an instance.
+
+    :param incarnation: Start of the instance.
+    :param sequence: Sequence of the placement.
+    """
+
+    incarnation: str
+    sequence: int
+
+    def is_before(self, incarnation: str, placement: PromptPlacement) -> bool:
+        """
+        Tell whether a placement is a later one.
+
+        :param incarnation: Start of the instance that made it.
+        :param placement: The placement.
+        """
+        return incarnation != self.incarnation or placement.sequence > self.sequence
+
+
 class ReportExchange:
     """
     Turns the state into reports, and reports into state.
@@ -32,11 +60,14 @@
         self._steward = steward
         self._intake = intake
         self._clock = clock
+        self._sequence = 0
+        self._placed: dict[InstanceId, _LastPlacement] = {}
 
     def make(self) -> InstanceReport:
         """Build a whole report of this process."""
         state, now_seconds = self._state, self._clock.now_seconds()
         state.budget.set_instances(state.members.sharing_count(now_seconds))
+        self._sequence += 1
         usage = state.usage.windows()
         state.usage_table.heard(state.own.incarnation, usage)
         return InstanceReport(
@@ -52,15 +83,15 @@
             unreachable=state.directory.unreachable(now_seconds),
             switching=self._switching(now_seconds),
             placements=state.placements.recent(),
+            sequence=self._sequence,
         ).with_loads(state.loads.own())
 
-    def apply(self, report: InstanceReport, made_seconds: float) -> bool:
+    def apply(self, report: InstanceReport, made_seconds: float) -> None:
         """
         Take in a report.
 
         :param report: The report.
         :param made_seconds: Monotonic time at which its sender made it.
-        :returns: True if its sender has a newer configuration.
         """
         state = self._state
         state.members.heard(report.instance_id, report.is_ready, made_seconds)
@@ -81,9 +112,31 @@
             state.directory.switch_stage(
                 switch.upstream_id, switch.role, made_seconds + switch.left_seconds
             )
+        known = self._placed.get(report.instance_id)
         for placement in report.placements:
-            self._note_placement(placement)
-        return report.configuration_version > state.table.version
+            if known is None or known.is_before(report.incarnation, placement):
+                self._note_placement(placement)
+        if report.placements:
+            self._placed[report.instance_id] = _LastPlacement(
+                report.incarnation, report.placements[-1].sequence
+            )
+
+    def still_there(self, heard: Iterable[Heard]) -> None:
+        """
+        Take in that instances have nothing new to tell.
+
+        :param heard: What they told before, and when they were heard.
+        """
+        state = self._state
+        for one in heard:
+            report, made_seconds = one.whole, one.made_seconds
+            state.members.heard(report.instance_id, report.is_ready, made_seconds)
+            state.loads.still_there(report.instance_id, made_seconds)
+            state.quotas.heard(report.incarnation, {}, made_seconds)
+            if report.has_read_store:
+                state.outage.peer_read(0.0, made_seconds)
+            if report.held_epoch is not None:
+                self._steward.holder_heard(report.instance_id, made_seconds)
 
     def _switching(self, now_seconds: float) -> tuple[StageSwitchReport, ...]:
         if self._steward.held_epoch() is None:
--- /dev/null
+++ b/src/waxwingwinch/gateway/tests/test_exchange_reader.py
@@ -0,0 +1,150 @@
+"""Tests of asking instances of a cell in turn, without a network."""
+
+import asyncio
+from typing import Any
+
+from attrs import define, field
+
+from waxwingwinch._exceptions import PeerUnavailable
+from waxwingwinch._types import ZoneName
+from waxwingwinch.gateway._cells import Cell
+from waxwingwinch.gateway._exchange_reader import (
+    STAND_IN_SECONDS,
+    ExchangeReader,
+    Verdict,
+)
+from waxwingwinch.gateway._report_messages import ExchangeReply, ExchangeRequest
+from waxwingwinch.gateway.tests.fakes import FakeClock
+from waxwingwinch.gateway.tests.test_cells import make_members
+
+MEMBERS = FIRST, SECOND, THIRD = make_members(3)
+EXCHANGES = 40
+
+
+class Ended(Exception):
+    """The exchanges of a test have been made."""
+
+
+@define
+class World:
+    """Instances of a cell, some of which don't serve."""
+
+    down: set[Any] = field(factory=set)
+    verdicts: dict[Any, Verdict] = field(factory=dict)
+    asked: list[Any] = field(factory=list)
+    numbers: list[int] = field(factory=list)
+    clock: FakeClock = field(factory=FakeClock)
+    on_exchange: Any = None
+    reader: Any = None
+
+    def dial(self, address):
+        [member] = [one for one in MEMBERS if one.peer_address == address]
+        return Link(self, member)
+
+    def request(self, number):
+        self.numbers.append(number)
+        return ExchangeRequest(number, False)
+
+    def take(self, reply, member, link):
+        return self.verdicts.get(member, Verdict.GOOD)
+
+    def is_there(self, member):
+        return member not in self.down
+
+    def run(self, monkeypatch, candidates=MEMBERS):
+        """Make some exchanges; return whom they were with."""
+
+        async def sleep(seconds):
+            self.clock.seconds += seconds
+
+        monkeypatch.setattr(asyncio, "sleep", sleep)
+        hub: Any = self
+        self.reader = ExchangeReader(
+            hub, Cell(ZoneName("z0"), 0), candidates, self, self.is_there, self.clock
+        )
+        try:
+            asyncio.run(self.reader._run())
+        except Ended:
+            return self.asked
+
+
+@define
+class Link:
+    """A link to one of the instances."""
+
+    world: World
+    member: Any
+
+    async def request(self, body, timeout_seconds):
+        world = self.world
+        world.asked.append(self.member)
+        if len(world.asked) > EXCHANGES:
+            raise Ended
+        if world.on_exchange is not None:
+            world.on_exchange()
+        world.clock.seconds += 0.01
+        if self.member in world.down:
+            world.clock.seconds += timeout_seconds
+            raise PeerUnavailable("no reply")
+        return ExchangeReply(len(world.asked), True, ())
+
+    def stop(self):
+        """Nothing is open."""
+
+
+def test_the_first_that_serves_is_kept(monkeypatch):
+    world = World(down={FIRST})
+    assert set(world.run(monkeypatch)[1:]) == {SECOND}
+    assert world.numbers[:4] == [0, 0, 2, 3]
+
+
+def test_one_who_hears_of_the_others_through_another_is_left(monkeypatch):
+    """Pattern: the one that collected is back, and another stood in for it."""
+    world = World(verdicts={FIRST: Verdict.COLLECTS_NOT})
+    asked = world.run(monkeypatch)
+    assert asked[:2] == [FIRST, SECOND]
+    assert set(asked[1:]) == {SECOND, FIRST}
+
+
+def test_one_who_hears_few_is_left_after_a_while(monkeypatch):
+    """Pattern: the one that collects is cut off from most of the others."""
+    world = World(verdicts={FIRST: Verdict.FEW_HEARD})
+    asked = world.run(monkeypatch)
+    assert asked[:3] == [FIRST] * 3
+    assert SECOND in asked
+
+
+def test_one_who_stands_in_is_left_once_the_first_is_there_again(monkeypatch):
+    world = World(down={FIRST})
+
+    def heal():
+        if world.clock.seconds > 100.0 + 1.5 * STAND_IN_SECONDS:
+            world.down.clear()
+
+    world.on_exchange = heal
+    asked = world.run(monkeypatch)
+    assert SECOND in asked
+    assert asked[-1] == FIRST
+    before_end = asked[-10:]
+    assert set(before_end) == {FIRST}
+
+
+def test_time_without_a_good_reply_is_known(monkeypatch):
+    """Pattern: nobody of the cell can be reached."""
+    world = World(down={*MEMBERS})
+    world.run(monkeypatch)
+    assert world.reader.served_seconds == 100.0
+    assert set(world.asked) == {*MEMBERS}
+
+
+def test_whom_to_ask_may_change_while_asking(monkeypatch):
+    world = World()
+
+    def change():
+        if len(world.asked) == 5:
+            world.reader.follow((SECOND, THIRD))
+
+    world.on_exchange = change
+    asked = world.run(monkeypatch)
+    assert asked[4] == FIRST
+    assert set(asked[5:]) == {SECOND}
--- /dev/null
+++ b/src/waxwingwinch/gateway/tests/test_report_book.py
@@ -0,0 +1,352 @@
+"""Whoever hears of an instance, and on whatever way, knows what it told."""
+
+import pytest
+from attrs import define, evolve, field
+from hypothesis import given, settings, strategies as st
+
+from waxwingwinch._types import CustomerId, InstanceId, UpstreamId
+from waxwingwinch.gateway._change_log import (
+    CHANGE_SETS_KEPT,
+    CHANGES_SECONDS,
+    FIRST_PLACEMENTS,
+    UNREAD_SECONDS,
+    ChangeLog,
+    ChangeTeller,
+)
+from waxwingwinch.gateway._change_packing import unpack_changes
+from waxwingwinch.gateway._report_book import (
+    RELAYED_MAX_SECONDS,
+    RELAYED_PLACEMENTS,
+    ReportBook,
+    merge_reports,
+)
+from waxwingwinch.gateway._report_messages import InstanceReport, PromptPlacement
+from waxwingwinch.gateway._told import ToldReports
+
+OWN, NEIGHBOUR, READER = (InstanceId(name) for name in ("own", "beside", "reader"))
+E1, E2 = UpstreamId("e1"), UpstreamId("e2")
+ALICE = CustomerId("alice")
+
+
+def make_report(instance_id=NEIGHBOUR, running=None, **changes):
+    running = running or {}
+    report = InstanceReport(
+        instance_id,
+        f"{instance_id}-1",
+        True,
+        True,
+        1,
+        waiting_tokens={key: 100 * count for key, count in running.items()},
+        running=running,
+    )
+    return evolve(report, **changes)
+
+
+@define
+class Instance:
+    """One process: what it has under way, heard, and passes on."""
+
+    name: str
+    now_seconds: float = 100.0
+    sequence: int = 0
+    start: int = 1
+    running: dict[UpstreamId, int] = field(factory=dict)
+    totals: dict[CustomerId, float] = field(factory=dict)
+    book: ReportBook = field(init=False)
+    log: ChangeLog = field(init=False)
+    teller: ChangeTeller = field(factory=ChangeTeller)
+    numbers: dict[str, int] = field(factory=dict)
+
+    def __attrs_post_init__(self):
+        self.begin()
+
+    def begin(self):
+        """Start with nothing known."""
+        self.book = ReportBook(InstanceId(self.name))
+        self.log = ChangeLog(self.book.recent)
+        self.teller = ChangeTeller()
+        self.numbers = {}
+        self.sequence = 0
+
+    def restart(self):
+        self.start += 1
+        self.running, self.totals = {}, {}
+        self.begin()
+
+    def report(self):
+        self.sequence += 1
+        return make_report(
+            InstanceId(self.name),
+            dict(self.running),
+            incarnation=f"{self.name}-{self.start}",
+            quota_totals=dict(self.totals),
+            sequence=self.sequence,
+        )
+
+    def refresh(self, now_seconds):
+        self.book.put_own(self.report(), now_seconds)
+
+    def tell(self, other, now_seconds, is_lost=False):
+        """Report to another, as in a request."""
+        self.refresh(now_seconds)
+        own = [one for one in self.book.recent(now_seconds) if self.is_own(one)]
+        changes = self.teller.tell(own, now_seconds)
+        if is_lost:
+            self.teller = ChangeTeller()
+        else:
+            other.book.take(f"instance {self.name}", changes, now_seconds)
+
+    def ask(self, other, now_seconds, is_lost=False):
+        """Ask another what is new."""
+        other.refresh(now_seconds)
+        number, sent = other.log.since(self.numbers.get(other.name, 0), now_seconds)
+        if is_lost:
+            self.numbers[other.name] = 0
+            return []
+        self.numbers[other.name] = number
+        changes = [unpack_changes(one.payload) for one in sent]
+        for one, packed in zip(changes, sent, strict=True):
+            self.book.take(other.name, one, now_seconds - packed.age_seconds)
+        return changes
+
+    def is_own(self, heard):
+        return heard.whole.instance_id == self.name
+
+    def knows(self, other):
+        told = self.book.told_by(InstanceId(other.name))
+        if told is None or told.incarnation != f"{other.name}-{other.start}":
+            return False
+        return (
+            told.running == other.running
+            and told.quota_totals == other.totals
+            and told.waiting_tokens == {k: 100 * n for k, n in other.running.items()}
+        )
+
+
+STEP_SECONDS = 0.3
+#: What happens in a step: somebody's work changes, reports go one of two
+#: ways, are lost, or a process starts anew.
+events = st.lists(
+    st.one_of(
+        st.tuples(st.just("work"), st.sampled_from([E1, E2]), st.integers(0, 3)),
+        st.tuples(st.just("use"), st.integers(1, 9)),
+        st.tuples(st.just("tell"), st.integers(0, 1), st.booleans()),
+        st.tuples(st.just("ask"), st.integers(0, 1), st.booleans()),
+        st.tuples(st.just("pass"), st.booleans()),
+        st.tuples(st.just("restart"), st.integers(0, 3)),
+        st.tuples(st.just("silence"), st.floats(0.5, 8.0)),
+    ),
+    max_size=40,
+)
+
+
+@define
+class Fleet:
+    """An instance that is heard by a reader through two others."""
+
+    source: Instance = field(factory=lambda: Instance("source"))
+    collectors: tuple[Instance, Instance] = field(
+        factory=lambda: (Instance("first"), Instance("second"))
+    )
+    reader: Instance = field(factory=lambda: Instance("reader"))
+    now_seconds: float = 100.0
+
+    def happen(self, event):
+        self.now_seconds += STEP_SECONDS
+        source, reader = self.source, self.reader
+        match event:
+            case "work", engine, count:
+                source.running.pop(engine, None)
+                if count:
+                    source.running[engine] = count
+            case "use", units:
+                source.totals = {ALICE: source.totals.get(ALICE, 0.0) + units}
+            case "tell", which, is_lost:
+                source.tell(self.collectors[which], self.now_seconds, is_lost)
+            case "ask", which, is_lost:
+                reader.ask(self.collectors[which], self.now_seconds, is_lost)
+            case "pass", is_lost:
+                first, second = self.collectors
+                first.ask(second, self.now_seconds, is_lost)
+            case "restart", which:
+                (source, *self.collectors, reader)[which].restart()
+            case "silence", pause_seconds:
+                self.now_seconds += pause_seconds
+
+    def settle(self):
+        """Have the source heard on one way for a while."""
+        self.source.teller = ChangeTeller()
+        for _ in range(3):
+            self.now_seconds += STEP_SECONDS
+            self.source.tell(self.collectors[0], self.now_seconds)
+            self.reader.ask(self.collectors[0], self.now_seconds + CHANGES_SECONDS)
+
+
+@settings(max_examples=300, deadline=None)
+@given(events)
+def test_reader_knows_the_truth_after_cuts_and_restarts(happened):
+    """Pattern: collectors that are cut off, killed and changed."""
+    fleet = Fleet()
+    for event in happened:
+        fleet.happen(event)
+    fleet.settle()
+    assert fleet.reader.knows(fleet.source)
+
+
+@given(st.lists(st.dictionaries(st.sampled_from([E1, E2]), st.integers(1, 5))))
+def test_reader_knows_what_was_told_in_changes(loads):
+    told, known = ToldReports(), None
+    for running in [{}, *loads]:
+        known = merge_reports(known, told.reduce(make_report(running=running)))
+        assert known.running == running
+        assert known.loads() == make_report(running=running).loads()
+
+
+def read_once(world, now_seconds=100.0):
+    source, collector, reader = world
+    source.tell(collector, now_seconds)
+    return reader.ask(collector, now_seconds)
+
+
+@pytest.fixture
+def world():
+    return Instance("source"), Instance("collector"), Instance("reader")
+
+
+def reports_of(changes, name="source"):
+    return [
+        relayed.report
+        for one in changes
+        for relayed in one.reports
+        if relayed.report.instance_id == name
+    ]
+
+
+def test_only_changes_are_told(world):
+    """Pattern: hundreds of instances, most of which have nothing new."""
+    source = world[0]
+    source.running, source.totals = {E1: 1, E2: 2}, {ALICE: 5.0}
+    (first,) = read_once(world, 100.0)
+    (second,) = read_once(world, 100.4)
+    source.running = {E1: 1, E2: 3}
+    (third,) = read_once(world, 100.8)
+    assert first.is_whole
+    assert reports_of([first])[0].quota_totals == {ALICE: 5.0}
+    assert not second.reports
+    assert set(second.ages_seconds) == {"source", "collector"}
+    (report,) = reports_of([third])
+    assert (report.running, report.quota_totals) == ({E2: 3}, {})
+    assert world[2].knows(source)
+
+
+def test_a_change_set_is_made_once_for_all_readers(world):
+    source, collector, reader = world
+    source.tell(collector, 100.0)
+    readers = [Instance(f"reader-{number}") for number in range(5)]
+    for one in readers:
+        one.ask(collector, 100.0)
+    source.running = {E1: 1}
+    source.tell(collector, 100.4)
+    sent = [collector.log.since(one.numbers["collector"], 100.4) for one in readers]
+    assert len({payload.payload for _, (payload,) in sent}) == 1
+
+
+def test_a_late_reader_gets_what_it_missed_and_a_later_one_gets_all(world):
+    source, collector, reader = world
+    read_once(world)
+    now_seconds = 100.0
+    for number in range(CHANGE_SETS_KEPT + 2):
+        now_seconds += CHANGES_SECONDS
+        source.running = {E1: number + 1}
+        source.tell(collector, now_seconds)
+        collector.log.since(0, now_seconds)
+        if number == 2:
+            missed = reader.ask(collector, now_seconds)
+            assert [one.is_whole for one in missed] == [False] * 3
+    reader.ask(collector, now_seconds)
+    assert reader.knows(source)
+    late = Instance("late")
+    late.numbers["collector"] = collector.log.since(0, now_seconds)[0] - 50
+    (whole,) = late.ask(collector, now_seconds)
+    assert whole.is_whole
+    assert late.knows(source)
+
+
+def test_age_counts_from_the_report(world):
+    source, collector, reader = world
+    source.tell(collector, 100.0)
+    reader.ask(collector, 100.25)
+    ages = {
+        one.whole.instance_id: 100.25 - one.made_seconds
+        for one in reader.book.recent(100.25)
+    }
+    assert ages["source"] == pytest.approx(0.25, abs=0.01)
+
+
+def test_a_silent_instance_is_passed_over_until_it_is_heard_again(world):
+    source, collector, reader = world
+    source.running = {E1: 1}
+    read_once(world, 100.0)
+    silent = reader.ask(collector, 100.0 + RELAYED_MAX_SECONDS)
+    assert "source" not in silent[0].ages_seconds and not reports_of(silent)
+    back = read_once(world, 103.0)
+    assert reports_of(back)[0].is_whole
+    assert reader.knows(source)
+
+
+def test_a_log_that_nobody_read_begins_anew(world):
+    source, collector, reader = world
+    read_once(world, 100.0)
+    source.running = {E2: 1}
+    (changes,) = read_once(world, 100.0 + 2 * UNREAD_SECONDS)
+    assert changes.is_whole
+    assert reader.knows(source)
+
+
+def test_a_new_start_is_told_whole(world):
+    source, _, reader = world
+    source.running = {E1: 1}
+    read_once(world, 100.0)
+    source.restart()
+    read_once(world, 101.0)
+    assert reader.knows(source)
+
+
+def test_a_change_that_is_undone_on_another_way_is_not_missed():
+    """Pattern: the same instance is heard through two collectors in turn."""
+    source, first, second, reader = (
+        Instance(name) for name in ("source", "first", "second", "reader")
+    )
+    source.running = {E1: 1}
+    for collector in (first, second):
+        source.tell(collector, 100.0)
+        source.teller = ChangeTeller()
+        reader.ask(collector, 100.0)
+    source.running = {E1: 2}
+    source.tell(second, 100.3)
+    reader.ask(second, 100.3)
+    source.running = {E1: 1}
+    source.teller = ChangeTeller()
+    for now_seconds in (100.6, 100.9):
+        source.tell(first, now_seconds)
+        reader.ask(first, now_seconds)
+    assert reader.knows(source)
+
+
+def test_one_who_knows_nothing_is_told_few_placements():
+    """Pattern: half of a large fleet starts anew at the same moment."""
+    placements = tuple(
+        PromptPlacement(sequence, E1, ("p",), (100,)) for sequence in range(1, 200)
+    )
+    source, collector, reader = (
+        Instance(name) for name in ("source", "collector", "reader")
+    )
+    report = evolve(make_report(), placements=placements, sequence=1)
+    book = collector.book
+    book.put_own(report, 100.0)
+    source.book.put_own(report, 100.0)
+    changes = ChangeTeller().tell(source.book.recent(100.0), 100.0)
+    told = changes.reports[0].report.placements
+    assert [one.sequence for one in told] == list(range(200 - FIRST_PLACEMENTS, 200))
+    merged = merge_reports(report, evolve(report, is_whole=False))
+    assert len(merged.placements) == RELAYED_PLACEMENTS
