--- a/src/waxwingwinch/gateway/_change_log.py
+++ b/src/waxwingwinch/gateway/_change_log.py
@@ -208,7 +208,7 @@
                 True,
                 tuple(
                     RelayedReport(
-                        newest.made_seconds - heard.made_seconds,
+                        max(newest.made_seconds - heard.made_seconds, 0.0),
                         evolve(
                             heard.whole,
                             placements=heard.whole.placements[-FIRST_PLACEMENTS:],
--- a/src/waxwingwinch/gateway/_collecting.py
+++ b/src/waxwingwinch/gateway/_collecting.py
@@ -10,6 +10,7 @@
 from waxwingwinch.gateway._change_log import ChangeLog, ChangeTeller
 from waxwingwinch.gateway._change_packing import pack_changes, unpack_changes
 from waxwingwinch.gateway._exchange_reader import ExchangeReader, Verdict
+from waxwingwinch.gateway._follower import StoreReading
 from waxwingwinch.gateway._members import Member
 from waxwingwinch.gateway._report_book import Heard, ReportBook, Taken
 from waxwingwinch.gateway._report_messages import (
@@ -17,12 +18,15 @@
     ExchangeReply,
     ExchangeRequest,
 )
+from waxwingwinch.gateway._store_feed import StoreFeed
 from waxwingwinch.kernel import Clock
 from waxwingwinch.peers import HubLink, PeerHub
 
 #: Time without one that collects after which an instance does so itself; two
 #: of the cell may be asked in vain meanwhile.
 UNSERVED_SECONDS = 1.5
+#: Cells whose collectors read the store for all; one may be cut off from it.
+READING_CELLS = 2
 #: Part of the instances that one who collects has to hear. After a fault that
 #: ends most of them at once, those that are left keep to the one they have.
 HEARD_SHARE = 0.25
@@ -67,7 +71,8 @@
 
         :param number: Of the last change set that came; 0 for a new link.
         """
-        return ExchangeRequest(number, wants_all=False)
+        positions = self._collecting.feed.positions()
+        return ExchangeRequest(number, wants_all=False, positions=positions)
 
     def take(self, reply: ExchangeReply, member: Member, link: HubLink) -> Verdict:
         """
@@ -108,7 +113,12 @@
         if not number:
             self._teller = ChangeTeller()
         changes = self._collecting.tell_own(self._teller)
-        return ExchangeRequest(number, wants_all=True, payload=pack_changes(changes))
+        return ExchangeRequest(
+            number,
+            wants_all=True,
+            payload=pack_changes(changes),
+            positions=self._collecting.feed.positions(),
+        )
 
     def take(self, reply: ExchangeReply, member: Member, link: HubLink) -> Verdict:
         """
@@ -135,6 +145,7 @@
     :param hub: Dials instances.
     :param own_id: This instance.
     :param book: What was heard.
+    :param feed: What was read of the store.
     :param handlers: What is done with what is heard.
     :param clock: Source of the present time.
     """
@@ -144,9 +155,12 @@
         hub: PeerHub,
         own_id: InstanceId,
         book: ReportBook,
+        feed: StoreFeed,
         handlers: HearingHandlers,
         clock: Clock,
     ) -> None:
+        #: What was read of the store.
+        self.feed = feed
         self._hub = hub
         self._own_id = own_id
         self._book = book
@@ -184,6 +198,17 @@
             )
         self.check()
 
+    @property
+    def reading(self) -> StoreReading:
+        """Who reads the store; may be asked in any thread."""
+        plan = self._plan
+        if plan is None or plan.own_cell is None:
+            return StoreReading.ALONE
+        first_cells = sorted([plan.own_cell, *plan.cells], key=str)[:READING_CELLS]
+        if self.is_collector and plan.own_cell in first_cells:
+            return StoreReading.FOR_OTHERS
+        return StoreReading.BY_OTHERS
+
     def check(self) -> None:
         """Begin or end to collect, as it is needed."""
         now_seconds = self._clock.now_seconds()
@@ -218,7 +243,8 @@
             self._handlers.asked(peer_id, None)
         log = self._log_of_all if request.wants_all else self._log_of_cell
         number, change_sets = log.since(request.number, now_seconds)
-        return ExchangeReply(number, self.is_collector, change_sets)
+        pages = self.feed.pages(request.positions)
+        return ExchangeReply(number, self.is_collector, change_sets, pages)
 
     def take(
         self, way: str, reply: ExchangeReply, member: Member, link: HubLink
@@ -232,6 +258,7 @@
         :param link: The link to it.
         :raises MalformedMessage: If it can't be read.
         """
+        self.feed.take(reply.pages)
         now_seconds = self._clock.now_seconds()
         for sent in reply.change_sets:
             changes = unpack_changes(sent.payload)
--- a/src/waxwingwinch/gateway/_gossip.py
+++ b/src/waxwingwinch/gateway/_gossip.py
@@ -1,7 +1,7 @@
 """Telling the other instances what this one does, and hearing of them."""
 
 import asyncio
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Sequence
 
 from attrs import frozen
 
@@ -10,6 +10,7 @@
 from waxwingwinch.gateway._belief_lines import ConfigurationUnanswered
 from waxwingwinch.gateway._cells import plan_links
 from waxwingwinch.gateway._collecting import Collecting, HearingHandlers
+from waxwingwinch.gateway._follower import StoreReading
 from waxwingwinch.gateway._members import Member, MemberDirectory
 from waxwingwinch.gateway._report_book import Heard, ReportBook, Taken
 from waxwingwinch.gateway._report_messages import (
@@ -24,6 +25,7 @@
 )
 from waxwingwinch.gateway._report_sender import Broadcast, PeerSender
 from waxwingwinch.gateway._silence import has_cells
+from waxwingwinch.gateway._store_feed import StoreFeed
 from waxwingwinch.kernel import Clock
 from waxwingwinch.peers import HubLink, PeerHub, PeerIdentity
 
@@ -61,7 +63,7 @@
 
     make_report: Callable[[], InstanceReport]
     apply_report: Callable[[InstanceReport, float], None]
-    still_there: Callable[[Iterable[Heard]], None]
+    still_there: Callable[[Sequence[Heard]], None]
     work_began: Callable[[str, UpstreamId, int], None]
     configuration_version: Callable[[], int]
     current_configuration: Callable[[], bytes]
@@ -90,6 +92,7 @@
     :param members: The instances.
     :param identity: Who this process is.
     :param secret: Shared by all instances of the deployment.
+    :param feed: What was read of the store.
     :param handlers: What is done with what is heard.
     :param clock: Source of the present time.
     """
@@ -99,6 +102,7 @@
         members: MemberDirectory,
         identity: PeerIdentity,
         secret: str,
+        feed: StoreFeed,
         handlers: GossipHandlers,
         clock: Clock,
     ) -> None:
@@ -116,7 +120,9 @@
         self._book = ReportBook(own_id)
         self._hub = PeerHub(members.own.peer_address, identity, [secret])
         hearing = HearingHandlers(self._taken, self._check_version, self._refresh_own)
-        self._collecting = Collecting(self._hub, own_id, self._book, hearing, clock)
+        self._collecting = Collecting(
+            self._hub, own_id, self._book, feed, hearing, clock
+        )
         self._hub.handle(InstanceReport, self._report_heard)
         self._hub.handle(WorkBegan, self._work_heard)
         self._hub.handle(ConfigurationRequest, self._configuration_asked)
@@ -137,6 +143,10 @@
         self._members.on_change = lambda: None
         self._hub.stop()
 
+    def reading(self) -> StoreReading:
+        """Tell who reads the store; may be called in any thread."""
+        return self._collecting.reading
+
     def announce(self, upstream_id: UpstreamId, waiting_tokens: int) -> None:
         """
         Tell the neighbours at once of work that begins here.
@@ -163,9 +173,11 @@
     async def _run(self) -> None:
         while True:
             started_seconds = self._clock.now_seconds()
-            self._report(started_seconds)
             if self._has_cells:
+                self._refresh_own()
                 self._collecting.check()
+            else:
+                self._report(started_seconds)
             took_seconds = self._clock.now_seconds() - started_seconds
             await asyncio.sleep(max(self._report_seconds - took_seconds, 0.0))
 
@@ -173,8 +185,7 @@
         whole = self._handlers.make_report()
         self._reported_seconds = now_seconds
         self._book.put_own(whole, now_seconds)
-        if self._neighbours:
-            self._broadcast.report(whole, self._senders())
+        self._broadcast.report(whole, self._senders())
 
     def _refresh_own(self) -> None:
         """Have the book hold an own report that is young enough to be told."""
--- a/src/waxwingwinch/gateway/_loads.py
+++ b/src/waxwingwinch/gateway/_loads.py
@@ -1,11 +1,11 @@
 """Work under way at each upstream, as far as this process knows."""
 
 import threading
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from attrs import define, field, frozen
 
-from waxwingwinch._types import UpstreamId
+from waxwingwinch._types import InstanceId, UpstreamId
 from waxwingwinch.gateway._silence import silence_seconds
 
 #: Work from which the peers are told at once; it takes an engine longer than
@@ -142,17 +142,17 @@
             running = {key: load for key, load in loads.items() if load != NO_LOAD}
             self._peers[peer] = _PeerFigures(running, now_seconds)
 
-    def still_there(self, peer: str, now_seconds: float) -> None:
+    def still_there(self, made_seconds: Mapping[InstanceId, float]) -> None:
         """
-        Note that a peer has the same work under way as before.
+        Note that peers have the same work under way as before.
 
-        :param peer: Name of its process.
-        :param now_seconds: Monotonic time.
+        :param made_seconds: Monotonic times at which they said so, by peer.
         """
         with self._lock:
-            known = self._peers.get(peer)
-            if known is not None:
-                known.heard_seconds = now_seconds
+            for peer, at_seconds in made_seconds.items():
+                known = self._peers.get(peer)
+                if known is not None:
+                    known.heard_seconds = at_seconds
 
     def peer_began(self, peer: str, upstream_id: UpstreamId, tokens: int) -> None:
         """
--- a/src/waxwingwinch/gateway/_members.py
+++ b/src/waxwingwinch/gateway/_members.py
@@ -1,7 +1,7 @@
 """The instances of the gateway, and which of them callers are sent to."""
 
 import threading
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 
 from attrs import define, frozen
 
@@ -122,6 +122,18 @@
             if presence is None or presence.heard_seconds <= now_seconds:
                 self._presences[instance_id] = _Presence(now_seconds, is_ready)
 
+    def still_there(self, made_seconds: Mapping[InstanceId, float]) -> None:
+        """
+        Note that instances take callers, or not, as before.
+
+        :param made_seconds: Monotonic times at which they said so.
+        """
+        with self._lock:
+            for instance_id, at_seconds in made_seconds.items():
+                presence = self._presences.get(instance_id)
+                if presence is not None and presence.heard_seconds < at_seconds:
+                    presence.heard_seconds = at_seconds
+
     def heard_start(self, instance_id: InstanceId, incarnation: str) -> bool:
         """
         Note which start of an instance sent a report.
--- a/src/waxwingwinch/gateway/_process.py
+++ b/src/waxwingwinch/gateway/_process.py
@@ -7,7 +7,7 @@
 from waxwingwinch.gateway._answers import InstanceAnswers
 from waxwingwinch.gateway._cache_survey import CacheSurvey
 from waxwingwinch.gateway._duty import StewardDuty
-from waxwingwinch.gateway._follower import FollowPlan, TopicFollower
+from waxwingwinch.gateway._follower import FollowPlan, Pace, TopicFollower
 from waxwingwinch.gateway._front import FrontServer
 from waxwingwinch.gateway._gossip import Gossip, GossipHandlers
 from waxwingwinch.gateway._handler import RequestHandler, most_requests
@@ -33,24 +33,30 @@
 from waxwingwinch.gateway._reports import ReportExchange
 from waxwingwinch.gateway._state import GatewayState
 from waxwingwinch.gateway._steward import Steward
+from waxwingwinch.gateway._store_feed import StoreFeed
 from waxwingwinch.gateway._watcher import CallerWatcher
 from waxwingwinch.kernel import Clock
 from waxwingwinch.peers import PeerIdentity, PeerProgram
 
 #: How long the store may hold a read of the configuration. A connection that
 #: fell silent is noticed after it, well within the time to be in force.
-CONFIGURATION_WAIT_SECONDS = 2.0
-#: The same for the instances' records, which change seldom.
-MEMBERS_WAIT_SECONDS = 5.0
-#: Pause between two reads of them, so that the records of many instances that
-#: start together come in few calls.
-MEMBERS_PAUSE_SECONDS = 0.2
+CONFIGURATION_PACE = Pace(wait_seconds=2.0)
+#: The same for an instance that others rely on; they wait for one more.
+SHARED_CONFIGURATION_PACE = Pace(wait_seconds=1.0)
+#: The same for the instances' records, which change seldom; those of many
+#: instances that start together come in few calls.
+MEMBERS_PACE = Pace(wait_seconds=5.0, pause_seconds=0.2)
+#: The same for an instance that others rely on.
+SHARED_MEMBERS_PACE = Pace(wait_seconds=1.5, pause_seconds=0.2)
 #: Pause between two reads of the upstreams' entries, which are written all the
 #: time, as a part of the time after which a leaving one gets no new work. Each
 #: read has a price; the rest is left for a read that is slow or repeated.
 UPSTREAMS_PAUSE_SHARE = 0.3
 #: Shortest such pause, whatever the settings say.
 UPSTREAMS_PAUSE_MIN_SECONDS = 0.2
+#: The same as a part for an instance that others rely on; what it reads takes
+#: two exchanges more to them.
+SHARED_UPSTREAMS_PAUSE_SHARE = 0.1
 #: Part of the time to stop after which no new connection is accepted; until
 #: then callers who have not asked again still come.
 ACCEPT_GRACE_SHARE = 0.55
@@ -63,13 +69,15 @@
 STOP_POLL_SECONDS = 0.05
 
 
-def upstreams_pause_seconds(drain_seconds: float) -> float:
+def upstreams_pace(drain_seconds: float, is_shared: bool) -> Pace:
     """
-    Return the pause between two reads of the upstreams' entries.
+    Return how often the upstreams' entries are read.
 
     :param drain_seconds: Time after which a leaving upstream gets no new work.
+    :param is_shared: True if other instances rely on it.
     """
-    return max(UPSTREAMS_PAUSE_SHARE * drain_seconds, UPSTREAMS_PAUSE_MIN_SECONDS)
+    share = SHARED_UPSTREAMS_PAUSE_SHARE if is_shared else UPSTREAMS_PAUSE_SHARE
+    return Pace(0.0, max(share * drain_seconds, UPSTREAMS_PAUSE_MIN_SECONDS))
 
 
 class GatewayProcess:
@@ -196,9 +204,14 @@
 
     def _make_followers(self) -> None:
         adapter, intake = self._adapter, self._intake
+        drain_seconds = self._options.drain_seconds
         self._configuration = TopicFollower(
             self._store,
-            FollowPlan(adapter.configuration_topic, CONFIGURATION_WAIT_SECONDS),
+            FollowPlan(
+                adapter.configuration_topic,
+                CONFIGURATION_PACE,
+                SHARED_CONFIGURATION_PACE,
+            ),
             self._clock,
             intake.apply_configuration,
         )
@@ -206,8 +219,8 @@
             self._store,
             FollowPlan(
                 adapter.upstreams_topic,
-                0.0,
-                upstreams_pause_seconds(self._options.drain_seconds),
+                upstreams_pace(drain_seconds, is_shared=False),
+                upstreams_pace(drain_seconds, is_shared=True),
             ),
             self._clock,
             intake.apply_upstream,
@@ -217,11 +230,11 @@
         )
         self._member_records = TopicFollower(
             self._store,
-            FollowPlan(MEMBERS_TOPIC, MEMBERS_WAIT_SECONDS, MEMBERS_PAUSE_SECONDS),
+            FollowPlan(MEMBERS_TOPIC, MEMBERS_PACE, SHARED_MEMBERS_PACE),
             self._clock,
             intake.apply_member,
             self._state.members.keep_only,
-            intake.share_limits,
+            intake.members_read,
         )
 
     def _make_info_servers(self) -> tuple[InfoServer, ...]:
@@ -241,10 +254,12 @@
     def _join(self) -> None:
         """Become known to the other instances."""
         own = self._state.own
+        followers = (self._configuration, self._upstreams, self._member_records)
         gossip = Gossip(
             self._state.members,
             PeerIdentity(own.instance_id, PeerProgram.ENTRY, own.zone, "gateway"),
             shared_secret(self._store),
+            StoreFeed(followers, self._clock),
             GossipHandlers(
                 make_report=self._reports.make,
                 apply_report=self._reports.apply,
@@ -258,6 +273,8 @@
         )
         self._state.loads.announce = gossip.announce
         gossip.start()
+        for follower in followers:
+            follower.reading = gossip.reading
         publish_member(self._store, own)
         self._member_records.start()
         GatewayJoined(instance_id=own.instance_id).write()
--- a/src/waxwingwinch/gateway/_quota.py
+++ b/src/waxwingwinch/gateway/_quota.py
@@ -2,6 +2,7 @@
 
 import math
 import threading
+from collections.abc import Mapping
 
 from attrs import define, field, frozen
 
@@ -237,6 +238,18 @@
             known.heard_seconds = now_seconds
             known.totals = known.totals | totals
 
+    def still_there(self, made_seconds: Mapping[str, float]) -> None:
+        """
+        Note that peers have admitted nothing since they were heard last.
+
+        :param made_seconds: Monotonic times at which they said so, by process.
+        """
+        with self._lock:
+            for peer, at_seconds in made_seconds.items():
+                known = self._peers.get(peer)
+                if known is not None and known.heard_seconds is not None:
+                    known.heard_seconds = max(known.heard_seconds, at_seconds)
+
     def _add_use(
         self, known: _Peer, totals: dict[CustomerId, float], now_seconds: float
     ) -> None:
--- a/src/waxwingwinch/gateway/_records.py
+++ b/src/waxwingwinch/gateway/_records.py
@@ -1,5 +1,7 @@
 """Taking in the records of the platform's store."""
 
+from attrs import evolve
+
 from waxwingwinch._exceptions import MalformedMessage
 from waxwingwinch._types import InstanceId, UpstreamId
 from waxwingwinch.codec import decode_message
@@ -16,6 +18,7 @@
 from waxwingwinch.gateway._options import GatewayAdapter
 from waxwingwinch.gateway._state import GatewayState
 from waxwingwinch.gateway._store import KeyedRecord
+from waxwingwinch.gateway._upstreams import Upstream
 from waxwingwinch.kernel import Clock
 
 
@@ -34,15 +37,19 @@
         self._state = state
         self._adapter = adapter
         self._clock = clock
+        #: The entries as they were written last, heartbeats apart.
+        self._written: dict[UpstreamId, Upstream] = {}
 
-    def apply_configuration(self, record: KeyedRecord) -> None:
+    def apply_configuration(self, record: KeyedRecord) -> bool:
         """
         Take in a record of the configuration's topic.
 
         :param record: The record.
+        :returns: True if it says something new.
         """
         if record.key == self._adapter.configuration_key and record.value:
             self.put_configuration(record.value)
+        return True
 
     def put_configuration(self, payload: bytes) -> None:
         """
@@ -58,16 +65,17 @@
         if self._state.table.publish(configuration):
             self._state.configuration_payload = payload
 
-    def apply_upstream(self, record: KeyedRecord) -> None:
+    def apply_upstream(self, record: KeyedRecord) -> bool:
         """
         Take in an upstream's entry, or its removal.
 
         :param record: The record.
+        :returns: False if it is a mere heartbeat, or older than what is known.
         """
         upstream_id = UpstreamId(record.key)
         if record.value is None:
             self._drop_upstream(upstream_id)
-            return
+            return True
         now_seconds = self._clock.now_seconds()
         try:
             upstream = self._adapter.decode_upstream(
@@ -76,7 +84,7 @@
         except MalformedMessage as error:
             UpstreamMalformed(record.key, str(error)).write()
             self._drop_upstream(upstream_id)
-            return
+            return True
         before = self._state.directory.put(upstream)
         if before is not None and before.born_ms != upstream.born_ms:
             self._state.prefixes.forget(upstream_id)
@@ -92,6 +100,21 @@
                 cold_seconds=max(upstream.cold_until_seconds - now_seconds, 0.0),
                 offset=record.offset,
             ).write()
+        return self._is_new(upstream)
+
+    def _is_new(self, upstream: Upstream) -> bool:
+        """Tell whether an entry is in force and says something new."""
+        known = self._state.directory.get(upstream.upstream_id)
+        if (
+            known is None
+            or known.is_older_than(upstream)
+            or upstream.is_older_than(known)
+        ):
+            return False
+        content = evolve(upstream, sequence=0, cold_until_seconds=0.0)
+        before = self._written.get(upstream.upstream_id)
+        self._written[upstream.upstream_id] = content
+        return content != before
 
     def keep_upstreams(self, keys: frozenset[str]) -> None:
         """
@@ -103,29 +126,39 @@
             if upstream.upstream_id not in keys:
                 self._drop_upstream(upstream.upstream_id)
 
-    def upstreams_read(self) -> None:
-        """Note a reading, and forget the entries that did not come back."""
+    def upstreams_read(self, read_seconds: float) -> None:
+        """
+        Note a reading, and forget the entries that did not come back.
+
+        :param read_seconds: Monotonic time at which the store was read.
+        """
         now_seconds = self._clock.now_seconds()
-        self._state.directory.was_read(now_seconds)
+        self._state.directory.was_read(read_seconds)
         for upstream_id in self._state.directory.expire_lapsed(now_seconds):
             UpstreamLapsed(upstream_id=upstream_id).write()
 
-    def apply_member(self, record: KeyedRecord) -> None:
+    def apply_member(self, record: KeyedRecord) -> bool:
         """
         Take in an instance's record, or its removal.
 
         :param record: The record.
+        :returns: True if it says something new.
         """
         if record.value is None:
             self._state.members.remove(InstanceId(record.key))
-            return
+            return True
         try:
             member = decode_message(record.value)
         except MalformedMessage as error:
             MemberMalformed(record.key, str(error)).write()
-            return
+            return True
         if isinstance(member, Member):
             self._state.members.put(member)
+        return True
+
+    def members_read(self, _: float) -> None:
+        """Divide what all instances share anew after a reading."""
+        self.share_limits()
 
     def share_limits(self) -> None:
         """Divide what all instances share among those with a record."""
@@ -137,6 +170,7 @@
 
     def _drop_upstream(self, upstream_id: UpstreamId) -> None:
         now_seconds = self._clock.now_seconds()
+        self._written.pop(upstream_id, None)
         may_be_back = self._state.outage.may_have_lapsed(now_seconds)
         if may_be_back:
             self._state.directory.lapse(upstream_id, now_seconds)
--- a/src/waxwingwinch/gateway/_report_book.py
+++ b/src/waxwingwinch/gateway/_report_book.py
@@ -2,7 +2,7 @@
 
 from typing import TypeVar
 
-from attrs import define, evolve, field, frozen
+from attrs import define, evolve, field
 
 from waxwingwinch._types import InstanceId, UpstreamId
 from waxwingwinch.gateway._report_messages import ChangeSet, InstanceReport
@@ -24,13 +24,14 @@
 MADE_MARGIN_SECONDS = 0.5
 
 
-@frozen
+@define(eq=False)
 class Heard:
     """
     All that an instance told.
 
     :param whole: Its reports put together.
-    :param made_seconds: Monotonic time at which it last told of itself.
+    :param made_seconds: Monotonic time at which it last told of itself; moves
+        on when it says that nothing has changed.
     """
 
     whole: InstanceReport
@@ -96,8 +97,7 @@
         for instance_id, age_seconds in changes.ages_seconds.items():
             known = table.get(instance_id)
             if known is not None:
-                heard = Heard(known.whole, told_seconds - age_seconds)
-                self._note(table, heard, taken)
+                self._note_unchanged(table, known, told_seconds - age_seconds, taken)
         return taken
 
     def forget_way(self, way: str) -> None:
@@ -162,6 +162,20 @@
         else:
             taken.changed.append(heard)
 
+    def _note_unchanged(
+        self,
+        table: dict[InstanceId, Heard],
+        known: Heard,
+        made_seconds: float,
+        taken: Taken,
+    ) -> None:
+        # Hundreds of these come several times a second.
+        if self._newest.get(known.whole.instance_id) is not known:
+            self._note(table, Heard(known.whole, made_seconds), taken)
+        elif made_seconds > known.made_seconds:
+            known.made_seconds = made_seconds
+            taken.unchanged.append(known)
+
     def _forget_silent(self, now_seconds: float) -> None:
         for table in (self._newest, *self._ways.values()):
             silent = [
--- a/src/waxwingwinch/gateway/_report_messages.py
+++ b/src/waxwingwinch/gateway/_report_messages.py
@@ -4,6 +4,7 @@
 
 from waxwingwinch._types import CustomerId, EngineRole, InstanceId, UpstreamId
 from waxwingwinch.codec import message
+from waxwingwinch.gateway._feed_messages import FeedPage
 from waxwingwinch.gateway._loads import UpstreamLoad
 from waxwingwinch.gateway._outage import PEER_READ_SECONDS
 from waxwingwinch.gateway._requests import PromptPart
@@ -203,11 +204,13 @@
         none, so that the next one has to be whole.
     :param wants_all: False to hear of the cell of the asked one only.
     :param payload: A change set, compressed; empty if there is none to tell.
+    :param positions: Up to where the store's topics are known.
     """
 
     number: int
     wants_all: bool
     payload: bytes = field(default=b"", repr=False)
+    positions: dict[str, int] = field(factory=dict)
 
 
 @message("gateway_exchange_reply", is_positional=True)
@@ -219,8 +222,10 @@
     :param number: Number of the newest change set.
     :param is_collector: True if it collects for its cell.
     :param change_sets: In the order in which they were made.
+    :param pages: What was read of the store's topics.
     """
 
     number: int
     is_collector: bool
     change_sets: tuple[SentChangeSet, ...]
+    pages: tuple[FeedPage, ...] = ()
--- a/src/waxwingwinch/gateway/_reports.py
+++ b/src/waxwingwinch/gateway/_reports.py
@@ -1,6 +1,6 @@
 """Making this instance's reports and taking in those of the others."""
 
-from collections.abc import Iterable
+from collections.abc import Sequence
 
 from attrs import frozen
 
@@ -121,22 +121,25 @@
                 report.incarnation, report.placements[-1].sequence
             )
 
-    def still_there(self, heard: Iterable[Heard]) -> None:
+    def still_there(self, heard: Sequence[Heard]) -> None:
         """
         Take in that instances have nothing new to tell.
 
         :param heard: What they told before, and when they were heard.
         """
         state = self._state
+        made_seconds = {one.whole.instance_id: one.made_seconds for one in heard}
+        state.members.still_there(made_seconds)
+        state.loads.still_there(made_seconds)
+        state.quotas.still_there(
+            {one.whole.incarnation: one.made_seconds for one in heard}
+        )
         for one in heard:
-            report, made_seconds = one.whole, one.made_seconds
-            state.members.heard(report.instance_id, report.is_ready, made_seconds)
-            state.loads.still_there(report.instance_id, made_seconds)
-            state.quotas.heard(report.incarnation, {}, made_seconds)
-            if report.has_read_store:
-                state.outage.peer_read(0.0, made_seconds)
-            if report.held_epoch is not None:
-                self._steward.holder_heard(report.instance_id, made_seconds)
+            if one.whole.held_epoch is not None:
+                self._steward.holder_heard(one.whole.instance_id, one.made_seconds)
+        served = [one.made_seconds for one in heard if one.whole.has_read_store]
+        if served:
+            state.outage.peer_read(0.0, max(served))
 
     def _switching(self, now_seconds: float) -> tuple[StageSwitchReport, ...]:
         if self._steward.held_epoch() is None:
--- a/src/waxwingwinch/gateway/_steward.py
+++ b/src/waxwingwinch/gateway/_steward.py
@@ -29,8 +29,11 @@
 from waxwingwinch.gateway._usage_table import UsageTable
 from waxwingwinch.kernel import Clock
 
-#: Pause between two rounds of the thread.
+#: Pause between two rounds of the duty's work.
 ROUND_SECONDS = 0.25
+#: Pause between two looks at whether the duty is held elsewhere; half of the
+#: silence after which it is looked up.
+WATCH_SECONDS = 0.5
 #: Silence of the holder's reports after which an instance reads the ledger.
 HOLDER_SILENT_SECONDS = 1.0
 #: How long the store may hold a read of a challenger.
@@ -179,9 +182,12 @@
             self._holder_heard_seconds = now_seconds
 
     def _run(self) -> None:
-        while not self._stopping.wait(ROUND_SECONDS):
+        while not self._stopping.wait(self._pause_seconds()):
             self.round()
 
+    def _pause_seconds(self) -> float:
+        return WATCH_SECONDS if self._duty.held_epoch() is None else ROUND_SECONDS
+
     def round(self) -> None:
         """Stand for the duty, or do its work."""
         try:
--- /dev/null
+++ b/src/waxwingwinch/gateway/_store_feed.py
@@ -0,0 +1,55 @@
+"""The topics that instances read for one another."""
+
+from collections.abc import Iterable
+
+from waxwingwinch.gateway._feed_messages import FeedPage
+from waxwingwinch.gateway._follower import TopicFollower
+from waxwingwinch.kernel import Clock
+
+
+class StoreFeed:
+    """
+    Passes on what was read of some topics, and takes in what others read.
+
+    :param followers: Those of the topics.
+    :param clock: Source of the present time.
+    """
+
+    def __init__(self, followers: Iterable[TopicFollower], clock: Clock) -> None:
+        self._followers = {follower.topic: follower for follower in followers}
+        self._clock = clock
+
+    def positions(self) -> dict[str, int]:
+        """Return up to where each topic is known here."""
+        offsets = {
+            topic: follower.end_offset for topic, follower in self._followers.items()
+        }
+        return {
+            topic: offset for topic, offset in offsets.items() if offset is not None
+        }
+
+    def pages(self, positions: dict[str, int]) -> tuple[FeedPage, ...]:
+        """
+        Return what one needs who knows the topics up to some positions.
+
+        :param positions: Where each topic is read on.
+        """
+        now_seconds = self._clock.now_seconds()
+        pages = [
+            self._followers[topic].page_since(offset, now_seconds)
+            for topic, offset in positions.items()
+            if topic in self._followers
+        ]
+        return tuple(page for page in pages if page is not None)
+
+    def take(self, pages: Iterable[FeedPage]) -> None:
+        """
+        Take in what another instance has read.
+
+        :param pages: What it passed on.
+        """
+        now_seconds = self._clock.now_seconds()
+        for page in pages:
+            follower = self._followers.get(page.topic)
+            if follower is not None:
+                follower.take_page(page, now_seconds)
--- a/src/waxwingwinch/gateway/_watcher.py
+++ b/src/waxwingwinch/gateway/_watcher.py
@@ -32,6 +32,8 @@
     def __init__(self) -> None:
         self._watches: dict[int, _Watch] = {}
         self._lock = threading.Lock()
+        #: Set while there is a caller to watch, or the thread is to end.
+        self._is_needed = threading.Event()
         self._stopping = threading.Event()
         self._thread = threading.Thread(
             target=self._run, name="caller-watcher", daemon=True
@@ -44,6 +46,7 @@
     def stop(self) -> None:
         """End the thread."""
         self._stopping.set()
+        self._is_needed.set()
         self._thread.join()
 
     def add(self, connection: socket.socket, cancellation: Cancellation) -> None:
@@ -55,6 +58,7 @@
         """
         with self._lock:
             self._watches[id(cancellation)] = _Watch(connection, cancellation)
+            self._is_needed.set()
 
     def remove(self, cancellation: Cancellation) -> None:
         """
@@ -64,9 +68,11 @@
         """
         with self._lock:
             self._watches.pop(id(cancellation), None)
+            if not self._watches and not self._stopping.is_set():
+                self._is_needed.clear()
 
     def _run(self) -> None:
-        while not self._stopping.wait(SCAN_SECONDS):
+        while self._is_needed.wait() and not self._stopping.wait(SCAN_SECONDS):
             with self._lock:
                 watches = list(self._watches.values())
             for watch in watches:
--- a/src/waxwingwinch/gateway/tests/test_follower.py
+++ b/src/waxwingwinch/gateway/tests/test_follower.py
@@ -3,11 +3,12 @@
 import pytest
 
 from waxwingwinch._exceptions import PlatformUnavailable, RecordsExpired
-from waxwingwinch.gateway._follower import FollowPlan, TopicFollower
+from waxwingwinch.gateway._follower import FollowPlan, Pace, StoreReading, TopicFollower
 from waxwingwinch.gateway._outage import OutageTracker
 from waxwingwinch.gateway.tests.fakes import FakeClock, FakeStore
 
 TOPIC = "servers"
+SHARED_PAUSE_SECONDS = 0.4
 
 
 class World:
@@ -18,18 +19,26 @@
         self.applied: list[tuple[str, bytes | None]] = []
         self.kept: list[frozenset[str]] = []
         self.read_times: list[float] = []
+        self.known: dict[str, bytes | None] = {}
         self.follower = TopicFollower(
             self.store,
-            FollowPlan(TOPIC, 0.0),
+            FollowPlan(TOPIC, Pace(0.0), Pace(0.0, SHARED_PAUSE_SECONDS)),
             self.clock,
-            lambda record: self.applied.append((record.key, record.value)),
+            self.apply,
             self.kept.append,
             self.count,
             self.outage,
         )
 
-    def count(self):
-        self.read_times.append(self.clock.seconds)
+    def apply(self, record):
+        self.applied.append((record.key, record.value))
+        # A value that repeats the one before it is a mere heartbeat.
+        says_something = self.known.get(record.key) != record.value
+        self.known[record.key] = record.value
+        return says_something
+
+    def count(self, read_seconds):
+        self.read_times.append(read_seconds)
 
 
 @pytest.fixture
@@ -92,8 +101,8 @@
 def test_reads_do_not_wait_while_the_store_is_away(world):
     """Pattern: a version is sent right after an outage without answers."""
     store = WaitingStore()
-    plan = FollowPlan(TOPIC, 2.0)
-    follower = TopicFollower(store, plan, world.clock, lambda _: None)
+    plan = FollowPlan(TOPIC, Pace(2.0), Pace(1.0))
+    follower = TopicFollower(store, plan, world.clock, lambda _: True)
     follower.step()
     follower.step()
     store.is_down = True
@@ -107,3 +116,110 @@
     follower.step()
     follower.step()
     assert store.waits == [2.0, 2.0, 0.0, 0.0, 2.0]
+
+
+class Shared:
+    """An instance that reads the store, and one that relies on it."""
+
+    def __init__(self):
+        self.reader, self.other = World(), World()
+        self.other.store = self.other.follower._store = self.reader.store
+        self.other.clock = self.other.follower._clock = self.reader.clock
+        self.store, self.clock = self.reader.store, self.reader.clock
+        self.other.follower.reading = lambda: StoreReading.BY_OTHERS
+        self.reader.follower.reading = lambda: StoreReading.FOR_OTHERS
+        self.reader.follower.step()
+        self.other.follower.step()
+
+    def pass_on(self):
+        page = self.reader.follower.page_since(
+            self.other.follower.end_offset, self.clock.seconds
+        )
+        assert page is not None
+        self.other.follower.take_page(page, self.clock.seconds)
+        return page
+
+
+@pytest.fixture
+def shared():
+    return Shared()
+
+
+def test_what_one_has_read_reaches_another_without_a_call(shared):
+    """Pattern: hundreds of instances whose calls all have a price."""
+    shared.store.put(TOPIC, "a", b"1")
+    shared.store.put(TOPIC, "b", b"2")
+    shared.reader.follower.step()
+    calls = shared.store.calls
+    shared.pass_on()
+    assert shared.other.applied == [("a", b"1"), ("b", b"2")]
+    assert shared.other.follower.end_offset == 2
+    shared.clock.seconds += 1.0
+    assert shared.other.follower.unneeded_seconds(shared.clock.seconds) > 0
+    assert shared.store.calls == calls
+
+
+def test_heartbeats_are_not_passed_on_but_the_last_one_before_an_end(shared):
+    """Pattern: upstreams that write their entries every second."""
+    for _ in range(3):
+        shared.store.put(TOPIC, "a", b"1")
+    shared.reader.follower.step()
+    assert len(shared.pass_on().records) == 1
+    shared.store.put(TOPIC, "a", b"1")
+    shared.reader.follower.step()
+    assert not shared.pass_on().records
+    shared.store.put(TOPIC, "a", None)
+    shared.reader.follower.step()
+    shared.pass_on()
+    assert shared.other.applied[-2:] == [("a", b"1"), ("a", None)]
+    assert shared.other.follower.end_offset == 5
+
+
+def test_one_whose_reader_fell_silent_reads_itself(shared):
+    """Pattern: the instance that reads for all is cut off from the store."""
+    plan = shared.other.follower._plan
+    for _ in range(8):
+        shared.clock.seconds += plan.old_seconds / 6
+        shared.pass_on()
+    assert shared.other.follower.unneeded_seconds(shared.clock.seconds) <= 0
+
+
+def test_one_that_has_read_on_is_not_set_back(shared):
+    shared.store.put(TOPIC, "a", b"1")
+    shared.reader.follower.step()
+    page = shared.reader.follower.page_since(0, shared.clock.seconds)
+    shared.store.put(TOPIC, "a", b"2")
+    shared.other.follower.step()
+    assert shared.other.follower.end_offset == 2
+    assert page is not None
+    shared.other.follower.take_page(page, shared.clock.seconds)
+    shared.pass_on()
+    assert shared.other.follower.end_offset == 2
+    assert shared.other.applied[-1] == ("a", b"2")
+
+
+def test_one_that_is_far_behind_gets_all_records(shared):
+    shared.store.put(TOPIC, "a", b"1")
+    shared.store.put(TOPIC, "b", b"1")
+    shared.pass_on()
+    shared.reader.follower.restart()
+    shared.store.put(TOPIC, "a", None)
+    shared.reader.follower.step()
+    assert shared.pass_on().is_whole
+    assert shared.other.kept[-1] == frozenset({"b"})
+
+
+def test_a_record_passed_on_after_an_outage_ends_it(shared):
+    """Pattern: the store is away, and one instance reaches it first."""
+    shared.store.is_down = True
+    for follower in (shared.reader.follower, shared.other.follower):
+        with pytest.raises(PlatformUnavailable) as raised:
+            follower.step()
+        follower.note_away(raised.value)
+    shared.clock.seconds += 4.0
+    shared.pass_on()
+    assert not shared.other.outage.may_have_lapsed(shared.clock.seconds)
+    shared.store.is_down = False
+    shared.reader.follower.step()
+    shared.pass_on()
+    assert shared.other.outage.may_have_lapsed(shared.clock.seconds)
--- a/src/waxwingwinch/gateway/tests/test_gossip.py
+++ b/src/waxwingwinch/gateway/tests/test_gossip.py
@@ -10,6 +10,7 @@
 from waxwingwinch.gateway._gossip import Gossip, GossipHandlers
 from waxwingwinch.gateway._members import Member, MemberDirectory
 from waxwingwinch.gateway._report_messages import InstanceReport
+from waxwingwinch.gateway._store_feed import StoreFeed
 from waxwingwinch.kernel import SystemClock
 from waxwingwinch.peers import PeerIdentity, PeerProgram
 from waxwingwinch.peers.tests.ports import free_port
@@ -49,7 +50,9 @@
         )
         own = self.member
         identity = PeerIdentity(own.instance_id, PeerProgram.ENTRY, own.zone, "c")
-        self.gossip = Gossip(directory, identity, "s", handlers, SystemClock())
+        clock = SystemClock()
+        feed = StoreFeed((), clock)
+        self.gossip = Gossip(directory, identity, "s", feed, handlers, clock)
         self.gossip.start()
 
     def make_report(self):
--- a/src/waxwingwinch/gateway/tests/test_process.py
+++ b/src/waxwingwinch/gateway/tests/test_process.py
@@ -1,17 +1,49 @@
 """How often a process reads what changes all the time."""
 
+import pytest
+
+from waxwingwinch.gateway._exchange_reader import EXCHANGE_SECONDS
+from waxwingwinch.gateway._follower import FollowPlan
 from waxwingwinch.gateway._process import (
+    CONFIGURATION_PACE,
+    SHARED_CONFIGURATION_PACE,
     UPSTREAMS_PAUSE_MIN_SECONDS,
-    upstreams_pause_seconds,
+    upstreams_pace,
 )
 
 
+def upstreams_plan(drain_seconds):
+    alone, shared = (
+        upstreams_pace(drain_seconds, is_shared) for is_shared in (False, True)
+    )
+    return FollowPlan("servers", alone, shared)
+
+
 def test_entries_are_read_often_enough_for_a_leaving_upstream():
     """Pattern: many instances whose reads all have a price."""
     for drain_seconds in (1.0, 2.0, 3.0):
         # One read that takes as long as the pause may be lost.
-        assert 3 * upstreams_pause_seconds(drain_seconds) < drain_seconds
+        assert 3 * upstreams_pace(drain_seconds, False).pause_seconds < drain_seconds
 
 
 def test_entries_are_not_read_without_a_pause():
-    assert upstreams_pause_seconds(0.0) == UPSTREAMS_PAUSE_MIN_SECONDS
+    assert upstreams_pace(0.0, True).pause_seconds == UPSTREAMS_PAUSE_MIN_SECONDS
+
+
+@pytest.mark.parametrize("drain_seconds", [2.0, 3.0, 4.0])
+def test_a_reader_that_fell_silent_is_replaced_before_a_leaving_one_is_gone(
+    drain_seconds,
+):
+    """Pattern: the instance that reads the store for all is cut off."""
+    plan = upstreams_plan(drain_seconds)
+    assert plan.old_seconds + 0.25 < drain_seconds
+    reaches_all_seconds = plan.shared_pace.pause_seconds + 3 * EXCHANGE_SECONDS
+    assert reaches_all_seconds < plan.old_seconds
+
+
+@pytest.mark.parametrize("applied_seconds", [3.0, 4.0])
+def test_a_reader_that_fell_silent_is_replaced_before_a_version_is_late(
+    applied_seconds,
+):
+    plan = FollowPlan("op", CONFIGURATION_PACE, SHARED_CONFIGURATION_PACE)
+    assert plan.old_seconds + 0.25 < applied_seconds
