--- a/features/environment.py
+++ b/features/environment.py
@@ -7,6 +7,8 @@
 ``@no_world`` is for a feature that starts its own programs.
 """
 
+from pathlib import Path
+
 from attrs import evolve
 
 from waxwing_testbed.scenario import (
@@ -35,6 +37,10 @@
     min_engines_per_model=9,
     max_engines_per_model=9,
 )
+#: Where the logs of the processes of failed scenarios are kept.
+KEPT_LOGS = Path("build") / "failed-scenarios"
+#: Outcomes of scenarios whose logs tell nothing of a fault.
+HARMLESS_STATUSES = frozenset({"passed", "skipped", "untested"})
 
 
 def before_feature(context, feature):
@@ -65,6 +71,11 @@
     if context.world is None:
         return
     context.callers.stop()
+    if scenario.status.name not in HARMLESS_STATUSES:
+        kept = context.world.keep_logs(
+            KEPT_LOGS, f"{scenario.filename}-{scenario.line}"
+        )
+        print(f"The logs of the processes are kept in {kept}")
     context.world.restore()
 
 
--- a/src/waxwing_testbed/scenario/_world.py
+++ b/src/waxwing_testbed/scenario/_world.py
@@ -1,6 +1,7 @@
 """What the steps of a scenario work with."""
 
 import pathlib
+import shutil
 import tempfile
 import threading
 import time
@@ -74,6 +75,20 @@
         self.deployment.stop()
         self._folder.cleanup()
 
+    def keep_logs(self, folder: pathlib.Path, name: str) -> pathlib.Path:
+        """
+        Copy the logs of all processes, which else go with the world.
+
+        :param folder: Where to.
+        :param name: Tells the copies apart; slashes are replaced.
+        :returns: The folder of the copies.
+        """
+        kept = folder / f"{name.replace('/', '-')}-{time.time_ns()}"
+        kept.mkdir(parents=True)
+        for log in pathlib.Path(self._folder.name).rglob("*.log"):
+            shutil.copy(log, kept / log.name)
+        return kept
+
     def restore(self) -> None:
         """End all faults and bring every process back."""
         admin = self.deployment.admin
