--- a/src/waxwingwinch/gateway/_quota.py
+++ b/src/waxwingwinch/gateway/_quota.py
@@ -255,6 +255,8 @@
     ) -> None:
         for customer_id, total in totals.items():
             used = total - known.totals.get(customer_id, 0.0)
+            if not used:
+                continue
             bucket = self._buckets.get(customer_id)
             if bucket is None:
                 bucket = _Bucket(0.0, now_seconds)
--- a/src/waxwingwinch/gateway/_report_book.py
+++ b/src/waxwingwinch/gateway/_report_book.py
@@ -219,14 +219,23 @@
     if report.is_whole:
         return evolve(report, placements=placements)
     waiting_tokens, running = _merge_loads(known, report)
-    return evolve(
-        report,
+    # Hundreds of these are made a second; evolve() takes three times as long.
+    return InstanceReport(
+        instance_id=report.instance_id,
+        incarnation=report.incarnation,
+        is_ready=report.is_ready,
         is_whole=True,
+        configuration_version=report.configuration_version,
+        held_epoch=report.held_epoch,
+        store_age_seconds=report.store_age_seconds,
         waiting_tokens=waiting_tokens,
         running=running,
         quota_totals=_merged(known.quota_totals, report.quota_totals),
         usage=_merge_usage(known.usage, report.usage),
+        unreachable=report.unreachable,
+        switching=report.switching,
         placements=placements,
+        sequence=report.sequence,
     )
 
 
