Have instances pass on the store's records as they are

One type of a keyed record stood twice, for the store and for what instances tell one another; it is one message now.

--- a/src/waxwingwinch/gateway/_feed_messages.py
+++ b/src/waxwingwinch/gateway/_feed_messages.py
@@ -1,31 +1,11 @@
 """What instances tell one another of the platform's store."""
 
-from attrs import field, frozen
+from attrs import frozen
 
 from waxwingwinch.codec import message
 from waxwingwinch.gateway._store import KeyedRecord
 
 
-@message("gateway_feed_record", is_positional=True)
-@frozen
-class FeedRecord:
-    """
-    A record of a keyed topic.
-
-    :param key: The key.
-    :param value: The value; None if the key was dropped.
-    :param offset: Position of the record in its topic.
-    """
-
-    key: str
-    value: bytes | None = field(repr=False)
-    offset: int
-
-    def keyed(self) -> KeyedRecord:
-        """Return the record as the store gives it."""
-        return KeyedRecord(self.key, self.value, self.offset)
-
-
 @message("gateway_feed_page", is_positional=True)
 @frozen
 class FeedPage:
@@ -44,7 +24,7 @@
     from_offset: int | None
     end_offset: int
     age_seconds: float
-    records: tuple[FeedRecord, ...]
+    records: tuple[KeyedRecord, ...]
 
     @property
     def is_whole(self) -> bool:
--- a/src/waxwingwinch/gateway/_follower.py
+++ b/src/waxwingwinch/gateway/_follower.py
@@ -13,7 +13,7 @@
     RecordsExpired,
 )
 from waxwingwinch.gateway._belief_lines import StoreBack, StoreHistoryLost, StoreLost
-from waxwingwinch.gateway._feed_messages import FeedPage, FeedRecord
+from waxwingwinch.gateway._feed_messages import FeedPage
 from waxwingwinch.gateway._outage import OutageTracker
 from waxwingwinch.gateway._store import KeyedRecord, KeyedSnapshot, PlatformStore
 from waxwingwinch.kernel import Clock
@@ -175,9 +175,12 @@
                     for change in self._changes
                     if change.at_offset >= offset
                 ]
-            told = tuple(FeedRecord(one.key, one.value, one.offset) for one in records)
             return FeedPage(
-                self._plan.topic, offset, self._next_offset, age_seconds, told
+                self._plan.topic,
+                offset,
+                self._next_offset,
+                age_seconds,
+                tuple(records),
             )
 
     def take_page(self, page: FeedPage, now_seconds: float) -> None:
@@ -203,10 +206,8 @@
             if self._away_seconds is not None and read_seconds > self._away_seconds:
                 # The store has served another since it failed this one.
                 self._note_back()
-            records = tuple(one.keyed() for one in page.records)
-            self._take(
-                KeyedSnapshot(records, page.end_offset), page.is_whole, read_seconds
-            )
+            snapshot = KeyedSnapshot(page.records, page.end_offset)
+            self._take(snapshot, page.is_whole, read_seconds)
 
     def _run(self) -> None:
         pause_seconds = MIN_PAUSE_SECONDS
--- a/src/waxwingwinch/gateway/_store.py
+++ b/src/waxwingwinch/gateway/_store.py
@@ -7,6 +7,7 @@
 
 from waxwingwinch._exceptions import WaxwingError
 from waxwingwinch._types import LogPage
+from waxwingwinch.codec import message
 
 
 class AppendConflict(WaxwingError):
@@ -22,6 +23,7 @@
         self.end_offset = end_offset
 
 
+@message("gateway_keyed_record", is_positional=True)
 @frozen
 class KeyedRecord:
     """
