Pass on no entry that was written before the one in force

Cause, by reading the change: an instance that reads the store for others kept an entry that turned up late as the newest of its key, so another that asked for all records would have taken a leaving upstream for a ready one. A record says now that it is new, repeated or outdated.

--- a/src/waxwingwinch/gateway/_follower.py
+++ b/src/waxwingwinch/gateway/_follower.py
@@ -31,6 +31,16 @@
 CHANGES_KEPT = 500
 
 
+class RecordNews(enum.Enum):
+    """What a record says to one who has followed its topic."""
+
+    NEW = "new"
+    #: The same as the record of the key before, such as a heartbeat.
+    REPEATED = "repeated"
+    #: It was written before the one that is in force.
+    OUTDATED = "outdated"
+
+
 class StoreReading(enum.Enum):
     """Who reads the store."""
 
@@ -100,8 +110,7 @@
     :param store: The platform's store.
     :param plan: How the topic is followed.
     :param clock: Source of the present time.
-    :param apply: Called with each record; returns False if it says nothing
-        new.
+    :param apply: Called with each record; returns what it says.
     :param replaced: Called with all keys of a new snapshot, so that the owner
         can drop the others.
     :param after_read: Called after each successful read.
@@ -113,7 +122,7 @@
         store: PlatformStore,
         plan: FollowPlan,
         clock: Clock,
-        apply: Callable[[KeyedRecord], bool],
+        apply: Callable[[KeyedRecord], RecordNews],
         replaced: Callable[[frozenset[str]], None] | None = None,
         after_read: Callable[[float], None] | None = None,
         outage: OutageTracker | None = None,
@@ -291,20 +300,23 @@
             self._after_read(read_seconds)
 
     def _take_record(self, record: KeyedRecord, is_whole: bool) -> None:
-        says_something = self._apply(record)
-        last = self._newest.get(record.key)
-        if record.value is None:
-            self._newest.pop(record.key, None)
-        elif says_something or last is None or record.offset >= last.offset:
+        news = self._apply(record)
+        if news is RecordNews.OUTDATED:
+            return
+        last = self._newest.pop(record.key, None)
+        if record.value is not None:
             self._newest[record.key] = record
-        if is_whole or not says_something:
+        if is_whole or news is RecordNews.REPEATED:
             return
-        if len(self._changes) == CHANGES_KEPT:
-            self._changes_offset = self._changes[0].at_offset + 1
         if record.value is None and last is not None:
             # Whoever is told of changes alone learns how far it had come.
-            self._changes.append(_Change(record.offset, last))
-        self._changes.append(_Change(record.offset, record))
+            self._add_change(record.offset, last)
+        self._add_change(record.offset, record)
+
+    def _add_change(self, at_offset: int, record: KeyedRecord) -> None:
+        if len(self._changes) == CHANGES_KEPT:
+            self._changes_offset = self._changes[0].at_offset + 1
+        self._changes.append(_Change(at_offset, record))
 
     def _pace(self) -> Pace:
         is_shared = self.reading() is StoreReading.FOR_OTHERS
--- a/src/waxwingwinch/gateway/_joining.py
+++ b/src/waxwingwinch/gateway/_joining.py
@@ -21,6 +21,9 @@
 SECRET_KEY = "secret"
 #: Pause before the store is asked again for what a start needs.
 START_PAUSE_SECONDS = 0.2
+#: Calls to drop the own record; other instances that stop or start at the
+#: same time write in between.
+WITHDRAW_ATTEMPTS = 4
 #: Bytes of the secret.
 SECRET_BYTES = 16
 
@@ -72,11 +75,20 @@
     :param instance_id: This instance.
     :param end_offset: Where the topic ended when it was last read.
     """
-    try:
-        store.put(MEMBERS_TOPIC, instance_id, None, end_offset)
-    except (AppendConflict, PlatformUnavailable, PlatformRefused) as error:
-        # The others take it for silent until its next start.
-        GatewayNotWithdrawn(reason=str(error)).write()
+    reason = ""
+    for _ in range(WITHDRAW_ATTEMPTS):
+        try:
+            store.put(MEMBERS_TOPIC, instance_id, None, end_offset)
+            return
+        except AppendConflict as error:
+            # Another instance has written meanwhile; a later start of this
+            # one has not, since this one has not ended.
+            end_offset, reason = error.end_offset, str(error)
+        except (PlatformUnavailable, PlatformRefused) as error:
+            reason = str(error)
+            break
+    # The others take it for silent until its next start.
+    GatewayNotWithdrawn(reason=reason).write()
 
 
 def _until_answered(call: Callable[[], T]) -> T:
--- a/src/waxwingwinch/gateway/_records.py
+++ b/src/waxwingwinch/gateway/_records.py
@@ -14,6 +14,7 @@
     UpstreamMalformed,
     UpstreamRegistered,
 )
+from waxwingwinch.gateway._follower import RecordNews
 from waxwingwinch.gateway._members import Member
 from waxwingwinch.gateway._options import GatewayAdapter
 from waxwingwinch.gateway._state import GatewayState
@@ -40,16 +41,16 @@
         #: The entries as they were written last, heartbeats apart.
         self._written: dict[UpstreamId, Upstream] = {}
 
-    def apply_configuration(self, record: KeyedRecord) -> bool:
+    def apply_configuration(self, record: KeyedRecord) -> RecordNews:
         """
         Take in a record of the configuration's topic.
 
         :param record: The record.
-        :returns: True if it says something new.
+        :returns: What it says.
         """
         if record.key == self._adapter.configuration_key and record.value:
             self.put_configuration(record.value)
-        return True
+        return RecordNews.NEW
 
     def put_configuration(self, payload: bytes) -> None:
         """
@@ -65,17 +66,17 @@
         if self._state.table.publish(configuration):
             self._state.configuration_payload = payload
 
-    def apply_upstream(self, record: KeyedRecord) -> bool:
+    def apply_upstream(self, record: KeyedRecord) -> RecordNews:
         """
         Take in an upstream's entry, or its removal.
 
         :param record: The record.
-        :returns: False if it is a mere heartbeat, or older than what is known.
+        :returns: What it says.
         """
         upstream_id = UpstreamId(record.key)
         if record.value is None:
             self._drop_upstream(upstream_id)
-            return True
+            return RecordNews.NEW
         now_seconds = self._clock.now_seconds()
         try:
             upstream = self._adapter.decode_upstream(
@@ -84,7 +85,7 @@
         except MalformedMessage as error:
             UpstreamMalformed(record.key, str(error)).write()
             self._drop_upstream(upstream_id)
-            return True
+            return RecordNews.NEW
         before = self._state.directory.put(upstream)
         if before is not None and before.born_ms != upstream.born_ms:
             self._state.prefixes.forget(upstream_id)
@@ -100,21 +101,18 @@
                 cold_seconds=max(upstream.cold_until_seconds - now_seconds, 0.0),
                 offset=record.offset,
             ).write()
-        return self._is_new(upstream)
+        return self._news_of(upstream)
 
-    def _is_new(self, upstream: Upstream) -> bool:
-        """Tell whether an entry is in force and says something new."""
+    def _news_of(self, upstream: Upstream) -> RecordNews:
+        """Tell what an entry says that was just taken in."""
         known = self._state.directory.get(upstream.upstream_id)
-        if (
-            known is None
-            or known.is_older_than(upstream)
-            or upstream.is_older_than(known)
-        ):
-            return False
+        version = (upstream.born_ms, upstream.sequence)
+        if known is None or (known.born_ms, known.sequence) != version:
+            return RecordNews.OUTDATED
         content = evolve(upstream, sequence=0, cold_until_seconds=0.0)
         before = self._written.get(upstream.upstream_id)
         self._written[upstream.upstream_id] = content
-        return content != before
+        return RecordNews.REPEATED if content == before else RecordNews.NEW
 
     def keep_upstreams(self, keys: frozenset[str]) -> None:
         """
@@ -137,24 +135,24 @@
         for upstream_id in self._state.directory.expire_lapsed(now_seconds):
             UpstreamLapsed(upstream_id=upstream_id).write()
 
-    def apply_member(self, record: KeyedRecord) -> bool:
+    def apply_member(self, record: KeyedRecord) -> RecordNews:
         """
         Take in an instance's record, or its removal.
 
         :param record: The record.
-        :returns: True if it says something new.
+        :returns: What it says.
         """
         if record.value is None:
             self._state.members.remove(InstanceId(record.key))
-            return True
+            return RecordNews.NEW
         try:
             member = decode_message(record.value)
         except MalformedMessage as error:
             MemberMalformed(record.key, str(error)).write()
-            return True
+            return RecordNews.NEW
         if isinstance(member, Member):
             self._state.members.put(member)
-        return True
+        return RecordNews.NEW
 
     def members_read(self, _: float) -> None:
         """Divide what all instances share anew after a reading."""
--- a/src/waxwingwinch/gateway/tests/test_follower.py
+++ b/src/waxwingwinch/gateway/tests/test_follower.py
@@ -3,12 +3,21 @@
 import pytest
 
 from waxwingwinch._exceptions import PlatformUnavailable, RecordsExpired
-from waxwingwinch.gateway._follower import FollowPlan, Pace, StoreReading, TopicFollower
+from waxwingwinch.gateway._follower import (
+    CHANGES_KEPT,
+    FollowPlan,
+    Pace,
+    RecordNews,
+    StoreReading,
+    TopicFollower,
+)
 from waxwingwinch.gateway._outage import OutageTracker
 from waxwingwinch.gateway.tests.fakes import FakeClock, FakeStore
 
 TOPIC = "servers"
 SHARED_PAUSE_SECONDS = 0.4
+#: Value of a record that turns up late.
+OLD = b"old"
 
 
 class World:
@@ -32,10 +41,11 @@
 
     def apply(self, record):
         self.applied.append((record.key, record.value))
-        # A value that repeats the one before it is a mere heartbeat.
-        says_something = self.known.get(record.key) != record.value
+        if record.value == OLD:
+            return RecordNews.OUTDATED
+        is_repeated = self.known.get(record.key) == record.value
         self.known[record.key] = record.value
-        return says_something
+        return RecordNews.REPEATED if is_repeated else RecordNews.NEW
 
     def count(self, read_seconds):
         self.read_times.append(read_seconds)
@@ -102,7 +112,7 @@
     """Pattern: a version is sent right after an outage without answers."""
     store = WaitingStore()
     plan = FollowPlan(TOPIC, Pace(2.0), Pace(1.0))
-    follower = TopicFollower(store, plan, world.clock, lambda _: True)
+    follower = TopicFollower(store, plan, world.clock, lambda _: RecordNews.NEW)
     follower.step()
     follower.step()
     store.is_down = True
@@ -175,6 +185,39 @@
     assert shared.other.follower.end_offset == 5
 
 
+def test_an_old_record_that_turns_up_late_is_not_passed_on(shared):
+    """Pattern: entries of upstreams that left are written once more."""
+    shared.store.put(TOPIC, "a", b"1")
+    shared.store.put(TOPIC, "a", OLD)
+    shared.reader.follower.step()
+    shared.pass_on()
+    assert shared.other.applied == [("a", b"1")]
+    whole = shared.reader.follower.page_since(-1, shared.clock.seconds)
+    assert [record.value for record in whole.records] == [b"1"]
+    shared.store.put(TOPIC, "a", None)
+    shared.reader.follower.step()
+    shared.pass_on()
+    assert shared.other.applied[-2:] == [("a", b"1"), ("a", None)]
+
+
+def test_one_that_asks_late_misses_nothing(shared):
+    """Pattern: more changes than are kept while an instance is paused."""
+    for number in range(CHANGES_KEPT + 2):
+        shared.store.put(TOPIC, f"k{number % 7}", b"%d" % number)
+        if number % 3 == 0:
+            shared.store.put(TOPIC, f"k{number % 7}", None)
+    shared.reader.follower.step()
+    shared.pass_on()
+    newest = {
+        record.key: record.value for record in shared.store.snapshot(TOPIC).records
+    }
+    known = {
+        key: value for key, value in shared.other.known.items() if value is not None
+    }
+    assert {key: known[key] for key in newest} == newest
+    assert shared.other.kept[-1] == frozenset(newest)
+
+
 def test_one_whose_reader_fell_silent_reads_itself(shared):
     """Pattern: the instance that reads for all is cut off from the store."""
     plan = shared.other.follower._plan
