Drop an event that nothing set, and a search for the own report

The follower waited on an event that is never set, which is a sleep; the book holds the own report, which was looked up among all others for each exchange, and the collecting part kept its name for that alone; the condition on a page that goes on is stated once.

Behaviour is as before.

--- a/src/waxwingwinch/gateway/_collecting.py
+++ b/src/waxwingwinch/gateway/_collecting.py
@@ -143,7 +143,6 @@
     each other cell what is new there. It lives in the hub's thread.
 
     :param hub: Dials instances.
-    :param own_id: This instance.
     :param book: What was heard.
     :param feed: What was read of the store.
     :param handlers: What is done with what is heard.
@@ -153,7 +152,6 @@
     def __init__(
         self,
         hub: PeerHub,
-        own_id: InstanceId,
         book: ReportBook,
         feed: StoreFeed,
         handlers: HearingHandlers,
@@ -162,7 +160,6 @@
         #: What was read of the store.
         self.feed = feed
         self._hub = hub
-        self._own_id = own_id
         self._book = book
         self._handlers = handlers
         self._clock = clock
@@ -275,11 +272,7 @@
         """
         self._handlers.refresh_own()
         now_seconds = self._clock.now_seconds()
-        heard = [
-            one
-            for one in self._book.recent(now_seconds)
-            if one.whole.instance_id == self._own_id
-        ]
+        heard = self._book.own()
         for asker_id in list(self._askers):
             reported = self._book.recent_on(_way_of(asker_id), now_seconds)
             if not reported:
--- a/src/waxwingwinch/gateway/_follower.py
+++ b/src/waxwingwinch/gateway/_follower.py
@@ -2,6 +2,7 @@
 
 import enum
 import threading
+import time
 from collections import deque
 from collections.abc import Callable
 
@@ -144,7 +145,6 @@
         self._changes: deque[_Change] = deque(maxlen=CHANGES_KEPT)
         self._changes_offset = 0
         self._lock = threading.RLock()
-        self._woken = threading.Event()
         self._thread = threading.Thread(
             target=self._run, name=f"follow-{plan.topic}", daemon=True
         )
@@ -201,12 +201,10 @@
         """
         with self._lock:
             known_offset = self._next_offset
-            is_continued = known_offset == page.from_offset
             is_ahead = known_offset is None or page.end_offset > known_offset
             is_same = page.end_offset == known_offset
-            if not (is_continued and (is_same or is_ahead)) and not (
-                page.is_whole and is_ahead
-            ):
+            goes_on = known_offset == page.from_offset and (is_same or is_ahead)
+            if not goes_on and not (page.is_whole and is_ahead):
                 # This instance has read on meanwhile.
                 return
             read_seconds = now_seconds - page.age_seconds
@@ -223,7 +221,7 @@
         while True:
             unneeded_seconds = self.unneeded_seconds(self._clock.now_seconds())
             if unneeded_seconds > 0:
-                self._woken.wait(unneeded_seconds)
+                time.sleep(unneeded_seconds)
                 continue
             try:
                 self.step()
@@ -236,12 +234,12 @@
                 continue
             except (PlatformUnavailable, PlatformRefused) as error:
                 self.note_away(error)
-                self._woken.wait(pause_seconds)
+                time.sleep(pause_seconds)
                 pause_seconds = min(2 * pause_seconds, MAX_PAUSE_SECONDS)
                 continue
             pause_seconds = MIN_PAUSE_SECONDS
             if self._pace().pause_seconds:
-                self._woken.wait(self._pace().pause_seconds)
+                time.sleep(self._pace().pause_seconds)
 
     def unneeded_seconds(self, now_seconds: float) -> float:
         """
--- a/src/waxwingwinch/gateway/_gossip.py
+++ b/src/waxwingwinch/gateway/_gossip.py
@@ -116,13 +116,10 @@
         self._broadcast = Broadcast()
         self._neighbours: dict[Member, _Neighbour] = {}
         self._fetching_from: set[InstanceId] = set()
-        own_id = members.own.instance_id
-        self._book = ReportBook(own_id)
+        self._book = ReportBook(members.own.instance_id)
         self._hub = PeerHub(members.own.peer_address, identity, [secret])
         hearing = HearingHandlers(self._taken, self._check_version, self._refresh_own)
-        self._collecting = Collecting(
-            self._hub, own_id, self._book, feed, hearing, clock
-        )
+        self._collecting = Collecting(self._hub, self._book, feed, hearing, clock)
         self._hub.handle(InstanceReport, self._report_heard)
         self._hub.handle(WorkBegan, self._work_heard)
         self._hub.handle(ConfigurationRequest, self._configuration_asked)
--- a/src/waxwingwinch/gateway/_report_book.py
+++ b/src/waxwingwinch/gateway/_report_book.py
@@ -127,14 +127,17 @@
         known = self._newest.get(instance_id)
         return known is not None and _is_recent(known, now_seconds)
 
+    def own(self) -> list[Heard]:
+        """Return this process's own report; empty before the first."""
+        return [] if self._own is None else [self._own]
+
     def recent(self, now_seconds: float) -> list[Heard]:
         """
         Return what those told that were heard lately, this one included.
 
         :param now_seconds: Monotonic time.
         """
-        own = [] if self._own is None else [self._own]
-        return own + [
+        return self.own() + [
             heard for heard in self._newest.values() if _is_recent(heard, now_seconds)
         ]
 
