Log the silence of engines and why a broken stream is not resumed

No change of behaviour. stream:silent tells the silence of an engine from a broken connection, upstream:began when an engine began to answer, and the reason in stream:broken_off why no other engine went on.

--- a/src/waxwingwinch/gateway/_generation_relay.py
+++ b/src/waxwingwinch/gateway/_generation_relay.py
@@ -36,6 +36,7 @@
 from waxwingwinch.gateway._request_log_lines import (
     FirstEvent,
     StreamAborted,
+    StreamSilent,
 )
 from waxwingwinch.gateway._requests import Prompt, ResponseHead
 from waxwingwinch.gateway._telemetry import CounterName
@@ -69,6 +70,7 @@
     :param has_begun: True once the response head was sent to the caller.
     :param expected_seconds: Estimated time to the first event.
     :param placement_name: Class name of the last placement, for the log.
+    :param engine_id: The last engine that generated, for the log.
     """
 
     job: Job
@@ -78,6 +80,7 @@
     has_begun: bool = False
     expected_seconds: float = 0.0
     placement_name: str = ""
+    engine_id: str = ""
 
 
 class GenerationRelay:
@@ -126,9 +129,23 @@
             request_id=stream.job.request.request_id,
             sends=stream.progress.sends,
             events=stream.splitter.event_count,
+            reason=self._why_no_engine(stream, now_seconds, no_permit),
         ).write()
         stream.responder.abort()
 
+    def _why_no_engine(
+        self, stream: _Stream, now_seconds: float, no_permit: NoPermit | None
+    ) -> str:
+        """Return why a stream that has begun is not resumed, for the log."""
+        job = stream.job
+        if no_permit is not None:
+            return f"the limit of {no_permit.upstream_id} has no room"
+        if not may_attempt(job, stream.progress, now_seconds):
+            return "no further attempt is allowed"
+        if not self._context.budget.has_retry(job.service.name, now_seconds):
+            return f"the retry budget of {job.service.name} is used up"
+        return f"no other engine of {job.service.name} is usable"
+
     def _run(
         self,
         stream: _Stream,
@@ -200,6 +217,7 @@
             else DecodeFromCache(cache.engine.address, cache.handle)
         )
         now_seconds = self._context.clock.now_seconds()
+        stream.engine_id = engine.upstream_id
         try:
             response = open_call(
                 self._context,
@@ -335,13 +353,22 @@
 
     def _read(self, stream: _Stream, response: UpstreamResponse) -> bytes:
         job = stream.job
-        remaining_seconds = job.end_seconds - self._context.clock.now_seconds()
+        started_seconds = self._context.clock.now_seconds()
+        remaining_seconds = job.end_seconds - started_seconds
         may_resume = job.route.is_retryable and stream.has_begun
         if may_resume and stream.progress.sends < job.route.max_attempts:
             remaining_seconds = min(remaining_seconds, STALL_TIMEOUT_SECONDS)
         try:
             return response.read_some(remaining_seconds)
         except AnswerMissing as error:
+            silent_seconds = self._context.clock.now_seconds() - started_seconds
+            if silent_seconds >= STALL_TIMEOUT_SECONDS:
+                StreamSilent(
+                    request_id=job.request.request_id,
+                    upstream_id=stream.engine_id,
+                    events=stream.splitter.event_count,
+                    silent_seconds=silent_seconds,
+                ).write()
             raise _Interrupted(str(error)) from error
 
     def _split(self, stream: _Stream, piece: bytes) -> bytes:
--- a/src/waxwingwinch/gateway/_request_log_lines.py
+++ b/src/waxwingwinch/gateway/_request_log_lines.py
@@ -101,6 +101,23 @@
     sends: int
 
 
+@log_line("upstream:began")
+class UpstreamBegan(LogLine):
+    """
+    The head of an upstream's response has arrived.
+
+    :param request_id: Id of the request.
+    :param upstream_id: The upstream.
+    :param status: HTTP status.
+    :param took_seconds: Time since the request was sent.
+    """
+
+    request_id: str
+    upstream_id: str
+    status: int
+    took_seconds: float
+
+
 @log_line("upstream:answered")
 class UpstreamAnswered(LogLine):
     """
@@ -204,11 +221,30 @@
     :param request_id: Id of the request.
     :param sends: Number of upstreams that the request was sent to.
     :param events: Number of events forwarded to the caller.
+    :param reason: Why no other engine resumed it.
     """
 
     request_id: str
     sends: int
     events: int
+    reason: str
+
+
+@log_line("stream:silent")
+class StreamSilent(LogLine):
+    """
+    The engine of a stream that has begun sent nothing for a while.
+
+    :param request_id: Id of the request.
+    :param upstream_id: The engine.
+    :param events: Number of events forwarded to the caller.
+    :param silent_seconds: Time without data.
+    """
+
+    request_id: str
+    upstream_id: str
+    events: int
+    silent_seconds: float
 
 
 @log_line("request:answered")
--- a/src/waxwingwinch/gateway/_upstream_calls.py
+++ b/src/waxwingwinch/gateway/_upstream_calls.py
@@ -3,6 +3,7 @@
 from waxwingwinch.gateway._job import Job, RelayContext
 from waxwingwinch.gateway._limit_log_lines import LimitedRequestSent
 from waxwingwinch.gateway._named_limits import NamedLimit
+from waxwingwinch.gateway._request_log_lines import UpstreamBegan
 from waxwingwinch.gateway._requests import ResponseHead
 from waxwingwinch.gateway._telemetry import CounterName
 from waxwingwinch.gateway._transport import UpstreamCall, UpstreamResponse
@@ -50,6 +51,12 @@
     response = context.transport.open(
         upstream, call, job.cancellation, now_seconds, wait_seconds
     )
+    UpstreamBegan(
+        request_id=job.request.request_id,
+        upstream_id=upstream.upstream_id,
+        status=response.head.status,
+        took_seconds=context.clock.now_seconds() - now_seconds,
+    ).write()
     _observe_limit(context, upstream, response.head, now_seconds)
     return response
 
