Keep a silent engine until another has begun to answer

Callers saw streams end in the middle, without an answer, although their engine was sound: it was silent for a moment and would have gone on.

Cause: after 1 s without data the stream's connection was closed and its engine counted as failed, and only then another engine was looked for. Without attempts, budget, room in limits or a sound engine there was none, and the stream was broken off. All streams of one silent engine reach that point together, so the retry budget does not suffice for them.

The silent response now stays open while another engine is chosen, paid for and asked. The first of the two that has data is used; the other is aborted at once. If there is no other engine, or it gives no success, the silent one is waited for until the deadline. Both overlap for at most 0.3 s, since a request may not go on at two engines for 0.4 s; without a head by then the new call is dropped. Bodies are read by a reader of our own: waiting for data with a time limit consumes nothing, also within the framing of a chunk, where http.client can't continue after a timeout.

--- a/src/waxwingwinch/gateway/__init__.py
+++ b/src/waxwingwinch/gateway/__init__.py
@@ -7,6 +7,7 @@
 
 from waxwingwinch.gateway._cluster_log_lines import HandleNotReleased
 from waxwingwinch.gateway._connections import (
+    CallDropped,
     Cancellation,
     Cancelled,
     ConnectionPool,
@@ -55,6 +56,7 @@
     DecodeFromCache,
     FullExecution,
     PrefillOnly,
+    SilentResponse,
     UpstreamCall,
     UpstreamResponse,
     UpstreamTransport,
@@ -64,6 +66,7 @@
 __all__ = [
     "AppendConflict",
     "CallerLimits",
+    "CallDropped",
     "Cancellation",
     "Cancelled",
     "ConnectionPool",
@@ -101,6 +104,7 @@
     "SettingsReloadRequested",
     "SettingsReloaded",
     "SettingsUnreadable",
+    "SilentResponse",
     "StaleFencingToken",
     "Upstream",
     "UpstreamCall",
--- /dev/null
+++ b/src/waxwingwinch/gateway/_body_reader.py
@@ -0,0 +1,207 @@
+"""Reading the body of a response; waiting for data consumes none of it."""
+
+import enum
+import re
+import select
+import socket
+import time
+
+from attrs import define, field
+
+from waxwingwinch.http import AnswerMissing
+
+#: Maximum length of a chunk size or trailer line.
+MAX_LINE_BYTES = 8_192
+
+_READ_BYTES = 65_536
+_CHUNK_SIZE = re.compile(rb"([0-9A-Fa-f]{1,15})[ \t]*(;.*)?")
+
+
+class _ChunkState(enum.Enum):
+    SIZE = enum.auto()
+    DATA = enum.auto()
+    DATA_END = enum.auto()
+    TRAILER = enum.auto()
+    COMPLETE = enum.auto()
+
+
+@define
+class ChunkDecoder:
+    """Decodes a body with ``Transfer-Encoding: chunked``."""
+
+    _state: _ChunkState = _ChunkState.SIZE
+    _left_bytes: int = 0
+
+    @property
+    def is_complete(self) -> bool:
+        """Tell whether the last chunk and the trailer were decoded."""
+        return self._state is _ChunkState.COMPLETE
+
+    def decode(self, received: bytearray) -> bytes:
+        """
+        Remove the decodable part of the received bytes and return its data.
+
+        :param received: Bytes received and not decoded yet; shortened.
+        :raises AnswerMissing: If the framing is malformed.
+        """
+        data = bytearray()
+        while not self.is_complete and self._step(received, data):
+            pass
+        return bytes(data)
+
+    def _step(self, received: bytearray, data: bytearray) -> bool:
+        """Decode one element; return False if more bytes are needed."""
+        if self._state is _ChunkState.DATA:
+            part = received[: self._left_bytes]
+            data += part
+            del received[: len(part)]
+            self._left_bytes -= len(part)
+            if self._left_bytes:
+                return False
+            self._state = _ChunkState.DATA_END
+            return True
+        line = _take_line(received)
+        if line is None:
+            return False
+        match self._state:
+            case _ChunkState.SIZE:
+                self._left_bytes = _chunk_size(line)
+                self._state = (
+                    _ChunkState.DATA if self._left_bytes else _ChunkState.TRAILER
+                )
+            case _ChunkState.DATA_END:
+                if line:
+                    raise AnswerMissing("a chunk is longer than its declared size")
+                self._state = _ChunkState.SIZE
+            case _ChunkState.TRAILER if not line:
+                self._state = _ChunkState.COMPLETE
+        return True
+
+
+def _take_line(received: bytearray) -> bytes | None:
+    """Remove and return a line without its end; None if it is incomplete."""
+    end = received.find(b"\n")
+    if end < 0:
+        if len(received) > MAX_LINE_BYTES:
+            raise AnswerMissing(f"a chunk line exceeds {MAX_LINE_BYTES} bytes")
+        return None
+    line = bytes(received[:end])
+    del received[: end + 1]
+    return line.removesuffix(b"\r")
+
+
+def _chunk_size(line: bytes) -> int:
+    found = _CHUNK_SIZE.fullmatch(line)
+    if found is None:
+        raise AnswerMissing(f"malformed chunk size {line[:40]!r}")
+    return int(found[1], 16)
+
+
+@define(eq=False)
+class BodyReader:
+    """
+    Reads the body of one response.
+
+    The body ends with its last chunk, at its declared length or, if it has
+    neither, with the connection.
+
+    :param connection: The upstream's socket.
+    :param length: Declared length in bytes; None if there is none.
+    :param chunks: Decodes the chunks; None for a body without chunks.
+    :param received: Bytes received and not decoded yet.
+    """
+
+    connection: socket.socket
+    length: int | None
+    chunks: ChunkDecoder | None
+    received: bytearray = field(factory=bytearray)
+    _is_closed: bool = False
+    _decoded: bytes = b""
+
+    def wait(self, timeout_seconds: float) -> bool:
+        """
+        Wait until a part of the body or its end has arrived.
+
+        :param timeout_seconds: Longest wait.
+        :returns: False if nothing that can be read has arrived in time.
+        :raises AnswerMissing: If the body was truncated or is malformed.
+        """
+        end_seconds = time.monotonic() + timeout_seconds
+        while not self._has_arrived():
+            remaining_seconds = max(end_seconds - time.monotonic(), 0.0)
+            if not readable((self.connection,), remaining_seconds):
+                return False
+            self._receive()
+        return True
+
+    def read_some(self, timeout_seconds: float) -> bytes:
+        """
+        Return the part of the body that has arrived; wait for at least a byte.
+
+        :param timeout_seconds: Longest wait.
+        :returns: Empty at the end of the body.
+        :raises AnswerMissing: If the body was truncated or timed out.
+        """
+        if not self.wait(timeout_seconds):
+            raise AnswerMissing(
+                f"no data of the response body for {timeout_seconds:.3f} s"
+            )
+        data, self._decoded = self._decoded, b""
+        return data
+
+    @property
+    def is_complete(self) -> bool:
+        """Tell whether the body has arrived to its end."""
+        if self.chunks is not None:
+            return self.chunks.is_complete
+        if self.length is not None:
+            return self.length == 0
+        return self._is_closed
+
+    def _has_arrived(self) -> bool:
+        """Decode what was received; tell whether a read would return."""
+        if not self._decoded:
+            self._decoded = self._decode()
+        if self._decoded or self.is_complete:
+            return True
+        if self._is_closed:
+            raise AnswerMissing("connection closed before the end of the body")
+        return False
+
+    def _decode(self) -> bytes:
+        if self.chunks is not None:
+            return self.chunks.decode(self.received)
+        size = len(self.received) if self.length is None else self.length
+        data = bytes(self.received[:size])
+        del self.received[: len(data)]
+        if self.length is not None:
+            self.length -= len(data)
+        return data
+
+    def _receive(self) -> None:
+        try:
+            data = self.connection.recv(_READ_BYTES)
+        except OSError as error:
+            raise AnswerMissing(repr(error)) from error
+        self.received += data
+        self._is_closed = not data
+
+
+def readable(
+    connections: tuple[socket.socket, ...], timeout_seconds: float
+) -> tuple[socket.socket, ...]:
+    """
+    Wait until one of several sockets has data, was closed or failed.
+
+    :param connections: The sockets; a closed one counts as readable.
+    :param timeout_seconds: Longest wait.
+    :returns: The readable sockets; empty if there was none in time.
+    """
+    poller = select.poll()
+    by_descriptor = {connection.fileno(): connection for connection in connections}
+    if -1 in by_descriptor:
+        return (by_descriptor[-1],)
+    for descriptor in by_descriptor:
+        poller.register(descriptor, select.POLLIN)
+    timeout_ms = max(timeout_seconds, 0.0) * 1_000
+    return tuple(by_descriptor[found] for found, _ in poller.poll(timeout_ms))
--- a/src/waxwingwinch/gateway/_connections.py
+++ b/src/waxwingwinch/gateway/_connections.py
@@ -1,10 +1,10 @@
 """Connections to upstreams that can be aborted from another thread."""
 
 import enum
-import select
 import socket
 import threading
 import time
+from typing import Any
 
 from attrs import define
 from urllib3 import HTTPHeaderDict, HTTPResponse
@@ -12,6 +12,7 @@
 from urllib3.util import SKIP_HEADER
 
 from waxwingwinch._types import Address
+from waxwingwinch.gateway._body_reader import BodyReader, ChunkDecoder, readable
 from waxwingwinch.http import TRANSPORT_ERRORS, AnswerMissing, NotSent
 
 #: Connect timeout. Links have a latency of a few milliseconds; a lost SYN is
@@ -35,8 +36,6 @@
 #: time for which they may be reused.
 SWEEP_INTERVAL_SECONDS = 1.0
 
-_READ_BYTES = 65_536
-
 SOCKET_OPTIONS = (
     (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
     (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
@@ -66,12 +65,16 @@
         self.reason = reason
 
 
+class CallDropped(Exception):
+    """A call was dropped in favour of an earlier one of the same request."""
+
+
 class Cancellation:
-    """Cancels a request at its upstream; may be used from any thread."""
+    """Cancels a request at its upstreams; may be used from any thread."""
 
     def __init__(self) -> None:
         self._reason: CancelReason | None = None
-        self._connection: UpstreamConnection | None = None
+        self._connections: set[UpstreamConnection] = set()
         self._lock = threading.Lock()
 
     @property
@@ -82,32 +85,36 @@
 
     def attach(self, connection: "UpstreamConnection") -> None:
         """
-        Set the connection to abort when the request is cancelled.
+        Add a connection to abort when the request is cancelled.
 
-        :param connection: The connection that carries the request.
+        :param connection: A connection that carries the request.
         :raises Cancelled: If the request is already cancelled.
         """
         with self._lock:
             if self._reason is not None:
                 raise Cancelled(self._reason)
-            self._connection = connection
+            self._connections.add(connection)
+
+    def detach(self, connection: "UpstreamConnection") -> None:
+        """
+        Remove a connection; a cancellation no longer aborts it.
 
-    def detach(self) -> None:
-        """Unset the connection; a cancellation no longer aborts it."""
+        :param connection: The connection.
+        """
         with self._lock:
-            self._connection = None
+            self._connections.discard(connection)
 
     def cancel(self, reason: CancelReason) -> None:
         """
-        Cancel the request and abort its connection.
+        Cancel the request and abort its connections.
 
         :param reason: Why it is cancelled; the first reason is kept.
         """
         with self._lock:
             if self._reason is None:
                 self._reason = reason
-            connection = self._connection
-        if connection is not None:
+            connections = tuple(self._connections)
+        for connection in connections:
             connection.abort()
 
 
@@ -137,17 +144,18 @@
         # that it will close the connection; abort() still needs the socket.
         self._socket = self._connection.sock
         self._response: HTTPResponse | None = None
+        self._body: BodyReader | None = None
 
-    def exchange(
+    def send(
         self,
         method: str,
         target: str,
         headers: list[tuple[str, str]],
         body: bytes,
         timeout_seconds: float,
-    ) -> HTTPResponse:
+    ) -> None:
         """
-        Send a request and read the head of the response.
+        Send a request.
 
         :param method: HTTP method.
         :param target: Path and query, sent unchanged.
@@ -155,13 +163,14 @@
             ``Content-Length``.
         :param body: The complete body.
         :param timeout_seconds: Timeout of each socket operation.
-        :raises AnswerMissing: If no response was received.
+        :raises AnswerMissing: If the connection failed meanwhile.
         """
         sent_headers = HTTPHeaderDict(headers)
         for name in ("User-Agent", "Accept-Encoding"):
             sent_headers.setdefault(name, SKIP_HEADER)
         # urllib3 sets the socket's timeout to this value when it sends.
         self._connection.timeout = max(timeout_seconds, 0.001)
+        self._body = None
         try:
             self._connection.request(
                 method,
@@ -171,11 +180,73 @@
                 preload_content=False,
                 decode_content=False,
             )
+        except TRANSPORT_ERRORS as error:
+            raise AnswerMissing(repr(error)) from error
+
+    def wait_beside(self, silent: "UpstreamConnection", overlap_seconds: float) -> None:
+        """
+        Wait for a response while an earlier one of the request is silent.
+
+        :param silent: The connection of the earlier response.
+        :param overlap_seconds: Longest wait, unless the earlier response
+            breaks off.
+        :raises CallDropped: If the earlier response goes on, or neither does.
+        """
+        end_seconds = time.monotonic() + overlap_seconds
+        while True:
+            try:
+                if silent.wait(0.0):
+                    raise CallDropped("the earlier response goes on")
+            except AnswerMissing:
+                return
+            arrived = readable(
+                (self._socket, silent._socket), end_seconds - time.monotonic()
+            )
+            if not arrived:
+                raise CallDropped(f"no response within {overlap_seconds:.3f} s")
+            if silent._socket not in arrived:
+                return
+
+    def read_head(self, timeout_seconds: float) -> HTTPResponse:
+        """
+        Read the head of the response.
+
+        :param timeout_seconds: Timeout of each socket operation.
+        :raises AnswerMissing: If no response was received.
+        """
+        self._connection.timeout = max(timeout_seconds, 0.001)
+        try:
             self._response = self._connection.getresponse()
+            self._body = self._make_body_reader(self._response)
             return self._response
         except TRANSPORT_ERRORS as error:
             raise AnswerMissing(repr(error)) from error
 
+    def _make_body_reader(self, response: HTTPResponse) -> BodyReader:
+        raw: Any = response._original_response
+        # Without a timeout, peek() returns what the head's reader has read
+        # beyond the head and waits for nothing.
+        self._socket.settimeout(0.0)
+        has_chunks = raw.chunked and raw.length is None
+        return BodyReader(
+            self._socket,
+            raw.length,
+            ChunkDecoder() if has_chunks else None,
+            bytearray(raw.fp.peek()),
+        )
+
+    def wait(self, timeout_seconds: float) -> bool:
+        """
+        Wait until a part of the response, or its end, can be read.
+
+        :param timeout_seconds: Longest wait.
+        :returns: False if nothing that can be read has arrived in time.
+        :raises AnswerMissing: If the response was truncated.
+        """
+        if self._body is None:
+            return bool(readable((self._socket,), timeout_seconds))
+        return self._body.wait(timeout_seconds)
+
     def read_some(self, timeout_seconds: float) -> bytes:
         """
         Read the available bytes of the body; wait for at least one.
@@ -184,15 +255,13 @@
         :returns: Empty at the end of the body.
         :raises AnswerMissing: If the body was truncated or timed out.
         """
-        response = self._response
-        if response is None or timeout_seconds <= 0:
+        if self._body is None or timeout_seconds <= 0:
             raise AnswerMissing("timed out before the end of the response body")
-        try:
-            if not response.closed:
-                self._socket.settimeout(timeout_seconds)
-            return response.read1(_READ_BYTES)
-        except TRANSPORT_ERRORS as error:
-            raise AnswerMissing(repr(error)) from error
+        data = self._body.read_some(timeout_seconds)
+        if not data and self._response is not None:
+            # The connection can carry another request from now on.
+            self._response.close()
+        return data
 
     def read_all(self, timeout_seconds: float) -> bytes:
         """
@@ -211,12 +280,9 @@
         """Tell whether the connection is open and has no unread data."""
         if self._connection.sock is None:
             return False
-        try:
-            poller = select.poll()
-            poller.register(self._socket, select.POLLIN)
-            return not poller.poll(0)
-        except (OSError, ValueError):
+        if self._body is not None and self._body.received:
             return False
+        return not readable((self._socket,), 0.0)
 
     def abort(self) -> None:
         """Shut the connection down at once; may be called from any thread."""
--- a/src/waxwingwinch/gateway/_generation_relay.py
+++ b/src/waxwingwinch/gateway/_generation_relay.py
@@ -2,7 +2,7 @@
 
 from attrs import define, field
 
-from waxwingwinch.gateway._connections import Cancelled
+from waxwingwinch.gateway._connections import CallDropped, Cancelled
 from waxwingwinch.gateway._engine_choice import EngineChooser
 from waxwingwinch.gateway._event_stream import EventSplitter, EventTooLarge
 from waxwingwinch.gateway._job import (
@@ -35,6 +35,7 @@
 )
 from waxwingwinch.gateway._request_log_lines import (
     FirstEvent,
+    SilentUpstreamKept,
     StreamAborted,
     StreamSilent,
 )
@@ -43,21 +44,51 @@
 from waxwingwinch.gateway._transport import (
     DecodeFromCache,
     FullExecution,
+    SilentResponse,
     UpstreamResponse,
 )
 from waxwingwinch.gateway._upstream_calls import open_call
 from waxwingwinch.gateway._upstreams import Upstream
 from waxwingwinch.http import AnswerMissing, NotSent
 
-#: Time without data after which a stream is resumed at another engine, if its
-#: route allows it; callers time out after twice that.
+#: Time without data after which another engine is asked to resume a stream, if
+#: its route allows it; callers time out after twice that.
 STALL_TIMEOUT_SECONDS = 1.0
+#: Longest time for which an engine and its replacement run a stream at once;
+#: below the time that the platform tolerates.
+OVERLAP_SECONDS = 0.3
 
 
 class _Interrupted(Exception):
     """The stream broke; another engine may resume it if the route allows."""
 
 
+class _EngineSilent(Exception):
+    """The stream is open, but its engine has sent nothing for a while."""
+
+
+@define(eq=False)
+class _Attempt:
+    """
+    A response of an engine to a request.
+
+    :param engine: The engine.
+    :param response: Its response.
+    :param tracked_request: Counts the request at the engine.
+    :param has_events: True once it has sent a complete event.
+    """
+
+    engine: Upstream
+    response: UpstreamResponse
+    tracked_request: TrackedRequest
+    has_events: bool = False
+
+    def abort(self) -> None:
+        """Cancel the request at the engine."""
+        self.response.abort()
+        self.tracked_request.end()
+
+
 @define(eq=False)
 class _Stream:
     """
@@ -70,7 +101,7 @@
     :param has_begun: True once the response head was sent to the caller.
     :param expected_seconds: Estimated time to the first event.
     :param placement_name: Class name of the last placement, for the log.
-    :param engine_id: The last engine that generated, for the log.
+    :param silent: The open attempt whose engine is silent, if any.
     """
 
     job: Job
@@ -80,7 +111,19 @@
     has_begun: bool = False
     expected_seconds: float = 0.0
     placement_name: str = ""
-    engine_id: str = ""
+    silent: _Attempt | None = None
+
+    @property
+    def silent_response(self) -> UpstreamResponse | None:
+        """The open response whose engine is silent, if any."""
+        return self.silent.response if self.silent is not None else None
+
+    def drop_silent(self) -> None:
+        """Cancel the attempt whose engine is silent, if there is one."""
+        if self.silent is not None:
+            self.silent.abort()
+            self.silent = None
+            self.splitter.drop_partial_event()
 
 
 class GenerationRelay:
@@ -106,22 +149,51 @@
         :raises CallerDisconnected: If the caller has closed its connection.
         """
         stream = _Stream(job, responder)
-        while True:
-            now_seconds = self._context.clock.now_seconds()
-            permits = AttemptPermits(self._context.permits, job.request.request_id)
-            placement = self._engine_chooser.choose(
-                job, prompt, stream.progress, permits, now_seconds
-            )
-            if placement is None or isinstance(placement, NoPermit):
-                self._end_without_engine(stream, now_seconds, placement)
-                return
-            stream.expected_seconds = placement.expected_seconds
-            stream.placement_name = type(placement).__name__
-            if self._run(stream, prompt, placement, permits):
-                return
+        try:
+            while not self._serve_once(stream, prompt):
+                pass
+        finally:
+            stream.drop_silent()
+
+    def _serve_once(self, stream: _Stream, prompt: Prompt) -> bool:
+        """Choose an engine and execute; return whether the response ended."""
+        job = stream.job
+        now_seconds = self._context.clock.now_seconds()
+        permits = AttemptPermits(self._context.permits, job.request.request_id)
+        placement = self._engine_chooser.choose(
+            job, prompt, stream.progress, permits, now_seconds
+        )
+        if placement is None or isinstance(placement, NoPermit):
+            reason = self._why_no_engine(stream, now_seconds, placement)
+            if stream.silent is not None:
+                return self._keep_silent(stream, stream.silent, reason)
+            self._end_without_engine(stream, now_seconds, placement, reason)
+            return True
+        stream.expected_seconds = placement.expected_seconds
+        stream.placement_name = type(placement).__name__
+        try:
+            return self._run(stream, prompt, placement, permits)
+        except CallDropped as dropped:
+            if stream.silent is None:
+                raise
+            return self._keep_silent(stream, stream.silent, str(dropped))
+
+    def _keep_silent(self, stream: _Stream, silent: _Attempt, reason: str) -> bool:
+        """Go on with the engine that was silent."""
+        SilentUpstreamKept(
+            request_id=stream.job.request.request_id,
+            upstream_id=silent.engine.upstream_id,
+            reason=reason,
+        ).write()
+        stream.silent = None
+        return self._relay_attempt(stream, silent)
 
     def _end_without_engine(
-        self, stream: _Stream, now_seconds: float, no_permit: NoPermit | None
+        self,
+        stream: _Stream,
+        now_seconds: float,
+        no_permit: NoPermit | None,
+        reason: str,
     ) -> None:
         if not stream.has_begun:
             raise final_refusal(stream.job, stream.progress, now_seconds, no_permit)
@@ -129,14 +201,14 @@
             request_id=stream.job.request.request_id,
             sends=stream.progress.sends,
             events=stream.splitter.event_count,
-            reason=self._why_no_engine(stream, now_seconds, no_permit),
+            reason=reason,
         ).write()
         stream.responder.abort()
 
     def _why_no_engine(
         self, stream: _Stream, now_seconds: float, no_permit: NoPermit | None
     ) -> str:
-        """Return why a stream that has begun is not resumed, for the log."""
+        """Return why no engine was chosen, for the log."""
         job = stream.job
         if no_permit is not None:
             return f"the limit of {no_permit.upstream_id} has no room"
@@ -180,9 +252,14 @@
             return False
         tracked_request = self._context.loads.begin(engine.upstream_id, work_tokens)
         try:
-            return self._generate(stream, engine, cache, tracked_request)
-        finally:
+            response = self._open(stream, engine, cache)
+        except BaseException:
+            tracked_request.end()
+            raise
+        if response is None:
             tracked_request.end()
+            return False
+        return self._relay_attempt(stream, _Attempt(engine, response, tracked_request))
 
     def _prefill(
         self, stream: _Stream, prompt: Prompt, placement: RunSplit
@@ -195,7 +272,11 @@
             stream.job, prompt, prefill_engine.upstream_id, placement.read_tokens
         )
         match self._prefill_relay.prefill(
-            stream.job, stream.progress, prefill_engine, placement
+            stream.job,
+            stream.progress,
+            prefill_engine,
+            placement,
+            stream.silent_response,
         ):
             case PrefilledCache() as cache:
                 return cache
@@ -203,21 +284,18 @@
                 stream.progress = progress
                 return None
 
-    def _generate(
-        self,
-        stream: _Stream,
-        engine: Upstream,
-        cache: PrefilledCache | None,
-        tracked_request: TrackedRequest,
-    ) -> bool:
+    def _open(
+        self, stream: _Stream, engine: Upstream, cache: PrefilledCache | None
+    ) -> UpstreamResponse | None:
+        """Open the response of an engine; return None if it gave none."""
         job = stream.job
         phase = (
             FullExecution()
             if cache is None
             else DecodeFromCache(cache.engine.address, cache.handle)
         )
+        silent = stream.silent_response
         now_seconds = self._context.clock.now_seconds()
-        stream.engine_id = engine.upstream_id
         try:
             response = open_call(
                 self._context,
@@ -226,35 +304,57 @@
                 job.call(phase, stream.splitter.last_event_id),
                 now_seconds,
                 job.end_seconds - now_seconds,
+                SilentResponse(silent, OVERLAP_SECONDS) if silent else None,
             )
         except NotSent as error:
             record_failure(self._context, job, engine, error)
             if cache is not None:
                 self._prefill_relay.release(cache)
             stream.progress = stream.progress.with_connect_failure(engine.upstream_id)
-            return False
+            return None
+        except CallDropped:
+            stream.progress = stream.progress.with_possible_execution(
+                engine.upstream_id
+            )
+            raise
         except (AnswerMissing, Cancelled) as error:
             raise_if_caller_disconnected(job, error)
             record_failure(self._context, job, engine, error)
             stream.progress = stream.progress.with_possible_execution(
                 engine.upstream_id
             )
-            return False
+            return None
         if response.head.not_executed:
             self._finish_rejected(stream, engine, response)
-            return False
+            return None
         stream.progress = stream.progress.with_possible_execution(engine.upstream_id)
+        return response
+
+    def _relay_attempt(self, stream: _Stream, attempt: _Attempt) -> bool:
+        """Forward a response; return whether a complete response was sent."""
+        job, response = stream.job, attempt.response
         try:
-            return self._relay(stream, response, tracked_request)
+            return self._relay(stream, attempt)
+        except _EngineSilent:
+            now_seconds = self._context.clock.now_seconds()
+            self._context.directory.record_silence(
+                attempt.engine.upstream_id, now_seconds
+            )
+            stream.silent = attempt
+            return False
         except _Interrupted as error:
             response.abort()
             raise_if_caller_disconnected(job, error)
-            record_failure(self._context, job, engine, error)
-            stream.splitter.drop_partial_event()
+            record_failure(self._context, job, attempt.engine, error)
+            if stream.silent is None:
+                stream.splitter.drop_partial_event()
             return False
         except CallerDisconnected:
             response.abort()
             raise
+        finally:
+            if stream.silent is not attempt:
+                attempt.tracked_request.end()
 
     def _finish_rejected(
         self, stream: _Stream, engine: Upstream, response: UpstreamResponse
@@ -269,13 +369,9 @@
             response.abort()
             raise_if_caller_disconnected(stream.job, error)
 
-    def _relay(
-        self,
-        stream: _Stream,
-        response: UpstreamResponse,
-        tracked_request: TrackedRequest,
-    ) -> bool:
+    def _relay(self, stream: _Stream, attempt: _Attempt) -> bool:
         """Forward a response; return False if it was dropped for a retry."""
+        response = attempt.response
         head = response.head
         if stream.has_begun and not head.is_success:
             raise _Interrupted(f"resuming the stream failed with status {head.status}")
@@ -285,14 +381,15 @@
             raise _Interrupted(
                 "the upstream sent a success response without a signature"
             )
-        is_first = True
-        while piece := self._read(stream, response):
+        # This engine has begun to answer, so the silent one is given up.
+        stream.drop_silent()
+        while piece := self._read(stream, attempt):
             events = self._split(stream, piece)
             if not events:
                 continue
-            if is_first:
-                is_first = False
-                tracked_request.mark_prefilled()
+            if not attempt.has_events:
+                attempt.has_events = True
+                attempt.tracked_request.mark_prefilled()
                 self._context.usage.record_start(
                     stream.job.customer_id, self._context.clock.wall_seconds()
                 )
@@ -351,24 +448,27 @@
             stream.has_begun = True
             stream.responder.begin(head.status, head.headers)
 
-    def _read(self, stream: _Stream, response: UpstreamResponse) -> bytes:
-        job = stream.job
-        started_seconds = self._context.clock.now_seconds()
-        remaining_seconds = job.end_seconds - started_seconds
-        may_resume = job.route.is_retryable and stream.has_begun
-        if may_resume and stream.progress.sends < job.route.max_attempts:
-            remaining_seconds = min(remaining_seconds, STALL_TIMEOUT_SECONDS)
+    def _read(self, stream: _Stream, attempt: _Attempt) -> bytes:
+        job, response = stream.job, attempt.response
+        remaining_seconds = job.end_seconds - self._context.clock.now_seconds()
+        may_resume = (
+            job.route.is_retryable
+            and stream.has_begun
+            and stream.progress.sends < job.route.max_attempts
+            and remaining_seconds > STALL_TIMEOUT_SECONDS
+        )
         try:
-            return response.read_some(remaining_seconds)
-        except AnswerMissing as error:
-            silent_seconds = self._context.clock.now_seconds() - started_seconds
-            if silent_seconds >= STALL_TIMEOUT_SECONDS:
+            if may_resume and not response.wait(STALL_TIMEOUT_SECONDS):
                 StreamSilent(
                     request_id=job.request.request_id,
-                    upstream_id=stream.engine_id,
+                    upstream_id=attempt.engine.upstream_id,
                     events=stream.splitter.event_count,
-                    silent_seconds=silent_seconds,
+                    silent_seconds=STALL_TIMEOUT_SECONDS,
                 ).write()
+                raise _EngineSilent
+            remaining_seconds = job.end_seconds - self._context.clock.now_seconds()
+            return response.read_some(remaining_seconds)
+        except AnswerMissing as error:
             raise _Interrupted(str(error)) from error
 
     def _split(self, stream: _Stream, piece: bytes) -> bytes:
--- a/src/waxwingwinch/gateway/_prefill.py
+++ b/src/waxwingwinch/gateway/_prefill.py
@@ -13,7 +13,11 @@
 from waxwingwinch.gateway._placement import FIRST_EVENT_SECONDS, RunSplit, work_seconds
 from waxwingwinch.gateway._plain_relay import record_failure, record_rejection
 from waxwingwinch.gateway._request_log_lines import PromptRead
-from waxwingwinch.gateway._transport import PrefillOnly
+from waxwingwinch.gateway._transport import (
+    PrefillOnly,
+    SilentResponse,
+    UpstreamResponse,
+)
 from waxwingwinch.gateway._upstream_calls import open_call
 from waxwingwinch.gateway._upstreams import Upstream
 from waxwingwinch.http import AnswerMissing, NotSent
@@ -59,7 +63,12 @@
         self._context = context
 
     def prefill(
-        self, job: Job, progress: Progress, engine: Upstream, placement: RunSplit
+        self,
+        job: Job,
+        progress: Progress,
+        engine: Upstream,
+        placement: RunSplit,
+        silent: UpstreamResponse | None = None,
     ) -> PrefilledCache | PrefillFailed:
         """
         Have a prompt prefilled.
@@ -68,6 +77,8 @@
         :param progress: The attempts so far.
         :param engine: The prefill engine.
         :param placement: The placement with its estimates.
+        :param silent: An earlier response to the request, if one is silent.
+        :raises CallDropped: If the earlier response goes on first.
         :raises CallerDisconnected: If the caller has closed its connection.
         """
         now_seconds = self._context.clock.now_seconds()
@@ -77,7 +88,7 @@
             engine.upstream_id, placement.read_tokens
         )
         try:
-            handle = self._request_prefill(job, engine, placement, now_seconds)
+            handle = self._request_prefill(job, engine, placement, silent, now_seconds)
             if handle is None:
                 return PrefillFailed(progress.with_failed_prefill(engine.upstream_id))
             self._record_prefill(job, engine, placement, waiting, now_seconds)
@@ -101,7 +112,12 @@
         self._context.transport.release_handle(cache.engine, cache.handle)
 
     def _request_prefill(
-        self, job: Job, engine: Upstream, placement: RunSplit, now_seconds: float
+        self,
+        job: Job,
+        engine: Upstream,
+        placement: RunSplit,
+        silent: UpstreamResponse | None,
+        now_seconds: float,
     ) -> str | None:
         """Return the KV handle; None if the engine rejected the call."""
         wait_seconds = min(
@@ -116,6 +132,7 @@
             job.call(PrefillOnly()),
             now_seconds,
             wait_seconds,
+            SilentResponse(silent, wait_seconds) if silent is not None else None,
         )
         if response.head.not_executed:
             response.read_all(wait_seconds)
--- a/src/waxwingwinch/gateway/_request_log_lines.py
+++ b/src/waxwingwinch/gateway/_request_log_lines.py
@@ -135,6 +135,21 @@
     took_seconds: float
 
 
+@log_line("upstream:kept")
+class SilentUpstreamKept(LogLine):
+    """
+    A silent upstream was kept, or went on, instead of being replaced.
+
+    :param request_id: Id of the request.
+    :param upstream_id: The upstream.
+    :param reason: Why it was not replaced.
+    """
+
+    request_id: str
+    upstream_id: str
+    reason: str
+
+
 @log_line("upstream:failed")
 class UpstreamFailed(LogLine):
     """
--- a/src/waxwingwinch/gateway/_transport.py
+++ b/src/waxwingwinch/gateway/_transport.py
@@ -5,7 +5,7 @@
 from attrs import frozen
 
 from waxwingwinch._types import Address, CustomerId
-from waxwingwinch.gateway._connections import Cancellation
+from waxwingwinch.gateway._connections import Cancellation, UpstreamConnection
 from waxwingwinch.gateway._requests import GatewayRequest, PromptPart, ResponseHead
 from waxwingwinch.gateway._upstreams import Upstream
 
@@ -67,6 +67,24 @@
     def head(self) -> ResponseHead:
         """Status and headers."""
 
+    def wait(self, timeout_seconds: float) -> bool:
+        """
+        Wait until a part of the body, or its end, can be read.
+
+        :param timeout_seconds: Longest wait.
+        :returns: False if there was none in time; the body can still be read.
+        :raises AnswerMissing: If the body was truncated.
+        """
+
+    def wait_beside(self, later: UpstreamConnection, overlap_seconds: float) -> None:
+        """
+        Wait for the response on another connection while this one is silent.
+
+        :param later: Connection of a later call of the same request.
+        :param overlap_seconds: Longest wait, unless this response breaks off.
+        :raises CallDropped: If this response goes on, or neither does.
+        """
+
     def read_some(self, timeout_seconds: float) -> bytes:
         """
         Read the available bytes of the body; wait for at least one.
@@ -91,6 +109,20 @@
         """Close the connection, which cancels the request at the upstream."""
 
 
+@frozen
+class SilentResponse:
+    """
+    An earlier response to the same request, open and silent at present.
+
+    :param response: The response.
+    :param overlap_seconds: Longest wait for the head of another call while
+        the response stays open.
+    """
+
+    response: UpstreamResponse
+    overlap_seconds: float
+
+
 class UpstreamTransport(Protocol):
     """Sends calls to upstreams."""
 
@@ -101,6 +133,7 @@
         cancellation: Cancellation,
         now_seconds: float,
         wait_seconds: float,
+        silent: SilentResponse | None = None,
     ) -> UpstreamResponse:
         """
         Send a request and wait for the head of its response.
@@ -110,8 +143,11 @@
         :param cancellation: Cancels the call.
         :param now_seconds: Monotonic time.
         :param wait_seconds: Longest wait.
+        :param silent: An earlier response that is preferred if it goes on
+            before the head has arrived.
         :raises NotSent: If no byte of the request left the process.
         :raises AnswerMissing: If no response to this request was received.
+        :raises CallDropped: If the earlier response is preferred.
         :raises Cancelled: If it was cancelled before it was sent.
         """
 
--- a/src/waxwingwinch/gateway/_upstream_calls.py
+++ b/src/waxwingwinch/gateway/_upstream_calls.py
@@ -6,7 +6,11 @@
 from waxwingwinch.gateway._request_log_lines import UpstreamBegan
 from waxwingwinch.gateway._requests import ResponseHead
 from waxwingwinch.gateway._telemetry import CounterName
-from waxwingwinch.gateway._transport import UpstreamCall, UpstreamResponse
+from waxwingwinch.gateway._transport import (
+    SilentResponse,
+    UpstreamCall,
+    UpstreamResponse,
+)
 from waxwingwinch.gateway._upstreams import Upstream
 
 #: Status of an upstream that now serves another service or is another
@@ -21,6 +25,7 @@
     call: UpstreamCall,
     now_seconds: float,
     wait_seconds: float,
+    silent: SilentResponse | None = None,
 ) -> UpstreamResponse:
     """
     Send a request and wait for the head of its response.
@@ -31,8 +36,11 @@
     :param call: The call to send.
     :param now_seconds: Monotonic time.
     :param wait_seconds: Longest wait.
+    :param silent: An earlier response that is preferred if it goes on before
+        the head has arrived.
     :raises NotSent: If no byte of the request left the process.
     :raises AnswerMissing: If no response to this request was received.
+    :raises CallDropped: If the earlier response is preferred.
     :raises Cancelled: If it was cancelled before it was sent.
     """
     recent_sends = context.limits.record_send(
@@ -49,7 +57,7 @@
             recent_sends=recent_sends,
         ).write()
     response = context.transport.open(
-        upstream, call, job.cancellation, now_seconds, wait_seconds
+        upstream, call, job.cancellation, now_seconds, wait_seconds, silent
     )
     UpstreamBegan(
         request_id=job.request.request_id,
--- a/src/waxwingwinch/gateway/_upstreams.py
+++ b/src/waxwingwinch/gateway/_upstreams.py
@@ -303,6 +303,20 @@
         :param upstream_id: Id of the upstream.
         :param now_seconds: Monotonic time.
         """
+        self._eject_once(upstream_id, now_seconds)
+
+    def record_silence(self, upstream_id: UpstreamId, now_seconds: float) -> None:
+        """
+        Record that an upstream is silent, which may pass.
+
+        The upstream is ejected unless it is ejected already.
+
+        :param upstream_id: Id of the upstream.
+        :param now_seconds: Monotonic time.
+        """
+        self._eject_once(upstream_id, now_seconds)
+
+    def _eject_once(self, upstream_id: UpstreamId, now_seconds: float) -> None:
         with self._lock:
             if self._ejected_until_seconds(upstream_id) <= now_seconds:
                 self._failure_streaks[upstream_id] = _FailureStreak(
--- a/src/waxwingwinch/gateway/tests/relay_harness.py
+++ b/src/waxwingwinch/gateway/tests/relay_harness.py
@@ -1,6 +1,7 @@
 """A request handler with scripted upstreams and a recording caller."""
 
 from collections.abc import Callable
+from copy import deepcopy
 from typing import Any
 
 from attrs import define, evolve, field
@@ -14,7 +15,7 @@
     ZoneName,
 )
 from waxwingwinch.gateway._caller_watcher import CallerWatcher
-from waxwingwinch.gateway._connections import CancelReason
+from waxwingwinch.gateway._connections import CallDropped, CancelReason
 from waxwingwinch.gateway._current_table import CurrentTable
 from waxwingwinch.gateway._handler import RequestHandler
 from waxwingwinch.gateway._job import RelayContext
@@ -93,13 +94,35 @@
     during: Callable[[Any], object] | None = None
 
 
+@define
+class Silence:
+    """A part of a script: the upstream sends nothing for a while."""
+
+    seconds: float
+
+
 @define
 class FakeResponse:
     head: ResponseHead
     pieces: list[Any]
+    clock: FakeClock
     outcome: list[Any] = field(factory=list)
 
+    def wait(self, timeout_seconds):
+        if not self.pieces or not isinstance(self.pieces[0], Silence):
+            return True
+        silence = self.pieces[0]
+        waited_seconds = min(silence.seconds, timeout_seconds)
+        self.clock.seconds += waited_seconds
+        silence.seconds -= waited_seconds
+        if silence.seconds > 0:
+            return False
+        self.pieces.pop(0)
+        return True
+
     def read_some(self, timeout_seconds):
+        if not self.wait(timeout_seconds):
+            raise AnswerMissing("timed out")
         if not self.pieces:
             return b""
         piece = self.pieces.pop(0)
@@ -135,11 +158,15 @@
     released_handles: list[Any] = field(factory=list)
     unresponsive: set[str] = field(factory=set)
 
-    def open(self, upstream, call, cancellation, now_seconds, wait_seconds):
+    def open(
+        self, upstream, call, cancellation, now_seconds, wait_seconds, silent=None
+    ):
         self.calls.append((upstream.upstream_id, call))
         script = self._script(upstream, call)
         if script.during is not None:
             script.during(cancellation)
+        if silent is not None:
+            self._wait_beside(silent, script.delay_seconds)
         self.clock.seconds += min(script.delay_seconds, wait_seconds)
         if script.error is not None:
             raise script.error
@@ -153,10 +180,21 @@
             script.is_signed,
             script.limit_per_second,
         )
-        response = FakeResponse(head, list(script.pieces))
+        response = FakeResponse(head, deepcopy(list(script.pieces)), self.clock)
         self.responses.append(response)
         return response
 
+    def _wait_beside(self, silent, delay_seconds):
+        started_seconds = self.clock.seconds
+        try:
+            if silent.response.wait(min(delay_seconds, silent.overlap_seconds)):
+                raise CallDropped("the earlier response goes on")
+        except AnswerMissing:
+            return
+        if delay_seconds > silent.overlap_seconds:
+            raise CallDropped("no response")
+        self.clock.seconds = started_seconds
+
     def _script(self, upstream, call):
         script = self.scripts.get(upstream.upstream_id)
         if isinstance(script, list):
--- a/src/waxwingwinch/gateway/tests/test_generation_relay.py
+++ b/src/waxwingwinch/gateway/tests/test_generation_relay.py
@@ -15,6 +15,7 @@
     RecordingResponder,
     RelayHarness,
     ScriptedResponse,
+    Silence,
     disconnect_caller,
     upstream,
 )
@@ -326,3 +327,73 @@
     harness.wait(return_seconds + 0.01)
     assert harness.send(prompt=SHORT_PROMPT).status == 200
     assert len(harness.transport.calls) == 3
+
+
+def make_silent_harness(silent_seconds, replacement, retry_slack=54.0):
+    """Return a harness whose first engine is silent within a stream."""
+    harness = RelayHarness(retry_slack=retry_slack)
+    harness.add_engines(prefill=0, decode=2)
+    harness.publish_stream()
+    pieces = (events(1, 2) + b"id: 3\nda", Silence(silent_seconds), b"ta: t3\n\n")
+    harness.transport.scripts = {
+        "d0": [ScriptedResponse(pieces=pieces)],
+        "d1": [replacement],
+    }
+    harness.directory.record_failure(UpstreamId("d1"), harness.clock.seconds)
+    return harness
+
+
+REPLACEMENTS = {
+    "rejects": ScriptedResponse(status=503, not_executed=True),
+    "unreachable": ScriptedResponse(error=CONNECT_FAILED),
+    "breaks": ScriptedResponse(error=RESPONSE_LOST),
+    "fails": ScriptedResponse(status=500, pieces=(b"failed",)),
+    "unsigned": ScriptedResponse(is_signed=False),
+    "silent": ScriptedResponse(delay_seconds=3.0),
+    "slower": ScriptedResponse(pieces=(events(3, 3),), delay_seconds=0.29),
+}
+
+
+# Guards against a stream broken off because its sound engine was silent for a
+# second and the next engine gave no answer (LOST beside a configuration).
+@pytest.mark.parametrize("name", list(REPLACEMENTS))
+def test_a_silent_engine_is_kept_until_another_has_begun_to_answer(name):
+    harness = make_silent_harness(1.2, REPLACEMENTS[name])
+    response = harness.send(prompt=SHORT_PROMPT)
+    assert response.is_complete
+    assert response.body == events(1, 3)
+    assert harness.transport.responses[0].outcome == ["finished"]
+    assert harness.loads.local_loads() == {}
+
+
+# Guards against streams broken off at a silent engine when no retry is left.
+def test_a_silent_engine_is_kept_without_retry_budget():
+    harness = make_silent_harness(2.5, ScriptedResponse(), retry_slack=0.0)
+    response = harness.send(prompt=SHORT_PROMPT)
+    assert response.is_complete
+    assert response.body == events(1, 3)
+    assert harness.called_upstreams() == ["d0"]
+
+
+def test_a_silent_engine_is_given_up_once_another_has_begun_to_answer():
+    harness = make_silent_harness(
+        1.8, ScriptedResponse(pieces=(events(3, 3),), delay_seconds=0.2)
+    )
+    response = harness.send(prompt=SHORT_PROMPT)
+    assert response.is_complete
+    assert response.body == events(1, 3)
+    assert [answer.outcome for answer in harness.transport.responses] == [
+        ["aborted"],
+        ["finished"],
+    ]
+    assert harness.transport.calls[-1][1].last_event_id == "2"
+    assert harness.loads.local_loads() == {}
+
+
+def test_a_silent_engine_is_aborted_if_the_caller_disconnects():
+    harness = make_silent_harness(
+        1.8, ScriptedResponse(error=RESPONSE_LOST, during=disconnect_caller)
+    )
+    assert harness.send(prompt=SHORT_PROMPT).is_aborted
+    assert harness.transport.responses[0].outcome == ["aborted"]
+    assert harness.loads.local_loads() == {}
--- a/src/waxwingwinch/platform/_transport.py
+++ b/src/waxwingwinch/platform/_transport.py
@@ -7,6 +7,7 @@
 from urllib3 import HTTPResponse
 
 from waxwingwinch.gateway import (
+    CallDropped,
     Cancellation,
     Cancelled,
     ConnectionPool,
@@ -17,6 +18,7 @@
     PrefillOnly,
     PromptPart,
     ResponseHead,
+    SilentResponse,
     Upstream,
     UpstreamCall,
     UpstreamConnection,
@@ -97,6 +99,26 @@
             limit_per_second=_parse_limit(headers.get(SERVER_LIMIT)),
         )
 
+    def wait(self, timeout_seconds: float) -> bool:
+        """
+        Wait until a part of the body, or its end, can be read.
+
+        :param timeout_seconds: Maximum wait.
+        :returns: False if there was none in time; the body can still be read.
+        :raises AnswerMissing: If the body was truncated.
+        """
+        return self._connection.wait(timeout_seconds)
+
+    def wait_beside(self, later: UpstreamConnection, overlap_seconds: float) -> None:
+        """
+        Wait for the response on another connection while this one is silent.
+
+        :param later: Connection of a later call of the same request.
+        :param overlap_seconds: Maximum wait, unless this response breaks off.
+        :raises CallDropped: If this response goes on, or neither does.
+        """
+        later.wait_beside(self._connection, overlap_seconds)
+
     def read_some(self, timeout_seconds: float) -> bytes:
         """
         Read the part of the body that has arrived; wait for at least a byte.
@@ -118,7 +140,7 @@
 
     def finish(self) -> None:
         """Return the connection to the pool after the whole body was read."""
-        self._cancellation.detach()
+        self._cancellation.detach(self._connection)
         if self._is_persistent and self._connection.has_no_unread_data():
             self._pool.put(
                 self._pool_key,
@@ -131,7 +153,7 @@
 
     def abort(self) -> None:
         """Close the connection, which makes the upstream stop its work."""
-        self._cancellation.detach()
+        self._cancellation.detach(self._connection)
         self._connection.close()
 
 
@@ -153,6 +175,7 @@
         cancellation: Cancellation,
         now_seconds: float,
         wait_seconds: float,
+        silent: SilentResponse | None = None,
     ) -> UpstreamResponse:
         """
         Send a request and wait for the head of its response.
@@ -162,8 +185,11 @@
         :param cancellation: Allows others to cancel the call.
         :param now_seconds: Monotonic time.
         :param wait_seconds: Maximum wait, connecting included.
+        :param silent: An earlier response that is preferred if it goes on
+            before the head has arrived.
         :raises NotSent: If no byte of the request left the process.
         :raises AnswerMissing: If no response to this request arrived.
+        :raises CallDropped: If the earlier response is preferred.
         :raises Cancelled: If the call was cancelled before it was sent.
         """
         pool_key = f"{upstream.upstream_id}/{upstream.started_ms}"
@@ -179,13 +205,18 @@
                 raise NotSent(
                     f"timed out after {wait_seconds} s before the request was sent"
                 )
-            response = connection.exchange(
+            connection.send(
                 call.request.method,
                 call.request.target,
                 _request_headers(upstream, call, self._clock.now_seconds()),
                 call.request.body,
                 remaining_seconds,
             )
+            if silent is not None:
+                silent.response.wait_beside(connection, silent.overlap_seconds)
+            response = connection.read_head(
+                wait_seconds - (self._clock.now_seconds() - now_seconds)
+            )
             platform_response = PlatformResponse(
                 self._pool, pool_key, connection, response, cancellation, self._clock
             )
@@ -199,8 +230,8 @@
                     f" got the response to request {response_request_id}"
                 )
             return platform_response
-        except (AnswerMissing, Cancelled, NotSent):
-            cancellation.detach()
+        except (AnswerMissing, CallDropped, Cancelled, NotSent):
+            cancellation.detach(connection)
             connection.close()
             raise
 
