Keep a silent upstream of a plain request until another answers

Callers of idempotent requests got 502 or 504 although their upstream was sound: it was silent for a moment and would have answered.

After twice the objective or a third of the remaining time the call was closed, if the retry budget held a retry at that moment; whether an upstream, a permit and the retry were really to be had was seen only afterwards.

The call now stays open while the next upstream is chosen, paid for and asked, and the first of the two that answers is used. Such requests may run more than once, so both wait until the deadline. If there is no other upstream, the silent one is waited for.

--- a/src/waxwingwinch/gateway/_connections.py
+++ b/src/waxwingwinch/gateway/_connections.py
@@ -13,7 +13,12 @@
 
 from waxwingwinch._types import Address
 from waxwingwinch.gateway._body_reader import BodyReader, ChunkDecoder, readable
-from waxwingwinch.http import TRANSPORT_ERRORS, AnswerMissing, NotSent
+from waxwingwinch.http import (
+    TRANSPORT_ERRORS,
+    AnswerMissing,
+    NotSent,
+    is_closed_by_peer,
+)
 
 #: Connect timeout. Links have a latency of a few milliseconds; a lost SYN is
 #: retransmitted only after 1 s, and connecting to another upstream is faster.
@@ -244,7 +249,11 @@
         :raises AnswerMissing: If the response was truncated.
         """
         if self._body is None:
-            return bool(readable((self._socket,), timeout_seconds))
+            if not readable((self._socket,), timeout_seconds):
+                return False
+            if is_closed_by_peer(self._socket):
+                raise AnswerMissing("connection closed before the response")
+            return True
         return self._body.wait(timeout_seconds)
 
     def read_some(self, timeout_seconds: float) -> bytes:
--- a/src/waxwingwinch/gateway/_generation_relay.py
+++ b/src/waxwingwinch/gateway/_generation_relay.py
@@ -44,7 +44,7 @@
 from waxwingwinch.gateway._transport import (
     DecodeFromCache,
     FullExecution,
-    SilentResponse,
+    SilentCall,
     UpstreamResponse,
 )
 from waxwingwinch.gateway._upstream_calls import open_call
@@ -304,7 +304,7 @@
                 job.call(phase, stream.splitter.last_event_id),
                 now_seconds,
                 job.end_seconds - now_seconds,
-                SilentResponse(silent, OVERLAP_SECONDS) if silent else None,
+                SilentCall(silent, OVERLAP_SECONDS) if silent else None,
             )
         except NotSent as error:
             record_failure(self._context, job, engine, error)
--- /dev/null
+++ b/src/waxwingwinch/gateway/_plain_exchange.py
@@ -0,0 +1,92 @@
+"""State of a request to a plain service while it is relayed."""
+
+from attrs import define, field, frozen
+
+from waxwingwinch.gateway._job import Job, Progress
+from waxwingwinch.gateway._loads import TrackedRequest
+from waxwingwinch.gateway._requests import ResponseHead
+from waxwingwinch.gateway._transport import PendingCall, UpstreamResponse
+from waxwingwinch.gateway._upstream_calls import SentCall
+from waxwingwinch.gateway._upstreams import Upstream
+
+
+@frozen
+class CompleteResponse:
+    """
+    A complete response of an upstream.
+
+    :param head: Status and headers.
+    :param body: The complete body.
+    """
+
+    head: ResponseHead
+    body: bytes
+
+
+@define(eq=False)
+class PlainAttempt:
+    """
+    A request at one upstream.
+
+    :param upstream: The upstream.
+    :param tracked_request: Counts the request at the upstream.
+    :param sent_seconds: Monotonic time at which it was sent.
+    :param sent: The call, if its response was not waited for at once.
+    :param response: The response; None until its head was received.
+    """
+
+    upstream: Upstream
+    tracked_request: TrackedRequest
+    sent_seconds: float
+    sent: SentCall | None = None
+    response: UpstreamResponse | None = None
+
+    @property
+    def sent_call(self) -> SentCall:
+        """The call whose response has not been received."""
+        assert self.sent is not None
+        return self.sent
+
+    @property
+    def open_call(self) -> PendingCall:
+        """The call, to be waited for beside another."""
+        return self.sent_call.pending
+
+
+@define(eq=False)
+class PlainExchange:
+    """
+    State of a request while it is relayed.
+
+    :param job: The request.
+    :param progress: The attempts so far.
+    :param fallback: An error response, used if there is no better one.
+    :param silent: The open attempt whose upstream is silent, if any.
+    """
+
+    job: Job
+    progress: Progress = field(factory=Progress)
+    fallback: CompleteResponse | None = None
+    silent: PlainAttempt | None = None
+
+    def add_possible_execution(self, upstream: Upstream) -> None:
+        """
+        Record that an upstream may have executed the request.
+
+        :param upstream: The upstream; counts once.
+        """
+        if upstream.upstream_id not in self.progress.excluded:
+            self.progress = self.progress.with_possible_execution(upstream.upstream_id)
+
+    def take_silent(self) -> PlainAttempt:
+        """Return the attempt whose upstream is silent, which goes on."""
+        attempt, self.silent = self.silent, None
+        assert attempt is not None
+        return attempt
+
+    def drop_silent(self) -> None:
+        """Cancel the attempt whose upstream is silent, if there is one."""
+        if self.silent is not None:
+            attempt = self.take_silent()
+            attempt.open_call.abort()
+            attempt.tracked_request.end()
--- a/src/waxwingwinch/gateway/_plain_relay.py
+++ b/src/waxwingwinch/gateway/_plain_relay.py
@@ -1,9 +1,7 @@
 """Relaying a request to a plain service."""
 
-from attrs import frozen
-
 from waxwingwinch._types import EngineRole, UpstreamId
-from waxwingwinch.gateway._connections import Cancelled
+from waxwingwinch.gateway._connections import CallDropped, Cancelled
 from waxwingwinch.gateway._job import (
     BUSY_RETRY_SECONDS,
     MAX_CONNECT_FAILURES,
@@ -21,37 +19,34 @@
 )
 from waxwingwinch.gateway._permits import NoPermit
 from waxwingwinch.gateway._placement import PlainOption, place_plain
+from waxwingwinch.gateway._plain_exchange import (
+    CompleteResponse,
+    PlainAttempt,
+    PlainExchange,
+)
 from waxwingwinch.gateway._request_log_lines import (
     RequestSent,
+    SilentUpstreamKept,
     UpstreamAnswered,
     UpstreamFailed,
     UpstreamRejected,
 )
 from waxwingwinch.gateway._requests import ResponseHead
 from waxwingwinch.gateway._telemetry import CounterName
-from waxwingwinch.gateway._transport import FullExecution
-from waxwingwinch.gateway._upstream_calls import MISDIRECTED_STATUS, open_call
+from waxwingwinch.gateway._transport import FullExecution, SilentCall
+from waxwingwinch.gateway._upstream_calls import (
+    MISDIRECTED_STATUS,
+    open_call,
+    send_call,
+)
 from waxwingwinch.gateway._upstreams import Upstream
 from waxwingwinch.http import AnswerMissing, NotSent
 
-#: Timeout of an attempt that may be retried, relative to the latency
-#: objective of the route; at least a third of the remaining time is allowed.
+#: Time without a response after which another upstream is asked, relative to
+#: the latency objective of the route; at least a third of the remaining time.
 RETRY_AFTER_TARGETS = 2.0
 
 
-@frozen
-class _CompleteResponse:
-    """
-    A complete response of an upstream.
-
-    :param head: Status and headers.
-    :param body: The complete body.
-    """
-
-    head: ResponseHead
-    body: bytes
-
-
 class PlainRelay:
     """
     Relays requests whose responses are forwarded unstreamed.
@@ -80,38 +75,157 @@
         )
         responder.respond(response.head.status, response.head.headers, response.body)
 
-    def _obtain_response(self, job: Job) -> _CompleteResponse:
-        progress = Progress()
-        fallback: _CompleteResponse | None = None
-        while True:
-            now_seconds = self._context.clock.now_seconds()
-            upstream = self._choose_upstream(job, progress, now_seconds)
-            if upstream is None or isinstance(upstream, NoPermit):
-                if fallback is not None:
-                    return fallback
-                raise final_refusal(job, progress, now_seconds, upstream)
-            try:
-                response = self._attempt(job, upstream, progress)
-            except NotSent as error:
-                record_failure(self._context, job, upstream, error)
-                progress = progress.with_connect_failure(upstream.upstream_id)
-                continue
-            except AnswerMissing as error:
-                record_failure(self._context, job, upstream, error)
-                progress = progress.with_possible_execution(upstream.upstream_id)
-                continue
-            if response.head.not_executed:
-                record_rejection(self._context, job, upstream, response.head)
-                progress = progress.with_rejection(upstream.upstream_id)
-                continue
-            self._context.directory.record_success(upstream.upstream_id)
-            self._context.usage.record_start(
-                job.customer_id, self._context.clock.wall_seconds()
+    def _obtain_response(self, job: Job) -> CompleteResponse:
+        exchange = PlainExchange(job)
+        try:
+            while True:
+                response = self._serve_once(exchange)
+                if response is not None:
+                    return response
+        finally:
+            exchange.drop_silent()
+
+    def _serve_once(self, exchange: PlainExchange) -> CompleteResponse | None:
+        """Make one attempt; return None if another one is to be made."""
+        job, now_seconds = exchange.job, self._context.clock.now_seconds()
+        upstream = self._choose_upstream(job, exchange.progress, now_seconds)
+        if upstream is None or isinstance(upstream, NoPermit):
+            if exchange.silent is not None:
+                return self._keep_silent(exchange, "no other upstream is usable")
+            if exchange.fallback is not None:
+                return exchange.fallback
+            raise final_refusal(job, exchange.progress, now_seconds, upstream)
+        try:
+            attempt = self._open(exchange, upstream, now_seconds)
+        except NotSent as error:
+            record_failure(self._context, job, upstream, error)
+            exchange.progress = exchange.progress.with_connect_failure(
+                upstream.upstream_id
             )
-            if response.head.status < 500 or not job.route.is_retryable:
-                return response
-            fallback = response
-            progress = progress.with_possible_execution(upstream.upstream_id)
+            return None
+        except CallDropped as dropped:
+            exchange.add_possible_execution(upstream)
+            return self._keep_silent(exchange, str(dropped))
+        except (AnswerMissing, Cancelled) as error:
+            raise_if_caller_disconnected(job, error)
+            record_failure(self._context, job, upstream, error)
+            exchange.add_possible_execution(upstream)
+            return None
+        if attempt is None:
+            return None
+        return self._read(exchange, attempt)
+
+    def _open(
+        self, exchange: PlainExchange, upstream: Upstream, now_seconds: float
+    ) -> PlainAttempt | None:
+        """Send the request; return None if the upstream remains silent."""
+        context, job = self._context, exchange.job
+        wait_seconds = job.end_seconds - now_seconds
+        call = job.call(FullExecution())
+        attempt = PlainAttempt(
+            upstream, context.loads.begin(upstream.upstream_id, 0), now_seconds
+        )
+        try:
+            if exchange.silent is not None:
+                silent = SilentCall(exchange.silent.open_call, wait_seconds)
+                attempt.response = open_call(
+                    context, job, upstream, call, now_seconds, wait_seconds, silent
+                )
+                return attempt
+            attempt.sent = send_call(
+                context, job, upstream, call, now_seconds, wait_seconds
+            )
+            if self._may_retry(job, exchange.progress, now_seconds):
+                retry_timeout_seconds = RETRY_AFTER_TARGETS * job.route.target_seconds
+                patience_seconds = max(retry_timeout_seconds, wait_seconds / 3)
+                if patience_seconds < wait_seconds and not attempt.sent.pending.wait(
+                    patience_seconds
+                ):
+                    context.directory.record_silence(
+                        upstream.upstream_id, context.clock.now_seconds()
+                    )
+                    exchange.add_possible_execution(upstream)
+                    exchange.silent = attempt
+            return attempt if exchange.silent is None else None
+        except BaseException:
+            attempt.tracked_request.end()
+            raise
+
+    def _keep_silent(
+        self, exchange: PlainExchange, reason: str
+    ) -> CompleteResponse | None:
+        """Wait for the upstream that was silent."""
+        attempt = exchange.take_silent()
+        SilentUpstreamKept(
+            request_id=exchange.job.request.request_id,
+            upstream_id=attempt.upstream.upstream_id,
+            reason=reason,
+        ).write()
+        return self._read(exchange, attempt)
+
+    def _read(
+        self, exchange: PlainExchange, attempt: PlainAttempt
+    ) -> CompleteResponse | None:
+        """Read a response; return None if another attempt is to be made."""
+        job, upstream = exchange.job, attempt.upstream
+        try:
+            response = self._receive(exchange, attempt)
+        except (AnswerMissing, Cancelled) as error:
+            raise_if_caller_disconnected(job, error)
+            record_failure(self._context, job, upstream, error)
+            exchange.add_possible_execution(upstream)
+            return None
+        finally:
+            attempt.tracked_request.end()
+        if response.head.not_executed:
+            record_rejection(self._context, job, upstream, response.head)
+            exchange.progress = exchange.progress.with_rejection(upstream.upstream_id)
+            return None
+        self._context.directory.record_success(upstream.upstream_id)
+        self._context.usage.record_start(
+            job.customer_id, self._context.clock.wall_seconds()
+        )
+        if response.head.status < 500 or not job.route.is_retryable:
+            return response
+        exchange.fallback = response
+        exchange.add_possible_execution(upstream)
+        return None
+
+    def _receive(
+        self, exchange: PlainExchange, attempt: PlainAttempt
+    ) -> CompleteResponse:
+        clock, end_seconds = self._context.clock, exchange.job.end_seconds
+        response = attempt.response
+        if response is None:
+            response = attempt.sent_call.receive(end_seconds - clock.now_seconds())
+        try:
+            if response.head.is_success and response.head.is_signed:
+                # This upstream has begun to answer.
+                self._give_up_silent(exchange)
+            body = response.read_all(end_seconds - clock.now_seconds())
+        except AnswerMissing:
+            response.abort()
+            raise
+        response.finish()
+        if response.head.is_success and not response.head.is_signed:
+            raise AnswerMissing(
+                "the upstream sent a success response without a signature"
+            )
+        UpstreamAnswered(
+            exchange.job.request.request_id,
+            attempt.upstream.upstream_id,
+            response.head.status,
+            clock.now_seconds() - attempt.sent_seconds,
+        ).write()
+        return CompleteResponse(response.head, body)
+
+    def _give_up_silent(self, exchange: PlainExchange) -> None:
+        if exchange.silent is None:
+            return
+        upstream = exchange.silent.upstream
+        exchange.drop_silent()
+        error = AnswerMissing("silent until another upstream had begun to answer")
+        record_failure(self._context, exchange.job, upstream, error)
 
     def _choose_upstream(
         self, job: Job, progress: Progress, now_seconds: float
@@ -183,52 +297,6 @@
             and self._context.budget.has_retry(job.service.name, now_seconds)
         )
 
-    def _attempt(
-        self, job: Job, upstream: Upstream, progress: Progress
-    ) -> _CompleteResponse:
-        now_seconds = self._context.clock.now_seconds()
-        wait_seconds = job.end_seconds - now_seconds
-        if self._may_retry(job, progress, now_seconds):
-            retry_timeout_seconds = RETRY_AFTER_TARGETS * job.route.target_seconds
-            wait_seconds = min(
-                wait_seconds, max(retry_timeout_seconds, wait_seconds / 3)
-            )
-        tracked_request = self._context.loads.begin(upstream.upstream_id, 0)
-        try:
-            response = open_call(
-                self._context,
-                job,
-                upstream,
-                job.call(FullExecution()),
-                now_seconds,
-                wait_seconds,
-            )
-            try:
-                remaining_seconds = (
-                    now_seconds + wait_seconds - self._context.clock.now_seconds()
-                )
-                body = response.read_all(remaining_seconds)
-            except AnswerMissing:
-                response.abort()
-                raise
-            response.finish()
-            if response.head.is_success and not response.head.is_signed:
-                raise AnswerMissing(
-                    "the upstream sent a success response without a signature"
-                )
-            UpstreamAnswered(
-                job.request.request_id,
-                upstream.upstream_id,
-                response.head.status,
-                self._context.clock.now_seconds() - now_seconds,
-            ).write()
-            return _CompleteResponse(response.head, body)
-        except (AnswerMissing, Cancelled) as error:
-            raise_if_caller_disconnected(job, error)
-            raise
-        finally:
-            tracked_request.end()
-
 
 def record_failure(
     context: RelayContext, job: Job, upstream: Upstream, error: Exception
--- a/src/waxwingwinch/gateway/_prefill.py
+++ b/src/waxwingwinch/gateway/_prefill.py
@@ -15,7 +15,7 @@
 from waxwingwinch.gateway._request_log_lines import PromptRead
 from waxwingwinch.gateway._transport import (
     PrefillOnly,
-    SilentResponse,
+    SilentCall,
     UpstreamResponse,
 )
 from waxwingwinch.gateway._upstream_calls import open_call
@@ -132,7 +132,7 @@
             job.call(PrefillOnly()),
             now_seconds,
             wait_seconds,
-            SilentResponse(silent, wait_seconds) if silent is not None else None,
+            SilentCall(silent, wait_seconds) if silent is not None else None,
         )
         if response.head.not_executed:
             response.read_all(wait_seconds)
--- a/src/waxwingwinch/gateway/_transport.py
+++ b/src/waxwingwinch/gateway/_transport.py
@@ -60,31 +60,38 @@
     needs_new_connection: bool = False
 
 
-class UpstreamResponse(Protocol):
-    """A response whose head has been received."""
-
-    @property
-    def head(self) -> ResponseHead:
-        """Status and headers."""
+class OpenCall(Protocol):
+    """A call whose response, or the rest of it, is still to be read."""
 
     def wait(self, timeout_seconds: float) -> bool:
         """
-        Wait until a part of the body, or its end, can be read.
+        Wait until a part of the response, or its end, can be read.
 
         :param timeout_seconds: Longest wait.
-        :returns: False if there was none in time; the body can still be read.
-        :raises AnswerMissing: If the body was truncated.
+        :returns: False if there was none in time; it can still be read.
+        :raises AnswerMissing: If the response was truncated.
         """
 
     def wait_beside(self, later: UpstreamConnection, overlap_seconds: float) -> None:
         """
-        Wait for the response on another connection while this one is silent.
+        Wait for the response on another connection while this call is silent.
 
         :param later: Connection of a later call of the same request.
-        :param overlap_seconds: Longest wait, unless this response breaks off.
-        :raises CallDropped: If this response goes on, or neither does.
+        :param overlap_seconds: Longest wait, unless this call breaks off.
+        :raises CallDropped: If this call goes on, or neither does.
         """
 
+    def abort(self) -> None:
+        """Close the connection, which cancels the request at the upstream."""
+
+
+class UpstreamResponse(OpenCall, Protocol):
+    """A response whose head has been received."""
+
+    @property
+    def head(self) -> ResponseHead:
+        """Status and headers."""
+
     def read_some(self, timeout_seconds: float) -> bytes:
         """
         Read the available bytes of the body; wait for at least one.
@@ -105,21 +112,30 @@
     def finish(self) -> None:
         """Release the connection after the complete body was read."""
 
-    def abort(self) -> None:
-        """Close the connection, which cancels the request at the upstream."""
+
+class PendingCall(OpenCall, Protocol):
+    """A call whose response has not been received."""
+
+    def receive(self, timeout_seconds: float) -> UpstreamResponse:
+        """
+        Receive the head of the response.
+
+        :param timeout_seconds: Longest wait.
+        :raises AnswerMissing: If no response to this request was received.
+        """
 
 
 @frozen
-class SilentResponse:
+class SilentCall:
     """
-    An earlier response to the same request, open and silent at present.
+    An earlier call of the same request, open and silent at present.
 
-    :param response: The response.
-    :param overlap_seconds: Longest wait for the head of another call while
-        the response stays open.
+    :param call: The call.
+    :param overlap_seconds: Longest wait for the head of another response
+        while the call stays open.
     """
 
-    response: UpstreamResponse
+    call: OpenCall
     overlap_seconds: float
 
 
@@ -133,7 +149,7 @@
         cancellation: Cancellation,
         now_seconds: float,
         wait_seconds: float,
-        silent: SilentResponse | None = None,
+        silent: SilentCall | None = None,
     ) -> UpstreamResponse:
         """
         Send a request and wait for the head of its response.
@@ -143,11 +159,32 @@
         :param cancellation: Cancels the call.
         :param now_seconds: Monotonic time.
         :param wait_seconds: Longest wait.
-        :param silent: An earlier response that is preferred if it goes on
-            before the head has arrived.
+        :param silent: An earlier call that is preferred if it goes on before
+            the head has arrived.
         :raises NotSent: If no byte of the request left the process.
         :raises AnswerMissing: If no response to this request was received.
-        :raises CallDropped: If the earlier response is preferred.
+        :raises CallDropped: If the earlier call is preferred.
+        :raises Cancelled: If it was cancelled before it was sent.
+        """
+
+    def send(
+        self,
+        upstream: Upstream,
+        call: UpstreamCall,
+        cancellation: Cancellation,
+        now_seconds: float,
+        wait_seconds: float,
+    ) -> PendingCall:
+        """
+        Send a request without waiting for its response.
+
+        :param upstream: The upstream to send it to.
+        :param call: The call to send.
+        :param cancellation: Cancels the call.
+        :param now_seconds: Monotonic time.
+        :param wait_seconds: Longest wait.
+        :raises NotSent: If no byte of the request left the process.
+        :raises AnswerMissing: If the connection failed meanwhile.
         :raises Cancelled: If it was cancelled before it was sent.
         """
 
--- a/src/waxwingwinch/gateway/_upstream_calls.py
+++ b/src/waxwingwinch/gateway/_upstream_calls.py
@@ -1,5 +1,7 @@
 """Calls to upstreams, with what their answers say of limits."""
 
+from attrs import define
+
 from waxwingwinch.gateway._job import Job, RelayContext
 from waxwingwinch.gateway._limit_log_lines import LimitedRequestSent
 from waxwingwinch.gateway._named_limits import NamedLimit
@@ -7,7 +9,8 @@
 from waxwingwinch.gateway._requests import ResponseHead
 from waxwingwinch.gateway._telemetry import CounterName
 from waxwingwinch.gateway._transport import (
-    SilentResponse,
+    PendingCall,
+    SilentCall,
     UpstreamCall,
     UpstreamResponse,
 )
@@ -25,7 +28,7 @@
     call: UpstreamCall,
     now_seconds: float,
     wait_seconds: float,
-    silent: SilentResponse | None = None,
+    silent: SilentCall | None = None,
 ) -> UpstreamResponse:
     """
     Send a request and wait for the head of its response.
@@ -36,13 +39,84 @@
     :param call: The call to send.
     :param now_seconds: Monotonic time.
     :param wait_seconds: Longest wait.
-    :param silent: An earlier response that is preferred if it goes on before
-        the head has arrived.
+    :param silent: An earlier call that is preferred if it goes on before the
+        head has arrived.
     :raises NotSent: If no byte of the request left the process.
     :raises AnswerMissing: If no response to this request was received.
-    :raises CallDropped: If the earlier response is preferred.
+    :raises CallDropped: If the earlier call is preferred.
+    :raises Cancelled: If it was cancelled before it was sent.
+    """
+    _record_send(context, job, upstream, now_seconds)
+    response = context.transport.open(
+        upstream, call, job.cancellation, now_seconds, wait_seconds, silent
+    )
+    _record_head(context, job, upstream, response.head, now_seconds)
+    return response
+
+
+@define(eq=False)
+class SentCall:
+    """
+    A call whose response has not been received.
+
+    :param context: Dependencies shared by the relays of the process.
+    :param job: The request.
+    :param upstream: The upstream to which it was sent.
+    :param pending: The call.
+    :param sent_seconds: Monotonic time at which it was sent.
+    """
+
+    context: RelayContext
+    job: Job
+    upstream: Upstream
+    pending: PendingCall
+    sent_seconds: float
+
+    def receive(self, wait_seconds: float) -> UpstreamResponse:
+        """
+        Receive the head of the response.
+
+        :param wait_seconds: Longest wait.
+        :raises AnswerMissing: If no response to this request was received.
+        """
+        response = self.pending.receive(wait_seconds)
+        _record_head(
+            self.context, self.job, self.upstream, response.head, self.sent_seconds
+        )
+        return response
+
+
+def send_call(
+    context: RelayContext,
+    job: Job,
+    upstream: Upstream,
+    call: UpstreamCall,
+    now_seconds: float,
+    wait_seconds: float,
+) -> SentCall:
+    """
+    Send a request without waiting for its response.
+
+    :param context: Dependencies shared by the relays of the process.
+    :param job: The request.
+    :param upstream: The upstream to send it to.
+    :param call: The call to send.
+    :param now_seconds: Monotonic time.
+    :param wait_seconds: Longest wait.
+    :raises NotSent: If no byte of the request left the process.
+    :raises AnswerMissing: If the connection failed meanwhile.
     :raises Cancelled: If it was cancelled before it was sent.
     """
+    _record_send(context, job, upstream, now_seconds)
+    pending = context.transport.send(
+        upstream, call, job.cancellation, now_seconds, wait_seconds
+    )
+    return SentCall(context, job, upstream, pending, now_seconds)
+
+
+def _record_send(
+    context: RelayContext, job: Job, upstream: Upstream, now_seconds: float
+) -> None:
     recent_sends = context.limits.record_send(
         upstream.upstream_id, upstream.started_ms, now_seconds
     )
@@ -56,17 +130,22 @@
             limit_age_seconds=now_seconds - limit.observed_seconds,
             recent_sends=recent_sends,
         ).write()
-    response = context.transport.open(
-        upstream, call, job.cancellation, now_seconds, wait_seconds, silent
-    )
+
+
+def _record_head(
+    context: RelayContext,
+    job: Job,
+    upstream: Upstream,
+    head: ResponseHead,
+    sent_seconds: float,
+) -> None:
     UpstreamBegan(
         request_id=job.request.request_id,
         upstream_id=upstream.upstream_id,
-        status=response.head.status,
-        took_seconds=context.clock.now_seconds() - now_seconds,
+        status=head.status,
+        took_seconds=context.clock.now_seconds() - sent_seconds,
     ).write()
-    _observe_limit(context, upstream, response.head, now_seconds)
-    return response
+    _observe_limit(context, upstream, head, sent_seconds)
 
 
 def _observe_limit(
--- a/src/waxwingwinch/gateway/tests/relay_harness.py
+++ b/src/waxwingwinch/gateway/tests/relay_harness.py
@@ -143,6 +143,50 @@
         self.outcome.append("aborted")
 
 
+@define
+class FakeCall:
+    transport: Any
+    upstream: Any
+    call: Any
+    script: ScriptedResponse
+    delay_seconds: float
+    is_aborted: bool = False
+
+    def wait(self, timeout_seconds):
+        waited_seconds = min(self.delay_seconds, timeout_seconds)
+        self.transport.clock.seconds += waited_seconds
+        self.delay_seconds -= waited_seconds
+        if self.delay_seconds > 0:
+            return False
+        if self.script.error is not None:
+            raise self.script.error
+        return True
+
+    def receive(self, timeout_seconds):
+        if not self.wait(timeout_seconds):
+            raise AnswerMissing("timed out")
+        script = self.script
+        head = ResponseHead(
+            script.status,
+            (("X-From", self.upstream.upstream_id),),
+            self.call.request.request_id,
+            script.not_executed,
+            script.is_signed,
+            script.limit_per_second,
+        )
+        response = FakeResponse(
+            head, deepcopy(list(script.pieces)), self.transport.clock
+        )
+        self.transport.responses.append(response)
+        return response
+
+    def wait_beside(self, later, overlap_seconds):
+        raise NotImplementedError("calls are raced by FakeTransport")
+
+    def abort(self):
+        self.is_aborted = True
+
+
 @define
 class FakeTransport:
     """
@@ -155,39 +199,33 @@
     scripts: dict[Any, Any] = field(factory=dict)
     calls: list[Any] = field(factory=list)
     responses: list[Any] = field(factory=list)
+    pending: list[Any] = field(factory=list)
     released_handles: list[Any] = field(factory=list)
     unresponsive: set[str] = field(factory=set)
 
     def open(
         self, upstream, call, cancellation, now_seconds, wait_seconds, silent=None
     ):
+        pending = self.send(upstream, call, cancellation, now_seconds, wait_seconds)
+        if silent is not None:
+            self._wait_beside(silent, pending.delay_seconds)
+        return pending.receive(wait_seconds)
+
+    def send(self, upstream, call, cancellation, now_seconds, wait_seconds):
         self.calls.append((upstream.upstream_id, call))
         script = self._script(upstream, call)
         if script.during is not None:
             script.during(cancellation)
-        if silent is not None:
-            self._wait_beside(silent, script.delay_seconds)
-        self.clock.seconds += min(script.delay_seconds, wait_seconds)
-        if script.error is not None:
+        if isinstance(script.error, NotSent):
             raise script.error
-        if script.delay_seconds > wait_seconds:
-            raise AnswerMissing("timed out")
-        head = ResponseHead(
-            script.status,
-            (("X-From", upstream.upstream_id),),
-            call.request.request_id,
-            script.not_executed,
-            script.is_signed,
-            script.limit_per_second,
-        )
-        response = FakeResponse(head, deepcopy(list(script.pieces)), self.clock)
-        self.responses.append(response)
-        return response
+        pending = FakeCall(self, upstream, call, script, script.delay_seconds)
+        self.pending.append(pending)
+        return pending
 
     def _wait_beside(self, silent, delay_seconds):
         started_seconds = self.clock.seconds
         try:
-            if silent.response.wait(min(delay_seconds, silent.overlap_seconds)):
+            if silent.call.wait(min(delay_seconds, silent.overlap_seconds)):
                 raise CallDropped("the earlier response goes on")
         except AnswerMissing:
             return
--- a/src/waxwingwinch/gateway/tests/test_plain_relay.py
+++ b/src/waxwingwinch/gateway/tests/test_plain_relay.py
@@ -304,3 +304,53 @@
     harness.transport.scripts = {"u1": first, "u2": first}
     assert harness.send().status == 502
     assert harness.send().status == 503
+
+
+PLAIN_REPLACEMENTS = {
+    "rejects": ScriptedResponse(status=503, not_executed=True),
+    "unreachable": ScriptedResponse(error=CONNECT_FAILED),
+    "breaks": ScriptedResponse(error=RESPONSE_LOST),
+    "unsigned": ScriptedResponse(is_signed=False),
+    "slower": ScriptedResponse(delay_seconds=0.5, pieces=(b"late",)),
+}
+
+
+# Guards against a 502 or 504 for a request whose sound upstream was silent for
+# a moment, if no other upstream answers it.
+@pytest.mark.parametrize("name", list(PLAIN_REPLACEMENTS))
+def test_a_silent_upstream_is_kept_until_another_has_begun_to_answer(harness, name):
+    harness.publish()
+    harness.transport.scripts = {
+        "u1": [ScriptedResponse(delay_seconds=0.6, pieces=(b"first",))],
+        "u2": [PLAIN_REPLACEMENTS[name]],
+    }
+    harness.directory.record_failure(UpstreamId("u2"), harness.clock.seconds)
+    response = harness.send()
+    assert (response.status, response.body) == (200, b"first")
+    assert harness.called_upstreams() == ["u1", "u2"]
+    assert harness.loads.local_loads() == {}
+
+
+def test_a_silent_upstream_is_given_up_once_another_has_begun_to_answer(harness):
+    harness.publish()
+    harness.transport.scripts = {
+        "u1": [ScriptedResponse(delay_seconds=0.9, pieces=(b"first",))],
+        "u2": [ScriptedResponse(delay_seconds=0.1, pieces=(b"second",))],
+    }
+    harness.directory.record_failure(UpstreamId("u2"), harness.clock.seconds)
+    response = harness.send()
+    assert (response.status, response.body) == (200, b"second")
+    assert harness.transport.pending[0].is_aborted
+    assert harness.loads.local_loads() == {}
+
+
+def test_a_silent_upstream_is_aborted_if_the_caller_disconnects(harness):
+    harness.publish()
+    harness.transport.scripts = {
+        "u1": [ScriptedResponse(delay_seconds=0.9)],
+        "u2": [ScriptedResponse(error=RESPONSE_LOST, during=disconnect_caller)],
+    }
+    harness.directory.record_failure(UpstreamId("u2"), harness.clock.seconds)
+    assert harness.send().is_aborted
+    assert harness.transport.pending[0].is_aborted
+    assert harness.loads.local_loads() == {}
--- a/src/waxwingwinch/platform/_transport.py
+++ b/src/waxwingwinch/platform/_transport.py
@@ -18,7 +18,7 @@
     PrefillOnly,
     PromptPart,
     ResponseHead,
-    SilentResponse,
+    SilentCall,
     Upstream,
     UpstreamCall,
     UpstreamConnection,
@@ -157,6 +157,99 @@
         self._connection.close()
 
 
+class PlatformCall:
+    """
+    A call whose response has not been received.
+
+    :param pool: Receives the connection after the response.
+    :param pool_key: Key of the connection in the pool.
+    :param connection: Connection on which the request was sent.
+    :param request_id: Id of the request.
+    :param cancellation: Closes the connection if the call is cancelled.
+    :param clock: Source of the present time.
+    """
+
+    def __init__(
+        self,
+        pool: ConnectionPool,
+        pool_key: str,
+        connection: UpstreamConnection,
+        request_id: str,
+        cancellation: Cancellation,
+        clock: Clock,
+    ) -> None:
+        self._pool = pool
+        self._pool_key = pool_key
+        self._connection = connection
+        self._request_id = request_id
+        self._cancellation = cancellation
+        self._clock = clock
+
+    def wait(self, timeout_seconds: float) -> bool:
+        """
+        Wait until the response begins or the connection ends.
+
+        :param timeout_seconds: Maximum wait.
+        :returns: False if neither happened in time.
+        """
+        return self._connection.wait(timeout_seconds)
+
+    def wait_beside(self, later: UpstreamConnection, overlap_seconds: float) -> None:
+        """
+        Wait for the response on another connection while this call is silent.
+
+        :param later: Connection of a later call of the same request.
+        :param overlap_seconds: Maximum wait.
+        :raises CallDropped: If this call goes on, or neither does.
+        """
+        later.wait_beside(self._connection, overlap_seconds)
+
+    def wait_unless(self, silent: SilentCall) -> None:
+        """
+        Wait for the response while an earlier call is silent.
+
+        :param silent: The earlier call.
+        :raises CallDropped: If the earlier call is preferred.
+        """
+        try:
+            silent.call.wait_beside(self._connection, silent.overlap_seconds)
+        except CallDropped:
+            self.abort()
+            raise
+
+    def receive(self, timeout_seconds: float) -> PlatformResponse:
+        """
+        Receive the head of the response.
+
+        :param timeout_seconds: Maximum wait.
+        :raises AnswerMissing: If no response to this request arrived.
+        """
+        try:
+            response = PlatformResponse(
+                self._pool,
+                self._pool_key,
+                self._connection,
+                self._connection.read_head(timeout_seconds),
+                self._cancellation,
+                self._clock,
+            )
+            response_request_id = response.head.request_id
+            if response_request_id not in (None, self._request_id):
+                raise AnswerMissing(
+                    f"expected the response to request {self._request_id},"
+                    f" got the response to request {response_request_id}"
+                )
+        except AnswerMissing:
+            self.abort()
+            raise
+        return response
+
+    def abort(self) -> None:
+        """Close the connection, which makes the upstream stop its work."""
+        self._cancellation.detach(self._connection)
+        self._connection.close()
+
+
 class PlatformTransport:
     """
     Sends calls to upstreams, with pooled connections.
@@ -175,7 +268,7 @@
         cancellation: Cancellation,
         now_seconds: float,
         wait_seconds: float,
-        silent: SilentResponse | None = None,
+        silent: SilentCall | None = None,
     ) -> UpstreamResponse:
         """
         Send a request and wait for the head of its response.
@@ -185,11 +278,37 @@
         :param cancellation: Allows others to cancel the call.
         :param now_seconds: Monotonic time.
         :param wait_seconds: Maximum wait, connecting included.
-        :param silent: An earlier response that is preferred if it goes on
-            before the head has arrived.
+        :param silent: An earlier call that is preferred if it goes on before
+            the head has arrived.
         :raises NotSent: If no byte of the request left the process.
         :raises AnswerMissing: If no response to this request arrived.
-        :raises CallDropped: If the earlier response is preferred.
+        :raises CallDropped: If the earlier call is preferred.
+        :raises Cancelled: If the call was cancelled before it was sent.
+        """
+        pending = self.send(upstream, call, cancellation, now_seconds, wait_seconds)
+        if silent is not None:
+            pending.wait_unless(silent)
+        elapsed_seconds = self._clock.now_seconds() - now_seconds
+        return pending.receive(wait_seconds - elapsed_seconds)
+
+    def send(
+        self,
+        upstream: Upstream,
+        call: UpstreamCall,
+        cancellation: Cancellation,
+        now_seconds: float,
+        wait_seconds: float,
+    ) -> PlatformCall:
+        """
+        Send a request without waiting for its response.
+
+        :param upstream: The upstream to call.
+        :param call: The request and its options.
+        :param cancellation: Allows others to cancel the call.
+        :param now_seconds: Monotonic time.
+        :param wait_seconds: Maximum wait, connecting included.
+        :raises NotSent: If no byte of the request left the process.
+        :raises AnswerMissing: If the connection failed meanwhile.
         :raises Cancelled: If the call was cancelled before it was sent.
         """
         pool_key = f"{upstream.upstream_id}/{upstream.started_ms}"
@@ -212,28 +331,18 @@
                 call.request.body,
                 remaining_seconds,
             )
-            if silent is not None:
-                silent.response.wait_beside(connection, silent.overlap_seconds)
-            response = connection.read_head(
-                wait_seconds - (self._clock.now_seconds() - now_seconds)
-            )
-            platform_response = PlatformResponse(
-                self._pool, pool_key, connection, response, cancellation, self._clock
-            )
-            response_request_id = platform_response.head.request_id
-            if (
-                response_request_id is not None
-                and response_request_id != call.request.request_id
-            ):
-                raise AnswerMissing(
-                    f"expected the response to request {call.request.request_id},"
-                    f" got the response to request {response_request_id}"
-                )
-            return platform_response
-        except (AnswerMissing, CallDropped, Cancelled, NotSent):
+        except (AnswerMissing, Cancelled, NotSent):
             cancellation.detach(connection)
             connection.close()
             raise
+        return PlatformCall(
+            self._pool,
+            pool_key,
+            connection,
+            call.request.request_id,
+            cancellation,
+            self._clock,
+        )
 
     def read_handle(self, response: UpstreamResponse, timeout_seconds: float) -> str:
         """
--- a/src/waxwingwinch/platform/tests/engine_standin.py
+++ b/src/waxwingwinch/platform/tests/engine_standin.py
@@ -27,7 +27,11 @@
             self.respond(503, b"", [("X-Waxwingwinch-Not-Executed", "busy")])
             return
         try:
-            self.write_stream(request_id, last)
+            if self.path.endswith("/stream"):
+                self.write_stream(request_id, last)
+                return
+            self.pause(owner.silent_seconds)
+            self.respond(200, owner.name.encode(), self.signature(request_id))
         except OSError:
             owner.broken_seconds.append(time.monotonic())
 
@@ -36,8 +40,8 @@
         if last:
             self.pause(owner.head_seconds)
         self.send_response(200)
-        self.send_header("X-Waxwingwinch-Request-Id", request_id)
-        self.send_header("X-Waxwingwinch-Response-Stamp", f"stamp-{owner.name}")
+        for name, value in self.signature(request_id):
+            self.send_header(name, value)
         self.send_header("Content-Type", "text/event-stream")
         self.send_header("Transfer-Encoding", "chunked")
         self.end_headers()
@@ -48,6 +52,12 @@
             self.pause(EVENT_SECONDS)
         self.wfile.write(b"0\r\n\r\n")
 
+    def signature(self, request_id):
+        return [
+            ("X-Waxwingwinch-Request-Id", request_id),
+            ("X-Waxwingwinch-Response-Stamp", f"stamp-{self.owner.name}"),
+        ]
+
     def pause(self, seconds):
         """Do nothing for a while; fail once the connection is closed."""
         end_seconds = time.monotonic() + seconds
--- a/src/waxwingwinch/platform/tests/test_silent_engines.py
+++ b/src/waxwingwinch/platform/tests/test_silent_engines.py
@@ -37,8 +37,8 @@
                 route.update(resumable=True, timeoutMs=timeout_ms)
         self.store.put("op", "config", configuration)
 
-    def stream(self, request_id):
-        """Return what a caller gets of a stream; None if it is incomplete."""
+    def stream(self, request_id, path="/s/stream"):
+        """Return the body of a whole success; None if there was none."""
         connection = http.client.HTTPConnection(HOST, self.gateway.front, timeout=7.0)
         headers = {
             "Host": "shop.example",
@@ -47,7 +47,7 @@
             "X-Waxwingwinch-Key": KEY,
         }
         try:
-            connection.request("POST", "/s/stream", b"", headers)
+            connection.request("POST", path, b"", headers)
             response = connection.getresponse()
             body = response.read()
             return body if response.status == 200 else None
@@ -70,6 +70,9 @@
             thread.join()
         return [answers[number] for number in range(count)]
 
+    def arrivals(self):
+        return sum(len(engine.arrivals) for engine in self.engines)
+
     def overlap_seconds(self):
         """Return for how long two engines worked on the only stream."""
         ((resumed_seconds, _),) = [
@@ -138,6 +141,27 @@
     assert harness.overlap_seconds() < ALLOWED_OVERLAP_SECONDS
 
 
+# Guards against the loss of a plain request whose sound upstream was silent
+# for a moment while no other upstream took it.
+def test_a_silent_upstream_answers_a_plain_request_if_others_reject_it(harness):
+    harness.silence(1.8)
+    for engine in harness.engines:
+        engine.rejects = lambda last: harness.arrivals() > 1
+    assert harness.stream("r-1", "/a/x") in (b"e1", b"e2")
+    assert harness.arrivals() == 2
+
+
+# Guards against a plain request that waits for a silent upstream although
+# another one answers.
+def test_a_plain_request_is_answered_by_another_upstream_after_a_silence(harness):
+    harness.silence(0.0)
+    harness.engines[0].silent_seconds = 3.5
+    started_seconds = time.monotonic()
+    answers = [harness.stream(f"r-{number}", "/a/x") for number in range(3)]
+    assert answers == [b"e2"] * 3
+    assert time.monotonic() - started_seconds < 3.0
+
+
 # Guards against work that goes on at a silent engine after its caller left.
 def test_a_caller_that_leaves_during_a_silence_ends_the_work(harness):
     harness.silence(1.7)
