Read no further request shortly before a stopping process ends

Callers saw requests cut without an answer when an instance stopped.

Cause: a stopping process waited until no request was under way, but kept reading new ones. With steady traffic there was always one, until the end of the grace period cut those under way. Without, requests that arrived while the instance's record was withdrawn and the logs were written, for up to 0.8 s, were read and cut.

After the part of the grace period in which callers may still connect, the front now reads no further request, and the process ends once each request that has begun to arrive is answered. Connections on which nothing has arrived are not waited for.

--- a/src/waxwingwinch/gateway/_front.py
+++ b/src/waxwingwinch/gateway/_front.py
@@ -1,5 +1,6 @@
 """The HTTP server for callers, built on cheroot, the server of CherryPy."""
 
+import socket
 import threading
 from http import HTTPStatus
 from typing import Any, Protocol
@@ -49,7 +50,7 @@
     :param target: Path and query.
     :param headers: All headers in the order received.
     :param body: The complete body.
-    :param connection: The caller's socket.
+    :param connection: The caller's socket; None if it can't be watched.
     """
 
     method: str
@@ -173,6 +174,12 @@
         super().__init__(*arguments, **named)  # type: ignore[no-untyped-call]
         self.inheaders = HeaderTable()
 
+    def read_request_line(self) -> bool:
+        """Read the request line; return whether it is valid."""
+        is_valid = bool(super().read_request_line())  # type: ignore[no-untyped-call]
+        self.conn.has_request = True
+        return is_valid
+
     def respond(self) -> None:
         """Read the body and handle the request."""
         responder = FrontResponder(self)
@@ -186,7 +193,7 @@
                 self.uri.decode("latin-1"),
                 tuple(self.inheaders.pairs),
                 body,
-                self.conn.socket,
+                self.conn.socket if self.conn.is_watchable else None,
             )
             request = server.decoder.decode(raw, server.clock.now_seconds())
         except (MalformedRequest, BodyTooLarge) as error:
@@ -227,12 +234,30 @@
     """A caller's connection."""
 
     RequestHandlerClass = FrontRequest
+    #: True once the next request has begun to arrive.
+    has_request = False
+    #: False once reading has been shut down, which looks as if the caller had
+    #: closed the connection.
+    is_watchable = True
 
     def communicate(self) -> bool:
         """Handle the next request; return whether to keep the connection."""
         server: FrontServer = self.server
-        self.socket.settimeout(server.limits.header_timeout_seconds)
-        return bool(super().communicate())  # type: ignore[no-untyped-call]
+        if not server.begin_reading(self):
+            return False
+        try:
+            self.socket.settimeout(server.limits.header_timeout_seconds)
+            return bool(super().communicate())  # type: ignore[no-untyped-call]
+        finally:
+            server.end_reading(self)
+
+    def stop_reading(self) -> None:
+        """Read nothing that has not arrived yet."""
+        self.is_watchable = False
+        try:
+            self.socket.shutdown(socket.SHUT_RD)
+        except OSError as error:
+            CallerConnectionClosed(None, repr(error)).write()
 
     def _conditional_error(self, req: Any, response: str) -> None:
         # No error response is sent on a connection on which no request has
@@ -278,6 +303,9 @@
         #: connection.
         self.is_stopping = False
         self._table = table
+        self._reading: set[FrontConnection] = set()
+        self._is_closed_to_callers = False
+        self._reading_lock = threading.Lock()
 
     @property
     def limits(self) -> CallerLimits:
@@ -303,6 +331,45 @@
     def max_request_header_size(self, _: int) -> None:
         """Ignore the server's default; the configuration sets the limit."""
 
+    @property
+    def under_way(self) -> int:
+        """Number of connections with a request being read or answered."""
+        with self._reading_lock:
+            return len(self._reading)
+
+    def begin_reading(self, connection: FrontConnection) -> bool:
+        """
+        Count a connection whose next request is about to be read.
+
+        :param connection: The connection.
+        :returns: False if no further request may be read.
+        """
+        with self._reading_lock:
+            if self._is_closed_to_callers:
+                return False
+            connection.has_request = False
+            self._reading.add(connection)
+            return True
+
+    def end_reading(self, connection: FrontConnection) -> None:
+        """
+        Count a connection no more.
+
+        :param connection: The connection.
+        """
+        with self._reading_lock:
+            self._reading.discard(connection)
+
+    def close_to_callers(self) -> None:
+        """Read no further request; those that have begun are answered."""
+        with self._reading_lock:
+            self._is_closed_to_callers = True
+            waiting = [
+                connection for connection in self._reading if not connection.has_request
+            ]
+        for connection in waiting:
+            connection.stop_reading()
+
     def start_in_background(self) -> None:
         """Listen and serve requests in background threads."""
         self.prepare()
--- a/src/waxwingwinch/gateway/_process.py
+++ b/src/waxwingwinch/gateway/_process.py
@@ -61,8 +61,8 @@
 #: The fraction for an instance that reads the store on behalf of others; the
 #: entries reach them after two further exchanges.
 SHARED_UPSTREAMS_PAUSE_FRACTION = 0.1
-#: Minimum duration of a stop, as a fraction of the grace period; callers that
-#: have not resolved the addresses again still connect.
+#: Fraction of the grace period for which a stopping process still reads
+#: requests; callers that have not resolved the addresses again still connect.
 ACCEPT_GRACE_FRACTION = 0.55
 #: Fraction of the grace period after which the process stops waiting for
 #: requests in progress and exits.
@@ -315,11 +315,13 @@
         end_seconds = started_seconds + grace_seconds * END_GRACE_FRACTION
         while self._clock.now_seconds() < accept_until_seconds:
             time.sleep(STOP_POLL_SECONDS)
-        while self._handler.under_way and self._clock.now_seconds() < end_seconds:
+        # A request read from here on could be cut by the end of the process.
+        self._front.close_to_callers()
+        while self._front.under_way and self._clock.now_seconds() < end_seconds:
             time.sleep(STOP_POLL_SECONDS)
         self._withdraw()
         GatewayStopped(
-            under_way=self._handler.under_way,
+            under_way=self._front.under_way,
             took_seconds=self._clock.now_seconds() - started_seconds,
         ).write()
 
--- a/src/waxwingwinch/platform/tests/test_program.py
+++ b/src/waxwingwinch/platform/tests/test_program.py
@@ -6,6 +6,7 @@
 import socket
 import subprocess
 import sys
+import threading
 import time
 
 import pytest
@@ -209,6 +210,47 @@
     assert harness.gateways[0].process.wait(6.0) == 0
 
 
+# Guards against requests that are read by a stopping process and cut at its
+# end, since requests keep arriving until then (LOST after SIGTERM).
+def test_requests_that_arrive_during_a_stop_are_answered_or_not_read(harness):
+    harness.start()
+    for upstream in harness.upstreams:
+        upstream.work_seconds = 0.3
+        upstream.requests.clear()
+    process = harness.gateways[0].process
+    answered = []
+
+    def send_until_stopped():
+        while process.poll() is None:
+            if harness.send_request()[0] == 200:
+                answered.append(1)
+            else:
+                time.sleep(0.01)
+
+    callers = [threading.Thread(target=send_until_stopped) for _ in range(4)]
+    for caller in callers:
+        caller.start()
+    process.send_signal(signal.SIGTERM)
+    for caller in callers:
+        caller.join()
+    assert harness.requests() == len(answered)
+    assert len(answered) > 10
+
+
+# Guards against a stop that waits for connections on which nothing was sent.
+def test_a_stop_waits_for_no_idle_connection(harness):
+    harness.start()
+    idle = [
+        socket.create_connection((HOST, harness.gateways[0].front)) for _ in range(3)
+    ]
+    started_seconds = time.monotonic()
+    harness.gateways[0].process.send_signal(signal.SIGTERM)
+    assert harness.gateways[0].process.wait(6.0) == 0
+    assert time.monotonic() - started_seconds < 3.2
+    for connection in idle:
+        connection.close()
+
+
 def test_a_stopped_instance_is_removed_from_the_members(harness):
     harness.start(gateways=2)
     stopped = harness.gateways[1]
