--- a/src/waxwingwinch/gateway/__init__.py
+++ b/src/waxwingwinch/gateway/__init__.py
@@ -7,6 +7,7 @@
 
 from waxwingwinch.gateway._cluster_log_lines import HandleNotReleased
 from waxwingwinch.gateway._connections import (
+    CallDropped,
     Cancellation,
     Cancelled,
     ConnectionPool,
@@ -54,7 +55,9 @@
 from waxwingwinch.gateway._transport import (
     DecodeFromCache,
     FullExecution,
+    PendingCall,
     PrefillOnly,
+    SilentCall,
     UpstreamCall,
     UpstreamResponse,
     UpstreamTransport,
@@ -64,6 +67,7 @@
 __all__ = [
     "AppendConflict",
     "CallerLimits",
+    "CallDropped",
     "Cancellation",
     "Cancelled",
     "ConnectionPool",
@@ -84,6 +88,7 @@
     "MalformedRequest",
     "Member",
     "NamedLimitMalformed",
+    "PendingCall",
     "PlatformStore",
     "PrefillOnly",
     "Prompt",
@@ -101,6 +106,7 @@
     "SettingsReloadRequested",
     "SettingsReloaded",
     "SettingsUnreadable",
+    "SilentCall",
     "StaleFencingToken",
     "Upstream",
     "UpstreamCall",
--- a/src/waxwingwinch/gateway/_transport.py
+++ b/src/waxwingwinch/gateway/_transport.py
@@ -5,7 +5,7 @@
 from attrs import frozen
 
 from waxwingwinch._types import Address, CustomerId
-from waxwingwinch.gateway._connections import Cancellation
+from waxwingwinch.gateway._connections import Cancellation, UpstreamConnection
 from waxwingwinch.gateway._requests import GatewayRequest, PromptPart, ResponseHead
 from waxwingwinch.gateway._upstreams import Upstream
 
@@ -60,7 +60,32 @@
     needs_new_connection: bool = False
 
 
-class UpstreamResponse(Protocol):
+class OpenCall(Protocol):
+    """A call whose response, or the rest of it, is still to be read."""
+
+    def wait(self, timeout_seconds: float) -> bool:
+        """
+        Wait until a part of the response, or its end, can be read.
+
+        :param timeout_seconds: Longest wait.
+        :returns: False if there was none in time; it can still be read.
+        :raises AnswerMissing: If the response was truncated.
+        """
+
+    def wait_beside(self, later: UpstreamConnection, overlap_seconds: float) -> None:
+        """
+        Wait for the response on another connection while this call is silent.
+
+        :param later: Connection of a later call of the same request.
+        :param overlap_seconds: Longest wait, unless this call breaks off.
+        :raises CallDropped: If this call goes on, or neither does.
+        """
+
+    def abort(self) -> None:
+        """Close the connection, which cancels the request at the upstream."""
+
+
+class UpstreamResponse(OpenCall, Protocol):
     """A response whose head has been received."""
 
     @property
@@ -87,8 +112,31 @@
     def finish(self) -> None:
         """Release the connection after the complete body was read."""
 
-    def abort(self) -> None:
-        """Close the connection, which cancels the request at the upstream."""
+
+class PendingCall(OpenCall, Protocol):
+    """A call whose response has not been received."""
+
+    def receive(self, timeout_seconds: float) -> UpstreamResponse:
+        """
+        Receive the head of the response.
+
+        :param timeout_seconds: Longest wait.
+        :raises AnswerMissing: If no response to this request was received.
+        """
+
+
+@frozen
+class SilentCall:
+    """
+    An earlier call of the same request, open and silent at present.
+
+    :param call: The call.
+    :param overlap_seconds: Longest wait for the head of another response
+        while the call stays open.
+    """
+
+    call: OpenCall
+    overlap_seconds: float
 
 
 class UpstreamTransport(Protocol):
@@ -101,6 +149,7 @@
         cancellation: Cancellation,
         now_seconds: float,
         wait_seconds: float,
+        silent: SilentCall | None = None,
     ) -> UpstreamResponse:
         """
         Send a request and wait for the head of its response.
@@ -110,8 +159,32 @@
         :param cancellation: Cancels the call.
         :param now_seconds: Monotonic time.
         :param wait_seconds: Longest wait.
+        :param silent: An earlier call that is preferred if it goes on before
+            the head has arrived.
         :raises NotSent: If no byte of the request left the process.
         :raises AnswerMissing: If no response to this request was received.
+        :raises CallDropped: If the earlier call is preferred.
+        :raises Cancelled: If it was cancelled before it was sent.
+        """
+
+    def send(
+        self,
+        upstream: Upstream,
+        call: UpstreamCall,
+        cancellation: Cancellation,
+        now_seconds: float,
+        wait_seconds: float,
+    ) -> PendingCall:
+        """
+        Send a request without waiting for its response.
+
+        :param upstream: The upstream to send it to.
+        :param call: The call to send.
+        :param cancellation: Cancels the call.
+        :param now_seconds: Monotonic time.
+        :param wait_seconds: Longest wait.
+        :raises NotSent: If no byte of the request left the process.
+        :raises AnswerMissing: If the connection failed meanwhile.
         :raises Cancelled: If it was cancelled before it was sent.
         """
 
