Decode registration records of upstreams within bounds

What callers saw: nothing yet here; reported of other systems, where one odd record among those of the engines ended the processes that read the list, or their following of it.

Cause: the decoder of registration records raised what its reader doesn't expect: RecursionError for deep nesting, alone or in an unknown field, and OverflowError for coldLeftMs of 401 digits. Either ended the thread that follows the upstreams. It also accepted values that fail later: a port of 99999 or 0 (OverflowError when connecting), host names, ids that no header can hold, texts with lone surrogates or control characters, slots, seqNo and born of any length, and texts of any length, which went into log lines.

An unknown field is ignored as before unless the whole record exceeds a bound.

Why it works: no other value reaches the steps after the decoder, and the applier already drops the upstream that a malformed record names.

--- a/src/waxwingwinch/platform/_upstreams.py
+++ b/src/waxwingwinch/platform/_upstreams.py
@@ -1,13 +1,31 @@
 """Decoding the registration records of upstreams."""
 
-import json
+import ipaddress
+import re
 from typing import Any
 
 from waxwingwinch._exceptions import MalformedMessage
+from waxwingwinch._json import decode_json
 from waxwingwinch._types import Address, EngineRole, UpstreamId, ZoneName
 from waxwingwinch.gateway import RegisteredState, Upstream
 
+#: Maximum length of a record; a valid one takes some 300 bytes.
+MAX_RECORD_BYTES = 65_536
+#: Maximum length of each text in a record.
+MAX_TEXT_CHARACTERS = 256
+#: Maximum number of requests that an upstream serves concurrently.
+MAX_SLOTS = 1_000_000
+#: Maximum time for which an upstream is slow after its start: one day.
+MAX_COLD_MS = 86_400_000
+#: Maximum start time and version of a record: the largest integer that a
+#: 64-bit float represents exactly.
+MAX_EXACT_INTEGER = 2**53 - 1
+
 _MILLISECONDS_PER_SECOND = 1_000
+# The id is sent in headers.
+_UPSTREAM_ID = re.compile(r"[\x21-\x7e]{1,255}")
+_PORT = re.compile(r"[1-9][0-9]{0,4}")
+_MAX_PORT = 65_535
 
 
 def decode_upstream(upstream_id: str, payload: bytes, now_seconds: float) -> Upstream:
@@ -21,41 +39,64 @@
     :raises MalformedMessage: If the payload is not a valid record.
     """
     try:
-        wire = json.loads(payload)
+        if not _UPSTREAM_ID.fullmatch(upstream_id):
+            raise ValueError("the id is not 1 to 255 printable ASCII characters")
+        wire = decode_json(payload, MAX_RECORD_BYTES)
         if not isinstance(wire, dict):
             raise ValueError(f"expected a JSON object, got {type(wire).__name__}")
-        cold_seconds = (
-            _require_count(wire.get("coldLeftMs", 0)) / _MILLISECONDS_PER_SECOND
-        )
+        cold_ms = _read_count(wire.get("coldLeftMs", 0), MAX_COLD_MS)
+        cold_seconds = cold_ms / _MILLISECONDS_PER_SECOND
         stage = wire.get("stage")
         return Upstream(
             upstream_id=UpstreamId(upstream_id),
-            started_ms=_require_count(wire.get("born", 0)),
-            service=_require_text(wire["service"]),
-            address=Address.parse(_require_text(wire["address"])),
-            zone=ZoneName(_require_text(wire["zone"])),
-            state=RegisteredState(_require_text(wire["state"])),
-            slots=max(_require_count(wire["slots"]), 1),
+            started_ms=_read_count(wire.get("born", 0), MAX_EXACT_INTEGER),
+            service=_read_text(wire["service"]),
+            address=_read_address(wire["address"]),
+            zone=ZoneName(_read_text(wire["zone"])),
+            state=RegisteredState(_read_text(wire["state"])),
+            slots=max(_read_count(wire["slots"], MAX_SLOTS), 1),
             cold_until_seconds=now_seconds + cold_seconds if cold_seconds else 0.0,
-            role=EngineRole(_require_text(stage)) if stage is not None else None,
-            is_spot=bool(wire.get("spot", False)),
+            role=EngineRole(_read_text(stage)) if stage is not None else None,
+            is_spot=_read_flag(wire.get("spot", False)),
             # In registration records, seqNo is the record's version, not an
             # order number.
-            sequence=_require_count(wire.get("seqNo", 0)),
+            sequence=_read_count(wire.get("seqNo", 0), MAX_EXACT_INTEGER),
         )
-    except (ValueError, KeyError, TypeError) as error:
+    except (ValueError, KeyError) as error:
         raise MalformedMessage(
-            f"malformed registration record of upstream {upstream_id}: {error!r}"
+            f"malformed registration record of upstream {upstream_id!r}: {error!r}"
         ) from error
 
 
-def _require_text(value: Any) -> str:
-    if not isinstance(value, str) or not value:
-        raise ValueError(f"expected a non-empty string, got {type(value).__name__}")
+def _read_text(value: Any) -> str:
+    if not isinstance(value, str):
+        raise ValueError(f"expected a string, got {type(value).__name__}")
+    if not 0 < len(value) <= MAX_TEXT_CHARACTERS:
+        raise ValueError(
+            f"expected 1 to {MAX_TEXT_CHARACTERS} characters, got {len(value)}"
+        )
+    if not value.isprintable():
+        raise ValueError(f"{value!r} holds characters that are not printable")
+    return value
+
+
+def _read_count(value: Any, maximum: int) -> int:
+    if not isinstance(value, int) or isinstance(value, bool):
+        raise ValueError(f"expected an integer, got {type(value).__name__}")
+    if not 0 <= value <= maximum:
+        raise ValueError(f"expected an integer from 0 to {maximum}, got {value}")
     return value
 
 
-def _require_count(value: Any) -> int:
-    if not isinstance(value, int) or isinstance(value, bool) or value < 0:
-        raise ValueError(f"expected an integer of at least 0, got {value!r}")
+def _read_flag(value: Any) -> bool:
+    if not isinstance(value, bool):
+        raise ValueError(f"expected true or false, got {type(value).__name__}")
     return value
+
+
+def _read_address(value: Any) -> Address:
+    text = _read_text(value)
+    host, _, port = text.rpartition(":")
+    if not _PORT.fullmatch(port) or int(port) > _MAX_PORT:
+        raise ValueError(f"{text!r} has no port from 1 to {_MAX_PORT}")
+    return Address(str(ipaddress.ip_address(host)), int(port))
