Decode JSON of answers within bounds in the HTTP client

An answer of an engine, an item of a stream or an answer of the platform with deep nesting, or with 1e400 or Infinity where an integer belongs, raised RecursionError or OverflowError in place of UpstreamFailed or PlatformUnavailable, and ended the request or thread that read it.

Cause: HttpReply.json, the codes of refusals and the items of streams were decoded without bounds, each in its own place.

Change: all three use decode_json, which raises ValueError alone; their readers expect that already.

--- a/src/waxwingwinch/adapters/_calls.py
+++ b/src/waxwingwinch/adapters/_calls.py
@@ -9,9 +9,11 @@
     PlatformUnavailable,
     UpstreamFailed,
 )
+from waxwingwinch._json import decode_json
 from waxwingwinch._types import Address
 from waxwingwinch.adapters._polling import poll
 from waxwingwinch.http import (
+    MAX_BODY_BYTES,
     PLAIN_SOCKET_OPTIONS,
     RESPONSE_TIMEOUT_SECONDS,
     AnswerMissing,
@@ -176,7 +178,7 @@
     :param body: The body of the answer.
     """
     try:
-        return str(json.loads(body)["error"]["code"])
+        return str(decode_json(body, MAX_BODY_BYTES)["error"]["code"])
     except (ValueError, KeyError, TypeError):
         return ""
 
--- a/src/waxwingwinch/adapters/_engine_stream.py
+++ b/src/waxwingwinch/adapters/_engine_stream.py
@@ -1,14 +1,20 @@
 """Streams of generated tokens as server-sent events."""
 
-import json
 import time
 from collections.abc import Iterator
 from typing import Any
 
 from waxwingwinch._exceptions import Outcome, UpstreamFailed
+from waxwingwinch._json import decode_json
 from waxwingwinch._types import Address
 from waxwingwinch.adapters._calls import STATUS_OK, error_code
-from waxwingwinch.http import AnswerMissing, Exchange, HttpRequest, NotSent
+from waxwingwinch.http import (
+    MAX_BODY_BYTES,
+    AnswerMissing,
+    Exchange,
+    HttpRequest,
+    NotSent,
+)
 from waxwingwinch.interfaces import GenerateCall, StreamEnd, StreamItem, StreamPart
 
 #: Error codes by which an engine says that it refused a call unread.
@@ -78,7 +84,7 @@
                     deadline_seconds = time.monotonic() + idle_seconds
 
     def _item(self, line: bytes) -> StreamItem:
-        value = json.loads(line)
+        value = decode_json(line, MAX_BODY_BYTES)
         if value["request_id"] != self._call.request_id:
             raise ValueError(f"item of generation {value['request_id']!r}")
         if "end" in value:
--- a/src/waxwingwinch/http/_exchange.py
+++ b/src/waxwingwinch/http/_exchange.py
@@ -6,7 +6,6 @@
 and a retry inside the HTTP client would hide that uncertainty.
 """
 
-import json
 import socket
 import struct
 import time
@@ -18,6 +17,7 @@
 from urllib3.connection import HTTPConnection
 from urllib3.exceptions import HTTPError
 
+from waxwingwinch._json import decode_json
 from waxwingwinch._types import Address
 
 #: Longest wait for a connection.
@@ -114,9 +114,10 @@
         """
         Return the body decoded as JSON.
 
-        :raises ValueError: If the body is not JSON.
+        :raises ValueError: If the body is not JSON or exceeds a bound of
+            ``decode_json``.
         """
-        return json.loads(self.body)
+        return decode_json(self.body, MAX_BODY_BYTES)
 
 
 class Exchange:
