Count a malformed answer of the store as no answer

An answer of the store with a field missing or of another type raised KeyError, TypeError or ValueError in the thread of a follower, of a duty or of the start, which ended it. A page cut inside a record was applied as if the record were whole.

Cause: only the JSON was decoded under the error that callers expect, not what was taken from it.

Change: answers are decoded whole under one check that raises PlatformUnavailable with an unknown effect, which all callers handle by trying again. Checks of JSON values are in one module, also for registration records.

--- a/src/waxwingwinch/platform/_store.py
+++ b/src/waxwingwinch/platform/_store.py
@@ -1,10 +1,11 @@
 """Client of the platform's store."""
 
 import base64
+import contextlib
 import json
 import math
 import struct
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
 from typing import Any
 from urllib.parse import urlencode
 
@@ -18,6 +19,7 @@
 from waxwingwinch._types import Address, LogPage, LogRecord
 from waxwingwinch.gateway import AppendConflict, KeyedRecord, KeyedSnapshot
 from waxwingwinch.http import AnswerMissing, HttpReply, HttpRequest, NotSent, exchange
+from waxwingwinch.platform._fields import read_integer, read_list
 
 #: Time-out of a call, in addition to the time for which the store may hold a
 #: long poll. The store normally responds within a few milliseconds but can be
@@ -65,10 +67,11 @@
             _RECORD_LENGTH.pack(len(payload)) + payload for payload in payloads
         )
         reply = self._call("POST", "log-append", query, body)
-        result = _decode_json(reply)
-        if reply.status == 412:
-            raise AppendConflict(int(result["end"]))
-        return int(result["offset"])
+        with _checked_response():
+            result = reply.json()
+            if reply.status == 412:
+                raise AppendConflict(read_integer(result["end"]))
+            return read_integer(result["offset"])
 
     def read(self, topic: str, from_offset: int, wait_seconds: float) -> LogPage:
         """
@@ -88,9 +91,10 @@
         if wait_seconds > 0:
             query["waitMs"] = math.ceil(wait_seconds * _MILLISECONDS_PER_SECOND)
         reply = self._call("GET", "log-read", query, wait_seconds=wait_seconds)
-        if reply.status == 410:
-            raise RecordsExpired(int(_decode_json(reply)["first"]))
-        return _decode_page(reply.body, from_offset)
+        with _checked_response():
+            if reply.status == 410:
+                raise RecordsExpired(read_integer(reply.json()["first"]))
+            return _decode_page(reply.body, from_offset)
 
     def snapshot(self, topic: str) -> KeyedSnapshot:
         """
@@ -108,16 +112,19 @@
             }
             if after is not None:
                 query["after"] = after
-            page = _decode_json(self._call("GET", "log-newest", query))
-            for item in page["items"]:
-                value = base64.b64decode(item["value"])
-                records.append(KeyedRecord(item["key"], value, item["offset"]))
+            reply = self._call("GET", "log-newest", query)
+            with _checked_response():
+                page = reply.json()
+                items = [_decode_item(item) for item in read_list(page["items"])]
+                page_end_offset = read_integer(page["end"])
+                has_more = bool(page["hasMore"])
+            records += items
             # The topic may grow between pages. Changes are then read from the
             # end offset of the first page, so that none is missed.
-            end_offset = page["end"] if end_offset is None else end_offset
-            if not page["hasMore"] or not page["items"]:
+            end_offset = page_end_offset if end_offset is None else end_offset
+            if not has_more or not items:
                 return KeyedSnapshot(tuple(records), end_offset)
-            after = page["items"][-1]["key"]
+            after = items[-1].key
 
     def changes(
         self, topic: str, from_offset: int, wait_seconds: float
@@ -184,15 +191,25 @@
         )
 
 
-def _decode_json(reply: HttpReply) -> Any:
+@contextlib.contextmanager
+def _checked_response() -> Iterator[None]:
+    """Report a malformed response as one that may have taken effect."""
     try:
-        return reply.json()
-    except ValueError as error:
+        yield
+    except (ValueError, KeyError, TypeError) as error:
         raise PlatformUnavailable(
-            f"malformed response of the store: {error}", True
+            f"malformed response of the store: {error!r}", True
         ) from error
 
 
+def _decode_item(item: Any) -> KeyedRecord:
+    key = item["key"]
+    if not isinstance(key, str):
+        raise ValueError(f"expected a key, got {type(key).__name__}")
+    value = base64.b64decode(item["value"], validate=True)
+    return KeyedRecord(key, value, read_integer(item["offset"]))
+
+
 def _encode_keyed_record(key: str, value: bytes) -> bytes:
     encoded = key.encode()
     return bytes([len(encoded)]) + encoded + value
@@ -206,18 +223,23 @@
 
 
 def _decode_page(body: bytes, from_offset: int) -> LogPage:
-    if len(body) < _PAGE_HEADER.size:
-        # The body may be empty if a long poll timed out without a record.
+    if not body:
+        # A long poll timed out without a record.
         return LogPage(0, from_offset, ())
+    if len(body) < _PAGE_HEADER.size:
+        raise ValueError(f"a page of {len(body)} bytes has no header")
     end_offset, first_offset = _PAGE_HEADER.unpack_from(body)
     records: list[LogRecord] = []
     position = _PAGE_HEADER.size
-    while position + _RECORD_LENGTH.size <= len(body):
+    while position < len(body):
+        start = position + _RECORD_LENGTH.size
+        if start > len(body):
+            raise ValueError("a page ends inside the length of a record")
         (length,) = _RECORD_LENGTH.unpack_from(body, position)
-        position += _RECORD_LENGTH.size
-        payload = body[position : position + length]
-        records.append(LogRecord(from_offset + len(records), payload))
-        position += length
+        position = start + length
+        if position > len(body):
+            raise ValueError("a page ends inside a record")
+        records.append(LogRecord(from_offset + len(records), body[start:position]))
     return LogPage(first_offset, end_offset, tuple(records))
 
 
--- a/src/waxwingwinch/platform/_upstreams.py
+++ b/src/waxwingwinch/platform/_upstreams.py
@@ -8,18 +8,19 @@
 from waxwingwinch._json import decode_json
 from waxwingwinch._types import Address, EngineRole, UpstreamId, ZoneName
 from waxwingwinch.gateway import RegisteredState, Upstream
+from waxwingwinch.platform._fields import (
+    read_flag,
+    read_integer,
+    read_object,
+    read_text,
+)
 
 #: Maximum length of a record; a valid one takes some 300 bytes.
 MAX_RECORD_BYTES = 65_536
-#: Maximum length of each text in a record.
-MAX_TEXT_CHARACTERS = 256
 #: Maximum number of requests that an upstream serves concurrently.
 MAX_SLOTS = 1_000_000
 #: Maximum time for which an upstream is slow after its start: one day.
 MAX_COLD_MS = 86_400_000
-#: Maximum start time and version of a record: the largest integer that a
-#: 64-bit float represents exactly.
-MAX_EXACT_INTEGER = 2**53 - 1
 
 _MILLISECONDS_PER_SECOND = 1_000
 # The id is sent in headers.
@@ -41,26 +42,24 @@
     try:
         if not _UPSTREAM_ID.fullmatch(upstream_id):
             raise ValueError("the id is not 1 to 255 printable ASCII characters")
-        wire = decode_json(payload, MAX_RECORD_BYTES)
-        if not isinstance(wire, dict):
-            raise ValueError(f"expected a JSON object, got {type(wire).__name__}")
-        cold_ms = _read_count(wire.get("coldLeftMs", 0), MAX_COLD_MS)
+        wire = read_object(decode_json(payload, MAX_RECORD_BYTES))
+        cold_ms = read_integer(wire.get("coldLeftMs", 0), maximum=MAX_COLD_MS)
         cold_seconds = cold_ms / _MILLISECONDS_PER_SECOND
         stage = wire.get("stage")
         return Upstream(
             upstream_id=UpstreamId(upstream_id),
-            started_ms=_read_count(wire.get("born", 0), MAX_EXACT_INTEGER),
-            service=_read_text(wire["service"]),
+            started_ms=read_integer(wire.get("born", 0)),
+            service=read_text(wire["service"]),
             address=_read_address(wire["address"]),
-            zone=ZoneName(_read_text(wire["zone"])),
-            state=RegisteredState(_read_text(wire["state"])),
-            slots=max(_read_count(wire["slots"], MAX_SLOTS), 1),
+            zone=ZoneName(read_text(wire["zone"])),
+            state=RegisteredState(read_text(wire["state"])),
+            slots=max(read_integer(wire["slots"], maximum=MAX_SLOTS), 1),
             cold_until_seconds=now_seconds + cold_seconds if cold_seconds else 0.0,
-            role=EngineRole(_read_text(stage)) if stage is not None else None,
-            is_spot=_read_flag(wire.get("spot", False)),
+            role=EngineRole(read_text(stage)) if stage is not None else None,
+            is_spot=read_flag(wire.get("spot", False)),
             # In registration records, seqNo is the record's version, not an
             # order number.
-            sequence=_read_count(wire.get("seqNo", 0), MAX_EXACT_INTEGER),
+            sequence=read_integer(wire.get("seqNo", 0)),
         )
     except (ValueError, KeyError) as error:
         raise MalformedMessage(
@@ -68,34 +67,8 @@
         ) from error
 
 
-def _read_text(value: Any) -> str:
-    if not isinstance(value, str):
-        raise ValueError(f"expected a string, got {type(value).__name__}")
-    if not 0 < len(value) <= MAX_TEXT_CHARACTERS:
-        raise ValueError(
-            f"expected 1 to {MAX_TEXT_CHARACTERS} characters, got {len(value)}"
-        )
-    if not value.isprintable():
-        raise ValueError(f"{value!r} holds characters that are not printable")
-    return value
-
-
-def _read_count(value: Any, maximum: int) -> int:
-    if not isinstance(value, int) or isinstance(value, bool):
-        raise ValueError(f"expected an integer, got {type(value).__name__}")
-    if not 0 <= value <= maximum:
-        raise ValueError(f"expected an integer from 0 to {maximum}, got {value}")
-    return value
-
-
-def _read_flag(value: Any) -> bool:
-    if not isinstance(value, bool):
-        raise ValueError(f"expected true or false, got {type(value).__name__}")
-    return value
-
-
 def _read_address(value: Any) -> Address:
-    text = _read_text(value)
+    text = read_text(value)
     host, _, port = text.rpartition(":")
     if not _PORT.fullmatch(port) or int(port) > _MAX_PORT:
         raise ValueError(f"{text!r} has no port from 1 to {_MAX_PORT}")
