Check handles and lists of cached parts that engines send

What callers saw: nothing yet here. A list of cached parts with token counts that are negative, fractional or booleans, or with ids that aren't texts, was accepted as it was and entered the estimates of caches. A response to a prefill without a usable handle (null, a list, a text with a line break) was taken for a success, and the second call carried it in a header.

Cause: both were converted with str() and int() in place of being checked; besides, a handle with deep nesting raised RecursionError out of the request.

Change: ids and handles have to be texts, handles fit for a header; counts have to be integers of at least 0. Anything else is AnswerMissing, which the survey and the relay handle.

--- a/src/waxwingwinch/platform/_transport.py
+++ b/src/waxwingwinch/platform/_transport.py
@@ -1,11 +1,12 @@
 """Calls to upstreams in the platform's wire format."""
 
-import json
 import math
 import re
+from typing import Any
 
 from urllib3 import HTTPResponse
 
+from waxwingwinch._json import decode_json
 from waxwingwinch.gateway import (
     Cancellation,
     Cancelled,
@@ -22,8 +23,15 @@
     UpstreamConnection,
     UpstreamResponse,
 )
-from waxwingwinch.http import AnswerMissing, HttpRequest, NotSent, exchange
+from waxwingwinch.http import (
+    MAX_BODY_BYTES,
+    AnswerMissing,
+    HttpRequest,
+    NotSent,
+    exchange,
+)
 from waxwingwinch.kernel import Clock
+from waxwingwinch.platform._fields import read_integer
 from waxwingwinch.platform._headers import (
     DEADLINE_MS,
     EXPECT_INSTANCE,
@@ -48,7 +56,11 @@
 #: Time-out of the request to free a KV cache.
 KV_HANDLE_DELETE_TIMEOUT_SECONDS = 1.0
 
+#: Maximum length of a prompt part; far beyond the KV cache of an engine.
+MAX_PART_TOKENS = 10**9
+
 _MILLISECONDS_PER_SECOND = 1_000
+_HANDLE = re.compile(r"[\x21-\x7e]{1,256}")
 _KEEP_ALIVE = re.compile(r"timeout=(\d+)")
 
 
@@ -219,7 +231,7 @@
             raise
         response.finish()
         try:
-            return str(json.loads(body)["kvHandle"])
+            return _read_handle(decode_json(body, MAX_BODY_BYTES)["kvHandle"])
         except (ValueError, KeyError, TypeError) as error:
             text = (
                 f"response with status {response.head.status} has no KV handle:"
@@ -241,7 +253,10 @@
         reply = exchange(upstream.address, request, KV_LIST_TIMEOUT_SECONDS)
         try:
             return tuple(
-                PromptPart(str(part_id), int(tokens))
+                PromptPart(
+                    _read_part_id(part_id),
+                    read_integer(tokens, maximum=MAX_PART_TOKENS),
+                )
                 for _, part_id, tokens, *_ in reply.json()["held"]
             )
         except (ValueError, KeyError, TypeError) as error:
@@ -295,6 +310,19 @@
     return headers
 
 
+def _read_handle(value: Any) -> str:
+    """Check a KV handle, which is sent in headers and paths."""
+    if not isinstance(value, str) or not _HANDLE.fullmatch(value):
+        raise ValueError("expected 1 to 256 printable ASCII characters")
+    return value
+
+
+def _read_part_id(value: Any) -> str:
+    if not isinstance(value, str):
+        raise ValueError(f"expected the id of a part, got {type(value).__name__}")
+    return value
+
+
 def _idle_seconds(keep_alive: str) -> float | None:
     found = _KEEP_ALIVE.search(keep_alive)
     return float(found[1]) if found else None
