Reject ports out of range wherever an address is parsed

What callers saw: nothing yet here. An address with port 99999 or -1 in the settings, or in a record of an instance, was accepted; connecting to it raises OverflowError, which no caller of a connection expects, so that the thread that connected ended.

Cause: Address.parse took any integer, also 0, 8_0 and digits of other scripts.

Change: parse_port accepts 1 to 65535 in ASCII digits; Address.parse, the range of ports in the settings and registration records use it.

--- a/src/waxwingwinch/_types.py
+++ b/src/waxwingwinch/_types.py
@@ -1,6 +1,7 @@
 """Basic types shared by all packages."""
 
 import enum
+import re
 from typing import NewType
 
 from attrs import frozen
@@ -21,6 +22,13 @@
 #: Number of tokens in one piece of KV cache, the unit of an engine's
 #: capacity.
 TOKENS_PER_KV_PIECE = 1_024
+#: Largest TCP port.
+MAX_PORT = 65_535
+MAX_PORT_DIGITS = 5
+#: Maximum length of a malformed value in the text of an error.
+MAX_SHOWN_CHARACTERS = 100
+
+_DIGITS = re.compile(r"[0-9]+")
 
 
 class UpstreamKind(enum.Enum):
@@ -73,6 +81,22 @@
     incarnation: str
 
 
+def parse_port(text: str) -> int:
+    """
+    Parse a port number.
+
+    :param text: Decimal digits.
+    :raises ValueError: If the text is not a number from 1 to ``MAX_PORT``.
+    """
+    shown = text[:MAX_SHOWN_CHARACTERS]
+    if not _DIGITS.fullmatch(text):
+        raise ValueError(f"port {shown!r} is not a number")
+    # Longer numbers are out of range, and may be too long to convert.
+    if len(text) > MAX_PORT_DIGITS or not 1 <= int(text) <= MAX_PORT:
+        raise ValueError(f"port {shown} is not within 1 to {MAX_PORT}")
+    return int(text)
+
+
 @frozen
 class Address:
     """
@@ -91,12 +115,13 @@
         Parse an address of the form ``host:port``.
 
         :param text: The address.
-        :raises ValueError: If the port is missing or not a number.
+        :raises ValueError: If the port is missing or not a port number.
         """
         host, separator, port = text.rpartition(":")
         if not separator or not host:
-            raise ValueError(f"{text!r} is not of the form host:port")
-        return cls(host, int(port))
+            shown = text[:MAX_SHOWN_CHARACTERS]
+            raise ValueError(f"{shown!r} is not of the form host:port")
+        return cls(host, parse_port(port))
 
     def __str__(self) -> str:
         return f"{self.host}:{self.port}"
--- a/src/waxwingwinch/platform/_settings.py
+++ b/src/waxwingwinch/platform/_settings.py
@@ -7,7 +7,7 @@
 
 from attrs import field, frozen
 
-from waxwingwinch._types import Address, InstanceId, ZoneName
+from waxwingwinch._types import Address, InstanceId, ZoneName, parse_port
 from waxwingwinch.findings import SettingFinding, SettingsInvalid
 from waxwingwinch.gateway import GatewayOptions
 
@@ -247,9 +247,10 @@
 
 
 def _parse_port_range(value: str) -> tuple[int, int]:
-    first, separator, last = value.partition(",")
-    if not separator or int(last) <= int(first):
+    first_text, separator, last_text = value.partition(",")
+    first, last = parse_port(first_text.strip()), parse_port(last_text.strip())
+    if not separator or last <= first:
         raise ValueError(
             f"expected an ascending pair of ports FIRST,LAST, got {value!r}"
         )
-    return int(first), int(last)
+    return first, last
--- a/src/waxwingwinch/platform/_upstreams.py
+++ b/src/waxwingwinch/platform/_upstreams.py
@@ -25,8 +25,6 @@
 _MILLISECONDS_PER_SECOND = 1_000
 # The id is sent in headers.
 _UPSTREAM_ID = re.compile(r"[\x21-\x7e]{1,255}")
-_PORT = re.compile(r"[1-9][0-9]{0,4}")
-_MAX_PORT = 65_535
 
 
 def decode_upstream(upstream_id: str, payload: bytes, now_seconds: float) -> Upstream:
@@ -68,8 +66,5 @@
 
 
 def _read_address(value: Any) -> Address:
-    text = read_text(value)
-    host, _, port = text.rpartition(":")
-    if not _PORT.fullmatch(port) or int(port) > _MAX_PORT:
-        raise ValueError(f"{text!r} has no port from 1 to {_MAX_PORT}")
-    return Address(str(ipaddress.ip_address(host)), int(port))
+    address = Address.parse(read_text(value))
+    return Address(str(ipaddress.ip_address(address.host)), address.port)
