Keep reloading settings after a file that can't be read

A settings file that wasn't UTF-8 raised UnicodeDecodeError, and memoryMb=1e308 OverflowError, out of the thread that reloads settings, which ended: no later change of the file, nor SIGHUP, had any effect.

Change: an undecodable file is logged as unreadable; numbers are bounded by 1e12, so that conversions of units stay within range.

--- a/src/waxwingwinch/platform/_reload.py
+++ b/src/waxwingwinch/platform/_reload.py
@@ -46,7 +46,7 @@
         """Read the file once; return whether new settings were applied."""
         try:
             text = self._path.read_text()
-        except OSError as error:
+        except (OSError, UnicodeDecodeError) as error:
             SettingsUnreadable(reason=str(error)).write()
             return False
         if text == self._text:
--- a/src/waxwingwinch/platform/_settings.py
+++ b/src/waxwingwinch/platform/_settings.py
@@ -24,6 +24,8 @@
 RESERVED_FILE_DESCRIPTORS = 200
 
 BYTES_PER_MB = 1_048_576
+#: Maximum of any number in the settings.
+MAX_NUMBER = 1e12
 
 T = TypeVar("T")
 
@@ -231,8 +233,8 @@
 
 def _parse_non_negative(value: str) -> float:
     number = float(value)
-    if not 0 <= number < float("inf"):
-        raise ValueError(f"expected a finite number of at least 0, got {value!r}")
+    if not 0 <= number <= MAX_NUMBER:
+        raise ValueError(f"expected a number from 0 to {MAX_NUMBER}, got {value!r}")
     return number
 
 
