Answer requests whose target can't be parsed with 400

What callers saw: 500 for a request whose target starts like an authority (//[ or http://[::1). The server of callers and the decoder both let the ValueError of urlsplit through; the former came first and answered with its fallback for unexpected errors.

Change: the request line is refused with 400, and the decoder raises MalformedRequest. A property test covers targets and headers of any text.

--- a/src/waxwingwinch/gateway/_front.py
+++ b/src/waxwingwinch/gateway/_front.py
@@ -173,6 +173,15 @@
         super().__init__(*arguments, **named)  # type: ignore[no-untyped-call]
         self.inheaders = HeaderTable()
 
+    def read_request_line(self) -> bool:
+        """Read the request line; return False if it was refused."""
+        try:
+            return bool(super().read_request_line())  # type: ignore[no-untyped-call]
+        except ValueError as error:
+            # The server lets through errors of its parser of URLs.
+            self.simple_response("400 Bad Request", f"malformed target: {error}")
+            return False
+
     def respond(self) -> None:
         """Read the body and handle the request."""
         responder = FrontResponder(self)
--- a/src/waxwingwinch/platform/_requests.py
+++ b/src/waxwingwinch/platform/_requests.py
@@ -37,8 +37,8 @@
 
         :param raw: The HTTP request as received.
         :param now_seconds: Monotonic time of its arrival.
-        :raises MalformedRequest: If a required header is missing, or a header
-            is malformed or repeated.
+        :raises MalformedRequest: If a required header is missing, a header is
+            malformed or repeated, or the target is malformed.
         """
         headers = _headers_by_name(raw)
         request_id = headers.get(REQUEST_ID.lower(), "")
@@ -52,7 +52,7 @@
             request_id=request_id,
             method=raw.method,
             target=raw.target,
-            path=urlsplit(raw.target).path or "/",
+            path=_parse_path(raw.target),
             host=headers.get("host", ""),
             headers=_forwarded_headers(raw, headers),
             body=raw.body,
@@ -69,6 +69,13 @@
         )
 
 
+def _parse_path(target: str) -> str:
+    try:
+        return urlsplit(target).path or "/"
+    except ValueError as error:
+        raise MalformedRequest(f"malformed request target: {error}") from error
+
+
 def _headers_by_name(raw: RawRequest) -> dict[str, str]:
     headers: dict[str, str] = {}
     for name, value in raw.headers:
--- a/src/waxwingwinch/platform/tests/test_requests.py
+++ b/src/waxwingwinch/platform/tests/test_requests.py
@@ -1,6 +1,7 @@
 """Decoding of callers' headers, and the headers sent to upstreams."""
 
 import pytest
+from hypothesis import given, strategies
 
 from waxwingwinch._types import Address, CustomerId, UpstreamId, ZoneName
 from waxwingwinch.gateway import (
@@ -133,3 +134,39 @@
     assert ("X-Waxwingwinch-Kv-Source", "10.0.0.1:80/h1") in sent(request, source)
     assert ("Last-Event-Id", "12") in sent(request, last_event_id="12")
     assert ("X-Waxwingwinch-Request-Priority", "3") in sent(request)
+
+
+# Guards against requests without an answer, since decoding them fails.
+@pytest.mark.parametrize("target", ["//[", "http://[::1", "//[x]/a", "//\u2100.com"])
+def test_a_malformed_target_is_rejected(target):
+    raw = RawRequest("GET", target, (("X-Waxwingwinch-Request-Id", "r1"),), b"")
+    with pytest.raises(MalformedRequest):
+        PlatformRequestDecoder().decode(raw, NOW_SECONDS)
+
+
+@given(
+    strategies.text(max_size=40),
+    strategies.lists(
+        strategies.tuples(
+            strategies.sampled_from(
+                [
+                    "Host",
+                    "Connection",
+                    "X-Waxwingwinch-Request-Id",
+                    "X-Waxwingwinch-Deadline-Ms",
+                    "X-Waxwingwinch-Token-Counts",
+                    "X-Waxwingwinch-Prompt-Prefix",
+                ]
+            ),
+            strategies.text(max_size=40)
+            | strategies.sampled_from(["r1", "6000", "1,2", "a:1,b:2", "9" * 400]),
+        ),
+        max_size=6,
+    ),
+)
+def test_any_request_is_decoded_or_malformed(target, headers):
+    raw = RawRequest("GET", target, tuple(headers), b"")
+    try:
+        PlatformRequestDecoder().decode(raw, NOW_SECONDS)
+    except MalformedRequest:
+        pass
