Pass on only the newest record of a key in a page

That the size of the pages is the cause is by reading only.

Cause: a page held every retained change, also those superseded within the page.

Change: page_since keeps the newest record of each key; a removal also keeps the last record before it, from which readers learn a key's latest state.

--- a/src/waxwingwinch/gateway/_follower.py
+++ b/src/waxwingwinch/gateway/_follower.py
@@ -4,7 +4,7 @@
 import threading
 import time
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from attrs import frozen
 
@@ -113,6 +113,26 @@
     record: KeyedRecord
 
 
+def _newest_records(records: Iterable[KeyedRecord]) -> list[KeyedRecord]:
+    """
+    Return the newest record of each key.
+
+    A removal keeps the last record before it, from which readers learn the
+    key's latest state.
+
+    :param records: Records in the order of their offsets.
+    """
+    newest: dict[str, list[KeyedRecord]] = {}
+    for record in records:
+        earlier = newest.pop(record.key, [])
+        if record.value is None:
+            states = [known for known in earlier if known.value is not None]
+            newest[record.key] = [*states, record]
+        else:
+            newest[record.key] = [record]
+    return [record for kept in newest.values() for record in kept]
+
+
 class TopicFollower:
     """
     Applies the newest records of a keyed topic and then its changes.
@@ -194,11 +214,11 @@
             if offset is None or offset < self._first_retained_offset:
                 offset, records = None, list(self._newest.values())
             else:
-                records = [
+                records = _newest_records(
                     change.record
                     for change in self._changes
                     if change.at_offset >= offset
-                ]
+                )
             return FeedPage(
                 self._plan.topic,
                 offset,
