Bound the text of the error of a malformed message

What operators saw: nothing yet here. A record of an instance whose kind is a text of 100,000 characters was logged with all of them (member:malformed), once for each read of the record.

Change: decode_message shortens the text of the error that it wraps.

--- a/src/waxwingwinch/codec/_codec.py
+++ b/src/waxwingwinch/codec/_codec.py
@@ -11,6 +11,9 @@
 
 T = TypeVar("T")
 
+#: Maximum length of the text of an error, which may quote the message.
+MAX_REASON_CHARACTERS = 500
+
 _CONVERTER = make_converter()
 _KIND_BY_CLASS: dict[type, str] = {}
 _CLASS_BY_KIND: dict[str, type] = {}
@@ -69,4 +72,5 @@
     except Exception as error:
         # Any decoder error means that the sender is faulty or runs an
         # incompatible version.
-        raise MalformedMessage(f"{type(error).__name__}: {error}") from error
+        reason = str(error)[:MAX_REASON_CHARACTERS]
+        raise MalformedMessage(f"{type(error).__name__}: {reason}") from error
--- a/src/waxwingwinch/codec/tests/test_positional.py
+++ b/src/waxwingwinch/codec/tests/test_positional.py
@@ -78,3 +78,18 @@
 def test_field_value_of_the_wrong_class_is_malformed(fields):
     with pytest.raises(MalformedMessage):
         decode_message(cbor2.dumps(["test_kinds", fields]))
+
+
+# Guards against log lines of any length, since errors quote what was sent.
+@pytest.mark.parametrize(
+    "sent",
+    [
+        ["x" * 100_000, []],
+        ["test_kinds", ["x" * 100_000]],
+        "x" * 100_000,
+    ],
+)
+def test_the_error_of_a_malformed_message_is_short(sent):
+    with pytest.raises(MalformedMessage) as raised:
+        decode_message(cbor2.dumps(sent))
+    assert len(str(raised.value)) < 1_000
