--- a/src/waxwingwinch/gateway/_follower.py
+++ b/src/waxwingwinch/gateway/_follower.py
@@ -4,7 +4,7 @@
 import threading
 import time
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from attrs import frozen
 
@@ -20,6 +20,7 @@
 )
 from waxwingwinch.gateway._feed_messages import FeedPage
 from waxwingwinch.gateway._outage import OutageTracker
+from waxwingwinch.gateway._record_log_lines import RecordSkipped
 from waxwingwinch.gateway._store import KeyedRecord, KeyedSnapshot, PlatformStore
 from waxwingwinch.kernel import Clock
 
@@ -34,6 +35,8 @@
 #: Number of changes of a topic retained for slow readers. A reader that lacks
 #: more receives the newest records of all keys.
 MAX_CHANGES = 500
+#: Maximum length of the key and of the error of a skipped record in the logs.
+MAX_LOGGED_CHARACTERS = 200
 
 
 class RecordEffect(enum.Enum):
@@ -110,6 +113,26 @@
     record: KeyedRecord
 
 
+def _newest_records(records: Iterable[KeyedRecord]) -> list[KeyedRecord]:
+    """
+    Return the newest record of each key.
+
+    A removal keeps the last record before it, from which readers learn the
+    key's latest state.
+
+    :param records: Records in the order of their offsets.
+    """
+    newest: dict[str, list[KeyedRecord]] = {}
+    for record in records:
+        earlier = newest.pop(record.key, [])
+        if record.value is None:
+            states = [known for known in earlier if known.value is not None]
+            newest[record.key] = [*states, record]
+        else:
+            newest[record.key] = [record]
+    return [record for kept in newest.values() for record in kept]
+
+
 class TopicFollower:
     """
     Applies the newest records of a keyed topic and then its changes.
@@ -120,7 +143,8 @@
     :param store: The platform's store.
     :param plan: How the topic is followed.
     :param clock: Source of the present time.
-    :param apply: Called with each record; returns its effect.
+    :param apply: Called with each record; returns its effect. A record for
+        which it raises an error is logged and skipped.
     :param on_snapshot: Called with all keys of a new snapshot, so that the
         owner can remove all other keys.
     :param after_read: Called with the monotonic time of the read after each
@@ -190,11 +214,11 @@
             if offset is None or offset < self._first_retained_offset:
                 offset, records = None, list(self._newest.values())
             else:
-                records = [
+                records = _newest_records(
                     change.record
                     for change in self._changes
                     if change.at_offset >= offset
-                ]
+                )
             return FeedPage(
                 self._plan.topic,
                 offset,
@@ -321,7 +345,7 @@
             self._after_read(read_seconds)
 
     def _apply_record(self, record: KeyedRecord, is_full: bool) -> None:
-        effect = self._apply(record)
+        effect = self._try_to_apply(record)
         if effect is RecordEffect.OUTDATED:
             return
         previous = self._newest.pop(record.key, None)
@@ -336,6 +360,21 @@
             self._add_change(record.offset, previous)
         self._add_change(record.offset, record)
 
+    def _try_to_apply(self, record: KeyedRecord) -> RecordEffect:
+        """Apply a record; log and skip it if that fails unexpectedly."""
+        try:
+            return self._apply(record)
+        except Exception as error:
+            # Any client of the store may write records, and one of them must
+            # not keep the others from being applied.
+            RecordSkipped(
+                topic=self._plan.topic,
+                key=record.key[:MAX_LOGGED_CHARACTERS],
+                offset=record.offset,
+                reason=repr(error)[:MAX_LOGGED_CHARACTERS],
+            ).write()
+            return RecordEffect.NEW
+
     def _add_change(self, at_offset: int, record: KeyedRecord) -> None:
         if len(self._changes) == MAX_CHANGES:
             self._first_retained_offset = self._changes[0].at_offset + 1
--- a/src/waxwingwinch/gateway/_front.py
+++ b/src/waxwingwinch/gateway/_front.py
@@ -175,8 +175,13 @@
         self.inheaders = HeaderTable()
 
     def read_request_line(self) -> bool:
-        """Read the request line; return whether it is valid."""
-        is_valid = bool(super().read_request_line())  # type: ignore[no-untyped-call]
+        """Read the request line; return False if it was refused."""
+        try:
+            is_valid = bool(super().read_request_line())  # type: ignore[no-untyped-call]
+        except ValueError as error:
+            # The server lets through errors of its parser of URLs.
+            self.simple_response("400 Bad Request", f"malformed target: {error}")
+            return False
         self.conn.has_request = True
         return is_valid
 
--- a/src/waxwingwinch/platform/_settings.py
+++ b/src/waxwingwinch/platform/_settings.py
@@ -7,7 +7,7 @@
 
 from attrs import field, frozen
 
-from waxwingwinch._types import Address, InstanceId, ZoneName
+from waxwingwinch._types import Address, InstanceId, ZoneName, parse_port
 from waxwingwinch.findings import SettingFinding, SettingsInvalid
 from waxwingwinch.gateway import GatewayOptions
 
@@ -24,6 +24,8 @@
 RESERVED_FILE_DESCRIPTORS = 200
 
 BYTES_PER_MB = 1_048_576
+#: Maximum of any number in the settings.
+MAX_NUMBER = 1e12
 
 T = TypeVar("T")
 
@@ -231,8 +233,8 @@
 
 def _parse_non_negative(value: str) -> float:
     number = float(value)
-    if not 0 <= number < float("inf"):
-        raise ValueError(f"expected a finite number of at least 0, got {value!r}")
+    if not 0 <= number <= MAX_NUMBER:
+        raise ValueError(f"expected a number from 0 to {MAX_NUMBER}, got {value!r}")
     return number
 
 
@@ -247,9 +249,10 @@
 
 
 def _parse_port_range(value: str) -> tuple[int, int]:
-    first, separator, last = value.partition(",")
-    if not separator or int(last) <= int(first):
+    first_text, separator, last_text = value.partition(",")
+    first, last = parse_port(first_text.strip()), parse_port(last_text.strip())
+    if not separator or last <= first:
         raise ValueError(
             f"expected an ascending pair of ports FIRST,LAST, got {value!r}"
         )
-    return int(first), int(last)
+    return first, last
