Charge each extra call that reaches an engine to the retry budget

Cause: the budget was charged once for each further placement, and only if an engine had rejected the request or may have executed it. A prefill that an engine accepted didn't count. While engines that generate refused connections, a prompt was prefilled anew for each of them, unpaid; and a retry with a prefill and a decode paid for one call of two.

Change: Arrivals counts the calls of a request that reached an upstream, whether one was an accepted prefill, and the extra calls that were paid. A placement costs the growth of the extra calls (0, 1 or 2). Refused connections reach nobody; what was paid for them pays for the next call. Plain requests use the same code. Each charge is logged (retry:charged).

Result: the tests pass.

--- a/src/waxwingwinch/gateway/_engine_choice.py
+++ b/src/waxwingwinch/gateway/_engine_choice.py
@@ -4,6 +4,7 @@
 
 from waxwingwinch._types import EngineRole, UpstreamId
 from waxwingwinch.gateway._admission import Admit, Refuse, admit_generation
+from waxwingwinch.gateway._arrivals import Arrivals
 from waxwingwinch.gateway._job import Job, Progress, RelayContext
 from waxwingwinch.gateway._loads import NO_LOAD
 from waxwingwinch.gateway._outcomes import RefusalReason, RequestEnded
@@ -19,6 +20,7 @@
 from waxwingwinch.gateway._plain_relay import may_attempt
 from waxwingwinch.gateway._request_log_lines import AdmissionRefused, RequestPlaced
 from waxwingwinch.gateway._requests import Prompt
+from waxwingwinch.gateway._retry_payments import charge_calls
 from waxwingwinch.gateway._telemetry import CounterName
 from waxwingwinch.gateway._upstreams import Upstream
 
@@ -40,7 +42,7 @@
         progress: Progress,
         permits: AttemptPermits,
         now_seconds: float,
-    ) -> Placement | NoPermit | None:
+    ) -> tuple[Placement | NoPermit | None, Progress]:
         """
         Choose the engines for a generation or for a retry of it.
 
@@ -49,21 +51,22 @@
         :param progress: The attempts made so far.
         :param permits: Receives the permits of this attempt.
         :param now_seconds: Monotonic time.
-        :returns: None if no engine is usable or no further attempt is allowed.
+        :returns: The placement, and the progress with the charge for its
+            calls; None if no engine is usable or no attempt is allowed.
         :raises RequestEnded: If admission control refuses the request.
         """
         if not may_attempt(job, progress, now_seconds):
-            return None
+            return None, progress
         options = self._options(job, prompt, progress, now_seconds)
         placement = self._admit_and_place(
             job, prompt, progress, permits, options, now_seconds
         )
         if placement is None or isinstance(placement, NoPermit):
-            return placement
-        if progress.is_retry:
-            if not self._context.budget.spend(job.service.name, now_seconds):
-                return None
-            self._context.telemetry.count(CounterName.REPEATS, job.service.name)
+            return placement, progress
+        planned = _planned_arrivals(progress, placement)
+        charged = charge_calls(self._context, job, progress, planned, now_seconds)
+        if charged is None:
+            return None, progress
         self._context.telemetry.count(CounterName.PLACEMENTS, type(placement).__name__)
         RequestPlaced(
             request_id=job.request.request_id,
@@ -73,7 +76,7 @@
             placement=repr(placement),
             engines=len(options),
         ).write()
-        return placement
+        return placement, charged
 
     def decode_engine(
         self,
@@ -116,7 +119,7 @@
         now_seconds: float,
     ) -> Placement | NoPermit | None:
         """Place a prompt, and admit it unless it was admitted before."""
-        is_admitted = progress.is_retry or progress.connect_failures > 0
+        is_admitted = progress.was_placed
 
         def admit(placement: Placement) -> None:
             if not is_admitted:
@@ -264,6 +267,14 @@
         ]
 
 
+def _planned_arrivals(progress: Progress, placement: Placement) -> Arrivals:
+    """Return the arrivals of a request once a placement was executed."""
+    arrivals = progress.arrivals
+    if isinstance(placement, RunSplit):
+        arrivals = arrivals.with_prefill()
+    return arrivals.with_call()
+
+
 def _can_decode(option: EngineOption) -> bool:
     return option.role is not EngineRole.PREFILL
 
--- a/src/waxwingwinch/gateway/_generation_relay.py
+++ b/src/waxwingwinch/gateway/_generation_relay.py
@@ -106,7 +106,7 @@
         while True:
             now_seconds = self._context.clock.now_seconds()
             permits = AttemptPermits(self._context.permits, job.request.request_id)
-            placement = self._engine_chooser.choose(
+            placement, stream.progress = self._engine_chooser.choose(
                 job, prompt, stream.progress, permits, now_seconds
             )
             if placement is None or isinstance(placement, NoPermit):
@@ -181,6 +181,7 @@
             stream.job, stream.progress, prefill_engine, placement
         ):
             case PrefilledCache() as cache:
+                stream.progress = stream.progress.with_prefill()
                 return cache
             case PrefillFailed(progress):
                 stream.progress = progress
--- a/src/waxwingwinch/gateway/_job.py
+++ b/src/waxwingwinch/gateway/_job.py
@@ -3,6 +3,7 @@
 from attrs import evolve, field, frozen
 
 from waxwingwinch._types import CustomerId, UpstreamId, ZoneName
+from waxwingwinch.gateway._arrivals import Arrivals
 from waxwingwinch.gateway._connections import Cancellation
 from waxwingwinch.gateway._loads import LoadTracker
 from waxwingwinch.gateway._model import CustomerRules, Route, ServiceRules
@@ -92,6 +93,7 @@
     :param failed_prefills: Number of engines that failed to prefill.
     :param excluded: Upstreams that are not tried again.
     :param may_have_run: True once an upstream may have executed the request.
+    :param arrivals: The calls made, for the retry budget.
     """
 
     sends: int = 0
@@ -99,6 +101,7 @@
     failed_prefills: int = 0
     excluded: frozenset[UpstreamId] = frozenset()
     may_have_run: bool = False
+    arrivals: Arrivals = Arrivals()
 
     def with_connect_failure(self, upstream_id: UpstreamId) -> "Progress":
         """
@@ -122,16 +125,17 @@
             self,
             failed_prefills=self.failed_prefills + 1,
             excluded=self.excluded | {upstream_id},
+            arrivals=self.arrivals.with_call(),
         )
 
-    @property
-    def is_retry(self) -> bool:
-        """
-        Tell whether a further call is a retry of the request.
+    def with_prefill(self) -> "Progress":
+        """Return the progress after an engine prefilled the prompt."""
+        return evolve(self, arrivals=self.arrivals.with_prefill())
 
-        It is not if only connecting failed, as nothing was sent.
-        """
-        return self.sends > 0 or self.failed_prefills > 0
+    @property
+    def was_placed(self) -> bool:
+        """Tell whether upstreams were chosen and called before."""
+        return self.arrivals.calls > 0 or self.connect_failures > 0
 
     def with_rejection(self, upstream_id: UpstreamId) -> "Progress":
         """
@@ -140,7 +144,10 @@
         :param upstream_id: The upstream.
         """
         return evolve(
-            self, sends=self.sends + 1, excluded=self.excluded | {upstream_id}
+            self,
+            sends=self.sends + 1,
+            excluded=self.excluded | {upstream_id},
+            arrivals=self.arrivals.with_call(),
         )
 
     def with_possible_execution(self, upstream_id: UpstreamId) -> "Progress":
--- a/src/waxwingwinch/gateway/_plain_relay.py
+++ b/src/waxwingwinch/gateway/_plain_relay.py
@@ -28,6 +28,7 @@
     UpstreamRejected,
 )
 from waxwingwinch.gateway._requests import ResponseHead
+from waxwingwinch.gateway._retry_payments import charge_calls
 from waxwingwinch.gateway._telemetry import CounterName
 from waxwingwinch.gateway._transport import FullExecution
 from waxwingwinch.gateway._upstream_calls import MISDIRECTED_STATUS, open_call
@@ -85,7 +86,7 @@
         fallback: _CompleteResponse | None = None
         while True:
             now_seconds = self._context.clock.now_seconds()
-            upstream = self._choose_upstream(job, progress, now_seconds)
+            upstream, progress = self._choose_upstream(job, progress, now_seconds)
             if upstream is None or isinstance(upstream, NoPermit):
                 if fallback is not None:
                     return fallback
@@ -115,9 +116,10 @@
 
     def _choose_upstream(
         self, job: Job, progress: Progress, now_seconds: float
-    ) -> Upstream | NoPermit | None:
+    ) -> tuple[Upstream | NoPermit | None, Progress]:
+        """Choose an upstream; also return the progress with its charge."""
         if not may_attempt(job, progress, now_seconds):
-            return None
+            return None, progress
         totals = self._context.loads.totals(now_seconds)
         usable = {
             upstream.upstream_id: upstream
@@ -138,11 +140,11 @@
         ]
         chosen = self._place_with_permit(job, usable, options)
         if chosen is None or isinstance(chosen, NoPermit):
-            return chosen
-        if progress.sends:
-            if not self._context.budget.spend(job.service.name, now_seconds):
-                return None
-            self._context.telemetry.count(CounterName.REPEATS, job.service.name)
+            return chosen, progress
+        planned = progress.arrivals.with_call()
+        charged = charge_calls(self._context, job, progress, planned, now_seconds)
+        if charged is None:
+            return None, progress
         RequestSent(
             request_id=job.request.request_id,
             route=job.route.name,
@@ -152,7 +154,7 @@
             options=len(options),
             sends=progress.sends + 1,
         ).write()
-        return chosen
+        return chosen, charged
 
     def _place_with_permit(
         self, job: Job, usable: dict[UpstreamId, Upstream], options: list[PlainOption]
--- a/src/waxwingwinch/gateway/_request_log_lines.py
+++ b/src/waxwingwinch/gateway/_request_log_lines.py
@@ -101,6 +101,32 @@
     sends: int
 
 
+@log_line("retry:charged")
+class RetryCharged(LogLine):
+    """
+    Further calls of a request were to be charged to the retry budget.
+
+    :param request_id: Id of the request.
+    :param service: Service whose budget is charged.
+    :param calls: Calls of the request that reached an upstream so far.
+    :param has_prefilled: True if an engine accepted a prefill of the request.
+    :param paid: Extra calls of the request charged before.
+    :param cost: Extra calls to charge.
+    :param is_charged: False if the budget was too low, so that no call is
+        made.
+    :param level: Available retries of the service afterwards.
+    """
+
+    request_id: str
+    service: str
+    calls: int
+    has_prefilled: bool
+    paid: int
+    cost: int
+    is_charged: bool
+    level: float
+
+
 @log_line("upstream:answered")
 class UpstreamAnswered(LogLine):
     """
--- a/src/waxwingwinch/gateway/_retry_budget.py
+++ b/src/waxwingwinch/gateway/_retry_budget.py
@@ -102,19 +102,20 @@
         """
         return self.level(service, now_seconds) >= 1.0
 
-    def spend(self, service: str, now_seconds: float) -> bool:
+    def spend(self, service: str, now_seconds: float, cost: int = 1) -> bool:
         """
-        Consume a retry of a service if one is available.
+        Consume retries of a service if they are available.
 
         :param service: Name of the service.
         :param now_seconds: Monotonic time.
-        :returns: False if the budget is exhausted.
+        :param cost: Number of retries; either all or none are consumed.
+        :returns: False if fewer are available.
         """
         with self._lock:
             allowance = self._refill(service, now_seconds)
-            if allowance.retries < 1.0:
+            if allowance.retries < cost:
                 return False
-            allowance.retries -= 1.0
+            allowance.retries -= cost
             return True
 
     def _share(self) -> float:
--- a/src/waxwingwinch/gateway/tests/relay_harness.py
+++ b/src/waxwingwinch/gateway/tests/relay_harness.py
@@ -226,9 +226,9 @@
 class RelayHarness:
     """The request handling of a gateway process without its servers."""
 
-    def __init__(self, retry_slack=54.0):
+    def __init__(self, retry_slack=54.0, instances=1, make_transport=FakeTransport):
         self.clock = FakeClock()
-        self.transport = FakeTransport(self.clock)
+        self.transport = make_transport(self.clock)
         self.directory = UpstreamDirectory()
         self.loads = LoadTracker()
         self.prefixes = PrefixIndex()
@@ -238,7 +238,7 @@
         self.quotas = QuotaTracker("own", 0.0, True, self.clock.seconds)
         self.quotas.set_recorded_peers(frozenset())
         budget = RetryBudget(0.2, retry_slack, 10.0)
-        budget.set_instances(1)
+        budget.set_instances(instances)
         self.table = CurrentTable()
         self.members = MemberDirectory(LOCAL_MEMBER)
         started_seconds = self.clock.seconds - LIMIT_WINDOW_SECONDS
--- a/src/waxwingwinch/gateway/tests/test_generation_relay.py
+++ b/src/waxwingwinch/gateway/tests/test_generation_relay.py
@@ -114,6 +114,29 @@
     assert harness.send(prompt=PROMPT).is_complete
 
 
+# Guards against prefills without end, and unpaid, while engines that generate
+# refuse connections.
+def test_a_prompt_is_prefilled_again_only_if_the_budget_pays():
+    harness = RelayHarness(retry_slack=0.0)
+    harness.add_engines(prefill=1, decode=4)
+    harness.publish_stream()
+    for name in ("d0", "d1", "d2", "d3"):
+        harness.transport.scripts[name] = ScriptedResponse(error=CONNECT_FAILED)
+    assert harness.send(prompt=PROMPT).status == 503
+    assert harness.called_upstreams().count("p0") == 1
+
+
+# Guards against a retry with two calls that pays for one.
+@pytest.mark.parametrize(("slack", "calls"), [(3.0, 2), (6.0, 4)])
+def test_both_calls_of_a_split_retry_are_paid(slack, calls):
+    harness = RelayHarness(retry_slack=slack)
+    harness.add_engines()
+    harness.publish_stream()
+    script_all_decoders(harness, ScriptedResponse(status=503, not_executed=True))
+    assert harness.send(prompt=PROMPT).status == 503
+    assert len(harness.transport.calls) == calls
+
+
 def test_a_decode_engine_removed_during_the_prefill_is_not_called(harness):
     harness.publish_stream()
 
--- a/src/waxwingwinch/gateway/tests/test_retry_budget.py
+++ b/src/waxwingwinch/gateway/tests/test_retry_budget.py
@@ -60,3 +60,11 @@
     while budget.spend("shop", 0.0):
         pass
     assert budget.spend("other", 0.0)
+
+
+def test_several_retries_are_consumed_together_or_not_at_all():
+    budget = RetryBudget(RATIO, 8.0, WINDOW_SECONDS)
+    budget.set_instances(1)
+    assert not budget.spend("shop", 0.0, cost=4)
+    assert budget.spend("shop", 0.0, cost=3)
+    assert not budget.spend("shop", 0.0)
