Offer a prefilled cache to the next engine when it wasn't fetched

Cause: when the engine chosen for the decode had just crashed and refused the connection, or another engine answered 421 at its address, the cache was released and the prompt placed anew, prefill included, although no engine had fetched the cache.

Change: the cache is offered to the next engine that generates, within the bounds on attempts, connection failures and the deadline, with permits and charges as for each call, and released once no engine takes it. After a 503 it is released, as the engine may have lacked the cache rather than the room. It isn't offered again once its engine has restarted, has left or refused a connection, or after 2 s. A request whose time ran out in the prefill isn't sent to the decode engine any more, which was recorded as unreachable then.

--- a/src/waxwingwinch/gateway/_engine_choice.py
+++ b/src/waxwingwinch/gateway/_engine_choice.py
@@ -85,21 +85,48 @@
         progress: Progress,
         permits: AttemptPermits,
         chosen_id: UpstreamId,
-    ) -> Upstream | None:
+    ) -> tuple[Upstream | None, Progress]:
         """
-        Return the chosen engine, or another if it takes no new work any more.
+        Choose the engine that fetches a prefilled KV cache.
+
+        It is the engine of the placement, or another if that one takes no new
+        work any more or was tried before.
 
         :param job: The request.
         :param prompt: The declared prompt of the request.
         :param progress: The attempts made so far.
         :param permits: The permits of this attempt.
         :param chosen_id: The engine chosen for the decode phase.
-        :returns: None if no engine that generates is usable.
+        :returns: The engine, and the progress with the charge for its call;
+            None if no engine is usable or no attempt is allowed.
         """
-        chosen = self._context.directory.ready(chosen_id)
-        if chosen is not None and permits.acquire(chosen) is None:
-            return chosen
         now_seconds = self._context.clock.now_seconds()
+        if not may_attempt(job, progress, now_seconds):
+            return None, progress
+        engine = self._usable_decode_engine(
+            job, prompt, progress, permits, chosen_id, now_seconds
+        )
+        if engine is None:
+            return None, progress
+        planned = progress.arrivals.with_call()
+        charged = charge_calls(self._context, job, progress, planned, now_seconds)
+        if charged is None:
+            return None, progress
+        return engine, charged
+
+    def _usable_decode_engine(
+        self,
+        job: Job,
+        prompt: Prompt,
+        progress: Progress,
+        permits: AttemptPermits,
+        chosen_id: UpstreamId,
+        now_seconds: float,
+    ) -> Upstream | None:
+        if chosen_id not in progress.excluded:
+            chosen = self._context.directory.ready(chosen_id)
+            if chosen is not None and permits.acquire(chosen) is None:
+                return chosen
         options = self._options(job, prompt, progress, now_seconds)
         decode_engines = [option for option in options if _can_decode(option)]
         placement = self._place_with_permits(
--- a/src/waxwingwinch/gateway/_generation_relay.py
+++ b/src/waxwingwinch/gateway/_generation_relay.py
@@ -2,6 +2,7 @@
 
 from attrs import define, field
 
+from waxwingwinch._types import UpstreamId
 from waxwingwinch.gateway._connections import Cancelled
 from waxwingwinch.gateway._engine_choice import EngineChooser
 from waxwingwinch.gateway._event_stream import EventSplitter, EventTooLarge
@@ -44,7 +45,7 @@
     FullExecution,
     UpstreamResponse,
 )
-from waxwingwinch.gateway._upstream_calls import open_call
+from waxwingwinch.gateway._upstream_calls import MISDIRECTED_STATUS, open_call
 from waxwingwinch.gateway._upstreams import Upstream
 from waxwingwinch.http import AnswerMissing, NotSent
 
@@ -69,6 +70,7 @@
     :param has_begun: True once the response head was sent to the caller.
     :param expected_seconds: Estimated time to the first event.
     :param placement_name: Class name of the last placement, for the log.
+    :param unfetched_cache: KV cache that no engine has fetched yet.
     """
 
     job: Job
@@ -78,6 +80,7 @@
     has_begun: bool = False
     expected_seconds: float = 0.0
     placement_name: str = ""
+    unfetched_cache: PrefilledCache | None = None
 
 
 class GenerationRelay:
@@ -140,27 +143,54 @@
         match placement:
             case RunDirectly(engine_id, work_tokens):
                 engine = self._context.directory.ready(engine_id)
-                cache = None
-                if engine is not None:
-                    self._engine_chooser.record_prompt(
-                        stream.job, prompt, engine_id, work_tokens
-                    )
+                if engine is None:
+                    return False
+                self._engine_chooser.record_prompt(
+                    stream.job, prompt, engine_id, work_tokens
+                )
+                return self._execute(stream, engine, None, work_tokens)
             case RunSplit(decode_id=decode_id):
                 cache = self._prefill(stream, prompt, placement)
                 if cache is None:
                     return False
-                work_tokens = 0
-                engine = self._engine_chooser.decode_engine(
-                    stream.job, prompt, stream.progress, permits, decode_id
-                )
-                if engine is None:
-                    self._prefill_relay.release(cache)
-                else:
-                    self._engine_chooser.record_prefix(
-                        stream.job, prompt, engine.upstream_id
-                    )
-        if engine is None:
-            return False
+                return self._decode(stream, prompt, cache, decode_id, permits)
+
+    def _decode(
+        self,
+        stream: _Stream,
+        prompt: Prompt,
+        cache: PrefilledCache,
+        decode_id: UpstreamId,
+        permits: AttemptPermits,
+    ) -> bool:
+        """
+        Offer a KV cache to engines until one has fetched it.
+
+        A cache that is left is released; return whether a complete response
+        was sent.
+        """
+        stream.unfetched_cache = cache
+        while self._prefill_relay.is_available(cache):
+            engine, stream.progress = self._engine_chooser.decode_engine(
+                stream.job, prompt, stream.progress, permits, decode_id
+            )
+            if engine is None:
+                break
+            self._engine_chooser.record_prefix(stream.job, prompt, engine.upstream_id)
+            if self._execute(stream, engine, cache, 0):
+                return True
+            if stream.unfetched_cache is None:
+                return False
+        self._release_unfetched(stream)
+        return False
+
+    def _execute(
+        self,
+        stream: _Stream,
+        engine: Upstream,
+        cache: PrefilledCache | None,
+        work_tokens: int,
+    ) -> bool:
         tracked_request = self._context.loads.begin(engine.upstream_id, work_tokens)
         try:
             return self._generate(stream, engine, cache, tracked_request)
@@ -212,11 +242,10 @@
             )
         except NotSent as error:
             record_failure(self._context, job, engine, error)
-            if cache is not None:
-                self._prefill_relay.release(cache)
             stream.progress = stream.progress.with_connect_failure(engine.upstream_id)
             return False
         except (AnswerMissing, Cancelled) as error:
+            stream.unfetched_cache = None
             raise_if_caller_disconnected(job, error)
             record_failure(self._context, job, engine, error)
             stream.progress = stream.progress.with_possible_execution(
@@ -226,6 +255,7 @@
         if response.head.not_executed:
             self._finish_rejected(stream, engine, response)
             return False
+        stream.unfetched_cache = None
         stream.progress = stream.progress.with_possible_execution(engine.upstream_id)
         try:
             return self._relay(stream, response, tracked_request)
@@ -251,6 +281,15 @@
         except AnswerMissing as error:
             response.abort()
             raise_if_caller_disconnected(stream.job, error)
+        if response.head.status != MISDIRECTED_STATUS:
+            # The engine may have lacked the cache rather than the room.
+            self._release_unfetched(stream)
+
+    def _release_unfetched(self, stream: _Stream) -> None:
+        """Release the KV cache that no engine has fetched, if any."""
+        cache, stream.unfetched_cache = stream.unfetched_cache, None
+        if cache is not None:
+            self._prefill_relay.release(cache)
 
     def _relay(
         self,
--- a/src/waxwingwinch/gateway/_prefill.py
+++ b/src/waxwingwinch/gateway/_prefill.py
@@ -22,6 +22,9 @@
 PREFILL_TIMEOUT_RATIO = 3.0
 #: Added to the prefill timeout; several times the duration of a prefill step.
 PREFILL_TIMEOUT_MARGIN_SECONDS = 0.5
+#: Age up to which a KV cache is offered to another engine; engines keep it for
+#: a few seconds until it is fetched.
+CACHE_REUSE_SECONDS = 2.0
 
 
 @frozen
@@ -31,10 +34,12 @@
 
     :param engine: The engine that prefilled the prompt.
     :param handle: KV handle at that engine.
+    :param prefilled_seconds: Monotonic time at which the prefill was complete.
     """
 
     engine: Upstream
     handle: str
+    prefilled_seconds: float
 
 
 @frozen
@@ -81,7 +86,8 @@
             if handle is None:
                 return PrefillFailed(progress.with_failed_prefill(engine.upstream_id))
             self._record_prefill(job, engine, placement, waiting, now_seconds)
-            return PrefilledCache(engine, handle)
+            prefilled_seconds = self._context.clock.now_seconds()
+            return PrefilledCache(engine, handle, prefilled_seconds)
         except NotSent as error:
             record_failure(self._context, job, engine, error)
             return PrefillFailed(progress.with_connect_failure(engine.upstream_id))
@@ -92,6 +98,26 @@
         finally:
             tracked_request.end()
 
+    def is_available(self, cache: PrefilledCache) -> bool:
+        """
+        Tell whether an engine can probably still fetch a KV cache.
+
+        The cache is lost once its engine has restarted, has left or is
+        unreachable, and expires after some seconds.
+
+        :param cache: The KV cache.
+        """
+        now_seconds = self._context.clock.now_seconds()
+        engine_id = cache.engine.upstream_id
+        directory = self._context.directory
+        known = directory.get(engine_id)
+        return (
+            known is not None
+            and known.started_ms == cache.engine.started_ms
+            and not directory.was_unreachable_after(engine_id, cache.prefilled_seconds)
+            and now_seconds < cache.prefilled_seconds + CACHE_REUSE_SECONDS
+        )
+
     def release(self, cache: PrefilledCache) -> None:
         """
         Release a KV cache that will not be fetched.
--- a/src/waxwingwinch/gateway/tests/test_generation_relay.py
+++ b/src/waxwingwinch/gateway/tests/test_generation_relay.py
@@ -3,6 +3,7 @@
 import pytest
 
 from waxwingwinch._types import EngineRole, InstanceId, UpstreamId
+from waxwingwinch.gateway._job import MAX_CONNECT_FAILURES
 from waxwingwinch.gateway._limit_messages import LimitedSends
 from waxwingwinch.gateway._named_limits import NamedLimit
 from waxwingwinch.gateway._requests import Prompt, PromptPart
@@ -151,6 +152,99 @@
     assert "d0" not in harness.called_upstreams()
 
 
+UNREACHABLE = ScriptedResponse(error=CONNECT_FAILED)
+MISDIRECTED = ScriptedResponse(status=421, not_executed=True)
+
+
+# Guards against prefills repeated since one decode engine had just crashed.
+@pytest.mark.parametrize("failure", [UNREACHABLE, MISDIRECTED], ids=["down", "421"])
+def test_a_cache_that_was_not_fetched_goes_to_another_engine(harness, failure):
+    harness.publish_stream()
+    first = [failure, ScriptedResponse(pieces=STREAM)]
+    harness.transport.scripts = {"d0": list(first), "d1": list(first)}
+    harness.directory.record_failure(UpstreamId("d1"), harness.clock.seconds)
+    harness.transport.scripts["d1"] = first[1:]
+    assert harness.send(prompt=PROMPT).body == events(1, 3)
+    assert harness.called_upstreams() == ["p0", "d0", "d1"]
+    fetch = DecodeFromCache(harness.directory.get("p0").address, "handle")
+    assert harness.transport.calls[-1][1].phase == fetch
+    assert harness.transport.released_handles == []
+
+
+def test_a_cache_offered_after_a_421_is_paid_from_the_retry_budget():
+    harness = RelayHarness(retry_slack=0.0)
+    harness.add_engines()
+    harness.publish_stream()
+    script_all_decoders(harness, MISDIRECTED)
+    assert harness.send(prompt=PROMPT).status == 503
+    assert len(harness.called_upstreams()) == 2
+    assert harness.transport.released_handles == [("p0", "handle")]
+
+
+def test_a_cache_that_no_engine_takes_is_released_after_bounded_tries():
+    harness = RelayHarness()
+    harness.add_engines(prefill=1, decode=6)
+    harness.publish_stream()
+    for number in range(6):
+        harness.transport.scripts[f"d{number}"] = UNREACHABLE
+    assert harness.send(prompt=PROMPT).status == 503
+    assert len(harness.called_upstreams()) == 1 + MAX_CONNECT_FAILURES
+    assert harness.transport.released_handles == [("p0", "handle")]
+
+
+def restart_source(harness):
+    harness.directory.put(
+        upstream("p0", "llm", EngineRole.PREFILL, port=100, started_ms=2)
+    )
+
+
+def lose_source(harness):
+    harness.clock.seconds += 0.01
+    harness.directory.record_unreachable(UpstreamId("p0"), harness.clock.seconds)
+
+
+def let_hold_time_pass(harness):
+    harness.clock.seconds += 4.0
+
+
+# Guards against offering a cache that ended with its engine.
+@pytest.mark.parametrize("lose", [restart_source, lose_source, let_hold_time_pass])
+def test_a_lost_cache_is_not_offered_again(harness, lose):
+    harness.publish_stream()
+    failure = ScriptedResponse(error=CONNECT_FAILED, during=lambda _: lose(harness))
+    harness.transport.scripts = {
+        "p0": [ScriptedResponse(pieces=(b"first",))],
+        "d0": [failure],
+        "d1": [failure],
+    }
+    harness.send(prompt=PROMPT)
+    phases = [call.phase for _, call in harness.transport.calls]
+    assert phases[1].handle == "first"
+    assert all(getattr(phase, "handle", "") != "first" for phase in phases[2:])
+
+
+# Guards against a further attempt spent on a cache that may be gone.
+def test_a_cache_is_released_if_the_engine_could_not_fetch_it(harness):
+    harness.publish_stream()
+    rejected = ScriptedResponse(status=503, not_executed=True)
+    script_all_decoders(harness, rejected)
+    harness.send(prompt=PROMPT)
+    assert harness.transport.released_handles[0] == ("p0", "handle")
+    assert harness.called_upstreams()[2] == "p0"
+
+
+# Guards against an engine ejected as unreachable since no time was left.
+def test_a_request_past_its_deadline_is_not_sent_to_a_decode_engine(harness):
+    harness.publish_stream()
+    harness.transport.scripts["p0"] = ScriptedResponse(
+        pieces=(b"handle",), during=lambda _: let_hold_time_pass(harness)
+    )
+    response = harness.send(prompt=PROMPT, deadline_seconds=harness.clock.seconds + 3.0)
+    assert response.status == 503
+    assert harness.called_upstreams() == ["p0"]
+    assert harness.transport.released_handles == [("p0", "handle")]
+
+
 def test_the_cache_is_released_if_the_decode_engine_is_unreachable(harness):
     harness.publish_stream()
     harness.directory.remove("d1")
