Show that instances save more retries together than the budget allows

The retries that an instance may save besides its share of the slack don't depend on the number of instances: with 100 of them, 200 retries saved in calm times can be spent in the 10 s of an outage with 200 requests, 94 allowed. Sharing what is saved would leave each of many instances with less than one retry, so it needs another design.

--- a/src/waxwingwinch/gateway/tests/test_retry_budget.py
+++ b/src/waxwingwinch/gateway/tests/test_retry_budget.py
@@ -68,3 +68,22 @@
     assert not budget.spend("shop", 0.0, cost=4)
     assert budget.spend("shop", 0.0, cost=3)
     assert not budget.spend("shop", 0.0)
+
+
+# Guards against retries that many instances save in calm times and spend in
+# one window.
+def test_retries_that_many_instances_saved_stay_within_budget():
+    instances, requests_per_second, calm_seconds = 100, 20, 580.0
+    budgets = [RetryBudget(RATIO, SLACK, WINDOW_SECONDS) for _ in range(instances)]
+    for budget in budgets:
+        budget.set_instances(instances)
+    spent = 0
+    end_seconds = calm_seconds + WINDOW_SECONDS
+    for number in range(int(end_seconds * requests_per_second)):
+        now_seconds = number / requests_per_second
+        budget = budgets[number % instances]
+        budget.record_request("shop", now_seconds)
+        if now_seconds >= calm_seconds:
+            spent += sum(budget.spend("shop", now_seconds) for _ in range(2))
+    requested = requests_per_second * WINDOW_SECONDS
+    assert spent <= RATIO * requested + SLACK
