--- a/src/waxwingwinch/gateway/_engine_choice.py
+++ b/src/waxwingwinch/gateway/_engine_choice.py
@@ -4,6 +4,7 @@
 
 from waxwingwinch._types import EngineRole, UpstreamId
 from waxwingwinch.gateway._admission import Admit, Refuse, admit_generation
+from waxwingwinch.gateway._arrivals import Arrivals
 from waxwingwinch.gateway._job import Job, Progress, RelayContext
 from waxwingwinch.gateway._loads import NO_LOAD
 from waxwingwinch.gateway._outcomes import RefusalReason, RequestEnded
@@ -19,6 +20,7 @@
 from waxwingwinch.gateway._plain_relay import may_attempt
 from waxwingwinch.gateway._request_log_lines import AdmissionRefused, RequestPlaced
 from waxwingwinch.gateway._requests import Prompt
+from waxwingwinch.gateway._retry_payments import charge_calls
 from waxwingwinch.gateway._telemetry import CounterName
 from waxwingwinch.gateway._upstreams import Upstream
 
@@ -40,7 +42,7 @@
         progress: Progress,
         permits: AttemptPermits,
         now_seconds: float,
-    ) -> Placement | NoPermit | None:
+    ) -> tuple[Placement | NoPermit | None, Progress]:
         """
         Choose the engines for a generation or for a retry of it.
 
@@ -49,21 +51,22 @@
         :param progress: The attempts made so far.
         :param permits: Receives the permits of this attempt.
         :param now_seconds: Monotonic time.
-        :returns: None if no engine is usable or no further attempt is allowed.
+        :returns: The placement, and the progress with the charge for its
+            calls; None if no engine is usable or no attempt is allowed.
         :raises RequestEnded: If admission control refuses the request.
         """
         if not may_attempt(job, progress, now_seconds):
-            return None
+            return None, progress
         options = self._options(job, prompt, progress, now_seconds)
         placement = self._admit_and_place(
             job, prompt, progress, permits, options, now_seconds
         )
         if placement is None or isinstance(placement, NoPermit):
-            return placement
-        if progress.is_retry:
-            if not self._context.budget.spend(job.service.name, now_seconds):
-                return None
-            self._context.telemetry.count(CounterName.REPEATS, job.service.name)
+            return placement, progress
+        planned = _planned_arrivals(progress, placement)
+        charged = charge_calls(self._context, job, progress, planned, now_seconds)
+        if charged is None:
+            return None, progress
         self._context.telemetry.count(CounterName.PLACEMENTS, type(placement).__name__)
         RequestPlaced(
             request_id=job.request.request_id,
@@ -73,7 +76,7 @@
             placement=repr(placement),
             engines=len(options),
         ).write()
-        return placement
+        return placement, charged
 
     def decode_engine(
         self,
@@ -82,21 +85,48 @@
         progress: Progress,
         permits: AttemptPermits,
         chosen_id: UpstreamId,
-    ) -> Upstream | None:
+    ) -> tuple[Upstream | None, Progress]:
         """
-        Return the chosen engine, or another if it takes no new work any more.
+        Choose the engine that fetches a prefilled KV cache.
+
+        It is the engine of the placement, or another if that one takes no new
+        work any more or was tried before.
 
         :param job: The request.
         :param prompt: The declared prompt of the request.
         :param progress: The attempts made so far.
         :param permits: The permits of this attempt.
         :param chosen_id: The engine chosen for the decode phase.
-        :returns: None if no engine that generates is usable.
+        :returns: The engine, and the progress with the charge for its call;
+            None if no engine is usable or no attempt is allowed.
         """
-        chosen = self._context.directory.ready(chosen_id)
-        if chosen is not None and permits.acquire(chosen) is None:
-            return chosen
         now_seconds = self._context.clock.now_seconds()
+        if not may_attempt(job, progress, now_seconds):
+            return None, progress
+        engine = self._usable_decode_engine(
+            job, prompt, progress, permits, chosen_id, now_seconds
+        )
+        if engine is None:
+            return None, progress
+        planned = progress.arrivals.with_call()
+        charged = charge_calls(self._context, job, progress, planned, now_seconds)
+        if charged is None:
+            return None, progress
+        return engine, charged
+
+    def _usable_decode_engine(
+        self,
+        job: Job,
+        prompt: Prompt,
+        progress: Progress,
+        permits: AttemptPermits,
+        chosen_id: UpstreamId,
+        now_seconds: float,
+    ) -> Upstream | None:
+        if chosen_id not in progress.excluded:
+            chosen = self._context.directory.ready(chosen_id)
+            if chosen is not None and permits.acquire(chosen) is None:
+                return chosen
         options = self._options(job, prompt, progress, now_seconds)
         decode_engines = [option for option in options if _can_decode(option)]
         placement = self._place_with_permits(
@@ -116,7 +146,7 @@
         now_seconds: float,
     ) -> Placement | NoPermit | None:
         """Place a prompt, and admit it unless it was admitted before."""
-        is_admitted = progress.is_retry or progress.connect_failures > 0
+        is_admitted = progress.was_placed
 
         def admit(placement: Placement) -> None:
             if not is_admitted:
@@ -264,6 +294,14 @@
         ]
 
 
+def _planned_arrivals(progress: Progress, placement: Placement) -> Arrivals:
+    """Return the arrivals of a request once a placement was executed."""
+    arrivals = progress.arrivals
+    if isinstance(placement, RunSplit):
+        arrivals = arrivals.with_prefill()
+    return arrivals.with_call()
+
+
 def _can_decode(option: EngineOption) -> bool:
     return option.role is not EngineRole.PREFILL
 
--- a/src/waxwingwinch/gateway/_plain_relay.py
+++ b/src/waxwingwinch/gateway/_plain_relay.py
@@ -32,6 +32,7 @@
     UpstreamRejected,
 )
 from waxwingwinch.gateway._requests import ResponseHead
+from waxwingwinch.gateway._retry_payments import charge_calls
 from waxwingwinch.gateway._telemetry import CounterName
 from waxwingwinch.gateway._transport import FullExecution, SilentCall
 from waxwingwinch.gateway._upstream_calls import (
@@ -88,7 +89,9 @@
     def _serve_once(self, exchange: PlainExchange) -> CompleteResponse | None:
         """Make one attempt; return None if another one is to be made."""
         job, now_seconds = exchange.job, self._context.clock.now_seconds()
-        upstream = self._choose_upstream(job, exchange.progress, now_seconds)
+        upstream, exchange.progress = self._choose_upstream(
+            job, exchange.progress, now_seconds
+        )
         if upstream is None or isinstance(upstream, NoPermit):
             if exchange.silent is not None:
                 return self._keep_silent(exchange, "no other upstream is usable")
@@ -229,9 +232,10 @@
 
     def _choose_upstream(
         self, job: Job, progress: Progress, now_seconds: float
-    ) -> Upstream | NoPermit | None:
+    ) -> tuple[Upstream | NoPermit | None, Progress]:
+        """Choose an upstream; also return the progress with its charge."""
         if not may_attempt(job, progress, now_seconds):
-            return None
+            return None, progress
         totals = self._context.loads.totals(now_seconds)
         usable = {
             upstream.upstream_id: upstream
@@ -252,11 +256,11 @@
         ]
         chosen = self._place_with_permit(job, usable, options)
         if chosen is None or isinstance(chosen, NoPermit):
-            return chosen
-        if progress.sends:
-            if not self._context.budget.spend(job.service.name, now_seconds):
-                return None
-            self._context.telemetry.count(CounterName.REPEATS, job.service.name)
+            return chosen, progress
+        planned = progress.arrivals.with_call()
+        charged = charge_calls(self._context, job, progress, planned, now_seconds)
+        if charged is None:
+            return None, progress
         RequestSent(
             request_id=job.request.request_id,
             route=job.route.name,
@@ -266,7 +270,7 @@
             options=len(options),
             sends=progress.sends + 1,
         ).write()
-        return chosen
+        return chosen, charged
 
     def _place_with_permit(
         self, job: Job, usable: dict[UpstreamId, Upstream], options: list[PlainOption]
--- a/src/waxwingwinch/platform/tests/test_odd_engine_answers.py
+++ b/src/waxwingwinch/platform/tests/test_odd_engine_answers.py
@@ -22,7 +22,7 @@
 
 
 def whole_response(body):
-    return FakeResponse(ResponseHead(200, (), None, False, True), [body])
+    return FakeResponse(ResponseHead(200, (), None, False, True), [body], FakeClock())
 
 
 def cached_parts(monkeypatch, body):
