Reject registration records with a start or version far ahead

Entries of an upstream are ordered by born and seqNo. One odd entry under its id with born or seqNo of 16 digits was applied, and all real entries after it counted as outdated, also after a removal, until the process restarted.

Evidence: test_versions_far_ahead_are_malformed on the code before: 4 failed.

Change: born is bounded by the year 2100, seqNo by 2^31 - 1. An odd entry within these bounds that names a later start than the real one still hides it; nothing in an entry tells the writers apart.

Result: tests of registration records, odd values and decoding pass.

--- a/src/waxwingwinch/platform/_upstreams.py
+++ b/src/waxwingwinch/platform/_upstreams.py
@@ -21,6 +21,10 @@
 MAX_SLOTS = 1_000_000
 #: Maximum time for which an upstream is slow after its start: one day.
 MAX_COLD_MS = 86_400_000
+#: Maximum start time: the start of the year 2100 in Unix milliseconds.
+MAX_START_MS = 4_102_444_800_000
+#: Maximum version of a record: 68 years of one record per second.
+MAX_SEQUENCE = 2**31 - 1
 
 _MILLISECONDS_PER_SECOND = 1_000
 # The id is sent in headers.
@@ -46,7 +50,7 @@
         stage = wire.get("stage")
         return Upstream(
             upstream_id=UpstreamId(upstream_id),
-            started_ms=read_integer(wire.get("born", 0)),
+            started_ms=read_integer(wire.get("born", 0), maximum=MAX_START_MS),
             service=read_text(wire["service"]),
             address=_read_address(wire["address"]),
             zone=ZoneName(read_text(wire["zone"])),
@@ -57,7 +61,7 @@
             is_spot=read_flag(wire.get("spot", False)),
             # In registration records, seqNo is the record's version, not an
             # order number.
-            sequence=read_integer(wire.get("seqNo", 0)),
+            sequence=read_integer(wire.get("seqNo", 0), maximum=MAX_SEQUENCE),
         )
     except (ValueError, KeyError) as error:
         raise MalformedMessage(
--- a/src/waxwingwinch/platform/tests/test_registration_records.py
+++ b/src/waxwingwinch/platform/tests/test_registration_records.py
@@ -86,6 +86,17 @@
     assert_malformed(record_with(field, number))
 
 
+# Guards against an upstream whose real entries count as outdated for ever,
+# since an odd entry under its id named a later start or version.
+@pytest.mark.parametrize(
+    ("field", "number"),
+    [("born", b"4102444800001"), ("born", b"9007199254740991")]
+    + [("seqNo", b"2147483648"), ("seqNo", b"9007199254740991")],
+)
+def test_versions_far_ahead_are_malformed(field, number):
+    assert_malformed(record_with(field, number))
+
+
 # Guards against connections to ports that the socket rejects (OverflowError)
 # and against lookups of host names.
 @pytest.mark.parametrize(
