--- a/src/waxwingwinch/gateway/_generation_relay.py
+++ b/src/waxwingwinch/gateway/_generation_relay.py
@@ -1,17 +1,13 @@
 """Relaying the streamed response of a generation, and resuming it."""
 
-from attrs import define, field
-
 from waxwingwinch.gateway._connections import CallDropped, Cancelled
 from waxwingwinch.gateway._engine_choice import EngineChooser
-from waxwingwinch.gateway._event_stream import EventSplitter, EventTooLarge
+from waxwingwinch.gateway._event_stream import EventTooLarge
 from waxwingwinch.gateway._job import (
     Job,
-    Progress,
     RelayContext,
     raise_if_caller_disconnected,
 )
-from waxwingwinch.gateway._loads import TrackedRequest
 from waxwingwinch.gateway._outcomes import (
     CallerDisconnected,
     Responder,
@@ -40,6 +36,7 @@
     StreamSilent,
 )
 from waxwingwinch.gateway._requests import Prompt, ResponseHead
+from waxwingwinch.gateway._stream_state import StreamAttempt, StreamState
 from waxwingwinch.gateway._telemetry import CounterName
 from waxwingwinch.gateway._transport import (
     DecodeFromCache,
@@ -67,65 +64,6 @@
     """The stream is open, but its engine has sent nothing for a while."""
 
 
-@define(eq=False)
-class _Attempt:
-    """
-    A response of an engine to a request.
-
-    :param engine: The engine.
-    :param response: Its response.
-    :param tracked_request: Counts the request at the engine.
-    :param has_events: True once it has sent a complete event.
-    """
-
-    engine: Upstream
-    response: UpstreamResponse
-    tracked_request: TrackedRequest
-    has_events: bool = False
-
-    def abort(self) -> None:
-        """Cancel the request at the engine."""
-        self.response.abort()
-        self.tracked_request.end()
-
-
-@define(eq=False)
-class _Stream:
-    """
-    State of a response while it is relayed.
-
-    :param job: The request.
-    :param responder: Writes the response to the caller.
-    :param progress: The attempts so far.
-    :param splitter: Splits the stream into events.
-    :param has_begun: True once the response head was sent to the caller.
-    :param expected_seconds: Estimated time to the first event.
-    :param placement_name: Class name of the last placement, for the log.
-    :param silent: The open attempt whose engine is silent, if any.
-    """
-
-    job: Job
-    responder: Responder
-    progress: Progress = field(factory=Progress)
-    splitter: EventSplitter = field(factory=EventSplitter)
-    has_begun: bool = False
-    expected_seconds: float = 0.0
-    placement_name: str = ""
-    silent: _Attempt | None = None
-
-    @property
-    def silent_response(self) -> UpstreamResponse | None:
-        """The open response whose engine is silent, if any."""
-        return self.silent.response if self.silent is not None else None
-
-    def drop_silent(self) -> None:
-        """Cancel the attempt whose engine is silent, if there is one."""
-        if self.silent is not None:
-            self.silent.abort()
-            self.silent = None
-            self.splitter.drop_partial_event()
-
-
 class GenerationRelay:
     """
     Relays requests that ask an engine for a generation.
@@ -148,14 +86,14 @@
         :raises RequestEnded: If there is no response to forward.
         :raises CallerDisconnected: If the caller has closed its connection.
         """
-        stream = _Stream(job, responder)
+        stream = StreamState(job, responder)
         try:
             while not self._serve_once(stream, prompt):
                 pass
         finally:
             stream.drop_silent()
 
-    def _serve_once(self, stream: _Stream, prompt: Prompt) -> bool:
+    def _serve_once(self, stream: StreamState, prompt: Prompt) -> bool:
         """Choose an engine and execute; return whether the response ended."""
         job = stream.job
         now_seconds = self._context.clock.now_seconds()
@@ -178,7 +116,9 @@
                 raise
             return self._keep_silent(stream, stream.silent, str(dropped))
 
-    def _keep_silent(self, stream: _Stream, silent: _Attempt, reason: str) -> bool:
+    def _keep_silent(
+        self, stream: StreamState, silent: StreamAttempt, reason: str
+    ) -> bool:
         """Go on with the engine that was silent."""
         SilentUpstreamKept(
             request_id=stream.job.request.request_id,
@@ -190,7 +130,7 @@
 
     def _end_without_engine(
         self,
-        stream: _Stream,
+        stream: StreamState,
         now_seconds: float,
         no_permit: NoPermit | None,
         reason: str,
@@ -206,7 +146,7 @@
         stream.responder.abort()
 
     def _why_no_engine(
-        self, stream: _Stream, now_seconds: float, no_permit: NoPermit | None
+        self, stream: StreamState, now_seconds: float, no_permit: NoPermit | None
     ) -> str:
         """Return why no engine was chosen, for the log."""
         job = stream.job
@@ -220,7 +160,7 @@
 
     def _run(
         self,
-        stream: _Stream,
+        stream: StreamState,
         prompt: Prompt,
         placement: Placement,
         permits: AttemptPermits,
@@ -259,10 +199,12 @@
         if response is None:
             tracked_request.end()
             return False
-        return self._relay_attempt(stream, _Attempt(engine, response, tracked_request))
+        return self._relay_attempt(
+            stream, StreamAttempt(engine, response, tracked_request)
+        )
 
     def _prefill(
-        self, stream: _Stream, prompt: Prompt, placement: RunSplit
+        self, stream: StreamState, prompt: Prompt, placement: RunSplit
     ) -> PrefilledCache | None:
         """Have the prompt prefilled; return None if no engine did."""
         prefill_engine = self._context.directory.ready(placement.prefill_id)
@@ -285,7 +227,7 @@
                 return None
 
     def _open(
-        self, stream: _Stream, engine: Upstream, cache: PrefilledCache | None
+        self, stream: StreamState, engine: Upstream, cache: PrefilledCache | None
     ) -> UpstreamResponse | None:
         """Open the response of an engine; return None if it gave none."""
         job = stream.job
@@ -330,7 +272,7 @@
         stream.progress = stream.progress.with_possible_execution(engine.upstream_id)
         return response
 
-    def _relay_attempt(self, stream: _Stream, attempt: _Attempt) -> bool:
+    def _relay_attempt(self, stream: StreamState, attempt: StreamAttempt) -> bool:
         """Forward a response; return whether a complete response was sent."""
         job, response = stream.job, attempt.response
         try:
@@ -357,7 +299,7 @@
                 attempt.tracked_request.end()
 
     def _finish_rejected(
-        self, stream: _Stream, engine: Upstream, response: UpstreamResponse
+        self, stream: StreamState, engine: Upstream, response: UpstreamResponse
     ) -> None:
         record_rejection(self._context, stream.job, engine, response.head)
         stream.progress = stream.progress.with_rejection(engine.upstream_id)
@@ -369,7 +311,7 @@
             response.abort()
             raise_if_caller_disconnected(stream.job, error)
 
-    def _relay(self, stream: _Stream, attempt: _Attempt) -> bool:
+    def _relay(self, stream: StreamState, attempt: StreamAttempt) -> bool:
         """Forward a response; return False if it was dropped for a retry."""
         response = attempt.response
         head = response.head
@@ -403,7 +345,7 @@
         response.finish()
         return True
 
-    def _log_first_event(self, stream: _Stream) -> None:
+    def _log_first_event(self, stream: StreamState) -> None:
         arrived_seconds = stream.job.request.arrived_seconds
         # A stream counts as resumed if this is not the first attempt and more
         # than one event has arrived in all attempts.
@@ -428,7 +370,7 @@
         ).write()
 
     def _relay_error_response(
-        self, stream: _Stream, response: UpstreamResponse
+        self, stream: StreamState, response: UpstreamResponse
     ) -> bool:
         job = stream.job
         try:
@@ -443,12 +385,12 @@
         stream.responder.respond(response.head.status, response.head.headers, body)
         return True
 
-    def _begin(self, stream: _Stream, head: ResponseHead) -> None:
+    def _begin(self, stream: StreamState, head: ResponseHead) -> None:
         if not stream.has_begun:
             stream.has_begun = True
             stream.responder.begin(head.status, head.headers)
 
-    def _read(self, stream: _Stream, attempt: _Attempt) -> bytes:
+    def _read(self, stream: StreamState, attempt: StreamAttempt) -> bytes:
         job, response = stream.job, attempt.response
         remaining_seconds = job.end_seconds - self._context.clock.now_seconds()
         may_resume = (
@@ -471,7 +413,7 @@
         except AnswerMissing as error:
             raise _Interrupted(str(error)) from error
 
-    def _split(self, stream: _Stream, piece: bytes) -> bytes:
+    def _split(self, stream: StreamState, piece: bytes) -> bytes:
         try:
             return stream.splitter.feed(piece)
         except EventTooLarge as error:
--- /dev/null
+++ b/src/waxwingwinch/gateway/_stream_state.py
@@ -0,0 +1,69 @@
+"""State of a streamed response while it is relayed."""
+
+from attrs import define, field
+
+from waxwingwinch.gateway._event_stream import EventSplitter
+from waxwingwinch.gateway._job import Job, Progress
+from waxwingwinch.gateway._loads import TrackedRequest
+from waxwingwinch.gateway._outcomes import Responder
+from waxwingwinch.gateway._transport import UpstreamResponse
+from waxwingwinch.gateway._upstreams import Upstream
+
+
+@define(eq=False)
+class StreamAttempt:
+    """
+    A response of an engine to a request.
+
+    :param engine: The engine.
+    :param response: Its response.
+    :param tracked_request: Counts the request at the engine.
+    :param has_events: True once it has sent a complete event.
+    """
+
+    engine: Upstream
+    response: UpstreamResponse
+    tracked_request: TrackedRequest
+    has_events: bool = False
+
+    def abort(self) -> None:
+        """Cancel the request at the engine."""
+        self.response.abort()
+        self.tracked_request.end()
+
+
+@define(eq=False)
+class StreamState:
+    """
+    State of a response while it is relayed.
+
+    :param job: The request.
+    :param responder: Writes the response to the caller.
+    :param progress: The attempts so far.
+    :param splitter: Splits the stream into events.
+    :param has_begun: True once the response head was sent to the caller.
+    :param expected_seconds: Estimated time to the first event.
+    :param placement_name: Class name of the last placement, for the log.
+    :param silent: The open attempt whose engine is silent, if any.
+    """
+
+    job: Job
+    responder: Responder
+    progress: Progress = field(factory=Progress)
+    splitter: EventSplitter = field(factory=EventSplitter)
+    has_begun: bool = False
+    expected_seconds: float = 0.0
+    placement_name: str = ""
+    silent: StreamAttempt | None = None
+
+    @property
+    def silent_response(self) -> UpstreamResponse | None:
+        """The open response whose engine is silent, if any."""
+        return self.silent.response if self.silent is not None else None
+
+    def drop_silent(self) -> None:
+        """Cancel the attempt whose engine is silent, if there is one."""
+        if self.silent is not None:
+            self.silent.abort()
+            self.silent = None
+            self.splitter.drop_partial_event()
