Let a replacement take longer if the silent engine can't be reached

Callers of streams at an engine that had failed silently saw their stream end at the deadline. The engine was kept after 0.3 s without a head of its replacement, as if it were sound.

If this process failed to connect to the engine since it fell silent, both calls stay open until one has data. Two engines must not run a request at once only where the first can be reached.

--- a/src/waxwingwinch/gateway/_generation_relay.py
+++ b/src/waxwingwinch/gateway/_generation_relay.py
@@ -51,8 +51,8 @@
 #: Time without data after which another engine is asked to resume a stream, if
 #: its route allows it; callers time out after twice that.
 STALL_TIMEOUT_SECONDS = 1.0
-#: Longest time for which an engine and its replacement run a stream at once;
-#: below the time that the platform tolerates.
+#: Longest time for which an engine that can be reached and its replacement run
+#: a stream at once; below the time that the platform tolerates.
 OVERLAP_SECONDS = 0.3
 
 
@@ -236,7 +236,6 @@
             if cache is None
             else DecodeFromCache(cache.engine.address, cache.handle)
         )
-        silent = stream.silent_response
         now_seconds = self._context.clock.now_seconds()
         try:
             response = open_call(
@@ -246,7 +245,7 @@
                 job.call(phase, stream.splitter.last_event_id),
                 now_seconds,
                 job.end_seconds - now_seconds,
-                SilentCall(silent, OVERLAP_SECONDS) if silent else None,
+                self._silent_call(stream, now_seconds),
             )
         except NotSent as error:
             record_failure(self._context, job, engine, error)
@@ -272,6 +271,22 @@
         stream.progress = stream.progress.with_possible_execution(engine.upstream_id)
         return response
 
+    def _silent_call(
+        self, stream: StreamState, now_seconds: float
+    ) -> SilentCall | None:
+        """Return the call that stays open while another engine is asked."""
+        silent = stream.silent
+        if silent is None:
+            return None
+        # An engine that can't be reached either has probably failed.
+        has_failed = self._context.directory.was_unreachable(
+            silent.engine.upstream_id, now_seconds - STALL_TIMEOUT_SECONDS
+        )
+        overlap_seconds = (
+            stream.job.end_seconds - now_seconds if has_failed else OVERLAP_SECONDS
+        )
+        return SilentCall(silent.response, overlap_seconds)
+
     def _relay_attempt(self, stream: StreamState, attempt: StreamAttempt) -> bool:
         """Forward a response; return whether a complete response was sent."""
         job, response = stream.job, attempt.response
--- a/src/waxwingwinch/gateway/_upstreams.py
+++ b/src/waxwingwinch/gateway/_upstreams.py
@@ -280,6 +280,17 @@
                 if now_seconds - at_seconds < FIRST_EJECTION_SECONDS
             )
 
+    def was_unreachable(self, upstream_id: UpstreamId, since_seconds: float) -> bool:
+        """
+        Tell whether this process has failed to reach an upstream lately.
+
+        :param upstream_id: Id of the upstream.
+        :param since_seconds: Monotonic time; earlier failures don't count.
+        """
+        with self._lock:
+            at_seconds = self._unreachable_seconds.get(upstream_id)
+        return at_seconds is not None and at_seconds >= since_seconds
+
     def record_unreachable(self, upstream_id: UpstreamId, now_seconds: float) -> float:
         """
         Record that a connection to an upstream failed, and eject it.
--- a/src/waxwingwinch/gateway/tests/test_generation_relay.py
+++ b/src/waxwingwinch/gateway/tests/test_generation_relay.py
@@ -397,3 +397,19 @@
     assert harness.send(prompt=SHORT_PROMPT).is_aborted
     assert harness.transport.responses[0].outcome == ["aborted"]
     assert harness.loads.local_loads() == {}
+
+
+# Guards against a stream that stays with a failed engine since its replacement
+# needs longer than both engines may run it.
+def test_an_engine_that_is_silent_and_unreachable_is_replaced_later():
+    harness = make_silent_harness(
+        4.0, ScriptedResponse(pieces=(events(3, 3),), delay_seconds=0.8)
+    )
+    for _ in range(2):
+        harness.directory.record_failure(UpstreamId("d1"), harness.clock.seconds)
+    harness.directory.record_unreachable(UpstreamId("d0"), harness.clock.seconds + 0.5)
+    response = harness.send(prompt=SHORT_PROMPT)
+    assert response.is_complete
+    assert response.body == events(1, 3)
+    assert harness.called_upstreams() == ["d0", "d1"]
+    assert harness.clock.seconds < 102.0
