--- a/src/waxwingwinch/gateway/_generation_relay.py
+++ b/src/waxwingwinch/gateway/_generation_relay.py
@@ -1,18 +1,14 @@
 """Relaying the streamed response of a generation, and resuming it."""
 
-from attrs import define, field
-
 from waxwingwinch._types import UpstreamId
 from waxwingwinch.gateway._connections import CallDropped, Cancelled
 from waxwingwinch.gateway._engine_choice import EngineChooser
-from waxwingwinch.gateway._event_stream import EventSplitter, EventTooLarge
+from waxwingwinch.gateway._event_stream import EventTooLarge
 from waxwingwinch.gateway._job import (
     Job,
-    Progress,
     RelayContext,
     raise_if_caller_disconnected,
 )
-from waxwingwinch.gateway._loads import TrackedRequest
 from waxwingwinch.gateway._outcomes import (
     CallerDisconnected,
     Responder,
@@ -41,6 +37,7 @@
     StreamSilent,
 )
 from waxwingwinch.gateway._requests import Prompt, ResponseHead
+from waxwingwinch.gateway._stream_state import StreamAttempt, StreamState
 from waxwingwinch.gateway._telemetry import CounterName
 from waxwingwinch.gateway._transport import (
     DecodeFromCache,
@@ -55,8 +52,8 @@
 #: Time without data after which another engine is asked to resume a stream, if
 #: its route allows it; callers time out after twice that.
 STALL_TIMEOUT_SECONDS = 1.0
-#: Longest time for which an engine and its replacement run a stream at once;
-#: below the time that the platform tolerates.
+#: Longest time for which an engine that can be reached and its replacement run
+#: a stream at once; below the time that the platform tolerates.
 OVERLAP_SECONDS = 0.3
 
 
@@ -68,67 +65,6 @@
     """The stream is open, but its engine has sent nothing for a while."""
 
 
-@define(eq=False)
-class _Attempt:
-    """
-    A response of an engine to a request.
-
-    :param engine: The engine.
-    :param response: Its response.
-    :param tracked_request: Counts the request at the engine.
-    :param has_events: True once it has sent a complete event.
-    """
-
-    engine: Upstream
-    response: UpstreamResponse
-    tracked_request: TrackedRequest
-    has_events: bool = False
-
-    def abort(self) -> None:
-        """Cancel the request at the engine."""
-        self.response.abort()
-        self.tracked_request.end()
-
-
-@define(eq=False)
-class _Stream:
-    """
-    State of a response while it is relayed.
-
-    :param job: The request.
-    :param responder: Writes the response to the caller.
-    :param progress: The attempts so far.
-    :param splitter: Splits the stream into events.
-    :param has_begun: True once the response head was sent to the caller.
-    :param expected_seconds: Estimated time to the first event.
-    :param placement_name: Class name of the last placement, for the log.
-    :param silent: The open attempt whose engine is silent, if any.
-    :param unfetched_cache: KV cache that no engine has fetched yet.
-    """
-
-    job: Job
-    responder: Responder
-    progress: Progress = field(factory=Progress)
-    splitter: EventSplitter = field(factory=EventSplitter)
-    has_begun: bool = False
-    expected_seconds: float = 0.0
-    placement_name: str = ""
-    unfetched_cache: PrefilledCache | None = None
-    silent: _Attempt | None = None
-
-    @property
-    def silent_response(self) -> UpstreamResponse | None:
-        """The open response whose engine is silent, if any."""
-        return self.silent.response if self.silent is not None else None
-
-    def drop_silent(self) -> None:
-        """Cancel the attempt whose engine is silent, if there is one."""
-        if self.silent is not None:
-            self.silent.abort()
-            self.silent = None
-            self.splitter.drop_partial_event()
-
-
 class GenerationRelay:
     """
     Relays requests that ask an engine for a generation.
@@ -151,14 +87,14 @@
         :raises RequestEnded: If there is no response to forward.
         :raises CallerDisconnected: If the caller has closed its connection.
         """
-        stream = _Stream(job, responder)
+        stream = StreamState(job, responder)
         try:
             while not self._serve_once(stream, prompt):
                 pass
         finally:
             stream.drop_silent()
 
-    def _serve_once(self, stream: _Stream, prompt: Prompt) -> bool:
+    def _serve_once(self, stream: StreamState, prompt: Prompt) -> bool:
         """Choose an engine and execute; return whether the response ended."""
         job = stream.job
         now_seconds = self._context.clock.now_seconds()
@@ -181,7 +117,9 @@
                 raise
             return self._keep_silent(stream, stream.silent, str(dropped))
 
-    def _keep_silent(self, stream: _Stream, silent: _Attempt, reason: str) -> bool:
+    def _keep_silent(
+        self, stream: StreamState, silent: StreamAttempt, reason: str
+    ) -> bool:
         """Go on with the engine that was silent."""
         SilentUpstreamKept(
             request_id=stream.job.request.request_id,
@@ -193,7 +131,7 @@
 
     def _end_without_engine(
         self,
-        stream: _Stream,
+        stream: StreamState,
         now_seconds: float,
         no_permit: NoPermit | None,
         reason: str,
@@ -209,7 +147,7 @@
         stream.responder.abort()
 
     def _why_no_engine(
-        self, stream: _Stream, now_seconds: float, no_permit: NoPermit | None
+        self, stream: StreamState, now_seconds: float, no_permit: NoPermit | None
     ) -> str:
         """Return why no engine was chosen, for the log."""
         job = stream.job
@@ -223,7 +161,7 @@
 
     def _run(
         self,
-        stream: _Stream,
+        stream: StreamState,
         prompt: Prompt,
         placement: Placement,
         permits: AttemptPermits,
@@ -246,7 +184,7 @@
 
     def _decode(
         self,
-        stream: _Stream,
+        stream: StreamState,
         prompt: Prompt,
         cache: PrefilledCache,
         decode_id: UpstreamId,
@@ -275,7 +213,7 @@
 
     def _execute(
         self,
-        stream: _Stream,
+        stream: StreamState,
         engine: Upstream,
         cache: PrefilledCache | None,
         work_tokens: int,
@@ -289,10 +227,12 @@
         if response is None:
             tracked_request.end()
             return False
-        return self._relay_attempt(stream, _Attempt(engine, response, tracked_request))
+        return self._relay_attempt(
+            stream, StreamAttempt(engine, response, tracked_request)
+        )
 
     def _prefill(
-        self, stream: _Stream, prompt: Prompt, placement: RunSplit
+        self, stream: StreamState, prompt: Prompt, placement: RunSplit
     ) -> PrefilledCache | None:
         """Have the prompt prefilled; return None if no engine did."""
         prefill_engine = self._context.directory.ready(placement.prefill_id)
@@ -316,7 +256,7 @@
                 return None
 
     def _open(
-        self, stream: _Stream, engine: Upstream, cache: PrefilledCache | None
+        self, stream: StreamState, engine: Upstream, cache: PrefilledCache | None
     ) -> UpstreamResponse | None:
         """Open the response of an engine; return None if it gave none."""
         job = stream.job
@@ -325,7 +265,6 @@
             if cache is None
             else DecodeFromCache(cache.engine.address, cache.handle)
         )
-        silent = stream.silent_response
         now_seconds = self._context.clock.now_seconds()
         try:
             response = open_call(
@@ -335,7 +274,7 @@
                 job.call(phase, stream.splitter.last_event_id),
                 now_seconds,
                 job.end_seconds - now_seconds,
-                SilentCall(silent, OVERLAP_SECONDS) if silent else None,
+                self._silent_call(stream, now_seconds),
             )
         except NotSent as error:
             record_failure(self._context, job, engine, error)
@@ -362,7 +301,23 @@
         stream.progress = stream.progress.with_possible_execution(engine.upstream_id)
         return response
 
-    def _relay_attempt(self, stream: _Stream, attempt: _Attempt) -> bool:
+    def _silent_call(
+        self, stream: StreamState, now_seconds: float
+    ) -> SilentCall | None:
+        """Return the call that stays open while another engine is asked."""
+        silent = stream.silent
+        if silent is None:
+            return None
+        # An engine that can't be reached either has probably failed.
+        has_failed = self._context.directory.was_unreachable(
+            silent.engine.upstream_id, now_seconds - STALL_TIMEOUT_SECONDS
+        )
+        overlap_seconds = (
+            stream.job.end_seconds - now_seconds if has_failed else OVERLAP_SECONDS
+        )
+        return SilentCall(silent.response, overlap_seconds)
+
+    def _relay_attempt(self, stream: StreamState, attempt: StreamAttempt) -> bool:
         """Forward a response; return whether a complete response was sent."""
         job, response = stream.job, attempt.response
         try:
@@ -389,7 +344,7 @@
                 attempt.tracked_request.end()
 
     def _finish_rejected(
-        self, stream: _Stream, engine: Upstream, response: UpstreamResponse
+        self, stream: StreamState, engine: Upstream, response: UpstreamResponse
     ) -> None:
         record_rejection(self._context, stream.job, engine, response.head)
         stream.progress = stream.progress.with_rejection(engine.upstream_id)
@@ -404,13 +359,13 @@
             # The engine may have lacked the cache rather than the room.
             self._release_unfetched(stream)
 
-    def _release_unfetched(self, stream: _Stream) -> None:
+    def _release_unfetched(self, stream: StreamState) -> None:
         """Release the KV cache that no engine has fetched, if any."""
         cache, stream.unfetched_cache = stream.unfetched_cache, None
         if cache is not None:
             self._prefill_relay.release(cache)
 
-    def _relay(self, stream: _Stream, attempt: _Attempt) -> bool:
+    def _relay(self, stream: StreamState, attempt: StreamAttempt) -> bool:
         """Forward a response; return False if it was dropped for a retry."""
         response = attempt.response
         head = response.head
@@ -444,7 +399,7 @@
         response.finish()
         return True
 
-    def _log_first_event(self, stream: _Stream) -> None:
+    def _log_first_event(self, stream: StreamState) -> None:
         arrived_seconds = stream.job.request.arrived_seconds
         # A stream counts as resumed if this is not the first attempt and more
         # than one event has arrived in all attempts.
@@ -469,7 +424,7 @@
         ).write()
 
     def _relay_error_response(
-        self, stream: _Stream, response: UpstreamResponse
+        self, stream: StreamState, response: UpstreamResponse
     ) -> bool:
         job = stream.job
         try:
@@ -484,12 +439,12 @@
         stream.responder.respond(response.head.status, response.head.headers, body)
         return True
 
-    def _begin(self, stream: _Stream, head: ResponseHead) -> None:
+    def _begin(self, stream: StreamState, head: ResponseHead) -> None:
         if not stream.has_begun:
             stream.has_begun = True
             stream.responder.begin(head.status, head.headers)
 
-    def _read(self, stream: _Stream, attempt: _Attempt) -> bytes:
+    def _read(self, stream: StreamState, attempt: StreamAttempt) -> bytes:
         job, response = stream.job, attempt.response
         remaining_seconds = job.end_seconds - self._context.clock.now_seconds()
         may_resume = (
@@ -512,7 +467,7 @@
         except AnswerMissing as error:
             raise _Interrupted(str(error)) from error
 
-    def _split(self, stream: _Stream, piece: bytes) -> bytes:
+    def _split(self, stream: StreamState, piece: bytes) -> bytes:
         try:
             return stream.splitter.feed(piece)
         except EventTooLarge as error:
--- a/src/waxwingwinch/gateway/_prefill.py
+++ b/src/waxwingwinch/gateway/_prefill.py
@@ -125,7 +125,7 @@
         return (
             known is not None
             and known.started_ms == cache.engine.started_ms
-            and not directory.was_unreachable_after(engine_id, cache.prefilled_seconds)
+            and not directory.was_unreachable(engine_id, cache.prefilled_seconds)
             and now_seconds < cache.prefilled_seconds + CACHE_REUSE_SECONDS
         )
 
