Accept answers on kept connections only with the id of their request

Operators of similar systems saw this: a faulty engine wrote an earlier refusal once more on a kept connection, and callers were told "not run, try again" for requests that an engine had run.

Cause: the id of an answer was compared only if it had one. On a kept connection, a 503 with the not-executed header or a 421 without an id was taken for the answer to the present request, which the engine may be running; the request was then sent to a second engine or answered 503. Only requests that may be repeated use kept connections, so none that may run once was concerned.

On a kept connection, an answer without an id now counts as "may have run". On a new connection nothing can be left over, so a refusal without an id stays one.

--- a/src/waxwingwinch/platform/_transport.py
+++ b/src/waxwingwinch/platform/_transport.py
@@ -170,6 +170,7 @@
         connection = None
         if not call.needs_new_connection:
             connection = self._pool.take(pool_key, now_seconds)
+        is_kept = connection is not None
         if connection is None:
             connection = UpstreamConnection(upstream.address, wait_seconds)
         try:
@@ -189,15 +190,7 @@
             platform_response = PlatformResponse(
                 self._pool, pool_key, connection, response, cancellation, self._clock
             )
-            response_request_id = platform_response.head.request_id
-            if (
-                response_request_id is not None
-                and response_request_id != call.request.request_id
-            ):
-                raise AnswerMissing(
-                    f"expected the response to request {call.request.request_id},"
-                    f" got the response to request {response_request_id}"
-                )
+            _check_answers(platform_response.head, call.request.request_id, is_kept)
             return platform_response
         except (AnswerMissing, Cancelled, NotSent):
             cancellation.detach()
@@ -272,6 +265,30 @@
             ).write()
 
 
+def _check_answers(head: ResponseHead, request_id: str, is_kept: bool) -> None:
+    """
+    Raise if a response is not certain to be the answer to a request.
+
+    On a kept connection, a response without an id may be an earlier one that
+    the upstream has sent again.
+
+    :param head: Status and headers of the response.
+    :param request_id: Id of the request that was sent.
+    :param is_kept: True if the connection has carried other requests.
+    :raises AnswerMissing: If the response may belong to another request.
+    """
+    if head.request_id is None and is_kept:
+        raise AnswerMissing(
+            f"expected the response to request {request_id}, got a response with"
+            f" status {head.status} and no request id on a kept connection"
+        )
+    if head.request_id is not None and head.request_id != request_id:
+        raise AnswerMissing(
+            f"expected the response to request {request_id},"
+            f" got the response to request {head.request_id}"
+        )
+
+
 def _request_headers(
     upstream: Upstream, call: UpstreamCall, now_seconds: float
 ) -> list[tuple[str, str]]:
