Close connections whose upstream sent more than its answer

A faulty upstream may send bytes after a complete answer. Where they arrived together with the answer, the connection was used for a further request, and the rest of those bytes came where the answer to that request was expected.

Cause: http.client reads each answer through a buffer of its own and drops it with the answer. What the buffer had taken beyond the end was lost, and the connection counted as free of unread data, since only the socket was asked.

The reader of an answer now looks, without waiting, whether bytes are left when it is closed; the connection is then closed instead of kept.

--- a/src/waxwingwinch/gateway/_connections.py
+++ b/src/waxwingwinch/gateway/_connections.py
@@ -5,6 +5,7 @@
 import socket
 import threading
 import time
+from typing import Any
 
 from attrs import define
 from urllib3 import HTTPHeaderDict, HTTPResponse
@@ -12,6 +13,7 @@
 from urllib3.util import SKIP_HEADER
 
 from waxwingwinch._types import Address
+from waxwingwinch.gateway._response_reader import BufferedResponse, ResponseReader
 from waxwingwinch.http import TRANSPORT_ERRORS, AnswerMissing, NotSent
 
 #: Connect timeout. Links have a latency of a few milliseconds; a lost SYN is
@@ -137,6 +139,13 @@
         # that it will close the connection; abort() still needs the socket.
         self._socket = self._connection.sock
         self._response: HTTPResponse | None = None
+        self._reader: ResponseReader | None = None
+        self._connection.response_class = self._create_response  # type: ignore[assignment]
+
+    def _create_response(self, *arguments: Any, **named: Any) -> BufferedResponse:
+        response = BufferedResponse(*arguments, **named)
+        self._reader = response.reader
+        return response
 
     def exchange(
         self,
@@ -208,9 +217,16 @@
         return bytes(body)
 
     def has_no_unread_data(self) -> bool:
-        """Tell whether the connection is open and has no unread data."""
+        """
+        Tell whether the connection is open and has no unread data.
+
+        Data after the end of the last response counts, also if the reader of
+        that response has taken it from the socket.
+        """
         if self._connection.sock is None:
             return False
+        if self._reader is not None and self._reader.has_surplus:
+            return False
         try:
             poller = select.poll()
             poller.register(self._socket, select.POLLIN)
--- a/src/waxwingwinch/platform/tests/test_transport.py
+++ b/src/waxwingwinch/platform/tests/test_transport.py
@@ -121,6 +121,54 @@
         assert len(engine.requests) == 2
 
 
+# Guards against a running request that is reported as not executed.
+@LEFTOVER_REFUSALS
+def test_a_refusal_repeated_after_its_answer_is_not_read_for_the_next(leftover):
+    with raw_engine(
+        [(refusal("r-0") + leftover,), (answer("r-1"),)], [(answer("r-1"),)]
+    ) as engine:
+        caller = Caller(engine)
+        assert caller.body("r-0") == b""
+        assert caller.body("r-1") == b"whole"
+        assert engine.connections == 2
+
+
+@pytest.mark.parametrize("cut", [1, 20, len(REFUSAL_WITHOUT_ID) - 1])
+def test_a_connection_with_a_part_of_a_further_answer_is_not_kept(cut):
+    """
+    Guards against the rest of a repeated answer that is read as an answer.
+
+    Its first part arrives with the answer before, the rest after the next
+    request.
+    """
+    first, rest = REFUSAL_WITHOUT_ID[:cut], REFUSAL_WITHOUT_ID[cut:]
+    with raw_engine(
+        [(answer("r-0") + first,), (rest, KeepOpen())], [(answer("r-1"),)]
+    ) as engine:
+        caller = Caller(engine)
+        assert caller.body("r-0") == b"whole"
+        assert caller.body("r-1") == b"whole"
+        assert engine.connections == 2
+
+
+def test_bytes_after_the_last_chunk_close_the_connection():
+    """Guards against bytes that the parser of an answer has buffered."""
+    chunked = head(
+        200,
+        "X-Waxwingwinch-Request-Id: r-0",
+        "X-Waxwingwinch-Response-Stamp: s",
+        "Transfer-Encoding: chunked",
+    )
+    with raw_engine(
+        [(chunked + b"5\r\nwhole\r\n0\r\n\r\nHTTP/1.1 503",), (answer("r-1"),)],
+        [(answer("r-1"),)],
+    ) as engine:
+        caller = Caller(engine)
+        assert caller.body("r-0") == b"whole"
+        assert caller.body("r-1") == b"whole"
+        assert engine.connections == 2
+
+
 def test_a_connection_is_kept_after_an_exact_answer():
     with raw_engine([(answer("r-0"),), (answer("r-1"),)]) as engine:
         caller = Caller(engine)
@@ -191,6 +239,16 @@
             Caller(engine).body("r-0")
 
 
+def test_a_body_longer_than_its_length_is_cut_and_its_connection_closed():
+    with raw_engine(
+        [(answer("r-0") + b"more",), (answer("r-1"),)], [(answer("r-1"),)]
+    ) as engine:
+        caller = Caller(engine)
+        assert caller.body("r-0") == b"whole"
+        assert caller.body("r-1") == b"whole"
+        assert engine.connections == 2
+
+
 def test_bytes_that_arrive_while_a_connection_is_idle_close_it():
     with raw_engine(
         [(answer("r-0"), REFUSAL_WITHOUT_ID), (answer("r-1"),)], [(answer("r-1"),)]
@@ -201,3 +259,15 @@
         time.sleep(0.05)
         assert caller.body("r-1") == b"whole"
         assert engine.connections == 2
+
+
+@pytest.mark.parametrize(
+    ("method", "status"), [("HEAD", 200), ("POST", 204), ("POST", 304)]
+)
+def test_a_connection_is_kept_after_an_answer_without_a_body(method, status):
+    bodiless = head(status, "X-Waxwingwinch-Request-Id: r-0", "Content-Length: 0")
+    with raw_engine([(bodiless,), (answer("r-1"),)]) as engine:
+        caller = Caller(engine)
+        assert caller.body("r-0", method=method) == b""
+        assert caller.body("r-1") == b"whole"
+        assert engine.connections == 1
