Treat a body without framing as incomplete if its call was aborted

A caller that closes only its sending side counts as gone, and its request is cancelled. If the upstream's answer had neither a length nor chunks, the part that had arrived was forwarded as the whole body.

Cause: a cancellation shuts the connection down on our side. Reads then end as they do when the upstream closes it, which ends a body without framing.

Evidence: test_a_body_without_framing_that_is_cancelled_is_incomplete, with raw bytes over a socket; before the change the read returned the end of the body. A reset by the upstream was and is seen as incomplete.

The connection remembers that it was aborted, and a body that ends after that is incomplete. Nothing changes for calls that are not aborted.

--- a/src/waxwingwinch/gateway/_connections.py
+++ b/src/waxwingwinch/gateway/_connections.py
@@ -140,6 +140,7 @@
         self._socket = self._connection.sock
         self._response: HTTPResponse | None = None
         self._reader: ResponseReader | None = None
+        self._is_aborted = False
         self._connection.response_class = self._create_response  # type: ignore[assignment]
 
     def _create_response(self, *arguments: Any, **named: Any) -> BufferedResponse:
@@ -199,9 +200,14 @@
         try:
             if not response.closed:
                 self._socket.settimeout(timeout_seconds)
-            return response.read1(_READ_BYTES)
+            part = response.read1(_READ_BYTES)
         except TRANSPORT_ERRORS as error:
             raise AnswerMissing(repr(error)) from error
+        if not part and self._is_aborted:
+            # A body without framing ends with its connection, so its end can't
+            # be told from the abort.
+            raise AnswerMissing("aborted before the end of the response body")
+        return part
 
     def read_all(self, timeout_seconds: float) -> bytes:
         """
@@ -236,6 +242,7 @@
 
     def abort(self) -> None:
         """Shut the connection down at once; may be called from any thread."""
+        self._is_aborted = True
         try:
             self._socket.shutdown(socket.SHUT_RDWR)
         except OSError:
--- a/src/waxwingwinch/platform/tests/test_transport.py
+++ b/src/waxwingwinch/platform/tests/test_transport.py
@@ -13,6 +13,7 @@
     Upstream,
     UpstreamCall,
 )
+from waxwingwinch.gateway._connections import CancelReason
 from waxwingwinch.http import AnswerMissing
 from waxwingwinch.kernel import SystemClock
 from waxwingwinch.platform._transport import PlatformTransport
@@ -222,6 +223,17 @@
             response.read_some(WAIT_SECONDS)
 
 
+# Guards against a part of a body that is forwarded as the whole body.
+def test_a_body_without_framing_that_is_cancelled_is_incomplete():
+    with raw_engine([(UNFRAMED + b"par", KeepOpen())]) as engine:
+        caller = Caller(engine)
+        response = caller.open("r-0")
+        assert response.read_some(WAIT_SECONDS) == b"par"
+        caller.cancellation.cancel(CancelReason.CALLER_GONE)
+        with pytest.raises(AnswerMissing):
+            response.read_some(WAIT_SECONDS)
+
+
 @pytest.mark.parametrize(
     "truncated",
     [
