Treat an informational status as no answer

An upstream may send an informational status (1xx) before its answer. Except for 100 it was forwarded to the caller as the answer, and the answer itself came on the connection where the answer to a next request is expected.

Cause: http.client skips 100 alone.

Evidence: test_an_informational_status_is_no_answer with raw bytes; before the change the call returned the head with status 103.

Such a call now ends without an answer, its connection is closed, and the request counts as one that may have run.

--- a/src/waxwingwinch/platform/_transport.py
+++ b/src/waxwingwinch/platform/_transport.py
@@ -43,6 +43,8 @@
 PRIORITY_MAX = 9
 #: HTTP status with which an upstream refuses a request meant for another one.
 MISDIRECTED_STATUS = 421
+#: Statuses below are informational: the response itself is still to come.
+MIN_FINAL_STATUS = 200
 #: Time-out of the request for the prompt parts cached at an engine.
 KV_LIST_TIMEOUT_SECONDS = 1.0
 #: Time-out of the request to free a KV cache.
@@ -277,6 +279,11 @@
     :param is_kept: True if the connection has carried other requests.
     :raises AnswerMissing: If the response may belong to another request.
     """
+    if head.status < MIN_FINAL_STATUS:
+        raise AnswerMissing(
+            f"expected the response to request {request_id},"
+            f" got the informational status {head.status}"
+        )
     if head.request_id is None and is_kept:
         raise AnswerMissing(
             f"expected the response to request {request_id}, got a response with"
--- a/src/waxwingwinch/platform/tests/test_transport.py
+++ b/src/waxwingwinch/platform/tests/test_transport.py
@@ -197,6 +197,14 @@
         assert engine.connections == 2
 
 
+def test_an_informational_status_is_no_answer():
+    """Guards against the next answer being read for another request."""
+    early = head(103, "X-Waxwingwinch-Request-Id: r-0")
+    with raw_engine([(early + answer("r-0"),)]) as engine:
+        with pytest.raises(AnswerMissing):
+            Caller(engine).open("r-0")
+
+
 def test_a_continue_status_is_skipped():
     with raw_engine([(head(100) + answer("r-0"),)]) as engine:
         assert Caller(engine).body("r-0") == b"whole"
