Resume a stream only with events that follow its last one

Operators of similar systems saw this: a stream had begun and broke off, the next engine answered with an error, and callers found the error's text in the middle of their stream, or the stream ended as if it were complete.

Looked for with relay tests: a next engine that answers 500, 503, 404, that refuses, signs nothing, is lost or can't be reached. But an answer with status 200 and a signature was forwarded whatever it held.

Cause: a resumed stream was checked for its status and signature alone. An engine that begins at an earlier event repeated pieces, and a text with a blank line was forwarded as an event.

Evidence: test_a_resumption_that_repeats_events_aborts_the_stream (2 cases) and test_a_resumption_without_event_ids_aborts_the_stream (3) failed before.

The first event after a resumption must have an id that follows the last one; numbers are compared, other ids must differ. Otherwise another engine is asked or the stream is aborted.

RecordingResponder of the tests now fails if a response gets a second head.

--- a/src/waxwingwinch/gateway/_event_stream.py
+++ b/src/waxwingwinch/gateway/_event_stream.py
@@ -10,6 +10,10 @@
     """An incomplete event exceeds :data:`MAX_EVENT_BYTES`."""
 
 
+class EventOutOfOrder(ValueError):
+    """A resumed stream doesn't go on after its last event."""
+
+
 @define
 class EventSplitter:
     """
@@ -22,6 +26,7 @@
     last_event_id: str | None = None
     event_count: int = 0
     _pending: bytes = b""
+    _is_resuming: bool = False
 
     def feed(self, piece: bytes) -> bytes:
         """
@@ -29,26 +34,62 @@
 
         :param piece: The next bytes of the stream.
         :raises EventTooLarge: If an incomplete event exceeds the maximum.
+        :raises EventOutOfOrder: If a resumed stream doesn't go on after the
+            last event.
         """
         data = self._pending + piece
         end = _end_of_last_event(data)
         complete, self._pending = data[:end], data[end:]
         if len(self._pending) > MAX_EVENT_BYTES:
             raise EventTooLarge(f"a server-sent event exceeds {MAX_EVENT_BYTES} bytes")
-        for line in complete.splitlines():
-            if line.startswith(b"id:"):
-                self.last_event_id = line[3:].strip().decode("latin-1")
-                self.event_count += 1
+        event_ids = _event_ids(complete)
+        if complete and self._is_resuming:
+            self._check_order(event_ids)
+            self._is_resuming = False
+        if event_ids:
+            self.last_event_id = event_ids[-1]
+            self.event_count += len(event_ids)
         return complete
 
+    def drop_partial_event(self) -> None:
+        """
+        Discard the bytes after the last complete event.
+
+        The bytes that follow are those of another response, which has to go
+        on after that event.
+        """
+        self._pending = b""
+        self._is_resuming = self.last_event_id is not None
+
+    def _check_order(self, event_ids: list[str]) -> None:
+        """Raise if the events don't follow the last one."""
+        if not event_ids:
+            raise EventOutOfOrder("a resumed stream begins with an event without id")
+        if not _is_after(event_ids[0], self.last_event_id or ""):
+            raise EventOutOfOrder(
+                f"a stream resumed after event {self.last_event_id} begins with"
+                f" event {event_ids[0]}"
+            )
+
     @property
     def has_partial_event(self) -> bool:
         """Tell whether an incomplete event is buffered."""
         return bool(self._pending.strip())
 
-    def drop_partial_event(self) -> None:
-        """Discard the bytes after the last complete event."""
-        self._pending = b""
+
+def _event_ids(events: bytes) -> list[str]:
+    return [
+        line[3:].strip().decode("latin-1")
+        for line in events.splitlines()
+        if line.startswith(b"id:")
+    ]
+
+
+def _is_after(event_id: str, last_event_id: str) -> bool:
+    """Tell whether an id follows another; ids that aren't numbers differ."""
+    if event_id.isdecimal() and last_event_id.isdecimal():
+        return int(event_id) > int(last_event_id)
+    return event_id != last_event_id
 
 
 def _end_of_last_event(data: bytes) -> int:
--- a/src/waxwingwinch/gateway/_generation_relay.py
+++ b/src/waxwingwinch/gateway/_generation_relay.py
@@ -4,7 +4,11 @@
 
 from waxwingwinch.gateway._connections import Cancelled
 from waxwingwinch.gateway._engine_choice import EngineChooser
-from waxwingwinch.gateway._event_stream import EventSplitter, EventTooLarge
+from waxwingwinch.gateway._event_stream import (
+    EventOutOfOrder,
+    EventSplitter,
+    EventTooLarge,
+)
 from waxwingwinch.gateway._job import (
     Job,
     Progress,
@@ -347,5 +351,5 @@
     def _split(self, stream: _Stream, piece: bytes) -> bytes:
         try:
             return stream.splitter.feed(piece)
-        except EventTooLarge as error:
+        except (EventTooLarge, EventOutOfOrder) as error:
             raise _Interrupted(str(error)) from error
--- a/src/waxwingwinch/gateway/tests/relay_harness.py
+++ b/src/waxwingwinch/gateway/tests/relay_harness.py
@@ -81,6 +81,7 @@
     :param limit_per_second: The limit that the response names, if any.
     :param delay_seconds: Time until the head of the response.
     :param during: Called with the cancellation during the call.
+    :param media_type: Media type of the response, if it states one.
     """
 
     status: int = 200
@@ -91,6 +92,7 @@
     limit_per_second: float | None = None
     delay_seconds: float = 0.0
     during: Callable[[Any], object] | None = None
+    media_type: str | None = None
 
 
 @define
@@ -145,9 +147,12 @@
             raise script.error
         if script.delay_seconds > wait_seconds:
             raise AnswerMissing("timed out")
+        headers = [("X-From", str(upstream.upstream_id))]
+        if script.media_type is not None:
+            headers.append(("Content-Type", script.media_type))
         head = ResponseHead(
             script.status,
-            (("X-From", upstream.upstream_id),),
+            tuple(headers),
             call.request.request_id,
             script.not_executed,
             script.is_signed,
@@ -189,10 +194,12 @@
     breaks_after: int | None = None
 
     def respond(self, status, headers, body):
+        assert self.status is None, "a response has one head"
         self.status, self.headers, self.body = status, headers, body
         self.is_complete = True
 
     def begin(self, status, headers):
+        assert self.status is None, "a response has one head"
         self.status, self.headers = status, headers
 
     def write(self, piece):
--- a/src/waxwingwinch/gateway/tests/test_generation_relay.py
+++ b/src/waxwingwinch/gateway/tests/test_generation_relay.py
@@ -326,3 +326,80 @@
     harness.wait(return_seconds + 0.01)
     assert harness.send(prompt=SHORT_PROMPT).status == 200
     assert len(harness.transport.calls) == 3
+
+
+def resume_with(harness, continuation, is_resumable=True):
+    """Let a stream break after two events; return what the caller gets."""
+    harness.publish_stream(is_resumable=is_resumable)
+    harness.transport.scripts = {
+        "d0": [
+            ScriptedResponse(
+                pieces=(events(1, 2) + b"id: 3\nda", RESPONSE_LOST),
+                media_type="text/event-stream",
+            )
+        ],
+        "d1": [continuation],
+    }
+    harness.directory.record_failure("d1", harness.clock.seconds)
+    return harness.send(prompt=SHORT_PROMPT)
+
+
+# Guards against an error in the middle of a stream, or after it as its end.
+@pytest.mark.parametrize(
+    "continuation",
+    [
+        ScriptedResponse(status=500, pieces=(b"failed\n\n",)),
+        ScriptedResponse(status=503, pieces=(b"failed\n\n",)),
+        ScriptedResponse(status=503, pieces=(), not_executed=True),
+        ScriptedResponse(status=404, pieces=(b"failed\n\n",)),
+        ScriptedResponse(pieces=(events(3, 4),), is_signed=False),
+        ScriptedResponse(error=RESPONSE_LOST),
+        ScriptedResponse(error=CONNECT_FAILED),
+    ],
+    ids=["500", "503", "refused", "404", "unsigned", "lost", "unreachable"],
+)
+def test_a_failed_resumption_aborts_the_stream_between_events(harness, continuation):
+    response = resume_with(harness, continuation)
+    assert (response.status, response.body) == (200, events(1, 2))
+    assert response.is_aborted and not response.is_complete
+
+
+# Guards against a piece that comes twice in a resumed stream.
+@pytest.mark.parametrize("first", [1, 2])
+def test_a_resumption_that_repeats_events_aborts_the_stream(harness, first):
+    response = resume_with(
+        harness,
+        ScriptedResponse(pieces=(events(first, 4),), media_type="text/event-stream"),
+    )
+    assert response.body == events(1, 2)
+    assert response.is_aborted and not response.is_complete
+
+
+# Guards against an error in the middle of a stream.
+@pytest.mark.parametrize("media_type", ["text/event-stream", "text/plain", None])
+def test_a_resumption_without_event_ids_aborts_the_stream(harness, media_type):
+    response = resume_with(
+        harness, ScriptedResponse(pieces=(b"failed\n\n",), media_type=media_type)
+    )
+    assert response.body == events(1, 2)
+    assert response.is_aborted and not response.is_complete
+
+
+def test_a_resumption_goes_on_with_parameters_of_its_media_type(harness):
+    response = resume_with(
+        harness,
+        ScriptedResponse(
+            pieces=(events(3, 4),), media_type="Text/Event-Stream; charset=utf-8"
+        ),
+    )
+    assert response.body == events(1, 4)
+    assert response.is_complete
+
+
+def test_a_resumption_after_the_last_event_completes_the_stream(harness):
+    """The first engine may fail between its last event and its end."""
+    response = resume_with(
+        harness, ScriptedResponse(pieces=(), media_type="text/event-stream")
+    )
+    assert response.body == events(1, 2)
+    assert response.is_complete
