Resume a stream only with an answer of its media type

An answer of another media type, such as an error in JSON with status 200, that held no event ended a resumed stream as if it were complete.

Cause: an answer without events is accepted as the rest of a stream, since an engine may fail between its last event and its end; its media type was not looked at.

Evidence: test_a_resumption_of_another_media_type_aborts_the_stream failed before.

A stream goes on only with an answer of the media type that it began with, without its parameters.

--- a/src/waxwingwinch/gateway/_generation_relay.py
+++ b/src/waxwingwinch/gateway/_generation_relay.py
@@ -70,7 +70,8 @@
     :param responder: Writes the response to the caller.
     :param progress: The attempts so far.
     :param splitter: Splits the stream into events.
-    :param has_begun: True once the response head was sent to the caller.
+    :param head: Head of the response that the caller received; None until it
+        was sent.
     :param expected_seconds: Estimated time to the first event.
     :param placement_name: Class name of the last placement, for the log.
     """
@@ -79,10 +80,15 @@
     responder: Responder
     progress: Progress = field(factory=Progress)
     splitter: EventSplitter = field(factory=EventSplitter)
-    has_begun: bool = False
+    head: ResponseHead | None = None
     expected_seconds: float = 0.0
     placement_name: str = ""
 
+    @property
+    def has_begun(self) -> bool:
+        """Tell whether the response head was sent to the caller."""
+        return self.head is not None
+
 
 class GenerationRelay:
     """
@@ -263,8 +269,8 @@
     ) -> bool:
         """Forward a response; return False if it was dropped for a retry."""
         head = response.head
-        if stream.has_begun and not head.is_success:
-            raise _Interrupted(f"resuming the stream failed with status {head.status}")
+        if stream.head is not None:
+            _check_resumption(stream.head, head)
         if not head.is_success:
             return self._relay_error_response(stream, response)
         if not head.is_signed:
@@ -334,7 +340,7 @@
 
     def _begin(self, stream: _Stream, head: ResponseHead) -> None:
         if not stream.has_begun:
-            stream.has_begun = True
+            stream.head = head
             stream.responder.begin(head.status, head.headers)
 
     def _read(self, stream: _Stream, response: UpstreamResponse) -> bytes:
@@ -353,3 +359,13 @@
             return stream.splitter.feed(piece)
         except (EventTooLarge, EventOutOfOrder) as error:
             raise _Interrupted(str(error)) from error
+
+
+def _check_resumption(first: ResponseHead, head: ResponseHead) -> None:
+    """Raise if a response can't go on a stream that another one began."""
+    if not head.is_success:
+        raise _Interrupted(f"resuming the stream failed with status {head.status}")
+    if head.media_type != first.media_type:
+        raise _Interrupted(
+            f"resuming the stream of {first.media_type} brought {head.media_type}"
+        )
--- a/src/waxwingwinch/gateway/_requests.py
+++ b/src/waxwingwinch/gateway/_requests.py
@@ -102,6 +102,14 @@
     is_signed: bool
     limit_per_second: float | None = None
 
+    @property
+    def media_type(self) -> str | None:
+        """Media type of the body; None if the response states none."""
+        for name, value in self.headers:
+            if name.lower() == "content-type":
+                return value.partition(";")[0].strip().lower()
+        return None
+
     @property
     def is_success(self) -> bool:
         """Tell whether the status is 2xx."""
--- a/src/waxwingwinch/gateway/tests/test_generation_relay.py
+++ b/src/waxwingwinch/gateway/tests/test_generation_relay.py
@@ -385,6 +385,15 @@
     assert response.is_aborted and not response.is_complete
 
 
+# Guards against an error that ends a stream as if it were complete.
+def test_a_resumption_of_another_media_type_aborts_the_stream(harness):
+    response = resume_with(
+        harness, ScriptedResponse(pieces=(), media_type="application/json")
+    )
+    assert response.body == events(1, 2)
+    assert response.is_aborted and not response.is_complete
+
+
 def test_a_resumption_goes_on_with_parameters_of_its_media_type(harness):
     response = resume_with(
         harness,
