Treat a stream without framing that has no event as broken off

An answer, a stream too, may come without a length and without chunks and end with its connection. A stream whose connection closed right after its head looked complete to the caller, and so did a resumed stream whose next engine closed before it had sent anything.

Cause: an orderly close ends such a body, wherever it comes; the relay accepted an answer without events.

Evidence: test_a_resumption_that_ends_with_its_connection_before_an_event and test_a_stream_that_ends_with_its_connection_before_an_event failed before. That a stream without framing ends as complete after an event, and is aborted after a reset or within an event, held before; tests are kept.

A head states whether its body is framed; without framing, an answer without events is broken off.

--- a/src/waxwingwinch/gateway/_generation_relay.py
+++ b/src/waxwingwinch/gateway/_generation_relay.py
@@ -293,6 +293,8 @@
             stream.responder.write(events)
         if stream.splitter.has_partial_event:
             raise _Interrupted("the stream ended within an incomplete event")
+        if is_first and not head.is_framed:
+            raise _Interrupted("the stream ended with its connection before an event")
         self._begin(stream, head)
         stream.responder.end()
         response.finish()
--- a/src/waxwingwinch/gateway/_requests.py
+++ b/src/waxwingwinch/gateway/_requests.py
@@ -93,6 +93,8 @@
     :param is_signed: True if the upstream signed the response.
     :param limit_per_second: Requests per second that the upstream takes from
         all instances together, as the response states; None if it states none.
+    :param is_framed: True if the response states where its body ends; a body
+        without framing ends with its connection.
     """
 
     status: int
@@ -101,6 +103,7 @@
     not_executed: bool
     is_signed: bool
     limit_per_second: float | None = None
+    is_framed: bool = True
 
     @property
     def media_type(self) -> str | None:
--- a/src/waxwingwinch/gateway/tests/relay_harness.py
+++ b/src/waxwingwinch/gateway/tests/relay_harness.py
@@ -82,6 +82,7 @@
     :param delay_seconds: Time until the head of the response.
     :param during: Called with the cancellation during the call.
     :param media_type: Media type of the response, if it states one.
+    :param is_framed: False if the body ends with its connection.
     """
 
     status: int = 200
@@ -93,6 +94,7 @@
     delay_seconds: float = 0.0
     during: Callable[[Any], object] | None = None
     media_type: str | None = None
+    is_framed: bool = True
 
 
 @define
@@ -157,6 +159,7 @@
             script.not_executed,
             script.is_signed,
             script.limit_per_second,
+            script.is_framed,
         )
         response = FakeResponse(head, list(script.pieces))
         self.responses.append(response)
--- a/src/waxwingwinch/gateway/tests/test_generation_relay.py
+++ b/src/waxwingwinch/gateway/tests/test_generation_relay.py
@@ -412,3 +412,39 @@
     )
     assert response.body == events(1, 2)
     assert response.is_complete
+
+
+# Guards against a stream that ends as complete before its last piece.
+def test_a_resumption_that_ends_with_its_connection_before_an_event(harness):
+    response = resume_with(
+        harness,
+        ScriptedResponse(pieces=(), media_type="text/event-stream", is_framed=False),
+    )
+    assert response.body == events(1, 2)
+    assert response.is_aborted and not response.is_complete
+
+
+# Guards against an empty stream that looks complete.
+def test_a_stream_that_ends_with_its_connection_before_an_event(harness):
+    harness.publish_stream(is_resumable=False)
+    script_all_decoders(harness, ScriptedResponse(pieces=(), is_framed=False))
+    assert harness.send(prompt=SHORT_PROMPT).status == 502
+
+
+def test_a_stream_without_framing_is_complete_after_an_event(harness):
+    harness.publish_stream(is_resumable=False)
+    script_all_decoders(harness, ScriptedResponse(pieces=STREAM, is_framed=False))
+    response = harness.send(prompt=SHORT_PROMPT)
+    assert response.body == events(1, 3)
+    assert response.is_complete
+
+
+def test_a_stream_without_framing_that_is_reset_is_aborted(harness):
+    harness.publish_stream(is_resumable=False)
+    script_all_decoders(
+        harness,
+        ScriptedResponse(pieces=(events(1, 2), RESPONSE_LOST), is_framed=False),
+    )
+    response = harness.send(prompt=SHORT_PROMPT)
+    assert response.body == events(1, 2)
+    assert response.is_aborted and not response.is_complete
--- a/src/waxwingwinch/platform/_transport.py
+++ b/src/waxwingwinch/platform/_transport.py
@@ -97,6 +97,7 @@
             not_executed=not_executed or response.status == MISDIRECTED_STATUS,
             is_signed=RESPONSE_STAMP in headers,
             limit_per_second=_parse_limit(headers.get(SERVER_LIMIT)),
+            is_framed=response.chunked or response.length_remaining is not None,
         )
 
     def read_some(self, timeout_seconds: float) -> bytes:
--- a/src/waxwingwinch/platform/tests/test_transport.py
+++ b/src/waxwingwinch/platform/tests/test_transport.py
@@ -213,6 +213,22 @@
 UNFRAMED = head(
     200, "X-Waxwingwinch-Request-Id: r-0", "X-Waxwingwinch-Response-Stamp: s"
 )
+CHUNKED = head(200, "X-Waxwingwinch-Request-Id: r-0", "Transfer-Encoding: chunked")
+
+
+@pytest.mark.parametrize(
+    ("reply", "is_framed"),
+    [
+        (UNFRAMED + b"whole", False),
+        (answer("r-0"), True),
+        (CHUNKED + b"0\r\n\r\n", True),
+        (head(204, "X-Waxwingwinch-Request-Id: r-0"), True),
+    ],
+    ids=["connection", "length", "chunks", "no body"],
+)
+def test_a_head_states_whether_its_body_is_framed(reply, is_framed):
+    with raw_engine([(reply,)]) as engine:
+        assert Caller(engine).open("r-0").head.is_framed is is_framed
 
 
 def test_a_body_without_framing_ends_with_its_connection():
