Write no chunks after the head of a response without a body

A caller that sent HEAD to a streaming route, or got 204 or 304 there, received "0 CRLF CRLF" after the head, which it reads as the beginning of the answer to its next request.

Cause: a streamed response always ended with the last chunk.

Evidence: test_a_stream_without_a_body_writes_its_head_alone (3 cases) failed before.

Chunks are written only if the response may have a body; a 204 or 304 states no chunks.

--- a/src/waxwingwinch/gateway/_front.py
+++ b/src/waxwingwinch/gateway/_front.py
@@ -38,6 +38,8 @@
 #: Added to the idle timeout that callers use, so that the caller closes an
 #: idle connection first.
 IDLE_TIMEOUT_MARGIN_SECONDS = 2.0
+#: Statuses whose responses end with their head.
+BODILESS_STATUSES = (HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED)
 
 
 @frozen
@@ -81,7 +83,7 @@
 
     def __init__(self, request: "FrontRequest") -> None:
         self._request = request
-        self._is_chunked = False
+        self._has_body = True
         #: True once the complete response has been written.
         self.is_complete = False
 
@@ -98,7 +100,7 @@
         """
         framing = ("Content-Length", str(len(body)))
         payload = b"" if self._request.method == b"HEAD" else body
-        self._send(self._head(status, headers, framing) + payload)
+        self._send(self._head(status, (*headers, framing)) + payload)
         self.is_complete = True
 
     def begin(self, status: int, headers: tuple[tuple[str, str], ...]) -> None:
@@ -109,8 +111,10 @@
         :param headers: Headers except those that frame the body.
         :raises CallerDisconnected: If the caller has closed its connection.
         """
-        self._is_chunked = True
-        self._send(self._head(status, headers, ("Transfer-Encoding", "chunked")))
+        is_bodiless = status in BODILESS_STATUSES
+        self._has_body = self._request.method != b"HEAD" and not is_bodiless
+        framing = () if is_bodiless else (("Transfer-Encoding", "chunked"),)
+        self._send(self._head(status, (*headers, *framing)))
 
     def write(self, piece: bytes) -> None:
         """
@@ -119,7 +123,8 @@
         :param piece: The data; must not be empty.
         :raises CallerDisconnected: If the caller has closed its connection.
         """
-        self._send(b"%x\r\n%b\r\n" % (len(piece), piece))
+        if self._has_body:
+            self._send(b"%x\r\n%b\r\n" % (len(piece), piece))
 
     def end(self) -> None:
         """
@@ -127,24 +132,20 @@
 
         :raises CallerDisconnected: If the caller has closed its connection.
         """
-        self._send(b"0\r\n\r\n")
+        if self._has_body:
+            self._send(b"0\r\n\r\n")
         self.is_complete = True
 
     def abort(self) -> None:
         """Close the connection, so that the response is seen as truncated."""
         self._request.close_connection = True
 
-    def _head(
-        self,
-        status: int,
-        headers: tuple[tuple[str, str], ...],
-        framing: tuple[str, str],
-    ) -> bytes:
+    def _head(self, status: int, headers: tuple[tuple[str, str], ...]) -> bytes:
         self._request.sent_headers = True
         if self._request.server.is_stopping:
             self._request.close_connection = True
         lines = [f"HTTP/1.1 {status} {_reason_phrase(status)}"]
-        lines += [f"{name}: {value}" for name, value in (*headers, framing)]
+        lines += [f"{name}: {value}" for name, value in headers]
         if self._request.close_connection:
             lines.append("Connection: close")
         return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
