Abort a response that has begun in place of writing a second head

Operators of similar systems saw the whole head of an error in the middle of a stream. Not reproduced here: after a stream has begun, the relay raises no refusal, since a prompt is admitted only before its first attempt, and the server writes no error of its own once a head was sent. But the writer of responses would have written a second head if told to.

Evidence: test_a_response_that_has_begun_is_aborted_in_place_of_a_second_head and test_a_complete_response_is_not_followed_by_another failed before.

The writer now drops a second response, logs request:second_response_dropped and closes the connection.

--- a/src/waxwingwinch/gateway/_front.py
+++ b/src/waxwingwinch/gateway/_front.py
@@ -23,6 +23,7 @@
 from waxwingwinch.gateway._request_log_lines import (
     CallerConnectionClosed,
     RequestMalformed,
+    SecondResponseDropped,
 )
 from waxwingwinch.gateway._requests import GatewayRequest
 from waxwingwinch.gateway._thread_pool import ElasticThreadPoolMixin
@@ -91,13 +92,17 @@
         self, status: int, headers: tuple[tuple[str, str], ...], body: bytes
     ) -> None:
         """
-        Write a complete response.
+        Write a complete response; abort one that has begun.
 
         :param status: HTTP status.
         :param headers: Headers except those that frame the body.
         :param body: The body.
         :raises CallerDisconnected: If the caller has closed its connection.
         """
+        if self._request.sent_headers:
+            SecondResponseDropped(status).write()
+            self.abort()
+            return
         framing = ("Content-Length", str(len(body)))
         payload = b"" if self._request.method == b"HEAD" else body
         self._send(self._head(status, (*headers, framing)) + payload)
--- a/src/waxwingwinch/gateway/_request_log_lines.py
+++ b/src/waxwingwinch/gateway/_request_log_lines.py
@@ -266,6 +266,17 @@
     reason: str
 
 
+@log_line("request:second_response_dropped")
+class SecondResponseDropped(LogLine):
+    """
+    A request already had a response; the connection is closed instead.
+
+    :param status: HTTP status of the response that was not written.
+    """
+
+    status: int
+
+
 @log_line("request:malformed")
 class RequestMalformed(LogLine):
     """
--- a/src/waxwingwinch/gateway/tests/test_front_responder.py
+++ b/src/waxwingwinch/gateway/tests/test_front_responder.py
@@ -70,3 +70,25 @@
     assert body_of(request) == b""
     assert (b"Transfer-Encoding" in request.written) is (method == b"HEAD")
     assert responder.is_complete
+
+
+# Guards against the head of an error in the middle of a stream.
+def test_a_response_that_has_begun_is_aborted_in_place_of_a_second_head():
+    request = FakeRequest()
+    responder = make_responder(request)
+    responder.begin(200, STREAM_HEADERS)
+    responder.write(EVENT)
+    responder.respond(503, (("Retry-After", "1.000"),), b"busy")
+    assert body_of(request) == b"f\r\n" + EVENT + b"\r\n"
+    assert request.close_connection
+    assert not responder.is_complete
+
+
+# Guards against a second response on a connection with no request waiting.
+def test_a_complete_response_is_not_followed_by_another():
+    request = FakeRequest()
+    responder = make_responder(request)
+    responder.respond(200, (), b"whole")
+    responder.respond(503, (), b"")
+    assert body_of(request) == b"whole"
+    assert request.close_connection
