Pass a refusal on only if the upstream states that it did not run the request

To callers, 408, 429 and 503 promise that a request has not run. An upstream states this with a header of its own; no other answer states it. A 503 without the header was passed on with its status, so that a caller could repeat a request that had run.

Cause: the statement decided over retries only.

Evidence: test_a_refusal_counts_only_if_it_states_that_the_request_did_not_run (408, 429, 503) failed before, with raw bytes over a socket.

Such a response counts as no answer: the request may have run, and is answered 502 if it can't be repeated. Other statuses are passed on as before. The checks of a response's head have a module of their own.

--- a/src/waxwingwinch/platform/_transport.py
+++ b/src/waxwingwinch/platform/_transport.py
@@ -24,6 +24,7 @@
 )
 from waxwingwinch.http import AnswerMissing, HttpRequest, NotSent, exchange
 from waxwingwinch.kernel import Clock
+from waxwingwinch.platform._answers import check_answer
 from waxwingwinch.platform._headers import (
     DEADLINE_MS,
     EXPECT_INSTANCE,
@@ -43,8 +44,6 @@
 PRIORITY_MAX = 9
 #: HTTP status with which an upstream refuses a request meant for another one.
 MISDIRECTED_STATUS = 421
-#: Statuses below are informational: the response itself is still to come.
-MIN_FINAL_STATUS = 200
 #: Time-out of the request for the prompt parts cached at an engine.
 KV_LIST_TIMEOUT_SECONDS = 1.0
 #: Time-out of the request to free a KV cache.
@@ -193,7 +192,7 @@
             platform_response = PlatformResponse(
                 self._pool, pool_key, connection, response, cancellation, self._clock
             )
-            _check_answers(platform_response.head, call.request.request_id, is_kept)
+            check_answer(platform_response.head, call.request.request_id, is_kept)
             return platform_response
         except (AnswerMissing, Cancelled, NotSent):
             cancellation.detach()
@@ -268,35 +267,6 @@
             ).write()
 
 
-def _check_answers(head: ResponseHead, request_id: str, is_kept: bool) -> None:
-    """
-    Raise if a response is not certain to be the answer to a request.
-
-    On a kept connection, a response without an id may be an earlier one that
-    the upstream has sent again.
-
-    :param head: Status and headers of the response.
-    :param request_id: Id of the request that was sent.
-    :param is_kept: True if the connection has carried other requests.
-    :raises AnswerMissing: If the response may belong to another request.
-    """
-    if head.status < MIN_FINAL_STATUS:
-        raise AnswerMissing(
-            f"expected the response to request {request_id},"
-            f" got the informational status {head.status}"
-        )
-    if head.request_id is None and is_kept:
-        raise AnswerMissing(
-            f"expected the response to request {request_id}, got a response with"
-            f" status {head.status} and no request id on a kept connection"
-        )
-    if head.request_id is not None and head.request_id != request_id:
-        raise AnswerMissing(
-            f"expected the response to request {request_id},"
-            f" got the response to request {head.request_id}"
-        )
-
-
 def _request_headers(
     upstream: Upstream, call: UpstreamCall, now_seconds: float
 ) -> list[tuple[str, str]]:
--- a/src/waxwingwinch/platform/tests/test_transport.py
+++ b/src/waxwingwinch/platform/tests/test_transport.py
@@ -186,6 +186,20 @@
         assert Caller(engine).open("r-0").head.not_executed
 
 
+# Guards against a request that ran and is answered as one that did not.
+@pytest.mark.parametrize("status", [408, 429, 503])
+def test_a_refusal_counts_only_if_it_states_that_the_request_did_not_run(status):
+    with raw_engine([(answer("r-0", "busy", status),)]) as engine:
+        with pytest.raises(AnswerMissing):
+            Caller(engine).open("r-0")
+
+
+@pytest.mark.parametrize("status", [400, 404, 500, 504])
+def test_a_failure_that_promises_nothing_is_an_answer(status):
+    with raw_engine([(answer("r-0", "failed", status),)]) as engine:
+        assert not Caller(engine).open("r-0").head.not_executed
+
+
 def test_a_request_that_may_run_once_never_uses_a_kept_connection():
     """Guards against a leftover answer for a request that may run once."""
     with raw_engine(
