--- a/src/waxwingwinch/gateway/_connections.py
+++ b/src/waxwingwinch/gateway/_connections.py
@@ -150,6 +150,7 @@
         self._socket = self._connection.sock
         self._response: HTTPResponse | None = None
         self._body: BodyReader | None = None
+        self._is_aborted = False
 
     def send(
         self,
@@ -267,6 +268,10 @@
         if self._body is None or timeout_seconds <= 0:
             raise AnswerMissing("timed out before the end of the response body")
         data = self._body.read_some(timeout_seconds)
+        if not data and self._is_aborted:
+            # A body without framing ends with its connection, so its end can't
+            # be told from the abort.
+            raise AnswerMissing("aborted before the end of the response body")
         if not data and self._response is not None:
             # The connection can carry another request from now on.
             self._response.close()
@@ -286,7 +291,12 @@
         return bytes(body)
 
     def has_no_unread_data(self) -> bool:
-        """Tell whether the connection is open and has no unread data."""
+        """
+        Tell whether the connection is open and has no unread data.
+
+        Data after the end of the last response counts, also if the reader of
+        that response has taken it from the socket.
+        """
         if self._connection.sock is None:
             return False
         if self._body is not None and self._body.received:
@@ -295,6 +305,7 @@
 
     def abort(self) -> None:
         """Shut the connection down at once; may be called from any thread."""
+        self._is_aborted = True
         try:
             self._socket.shutdown(socket.SHUT_RDWR)
         except OSError:
--- a/src/waxwingwinch/gateway/_generation_relay.py
+++ b/src/waxwingwinch/gateway/_generation_relay.py
@@ -3,7 +3,7 @@
 from waxwingwinch._types import UpstreamId
 from waxwingwinch.gateway._connections import CallDropped, Cancelled
 from waxwingwinch.gateway._engine_choice import EngineChooser
-from waxwingwinch.gateway._event_stream import EventTooLarge
+from waxwingwinch.gateway._event_stream import EventOutOfOrder, EventTooLarge
 from waxwingwinch.gateway._job import (
     Job,
     RelayContext,
@@ -369,8 +369,8 @@
         """Forward a response; return False if it was dropped for a retry."""
         response = attempt.response
         head = response.head
-        if stream.has_begun and not head.is_success:
-            raise _Interrupted(f"resuming the stream failed with status {head.status}")
+        if stream.head is not None:
+            _check_resumption(stream.head, head)
         if not head.is_success:
             return self._relay_error_response(stream, response)
         if not head.is_signed:
@@ -394,6 +394,8 @@
             stream.responder.write(events)
         if stream.splitter.has_partial_event:
             raise _Interrupted("the stream ended within an incomplete event")
+        if not attempt.has_events and not head.is_framed:
+            raise _Interrupted("the stream ended with its connection before an event")
         self._begin(stream, head)
         stream.responder.end()
         response.finish()
@@ -441,7 +443,7 @@
 
     def _begin(self, stream: StreamState, head: ResponseHead) -> None:
         if not stream.has_begun:
-            stream.has_begun = True
+            stream.head = head
             stream.responder.begin(head.status, head.headers)
 
     def _read(self, stream: StreamState, attempt: StreamAttempt) -> bytes:
@@ -470,5 +472,15 @@
     def _split(self, stream: StreamState, piece: bytes) -> bytes:
         try:
             return stream.splitter.feed(piece)
-        except EventTooLarge as error:
+        except (EventTooLarge, EventOutOfOrder) as error:
             raise _Interrupted(str(error)) from error
+
+
+def _check_resumption(first: ResponseHead, head: ResponseHead) -> None:
+    """Raise if a response can't go on a stream that another one began."""
+    if not head.is_success:
+        raise _Interrupted(f"resuming the stream failed with status {head.status}")
+    if head.media_type != first.media_type:
+        raise _Interrupted(
+            f"resuming the stream of {first.media_type} brought {head.media_type}"
+        )
--- a/src/waxwingwinch/gateway/_stream_state.py
+++ b/src/waxwingwinch/gateway/_stream_state.py
@@ -7,6 +7,7 @@
 from waxwingwinch.gateway._loads import TrackedRequest
 from waxwingwinch.gateway._outcomes import Responder
 from waxwingwinch.gateway._prefill import PrefilledCache
+from waxwingwinch.gateway._requests import ResponseHead
 from waxwingwinch.gateway._transport import UpstreamResponse
 from waxwingwinch.gateway._upstreams import Upstream
 
@@ -42,7 +43,8 @@
     :param responder: Writes the response to the caller.
     :param progress: The attempts so far.
     :param splitter: Splits the stream into events.
-    :param has_begun: True once the response head was sent to the caller.
+    :param head: Head of the response that the caller received; None until it
+        was sent.
     :param expected_seconds: Estimated time to the first event.
     :param placement_name: Class name of the last placement, for the log.
     :param silent: The open attempt whose engine is silent, if any.
@@ -53,12 +55,17 @@
     responder: Responder
     progress: Progress = field(factory=Progress)
     splitter: EventSplitter = field(factory=EventSplitter)
-    has_begun: bool = False
+    head: ResponseHead | None = None
     expected_seconds: float = 0.0
     placement_name: str = ""
     silent: StreamAttempt | None = None
     unfetched_cache: PrefilledCache | None = None
 
+    @property
+    def has_begun(self) -> bool:
+        """Tell whether the response head was sent to the caller."""
+        return self.head is not None
+
     @property
     def silent_response(self) -> UpstreamResponse | None:
         """The open response whose engine is silent, if any."""
--- a/src/waxwingwinch/gateway/tests/relay_harness.py
+++ b/src/waxwingwinch/gateway/tests/relay_harness.py
@@ -82,6 +82,8 @@
     :param limit_per_second: The limit that the response names, if any.
     :param delay_seconds: Time until the head of the response.
     :param during: Called with the cancellation during the call.
+    :param media_type: Media type of the response, if it states one.
+    :param is_framed: False if the body ends with its connection.
     """
 
     status: int = 200
@@ -92,6 +94,8 @@
     limit_per_second: float | None = None
     delay_seconds: float = 0.0
     during: Callable[[Any], object] | None = None
+    media_type: str | None = None
+    is_framed: bool = True
 
 
 @define
@@ -166,13 +170,17 @@
         if not self.wait(timeout_seconds):
             raise AnswerMissing("timed out")
         script = self.script
+        headers = [("X-From", str(self.upstream.upstream_id))]
+        if script.media_type is not None:
+            headers.append(("Content-Type", script.media_type))
         head = ResponseHead(
             script.status,
-            (("X-From", self.upstream.upstream_id),),
+            tuple(headers),
             self.call.request.request_id,
             script.not_executed,
             script.is_signed,
             script.limit_per_second,
+            script.is_framed,
         )
         response = FakeResponse(
             head, deepcopy(list(script.pieces)), self.transport.clock
@@ -265,10 +273,12 @@
     breaks_after: int | None = None
 
     def respond(self, status, headers, body):
+        assert self.status is None, "a response has one head"
         self.status, self.headers, self.body = status, headers, body
         self.is_complete = True
 
     def begin(self, status, headers):
+        assert self.status is None, "a response has one head"
         self.status, self.headers = status, headers
 
     def write(self, piece):
--- a/src/waxwingwinch/platform/_transport.py
+++ b/src/waxwingwinch/platform/_transport.py
@@ -33,6 +33,7 @@
     exchange,
 )
 from waxwingwinch.kernel import Clock
+from waxwingwinch.platform._answers import check_answer
 from waxwingwinch.platform._fields import read_integer
 from waxwingwinch.platform._headers import (
     DEADLINE_MS,
@@ -109,6 +110,7 @@
             not_executed=not_executed or response.status == MISDIRECTED_STATUS,
             is_signed=RESPONSE_STAMP in headers,
             limit_per_second=_parse_limit(headers.get(SERVER_LIMIT)),
+            is_framed=response.chunked or response.length_remaining is not None,
         )
 
     def wait(self, timeout_seconds: float) -> bool:
@@ -177,6 +179,7 @@
     :param pool_key: Key of the connection in the pool.
     :param connection: Connection on which the request was sent.
     :param request_id: Id of the request.
+    :param is_kept: True if the connection has carried other requests.
     :param cancellation: Closes the connection if the call is cancelled.
     :param clock: Source of the present time.
     """
@@ -187,6 +190,7 @@
         pool_key: str,
         connection: UpstreamConnection,
         request_id: str,
+        is_kept: bool,
         cancellation: Cancellation,
         clock: Clock,
     ) -> None:
@@ -194,6 +198,7 @@
         self._pool_key = pool_key
         self._connection = connection
         self._request_id = request_id
+        self._is_kept = is_kept
         self._cancellation = cancellation
         self._clock = clock
 
@@ -245,12 +250,7 @@
                 self._cancellation,
                 self._clock,
             )
-            response_request_id = response.head.request_id
-            if response_request_id not in (None, self._request_id):
-                raise AnswerMissing(
-                    f"expected the response to request {self._request_id},"
-                    f" got the response to request {response_request_id}"
-                )
+            check_answer(response.head, self._request_id, self._is_kept)
         except AnswerMissing:
             self.abort()
             raise
@@ -327,6 +327,7 @@
         connection = None
         if not call.needs_new_connection:
             connection = self._pool.take(pool_key, now_seconds)
+        is_kept = connection is not None
         if connection is None:
             connection = UpstreamConnection(upstream.address, wait_seconds)
         try:
@@ -352,6 +353,7 @@
             pool_key,
             connection,
             call.request.request_id,
+            is_kept,
             cancellation,
             self._clock,
         )
