Avoid a silent engine longer once its stream was taken over

Callers' new requests went to engines that had failed silently: such an engine was avoided for 0.5 s only, as one whose silence passes.

An engine whose stream another engine took over while it was still silent counts as failed again, as before; one that goes on in time does not.

--- a/src/waxwingwinch/gateway/_generation_relay.py
+++ b/src/waxwingwinch/gateway/_generation_relay.py
@@ -338,8 +338,7 @@
             raise _Interrupted(
                 "the upstream sent a success response without a signature"
             )
-        # This engine has begun to answer, so the silent one is given up.
-        stream.drop_silent()
+        self._give_up_silent(stream)
         while piece := self._read(stream, attempt):
             events = self._split(stream, piece)
             if not events:
@@ -360,6 +359,15 @@
         response.finish()
         return True
 
+    def _give_up_silent(self, stream: StreamState) -> None:
+        """Cancel the silent attempt, as another engine has begun to answer."""
+        silent = stream.silent
+        if silent is None:
+            return
+        stream.drop_silent()
+        error = AnswerMissing("silent until another engine had begun to answer")
+        record_failure(self._context, stream.job, silent.engine, error)
+
     def _log_first_event(self, stream: StreamState) -> None:
         arrived_seconds = stream.job.request.arrived_seconds
         # A stream counts as resumed if this is not the first attempt and more
--- a/src/waxwingwinch/gateway/tests/test_generation_relay.py
+++ b/src/waxwingwinch/gateway/tests/test_generation_relay.py
@@ -413,3 +413,13 @@
     assert response.body == events(1, 3)
     assert harness.called_upstreams() == ["d0", "d1"]
     assert harness.clock.seconds < 102.0
+
+
+# Guards against new work for an engine that has failed silently: it is avoided
+# longer than one whose silence passes.
+def test_an_engine_whose_stream_was_taken_over_is_avoided_longer():
+    harness = make_silent_harness(5.0, ScriptedResponse(pieces=(events(3, 3),)))
+    assert harness.send(prompt=SHORT_PROMPT).body == events(1, 3)
+    harness.directory.record_success(UpstreamId("d1"))
+    usable = harness.directory.usable("llm", harness.clock.seconds + 0.9)
+    assert [engine.upstream_id for engine in usable] == ["d1"]
