Log the shared parts of prompts at placement and of broken generations

A broken stream was logged with its engine alone, so the output didn't tell which parts of prompts engines had crashed on, whether a generation had begun, or when and to which incarnation it had been sent. request:placed names the shared parts; generation:broken is written for each generation whose connection the engine broke, and waxwing_broken_generations counts them. What is sent stays as it was.

--- a/src/waxwingwinch/gateway/_engine_choice.py
+++ b/src/waxwingwinch/gateway/_engine_choice.py
@@ -4,6 +4,7 @@
 
 from waxwingwinch._types import EngineRole, UpstreamId
 from waxwingwinch.gateway._admission import Admit, Refuse, admit_generation
+from waxwingwinch.gateway._generation_attempts import shared_part_ids
 from waxwingwinch.gateway._job import Job, Progress, RelayContext
 from waxwingwinch.gateway._loads import NO_LOAD
 from waxwingwinch.gateway._outcomes import RefusalReason, RequestEnded
@@ -72,6 +73,7 @@
             prompt_tokens=prompt.input_tokens,
             placement=repr(placement),
             engines=len(options),
+            parts=shared_part_ids(job),
         ).write()
         return placement
 
--- a/src/waxwingwinch/gateway/_generation_relay.py
+++ b/src/waxwingwinch/gateway/_generation_relay.py
@@ -5,6 +5,10 @@
 from waxwingwinch.gateway._connections import Cancelled
 from waxwingwinch.gateway._engine_choice import EngineChooser
 from waxwingwinch.gateway._event_stream import EventSplitter, EventTooLarge
+from waxwingwinch.gateway._generation_attempts import (
+    AttemptObserver,
+    GenerationAttempt,
+)
 from waxwingwinch.gateway._job import (
     Job,
     Progress,
@@ -91,6 +95,7 @@
         self._context = context
         self._engine_chooser = EngineChooser(context)
         self._prefill_relay = PrefillRelay(context)
+        self._attempts = AttemptObserver(context)
 
     def serve(self, job: Job, prompt: Prompt, responder: Responder) -> None:
         """
@@ -200,6 +205,7 @@
             else DecodeFromCache(cache.engine.address, cache.handle)
         )
         now_seconds = self._context.clock.now_seconds()
+        attempt = self._attempts.begin(job, engine)
         try:
             response = open_call(
                 self._context,
@@ -218,6 +224,7 @@
         except (AnswerMissing, Cancelled) as error:
             raise_if_caller_disconnected(job, error)
             record_failure(self._context, job, engine, error)
+            self._attempts.failed(attempt, error)
             stream.progress = stream.progress.with_possible_execution(
                 engine.upstream_id
             )
@@ -227,11 +234,12 @@
             return False
         stream.progress = stream.progress.with_possible_execution(engine.upstream_id)
         try:
-            return self._relay(stream, response, tracked_request)
+            return self._relay(stream, response, tracked_request, attempt)
         except _Interrupted as error:
             response.abort()
             raise_if_caller_disconnected(job, error)
             record_failure(self._context, job, engine, error)
+            self._attempts.failed(attempt, error)
             stream.splitter.drop_partial_event()
             return False
         except CallerDisconnected:
@@ -256,6 +264,7 @@
         stream: _Stream,
         response: UpstreamResponse,
         tracked_request: TrackedRequest,
+        attempt: GenerationAttempt,
     ) -> bool:
         """Forward a response; return False if it was dropped for a retry."""
         head = response.head
@@ -268,10 +277,12 @@
                 "the upstream sent a success response without a signature"
             )
         is_first = True
+        first_event = stream.splitter.event_count
         while piece := self._read(stream, response):
             events = self._split(stream, piece)
             if not events:
                 continue
+            attempt.events = stream.splitter.event_count - first_event
             if is_first:
                 is_first = False
                 tracked_request.mark_prefilled()
--- a/src/waxwingwinch/gateway/_request_log_lines.py
+++ b/src/waxwingwinch/gateway/_request_log_lines.py
@@ -66,6 +66,7 @@
     :param prompt_tokens: Length of the prompt in tokens.
     :param placement: The placement with its estimates.
     :param engines: Number of engines considered.
+    :param parts: Ids of the shared parts of the prompt.
     """
 
     request_id: str
@@ -74,6 +75,7 @@
     prompt_tokens: int
     placement: str
     engines: int
+    parts: tuple[str, ...]
 
 
 @log_line("request:sent")
--- a/src/waxwingwinch/gateway/_telemetry.py
+++ b/src/waxwingwinch/gateway/_telemetry.py
@@ -35,6 +35,7 @@
     EJECTIONS = "waxwing_ejections"
     LIMITED_SENDS = "waxwing_limited_sends"
     LIMIT_PERMITS = "waxwing_limit_permits"
+    BROKEN_GENERATIONS = "waxwing_broken_generations"
 
 
 class StoreCallResult(enum.Enum):
