Refuse prompts with a part that crashes engines, at all instances

Cause: nothing attributed crashes to what was being run. A broken stream counted against its engine alone, so that each request with the part went on to the next engine, and its caller's repeat at another instance to two more.

Instances now record crashes with the shared parts that were about to begin, and share them in their reports. A part that explains two crashes in a row without a sound generation since (four if it was sound before) is blamed, and requests with it get 503 with Retry-After before placement, prefill, decode and repeats. Answers of an engine soon after its supposed crash disprove it, a sound generation anywhere ends the blame. The blame is worked out from all known crashes at each change, so that a wrong one ends with more evidence.

--- a/src/waxwingwinch/gateway/_change_log.py
+++ b/src/waxwingwinch/gateway/_change_log.py
@@ -120,6 +120,7 @@
         or delta.switching
         or delta.named_limits
         or delta.limited_sends
+        or not delta.crash_evidence.is_empty
         or previous.unreachable
         or _status_fields(previous) != _status_fields(delta)
     )
--- /dev/null
+++ b/src/waxwingwinch/gateway/_crash_table.py
@@ -0,0 +1,177 @@
+"""The known crashes of engines, and the parts that are blamed for them."""
+
+import math
+from collections import OrderedDict
+from collections.abc import Mapping
+
+from waxwingwinch.gateway._bounded_tables import put_newest
+from waxwingwinch.gateway._crash_blame import (
+    Blame,
+    Crash,
+    Incarnation,
+    Suspect,
+    blame_parts,
+)
+from waxwingwinch.gateway._crash_log_lines import (
+    CrashDisproved,
+    PartBlamed,
+    PartCleared,
+)
+from waxwingwinch.gateway._crash_observations import Observation
+
+#: Time for which a crash that no blamed part explains is remembered.
+CRASH_RETENTION_SECONDS = 60.0
+#: Time for which a blamed part is remembered, relative to its block. A crash
+#: within it blocks the part again, for longer.
+BLAME_RETENTION_RATIO = 3.0
+#: Delay with which instances may see a crash. An answer to a request that was
+#: sent later disproves it.
+DISPROOF_MARGIN_SECONDS = 0.2
+#: Bounds on what is remembered.
+MAX_CRASHES = 64
+MAX_SUSPECTS = 64
+MAX_SOUND_PARTS = 4_096
+
+
+class CrashTable:
+    """Crashes of engines, by incarnation; used under the lock of its owner."""
+
+    def __init__(self) -> None:
+        self.crashes: dict[Incarnation, Crash] = {}
+        #: The blamed parts; replaced, never changed.
+        self.blames: Mapping[str, Blame] = {}
+        self._has_changed = False
+        self._sound_seconds: OrderedDict[str, float] = OrderedDict()
+        self._answered_seconds: OrderedDict[Incarnation, float] = OrderedDict()
+
+    def add(self, observation: Observation) -> None:
+        """
+        Add an observation of a crash; it counts once :meth:`judge` is called.
+
+        :param observation: The observation.
+        """
+        engine = observation.engine
+        answered_seconds = self._answered_seconds.get(engine, -math.inf)
+        if answered_seconds > observation.seen_seconds + DISPROOF_MARGIN_SECONDS:
+            return
+        self._has_changed = True
+        suspects = self.crashes.setdefault(engine, Crash()).suspects
+        for index, part_id in enumerate(observation.part_ids):
+            known = suspects.get(part_id)
+            if known is not None:
+                known.sent_seconds = max(known.sent_seconds, observation.sent_seconds)
+                known.seen_seconds = min(known.seen_seconds, observation.seen_seconds)
+            elif len(suspects) < MAX_SUSPECTS:
+                suspects[part_id] = Suspect(
+                    observation.first_position + index,
+                    observation.sent_seconds,
+                    observation.seen_seconds,
+                )
+
+    def record_sound(self, part_id: str, sound_seconds: float) -> None:
+        """
+        Record that a generation with a part went well.
+
+        :param part_id: The part.
+        :param sound_seconds: Monotonic time.
+        """
+        if sound_seconds > self._sound_seconds.get(part_id, -math.inf):
+            put_newest(self._sound_seconds, part_id, sound_seconds, MAX_SOUND_PARTS)
+            self._has_changed = self._has_changed or part_id in self.blames
+
+    def disprove(
+        self, engine: Incarnation, answered_seconds: float, now_seconds: float
+    ) -> None:
+        """
+        Delete a crash of an engine that answered a later request.
+
+        :param engine: The engine.
+        :param answered_seconds: Monotonic time at which the request was sent.
+        :param now_seconds: Monotonic time.
+        """
+        if answered_seconds > self._answered_seconds.get(engine, -math.inf):
+            put_newest(self._answered_seconds, engine, answered_seconds, MAX_CRASHES)
+        crash = self.crashes.get(engine)
+        if crash is None:
+            return
+        crash_seconds = crash.seen_seconds
+        if answered_seconds > crash_seconds + DISPROOF_MARGIN_SECONDS:
+            self._delete(engine)
+            CrashDisproved(
+                engine.upstream_id, engine.started_ms, now_seconds - crash_seconds
+            ).write()
+
+    def judge(self, now_seconds: float) -> None:
+        """
+        Decide which parts are blamed, if something has changed.
+
+        :param now_seconds: Monotonic time.
+        """
+        if len(self.crashes) > MAX_CRASHES:
+            self.delete_outdated(now_seconds)
+        if not self._has_changed:
+            return
+        self._has_changed = False
+        before = self.blames
+        self.blames = blame_parts(self.crashes, self._sound_seconds)
+        for part_id, blame in self.blames.items():
+            if part_id not in before or before[part_id].crashes < blame.crashes:
+                self._log_blame(part_id, blame, now_seconds)
+        for part_id in before.keys() - self.blames.keys():
+            PartCleared(
+                part_id,
+                before[part_id].crashes,
+                now_seconds - before[part_id].last_seconds,
+                self._sound_age(part_id, now_seconds),
+            ).write()
+
+    def delete_outdated(self, now_seconds: float) -> None:
+        """
+        Delete outdated crashes, and those beyond the bound.
+
+        :param now_seconds: Monotonic time.
+        """
+        if not self.crashes:
+            return
+        kept_until_seconds = {
+            engine: crash.seen_seconds + CRASH_RETENTION_SECONDS
+            for engine, crash in self.crashes.items()
+        }
+        explained = set()
+        for blame in self.blames.values():
+            until = blame.last_seconds + BLAME_RETENTION_RATIO * blame.block_seconds
+            for engine in blame.engines & kept_until_seconds.keys():
+                explained.add(engine)
+                kept_until_seconds[engine] = max(kept_until_seconds[engine], until)
+        for engine, until in kept_until_seconds.items():
+            if now_seconds > until:
+                self._delete(engine)
+        # Those that explain a blame are kept before all others.
+        by_value = sorted(
+            self.crashes,
+            key=lambda engine: (
+                engine in explained,
+                self.crashes[engine].seen_seconds,
+            ),
+        )
+        for engine in by_value[: max(len(by_value) - MAX_CRASHES, 0)]:
+            self._delete(engine)
+
+    def _delete(self, engine: Incarnation) -> None:
+        del self.crashes[engine]
+        self._has_changed = True
+
+    def _sound_age(self, part_id: str, now_seconds: float) -> float | None:
+        sound_seconds = self._sound_seconds.get(part_id)
+        return None if sound_seconds is None else now_seconds - sound_seconds
+
+    def _log_blame(self, part_id: str, blame: Blame, now_seconds: float) -> None:
+        PartBlamed(
+            part_id,
+            blame.crashes,
+            blame.required,
+            now_seconds - blame.last_seconds,
+            blame.block_seconds,
+            self._sound_age(part_id, now_seconds),
+            tuple(sorted(str(engine.upstream_id) for engine in blame.engines)),
+        ).write()
--- a/src/waxwingwinch/gateway/_generation_attempts.py
+++ b/src/waxwingwinch/gateway/_generation_attempts.py
@@ -6,16 +6,24 @@
 from attrs import define, field, frozen
 from urllib3.exceptions import ProtocolError
 
-from waxwingwinch.gateway._crash_log_lines import GenerationBroken
+from waxwingwinch.gateway._crash_blame import Incarnation
+from waxwingwinch.gateway._crash_evidence import PartBlock
+from waxwingwinch.gateway._crash_log_lines import (
+    BlamedRequestRefused,
+    GenerationBroken,
+)
+from waxwingwinch.gateway._crash_observations import (
+    MAX_PART_ID_LENGTH,
+    MAX_PART_IDS,
+    Observation,
+)
 from waxwingwinch.gateway._job import Job, RelayContext
 from waxwingwinch.gateway._telemetry import CounterName
 from waxwingwinch.gateway._upstreams import Upstream
 
-#: Number of shared parts of a prompt that are recorded; the first parts are
-#: shared by the most prompts.
-MAX_SHARED_PARTS = 16
-#: Length of a part's id from which its digest is recorded instead.
-MAX_PART_ID_LENGTH = 64
+#: Events after which a generation counts as begun. An engine may crash while
+#: it writes the first.
+SOUND_EVENTS = 2
 #: Errors of a transport whose other end closed or reset the connection.
 _BROKEN_CONNECTION = (ConnectionError, IncompleteRead, ProtocolError)
 
@@ -46,6 +54,7 @@
         share.
     :param sent_seconds: Monotonic time at which it was sent.
     :param events: Events that the engine has delivered.
+    :param is_sound: True once it went well as far as the parts matter.
     """
 
     job: Job
@@ -53,6 +62,12 @@
     shared_parts: tuple[str, ...]
     sent_seconds: float
     events: int = 0
+    is_sound: bool = False
+
+    @property
+    def incarnation(self) -> Incarnation:
+        """The incarnation of the engine."""
+        return Incarnation(self.engine.upstream_id, self.engine.started_ms)
 
 
 @frozen
@@ -76,6 +91,59 @@
             job, engine, shared_part_ids(job), self._context.clock.now_seconds()
         )
 
+    def block(self, job: Job, sends: int, now_seconds: float) -> PartBlock | None:
+        """
+        Return why a request must not be sent to an engine; None if it may.
+
+        :param job: The request.
+        :param sends: Upstreams that it was sent to.
+        :param now_seconds: Monotonic time.
+        """
+        block = self._context.crashes.block(shared_part_ids(job), now_seconds)
+        if block is not None:
+            BlamedRequestRefused(
+                request_id=job.request.request_id,
+                part_id=block.part_id,
+                crashes=block.blame.crashes,
+                last_crash_age_seconds=now_seconds - block.blame.last_seconds,
+                remaining_seconds=block.until_seconds - now_seconds,
+                sends=sends,
+            ).write()
+        return block
+
+    def answered(self, attempt: GenerationAttempt) -> None:
+        """
+        Record that the engine sent the head of a successful response.
+
+        :param attempt: The attempt.
+        """
+        self._context.crashes.record_answer(
+            attempt.incarnation, attempt.sent_seconds, self._context.clock.now_seconds()
+        )
+
+    def progressed(self, attempt: GenerationAttempt, events: int) -> None:
+        """
+        Record the events that the engine has delivered.
+
+        :param attempt: The attempt.
+        :param events: Their number.
+        """
+        attempt.events = events
+        if events >= SOUND_EVENTS:
+            self.succeeded(attempt)
+
+    def succeeded(self, attempt: GenerationAttempt) -> None:
+        """
+        Record that an attempt went well, at least as far as the parts matter.
+
+        :param attempt: The attempt.
+        """
+        if not attempt.is_sound and attempt.shared_parts:
+            self._context.crashes.record_sound(
+                attempt.shared_parts, self._context.clock.now_seconds()
+            )
+        attempt.is_sound = True
+
     def failed(self, attempt: GenerationAttempt, error: Exception) -> None:
         """
         Record that an attempt ended without a complete response.
@@ -98,6 +166,15 @@
             sent_age_seconds=now_seconds - attempt.sent_seconds,
             error=type(broken).__name__,
         ).write()
+        if attempt.shared_parts and not attempt.is_sound:
+            self._context.crashes.record_crash(
+                Observation(
+                    attempt.incarnation,
+                    attempt.shared_parts,
+                    attempt.sent_seconds,
+                    now_seconds,
+                )
+            )
 
 
 def shared_part_ids(job: Job) -> tuple[str, ...]:
@@ -113,7 +190,7 @@
     if prompt is None:
         return ()
     # The last part is specific to the request.
-    shared = prompt.parts[:-1][-MAX_SHARED_PARTS:]
+    shared = prompt.parts[:-1][-MAX_PART_IDS:]
     return tuple(_bounded_id(part.part_id) for part in shared)
 
 
--- a/src/waxwingwinch/gateway/_generation_relay.py
+++ b/src/waxwingwinch/gateway/_generation_relay.py
@@ -3,11 +3,13 @@
 from attrs import define, field
 
 from waxwingwinch.gateway._connections import Cancelled
+from waxwingwinch.gateway._crash_evidence import PartBlock
 from waxwingwinch.gateway._engine_choice import EngineChooser
 from waxwingwinch.gateway._event_stream import EventSplitter, EventTooLarge
 from waxwingwinch.gateway._generation_attempts import (
     AttemptObserver,
     GenerationAttempt,
+    shared_part_ids,
 )
 from waxwingwinch.gateway._job import (
     Job,
@@ -18,6 +20,8 @@
 from waxwingwinch.gateway._loads import TrackedRequest
 from waxwingwinch.gateway._outcomes import (
     CallerDisconnected,
+    RefusalReason,
+    RequestEnded,
     Responder,
 )
 from waxwingwinch.gateway._permits import AttemptPermits, NoPermit
@@ -110,6 +114,10 @@
         stream = _Stream(job, responder)
         while True:
             now_seconds = self._context.clock.now_seconds()
+            block = self._attempts.block(job, stream.progress.sends, now_seconds)
+            if block is not None:
+                self._end_blocked(stream, block, now_seconds)
+                return
             permits = AttemptPermits(self._context.permits, job.request.request_id)
             placement = self._engine_chooser.choose(
                 job, prompt, stream.progress, permits, now_seconds
@@ -122,6 +130,17 @@
             if self._run(stream, prompt, placement, permits):
                 return
 
+    def _end_blocked(
+        self, stream: _Stream, block: PartBlock, now_seconds: float
+    ) -> None:
+        """End a request with a part that crashes engines."""
+        if stream.has_begun or stream.progress.may_have_run:
+            self._end_without_engine(stream, now_seconds, None)
+            return
+        raise RequestEnded(
+            503, RefusalReason.CRASHES_ENGINES, block.until_seconds - now_seconds
+        )
+
     def _end_without_engine(
         self, stream: _Stream, now_seconds: float, no_permit: NoPermit | None
     ) -> None:
@@ -205,6 +224,12 @@
             else DecodeFromCache(cache.engine.address, cache.handle)
         )
         now_seconds = self._context.clock.now_seconds()
+        if cache is not None and self._context.crashes.block(
+            shared_part_ids(job), now_seconds
+        ):
+            # A part was blamed while the prompt was prefilled.
+            self._prefill_relay.release(cache)
+            return False
         attempt = self._attempts.begin(job, engine)
         try:
             response = open_call(
@@ -276,13 +301,16 @@
             raise _Interrupted(
                 "the upstream sent a success response without a signature"
             )
+        self._attempts.answered(attempt)
         is_first = True
         first_event = stream.splitter.event_count
         while piece := self._read(stream, response):
             events = self._split(stream, piece)
             if not events:
                 continue
-            attempt.events = stream.splitter.event_count - first_event
+            self._attempts.progressed(
+                attempt, stream.splitter.event_count - first_event
+            )
             if is_first:
                 is_first = False
                 tracked_request.mark_prefilled()
@@ -294,6 +322,7 @@
             stream.responder.write(events)
         if stream.splitter.has_partial_event:
             raise _Interrupted("the stream ended within an incomplete event")
+        self._attempts.succeeded(attempt)
         self._begin(stream, head)
         stream.responder.end()
         response.finish()
--- a/src/waxwingwinch/gateway/_instance_endpoints.py
+++ b/src/waxwingwinch/gateway/_instance_endpoints.py
@@ -101,6 +101,7 @@
                 (),
                 UNKNOWN if age_seconds is None else age_seconds,
             ),
+            Gauge("waxwing_blamed_parts", (), self._state.crashes.blamed_count()),
             Gauge("waxwing_instances_heard", (), ready_peer_count),
             *self._upstream_gauges(),
             *self._limit_gauges(now_seconds),
--- a/src/waxwingwinch/gateway/_job.py
+++ b/src/waxwingwinch/gateway/_job.py
@@ -4,6 +4,7 @@
 
 from waxwingwinch._types import CustomerId, UpstreamId, ZoneName
 from waxwingwinch.gateway._connections import Cancellation
+from waxwingwinch.gateway._crash_evidence import CrashEvidence
 from waxwingwinch.gateway._loads import LoadTracker
 from waxwingwinch.gateway._model import CustomerRules, Route, ServiceRules
 from waxwingwinch.gateway._named_limits import NamedLimits
@@ -170,6 +171,7 @@
     :param transport: Sends calls to upstreams.
     :param usage: Counts started requests by customer.
     :param telemetry: Metrics of the process.
+    :param crashes: Crashes of engines, and the parts blamed for them.
     """
 
     clock: Clock = field(repr=False)
@@ -185,6 +187,7 @@
     transport: UpstreamTransport = field(repr=False)
     usage: UsageCounts = field(repr=False)
     telemetry: Telemetry = field(repr=False)
+    crashes: CrashEvidence = field(repr=False)
 
 
 def raise_if_caller_disconnected(job: Job, error: Exception) -> None:
--- a/src/waxwingwinch/gateway/_outcomes.py
+++ b/src/waxwingwinch/gateway/_outcomes.py
@@ -16,6 +16,7 @@
     NO_UPSTREAM = "no_upstream"
     OVERLOADED = "overloaded"
     UPSTREAM_LIMIT = "upstream_limit"
+    CRASHES_ENGINES = "crashes_engines"
     INSTANCE_FULL = "instance_full"
     NOT_EXECUTED = "not_executed"
     OUT_OF_TIME = "out_of_time"
--- a/src/waxwingwinch/gateway/_process.py
+++ b/src/waxwingwinch/gateway/_process.py
@@ -197,6 +197,7 @@
             self._adapter.transport,
             state.usage,
             state.telemetry,
+            state.crashes,
         )
         return RequestHandler(
             context,
--- a/src/waxwingwinch/gateway/_report_messages.py
+++ b/src/waxwingwinch/gateway/_report_messages.py
@@ -4,6 +4,7 @@
 
 from waxwingwinch._types import CustomerId, EngineRole, InstanceId, UpstreamId
 from waxwingwinch.codec import message
+from waxwingwinch.gateway._crash_messages import CrashEvidenceReport
 from waxwingwinch.gateway._feed_messages import FeedPage
 from waxwingwinch.gateway._limit_messages import LimitedSends, NamedLimitReport
 from waxwingwinch.gateway._loads import UpstreamLoad
@@ -76,6 +77,7 @@
     :param sequence: Increases with each report of an incarnation.
     :param named_limits: Limits that upstreams recently named to it.
     :param limited_sends: Its recent requests to upstreams with a limit.
+    :param crash_evidence: What it knows of crashes of engines.
     """
 
     instance_id: InstanceId
@@ -95,6 +97,7 @@
     sequence: int = 0
     named_limits: tuple[NamedLimitReport, ...] = ()
     limited_sends: tuple[LimitedSends, ...] = ()
+    crash_evidence: CrashEvidenceReport = CrashEvidenceReport()
 
     @property
     def has_recent_store_read(self) -> bool:
--- a/src/waxwingwinch/gateway/_report_table.py
+++ b/src/waxwingwinch/gateway/_report_table.py
@@ -263,6 +263,7 @@
         sequence=report.sequence,
         named_limits=report.named_limits,
         limited_sends=report.limited_sends,
+        crash_evidence=report.crash_evidence,
     )
 
 
--- a/src/waxwingwinch/gateway/_reports.py
+++ b/src/waxwingwinch/gateway/_reports.py
@@ -93,6 +93,7 @@
             sequence=self._sequence,
             named_limits=state.limits.limit_reports(now_seconds),
             limited_sends=limited_sends,
+            crash_evidence=state.crashes.report(now_seconds),
         ).with_loads(state.loads.local_loads())
 
     def apply(self, report: InstanceReport, made_seconds: float) -> None:
@@ -131,6 +132,7 @@
         state.limit_keeper.record_sends(
             report.instance_id, report.incarnation, report.limited_sends, made_seconds
         )
+        state.crashes.apply(report.crash_evidence, report.incarnation, made_seconds)
         known = self._last_placements.get(report.instance_id)
         for placement in report.placements:
             if known is None or known.precedes(report.incarnation, placement):
--- a/src/waxwingwinch/gateway/_state.py
+++ b/src/waxwingwinch/gateway/_state.py
@@ -4,6 +4,7 @@
 
 from attrs import define, field
 
+from waxwingwinch.gateway._crash_evidence import CrashEvidence
 from waxwingwinch.gateway._current_table import CurrentTable
 from waxwingwinch.gateway._limit_keeper import LimitKeeper
 from waxwingwinch.gateway._loads import LoadTracker
@@ -34,6 +35,7 @@
     :param usage: Usage counted in this process.
     :param limits: Limits that upstreams name.
     :param limit_keeper: Keeps the limits of some upstreams for all instances.
+    :param crashes: Crashes of engines, and the parts blamed for them.
     :param table: The configuration in force.
     :param directory: Directory of the registered upstreams.
     :param loads: Work in progress at the upstreams.
@@ -54,6 +56,7 @@
     usage: UsageCounts
     limits: NamedLimits
     limit_keeper: LimitKeeper
+    crashes: CrashEvidence
     table: CurrentTable = field(factory=CurrentTable)
     directory: UpstreamDirectory = field(factory=UpstreamDirectory)
     loads: LoadTracker = field(factory=LoadTracker)
@@ -94,6 +97,7 @@
             UsageCounts(options.usage_window_seconds),
             limits,
             LimitKeeper(limits, quotas.share, now_seconds),
+            CrashEvidence(local_member.instance_id),
         )
 
     @property
--- a/src/waxwingwinch/gateway/tests/relay_harness.py
+++ b/src/waxwingwinch/gateway/tests/relay_harness.py
@@ -15,6 +15,7 @@
 )
 from waxwingwinch.gateway._caller_watcher import CallerWatcher
 from waxwingwinch.gateway._connections import CancelReason
+from waxwingwinch.gateway._crash_evidence import CrashEvidence
 from waxwingwinch.gateway._current_table import CurrentTable
 from waxwingwinch.gateway._handler import RequestHandler
 from waxwingwinch.gateway._job import RelayContext
@@ -235,6 +236,7 @@
         self.usage = UsageCounts(5.0)
         self.telemetry = Telemetry()
         self.limits = NamedLimits()
+        self.crashes = CrashEvidence(InstanceId("own"))
         self.quotas = QuotaTracker("own", 0.0, True, self.clock.seconds)
         self.quotas.set_recorded_peers(frozenset())
         budget = RetryBudget(0.2, retry_slack, 10.0)
@@ -267,6 +269,7 @@
             self.transport,
             self.usage,
             self.telemetry,
+            self.crashes,
         )
         self.handler = RequestHandler(context, self.table, self.quotas, CallerWatcher())
         self.version = 0
--- a/src/waxwingwinch/gateway/tests/test_cache_survey.py
+++ b/src/waxwingwinch/gateway/tests/test_cache_survey.py
@@ -4,6 +4,7 @@
 
 from waxwingwinch._types import Address, EngineRole, InstanceId, ZoneName
 from waxwingwinch.gateway._cache_survey import CacheSurvey
+from waxwingwinch.gateway._crash_evidence import CrashEvidence
 from waxwingwinch.gateway._limit_keeper import LimitKeeper
 from waxwingwinch.gateway._members import Member, MemberDirectory
 from waxwingwinch.gateway._model import GatewayConfiguration
@@ -36,6 +37,7 @@
         UsageCounts(5.0),
         limits,
         LimitKeeper(limits, quotas.share, 0.0),
+        CrashEvidence(own.instance_id),
     )
     state.table.publish(GatewayConfiguration(1, (), {"llm": LLM, "shop": SHOP}))
     return state
--- /dev/null
+++ b/src/waxwingwinch/gateway/tests/test_crash_evidence.py
@@ -0,0 +1,193 @@
+"""Crashes of engines, as one instance learns of them."""
+
+import math
+
+import pytest
+from attrs import evolve
+
+from waxwingwinch._types import InstanceId, UpstreamId
+from waxwingwinch.gateway._crash_blame import Incarnation
+from waxwingwinch.gateway._crash_evidence import CrashEvidence
+from waxwingwinch.gateway._crash_messages import CrashEvidenceReport
+from waxwingwinch.gateway._crash_observations import Observation
+from waxwingwinch.gateway._crash_table import MAX_CRASHES, MAX_SUSPECTS
+
+PARTS = ("first", "deadly")
+
+
+def engine(number, started_ms=1):
+    return Incarnation(UpstreamId(f"e{number}"), started_ms)
+
+
+def crash(number, at_seconds, part_ids=PARTS):
+    return Observation(engine(number), part_ids, at_seconds - 0.1, at_seconds)
+
+
+def make(name="own"):
+    return CrashEvidence(InstanceId(name))
+
+
+def blame_deadly(evidence, at_seconds=100.0):
+    evidence.record_crash(crash(1, at_seconds))
+    evidence.record_crash(crash(2, at_seconds + 1.0))
+
+
+def test_a_blamed_part_is_blocked_for_a_time():
+    evidence = make()
+    blame_deadly(evidence)
+    block = evidence.block(PARTS, 101.0)
+    assert block.part_id == "deadly"
+    assert 30.0 <= block.until_seconds - 101.0 <= 45.0
+    assert evidence.block(("first", "sound"), 101.0) is None
+    assert evidence.block(PARTS, block.until_seconds + 0.1) is None
+
+
+# Guards against a block that ends as a whole when a part is tried again.
+def test_a_crash_after_the_block_blocks_again_for_longer():
+    evidence = make()
+    blame_deadly(evidence)
+    evidence.record_crash(crash(3, 150.0))
+    assert evidence.block(PARTS, 150.0 + 59.0).blame.crashes == 3
+
+
+# Guards against instances that all try a part again at one moment.
+def test_instances_try_a_part_again_at_different_times():
+    untils = set()
+    for number in range(10):
+        evidence = make(f"i{number}")
+        blame_deadly(evidence)
+        untils.add(evidence.block(PARTS, 101.0).until_seconds)
+    assert len(untils) > 5
+
+
+# Guards against a block that outlasts the proof that a part is sound.
+def test_a_sound_generation_anywhere_ends_the_block():
+    evidence, other = make(), make("other")
+    blame_deadly(evidence)
+    other.apply(evidence.report(101.5), "own-1", 101.5)
+    assert other.block(PARTS, 101.6) is not None
+    evidence.record_sound(PARTS, 102.0)
+    assert evidence.block(PARTS, 102.0) is None
+    other.apply(evidence.report(102.1), "own-1", 102.1)
+    assert other.block(PARTS, 102.2) is None
+
+
+# Guards against blame by a faulty engine that cuts single answers.
+def test_an_engine_that_answers_later_requests_has_not_crashed():
+    evidence = make()
+    evidence.record_crash(crash(1, 100.0))
+    evidence.record_answer(engine(1), 100.4, 100.5)
+    evidence.record_crash(crash(2, 101.0))
+    assert evidence.block(PARTS, 101.0) is None
+
+
+# Guards against an instance cut off whose connections all break.
+def test_answers_at_other_instances_disprove_crashes():
+    cut, other = make("cut"), make("other")
+    for number in range(1, 5):
+        cut.record_crash(crash(number, 100.0 + number))
+    assert cut.block(PARTS, 105.0) is not None
+    other.apply(cut.report(105.0), "cut-1", 105.0)
+    assert other.block(PARTS, 105.0) is not None
+    for number in range(1, 5):
+        other.record_answer(engine(number), 100.5 + number, 105.1)
+    assert other.block(PARTS, 105.2) is None
+    cut.apply(other.report(105.2), "other-1", 105.2)
+    assert cut.block(PARTS, 105.3) is None
+
+
+# Guards against a crash disproved by its engine's next incarnation.
+def test_answers_long_after_a_crash_do_not_disprove_it():
+    evidence = make()
+    blame_deadly(evidence)
+    evidence.record_answer(engine(1), 103.5, 103.6)
+    evidence.record_answer(engine(1, started_ms=2), 100.5, 100.6)
+    assert evidence.block(PARTS, 104.0) is not None
+
+
+# Guards against an instance that forgets the blame by starting anew.
+def test_an_instance_that_starts_learns_what_the_others_know():
+    observer, other = make("observer"), make("other")
+    blame_deadly(observer)
+    other.apply(observer.report(102.0), "observer-1", 102.0)
+    started = make("started")
+    assert other.report(110.0).crashes == ()
+    other.apply(started.report(110.0), "started-1", 110.0)
+    started.apply(other.report(110.2), "other-1", 110.2)
+    assert started.block(PARTS, 110.3) is not None
+    # The observer itself starts anew.
+    observer = make("observer")
+    other.apply(observer.report(120.0), "observer-2", 120.0)
+    observer.apply(other.report(120.2), "other-1", 120.2)
+    assert observer.block(PARTS, 120.3) is not None
+
+
+# Guards against times that grow with each report that repeats them.
+def test_a_repeated_report_changes_nothing():
+    evidence, other = make(), make("other")
+    evidence.record_crash(crash(1, 100.0))
+    evidence.record_crash(crash(2, 100.05))
+    for tick in range(50):
+        at_seconds = 100.1 + 0.2 * tick
+        # The receiver is late, so it dates the report to a later time.
+        other.apply(evidence.report(at_seconds), "own-1", at_seconds + 0.15)
+    assert other.block(PARTS, 111.0) is None
+
+
+def test_unexplained_crashes_are_forgotten():
+    evidence = make()
+    evidence.record_crash(crash(1, 100.0))
+    evidence.report(169.0)
+    evidence.record_crash(crash(2, 170.0))
+    assert evidence.block(PARTS, 170.0) is None
+
+
+# Guards against values out of bounds in reports of other instances.
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"sent_age_seconds": math.nan},
+        {"seen_age_seconds": -1.0},
+        {"seen_age_seconds": math.inf},
+        {"part_ids": ("x" * 65,)},
+        {"part_ids": tuple(f"p{number}" for number in range(17))},
+        {"part_ids": ()},
+        {"first_position": -1},
+        {"first_position": 10**30},
+        {"upstream_id": UpstreamId("u" * 10_000)},
+    ],
+)
+def test_a_report_out_of_bounds_is_ignored(changes):
+    source, evidence = make("source"), make()
+    blame_deadly(source)
+    report = source.report(102.0)
+    broken = tuple(evolve(entry, **changes) for entry in report.crashes)
+    evidence.apply(evolve(report, crashes=broken), "source-1", 102.0)
+    assert evidence.report(102.0) == CrashEvidenceReport()
+
+
+def test_malformed_ages_of_sound_generations_are_ignored():
+    evidence = make()
+    blame_deadly(evidence)
+    ages = {"deadly": math.nan, "x" * 10_000: 0.0}
+    evidence.apply(CrashEvidenceReport((), ages), "other-1", 102.0)
+    ages = {"deadly": -1e9}
+    evidence.apply(CrashEvidenceReport((), ages), "other-1", 102.0)
+    assert evidence.block(PARTS, 102.0) is not None
+
+
+# Guards against memory that grows with the crashes of engines.
+def test_memory_is_bounded_and_keeps_what_is_blamed():
+    evidence = make()
+    blame_deadly(evidence)
+    for number in range(3, 200):
+        parts = tuple(f"p{number}-{index}" for index in range(16))
+        evidence.record_crash(crash(number, 101.0 + number / 100, parts))
+        for run in range(6):
+            parts = tuple(f"q{number}-{run}-{index}" for index in range(16))
+            evidence.record_crash(crash(number, 101.0 + number / 100, parts))
+    assert evidence.block(PARTS, 106.0) is not None
+    table = evidence._table
+    assert len(table.crashes) <= MAX_CRASHES
+    assert max(len(known.suspects) for known in table.crashes.values()) <= MAX_SUSPECTS
+    assert len(evidence.report(106.0).crashes) <= 64
--- /dev/null
+++ b/src/waxwingwinch/gateway/tests/test_crashing_prompts.py
@@ -0,0 +1,126 @@
+"""Generations of prompts with a part that crashes engines."""
+
+import pytest
+
+from waxwingwinch.gateway._requests import Prompt, PromptPart
+from waxwingwinch.gateway.tests.relay_harness import RelayHarness, ScriptedResponse
+from waxwingwinch.http import AnswerMissing
+
+
+def broken(error):
+    """Return the error of a call whose connection ended with another error."""
+    missing = AnswerMissing(repr(error))
+    missing.__cause__ = error
+    return missing
+
+
+RESET = broken(ConnectionResetError("reset by peer"))
+TIMED_OUT = broken(TimeoutError("timed out"))
+EVENTS = tuple(b"id: %d\ndata: t\n\n" % number for number in range(1, 4))
+
+
+def prompt(*part_ids):
+    parts = (*part_ids, "own")
+    return Prompt("m", 300, 20, tuple(PromptPart(part, 100) for part in parts))
+
+
+DEADLY = prompt("first", "deadly")
+
+
+@pytest.fixture
+def harness():
+    harness = RelayHarness()
+    harness.add_engines(decode=6)
+    harness.publish_stream()
+    return harness
+
+
+def script_all(harness, script):
+    for number in range(6):
+        harness.transport.scripts[f"d{number}"] = script
+
+
+def send(harness, sent_prompt, **changes):
+    harness.clock.seconds += 0.1
+    return harness.send(prompt=sent_prompt, **changes)
+
+
+# Guards against requests with one part that crash engine after engine.
+@pytest.mark.parametrize(
+    "script",
+    [
+        ScriptedResponse(error=RESET, delay_seconds=0.05),
+        ScriptedResponse(pieces=(RESET,), delay_seconds=0.05),
+        ScriptedResponse(pieces=(EVENTS[0], RESET), delay_seconds=0.05),
+    ],
+)
+def test_a_part_is_refused_after_two_crashes(harness, script):
+    script_all(harness, script)
+    send(harness, DEADLY)
+    calls = len(harness.transport.calls)
+    assert calls == 2
+    response = send(harness, prompt("first", "deadly"))
+    assert response.status == 503
+    assert float(response.header("Retry-After")) >= 29.0
+    assert len(harness.transport.calls) == calls
+    script_all(harness, ScriptedResponse(pieces=EVENTS))
+    assert send(harness, prompt("first", "sound")).is_complete
+
+
+# Guards against a refusal as not run of a request that may have run.
+def test_a_request_that_ran_is_not_refused_as_not_run(harness):
+    script_all(harness, ScriptedResponse(pieces=(RESET,), delay_seconds=0.05))
+    assert send(harness, DEADLY).status == 502
+
+
+# Guards against blame for prompts whose generations were under way.
+@pytest.mark.parametrize(
+    "script",
+    [
+        ScriptedResponse(pieces=(*EVENTS, RESET), delay_seconds=0.05),
+        ScriptedResponse(error=TIMED_OUT, delay_seconds=0.05),
+        ScriptedResponse(pieces=(TIMED_OUT,), delay_seconds=0.05),
+        ScriptedResponse(status=503, not_executed=True, delay_seconds=0.05),
+    ],
+)
+def test_other_failures_blame_nothing(harness, script):
+    script_all(harness, script)
+    for _ in range(3):
+        send(harness, DEADLY)
+    assert harness.crashes.blamed_count() == 0
+
+
+# Guards against a prompt that is decoded although a part was blamed while it
+# was prefilled.
+def test_a_part_blamed_during_a_prefill_is_not_decoded(harness):
+    long_prompt = Prompt(
+        "m", 17_000, 20, (PromptPart("deadly", 13_000), PromptPart("own", 4_000))
+    )
+
+    def blame(_):
+        blamed = RelayHarness()
+        blamed.add_engines(decode=6)
+        blamed.publish_stream(max_attempts=1)
+        script_all(blamed, ScriptedResponse(pieces=(RESET,), delay_seconds=0.05))
+        send(blamed, prompt("deadly"))
+        send(blamed, prompt("deadly"))
+        report = blamed.crashes.report(blamed.clock.seconds)
+        harness.crashes.apply(report, "other-1", harness.clock.seconds)
+
+    harness.transport.scripts["p0"] = ScriptedResponse(
+        pieces=(b"handle",), during=blame
+    )
+    assert send(harness, long_prompt).status == 503
+    assert harness.called_upstreams() == ["p0"]
+    assert [handle for _, handle in harness.transport.released_handles] == ["handle"]
+
+
+# Guards against log lines and tables that grow with a caller's headers.
+def test_long_ids_of_parts_are_bounded(harness):
+    script_all(harness, ScriptedResponse(pieces=(RESET,), delay_seconds=0.05))
+    parts = [f"{number}" + "x" * 10_000 for number in range(40)]
+    send(harness, prompt(*parts))
+    assert send(harness, prompt(*parts)).status == 503
+    (first, _) = harness.crashes.report(harness.clock.seconds).crashes
+    assert len(first.part_ids) == 16
+    assert max(map(len, first.part_ids)) <= 64
--- a/src/waxwingwinch/platform/tests/crashing_engine.py
+++ b/src/waxwingwinch/platform/tests/crashing_engine.py
@@ -8,8 +8,8 @@
 
 from waxwingwinch.platform.tests.standin import (
     HOST,
-    QuietHandler,
     Standin,
+    UpstreamHandler,
     wait_until,
 )
 
@@ -21,7 +21,7 @@
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
-class EngineHandler(QuietHandler):
+class EngineHandler(UpstreamHandler):
     def setup(self):
         super().setup()
         self.owner.connections.add(self.connection)
@@ -30,7 +30,7 @@
         self.owner.connections.discard(self.connection)
         super().finish()
 
-    def do_POST(self):
+    def serve(self):
         self.body()
         prompt = self.headers["X-Waxwingwinch-Prompt-Prefix"] or ""
         parts = [part.partition(":")[0] for part in prompt.split(",")]
@@ -39,11 +39,11 @@
         request_id = self.headers["X-Waxwingwinch-Request-Id"]
         engines.arrivals.append((time.monotonic(), request_id, is_deadly))
         try:
-            self.stream(request_id, is_deadly)
+            self.write_events(request_id, is_deadly)
         except OSError:
             self.close_connection = True
 
-    def stream(self, request_id, is_deadly):
+    def write_events(self, request_id, is_deadly):
         self.send_response(200)
         self.send_header("X-Waxwingwinch-Request-Id", request_id)
         self.send_header("X-Waxwingwinch-Response-Stamp", "stamp")
--- a/src/waxwingwinch/platform/tests/test_crashing_parts.py
+++ b/src/waxwingwinch/platform/tests/test_crashing_parts.py
@@ -121,7 +121,7 @@
         self.threads.append(caller)
 
     def late_requests(self, contact_seconds):
-        """Return how many requests with the part came after the contact time."""
+        """Return how many requests with the part came too late."""
         fifth = sorted(self.engines.crashes)[4:5]
         return sum(
             is_deadly and at_seconds > fifth_seconds + contact_seconds
@@ -187,3 +187,15 @@
     assert all(
         float(answer.retry_after) > 0 for answer in fleet.deadly if answer.status == 503
     )
+
+
+# Guards against sound requests refused since faulty engines cut answers.
+def test_engines_that_cut_single_answers_block_no_part(make_fleet):
+    fleet = make_fleet(7)
+    chance = random.Random(2)
+    fleet.engines.cuts_stream = lambda _, number: number == 1 and chance.random() < 0.3
+    fleet.call_periodically(fleet.send_sound, SOUND_PER_SECOND)
+    time.sleep(8.0)
+    statuses = {answer.status for answer in fleet.sound}
+    assert 503 not in statuses
+    assert sum(answer.is_complete for answer in fleet.sound) > len(fleet.sound) / 2
