--- a/src/waxwingwinch/gateway/tests/test_report_table.py
+++ b/src/waxwingwinch/gateway/tests/test_report_table.py
@@ -14,11 +14,13 @@
     ChangeSetBuilder,
 )
 from waxwingwinch.gateway._change_packing import unpack_changes
+from waxwingwinch.gateway._crash_messages import CrashEvidenceReport, CrashReport
 from waxwingwinch.gateway._report_deltas import DeltaTracker
 from waxwingwinch.gateway._report_messages import InstanceReport, PromptPlacement
 from waxwingwinch.gateway._report_table import (
     MAX_RELAY_AGE_SECONDS,
     MAX_RELAYED_PLACEMENTS,
+    ReceivedReport,
     ReportTable,
     merge_reports,
 )
@@ -360,3 +362,23 @@
     )
     merged = merge_reports(report, evolve(report, is_full=False))
     assert len(merged.placements) == MAX_RELAYED_PLACEMENTS
+
+
+# Guards against crashes of engines that don't reach the other cells.
+def test_crash_evidence_is_passed_on_as_long_as_it_is_reported():
+    crash = CrashReport(1, E1, 1, ("first", "deadly"), 0, 0.3, 0.2)
+    builder, table = ChangeSetBuilder(), ReportTable(READER)
+    evidences = [CrashEvidenceReport()]
+    evidences += [
+        CrashEvidenceReport((evolve(crash, seen_age_seconds=age),))
+        for age in (0.2, 0.5)
+    ]
+    evidences += [CrashEvidenceReport()]
+    for sequence, evidence in enumerate(evidences):
+        report = make_report(sequence=sequence, crash_evidence=evidence)
+        received = ReceivedReport(report, 100.0 + sequence)
+        changes = builder.build([received], 100.0 + sequence)
+        table.apply("cell", changes, 100.0 + sequence)
+        if not evidence.is_empty:
+            (known,) = table.recent(100.0 + sequence)
+            assert known.full_report.crash_evidence == evidence
