Join the refusal of crashing parts with the kept silent engines

The reader of bodies raises ConnectionBroken where a server closed its connection, so that broken connections are still told from timeouts. A silent engine that runs a request with a part blamed meanwhile goes on with it.

--- a/src/waxwingwinch/gateway/_body_reader.py
+++ b/src/waxwingwinch/gateway/_body_reader.py
@@ -8,7 +8,7 @@
 
 from attrs import define, field
 
-from waxwingwinch.http import AnswerMissing
+from waxwingwinch.http import AnswerMissing, ConnectionBroken
 
 #: Maximum length of a chunk size or trailer line.
 MAX_LINE_BYTES = 8_192
@@ -165,7 +165,7 @@
         if self._decoded or self.is_complete:
             return True
         if self._is_closed:
-            raise AnswerMissing("connection closed before the end of the body")
+            raise ConnectionBroken("connection closed before the end of the body")
         return False
 
     def _decode(self) -> bytes:
--- a/src/waxwingwinch/gateway/_connections.py
+++ b/src/waxwingwinch/gateway/_connections.py
@@ -16,6 +16,7 @@
 from waxwingwinch.http import (
     TRANSPORT_ERRORS,
     AnswerMissing,
+    ConnectionBroken,
     NotSent,
     is_closed_by_peer,
 )
@@ -253,7 +254,7 @@
             if not readable((self._socket,), timeout_seconds):
                 return False
             if is_closed_by_peer(self._socket):
-                raise AnswerMissing("connection closed before the response")
+                raise ConnectionBroken("connection closed before the response")
             return True
         return self._body.wait(timeout_seconds)
 
--- /dev/null
+++ b/src/waxwingwinch/gateway/_generation_attempts.py
@@ -0,0 +1,206 @@
+"""Observes how attempts at generations end at their engines."""
+
+import hashlib
+from http.client import IncompleteRead
+
+from attrs import define, field, frozen
+from urllib3.exceptions import ProtocolError
+
+from waxwingwinch.gateway._crash_blame import Incarnation
+from waxwingwinch.gateway._crash_evidence import PartBlock
+from waxwingwinch.gateway._crash_log_lines import (
+    BlamedRequestRefused,
+    GenerationBroken,
+)
+from waxwingwinch.gateway._crash_observations import (
+    MAX_PART_ID_LENGTH,
+    MAX_PART_IDS,
+    Observation,
+)
+from waxwingwinch.gateway._job import Job, RelayContext
+from waxwingwinch.gateway._telemetry import CounterName
+from waxwingwinch.gateway._upstreams import Upstream
+from waxwingwinch.http import ConnectionBroken
+
+#: Events after which a generation counts as begun. An engine may crash while
+#: it writes the first.
+SOUND_EVENTS = 2
+#: Errors of a transport whose other end closed or reset the connection.
+_BROKEN_CONNECTION = (
+    ConnectionBroken,
+    ConnectionError,
+    IncompleteRead,
+    ProtocolError,
+)
+
+
+def broken_connection(error: BaseException) -> BaseException | None:
+    """
+    Return the error by which an upstream broke a connection.
+
+    :param error: The error of a call.
+    :returns: None if the call failed for another reason, such as a timeout.
+    """
+    cause: BaseException | None = error
+    while cause is not None:
+        if isinstance(cause, _BROKEN_CONNECTION):
+            return cause
+        cause = cause.__cause__
+    return None
+
+
+@define(eq=False)
+class GenerationAttempt:
+    """
+    One attempt at a generation.
+
+    :param job: The request.
+    :param engine: The engine.
+    :param shared_parts: Ids of the parts of the prompt that other prompts may
+        share.
+    :param sent_seconds: Monotonic time at which it was sent.
+    :param events: Events that the engine has delivered.
+    :param is_sound: True once it went well as far as the parts matter.
+    """
+
+    job: Job
+    engine: Upstream
+    shared_parts: tuple[str, ...]
+    sent_seconds: float
+    events: int = 0
+    is_sound: bool = False
+
+    @property
+    def incarnation(self) -> Incarnation:
+        """The incarnation of the engine."""
+        return Incarnation(self.engine.upstream_id, self.engine.started_ms)
+
+
+@frozen
+class AttemptObserver:
+    """
+    Records how the attempts of a process end.
+
+    :param context: Dependencies shared by the relays of the process.
+    """
+
+    _context: RelayContext = field(repr=False)
+
+    def begin(self, job: Job, engine: Upstream) -> GenerationAttempt:
+        """
+        Return an attempt that is about to be sent.
+
+        :param job: The request.
+        :param engine: The engine.
+        """
+        return GenerationAttempt(
+            job, engine, shared_part_ids(job), self._context.clock.now_seconds()
+        )
+
+    def block(self, job: Job, sends: int, now_seconds: float) -> PartBlock | None:
+        """
+        Return why a request must not be sent to an engine; None if it may.
+
+        :param job: The request.
+        :param sends: Upstreams that it was sent to.
+        :param now_seconds: Monotonic time.
+        """
+        block = self._context.crashes.block(shared_part_ids(job), now_seconds)
+        if block is not None:
+            BlamedRequestRefused(
+                request_id=job.request.request_id,
+                part_id=block.part_id,
+                crashes=block.blame.crashes,
+                last_crash_age_seconds=now_seconds - block.blame.last_seconds,
+                remaining_seconds=block.until_seconds - now_seconds,
+                sends=sends,
+            ).write()
+        return block
+
+    def answered(self, attempt: GenerationAttempt) -> None:
+        """
+        Record that the engine sent the head of a successful response.
+
+        :param attempt: The attempt.
+        """
+        self._context.crashes.record_answer(
+            attempt.incarnation, attempt.sent_seconds, self._context.clock.now_seconds()
+        )
+
+    def progressed(self, attempt: GenerationAttempt, events: int) -> None:
+        """
+        Record the events that the engine has delivered.
+
+        :param attempt: The attempt.
+        :param events: Their number.
+        """
+        attempt.events = events
+        if events >= SOUND_EVENTS:
+            self.succeeded(attempt)
+
+    def succeeded(self, attempt: GenerationAttempt) -> None:
+        """
+        Record that an attempt went well, at least as far as the parts matter.
+
+        :param attempt: The attempt.
+        """
+        if not attempt.is_sound and attempt.shared_parts:
+            self._context.crashes.record_sound(
+                attempt.shared_parts, self._context.clock.now_seconds()
+            )
+        attempt.is_sound = True
+
+    def failed(self, attempt: GenerationAttempt, error: Exception) -> None:
+        """
+        Record that an attempt ended without a complete response.
+
+        :param attempt: The attempt.
+        :param error: The error of the call.
+        """
+        broken = broken_connection(error)
+        if broken is None:
+            return
+        now_seconds = self._context.clock.now_seconds()
+        job, engine = attempt.job, attempt.engine
+        self._context.telemetry.count(CounterName.BROKEN_GENERATIONS, job.service.name)
+        GenerationBroken(
+            request_id=job.request.request_id,
+            upstream_id=engine.upstream_id,
+            started_ms=engine.started_ms,
+            parts=attempt.shared_parts,
+            events=attempt.events,
+            sent_age_seconds=now_seconds - attempt.sent_seconds,
+            error=type(broken).__name__,
+        ).write()
+        if attempt.shared_parts and not attempt.is_sound:
+            self._context.crashes.record_crash(
+                Observation(
+                    attempt.incarnation,
+                    attempt.shared_parts,
+                    attempt.sent_seconds,
+                    now_seconds,
+                )
+            )
+
+
+def shared_part_ids(job: Job) -> tuple[str, ...]:
+    """
+    Return the ids of the prompt's parts that other prompts may share.
+
+    Both their number and their length are bounded: of more parts the last are
+    returned, and a long id is replaced by its digest.
+
+    :param job: The request.
+    """
+    prompt = job.request.prompt
+    if prompt is None:
+        return ()
+    # The last part is specific to the request.
+    shared = prompt.parts[:-1][-MAX_PART_IDS:]
+    return tuple(_bounded_id(part.part_id) for part in shared)
+
+
+def _bounded_id(part_id: str) -> str:
+    if len(part_id) <= MAX_PART_ID_LENGTH:
+        return part_id
+    return hashlib.sha256(part_id.encode("utf-8", "surrogatepass")).hexdigest()
--- a/src/waxwingwinch/gateway/_generation_relay.py
+++ b/src/waxwingwinch/gateway/_generation_relay.py
@@ -2,15 +2,23 @@
 
 from waxwingwinch._types import UpstreamId
 from waxwingwinch.gateway._connections import CallDropped, Cancelled
+from waxwingwinch.gateway._crash_evidence import PartBlock
 from waxwingwinch.gateway._engine_choice import EngineChooser
 from waxwingwinch.gateway._event_stream import EventOutOfOrder, EventTooLarge
+from waxwingwinch.gateway._generation_attempts import (
+    AttemptObserver,
+    shared_part_ids,
+)
 from waxwingwinch.gateway._job import (
     Job,
     RelayContext,
     raise_if_caller_disconnected,
 )
+from waxwingwinch.gateway._loads import TrackedRequest
 from waxwingwinch.gateway._outcomes import (
     CallerDisconnected,
+    RefusalReason,
+    RequestEnded,
     Responder,
 )
 from waxwingwinch.gateway._permits import AttemptPermits, NoPermit
@@ -76,6 +84,7 @@
         self._context = context
         self._engine_chooser = EngineChooser(context)
         self._prefill_relay = PrefillRelay(context)
+        self._attempts = AttemptObserver(context)
 
     def serve(self, job: Job, prompt: Prompt, responder: Responder) -> None:
         """
@@ -98,6 +107,9 @@
         """Choose an engine and execute; return whether the response ended."""
         job = stream.job
         now_seconds = self._context.clock.now_seconds()
+        block = self._attempts.block(job, stream.progress.sends, now_seconds)
+        if block is not None:
+            return self._end_blocked(stream, block, now_seconds)
         permits = AttemptPermits(self._context.permits, job.request.request_id)
         placement, stream.progress = self._engine_chooser.choose(
             job, prompt, stream.progress, permits, now_seconds
@@ -129,6 +141,20 @@
         stream.silent = None
         return self._relay_attempt(stream, silent)
 
+    def _end_blocked(
+        self, stream: StreamState, block: PartBlock, now_seconds: float
+    ) -> bool:
+        """End a request with a blamed part, unless an engine still runs it."""
+        reason = f"part {block.part_id} of the prompt crashes engines"
+        if stream.silent is not None:
+            return self._keep_silent(stream, stream.silent, reason)
+        if stream.has_begun or stream.progress.may_have_run:
+            self._end_without_engine(stream, now_seconds, None, reason)
+            return True
+        raise RequestEnded(
+            503, RefusalReason.CRASHES_ENGINES, block.until_seconds - now_seconds
+        )
+
     def _end_without_engine(
         self,
         stream: StreamState,
@@ -220,16 +246,14 @@
     ) -> bool:
         tracked_request = self._context.loads.begin(engine.upstream_id, work_tokens)
         try:
-            response = self._open(stream, engine, cache)
+            attempt = self._open(stream, engine, cache, tracked_request)
         except BaseException:
             tracked_request.end()
             raise
-        if response is None:
+        if attempt is None:
             tracked_request.end()
             return False
-        return self._relay_attempt(
-            stream, StreamAttempt(engine, response, tracked_request)
-        )
+        return self._relay_attempt(stream, attempt)
 
     def _prefill(
         self, stream: StreamState, prompt: Prompt, placement: RunSplit
@@ -256,8 +280,12 @@
                 return None
 
     def _open(
-        self, stream: StreamState, engine: Upstream, cache: PrefilledCache | None
-    ) -> UpstreamResponse | None:
+        self,
+        stream: StreamState,
+        engine: Upstream,
+        cache: PrefilledCache | None,
+        tracked_request: TrackedRequest,
+    ) -> StreamAttempt | None:
         """Open the response of an engine; return None if it gave none."""
         job = stream.job
         phase = (
@@ -266,6 +294,13 @@
             else DecodeFromCache(cache.engine.address, cache.handle)
         )
         now_seconds = self._context.clock.now_seconds()
+        if cache is not None and self._context.crashes.block(
+            shared_part_ids(job), now_seconds
+        ):
+            # A part was blamed while the prompt was prefilled.
+            self._release_unfetched(stream)
+            return None
+        observed = self._attempts.begin(job, engine)
         try:
             response = open_call(
                 self._context,
@@ -290,6 +325,7 @@
             stream.unfetched_cache = None
             raise_if_caller_disconnected(job, error)
             record_failure(self._context, job, engine, error)
+            self._attempts.failed(observed, error)
             stream.progress = stream.progress.with_possible_execution(
                 engine.upstream_id
             )
@@ -299,7 +335,9 @@
             return None
         stream.unfetched_cache = None
         stream.progress = stream.progress.with_possible_execution(engine.upstream_id)
-        return response
+        return StreamAttempt(
+            engine, response, tracked_request, observed, stream.splitter.event_count
+        )
 
     def _silent_call(
         self, stream: StreamState, now_seconds: float
@@ -333,6 +371,7 @@
             response.abort()
             raise_if_caller_disconnected(job, error)
             record_failure(self._context, job, attempt.engine, error)
+            self._attempts.failed(attempt.observed, error)
             if stream.silent is None:
                 stream.splitter.drop_partial_event()
             return False
@@ -377,11 +416,15 @@
             raise _Interrupted(
                 "the upstream sent a success response without a signature"
             )
+        self._attempts.answered(attempt.observed)
         self._give_up_silent(stream)
         while piece := self._read(stream, attempt):
             events = self._split(stream, piece)
             if not events:
                 continue
+            self._attempts.progressed(
+                attempt.observed, stream.splitter.event_count - attempt.first_event
+            )
             if not attempt.has_events:
                 attempt.has_events = True
                 attempt.tracked_request.mark_prefilled()
@@ -395,6 +438,7 @@
             raise _Interrupted("the stream ended within an incomplete event")
         if not attempt.has_events and not head.is_framed:
             raise _Interrupted("the stream ended with its connection before an event")
+        self._attempts.succeeded(attempt.observed)
         self._begin(stream, head)
         stream.responder.end()
         response.finish()
--- a/src/waxwingwinch/gateway/_stream_state.py
+++ b/src/waxwingwinch/gateway/_stream_state.py
@@ -3,6 +3,7 @@
 from attrs import define, field
 
 from waxwingwinch.gateway._event_stream import EventSplitter
+from waxwingwinch.gateway._generation_attempts import GenerationAttempt
 from waxwingwinch.gateway._job import Job, Progress
 from waxwingwinch.gateway._loads import TrackedRequest
 from waxwingwinch.gateway._outcomes import Responder
@@ -20,12 +21,16 @@
     :param engine: The engine.
     :param response: Its response.
     :param tracked_request: Counts the request at the engine.
+    :param observed: What is recorded of the attempt.
+    :param first_event: Number of events of the stream before it.
     :param has_events: True once it has sent a complete event.
     """
 
     engine: Upstream
     response: UpstreamResponse
     tracked_request: TrackedRequest
+    observed: GenerationAttempt
+    first_event: int = 0
     has_events: bool = False
 
     def abort(self) -> None:
--- a/src/waxwingwinch/gateway/tests/relay_harness.py
+++ b/src/waxwingwinch/gateway/tests/relay_harness.py
@@ -1,7 +1,7 @@
 """A request handler with scripted upstreams and a recording caller."""
 
 from collections.abc import Callable
-from copy import deepcopy
+from copy import copy
 from typing import Any
 
 from attrs import define, evolve, field
@@ -16,6 +16,7 @@
 )
 from waxwingwinch.gateway._caller_watcher import CallerWatcher
 from waxwingwinch.gateway._connections import CallDropped, CancelReason
+from waxwingwinch.gateway._crash_evidence import CrashEvidence
 from waxwingwinch.gateway._current_table import CurrentTable
 from waxwingwinch.gateway._handler import RequestHandler
 from waxwingwinch.gateway._job import RelayContext
@@ -182,9 +183,12 @@
             script.limit_per_second,
             script.is_framed,
         )
-        response = FakeResponse(
-            head, deepcopy(list(script.pieces)), self.transport.clock
-        )
+        # A copy of an exception would lose its cause.
+        pieces = [
+            copy(piece) if isinstance(piece, Silence) else piece
+            for piece in script.pieces
+        ]
+        response = FakeResponse(head, pieces, self.transport.clock)
         self.transport.responses.append(response)
         return response
 
@@ -321,6 +325,7 @@
         self.usage = UsageCounts(5.0)
         self.telemetry = Telemetry()
         self.limits = NamedLimits()
+        self.crashes = CrashEvidence(InstanceId("own"))
         self.quotas = QuotaTracker("own", 0.0, True, self.clock.seconds)
         self.quotas.set_recorded_peers(frozenset())
         budget = RetryBudget(0.2, retry_slack, 10.0)
@@ -353,6 +358,7 @@
             self.transport,
             self.usage,
             self.telemetry,
+            self.crashes,
         )
         self.handler = RequestHandler(context, self.table, self.quotas, CallerWatcher())
         self.version = 0
--- a/src/waxwingwinch/http/_exchange.py
+++ b/src/waxwingwinch/http/_exchange.py
@@ -68,6 +68,10 @@
     """The request may have arrived, but no complete response was received."""
 
 
+class ConnectionBroken(AnswerMissing):
+    """The server closed the connection before the end of its response."""
+
+
 @frozen
 class HttpRequest:
     """
