Show when a response began in traces, not as an upstream's state

waxwing-ctl trace took the new line upstream:began for a statement on the state of an upstream and showed it under what was believed before, and the operations page did not show it: test_served_too_late failed since the line was added. The line and upstream:kept change no view of the cluster, as upstream:answered.

Result: test_operations_page.py and the tests of observability pass.

--- a/src/waxwingwinch/observability/_traces.py
+++ b/src/waxwingwinch/observability/_traces.py
@@ -32,6 +32,8 @@
         "limit:sent",
         "limit:unanswered",
         "upstream:answered",
+        "upstream:began",
+        "upstream:kept",
     }
 )
 #: Fields that eliot adds to each line.
