Count the end of an unframed answer before its first event as a crash

Callers would have seen engines crash on a part whose crashes were not recorded. An answer may come with neither a length nor chunks and end with its connection; a crash then looks like the end of the answer. Before its first event, or within an event, such a stream was broken off but counted as no crash, and after one event it cleared the parts of its prompt.

Evidence: on the code before, test_an_unframed_answer_that_ends_before_its_first_event_is_a_crash failed in both cases.

Such an end now counts as a broken connection, and an unframed answer clears parts by its second event only.

--- a/src/waxwingwinch/gateway/_generation_relay.py
+++ b/src/waxwingwinch/gateway/_generation_relay.py
@@ -55,7 +55,7 @@
 )
 from waxwingwinch.gateway._upstream_calls import MISDIRECTED_STATUS, open_call
 from waxwingwinch.gateway._upstreams import Upstream
-from waxwingwinch.http import AnswerMissing, NotSent
+from waxwingwinch.http import AnswerMissing, ConnectionBroken, NotSent
 
 #: Time without data after which another engine is asked to resume a stream, if
 #: its route allows it; callers time out after twice that.
@@ -434,11 +434,10 @@
                 self._log_first_event(stream)
             self._begin(stream, head)
             stream.responder.write(events)
-        if stream.splitter.has_partial_event:
-            raise _Interrupted("the stream ended within an incomplete event")
-        if not attempt.has_events and not head.is_framed:
-            raise _Interrupted("the stream ended with its connection before an event")
-        self._attempts.succeeded(attempt.observed)
+        _check_end(stream, attempt)
+        if head.is_framed:
+            # Without framing, a crash between two events looks like the end.
+            self._attempts.succeeded(attempt.observed)
         self._begin(stream, head)
         stream.responder.end()
         response.finish()
@@ -536,3 +535,15 @@
         raise _Interrupted(
             f"resuming the stream of {first.media_type} brought {head.media_type}"
         )
+
+
+def _check_end(stream: StreamState, attempt: StreamAttempt) -> None:
+    """Raise if the body of a response ended before its stream."""
+    if stream.splitter.has_partial_event:
+        reason = "the stream ended within an incomplete event"
+    elif not attempt.has_events and not attempt.response.head.is_framed:
+        reason = "the stream ended with its connection before an event"
+    else:
+        return
+    cause = None if attempt.response.head.is_framed else ConnectionBroken(reason)
+    raise _Interrupted(reason) from cause
--- a/src/waxwingwinch/gateway/tests/test_crashing_prompts.py
+++ b/src/waxwingwinch/gateway/tests/test_crashing_prompts.py
@@ -70,6 +70,29 @@
     assert send(harness, prompt("first", "sound")).is_complete
 
 
+# Guards against crashes that look like the end of an answer without framing.
+@pytest.mark.parametrize("pieces", [(), (EVENTS[0][:9],)])
+def test_an_unframed_answer_that_ends_before_its_first_event_is_a_crash(
+    harness, pieces
+):
+    script_all(
+        harness, ScriptedResponse(pieces=pieces, is_framed=False, delay_seconds=0.05)
+    )
+    send(harness, DEADLY)
+    assert send(harness, DEADLY).status == 503
+
+
+# Guards against a crash after the first event that clears the part.
+def test_an_unframed_answer_of_one_event_clears_no_part(harness):
+    script_all(harness, ScriptedResponse(pieces=(RESET,), delay_seconds=0.05))
+    send(harness, DEADLY)
+    one_event = ScriptedResponse(pieces=EVENTS[:1], is_framed=False)
+    harness.publish_stream(max_attempts=1)
+    script_all(harness, one_event)
+    send(harness, DEADLY)
+    assert harness.crashes.blamed_count() == 1
+
+
 # Guards against a refusal as not run of a request that may have run.
 def test_a_request_that_ran_is_not_refused_as_not_run(harness):
     script_all(harness, ScriptedResponse(pieces=(RESET,), delay_seconds=0.05))
