Keep the failure of a body for further reads

Callers could have got a stream that was reset as a complete one: the stream has no framing, its engine is silent, another engine is asked, the silent connection is reset meanwhile and the other engine rejects.

Cause: the kernel reports a reset once; the next read returns no data, which ends a body without framing. The first error was seen while the other engine was waited for, and the kept response was read again.

The reader keeps its failure and raises it again. A spurious readiness is no failure any more.

--- a/src/waxwingwinch/gateway/_body_reader.py
+++ b/src/waxwingwinch/gateway/_body_reader.py
@@ -116,6 +116,7 @@
     chunks: ChunkDecoder | None
     received: bytearray = field(factory=bytearray)
     _is_closed: bool = False
+    _failure: AnswerMissing | None = None
     _decoded: bytes = b""
 
     def wait(self, timeout_seconds: float) -> bool:
@@ -162,7 +163,12 @@
         """Decode what was received; tell whether a read would return."""
         if not self._decoded:
             self._decoded = self._decode()
-        if self._decoded or self.is_complete:
+        if self._decoded:
+            return True
+        if self._failure is not None:
+            # The kernel reports an error once and the end of the data after.
+            raise self._failure
+        if self.is_complete:
             return True
         if self._is_closed:
             raise ConnectionBroken("connection closed before the end of the body")
@@ -181,8 +187,11 @@
     def _receive(self) -> None:
         try:
             data = self.connection.recv(_READ_BYTES)
+        except BlockingIOError:
+            return
         except OSError as error:
-            raise AnswerMissing(repr(error)) from error
+            self._failure = AnswerMissing(repr(error))
+            raise self._failure from error
         self.received += data
         self._is_closed = not data
 
--- a/src/waxwingwinch/gateway/tests/test_body_reader.py
+++ b/src/waxwingwinch/gateway/tests/test_body_reader.py
@@ -128,3 +128,19 @@
     ours, _ = pair
     ours.close()
     assert readable((ours,), 5.0) == (ours,)
+
+
+# Guards against a body without framing that was reset while another engine was
+# asked, and looks complete when it is read on.
+def test_a_reset_body_without_framing_never_becomes_complete():
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        ours = socket.create_connection(server.getsockname())
+        theirs, _ = server.accept()
+    reader = BodyReader(ours, None, None)
+    theirs.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    theirs.close()
+    for _ in range(3):
+        with pytest.raises(AnswerMissing):
+            reader.wait(1.0)
+    assert not reader.is_complete
+    ours.close()
