Charge prefills that are dropped for a silent engine

A service could have got more arrivals beyond the first than allowed: while another engine prefilled, the silent engine went on and the prefill was dropped. It was neither counted nor charged, and its engine was asked again at the next silence, without bound.

Cause: a dropped prefill left the relay as an exception before it was recorded; a dropped decode was recorded.

A dropped prefill counts as a failed one: its engine isn't asked again for the request, and further calls pay for it.

--- a/src/waxwingwinch/gateway/_generation_relay.py
+++ b/src/waxwingwinch/gateway/_generation_relay.py
@@ -265,13 +265,20 @@
         self._engine_chooser.record_prompt(
             stream.job, prompt, prefill_engine.upstream_id, placement.read_tokens
         )
-        match self._prefill_relay.prefill(
-            stream.job,
-            stream.progress,
-            prefill_engine,
-            placement,
-            stream.silent_response,
-        ):
+        try:
+            outcome = self._prefill_relay.prefill(
+                stream.job,
+                stream.progress,
+                prefill_engine,
+                placement,
+                stream.silent_response,
+            )
+        except CallDropped:
+            stream.progress = stream.progress.with_failed_prefill(
+                prefill_engine.upstream_id
+            )
+            raise
+        match outcome:
             case PrefilledCache() as cache:
                 stream.progress = stream.progress.with_prefill()
                 return cache
--- a/src/waxwingwinch/gateway/tests/relay_harness.py
+++ b/src/waxwingwinch/gateway/tests/relay_harness.py
@@ -328,8 +328,8 @@
         self.crashes = CrashEvidence(InstanceId("own"))
         self.quotas = QuotaTracker("own", 0.0, True, self.clock.seconds)
         self.quotas.set_recorded_peers(frozenset())
-        budget = RetryBudget(0.2, retry_slack, 10.0)
-        budget.set_instances(instances)
+        self.budget = RetryBudget(0.2, retry_slack, 10.0)
+        self.budget.set_instances(instances)
         self.table = CurrentTable()
         self.members = MemberDirectory(LOCAL_MEMBER)
         started_seconds = self.clock.seconds - LIMIT_WINDOW_SECONDS
@@ -352,7 +352,7 @@
             self.prefixes,
             SlowdownTracker(),
             PlacementLog(),
-            budget,
+            self.budget,
             self.limits,
             self.permits,
             self.transport,
--- a/src/waxwingwinch/gateway/tests/test_generation_relay.py
+++ b/src/waxwingwinch/gateway/tests/test_generation_relay.py
@@ -3,7 +3,7 @@
 import pytest
 
 from waxwingwinch._types import EngineRole, InstanceId, UpstreamId
-from waxwingwinch.gateway._job import MAX_CONNECT_FAILURES
+from waxwingwinch.gateway._job import MAX_CONNECT_FAILURES, MAX_FAILED_PREFILLS
 from waxwingwinch.gateway._limit_messages import LimitedSends
 from waxwingwinch.gateway._named_limits import NamedLimit
 from waxwingwinch.gateway._requests import Prompt, PromptPart
@@ -662,3 +662,32 @@
     response = harness.send(prompt=SHORT_PROMPT)
     assert response.body == events(1, 2)
     assert response.is_aborted and not response.is_complete
+
+
+# Guards against prefills that are not paid for, dropped as the silent engine
+# went on, and asked for again at its next silence.
+def test_prefills_dropped_for_a_silent_engine_are_charged_and_bounded(monkeypatch):
+    harness = RelayHarness()
+    harness.add_engines(prefill=1, decode=3)
+    harness.publish_stream(max_attempts=3)
+    harness.publish(timeout_seconds=30.0)
+    pieces = [events(1, 1)]
+    for number in range(2, 9):
+        pieces += [Silence(1.2), events(number, number)]
+    harness.transport.scripts["d0"] = ScriptedResponse(pieces=tuple(pieces))
+    for name in ("d1", "d2"):
+        harness.transport.scripts[name] = REPLACEMENTS["rejects"]
+    harness.transport.scripts["p0"] = [
+        ScriptedResponse(pieces=(b"handle",)),
+        *(ScriptedResponse(pieces=(b"handle",), delay_seconds=0.6) for _ in range(9)),
+    ]
+    paid = []
+
+    def spend(service, now_seconds, cost):
+        paid.append(cost)
+        return True
+
+    monkeypatch.setattr(harness.budget, "spend", spend)
+    assert harness.send(prompt=PROMPT).body == events(1, 8)
+    extra = len(harness.called_upstreams()) - 2
+    assert 0 < extra <= min(sum(paid), MAX_FAILED_PREFILLS)
