End the reading of callers' connections and note requests under one lock

A caller could have seen its request cut without an answer as an instance stopped: the request arrived just as the front ended the reading of its connection, which then looked as if the caller had left.

Cause: the connections without a request were collected under a lock, and shut down for reading after it, while a request could begin on one of them.

Found by a review; how often it happens was not measured.

A request is noted under the lock under which reading ends. One that is read afterwards, from what had arrived, is not watched.

--- a/src/waxwingwinch/gateway/_front.py
+++ b/src/waxwingwinch/gateway/_front.py
@@ -188,7 +188,7 @@
             # The server lets through errors of its parser of URLs.
             self.simple_response("400 Bad Request", f"malformed target: {error}")
             return False
-        self.conn.has_request = True
+        self.server.note_request(self.conn)
         return is_valid
 
     def respond(self) -> None:
@@ -371,15 +371,24 @@
         with self._reading_lock:
             self._reading.discard(connection)
 
+    def note_request(self, connection: FrontConnection) -> None:
+        """
+        Record that the first line of a connection's next request has arrived.
+
+        :param connection: The connection.
+        """
+        with self._reading_lock:
+            connection.has_request = True
+
     def close_to_callers(self) -> None:
         """Read no further request; those that have begun are answered."""
+        # Under the lock, since shutting down the reading of a request that has
+        # just begun would look as if its caller had left.
         with self._reading_lock:
             self._is_closed_to_callers = True
-            waiting = [
-                connection for connection in self._reading if not connection.has_request
-            ]
-        for connection in waiting:
-            connection.stop_reading()
+            for connection in self._reading:
+                if not connection.has_request:
+                    connection.stop_reading()
 
     def start_in_background(self) -> None:
         """Listen and serve requests in background threads."""
