--- a/src/waxwingwinch/platform/tests/test_front.py
+++ b/src/waxwingwinch/platform/tests/test_front.py
@@ -70,7 +70,7 @@
         responder.respond(200, (), b"whole")
 
 
-# Guards against a request that is cancelled as if its caller had left, since it
+# Guards against a request that is cancelled as if its caller had left, as it
 # arrived while a stopping front ended the reading of its connection.
 def test_a_request_that_arrives_as_reading_ends_is_not_cancelled(monkeypatch):
     handler = ObservingHandler()
