Keep a silent plain upstream until another has answered whole, and the reverse

Callers of idempotent requests could have got 502 although one of two upstreams would have answered: the silent one was given up at the head of the other's answer, which then broke off; or the other was given up as soon as anything came from the silent one, even a rejection.

A head is not an answer, and what ends a silence may be a refusal.

Evidence: test_a_silent_upstream_that_rejects_leaves_the_request_to_another and test_a_silent_upstream_is_kept_until_another_has_answered_whole failed on the code before, both with 502.

Both calls stay open until one of them has given a whole, signed answer; such requests may run more than once.

--- a/src/waxwingwinch/gateway/_plain_exchange.py
+++ b/src/waxwingwinch/gateway/_plain_exchange.py
@@ -5,7 +5,7 @@
 from waxwingwinch.gateway._job import Job, Progress
 from waxwingwinch.gateway._loads import TrackedRequest
 from waxwingwinch.gateway._requests import ResponseHead
-from waxwingwinch.gateway._transport import PendingCall, UpstreamResponse
+from waxwingwinch.gateway._transport import PendingCall
 from waxwingwinch.gateway._upstream_calls import SentCall
 from waxwingwinch.gateway._upstreams import Upstream
 
@@ -31,15 +31,13 @@
     :param upstream: The upstream.
     :param tracked_request: Counts the request at the upstream.
     :param sent_seconds: Monotonic time at which it was sent.
-    :param sent: The call, if its response was not waited for at once.
-    :param response: The response; None until its head was received.
+    :param sent: The call; None until it was sent.
     """
 
     upstream: Upstream
     tracked_request: TrackedRequest
     sent_seconds: float
     sent: SentCall | None = None
-    response: UpstreamResponse | None = None
 
     @property
     def sent_call(self) -> SentCall:
@@ -47,6 +45,11 @@
         assert self.sent is not None
         return self.sent
 
+    def abort(self) -> None:
+        """Cancel the request at the upstream."""
+        self.open_call.abort()
+        self.tracked_request.end()
+
     @property
     def open_call(self) -> PendingCall:
         """The call, to be waited for beside another."""
@@ -87,6 +90,4 @@
     def drop_silent(self) -> None:
         """Cancel the attempt whose upstream is silent, if there is one."""
         if self.silent is not None:
-            attempt = self.take_silent()
-            attempt.open_call.abort()
-            attempt.tracked_request.end()
+            self.take_silent().abort()
--- a/src/waxwingwinch/gateway/_plain_relay.py
+++ b/src/waxwingwinch/gateway/_plain_relay.py
@@ -37,7 +37,6 @@
 from waxwingwinch.gateway._transport import FullExecution, SilentCall
 from waxwingwinch.gateway._upstream_calls import (
     MISDIRECTED_STATUS,
-    open_call,
     send_call,
 )
 from waxwingwinch.gateway._upstreams import Upstream
@@ -106,9 +105,6 @@
                 upstream.upstream_id
             )
             return None
-        except CallDropped as dropped:
-            exchange.add_possible_execution(upstream)
-            return self._keep_silent(exchange, str(dropped))
         except (AnswerMissing, Cancelled) as error:
             raise_if_caller_disconnected(job, error)
             record_failure(self._context, job, upstream, error)
@@ -116,7 +112,7 @@
             return None
         if attempt is None:
             return None
-        return self._read(exchange, attempt)
+        return self._read_first(exchange, attempt)
 
     def _open(
         self, exchange: PlainExchange, upstream: Upstream, now_seconds: float
@@ -129,15 +125,11 @@
             upstream, context.loads.begin(upstream.upstream_id, 0), now_seconds
         )
         try:
-            if exchange.silent is not None:
-                silent = SilentCall(exchange.silent.open_call, wait_seconds)
-                attempt.response = open_call(
-                    context, job, upstream, call, now_seconds, wait_seconds, silent
-                )
-                return attempt
             attempt.sent = send_call(
                 context, job, upstream, call, now_seconds, wait_seconds
             )
+            if exchange.silent is not None:
+                return attempt
             if self._may_retry(job, exchange.progress, now_seconds):
                 retry_timeout_seconds = RETRY_AFTER_TARGETS * job.route.target_seconds
                 patience_seconds = max(retry_timeout_seconds, wait_seconds / 3)
@@ -154,6 +146,29 @@
             attempt.tracked_request.end()
             raise
 
+    def _read_first(
+        self, exchange: PlainExchange, attempt: PlainAttempt
+    ) -> CompleteResponse | None:
+        """Read the response of whichever upstream gives a usable one first."""
+        silent = exchange.silent
+        if silent is None:
+            return self._read(exchange, attempt)
+        now_seconds = self._context.clock.now_seconds()
+        try:
+            attempt.sent_call.pending.wait_unless(
+                SilentCall(silent.open_call, exchange.job.end_seconds - now_seconds)
+            )
+        except CallDropped as dropped:
+            try:
+                response = self._keep_silent(exchange, str(dropped))
+            except BaseException:
+                attempt.abort()
+                raise
+            if response is not None:
+                attempt.abort()
+                return response
+        return self._read(exchange, attempt)
+
     def _keep_silent(
         self, exchange: PlainExchange, reason: str
     ) -> CompleteResponse | None:
@@ -198,13 +213,8 @@
         self, exchange: PlainExchange, attempt: PlainAttempt
     ) -> CompleteResponse:
         clock, end_seconds = self._context.clock, exchange.job.end_seconds
-        response = attempt.response
-        if response is None:
-            response = attempt.sent_call.receive(end_seconds - clock.now_seconds())
+        response = attempt.sent_call.receive(end_seconds - clock.now_seconds())
         try:
-            if response.head.is_success and response.head.is_signed:
-                # This upstream has begun to answer.
-                self._give_up_silent(exchange)
             body = response.read_all(end_seconds - clock.now_seconds())
         except AnswerMissing:
             response.abort()
@@ -214,6 +224,8 @@
             raise AnswerMissing(
                 "the upstream sent a success response without a signature"
             )
+        if response.head.is_success:
+            self._give_up_silent(exchange)
         UpstreamAnswered(
             exchange.job.request.request_id,
             attempt.upstream.upstream_id,
@@ -227,7 +239,7 @@
             return
         upstream = exchange.silent.upstream
         exchange.drop_silent()
-        error = AnswerMissing("silent until another upstream had begun to answer")
+        error = AnswerMissing("silent until another upstream had answered")
         record_failure(self._context, exchange.job, upstream, error)
 
     def _choose_upstream(
--- a/src/waxwingwinch/gateway/_transport.py
+++ b/src/waxwingwinch/gateway/_transport.py
@@ -116,6 +116,15 @@
 class PendingCall(OpenCall, Protocol):
     """A call whose response has not been received."""
 
+    def wait_unless(self, silent: "SilentCall") -> None:
+        """
+        Wait for the response while an earlier call is silent.
+
+        :param silent: The earlier call.
+        :raises CallDropped: If the earlier call is preferred; this one stays
+            open.
+        """
+
     def receive(self, timeout_seconds: float) -> UpstreamResponse:
         """
         Receive the head of the response.
--- a/src/waxwingwinch/gateway/tests/relay_harness.py
+++ b/src/waxwingwinch/gateway/tests/relay_harness.py
@@ -192,6 +192,9 @@
         self.transport.responses.append(response)
         return response
 
+    def wait_unless(self, silent):
+        self.transport.wait_beside(silent, self.delay_seconds)
+
     def wait_beside(self, later, overlap_seconds):
         raise NotImplementedError("calls are raced by FakeTransport")
 
@@ -220,7 +223,7 @@
     ):
         pending = self.send(upstream, call, cancellation, now_seconds, wait_seconds)
         if silent is not None:
-            self._wait_beside(silent, pending.delay_seconds)
+            self.wait_beside(silent, pending.delay_seconds)
         return pending.receive(wait_seconds)
 
     def send(self, upstream, call, cancellation, now_seconds, wait_seconds):
@@ -234,7 +237,7 @@
         self.pending.append(pending)
         return pending
 
-    def _wait_beside(self, silent, delay_seconds):
+    def wait_beside(self, silent, delay_seconds):
         started_seconds = self.clock.seconds
         try:
             if silent.call.wait(min(delay_seconds, silent.overlap_seconds)):
--- a/src/waxwingwinch/gateway/tests/test_plain_relay.py
+++ b/src/waxwingwinch/gateway/tests/test_plain_relay.py
@@ -354,3 +354,31 @@
     assert harness.send().is_aborted
     assert harness.transport.pending[0].is_aborted
     assert harness.loads.local_loads() == {}
+
+
+# Guards against a 502 since the silent upstream rejects the request while
+# another is about to answer it.
+def test_a_silent_upstream_that_rejects_leaves_the_request_to_another(harness):
+    harness.publish()
+    harness.transport.scripts = {
+        "u1": [ScriptedResponse(status=503, not_executed=True, delay_seconds=0.5)],
+        "u2": [ScriptedResponse(delay_seconds=0.4, pieces=(b"second",))],
+    }
+    harness.directory.record_failure(UpstreamId("u2"), harness.clock.seconds)
+    response = harness.send()
+    assert (response.status, response.body) == (200, b"second")
+    assert harness.loads.local_loads() == {}
+
+
+# Guards against a 502 since the other upstream breaks off within its answer,
+# when the silent one has been given up for it.
+def test_a_silent_upstream_is_kept_until_another_has_answered_whole(harness):
+    harness.publish()
+    harness.transport.scripts = {
+        "u1": [ScriptedResponse(delay_seconds=0.8, pieces=(b"first",))],
+        "u2": [ScriptedResponse(pieces=(b"sec", RESPONSE_LOST))],
+    }
+    harness.directory.record_failure(UpstreamId("u2"), harness.clock.seconds)
+    response = harness.send()
+    assert (response.status, response.body) == (200, b"first")
+    assert harness.loads.local_loads() == {}
--- a/src/waxwingwinch/platform/_transport.py
+++ b/src/waxwingwinch/platform/_transport.py
@@ -226,13 +226,10 @@
         Wait for the response while an earlier call is silent.
 
         :param silent: The earlier call.
-        :raises CallDropped: If the earlier call is preferred.
+        :raises CallDropped: If the earlier call is preferred; this one stays
+            open.
         """
-        try:
-            silent.call.wait_beside(self._connection, silent.overlap_seconds)
-        except CallDropped:
-            self.abort()
-            raise
+        silent.call.wait_beside(self._connection, silent.overlap_seconds)
 
     def receive(self, timeout_seconds: float) -> PlatformResponse:
         """
@@ -299,7 +296,11 @@
         """
         pending = self.send(upstream, call, cancellation, now_seconds, wait_seconds)
         if silent is not None:
-            pending.wait_unless(silent)
+            try:
+                pending.wait_unless(silent)
+            except CallDropped:
+                pending.abort()
+                raise
         elapsed_seconds = self._clock.now_seconds() - now_seconds
         return pending.receive(wait_seconds - elapsed_seconds)
 
