Wait on for a replacement when a silent unframed stream closes

A caller could have had its stream broken off although another engine was about to go on with it: the silent engine closed its connection within an event, and the other engine was dropped.

Cause: the end of a body without framing counted as data of the silent engine.

With chunks the same close was told before.

Such an end tells nothing: the replacement is waited for, and if it fails the end is looked at.

--- a/src/waxwingwinch/gateway/_body_reader.py
+++ b/src/waxwingwinch/gateway/_body_reader.py
@@ -159,6 +159,12 @@
             return self.length == 0
         return self._is_closed
 
+    @property
+    def has_only_closed(self) -> bool:
+        """Tell whether nothing but the end of an unframed body is left."""
+        is_framed = self.chunks is not None or self.length is not None
+        return self._is_closed and not is_framed and not self._decoded
+
     def _has_arrived(self) -> bool:
         """Decode what was received; tell whether a read would return."""
         if not self._decoded:
--- a/src/waxwingwinch/gateway/_connections.py
+++ b/src/waxwingwinch/gateway/_connections.py
@@ -203,6 +203,9 @@
         while True:
             try:
                 if silent.wait(0.0):
+                    if silent.has_only_closed:
+                        # It may have broken off; its bytes don't tell.
+                        return
                     raise CallDropped("the earlier response goes on")
             except AnswerMissing:
                 return
@@ -258,6 +261,11 @@
             return True
         return self._body.wait(timeout_seconds)
 
+    @property
+    def has_only_closed(self) -> bool:
+        """Tell whether nothing but the end of an unframed body is left."""
+        return self._body is not None and self._body.has_only_closed
+
     def read_some(self, timeout_seconds: float) -> bytes:
         """
         Read the available bytes of the body; wait for at least one.
--- a/src/waxwingwinch/gateway/tests/test_body_reader.py
+++ b/src/waxwingwinch/gateway/tests/test_body_reader.py
@@ -144,3 +144,17 @@
             reader.wait(1.0)
     assert not reader.is_complete
     ours.close()
+
+
+# Guards against a replacement that is dropped as the silent engine closed its
+# connection, which may have been within an event.
+@pytest.mark.parametrize("is_framed", [True, False])
+def test_only_the_end_of_an_unframed_body_tells_nothing(pair, is_framed):
+    ours, theirs = pair
+    reader = BodyReader(ours, 1 if is_framed else None, None)
+    theirs.sendall(b"a")
+    assert reader.wait(1.0) and not reader.has_only_closed
+    assert reader.read_some(1.0) == b"a"
+    theirs.close()
+    assert reader.wait(1.0)
+    assert reader.has_only_closed is not is_framed
