Give a silent engine up at the first event of its replacement

A caller could have had its stream broken off although its silent engine would have gone on: the replacement sent a signed head, then broke off, fell silent, or began with the wrong event.

A head is not an answer.

Evidence: test_a_silent_engine_is_kept_until_another_has_begun_to_answer failed on the code before in the cases 'breaks after its head', 'ends within an event', 'repeats events' and 'silent after its head'. Found by a review.

The silent response stays open until an event that follows the last one has arrived, for the same bounded time as before.

--- a/src/waxwingwinch/gateway/_event_stream.py
+++ b/src/waxwingwinch/gateway/_event_stream.py
@@ -51,6 +51,12 @@
             self.event_count += len(event_ids)
         return complete
 
+    def resumed(self) -> "EventSplitter":
+        """Return a splitter for another response, from the last event on."""
+        resumed = EventSplitter(self.last_event_id, self.event_count)
+        resumed.drop_partial_event()
+        return resumed
+
     def drop_partial_event(self) -> None:
         """
         Discard the bytes after the last complete event.
--- a/src/waxwingwinch/gateway/_generation_relay.py
+++ b/src/waxwingwinch/gateway/_generation_relay.py
@@ -4,7 +4,11 @@
 from waxwingwinch.gateway._connections import CallDropped, Cancelled
 from waxwingwinch.gateway._crash_evidence import PartBlock
 from waxwingwinch.gateway._engine_choice import EngineChooser
-from waxwingwinch.gateway._event_stream import EventOutOfOrder, EventTooLarge
+from waxwingwinch.gateway._event_stream import (
+    EventOutOfOrder,
+    EventSplitter,
+    EventTooLarge,
+)
 from waxwingwinch.gateway._generation_attempts import (
     AttemptObserver,
     shared_part_ids,
@@ -382,7 +386,7 @@
             if stream.silent is None:
                 stream.splitter.drop_partial_event()
             return False
-        except CallerDisconnected:
+        except (CallDropped, CallerDisconnected):
             response.abort()
             raise
         finally:
@@ -424,24 +428,11 @@
                 "the upstream sent a success response without a signature"
             )
         self._attempts.answered(attempt.observed)
-        self._give_up_silent(stream)
+        if stream.silent is not None:
+            self._forward(stream, attempt, self._take_over(stream, attempt))
         while piece := self._read(stream, attempt):
-            events = self._split(stream, piece)
-            if not events:
-                continue
-            self._attempts.progressed(
-                attempt.observed, stream.splitter.event_count - attempt.first_event
-            )
-            if not attempt.has_events:
-                attempt.has_events = True
-                attempt.tracked_request.mark_prefilled()
-                self._context.usage.record_start(
-                    stream.job.customer_id, self._context.clock.wall_seconds()
-                )
-                self._log_first_event(stream)
-            self._begin(stream, head)
-            stream.responder.write(events)
-        _check_end(stream, attempt)
+            self._forward(stream, attempt, _split(stream.splitter, piece))
+        _check_end(stream.splitter, attempt)
         if head.is_framed:
             # Without framing, a crash between two events looks like the end.
             self._attempts.succeeded(attempt.observed)
@@ -450,6 +441,49 @@
         response.finish()
         return True
 
+    def _forward(
+        self, stream: StreamState, attempt: StreamAttempt, events: bytes
+    ) -> None:
+        """Write complete events to the caller, if there are any."""
+        if not events:
+            return
+        self._attempts.progressed(
+            attempt.observed, stream.splitter.event_count - attempt.first_event
+        )
+        if not attempt.has_events:
+            attempt.has_events = True
+            attempt.tracked_request.mark_prefilled()
+            self._context.usage.record_start(
+                stream.job.customer_id, self._context.clock.wall_seconds()
+            )
+            self._log_first_event(stream)
+        self._begin(stream, attempt.response.head)
+        stream.responder.write(events)
+
+    def _take_over(self, stream: StreamState, attempt: StreamAttempt) -> bytes:
+        """Return the first events of a response that replaces a silent one."""
+        now_seconds = self._context.clock.now_seconds()
+        silent = self._silent_call(stream, now_seconds)
+        overlap_seconds = silent.overlap_seconds if silent is not None else 0.0
+        splitter, events = stream.splitter.resumed(), b""
+        try:
+            while not events:
+                elapsed_seconds = self._context.clock.now_seconds() - now_seconds
+                remaining_seconds = overlap_seconds - elapsed_seconds
+                if not attempt.response.wait(max(remaining_seconds, 0.0)):
+                    raise CallDropped(f"no event within {overlap_seconds:.3f} s")
+                piece = attempt.response.read_some(max(remaining_seconds, 0.001))
+                if not piece:
+                    break
+                events = _split(splitter, piece)
+        except AnswerMissing as error:
+            raise _Interrupted(str(error)) from error
+        if not events:
+            _check_end(splitter, attempt)
+        self._give_up_silent(stream)
+        stream.splitter = splitter
+        return events
+
     def _give_up_silent(self, stream: StreamState) -> None:
         """Cancel the silent attempt, as another engine has begun to answer."""
         silent = stream.silent
@@ -527,11 +561,12 @@
         except AnswerMissing as error:
             raise _Interrupted(str(error)) from error
 
-    def _split(self, stream: StreamState, piece: bytes) -> bytes:
-        try:
-            return stream.splitter.feed(piece)
-        except (EventTooLarge, EventOutOfOrder) as error:
-            raise _Interrupted(str(error)) from error
+
+def _split(splitter: EventSplitter, piece: bytes) -> bytes:
+    try:
+        return splitter.feed(piece)
+    except (EventTooLarge, EventOutOfOrder) as error:
+        raise _Interrupted(str(error)) from error
 
 
 def _check_resumption(first: ResponseHead, head: ResponseHead) -> None:
@@ -544,9 +579,9 @@
         )
 
 
-def _check_end(stream: StreamState, attempt: StreamAttempt) -> None:
+def _check_end(splitter: EventSplitter, attempt: StreamAttempt) -> None:
     """Raise if the body of a response ended before its stream."""
-    if stream.splitter.has_partial_event:
+    if splitter.has_partial_event:
         reason = "the stream ended within an incomplete event"
     elif not attempt.has_events and not attempt.response.head.is_framed:
         reason = "the stream ended with its connection before an event"
--- a/src/waxwingwinch/gateway/tests/test_generation_relay.py
+++ b/src/waxwingwinch/gateway/tests/test_generation_relay.py
@@ -466,6 +466,10 @@
     "breaks": ScriptedResponse(error=RESPONSE_LOST),
     "fails": ScriptedResponse(status=500, pieces=(b"failed",)),
     "unsigned": ScriptedResponse(is_signed=False),
+    "breaks after its head": ScriptedResponse(pieces=(RESPONSE_LOST,)),
+    "ends within an event": ScriptedResponse(pieces=(events(3, 3)[:5],)),
+    "repeats events": ScriptedResponse(pieces=(events(1, 3),)),
+    "silent after its head": ScriptedResponse(pieces=(Silence(2.0), events(3, 3))),
     "silent": ScriptedResponse(delay_seconds=3.0),
     "slower": ScriptedResponse(pieces=(events(3, 3),), delay_seconds=0.29),
 }
