Record the crash of a silent engine whose stream was taken over

A part of a prompt could have crashed one engine more than it had to: an engine was silent before its second event, another one was asked, and the first broke its connection meanwhile. Its crash was not recorded.

Evidence: test_a_silent_engine_that_breaks_beside_its_replacement_has_crashed failed on the code before. Found by a review.

How the silent response stands is looked at before it is given up. Responses of the relay tests now raise in wait() what reading would raise, as real ones do.

--- a/src/waxwingwinch/gateway/_generation_relay.py
+++ b/src/waxwingwinch/gateway/_generation_relay.py
@@ -489,9 +489,14 @@
         silent = stream.silent
         if silent is None:
             return
-        stream.drop_silent()
         error = AnswerMissing("silent until another engine had begun to answer")
+        try:
+            silent.response.wait(0.0)
+        except AnswerMissing as broken:
+            error = broken
+        stream.drop_silent()
         record_failure(self._context, stream.job, silent.engine, error)
+        self._attempts.failed(silent.observed, error)
 
     def _log_first_event(self, stream: StreamState) -> None:
         arrived_seconds = stream.job.request.arrived_seconds
--- a/src/waxwingwinch/gateway/tests/relay_harness.py
+++ b/src/waxwingwinch/gateway/tests/relay_harness.py
@@ -114,6 +114,8 @@
     outcome: list[Any] = field(factory=list)
 
     def wait(self, timeout_seconds):
+        if self.pieces and isinstance(self.pieces[0], Exception):
+            raise self.pieces[0]
         if not self.pieces or not isinstance(self.pieces[0], Silence):
             return True
         silence = self.pieces[0]
@@ -123,7 +125,7 @@
         if silence.seconds > 0:
             return False
         self.pieces.pop(0)
-        return True
+        return self.wait(0.0)
 
     def read_some(self, timeout_seconds):
         if not self.wait(timeout_seconds):
--- a/src/waxwingwinch/gateway/tests/test_crashing_prompts.py
+++ b/src/waxwingwinch/gateway/tests/test_crashing_prompts.py
@@ -2,8 +2,13 @@
 
 import pytest
 
+from waxwingwinch._types import UpstreamId
 from waxwingwinch.gateway._requests import Prompt, PromptPart
-from waxwingwinch.gateway.tests.relay_harness import RelayHarness, ScriptedResponse
+from waxwingwinch.gateway.tests.relay_harness import (
+    RelayHarness,
+    ScriptedResponse,
+    Silence,
+)
 from waxwingwinch.http import AnswerMissing
 
 
@@ -150,3 +155,22 @@
     (first, _) = harness.crashes.report(harness.clock.seconds).crashes
     assert len(first.part_ids) == 16
     assert max(map(len, first.part_ids)) <= 64
+
+
+# Guards against a crash that isn't recorded, as its engine had been silent and
+# another one took the stream over.
+def test_a_silent_engine_that_breaks_beside_its_replacement_has_crashed(harness):
+    harness.transport.scripts = {
+        "d0": ScriptedResponse(pieces=(EVENTS[0], Silence(1.1), RESET)),
+        **{
+            f"d{number}": ScriptedResponse(pieces=EVENTS[1:], delay_seconds=0.2)
+            for number in range(1, 6)
+        },
+    }
+    for number in range(1, 6):
+        harness.directory.record_failure(
+            UpstreamId(f"d{number}"), harness.clock.seconds
+        )
+    assert send(harness, DEADLY).is_complete
+    (crash,) = harness.crashes.report(harness.clock.seconds).crashes
+    assert crash.upstream_id == "d0"
