Date reported crashes by the earliest of their reports

An instance that got the first report of a crash late missed a later crash: crashes count one after the other by comparing when one was seen with when the request of the next was sent, and each of these times was estimated once, from the first report, with the delay of that report in it. A part that an observer blamed stayed unblocked elsewhere.

Reports repeat each observation. A repeat now dates the observation earlier where it can; it never dates it later, nor brings back what was disproved or forgotten. The times at which requests were sent are kept by observation (16 for a suspect), as the last of them counts.

test_repeats_mend_the_times_of_a_late_first_report fails on the code before for first reports that are 0.05, 0.15 and 0.3 s late; it passes now, with the tests of crashes.

--- a/src/waxwingwinch/gateway/_crash_blame.py
+++ b/src/waxwingwinch/gateway/_crash_blame.py
@@ -18,6 +18,10 @@
 FIRST_BLOCK_SECONDS = 30.0
 #: Longest time for which a part is blocked.
 MAX_BLOCK_SECONDS = 3_600.0
+#: Differences between estimates of a time that are ignored.
+ESTIMATE_TOLERANCE_SECONDS = 0.01
+#: Observations of one crash with one part whose times are kept.
+MAX_SOURCES = 16
 
 
 @frozen
@@ -33,6 +37,19 @@
     started_ms: int
 
 
+@frozen
+class Source:
+    """
+    Where an observation of a crash is from.
+
+    :param incarnation: Incarnation of the instance that reported it.
+    :param sequence: Its sequence there; 0 if that instance passed it on.
+    """
+
+    incarnation: str
+    sequence: int
+
+
 @define
 class Suspect:
     """
@@ -42,11 +59,45 @@
     :param sent_seconds: Monotonic time at which the last such request was sent
         to the engine.
     :param seen_seconds: Monotonic time at which its connection broke.
+    :param sent_by_source: The first by the observations that it is from.
     """
 
     position: int
     sent_seconds: float
     seen_seconds: float
+    sent_by_source: dict[Source, float] = field(factory=dict)
+
+    def add(self, source: Source, sent_seconds: float, seen_seconds: float) -> None:
+        """
+        Add an observation.
+
+        :param source: Where it is from.
+        :param sent_seconds: Monotonic time at which the request was sent.
+        :param seen_seconds: Monotonic time at which its connection broke.
+        """
+        self.seen_seconds = min(self.seen_seconds, seen_seconds)
+        if len(self.sent_by_source) < MAX_SOURCES:
+            self.sent_by_source[source] = sent_seconds
+            self.sent_seconds = max(self.sent_by_source.values())
+
+    def refine(self, source: Source, sent_seconds: float, seen_seconds: float) -> bool:
+        """
+        Date an observation earlier; return whether this changed anything.
+
+        :param source: Where it is from.
+        :param sent_seconds: Monotonic time at which the request was sent.
+        :param seen_seconds: Monotonic time at which its connection broke.
+        """
+        known_seconds = self.sent_by_source.get(source)
+        if (
+            known_seconds is None
+            or known_seconds - sent_seconds < ESTIMATE_TOLERANCE_SECONDS
+        ):
+            return False
+        self.sent_by_source[source] = sent_seconds
+        self.sent_seconds = max(self.sent_by_source.values())
+        self.seen_seconds = min(self.seen_seconds, seen_seconds)
+        return True
 
 
 @define
--- a/src/waxwingwinch/gateway/_crash_evidence.py
+++ b/src/waxwingwinch/gateway/_crash_evidence.py
@@ -10,7 +10,7 @@
 
 from waxwingwinch._types import InstanceId
 from waxwingwinch.gateway._bounded_tables import put_newest
-from waxwingwinch.gateway._crash_blame import Blame, Incarnation
+from waxwingwinch.gateway._crash_blame import Blame, Incarnation, Source
 from waxwingwinch.gateway._crash_log_lines import CrashReportMalformed
 from waxwingwinch.gateway._crash_messages import (
     AnsweringEngine,
@@ -96,7 +96,7 @@
         with self._lock:
             self._sequence += 1
             self._observations.append((self._sequence, observation))
-            self._table.add(observation)
+            self._table.add(observation, Source(self._instance_id, self._sequence))
             self._table.judge(observation.seen_seconds)
 
     def record_sound(self, part_ids: tuple[str, ...], now_seconds: float) -> None:
@@ -220,6 +220,7 @@
         self, report: CrashReport, incarnation: str, made_seconds: float
     ) -> None:
         observation = read_crash_report(report, made_seconds)
+        source = Source(incarnation, report.sequence)
         if observation is None:
             CrashReportMalformed(incarnation).write()
         elif report.sequence == 0:
@@ -227,10 +228,12 @@
             # exact than those already known.
             known = self._table.crashes.get(observation.engine)
             if known is None or known.suspects.keys().isdisjoint(report.part_ids):
-                self._table.add(observation)
+                self._table.add(observation, source)
         elif report.sequence > self._applied[incarnation]:
             self._applied[incarnation] = report.sequence
-            self._table.add(observation)
+            self._table.add(observation, source)
+        else:
+            self._table.refine(observation, source, made_seconds)
 
     def _apply_sound(
         self, ages_seconds: Mapping[str, float], made_seconds: float
--- a/src/waxwingwinch/gateway/_crash_table.py
+++ b/src/waxwingwinch/gateway/_crash_table.py
@@ -9,6 +9,7 @@
     Blame,
     Crash,
     Incarnation,
+    Source,
     Suspect,
     blame_parts,
 )
@@ -44,29 +45,53 @@
         self._sound_seconds: OrderedDict[str, float] = OrderedDict()
         self._answered_seconds: OrderedDict[Incarnation, float] = OrderedDict()
 
-    def add(self, observation: Observation) -> None:
+    def add(self, observation: Observation, source: Source) -> None:
         """
         Add an observation of a crash; it counts once :meth:`judge` is called.
 
         :param observation: The observation.
+        :param source: Where it is from.
         """
         engine = observation.engine
-        answered_seconds = self._answered_seconds.get(engine, -math.inf)
-        if answered_seconds > observation.seen_seconds + DISPROOF_MARGIN_SECONDS:
+        if self._is_disproved(engine, observation.seen_seconds):
             return
         self._has_changed = True
         suspects = self.crashes.setdefault(engine, Crash()).suspects
         for index, part_id in enumerate(observation.part_ids):
             known = suspects.get(part_id)
-            if known is not None:
-                known.sent_seconds = max(known.sent_seconds, observation.sent_seconds)
-                known.seen_seconds = min(known.seen_seconds, observation.seen_seconds)
-            elif len(suspects) < MAX_SUSPECTS:
-                suspects[part_id] = Suspect(
+            if known is None and len(suspects) < MAX_SUSPECTS:
+                known = suspects[part_id] = Suspect(
                     observation.first_position + index,
                     observation.sent_seconds,
                     observation.seen_seconds,
                 )
+            if known is not None:
+                known.add(source, observation.sent_seconds, observation.seen_seconds)
+
+    def refine(
+        self, observation: Observation, source: Source, now_seconds: float
+    ) -> None:
+        """
+        Date an observation that was added before by a repeat of its report.
+
+        Each repeat dates it too late by the delay of its report, so that the
+        earliest times are the most exact.
+
+        :param observation: The observation as of the repeat.
+        :param source: Where it is from.
+        :param now_seconds: Monotonic time.
+        """
+        crash = self.crashes.get(observation.engine)
+        if crash is None:
+            return
+        for part_id in observation.part_ids:
+            known = crash.suspects.get(part_id)
+            if known is not None and known.refine(
+                source, observation.sent_seconds, observation.seen_seconds
+            ):
+                self._has_changed = True
+        if self._is_disproved(observation.engine, crash.seen_seconds):
+            self._delete_disproved(observation.engine, now_seconds)
 
     def record_sound(self, part_id: str, sound_seconds: float) -> None:
         """
@@ -94,12 +119,8 @@
         crash = self.crashes.get(engine)
         if crash is None:
             return
-        crash_seconds = crash.seen_seconds
-        if answered_seconds > crash_seconds + DISPROOF_MARGIN_SECONDS:
-            self._delete(engine)
-            CrashDisproved(
-                engine.upstream_id, engine.started_ms, now_seconds - crash_seconds
-            ).write()
+        if answered_seconds > crash.seen_seconds + DISPROOF_MARGIN_SECONDS:
+            self._delete_disproved(engine, now_seconds)
 
     def judge(self, now_seconds: float) -> None:
         """
@@ -157,6 +178,15 @@
         for engine in by_value[: max(len(by_value) - MAX_CRASHES, 0)]:
             self._delete(engine)
 
+    def _is_disproved(self, engine: Incarnation, seen_seconds: float) -> bool:
+        answered_seconds = self._answered_seconds.get(engine, -math.inf)
+        return answered_seconds > seen_seconds + DISPROOF_MARGIN_SECONDS
+
+    def _delete_disproved(self, engine: Incarnation, now_seconds: float) -> None:
+        age_seconds = now_seconds - self.crashes[engine].seen_seconds
+        self._delete(engine)
+        CrashDisproved(engine.upstream_id, engine.started_ms, age_seconds).write()
+
     def _delete(self, engine: Incarnation) -> None:
         del self.crashes[engine]
         self._has_changed = True
--- a/src/waxwingwinch/gateway/tests/test_crash_evidence.py
+++ b/src/waxwingwinch/gateway/tests/test_crash_evidence.py
@@ -135,6 +135,32 @@
     assert other.block(PARTS, 111.0) is None
 
 
+# Guards against crashes that are lost because their first report was late.
+@pytest.mark.parametrize("late_seconds", [0.0, 0.05, 0.15, 0.3, 1.2])
+def test_repeats_mend_the_times_of_a_late_first_report(late_seconds):
+    evidence, other = make(), make("other")
+    evidence.record_crash(Observation(engine(1), PARTS, 99.8, 100.0))
+    other.apply(evidence.report(100.1), "own-1", 100.1 + late_seconds)
+    evidence.record_crash(Observation(engine(2), PARTS, 100.02, 100.25))
+    assert evidence.block(PARTS, 100.3) is not None
+    for tick in range(3):
+        at_seconds = 100.4 + 0.3 * tick
+        other.apply(evidence.report(at_seconds), "own-1", at_seconds)
+    assert other.block(PARTS, 101.1) is not None
+
+
+# Guards against a disproved crash that a late repeat brings back.
+def test_a_repeat_does_not_bring_a_disproved_crash_back():
+    evidence, other = make(), make("other")
+    blame_deadly(evidence)
+    other.apply(evidence.report(101.1), "own-1", 101.4)
+    other.record_answer(engine(2), 101.65, 101.7)
+    assert other.block(PARTS, 101.7) is None
+    for late_seconds in (0.0, 0.9, 0.0):
+        other.apply(evidence.report(101.8), "own-1", 101.8 + late_seconds)
+    assert other.block(PARTS, 102.8) is None
+
+
 def test_unexplained_crashes_are_forgotten():
     evidence = make()
     evidence.record_crash(crash(1, 100.0))
