Let rejections and prefills disprove crashes of their engines

Busy engines reset connections beyond their bound, which looks like a crash. A request whose two attempts were reset left its part blamed for 30 to 45 s, although the same engines rejected other requests half a second later: only the head of a successful response counted as a sign of life.

A response that states that the engine didn't execute the request, and an accepted prefill, now disprove a crash too, within the same time after it and for the same incarnation. A misdirected request doesn't, as another incarnation may have rejected it.

On the code before, test_engines_that_reject_later_requests_have_not_crashed fails for both rejections and test_an_engine_that_prefills_later_prompts_has_not_crashed fails; they pass now, with the tests of the relay.

--- a/src/waxwingwinch/gateway/_generation_attempts.py
+++ b/src/waxwingwinch/gateway/_generation_attempts.py
@@ -18,7 +18,9 @@
     Observation,
 )
 from waxwingwinch.gateway._job import Job, RelayContext
+from waxwingwinch.gateway._requests import ResponseHead
 from waxwingwinch.gateway._telemetry import CounterName
+from waxwingwinch.gateway._upstream_calls import MISDIRECTED_STATUS
 from waxwingwinch.gateway._upstreams import Upstream
 from waxwingwinch.http import ConnectionBroken
 
@@ -119,7 +121,7 @@
 
     def answered(self, attempt: GenerationAttempt) -> None:
         """
-        Record that the engine sent the head of a successful response.
+        Record that the engine has responded, so that it runs.
 
         :param attempt: The attempt.
         """
@@ -127,6 +129,17 @@
             attempt.incarnation, attempt.sent_seconds, self._context.clock.now_seconds()
         )
 
+    def rejected(self, attempt: GenerationAttempt, head: ResponseHead) -> None:
+        """
+        Record that the engine stated that it didn't execute the request.
+
+        :param attempt: The attempt.
+        :param head: Status and headers of the response.
+        """
+        # A misdirected request may have reached another incarnation.
+        if head.status != MISDIRECTED_STATUS:
+            self.answered(attempt)
+
     def progressed(self, attempt: GenerationAttempt, events: int) -> None:
         """
         Record the events that the engine has delivered.
--- a/src/waxwingwinch/gateway/_generation_relay.py
+++ b/src/waxwingwinch/gateway/_generation_relay.py
@@ -331,6 +331,7 @@
             )
             return None
         if response.head.not_executed:
+            self._attempts.rejected(observed, response.head)
             self._finish_rejected(stream, engine, response)
             return None
         stream.unfetched_cache = None
--- a/src/waxwingwinch/gateway/_prefill.py
+++ b/src/waxwingwinch/gateway/_prefill.py
@@ -3,6 +3,7 @@
 from attrs import frozen
 
 from waxwingwinch.gateway._connections import Cancelled
+from waxwingwinch.gateway._crash_blame import Incarnation
 from waxwingwinch.gateway._job import (
     Job,
     Progress,
@@ -176,6 +177,11 @@
         started_seconds: float,
     ) -> None:
         self._context.directory.record_success(engine.upstream_id)
+        self._context.crashes.record_answer(
+            Incarnation(engine.upstream_id, engine.started_ms),
+            started_seconds,
+            self._context.clock.now_seconds(),
+        )
         took_seconds = self._context.clock.now_seconds() - started_seconds
         self._context.slowdowns.observe(
             engine.upstream_id,
--- a/src/waxwingwinch/gateway/tests/test_crashing_prompts.py
+++ b/src/waxwingwinch/gateway/tests/test_crashing_prompts.py
@@ -1,7 +1,11 @@
 """Generations of prompts with a part that crashes engines."""
 
 import pytest
+from attrs import evolve
 
+from waxwingwinch._types import UpstreamId
+from waxwingwinch.gateway._crash_blame import Incarnation
+from waxwingwinch.gateway._crash_observations import Observation
 from waxwingwinch.gateway._requests import Prompt, PromptPart
 from waxwingwinch.gateway.tests.relay_harness import RelayHarness, ScriptedResponse
 from waxwingwinch.http import AnswerMissing
@@ -116,6 +120,50 @@
     assert harness.crashes.blamed_count() == 0
 
 
+BUSY = ScriptedResponse(status=503, not_executed=True, delay_seconds=0.05)
+
+
+# Guards against blame by busy engines that reset connections, but run.
+@pytest.mark.parametrize(
+    "rejection, blamed",
+    [
+        (BUSY, 0),
+        (evolve(BUSY, is_signed=False), 0),
+        # Of a misdirected request, another incarnation may be the sender.
+        (evolve(BUSY, status=421), 1),
+    ],
+)
+def test_engines_that_reject_later_requests_have_not_crashed(
+    harness, rejection, blamed
+):
+    script_all(harness, ScriptedResponse(error=RESET, delay_seconds=0.05))
+    send(harness, DEADLY)
+    assert harness.crashes.blamed_count() == 1
+    harness.clock.seconds += 0.3
+    script_all(harness, rejection)
+    for _ in range(3):
+        send(harness, prompt("other"))
+    assert harness.crashes.blamed_count() == blamed
+
+
+# Guards against blame by prefill engines that reset connections, but run.
+def test_an_engine_that_prefills_later_prompts_has_not_crashed(harness):
+    long_prompt = Prompt(
+        "m", 17_000, 20, (PromptPart("book", 13_000), PromptPart("own", 4_000))
+    )
+    prefill_engine = harness.directory.get(UpstreamId("p0"))
+    engine = Incarnation(prefill_engine.upstream_id, prefill_engine.started_ms)
+    now_seconds = harness.clock.seconds
+    harness.crashes.record_crash(
+        Observation(engine, ("deadly",), now_seconds - 0.1, now_seconds)
+    )
+    harness.clock.seconds += 0.4
+    harness.transport.scripts["p0"] = ScriptedResponse(pieces=(b"handle",))
+    send(harness, long_prompt)
+    assert harness.called_upstreams()[0] == "p0"
+    assert harness.crashes.report(harness.clock.seconds).crashes == ()
+
+
 # Guards against a prompt that is decoded although a part was blamed while it
 # was prefilled.
 def test_a_part_blamed_during_a_prefill_is_not_decoded(harness):
