Judge reported crashes once for all reports until the next request

Each report that brought anything made the thread that receives reports judge all crashes anew, under the lock of the crash evidence. At the first reports of 195 instances after crashes, that thread judged 195 times in a row.

Reports now only add evidence. The next request, or the next report of the instance itself, judges once for all of them; only if more than 128 crashes are known, a report judges at once, which bounds memory. What is over the bound is dropped after the crashes were judged, so that a crash which explains a blame isn't dropped before. The metric of blamed parts counts those of the last judgement, which is at most one report old.

test_reports_that_arrive_at_once_are_judged_once fails on the code before (195 judgements) and passes now, with the tests of crashes, reports and relays.

--- a/src/waxwingwinch/gateway/_crash_evidence.py
+++ b/src/waxwingwinch/gateway/_crash_evidence.py
@@ -43,6 +43,8 @@
 #: Time for which all known crashes that explain a blame are reported after an
 #: instance started.
 SHARING_SECONDS = 4.0
+#: Crashes beyond which reports are judged before the next request.
+MAX_UNJUDGED_CRASHES = 2 * MAX_CRASHES
 #: Number of incarnations of other instances that are remembered.
 MAX_INCARNATIONS = 1_024
 
@@ -144,6 +146,9 @@
         :param now_seconds: Monotonic time.
         """
         # Read without the lock, as this is called for each request.
+        if self._table.has_changed:
+            with self._lock:
+                self._table.judge(now_seconds)
         blames = self._table.blames
         blocks = [
             PartBlock(part_id, blames[part_id], self._until(part_id, blames[part_id]))
@@ -154,7 +159,7 @@
         return max(blocks, key=lambda block: block.until_seconds, default=None)
 
     def blamed_count(self) -> int:
-        """Return the number of blamed parts."""
+        """Return the number of parts that were blamed when last judged."""
         return len(self._table.blames)
 
     def report(self, now_seconds: float) -> CrashEvidenceReport:
@@ -166,6 +171,7 @@
         :param now_seconds: Monotonic time.
         """
         with self._lock:
+            self._table.judge(now_seconds)
             self._table.delete_outdated(now_seconds)
             self._table.judge(now_seconds)
             crashes = [
@@ -214,7 +220,10 @@
                         made_seconds - answering.age_seconds,
                         made_seconds,
                     )
-            self._table.judge(made_seconds)
+            # Otherwise the next request judges, once for all reports until
+            # then: many arrive at once in one thread.
+            if len(self._table.crashes) > MAX_UNJUDGED_CRASHES:
+                self._table.judge(made_seconds)
 
     def _apply_crash(
         self, report: CrashReport, incarnation: str, made_seconds: float
--- a/src/waxwingwinch/gateway/_crash_table.py
+++ b/src/waxwingwinch/gateway/_crash_table.py
@@ -41,7 +41,8 @@
         self.crashes: dict[Incarnation, Crash] = {}
         #: The blamed parts; replaced, never changed.
         self.blames: Mapping[str, Blame] = {}
-        self._has_changed = False
+        #: Whether :meth:`judge` has anything to decide.
+        self.has_changed = False
         self._sound_seconds: OrderedDict[str, float] = OrderedDict()
         self._answered_seconds: OrderedDict[Incarnation, float] = OrderedDict()
 
@@ -55,7 +56,7 @@
         engine = observation.engine
         if self._is_disproved(engine, observation.seen_seconds):
             return
-        self._has_changed = True
+        self.has_changed = True
         suspects = self.crashes.setdefault(engine, Crash()).suspects
         for index, part_id in enumerate(observation.part_ids):
             known = suspects.get(part_id)
@@ -89,7 +90,7 @@
             if known is not None and known.refine(
                 source, observation.sent_seconds, observation.seen_seconds
             ):
-                self._has_changed = True
+                self.has_changed = True
         if self._is_disproved(observation.engine, crash.seen_seconds):
             self._delete_disproved(observation.engine, now_seconds)
 
@@ -102,7 +103,7 @@
         """
         if sound_seconds > self._sound_seconds.get(part_id, -math.inf):
             put_newest(self._sound_seconds, part_id, sound_seconds, MAX_SOUND_PARTS)
-            self._has_changed = self._has_changed or part_id in self.blames
+            self.has_changed = self.has_changed or part_id in self.blames
 
     def disprove(
         self, engine: Incarnation, answered_seconds: float, now_seconds: float
@@ -128,13 +129,18 @@
 
         :param now_seconds: Monotonic time.
         """
+        self._judge_changes(now_seconds)
         if len(self.crashes) > MAX_CRASHES:
             self.delete_outdated(now_seconds)
-        if not self._has_changed:
+            self._judge_changes(now_seconds)
+
+    def _judge_changes(self, now_seconds: float) -> None:
+        if not self.has_changed:
             return
-        self._has_changed = False
         before = self.blames
         self.blames = blame_parts(self.crashes, self._sound_seconds)
+        # Last, as it is read without the lock.
+        self.has_changed = False
         for part_id, blame in self.blames.items():
             if part_id not in before or before[part_id].crashes < blame.crashes:
                 self._log_blame(part_id, blame, now_seconds)
@@ -189,7 +195,7 @@
 
     def _delete(self, engine: Incarnation) -> None:
         del self.crashes[engine]
-        self._has_changed = True
+        self.has_changed = True
 
     def _sound_age(self, part_id: str, now_seconds: float) -> float | None:
         sound_seconds = self._sound_seconds.get(part_id)
--- a/src/waxwingwinch/gateway/tests/test_crash_evidence.py
+++ b/src/waxwingwinch/gateway/tests/test_crash_evidence.py
@@ -6,7 +6,8 @@
 from attrs import evolve
 
 from waxwingwinch._types import InstanceId, UpstreamId
-from waxwingwinch.gateway._crash_blame import Incarnation
+from waxwingwinch.gateway import _crash_table
+from waxwingwinch.gateway._crash_blame import Incarnation, blame_parts
 from waxwingwinch.gateway._crash_evidence import CrashEvidence
 from waxwingwinch.gateway._crash_messages import CrashEvidenceReport
 from waxwingwinch.gateway._crash_observations import Observation
@@ -203,6 +204,46 @@
     assert evidence.block(PARTS, 102.0) is not None
 
 
+# Guards against reports of a large fleet that keep the thread that gets them
+# busy.
+def test_reports_that_arrive_at_once_are_judged_once(monkeypatch):
+    judged = []
+
+    def judge(crashes, sound_seconds):
+        judged.append(len(crashes))
+        return blame_parts(crashes, sound_seconds)
+
+    evidence = make()
+    sources = [make(f"i{number}") for number in range(195)]
+    for index, source in enumerate(sources):
+        for number in range(20):
+            parts = (f"p{index}", "deadly")
+            source.record_crash(crash(number, 100.0 + number, parts))
+    reports = [source.report(120.0) for source in sources]
+    monkeypatch.setattr(_crash_table, "blame_parts", judge)
+    for index, report in enumerate(reports):
+        evidence.apply(report, f"i{index}-1", 120.0)
+    assert evidence.block(("deadly",), 120.1).blame.crashes == 20
+    assert evidence.block(("deadly",), 120.2).blame.crashes == 20
+    assert judged == [20]
+
+
+# Guards against crashes that are dropped before they are judged.
+def test_many_crashes_in_reports_are_bounded_and_keep_what_is_blamed():
+    evidence, first = make(), make("first")
+    blame_deadly(first)
+    evidence.apply(first.report(101.5), "first-1", 101.5)
+    for index in range(20):
+        source = make(f"i{index}")
+        for number in range(30):
+            name = 10 + 30 * index + number
+            source.record_crash(crash(name, 101.5, (f"p{name}",)))
+        evidence.apply(source.report(102.0), f"i{index}-1", 102.0)
+        assert len(evidence._table.crashes) <= 3 * MAX_CRASHES
+    assert evidence.block(PARTS, 102.0) is not None
+    assert len(evidence._table.crashes) <= MAX_CRASHES
+
+
 # Guards against memory that grows with the crashes of engines.
 def test_memory_is_bounded_and_keeps_what_is_blamed():
     evidence = make()
