Count only requests sent before a crash as its cause

Two engines that fell together counted as two crashes, one after the other, if a later call to the second one broke as well: the last time at which a request with the part was sent was kept, even if the crash had been seen before.

The last request that was sent before the crash was seen counts now.

test_a_later_call_to_a_crashed_engine_counts_no_further_crash fails on the code before and passes now, with the tests of crashes and reports. An incarnation that seemed to crash long before it does is still remembered by the first time.

--- a/src/waxwingwinch/gateway/_crash_blame.py
+++ b/src/waxwingwinch/gateway/_crash_blame.py
@@ -56,8 +56,8 @@
     A part of a generation that an engine was about to begin when it crashed.
 
     :param position: Position of the part in the prompt.
-    :param sent_seconds: Monotonic time at which the last such request was sent
-        to the engine.
+    :param sent_seconds: Monotonic time at which the last such request before
+        the crash was sent to the engine.
     :param seen_seconds: Monotonic time at which its connection broke.
     :param sent_by_source: The first by the observations that it is from.
     """
@@ -78,7 +78,7 @@
         self.seen_seconds = min(self.seen_seconds, seen_seconds)
         if len(self.sent_by_source) < MAX_SOURCES:
             self.sent_by_source[source] = sent_seconds
-            self.sent_seconds = max(self.sent_by_source.values())
+        self._date_sent()
 
     def refine(self, source: Source, sent_seconds: float, seen_seconds: float) -> bool:
         """
@@ -95,10 +95,19 @@
         ):
             return False
         self.sent_by_source[source] = sent_seconds
-        self.sent_seconds = max(self.sent_by_source.values())
         self.seen_seconds = min(self.seen_seconds, seen_seconds)
+        self._date_sent()
         return True
 
+    def _date_sent(self) -> None:
+        # A request sent later can't have caused the crash.
+        sent_before = [
+            sent_seconds
+            for sent_seconds in self.sent_by_source.values()
+            if sent_seconds <= self.seen_seconds
+        ]
+        self.sent_seconds = max(sent_before, default=min(self.sent_by_source.values()))
+
 
 @define
 class Crash:
--- a/src/waxwingwinch/gateway/tests/test_crash_evidence.py
+++ b/src/waxwingwinch/gateway/tests/test_crash_evidence.py
@@ -150,6 +150,16 @@
     assert other.block(PARTS, 101.1) is not None
 
 
+# Guards against engines that fall together and count as if one after the other
+# because a later call to one of them broke too.
+def test_a_later_call_to_a_crashed_engine_counts_no_further_crash():
+    evidence = make()
+    evidence.record_crash(Observation(engine(2), PARTS, 99.9, 100.0))
+    evidence.record_crash(Observation(engine(1), PARTS, 99.9, 100.05))
+    evidence.record_crash(Observation(engine(1), PARTS, 100.2, 100.25))
+    assert evidence.block(PARTS, 100.3) is None
+
+
 # Guards against a disproved crash that a late repeat brings back.
 def test_a_repeat_does_not_bring_a_disproved_crash_back():
     evidence, other = make(), make("other")
