Keep sharing blamed crashes when an older first report arrives

The time until which an instance passes on the crashes that explain blames was set anew by the first report of each incarnation, to a shorter one if that report had been made earlier. An instance that had just started could miss them. The time only grows now.

test_an_older_first_report_does_not_end_the_sharing fails on the code before and passes now.

--- a/src/waxwingwinch/gateway/_crash_evidence.py
+++ b/src/waxwingwinch/gateway/_crash_evidence.py
@@ -205,7 +205,9 @@
         with self._lock:
             if incarnation not in self._applied:
                 # It may have started just now and know nothing.
-                self._sharing_until_seconds = made_seconds + SHARING_SECONDS
+                self._sharing_until_seconds = max(
+                    self._sharing_until_seconds, made_seconds + SHARING_SECONDS
+                )
             applied = self._applied.get(incarnation, 0)
             put_newest(self._applied, incarnation, applied, MAX_INCARNATIONS)
             if report.is_empty:
--- a/src/waxwingwinch/gateway/tests/test_crash_evidence.py
+++ b/src/waxwingwinch/gateway/tests/test_crash_evidence.py
@@ -123,6 +123,16 @@
     assert observer.block(PARTS, 120.3) is not None
 
 
+# Guards against a time of sharing that a delayed report cuts short.
+def test_an_older_first_report_does_not_end_the_sharing():
+    observer, other = make("observer"), make("other")
+    blame_deadly(observer)
+    other.apply(observer.report(102.0), "observer-1", 102.0)
+    other.apply(CrashEvidenceReport(), "started-1", 110.0)
+    other.apply(CrashEvidenceReport(), "started-2", 107.0)
+    assert other.report(112.0).crashes != ()
+
+
 # Guards against times that grow with each report that repeats them.
 def test_a_repeated_report_changes_nothing():
     evidence, other = make(), make("other")
