--- a/src/waxwingwinch/gateway/_crash_blame.py
+++ b/src/waxwingwinch/gateway/_crash_blame.py
@@ -18,6 +18,10 @@
 FIRST_BLOCK_SECONDS = 30.0
 #: Longest time for which a part is blocked.
 MAX_BLOCK_SECONDS = 3_600.0
+#: Differences between estimates of a time that are ignored.
+ESTIMATE_TOLERANCE_SECONDS = 0.01
+#: Observations of one crash with one part whose times are kept.
+MAX_SOURCES = 16
 
 
 @frozen
@@ -33,20 +37,76 @@
     started_ms: int
 
 
+@frozen
+class Source:
+    """
+    Where an observation of a crash is from.
+
+    :param incarnation: Incarnation of the instance that reported it.
+    :param sequence: Its sequence there; 0 if that instance passed it on.
+    """
+
+    incarnation: str
+    sequence: int
+
+
 @define
 class Suspect:
     """
     A part of a generation that an engine was about to begin when it crashed.
 
     :param position: Position of the part in the prompt.
-    :param sent_seconds: Monotonic time at which the last such request was sent
-        to the engine.
+    :param sent_seconds: Monotonic time at which the last such request before
+        the crash was sent to the engine.
     :param seen_seconds: Monotonic time at which its connection broke.
+    :param sent_by_source: The first by the observations that it is from.
     """
 
     position: int
     sent_seconds: float
     seen_seconds: float
+    sent_by_source: dict[Source, float] = field(factory=dict)
+
+    def add(self, source: Source, sent_seconds: float, seen_seconds: float) -> None:
+        """
+        Add an observation.
+
+        :param source: Where it is from.
+        :param sent_seconds: Monotonic time at which the request was sent.
+        :param seen_seconds: Monotonic time at which its connection broke.
+        """
+        self.seen_seconds = min(self.seen_seconds, seen_seconds)
+        if len(self.sent_by_source) < MAX_SOURCES:
+            self.sent_by_source[source] = sent_seconds
+        self._date_sent()
+
+    def refine(self, source: Source, sent_seconds: float, seen_seconds: float) -> bool:
+        """
+        Date an observation earlier; return whether this changed anything.
+
+        :param source: Where it is from.
+        :param sent_seconds: Monotonic time at which the request was sent.
+        :param seen_seconds: Monotonic time at which its connection broke.
+        """
+        known_seconds = self.sent_by_source.get(source)
+        if (
+            known_seconds is None
+            or known_seconds - sent_seconds < ESTIMATE_TOLERANCE_SECONDS
+        ):
+            return False
+        self.sent_by_source[source] = sent_seconds
+        self.seen_seconds = min(self.seen_seconds, seen_seconds)
+        self._date_sent()
+        return True
+
+    def _date_sent(self) -> None:
+        # A request sent later can't have caused the crash.
+        sent_before = [
+            sent_seconds
+            for sent_seconds in self.sent_by_source.values()
+            if sent_seconds <= self.seen_seconds
+        ]
+        self.sent_seconds = max(sent_before, default=min(self.sent_by_source.values()))
 
 
 @define
--- a/src/waxwingwinch/gateway/_crash_evidence.py
+++ b/src/waxwingwinch/gateway/_crash_evidence.py
@@ -10,7 +10,7 @@
 
 from waxwingwinch._types import InstanceId
 from waxwingwinch.gateway._bounded_tables import put_newest
-from waxwingwinch.gateway._crash_blame import Blame, Incarnation
+from waxwingwinch.gateway._crash_blame import Blame, Incarnation, Source
 from waxwingwinch.gateway._crash_log_lines import CrashReportMalformed
 from waxwingwinch.gateway._crash_messages import (
     AnsweringEngine,
@@ -43,6 +43,8 @@
 #: Time for which all known crashes that explain a blame are reported after an
 #: instance started.
 SHARING_SECONDS = 4.0
+#: Crashes beyond which reports are judged before the next request.
+MAX_UNJUDGED_CRASHES = 2 * MAX_CRASHES
 #: Number of incarnations of other instances that are remembered.
 MAX_INCARNATIONS = 1_024
 
@@ -96,7 +98,7 @@
         with self._lock:
             self._sequence += 1
             self._observations.append((self._sequence, observation))
-            self._table.add(observation)
+            self._table.add(observation, Source(self._instance_id, self._sequence))
             self._table.judge(observation.seen_seconds)
 
     def record_sound(self, part_ids: tuple[str, ...], now_seconds: float) -> None:
@@ -144,6 +146,9 @@
         :param now_seconds: Monotonic time.
         """
         # Read without the lock, as this is called for each request.
+        if self._table.has_changed:
+            with self._lock:
+                self._table.judge(now_seconds)
         blames = self._table.blames
         blocks = [
             PartBlock(part_id, blames[part_id], self._until(part_id, blames[part_id]))
@@ -154,7 +159,7 @@
         return max(blocks, key=lambda block: block.until_seconds, default=None)
 
     def blamed_count(self) -> int:
-        """Return the number of blamed parts."""
+        """Return the number of parts that were blamed when last judged."""
         return len(self._table.blames)
 
     def report(self, now_seconds: float) -> CrashEvidenceReport:
@@ -166,6 +171,7 @@
         :param now_seconds: Monotonic time.
         """
         with self._lock:
+            self._table.judge(now_seconds)
             self._table.delete_outdated(now_seconds)
             self._table.judge(now_seconds)
             crashes = [
@@ -199,7 +205,9 @@
         with self._lock:
             if incarnation not in self._applied:
                 # It may have started just now and know nothing.
-                self._sharing_until_seconds = made_seconds + SHARING_SECONDS
+                self._sharing_until_seconds = max(
+                    self._sharing_until_seconds, made_seconds + SHARING_SECONDS
+                )
             applied = self._applied.get(incarnation, 0)
             put_newest(self._applied, incarnation, applied, MAX_INCARNATIONS)
             if report.is_empty:
@@ -214,12 +222,16 @@
                         made_seconds - answering.age_seconds,
                         made_seconds,
                     )
-            self._table.judge(made_seconds)
+            # Otherwise the next request judges, once for all reports until
+            # then: many arrive at once in one thread.
+            if len(self._table.crashes) > MAX_UNJUDGED_CRASHES:
+                self._table.judge(made_seconds)
 
     def _apply_crash(
         self, report: CrashReport, incarnation: str, made_seconds: float
     ) -> None:
         observation = read_crash_report(report, made_seconds)
+        source = Source(incarnation, report.sequence)
         if observation is None:
             CrashReportMalformed(incarnation).write()
         elif report.sequence == 0:
@@ -227,10 +239,12 @@
             # exact than those already known.
             known = self._table.crashes.get(observation.engine)
             if known is None or known.suspects.keys().isdisjoint(report.part_ids):
-                self._table.add(observation)
+                self._table.add(observation, source)
         elif report.sequence > self._applied[incarnation]:
             self._applied[incarnation] = report.sequence
-            self._table.add(observation)
+            self._table.add(observation, source)
+        else:
+            self._table.refine(observation, source, made_seconds)
 
     def _apply_sound(
         self, ages_seconds: Mapping[str, float], made_seconds: float
--- a/src/waxwingwinch/gateway/_crash_table.py
+++ b/src/waxwingwinch/gateway/_crash_table.py
@@ -9,6 +9,7 @@
     Blame,
     Crash,
     Incarnation,
+    Source,
     Suspect,
     blame_parts,
 )
@@ -40,33 +41,58 @@
         self.crashes: dict[Incarnation, Crash] = {}
         #: The blamed parts; replaced, never changed.
         self.blames: Mapping[str, Blame] = {}
-        self._has_changed = False
+        #: Whether :meth:`judge` has anything to decide.
+        self.has_changed = False
         self._sound_seconds: OrderedDict[str, float] = OrderedDict()
         self._answered_seconds: OrderedDict[Incarnation, float] = OrderedDict()
 
-    def add(self, observation: Observation) -> None:
+    def add(self, observation: Observation, source: Source) -> None:
         """
         Add an observation of a crash; it counts once :meth:`judge` is called.
 
         :param observation: The observation.
+        :param source: Where it is from.
         """
         engine = observation.engine
-        answered_seconds = self._answered_seconds.get(engine, -math.inf)
-        if answered_seconds > observation.seen_seconds + DISPROOF_MARGIN_SECONDS:
+        if self._is_disproved(engine, observation.seen_seconds):
             return
-        self._has_changed = True
+        self.has_changed = True
         suspects = self.crashes.setdefault(engine, Crash()).suspects
         for index, part_id in enumerate(observation.part_ids):
             known = suspects.get(part_id)
-            if known is not None:
-                known.sent_seconds = max(known.sent_seconds, observation.sent_seconds)
-                known.seen_seconds = min(known.seen_seconds, observation.seen_seconds)
-            elif len(suspects) < MAX_SUSPECTS:
-                suspects[part_id] = Suspect(
+            if known is None and len(suspects) < MAX_SUSPECTS:
+                known = suspects[part_id] = Suspect(
                     observation.first_position + index,
                     observation.sent_seconds,
                     observation.seen_seconds,
                 )
+            if known is not None:
+                known.add(source, observation.sent_seconds, observation.seen_seconds)
+
+    def refine(
+        self, observation: Observation, source: Source, now_seconds: float
+    ) -> None:
+        """
+        Date an observation that was added before by a repeat of its report.
+
+        Each repeat dates it too late by the delay of its report, so that the
+        earliest times are the most exact.
+
+        :param observation: The observation as of the repeat.
+        :param source: Where it is from.
+        :param now_seconds: Monotonic time.
+        """
+        crash = self.crashes.get(observation.engine)
+        if crash is None:
+            return
+        for part_id in observation.part_ids:
+            known = crash.suspects.get(part_id)
+            if known is not None and known.refine(
+                source, observation.sent_seconds, observation.seen_seconds
+            ):
+                self.has_changed = True
+        if self._is_disproved(observation.engine, crash.seen_seconds):
+            self._delete_disproved(observation.engine, now_seconds)
 
     def record_sound(self, part_id: str, sound_seconds: float) -> None:
         """
@@ -77,7 +103,7 @@
         """
         if sound_seconds > self._sound_seconds.get(part_id, -math.inf):
             put_newest(self._sound_seconds, part_id, sound_seconds, MAX_SOUND_PARTS)
-            self._has_changed = self._has_changed or part_id in self.blames
+            self.has_changed = self.has_changed or part_id in self.blames
 
     def disprove(
         self, engine: Incarnation, answered_seconds: float, now_seconds: float
@@ -94,12 +120,8 @@
         crash = self.crashes.get(engine)
         if crash is None:
             return
-        crash_seconds = crash.seen_seconds
-        if answered_seconds > crash_seconds + DISPROOF_MARGIN_SECONDS:
-            self._delete(engine)
-            CrashDisproved(
-                engine.upstream_id, engine.started_ms, now_seconds - crash_seconds
-            ).write()
+        if answered_seconds > crash.seen_seconds + DISPROOF_MARGIN_SECONDS:
+            self._delete_disproved(engine, now_seconds)
 
     def judge(self, now_seconds: float) -> None:
         """
@@ -107,13 +129,18 @@
 
         :param now_seconds: Monotonic time.
         """
+        self._judge_changes(now_seconds)
         if len(self.crashes) > MAX_CRASHES:
             self.delete_outdated(now_seconds)
-        if not self._has_changed:
+            self._judge_changes(now_seconds)
+
+    def _judge_changes(self, now_seconds: float) -> None:
+        if not self.has_changed:
             return
-        self._has_changed = False
         before = self.blames
         self.blames = blame_parts(self.crashes, self._sound_seconds)
+        # Last, as it is read without the lock.
+        self.has_changed = False
         for part_id, blame in self.blames.items():
             if part_id not in before or before[part_id].crashes < blame.crashes:
                 self._log_blame(part_id, blame, now_seconds)
@@ -157,9 +184,18 @@
         for engine in by_value[: max(len(by_value) - MAX_CRASHES, 0)]:
             self._delete(engine)
 
+    def _is_disproved(self, engine: Incarnation, seen_seconds: float) -> bool:
+        answered_seconds = self._answered_seconds.get(engine, -math.inf)
+        return answered_seconds > seen_seconds + DISPROOF_MARGIN_SECONDS
+
+    def _delete_disproved(self, engine: Incarnation, now_seconds: float) -> None:
+        age_seconds = now_seconds - self.crashes[engine].seen_seconds
+        self._delete(engine)
+        CrashDisproved(engine.upstream_id, engine.started_ms, age_seconds).write()
+
     def _delete(self, engine: Incarnation) -> None:
         del self.crashes[engine]
-        self._has_changed = True
+        self.has_changed = True
 
     def _sound_age(self, part_id: str, now_seconds: float) -> float | None:
         sound_seconds = self._sound_seconds.get(part_id)
--- a/src/waxwingwinch/gateway/tests/test_crash_evidence.py
+++ b/src/waxwingwinch/gateway/tests/test_crash_evidence.py
@@ -6,7 +6,8 @@
 from attrs import evolve
 
 from waxwingwinch._types import InstanceId, UpstreamId
-from waxwingwinch.gateway._crash_blame import Incarnation
+from waxwingwinch.gateway import _crash_table
+from waxwingwinch.gateway._crash_blame import Incarnation, blame_parts
 from waxwingwinch.gateway._crash_evidence import CrashEvidence
 from waxwingwinch.gateway._crash_messages import CrashEvidenceReport
 from waxwingwinch.gateway._crash_observations import Observation
@@ -122,6 +123,16 @@
     assert observer.block(PARTS, 120.3) is not None
 
 
+# Guards against a time of sharing that a delayed report cuts short.
+def test_an_older_first_report_does_not_end_the_sharing():
+    observer, other = make("observer"), make("other")
+    blame_deadly(observer)
+    other.apply(observer.report(102.0), "observer-1", 102.0)
+    other.apply(CrashEvidenceReport(), "started-1", 110.0)
+    other.apply(CrashEvidenceReport(), "started-2", 107.0)
+    assert other.report(112.0).crashes != ()
+
+
 # Guards against times that grow with each report that repeats them.
 def test_a_repeated_report_changes_nothing():
     evidence, other = make(), make("other")
@@ -135,6 +146,42 @@
     assert other.block(PARTS, 111.0) is None
 
 
+# Guards against crashes that are lost because their first report was late.
+@pytest.mark.parametrize("late_seconds", [0.0, 0.05, 0.15, 0.3, 1.2])
+def test_repeats_mend_the_times_of_a_late_first_report(late_seconds):
+    evidence, other = make(), make("other")
+    evidence.record_crash(Observation(engine(1), PARTS, 99.8, 100.0))
+    other.apply(evidence.report(100.1), "own-1", 100.1 + late_seconds)
+    evidence.record_crash(Observation(engine(2), PARTS, 100.02, 100.25))
+    assert evidence.block(PARTS, 100.3) is not None
+    for tick in range(3):
+        at_seconds = 100.4 + 0.3 * tick
+        other.apply(evidence.report(at_seconds), "own-1", at_seconds)
+    assert other.block(PARTS, 101.1) is not None
+
+
+# Guards against engines that fall together and count as if one after the other
+# because a later call to one of them broke too.
+def test_a_later_call_to_a_crashed_engine_counts_no_further_crash():
+    evidence = make()
+    evidence.record_crash(Observation(engine(2), PARTS, 99.9, 100.0))
+    evidence.record_crash(Observation(engine(1), PARTS, 99.9, 100.05))
+    evidence.record_crash(Observation(engine(1), PARTS, 100.2, 100.25))
+    assert evidence.block(PARTS, 100.3) is None
+
+
+# Guards against a disproved crash that a late repeat brings back.
+def test_a_repeat_does_not_bring_a_disproved_crash_back():
+    evidence, other = make(), make("other")
+    blame_deadly(evidence)
+    other.apply(evidence.report(101.1), "own-1", 101.4)
+    other.record_answer(engine(2), 101.65, 101.7)
+    assert other.block(PARTS, 101.7) is None
+    for late_seconds in (0.0, 0.9, 0.0):
+        other.apply(evidence.report(101.8), "own-1", 101.8 + late_seconds)
+    assert other.block(PARTS, 102.8) is None
+
+
 def test_unexplained_crashes_are_forgotten():
     evidence = make()
     evidence.record_crash(crash(1, 100.0))
@@ -177,6 +224,46 @@
     assert evidence.block(PARTS, 102.0) is not None
 
 
+# Guards against reports of a large fleet that keep the thread that gets them
+# busy.
+def test_reports_that_arrive_at_once_are_judged_once(monkeypatch):
+    judged = []
+
+    def judge(crashes, sound_seconds):
+        judged.append(len(crashes))
+        return blame_parts(crashes, sound_seconds)
+
+    evidence = make()
+    sources = [make(f"i{number}") for number in range(195)]
+    for index, source in enumerate(sources):
+        for number in range(20):
+            parts = (f"p{index}", "deadly")
+            source.record_crash(crash(number, 100.0 + number, parts))
+    reports = [source.report(120.0) for source in sources]
+    monkeypatch.setattr(_crash_table, "blame_parts", judge)
+    for index, report in enumerate(reports):
+        evidence.apply(report, f"i{index}-1", 120.0)
+    assert evidence.block(("deadly",), 120.1).blame.crashes == 20
+    assert evidence.block(("deadly",), 120.2).blame.crashes == 20
+    assert judged == [20]
+
+
+# Guards against crashes that are dropped before they are judged.
+def test_many_crashes_in_reports_are_bounded_and_keep_what_is_blamed():
+    evidence, first = make(), make("first")
+    blame_deadly(first)
+    evidence.apply(first.report(101.5), "first-1", 101.5)
+    for index in range(20):
+        source = make(f"i{index}")
+        for number in range(30):
+            name = 10 + 30 * index + number
+            source.record_crash(crash(name, 101.5, (f"p{name}",)))
+        evidence.apply(source.report(102.0), f"i{index}-1", 102.0)
+        assert len(evidence._table.crashes) <= 3 * MAX_CRASHES
+    assert evidence.block(PARTS, 102.0) is not None
+    assert len(evidence._table.crashes) <= MAX_CRASHES
+
+
 # Guards against memory that grows with the crashes of engines.
 def test_memory_is_bounded_and_keeps_what_is_blamed():
     evidence = make()
