--- a/src/waxwingwinch/gateway/_crash_evidence.py
+++ b/src/waxwingwinch/gateway/_crash_evidence.py
@@ -22,6 +22,7 @@
     MAX_REPORTED_PARTS,
     Observation,
     is_valid_age,
+    is_valid_answer,
     is_valid_part_id,
     make_crash_report,
     read_crash_report,
@@ -86,6 +87,8 @@
         self._sequence = 0
         # Last sequence of the observations applied, by incarnation.
         self._applied: OrderedDict[str, int] = OrderedDict()
+        # Incarnations whose reports were out of bounds.
+        self._malformed: OrderedDict[str, None] = OrderedDict()
         self._sharing_until_seconds = 0.0
         self._lock = threading.Lock()
 
@@ -216,7 +219,7 @@
                 self._apply_crash(crash_report, incarnation, made_seconds)
             self._apply_sound(report.sound_ages_seconds, made_seconds)
             for answering in report.answering[:MAX_CRASHES]:
-                if is_valid_age(answering.age_seconds):
+                if is_valid_answer(answering):
                     self._table.disprove(
                         Incarnation(answering.upstream_id, answering.started_ms),
                         made_seconds - answering.age_seconds,
@@ -233,7 +236,7 @@
         observation = read_crash_report(report, made_seconds)
         source = Source(incarnation, report.sequence)
         if observation is None:
-            CrashReportMalformed(incarnation).write()
+            self._log_malformed(incarnation)
         elif report.sequence == 0:
             # Passed on by another than the observer, so the times are less
             # exact than those already known.
@@ -246,6 +249,12 @@
         else:
             self._table.refine(observation, source, made_seconds)
 
+    def _log_malformed(self, incarnation: str) -> None:
+        # Once, as reports repeat what they say.
+        if incarnation not in self._malformed:
+            CrashReportMalformed(incarnation).write()
+        put_newest(self._malformed, incarnation, None, MAX_INCARNATIONS)
+
     def _apply_sound(
         self, ages_seconds: Mapping[str, float], made_seconds: float
     ) -> None:
--- a/src/waxwingwinch/gateway/_crash_observations.py
+++ b/src/waxwingwinch/gateway/_crash_observations.py
@@ -3,7 +3,7 @@
 from attrs import frozen
 
 from waxwingwinch.gateway._crash_blame import Incarnation
-from waxwingwinch.gateway._crash_messages import CrashReport
+from waxwingwinch.gateway._crash_messages import AnsweringEngine, CrashReport
 
 #: Bounds on what is reported, and on what is taken from a report.
 MAX_REPORTED_CRASHES = 32
@@ -81,6 +81,18 @@
     )
 
 
+def is_valid_answer(answering: AnsweringEngine) -> bool:
+    """
+    Tell whether a reported answer of an engine is within its bounds.
+
+    :param answering: The report.
+    """
+    return (
+        is_valid_age(answering.age_seconds)
+        and len(answering.upstream_id) <= MAX_UPSTREAM_ID_LENGTH
+    )
+
+
 def is_valid_age(age_seconds: float) -> bool:
     """
     Tell whether an age from a report is within its bounds.
--- a/src/waxwingwinch/gateway/tests/test_crash_evidence.py
+++ b/src/waxwingwinch/gateway/tests/test_crash_evidence.py
@@ -1,7 +1,9 @@
 """Crashes of engines, as one instance learns of them."""
 
 import math
+from typing import Any
 
+import eliot
 import pytest
 from attrs import evolve
 
@@ -9,7 +11,7 @@
 from waxwingwinch.gateway import _crash_table
 from waxwingwinch.gateway._crash_blame import Incarnation, blame_parts
 from waxwingwinch.gateway._crash_evidence import CrashEvidence
-from waxwingwinch.gateway._crash_messages import CrashEvidenceReport
+from waxwingwinch.gateway._crash_messages import AnsweringEngine, CrashEvidenceReport
 from waxwingwinch.gateway._crash_observations import Observation
 from waxwingwinch.gateway._crash_table import MAX_CRASHES, MAX_SUSPECTS
 
@@ -214,6 +216,32 @@
     assert evidence.report(102.0) == CrashEvidenceReport()
 
 
+# Guards against a line for each repeat of a report out of bounds.
+def test_repeats_of_a_report_out_of_bounds_are_logged_once():
+    source, evidence = make("source"), make()
+    blame_deadly(source)
+    report = source.report(102.0)
+    broken = tuple(evolve(entry, seen_age_seconds=-1.0) for entry in report.crashes)
+    lines: list[dict[str, Any]] = []
+    eliot.add_destinations(lines.append)
+    try:
+        for _ in range(10):
+            evidence.apply(evolve(report, crashes=broken), "repeated-1", 102.0)
+    finally:
+        eliot.remove_destination(lines.append)
+    # A new destination gets lines of earlier tests, too.
+    malformed = [line for line in lines if line.get("incarnation") == "repeated-1"]
+    assert [line["message_type"] for line in malformed] == ["crash:report_malformed"]
+
+
+# Guards against memory that grows with long ids in reports.
+def test_long_ids_of_answering_engines_are_ignored():
+    evidence = make()
+    answer = AnsweringEngine(UpstreamId("u" * 10_000), 1, 0.1)
+    evidence.apply(CrashEvidenceReport((), {}, (answer,)), "other-1", 102.0)
+    assert not evidence._table._answered_seconds
+
+
 def test_malformed_ages_of_sound_generations_are_ignored():
     evidence = make()
     blame_deadly(evidence)
