Refuse repeats of a request that crashes upstreams

Callers saw: all upstreams of a plain service down at once, again and again, and up to a third of its requests refused meanwhile.

Cause: crashes were attributed to shared parts of prompts only. A plain request has no parts, so nothing attributed its crashes to it.

Change: a request counts as a part of its own, behind the shared ones, under the fingerprint of customer, method, host, target and body that repeats share. Plain requests are observed like generations. Evidence, disproof, sharing and bounds are those of parts. request_fingerprint moves to a module that both programs use.

--- a/src/waxwingwinch/entry/_completions.py
+++ b/src/waxwingwinch/entry/_completions.py
@@ -7,6 +7,7 @@
 from attrs import evolve, frozen
 
 from waxwingwinch._exceptions import Outcome
+from waxwingwinch._fingerprints import request_fingerprint
 from waxwingwinch.configuration import Defaults, Scope, ScopeKind
 from waxwingwinch.contracts import Caller, Freshness
 from waxwingwinch.decisions import FewestInFlight, RoutingRequest
@@ -22,7 +23,6 @@
 from waxwingwinch.entry._crash_guard import (
     Quarantined,
     Suspect,
-    request_fingerprint,
 )
 from waxwingwinch.entry._errors import ErrorCode, RequestFailed, quarantined
 from waxwingwinch.entry._generation import GenerationJob, GenerationRun
--- a/src/waxwingwinch/entry/_crash_guard.py
+++ b/src/waxwingwinch/entry/_crash_guard.py
@@ -1,6 +1,5 @@
 """Quarantine of requests that crash the upstreams which run them."""
 
-import hashlib
 import math
 import threading
 import time
@@ -10,7 +9,7 @@
 import eliot
 from attrs import define, field, frozen
 
-from waxwingwinch._types import CustomerId, InstanceId, UpstreamId
+from waxwingwinch._types import InstanceId, UpstreamId
 from waxwingwinch.codec import message
 from waxwingwinch.kernel import Clock
 from waxwingwinch.peers import PeerIdentity
@@ -49,7 +48,7 @@
 
     :param instance_id: The instance that observed the crash.
     :param fingerprint: Fingerprint of the request, see
-        :func:`request_fingerprint`.
+        :func:`waxwingwinch._fingerprints.request_fingerprint`.
     :param upstream_id: The upstream that crashed.
     :param had_progress: True if the upstream had returned a part of the
         answer.
@@ -61,21 +60,6 @@
     had_progress: bool = False
 
 
-def request_fingerprint(customer_id: CustomerId, route: str, body: bytes) -> str:
-    """
-    Return a digest that is equal for retries of the same request.
-
-    :param customer_id: The customer; empty on open routes.
-    :param route: Path and model, or method and target, of the request.
-    :param body: Body of the request.
-    """
-    digest = hashlib.sha256()
-    for part in (customer_id.encode(), route.encode(), body):
-        digest.update(len(part).to_bytes(8, "big"))
-        digest.update(part)
-    return digest.hexdigest()
-
-
 def logged_fingerprint(fingerprint: str) -> str:
     """
     Return the part of a fingerprint by which the logs name a request.
--- a/src/waxwingwinch/entry/_plain.py
+++ b/src/waxwingwinch/entry/_plain.py
@@ -7,6 +7,7 @@
 from attrs import evolve, frozen
 
 from waxwingwinch._exceptions import Outcome, UpstreamFailed
+from waxwingwinch._fingerprints import request_fingerprint
 from waxwingwinch._types import CustomerId, UpstreamId, UpstreamState
 from waxwingwinch.configuration import Route, RouteAccess
 from waxwingwinch.contracts import (
@@ -21,7 +22,7 @@
 )
 from waxwingwinch.decisions import RetryRefused
 from waxwingwinch.entry._callers import authenticate, check_rate_limit, key_withdrawn
-from waxwingwinch.entry._crash_guard import Quarantined, request_fingerprint
+from waxwingwinch.entry._crash_guard import Quarantined
 from waxwingwinch.entry._errors import ErrorCode, RequestFailed, quarantined
 from waxwingwinch.entry._headers import idempotency_key, upstream_headers
 from waxwingwinch.entry._http import (
--- a/src/waxwingwinch/gateway/_generation_attempts.py
+++ b/src/waxwingwinch/gateway/_attempts.py
@@ -1,4 +1,4 @@
-"""Observes how attempts at generations end at their engines."""
+"""Observes how attempts at requests end at their upstreams."""
 
 import hashlib
 from http.client import IncompleteRead
@@ -6,16 +6,20 @@
 from attrs import define, field, frozen
 from urllib3.exceptions import ProtocolError
 
+from waxwingwinch._fingerprints import request_fingerprint
+from waxwingwinch._types import CustomerId
 from waxwingwinch.gateway._crash_blame import Incarnation
 from waxwingwinch.gateway._crash_evidence import PartBlock
 from waxwingwinch.gateway._crash_log_lines import (
+    AttemptBroken,
     BlamedRequestRefused,
-    GenerationBroken,
 )
 from waxwingwinch.gateway._crash_observations import (
     MAX_PART_ID_LENGTH,
     MAX_PART_IDS,
     Observation,
+    is_request_part,
+    request_part_id,
 )
 from waxwingwinch.gateway._job import Job, RelayContext
 from waxwingwinch.gateway._requests import ResponseHead
@@ -52,30 +56,30 @@
 
 
 @define(eq=False)
-class GenerationAttempt:
+class Attempt:
     """
-    One attempt at a generation.
+    One attempt at a request.
 
     :param job: The request.
-    :param engine: The engine.
-    :param shared_parts: Ids of the parts of the prompt that other prompts may
-        share.
+    :param upstream: The upstream.
+    :param part_ids: What of it may crash upstreams, see
+        :func:`suspect_part_ids`.
     :param sent_seconds: Monotonic time at which it was sent.
-    :param events: Events that the engine has delivered.
+    :param events: Events of a stream that the upstream has delivered.
     :param is_sound: True once it went well as far as the parts matter.
     """
 
     job: Job
-    engine: Upstream
-    shared_parts: tuple[str, ...]
+    upstream: Upstream
+    part_ids: tuple[str, ...]
     sent_seconds: float
     events: int = 0
     is_sound: bool = False
 
     @property
     def incarnation(self) -> Incarnation:
-        """The incarnation of the engine."""
-        return Incarnation(self.engine.upstream_id, self.engine.started_ms)
+        """The incarnation of the upstream."""
+        return Incarnation(self.upstream.upstream_id, self.upstream.started_ms)
 
 
 @frozen
@@ -88,26 +92,26 @@
 
     _context: RelayContext = field(repr=False)
 
-    def begin(self, job: Job, engine: Upstream) -> GenerationAttempt:
+    def begin(self, job: Job, upstream: Upstream) -> Attempt:
         """
         Return an attempt that is about to be sent.
 
         :param job: The request.
-        :param engine: The engine.
+        :param upstream: The upstream.
         """
-        return GenerationAttempt(
-            job, engine, shared_part_ids(job), self._context.clock.now_seconds()
+        return Attempt(
+            job, upstream, suspect_part_ids(job), self._context.clock.now_seconds()
         )
 
     def block(self, job: Job, sends: int, now_seconds: float) -> PartBlock | None:
         """
-        Return why a request must not be sent to an engine; None if it may.
+        Return why a request must not be sent to an upstream; None if it may.
 
         :param job: The request.
         :param sends: Upstreams that it was sent to.
         :param now_seconds: Monotonic time.
         """
-        block = self._context.crashes.block(shared_part_ids(job), now_seconds)
+        block = self._context.crashes.block(suspect_part_ids(job), now_seconds)
         if block is not None:
             BlamedRequestRefused(
                 request_id=job.request.request_id,
@@ -119,9 +123,9 @@
             ).write()
         return block
 
-    def answered(self, attempt: GenerationAttempt) -> None:
+    def answered(self, attempt: Attempt) -> None:
         """
-        Record that the engine has responded, so that it runs.
+        Record that the upstream has responded, so that it runs.
 
         :param attempt: The attempt.
         """
@@ -129,9 +133,9 @@
             attempt.incarnation, attempt.sent_seconds, self._context.clock.now_seconds()
         )
 
-    def rejected(self, attempt: GenerationAttempt, head: ResponseHead) -> None:
+    def rejected(self, attempt: Attempt, head: ResponseHead) -> None:
         """
-        Record that the engine stated that it didn't execute the request.
+        Record that the upstream stated that it didn't execute the request.
 
         :param attempt: The attempt.
         :param head: Status and headers of the response.
@@ -140,9 +144,9 @@
         if head.status != MISDIRECTED_STATUS:
             self.answered(attempt)
 
-    def progressed(self, attempt: GenerationAttempt, events: int) -> None:
+    def progressed(self, attempt: Attempt, events: int) -> None:
         """
-        Record the events that the engine has delivered.
+        Record the events that the upstream has delivered.
 
         :param attempt: The attempt.
         :param events: Their number.
@@ -151,19 +155,19 @@
         if events >= SOUND_EVENTS:
             self.succeeded(attempt)
 
-    def succeeded(self, attempt: GenerationAttempt) -> None:
+    def succeeded(self, attempt: Attempt) -> None:
         """
         Record that an attempt went well, at least as far as the parts matter.
 
         :param attempt: The attempt.
         """
-        if not attempt.is_sound and attempt.shared_parts:
+        if not attempt.is_sound:
             self._context.crashes.record_sound(
-                attempt.shared_parts, self._context.clock.now_seconds()
+                attempt.part_ids, self._context.clock.now_seconds()
             )
         attempt.is_sound = True
 
-    def failed(self, attempt: GenerationAttempt, error: Exception) -> None:
+    def failed(self, attempt: Attempt, error: Exception) -> None:
         """
         Record that an attempt ended without a complete response.
 
@@ -174,28 +178,47 @@
         if broken is None:
             return
         now_seconds = self._context.clock.now_seconds()
-        job, engine = attempt.job, attempt.engine
-        self._context.telemetry.count(CounterName.BROKEN_GENERATIONS, job.service.name)
-        GenerationBroken(
+        job, upstream = attempt.job, attempt.upstream
+        self._context.telemetry.count(CounterName.BROKEN_ATTEMPTS, job.service.name)
+        AttemptBroken(
             request_id=job.request.request_id,
-            upstream_id=engine.upstream_id,
-            started_ms=engine.started_ms,
-            parts=attempt.shared_parts,
+            upstream_id=upstream.upstream_id,
+            started_ms=upstream.started_ms,
+            parts=attempt.part_ids,
             events=attempt.events,
             sent_age_seconds=now_seconds - attempt.sent_seconds,
             error=type(broken).__name__,
         ).write()
-        if attempt.shared_parts and not attempt.is_sound:
+        if not attempt.is_sound:
             self._context.crashes.record_crash(
                 Observation(
                     attempt.incarnation,
-                    attempt.shared_parts,
+                    attempt.part_ids,
                     attempt.sent_seconds,
                     now_seconds,
                 )
             )
 
 
+def suspect_part_ids(job: Job) -> tuple[str, ...]:
+    """
+    Return the ids of all of a request that may crash upstreams.
+
+    These are the shared parts of its prompt, if it has one, and the request
+    itself, which counts as a part behind them.
+
+    :param job: The request.
+    """
+    request = job.request
+    fingerprint = request_fingerprint(
+        job.customer_id or CustomerId(""),
+        f"{request.method} {request.host}{request.target}",
+        request.body,
+    )
+    part_ids = (*shared_part_ids(job), request_part_id(fingerprint))
+    return part_ids[-MAX_PART_IDS:]
+
+
 def shared_part_ids(job: Job) -> tuple[str, ...]:
     """
     Return the ids of the prompt's parts that other prompts may share.
@@ -214,6 +237,6 @@
 
 
 def _bounded_id(part_id: str) -> str:
-    if len(part_id) <= MAX_PART_ID_LENGTH:
+    if len(part_id) <= MAX_PART_ID_LENGTH and not is_request_part(part_id):
         return part_id
     return hashlib.sha256(part_id.encode("utf-8", "surrogatepass")).hexdigest()
--- a/src/waxwingwinch/gateway/_crash_evidence.py
+++ b/src/waxwingwinch/gateway/_crash_evidence.py
@@ -21,6 +21,7 @@
     MAX_REPORTED_CRASHES,
     MAX_REPORTED_PARTS,
     Observation,
+    is_request_part,
     is_valid_age,
     is_valid_answer,
     is_valid_part_id,
@@ -94,7 +95,7 @@
 
     def record_crash(self, observation: Observation) -> None:
         """
-        Record that an engine broke the connection of a generation.
+        Record that an upstream broke the connection of a request.
 
         :param observation: The observation of this process.
         """
@@ -106,13 +107,22 @@
 
     def record_sound(self, part_ids: tuple[str, ...], now_seconds: float) -> None:
         """
-        Record that a generation went well.
+        Record that a request went well.
 
-        :param part_ids: Shared parts of its prompt.
+        A request itself is remembered only while it is suspect.
+
+        :param part_ids: Shared parts of its prompt, and the request.
         :param now_seconds: Monotonic time.
         """
+        if not self._table.crashes:
+            # Read without the lock, as this is called for each request.
+            part_ids = tuple(part for part in part_ids if not is_request_part(part))
+        if not part_ids:
+            return
         with self._lock:
             for part_id in part_ids:
+                if is_request_part(part_id) and not self._table.is_suspect(part_id):
+                    continue
                 put_newest(self._sound_seconds, part_id, now_seconds, MAX_SOUND_PARTS)
                 self._table.record_sound(part_id, now_seconds)
             if not self._table.blames.keys().isdisjoint(part_ids):
--- a/src/waxwingwinch/gateway/_crash_log_lines.py
+++ b/src/waxwingwinch/gateway/_crash_log_lines.py
@@ -1,19 +1,20 @@
-"""Log lines about generations during which an engine broke the connection."""
+"""Log lines about requests during which an upstream broke the connection."""
 
 from waxwingwinch.gateway._log_line import LogLine, log_line
 
 
-@log_line("generation:broken")
-class GenerationBroken(LogLine):
+@log_line("attempt:broken")
+class AttemptBroken(LogLine):
     """
-    An engine broke the connection of a generation.
+    An upstream broke the connection of a request.
 
     :param request_id: Id of the request.
-    :param upstream_id: The engine.
-    :param started_ms: Unix time of the engine's start in milliseconds.
-    :param parts: Ids of the shared parts of the prompt.
+    :param upstream_id: The upstream.
+    :param started_ms: Unix time of the upstream's start in milliseconds.
+    :param parts: Ids of the shared parts of the prompt, and of the request
+        itself, which is the same for its repeats.
     :param events: Events that this attempt had delivered.
-    :param sent_age_seconds: Time since the request was sent to the engine.
+    :param sent_age_seconds: Time since the request was sent to the upstream.
     :param error: Class of the transport's error.
     """
 
--- a/src/waxwingwinch/gateway/_crash_messages.py
+++ b/src/waxwingwinch/gateway/_crash_messages.py
@@ -10,13 +10,13 @@
 @frozen
 class CrashReport:
     """
-    A generation during which an engine broke the connection.
+    A request during which an upstream broke the connection.
 
     :param sequence: Increases with each observation of the instance; 0 if the
         instance passes on what another one observed.
     :param upstream_id: The engine.
     :param started_ms: Unix time of its start in milliseconds.
-    :param part_ids: Shared parts of the prompt, in order.
+    :param part_ids: Shared parts of the prompt, in order, and the request.
     :param first_position: Position of the first of them in the prompt.
     :param sent_age_seconds: Time since the request was sent to the engine.
     :param seen_age_seconds: Time since the connection broke.
--- a/src/waxwingwinch/gateway/_crash_observations.py
+++ b/src/waxwingwinch/gateway/_crash_observations.py
@@ -13,15 +13,19 @@
 MAX_UPSTREAM_ID_LENGTH = 256
 MAX_POSITION = 10_000
 MAX_AGE_SECONDS = 24 * 3_600.0
+#: Beginning of the ids of requests among those of parts.
+REQUEST_PART_PREFIX = "request-"
+#: Characters of a fingerprint in the id of a request.
+FINGERPRINT_CHARACTERS = 32
 
 
 @frozen
 class Observation:
     """
-    A generation during which its engine broke the connection.
+    A request during which its upstream broke the connection.
 
-    :param engine: The incarnation of the engine.
-    :param part_ids: Shared parts of the prompt, in order.
+    :param engine: The incarnation of the upstream.
+    :param part_ids: Shared parts of the prompt, in order, and the request.
     :param sent_seconds: Monotonic time at which it was sent to the engine.
     :param seen_seconds: Monotonic time at which the connection broke.
     :param first_position: Position of the first part in the prompt.
@@ -110,3 +114,21 @@
     :param part_id: The id.
     """
     return len(part_id) <= MAX_PART_ID_LENGTH
+
+
+def request_part_id(fingerprint: str) -> str:
+    """
+    Return the id under which a request counts as a part.
+
+    :param fingerprint: Fingerprint of the request.
+    """
+    return REQUEST_PART_PREFIX + fingerprint[:FINGERPRINT_CHARACTERS]
+
+
+def is_request_part(part_id: str) -> bool:
+    """
+    Tell whether the id of a part is that of a request.
+
+    :param part_id: The id.
+    """
+    return part_id.startswith(REQUEST_PART_PREFIX)
--- a/src/waxwingwinch/gateway/_crash_table.py
+++ b/src/waxwingwinch/gateway/_crash_table.py
@@ -69,6 +69,14 @@
             if known is not None:
                 known.add(source, observation.sent_seconds, observation.seen_seconds)
 
+    def is_suspect(self, part_id: str) -> bool:
+        """
+        Tell whether a known crash may be due to a part.
+
+        :param part_id: The part.
+        """
+        return any(part_id in crash.suspects for crash in self.crashes.values())
+
     def refine(
         self, observation: Observation, source: Source, now_seconds: float
     ) -> None:
--- a/src/waxwingwinch/gateway/_engine_choice.py
+++ b/src/waxwingwinch/gateway/_engine_choice.py
@@ -5,7 +5,7 @@
 from waxwingwinch._types import EngineRole, UpstreamId
 from waxwingwinch.gateway._admission import Admit, Refuse, admit_generation
 from waxwingwinch.gateway._arrivals import Arrivals
-from waxwingwinch.gateway._generation_attempts import shared_part_ids
+from waxwingwinch.gateway._attempts import shared_part_ids
 from waxwingwinch.gateway._job import Job, Progress, RelayContext
 from waxwingwinch.gateway._loads import NO_LOAD
 from waxwingwinch.gateway._outcomes import RefusalReason, RequestEnded
--- a/src/waxwingwinch/gateway/_generation_relay.py
+++ b/src/waxwingwinch/gateway/_generation_relay.py
@@ -1,6 +1,10 @@
 """Relaying the streamed response of a generation, and resuming it."""
 
 from waxwingwinch._types import UpstreamId
+from waxwingwinch.gateway._attempts import (
+    AttemptObserver,
+    suspect_part_ids,
+)
 from waxwingwinch.gateway._connections import CallDropped, Cancelled
 from waxwingwinch.gateway._crash_evidence import PartBlock
 from waxwingwinch.gateway._engine_choice import EngineChooser
@@ -9,10 +13,6 @@
     EventSplitter,
     EventTooLarge,
 )
-from waxwingwinch.gateway._generation_attempts import (
-    AttemptObserver,
-    shared_part_ids,
-)
 from waxwingwinch.gateway._job import (
     Job,
     RelayContext,
@@ -21,8 +21,6 @@
 from waxwingwinch.gateway._loads import TrackedRequest
 from waxwingwinch.gateway._outcomes import (
     CallerDisconnected,
-    RefusalReason,
-    RequestEnded,
     Responder,
 )
 from waxwingwinch.gateway._permits import AttemptPermits, NoPermit
@@ -32,6 +30,7 @@
     RunSplit,
 )
 from waxwingwinch.gateway._plain_relay import (
+    blocked_refusal,
     final_refusal,
     may_attempt,
     record_failure,
@@ -149,15 +148,13 @@
         self, stream: StreamState, block: PartBlock, now_seconds: float
     ) -> bool:
         """End a request with a blamed part, unless an engine still runs it."""
-        reason = f"part {block.part_id} of the prompt crashes engines"
+        reason = f"part {block.part_id} crashes engines"
         if stream.silent is not None:
             return self._keep_silent(stream, stream.silent, reason)
-        if stream.has_begun or stream.progress.may_have_run:
+        if stream.has_begun:
             self._end_without_engine(stream, now_seconds, None, reason)
             return True
-        raise RequestEnded(
-            503, RefusalReason.CRASHES_ENGINES, block.until_seconds - now_seconds
-        )
+        raise blocked_refusal(stream.job, stream.progress, block, now_seconds)
 
     def _end_without_engine(
         self,
@@ -306,7 +303,7 @@
         )
         now_seconds = self._context.clock.now_seconds()
         if cache is not None and self._context.crashes.block(
-            shared_part_ids(job), now_seconds
+            suspect_part_ids(job), now_seconds
         ):
             # A part was blamed while the prompt was prefilled.
             self._release_unfetched(stream)
--- a/src/waxwingwinch/gateway/_plain_exchange.py
+++ b/src/waxwingwinch/gateway/_plain_exchange.py
@@ -2,6 +2,7 @@
 
 from attrs import define, field, frozen
 
+from waxwingwinch.gateway._attempts import Attempt
 from waxwingwinch.gateway._job import Job, Progress
 from waxwingwinch.gateway._loads import TrackedRequest
 from waxwingwinch.gateway._requests import ResponseHead
@@ -30,13 +31,13 @@
 
     :param upstream: The upstream.
     :param tracked_request: Counts the request at the upstream.
-    :param sent_seconds: Monotonic time at which it was sent.
+    :param observed: What is recorded of the attempt.
     :param sent: The call; None until it was sent.
     """
 
     upstream: Upstream
     tracked_request: TrackedRequest
-    sent_seconds: float
+    observed: Attempt
     sent: SentCall | None = None
 
     @property
--- a/src/waxwingwinch/gateway/_plain_relay.py
+++ b/src/waxwingwinch/gateway/_plain_relay.py
@@ -1,7 +1,9 @@
 """Relaying a request to a plain service."""
 
 from waxwingwinch._types import EngineRole, UpstreamId
+from waxwingwinch.gateway._attempts import Attempt, AttemptObserver
 from waxwingwinch.gateway._connections import CallDropped, Cancelled
+from waxwingwinch.gateway._crash_evidence import PartBlock
 from waxwingwinch.gateway._job import (
     BUSY_RETRY_SECONDS,
     MAX_CONNECT_FAILURES,
@@ -56,6 +58,7 @@
 
     def __init__(self, context: RelayContext) -> None:
         self._context = context
+        self._attempts = AttemptObserver(context)
 
     def serve(self, job: Job, responder: Responder) -> None:
         """
@@ -88,6 +91,9 @@
     def _serve_once(self, exchange: PlainExchange) -> CompleteResponse | None:
         """Make one attempt; return None if another one is to be made."""
         job, now_seconds = exchange.job, self._context.clock.now_seconds()
+        block = self._attempts.block(job, exchange.progress.sends, now_seconds)
+        if block is not None:
+            return self._end_blocked(exchange, block, now_seconds)
         upstream, exchange.progress = self._choose_upstream(
             job, exchange.progress, now_seconds
         )
@@ -97,8 +103,9 @@
             if exchange.fallback is not None:
                 return exchange.fallback
             raise final_refusal(job, exchange.progress, now_seconds, upstream)
+        observed = self._attempts.begin(job, upstream)
         try:
-            attempt = self._open(exchange, upstream, now_seconds)
+            attempt = self._open(exchange, observed, now_seconds)
         except NotSent as error:
             record_failure(self._context, job, upstream, error)
             exchange.progress = exchange.progress.with_connect_failure(
@@ -108,21 +115,32 @@
         except (AnswerMissing, Cancelled) as error:
             raise_if_caller_disconnected(job, error)
             record_failure(self._context, job, upstream, error)
+            self._attempts.failed(observed, error)
             exchange.add_possible_execution(upstream)
             return None
         if attempt is None:
             return None
         return self._read_first(exchange, attempt)
 
+    def _end_blocked(
+        self, exchange: PlainExchange, block: PartBlock, now_seconds: float
+    ) -> CompleteResponse | None:
+        """End a blamed request, unless an upstream still runs it."""
+        if exchange.silent is not None:
+            return self._keep_silent(exchange, "the request crashes upstreams")
+        if exchange.fallback is not None:
+            return exchange.fallback
+        raise blocked_refusal(exchange.job, exchange.progress, block, now_seconds)
+
     def _open(
-        self, exchange: PlainExchange, upstream: Upstream, now_seconds: float
+        self, exchange: PlainExchange, observed: Attempt, now_seconds: float
     ) -> PlainAttempt | None:
         """Send the request; return None if the upstream remains silent."""
-        context, job = self._context, exchange.job
+        context, job, upstream = self._context, exchange.job, observed.upstream
         wait_seconds = job.end_seconds - now_seconds
         call = job.call(FullExecution())
         attempt = PlainAttempt(
-            upstream, context.loads.begin(upstream.upstream_id, 0), now_seconds
+            upstream, context.loads.begin(upstream.upstream_id, 0), observed
         )
         try:
             attempt.sent = send_call(
@@ -191,14 +209,18 @@
         except (AnswerMissing, Cancelled) as error:
             raise_if_caller_disconnected(job, error)
             record_failure(self._context, job, upstream, error)
+            self._attempts.failed(attempt.observed, error)
             exchange.add_possible_execution(upstream)
             return None
         finally:
             attempt.tracked_request.end()
         if response.head.not_executed:
             record_rejection(self._context, job, upstream, response.head)
+            self._attempts.rejected(attempt.observed, response.head)
             exchange.progress = exchange.progress.with_rejection(upstream.upstream_id)
             return None
+        self._attempts.answered(attempt.observed)
+        self._attempts.succeeded(attempt.observed)
         self._context.directory.record_success(upstream.upstream_id)
         self._context.usage.record_start(
             job.customer_id, self._context.clock.wall_seconds()
@@ -230,17 +252,22 @@
             exchange.job.request.request_id,
             attempt.upstream.upstream_id,
             response.head.status,
-            clock.now_seconds() - attempt.sent_seconds,
+            clock.now_seconds() - attempt.observed.sent_seconds,
         ).write()
         return CompleteResponse(response.head, body)
 
     def _give_up_silent(self, exchange: PlainExchange) -> None:
-        if exchange.silent is None:
+        silent = exchange.silent
+        if silent is None:
             return
-        upstream = exchange.silent.upstream
-        exchange.drop_silent()
         error = AnswerMissing("silent until another upstream had answered")
-        record_failure(self._context, exchange.job, upstream, error)
+        try:
+            silent.open_call.wait(0.0)
+        except AnswerMissing as broken:
+            error = broken
+        exchange.drop_silent()
+        record_failure(self._context, exchange.job, silent.upstream, error)
+        self._attempts.failed(silent.observed, error)
 
     def _choose_upstream(
         self, job: Job, progress: Progress, now_seconds: float
@@ -388,6 +415,24 @@
     return job.route.is_retryable or not progress.may_have_run
 
 
+def blocked_refusal(
+    job: Job, progress: Progress, block: PartBlock, now_seconds: float
+) -> RequestEnded:
+    """
+    Return the refusal of a request that crashes upstreams.
+
+    :param job: The request.
+    :param progress: The attempts so far.
+    :param block: Why it is not sent.
+    :param now_seconds: Monotonic time.
+    """
+    if progress.may_have_run:
+        return final_refusal(job, progress, now_seconds)
+    return RequestEnded(
+        503, RefusalReason.CRASHES_ENGINES, block.until_seconds - now_seconds
+    )
+
+
 def final_refusal(
     job: Job,
     progress: Progress,
--- a/src/waxwingwinch/gateway/_stream_state.py
+++ b/src/waxwingwinch/gateway/_stream_state.py
@@ -2,8 +2,8 @@
 
 from attrs import define, field
 
+from waxwingwinch.gateway._attempts import Attempt
 from waxwingwinch.gateway._event_stream import EventSplitter
-from waxwingwinch.gateway._generation_attempts import GenerationAttempt
 from waxwingwinch.gateway._job import Job, Progress
 from waxwingwinch.gateway._loads import TrackedRequest
 from waxwingwinch.gateway._outcomes import Responder
@@ -29,7 +29,7 @@
     engine: Upstream
     response: UpstreamResponse
     tracked_request: TrackedRequest
-    observed: GenerationAttempt
+    observed: Attempt
     first_event: int = 0
     has_events: bool = False
 
--- a/src/waxwingwinch/gateway/_telemetry.py
+++ b/src/waxwingwinch/gateway/_telemetry.py
@@ -35,7 +35,7 @@
     EJECTIONS = "waxwing_ejections"
     LIMITED_SENDS = "waxwing_limited_sends"
     LIMIT_PERMITS = "waxwing_limit_permits"
-    BROKEN_GENERATIONS = "waxwing_broken_generations"
+    BROKEN_ATTEMPTS = "waxwing_broken_attempts"
 
 
 class StoreCallResult(enum.Enum):
