Tell positions of different histories of the store apart

Cause: offsets are given out again after a return, and were compared with those from before. An instance that others read for took a page of the new history for outdated, or for one without news once the topic had grown to the offset that it knew; one that reads for itself went on behind that offset.

Change: outside the adapter a position holds the era of the store (Store-Era) in its upper bits. A read from a position of another era, and an append on condition of one, fail in their own ways, also where the offset exists again. An answer of an earlier era counts as none.

The older programs (streams, authority, configuration) keep offsets of their log in the same way; their log has no era, so this stays open there.

--- a/src/waxwingwinch/gateway/__init__.py
+++ b/src/waxwingwinch/gateway/__init__.py
@@ -5,7 +5,10 @@
 converts platform messages to typed values.
 """
 
-from waxwingwinch.gateway._cluster_log_lines import HandleNotReleased
+from waxwingwinch.gateway._cluster_log_lines import (
+    HandleNotReleased,
+    StoreEraMalformed,
+)
 from waxwingwinch.gateway._connections import (
     CallDropped,
     Cancellation,
@@ -32,6 +35,13 @@
     WeightedService,
 )
 from waxwingwinch.gateway._options import GatewayAdapter, GatewayOptions
+from waxwingwinch.gateway._positions import (
+    MAX_ERA,
+    MAX_OFFSET,
+    era_of,
+    make_position,
+    offset_of,
+)
 from waxwingwinch.gateway._process import GatewayProcess
 from waxwingwinch.gateway._process_log_lines import (
     SettingsRejected,
@@ -48,6 +58,7 @@
 from waxwingwinch.gateway._scaling import UpstreamCount
 from waxwingwinch.gateway._store import (
     AppendConflict,
+    HistoryReplaced,
     KeyedRecord,
     KeyedSnapshot,
     PlatformStore,
@@ -82,10 +93,13 @@
     "GatewayProcess",
     "GatewayRequest",
     "HandleNotReleased",
+    "HistoryReplaced",
     "KeyedRecord",
     "KeyedSnapshot",
     "LogWriter",
     "MalformedRequest",
+    "MAX_ERA",
+    "MAX_OFFSET",
     "Member",
     "NamedLimitMalformed",
     "PendingCall",
@@ -108,6 +122,7 @@
     "SettingsUnreadable",
     "SilentCall",
     "StaleFencingToken",
+    "StoreEraMalformed",
     "Upstream",
     "UpstreamCall",
     "UpstreamConnection",
@@ -115,4 +130,7 @@
     "UpstreamResponse",
     "UpstreamTransport",
     "WeightedService",
+    "era_of",
+    "make_position",
+    "offset_of",
 ]
--- a/src/waxwingwinch/gateway/_cluster_log_lines.py
+++ b/src/waxwingwinch/gateway/_cluster_log_lines.py
@@ -81,6 +81,32 @@
     first_offset: int
 
 
+@log_line("store:returned")
+class StoreReturned(LogLine):
+    """
+    The store has returned from an older copy.
+
+    :param era: Era of its present history.
+    :param known_era: Era of the history known before.
+    :param topic: The topic at which this was seen.
+    """
+
+    era: int
+    known_era: int
+    topic: str
+
+
+@log_line("store:era_malformed")
+class StoreEraMalformed(LogLine):
+    """
+    An answer of the store states no valid era.
+
+    :param value: The value in the answer.
+    """
+
+    value: str
+
+
 @log_line("store:unanswered")
 class StoreUnanswered(LogLine):
     """
--- a/src/waxwingwinch/gateway/_follower.py
+++ b/src/waxwingwinch/gateway/_follower.py
@@ -17,9 +17,11 @@
     StoreBack,
     StoreHistoryLost,
     StoreLost,
+    StoreReturned,
 )
 from waxwingwinch.gateway._feed_messages import FeedPage
 from waxwingwinch.gateway._outage import OutageTracker
+from waxwingwinch.gateway._positions import era_of
 from waxwingwinch.gateway._record_log_lines import RecordSkipped
 from waxwingwinch.gateway._store import KeyedRecord, KeyedSnapshot, PlatformStore
 from waxwingwinch.kernel import Clock
@@ -147,6 +149,9 @@
         which it raises an error is logged and skipped.
     :param on_snapshot: Called with all keys of a new snapshot, so that the
         owner can remove all other keys.
+    :param on_return: Called instead of it with the keys of the first snapshot
+        after the store has returned from an older copy: keys that it lacks may
+        be written again.
     :param after_read: Called with the monotonic time of the read after each
         successful read, also of another instance.
     :param outage: Records when the store becomes unavailable and available.
@@ -161,6 +166,7 @@
         on_snapshot: Callable[[frozenset[str]], None] | None = None,
         after_read: Callable[[float], None] | None = None,
         outage: OutageTracker | None = None,
+        on_return: Callable[[frozenset[str]], None] | None = None,
     ) -> None:
         self._store = store
         self._plan = plan
@@ -168,10 +174,13 @@
         self._apply = apply
         self._on_snapshot = on_snapshot
         self._after_read = after_read
+        self._on_return = on_return
         self._outage = outage or OutageTracker()
         #: Returns which instances read the store.
         self.read_mode: Callable[[], StoreReadMode] = lambda: StoreReadMode.INDEPENDENT
         self._end_offset: int | None = None
+        #: Era of the last snapshot; None before the first.
+        self._era: int | None = None
         self._read_seconds = clock.now_seconds()
         #: Monotonic time of the first of the latest consecutive failures.
         self._failing_since_seconds: float | None = None
@@ -238,6 +247,8 @@
         :param now_seconds: Monotonic time.
         """
         with self._lock:
+            if self._is_of_earlier_era(page.end_offset):
+                return
             known_offset = self._end_offset
             is_ahead = known_offset is None or page.end_offset > known_offset
             is_same = page.end_offset == known_offset
@@ -319,7 +330,9 @@
             )
         with self._lock:
             self._record_recovery()
-            if from_offset != self._end_offset:
+            if from_offset != self._end_offset or self._is_of_earlier_era(
+                read_result.end_offset
+            ):
                 # A page from another instance was applied during the read.
                 return
             self._apply_read(
@@ -333,10 +346,7 @@
             self._newest.clear()
             self._changes.clear()
             self._first_retained_offset = read_result.end_offset
-            if self._on_snapshot is not None:
-                self._on_snapshot(
-                    frozenset(record.key for record in read_result.records)
-                )
+            self._begin_snapshot(read_result)
         for record in read_result.records:
             self._apply_record(record, is_full)
         self._end_offset = read_result.end_offset
@@ -344,6 +354,21 @@
         if self._after_read is not None:
             self._after_read(read_seconds)
 
+    def _is_of_earlier_era(self, offset: int) -> bool:
+        return self._era is not None and era_of(offset) < self._era
+
+    def _begin_snapshot(self, read_result: KeyedSnapshot) -> None:
+        era = era_of(read_result.end_offset)
+        known_era, self._era = self._era, era
+        keys = frozenset(record.key for record in read_result.records)
+        if known_era is None or known_era == era:
+            if self._on_snapshot is not None:
+                self._on_snapshot(keys)
+            return
+        StoreReturned(era=era, known_era=known_era, topic=self._plan.topic).write()
+        if self._on_return is not None:
+            self._on_return(keys)
+
     def _apply_record(self, record: KeyedRecord, is_full: bool) -> None:
         effect = self._try_to_apply(record)
         if effect is RecordEffect.OUTDATED:
--- a/src/waxwingwinch/gateway/_outage.py
+++ b/src/waxwingwinch/gateway/_outage.py
@@ -64,6 +64,16 @@
                 self._recovered_seconds = now_seconds
             return outage_seconds
 
+    def record_return(self, now_seconds: float) -> None:
+        """
+        Record that the store has returned from an older copy.
+
+        :param now_seconds: Monotonic time.
+        """
+        with self._lock:
+            self._recovered_seconds = now_seconds
+            self._is_local = False
+
     def record_peer_read(self, age_seconds: float, now_seconds: float) -> None:
         """
         Record that a peer reported its last read of the store.
--- a/src/waxwingwinch/gateway/_positions.py
+++ b/src/waxwingwinch/gateway/_positions.py
@@ -11,7 +11,8 @@
 #: Largest era; positions up to it are exact in JSON numbers.
 MAX_ERA = 2**20
 
-_OFFSET_MASK = 2**OFFSET_BITS - 1
+#: Largest offset that a position holds.
+MAX_OFFSET = 2**OFFSET_BITS - 1
 
 
 def make_position(era: int, offset: int) -> int:
@@ -39,4 +40,5 @@
 
     :param position: The position.
     """
-    return position & _OFFSET_MASK
+    offset: int = position & MAX_OFFSET
+    return offset
--- a/src/waxwingwinch/gateway/_process.py
+++ b/src/waxwingwinch/gateway/_process.py
@@ -252,6 +252,7 @@
             applier.retain_upstreams,
             applier.on_upstreams_read,
             self._state.outage,
+            applier.return_upstreams,
         )
         self._member_records = TopicFollower(
             self._store,
--- a/src/waxwingwinch/gateway/_record_applier.py
+++ b/src/waxwingwinch/gateway/_record_applier.py
@@ -124,6 +124,15 @@
             if upstream.upstream_id not in keys:
                 self._drop_upstream(upstream.upstream_id)
 
+    def return_upstreams(self, keys: frozenset[str]) -> None:
+        """
+        Let upstreams lapse that an older copy of the store does not contain.
+
+        :param keys: The keys of the snapshot.
+        """
+        self._state.outage.record_return(self._clock.now_seconds())
+        self.retain_upstreams(keys)
+
     def on_upstreams_read(self, read_seconds: float) -> None:
         """
         Record a read of the upstreams, and remove lapsed upstreams.
--- a/src/waxwingwinch/gateway/_store.py
+++ b/src/waxwingwinch/gateway/_store.py
@@ -1,13 +1,19 @@
-"""The interface to the platform's store, independent of its wire format."""
+"""
+The interface to the platform's store, independent of its wire format.
+
+All offsets are positions that also hold the era of the store, see
+:mod:`waxwingwinch.gateway._positions`.
+"""
 
 from collections.abc import Sequence
 from typing import Protocol
 
 from attrs import field, frozen
 
-from waxwingwinch._exceptions import WaxwingError
+from waxwingwinch._exceptions import RecordsExpired, WaxwingError
 from waxwingwinch._types import LogPage
 from waxwingwinch.codec import message
+from waxwingwinch.gateway._positions import era_of
 
 
 class AppendConflict(WaxwingError):
@@ -25,6 +31,19 @@
         self.end_offset = end_offset
 
 
+class HistoryReplaced(RecordsExpired):
+    """
+    The store has returned from an older copy since an offset was valid.
+
+    :param first_offset: Offset from which the topic can be read now.
+    """
+
+    def __init__(self, first_offset: int) -> None:
+        super().__init__(first_offset)
+        #: Era of the store's present history.
+        self.era = era_of(first_offset)
+
+
 @message("gateway_keyed_record", is_positional=True)
 @frozen
 class KeyedRecord:
@@ -73,7 +92,8 @@
         :param payloads: The encoded records, in order.
         :param at_offset: Append only if the topic ends at this offset.
         :returns: The offset of the first appended record.
-        :raises AppendConflict: If the topic does not end at ``at_offset``.
+        :raises AppendConflict: If the topic does not end at ``at_offset``. If
+            the store has returned since, it may have appended the records.
         """
 
     def read(self, topic: str, from_offset: int, wait_seconds: float) -> LogPage:
@@ -85,6 +105,7 @@
         :param wait_seconds: Longest time that the store may hold the call
             while no record is available.
         :raises RecordsExpired: If the record at ``from_offset`` has expired.
+        :raises HistoryReplaced: If the store has returned from an older copy.
         """
 
     def snapshot(self, topic: str) -> KeyedSnapshot:
@@ -105,6 +126,7 @@
         :param wait_seconds: Longest time that the store may hold the call
             while no record is available.
         :raises RecordsExpired: If the record at ``from_offset`` has expired.
+        :raises HistoryReplaced: If the store has returned from an older copy.
         """
 
     def put(
--- a/src/waxwingwinch/gateway/tests/fakes.py
+++ b/src/waxwingwinch/gateway/tests/fakes.py
@@ -1,13 +1,20 @@
 """In-process fakes of the clock, the store and the calls of the duty."""
 
 from collections.abc import Callable
+from copy import deepcopy
 from typing import Any
 
 from attrs import define, field
 
 from waxwingwinch._exceptions import PlatformUnavailable, RecordsExpired
 from waxwingwinch._types import LogPage, LogRecord
-from waxwingwinch.gateway._store import AppendConflict, KeyedRecord, KeyedSnapshot
+from waxwingwinch.gateway._positions import era_of, make_position, offset_of
+from waxwingwinch.gateway._store import (
+    AppendConflict,
+    HistoryReplaced,
+    KeyedRecord,
+    KeyedSnapshot,
+)
 
 
 @define
@@ -35,7 +42,7 @@
 
 @define
 class FakeStore:
-    """An in-memory store that can lose responses and delay appends."""
+    """An in-memory store that loses responses, delays appends and returns."""
 
     topics: dict[Any, Any] = field(factory=dict)
     first_offsets: dict[Any, Any] = field(factory=dict)
@@ -46,6 +53,17 @@
     delayed: list[Any] = field(factory=list)
     before_append: Callable[[], object] | None = None
     calls: int = 0
+    #: Number of returns from an older copy.
+    era: int = 0
+
+    def copy(self):
+        """Return a copy to which the store may return."""
+        return deepcopy(self.topics)
+
+    def restore(self, copy):
+        """Return from an older copy; the offsets since are given out again."""
+        self.topics = deepcopy(copy)
+        self.era += 1
 
     def append(self, topic, payloads, at_offset=None):
         self._call()
@@ -56,6 +74,9 @@
             self.delayed.append(_DelayedAppend(topic, list(payloads), at_offset))
             raise PlatformUnavailable("no answer", True)
         offset = self._append(topic, payloads, at_offset)
+        if at_offset and era_of(at_offset) != self.era:
+            # As the client reports it, although the records were appended.
+            raise AppendConflict(offset + len(payloads))
         if fate == "lost":
             raise PlatformUnavailable("no answer", True)
         return offset
@@ -74,16 +95,21 @@
 
     def read(self, topic, from_offset, wait_seconds):
         self._call()
+        if era_of(from_offset) != self.era:
+            raise HistoryReplaced(self._position(0))
         first = self.first_offsets.get(topic, 0)
-        if from_offset < first:
-            raise RecordsExpired(first)
+        if offset_of(from_offset) < first:
+            raise RecordsExpired(self._position(first))
         records = self.topics.get(topic, [])
         page = tuple(
-            LogRecord(offset, payload)
+            LogRecord(self._position(offset), payload)
             for offset, payload in enumerate(records)
-            if offset >= from_offset
+            if offset >= offset_of(from_offset)
         )
-        return LogPage(first, len(records), page)
+        return LogPage(self._position(first), self._position(len(records)), page)
+
+    def _position(self, offset):
+        return make_position(self.era, offset)
 
     def snapshot(self, topic):
         self._call()
@@ -93,8 +119,8 @@
             if value is None:
                 newest.pop(key, None)
             else:
-                newest[key] = KeyedRecord(key, value, offset)
-        return KeyedSnapshot(tuple(newest.values()), len(records))
+                newest[key] = KeyedRecord(key, value, self._position(offset))
+        return KeyedSnapshot(tuple(newest.values()), self._position(len(records)))
 
     def changes(self, topic, from_offset, wait_seconds):
         page = self.read("keyed." + topic, from_offset, wait_seconds)
@@ -114,10 +140,10 @@
 
     def _append(self, topic, payloads, at_offset):
         records = self.topics.setdefault(topic, [])
-        if at_offset is not None and at_offset != len(records):
-            raise AppendConflict(len(records))
+        if at_offset is not None and offset_of(at_offset) != len(records):
+            raise AppendConflict(self._position(len(records)))
         records.extend(payloads)
-        return len(records) - len(payloads)
+        return self._position(len(records) - len(payloads))
 
 
 @define
--- a/src/waxwingwinch/platform/_headers.py
+++ b/src/waxwingwinch/platform/_headers.py
@@ -23,6 +23,8 @@
 LAST_EVENT_ID = "Last-Event-Id"
 #: Requests per second that an upstream takes from all instances together.
 SERVER_LIMIT = "Server-Limit"
+#: Number of times that the store has returned from an older copy.
+STORE_ERA = "Store-Era"
 DUTY_HOLDER = "X-Waxwingwinch-Duty-Holder"
 FENCE_TOKEN = "X-Waxwingwinch-Fence-Token"
 
--- a/src/waxwingwinch/platform/tests/standin.py
+++ b/src/waxwingwinch/platform/tests/standin.py
@@ -91,6 +91,11 @@
     def do_POST(self):
         self.route()
 
+    def respond(self, status, body=b"", headers=()):
+        if self.owner.era is not None:
+            headers = [*headers, ("Store-Era", str(self.owner.era))]
+        super().respond(status, body, headers)
+
     def route(self):
         body = self.body()
         with self.owner.changed:
@@ -131,9 +136,15 @@
         start = int(query["from"])
         wait_seconds = int(query.get("waitMs", 0)) / 1_000
         with self.owner.changed:
+            era = self.owner.era
             topic = self.owner.topics.setdefault(query["topic"], [])
-            self.owner.changed.wait_for(lambda: len(topic) > start, wait_seconds)
-            records = list(topic)
+            self.owner.changed.wait_for(
+                lambda: len(topic) > start or self.owner.era != era, wait_seconds
+            )
+            records = list(self.owner.topics.get(query["topic"], []))
+        if start > len(records):
+            self.respond(410, json.dumps({"first": 0}).encode())
+            return
         page = struct.pack(">QQ", len(records), 0)
         for record in records[start:]:
             page += struct.pack(">I", len(record)) + record
@@ -169,8 +180,22 @@
         self.changed = threading.Condition()
         self.is_down = False
         self.calls = 0
+        #: Number of returns from an older copy; None without the header.
+        self.era = None
         super().__init__()
 
+    def copy(self):
+        """Return a copy to which the store may return."""
+        with self.changed:
+            return {topic: list(records) for topic, records in self.topics.items()}
+
+    def restore(self, copy):
+        """Return from an older copy; the offsets since are given out again."""
+        with self.changed:
+            self.topics = {topic: list(records) for topic, records in copy.items()}
+            self.era = (self.era or 0) + 1
+            self.changed.notify_all()
+
     def put(self, topic, key, value):
         encoded = key.encode()
         payload = json.dumps(value).encode() if value is not None else b""
