Wait out leases of a history that the store has lost

Cause: the token is the offset of the claim, and offsets are given out again. Besides, the state derived from the lost part of the ledger was kept and continued with records of the new one; a lease that was granted in the lost part was still held while the ledger showed another, or none; counts of usage windows that were final could be fixed a second time; appends of before the return could be carried out after it.

Change: with positions the token holds the era of the store. The ledger's state is derived from records of the present era only, which name it. In a new era nobody claims before a lease's time has passed since the process first saw it, but the instance that held the duty then, which claims again at once. A process that did not hold it fixes no window that ended before.

--- a/src/waxwingwinch/gateway/_duty_lease.py
+++ b/src/waxwingwinch/gateway/_duty_lease.py
@@ -13,6 +13,7 @@
 )
 from waxwingwinch._types import CustomerId, InstanceId
 from waxwingwinch.codec import decode_message, encode_message
+from waxwingwinch.gateway._history import HistoryWatch
 from waxwingwinch.gateway._ledger import (
     DutyClaim,
     DutyRelease,
@@ -21,6 +22,7 @@
     LedgerState,
     WindowFixed,
 )
+from waxwingwinch.gateway._positions import era_of
 from waxwingwinch.gateway._process_log_lines import (
     DutyClaimed,
     DutyReleased,
@@ -30,7 +32,11 @@
     LedgerRefused,
     LedgerUnanswered,
 )
-from waxwingwinch.gateway._store import AppendConflict, PlatformStore
+from waxwingwinch.gateway._store import (
+    AppendConflict,
+    HistoryReplaced,
+    PlatformStore,
+)
 from waxwingwinch.kernel import Clock
 
 #: Topic of the ledger in the platform's store. The ledger is the log of claims
@@ -76,6 +82,7 @@
     :param instance_id: This instance.
     :param lease_seconds: Duration of a lease.
     :param clock: Source of the current time.
+    :param history: When this process first saw the store's present history.
     """
 
     def __init__(
@@ -84,7 +91,14 @@
         instance_id: InstanceId,
         lease_seconds: float,
         clock: Clock,
+        history: HistoryWatch | None = None,
     ) -> None:
+        self._history = history or HistoryWatch(clock)
+        #: Unix time; all counts of windows that ended later are known if they
+        #: are final.
+        self.complete_since_wall_seconds = 0.0
+        # True if this process held the duty when the present history began.
+        self._is_former_holder = False
         self._store = store
         self._instance_id = instance_id
         self._lease_seconds = lease_seconds
@@ -137,6 +151,10 @@
                 page = self._store.read(
                     LEDGER_TOPIC, self._state.end_offset, wait_seconds
                 )
+            except HistoryReplaced as error:
+                self._begin_history(error.first_offset)
+                wait_seconds = 0.0
+                continue
             except RecordsExpired as error:
                 self._state.end_offset = error.first_offset
                 continue
@@ -154,11 +172,10 @@
         :returns: True if the claim was appended and the duty is held.
         """
         now_seconds = self._clock.now_seconds()
-        wait_seconds = self._lease_seconds + CLAIM_MARGIN_SECONDS
-        if not self._state.is_claimable(wait_seconds, now_seconds):
+        if not self._is_claimable(now_seconds):
             return False
         nonce = secrets.token_hex(_NONCE_BYTES)
-        if not self._append(DutyClaim(self._instance_id, nonce)):
+        if not self._append(DutyClaim(self._instance_id, nonce, self._era)):
             return False
         # The epoch is the offset of the claim record, so it increases with
         # each claim.
@@ -197,7 +214,7 @@
         self.require_epoch()
         if window in self._state.fixed_counts:
             return True
-        return self._append(WindowFixed(window, counts))
+        return self._append(WindowFixed(window, counts, self._era))
 
     def release(self) -> None:
         """Release the duty if it is held."""
@@ -216,6 +233,38 @@
             DutySteppedDown(epoch=self._held_lease.epoch, reason=reason).write()
         self._held_lease = None
 
+    @property
+    def _era(self) -> int:
+        """Era of the records that the state is derived from."""
+        return era_of(self._state.end_offset)
+
+    def _is_claimable(self, now_seconds: float) -> bool:
+        if self._is_former_holder and self._state.epoch is None:
+            return True
+        wait_seconds = self._lease_seconds + CLAIM_MARGIN_SECONDS
+        if self._era > 0:
+            # A lease that was granted in the lost part may still be held.
+            sight = self._history.observe(self._state.end_offset)
+            if now_seconds - sight.seen_seconds <= wait_seconds:
+                return False
+        return self._state.is_claimable(wait_seconds, now_seconds)
+
+    def _begin_history(self, first_offset: int) -> None:
+        """Start over after the store has returned from an older copy."""
+        sight = self._history.observe(first_offset)
+        held_lease = self._held_lease
+        self._is_former_holder = (
+            held_lease is not None and sight.seen_seconds < held_lease.expires_seconds
+        )
+        if not self._is_former_holder:
+            # Another instance may have made counts final in the lost part.
+            self.complete_since_wall_seconds = sight.seen_wall_seconds
+        self.step_down("the store returned from an older copy")
+        self._state = LedgerState(
+            end_offset=first_offset, fixed_counts=self._state.fixed_counts
+        )
+        self._sent_nonce = ""
+
     def _set_held_lease(self, epoch: int, sent_seconds: float) -> None:
         # The lease starts before the record is sent, so that the holder never
         # assumes a later expiry than other instances.
@@ -236,11 +285,11 @@
             self._sent_nonce = record.nonce
             self._sent_seconds = self._clock.now_seconds()
         try:
-            self._store.append(LEDGER_TOPIC, [encode_message(record)], at_offset)
+            appended_offset = self._store.append(
+                LEDGER_TOPIC, [encode_message(record)], at_offset
+            )
         except AppendConflict as error:
-            LedgerConflict(at_offset=at_offset, end_offset=error.end_offset).write()
-            self._read_after_conflict()
-            return self._is_applied(record)
+            return self._read_after_conflict(record, at_offset, error.end_offset)
         except PlatformUnavailable as error:
             # The store may still execute the append. Reading the ledger shows
             # whether it did; the append fails if another record has taken
@@ -250,16 +299,21 @@
         except PlatformRefused as error:
             LedgerRefused(reason=str(error)).write()
             return False
+        if appended_offset != at_offset:
+            # The ledger was empty before and after a return of the store.
+            return self._read_after_conflict(record, at_offset, appended_offset)
         self._state.apply(at_offset, record, self._clock.now_seconds())
         return True
 
-    def _read_after_conflict(self) -> None:
+    def _read_after_conflict(
+        self, record: LedgerRecord, at_offset: int, end_offset: int
+    ) -> bool:
+        """Read the ledger; tell whether it holds counts of the same window."""
+        LedgerConflict(at_offset=at_offset, end_offset=end_offset).write()
         try:
             self.read(0.0)
         except (PlatformUnavailable, PlatformRefused) as error:
             LedgerUnanswered(reason=str(error)).write()
-
-    def _is_applied(self, record: LedgerRecord) -> bool:
         match record:
             case WindowFixed(window):
                 return window in self._state.fixed_counts
--- a/src/waxwingwinch/gateway/_ledger.py
+++ b/src/waxwingwinch/gateway/_ledger.py
@@ -1,16 +1,20 @@
 """
 The ledger of the gateway's duty, on one topic of the platform's store.
 
+Offsets are positions, which rise when the store returns from an older copy.
+
 Every record is appended on condition that the topic still ends at the offset
 its writer last read. The order of the records alone therefore decides who
 holds the duty, and an append that the store executes late fails once another
-record was appended at that offset.
+record was appended at that offset. After a return it may be executed all the
+same, so records that were written for another era are ignored.
 """
 
 from attrs import define, field, frozen
 
 from waxwingwinch._types import CustomerId, InstanceId
 from waxwingwinch.codec import message
+from waxwingwinch.gateway._positions import era_of
 
 #: Number of windows before the newest one whose fixed counts are retained;
 #: the reports of older windows are past their due time.
@@ -25,10 +29,12 @@
 
     :param instance_id: The instance.
     :param nonce: Unique id by which the writer recognizes this record.
+    :param era: Era of the store that the writer knew.
     """
 
     instance_id: InstanceId
     nonce: str
+    era: int = 0
 
 
 @message("gateway_duty_renewal")
@@ -65,10 +71,12 @@
 
     :param window: Number of the window.
     :param counts: Number of requests by customer.
+    :param era: Era of the store that the writer knew.
     """
 
     window: int
     counts: dict[CustomerId, int]
+    era: int = 0
 
 
 LedgerRecord = DutyClaim | DutyRenewal | DutyRelease | WindowFixed
@@ -77,7 +85,7 @@
 @define
 class LedgerState:
     """
-    The state derived from the records up to an offset.
+    The state derived from the records of an era up to an offset.
 
     :param end_offset: The offset after the last applied record.
     :param holder: Instance that claimed the duty last; None before the first
@@ -85,7 +93,8 @@
     :param epoch: Offset of the last claim; increases with each claim.
     :param last_renewal_seconds: Monotonic time at which the last claim or
         renewal was read.
-    :param fixed_counts: Final counts of usage windows, by window number.
+    :param fixed_counts: Final counts of usage windows, by window number; those
+        of earlier eras, too.
     """
 
     end_offset: int = 0
@@ -104,14 +113,14 @@
         """
         self.end_offset = offset + 1
         match record:
-            case DutyClaim(instance_id):
+            case DutyClaim(instance_id, era=era) if era == era_of(offset):
                 self.holder, self.epoch = instance_id, offset
                 self.last_renewal_seconds = now_seconds
             case DutyRenewal(epoch) if epoch == self.epoch:
                 self.last_renewal_seconds = now_seconds
             case DutyRelease(epoch) if epoch == self.epoch:
                 self.holder = None
-            case WindowFixed(window, counts):
+            case WindowFixed(window, counts, era) if era == era_of(offset):
                 self.fixed_counts.setdefault(window, counts)
                 for expired_window in [
                     key
--- a/src/waxwingwinch/gateway/_process.py
+++ b/src/waxwingwinch/gateway/_process.py
@@ -12,6 +12,7 @@
 from waxwingwinch.gateway._front import FrontServer
 from waxwingwinch.gateway._gossip import Gossip, GossipHandlers
 from waxwingwinch.gateway._handler import RequestHandler, max_concurrent_requests
+from waxwingwinch.gateway._history import HistoryWatch
 from waxwingwinch.gateway._info_server import InfoServer
 from waxwingwinch.gateway._instance_endpoints import InstanceEndpoints
 from waxwingwinch.gateway._instrumented_store import InstrumentedStore
@@ -111,7 +112,10 @@
             options.peer_address,
         )
         self._state = GatewayState.create(own, options, clock.now_seconds())
-        self._store = InstrumentedStore(adapter.store, self._state.telemetry, clock)
+        self._history = HistoryWatch(clock)
+        self._store = InstrumentedStore(
+            adapter.store, self._state.telemetry, clock, self._history
+        )
         self._applier = RecordApplier(self._state, adapter, clock)
         self._watcher = CallerWatcher()
         self._max_concurrent_requests = max_concurrent_requests(
@@ -214,6 +218,7 @@
             options.instance_id,
             options.lease_seconds,
             self._clock,
+            self._history,
         )
         return DutyWorker(
             duty_lease,
@@ -285,7 +290,7 @@
             self._state.members,
             PeerIdentity(own.instance_id, PeerProgram.ENTRY, own.zone, "gateway"),
             ensure_shared_secret(self._store),
-            StoreFeed(followers, self._clock),
+            StoreFeed(followers, self._clock, self._history),
             GossipHandlers(
                 make_report=self._reports.make,
                 apply_report=self._reports.apply,
--- a/src/waxwingwinch/gateway/_store_feed.py
+++ b/src/waxwingwinch/gateway/_store_feed.py
@@ -4,6 +4,7 @@
 
 from waxwingwinch.gateway._feed_messages import FeedPage
 from waxwingwinch.gateway._follower import TopicFollower
+from waxwingwinch.gateway._history import HistoryWatch
 from waxwingwinch.kernel import Clock
 
 
@@ -13,9 +14,16 @@
 
     :param followers: The followers of the topics.
     :param clock: Source of the present time.
+    :param history: Is told of the positions that others have read.
     """
 
-    def __init__(self, followers: Iterable[TopicFollower], clock: Clock) -> None:
+    def __init__(
+        self,
+        followers: Iterable[TopicFollower],
+        clock: Clock,
+        history: HistoryWatch | None = None,
+    ) -> None:
+        self._history = history or HistoryWatch(clock)
         self._followers = {follower.topic: follower for follower in followers}
         self._clock = clock
 
@@ -50,6 +58,7 @@
         """
         now_seconds = self._clock.now_seconds()
         for page in pages:
+            self._history.observe(page.end_offset)
             follower = self._followers.get(page.topic)
             if follower is not None:
                 follower.apply_page(page, now_seconds)
--- a/src/waxwingwinch/gateway/_usage_reporter.py
+++ b/src/waxwingwinch/gateway/_usage_reporter.py
@@ -94,5 +94,8 @@
     def _has_complete_counts(self, window: int) -> bool:
         """Tell whether this process saw the window end or has final counts."""
         end_seconds = (window + 1) * self._window_seconds
-        has_observed_end = end_seconds >= self._started_wall_seconds
+        # Of windows that ended before, final counts may have been lost.
+        has_observed_end = end_seconds >= max(
+            self._started_wall_seconds, self._duty_lease.complete_since_wall_seconds
+        )
         return has_observed_end or window in self._duty_lease.state.fixed_counts
--- a/src/waxwingwinch/gateway/tests/test_logs_and_metrics.py
+++ b/src/waxwingwinch/gateway/tests/test_logs_and_metrics.py
@@ -8,6 +8,7 @@
 
 from waxwingwinch._exceptions import PlatformUnavailable
 from waxwingwinch._types import CustomerId, UpstreamId
+from waxwingwinch.gateway._history import HistoryWatch
 from waxwingwinch.gateway._instrumented_store import InstrumentedStore
 from waxwingwinch.gateway._log_writer import QUEUE_MESSAGES_MAX, LogWriter
 from waxwingwinch.gateway._outcomes import RefusalReason
@@ -117,7 +118,7 @@
 
 def test_store_calls_are_counted_by_result():
     telemetry, clock, inner = Telemetry(), FakeClock(), FakeStore()
-    store = InstrumentedStore(inner, telemetry, clock)
+    store = InstrumentedStore(inner, telemetry, clock, HistoryWatch(clock))
     store.put("t", "k", b"v")
     store.snapshot("t")
     with pytest.raises(AppendConflict):
--- a/src/waxwingwinch/platform/tests/test_restored_store.py
+++ b/src/waxwingwinch/platform/tests/test_restored_store.py
@@ -163,6 +163,17 @@
     assert wait_until(lambda: fleet.status(late, "/v2/x") == 200)
 
 
+# Guards against fencing tokens that are given out again.
+def test_fencing_tokens_rise_over_a_return(make_fleet):
+    fleet = make_fleet(3)
+    copy = fleet.store.copy()
+    name, first_epoch = fleet.wait_for_holder()
+    fleet.restore(copy)
+    fleet.gateways.pop(name).stop()
+    _, second_epoch = fleet.wait_for_holder()
+    assert second_epoch > first_epoch
+
+
 @pytest.fixture
 def store():
     store = StoreStandin()
