Write records of an instance again that the store has lost

With real instances before a stand-in that comes back without its records, the instances' records stayed lost, and a process that started then shared no secret with the others.

Cause: an instance wrote its member record once, at its start; the shared secret was proposed once, if its topic was empty. Either may lie in the part that the store loses.

After a return it writes the secret again if there is none, and accepts another one beside its own. Instances that an older copy lacks are kept until they have written their records, so that shares of limits and cells stay as they are.

--- a/src/waxwingwinch/gateway/_gossip.py
+++ b/src/waxwingwinch/gateway/_gossip.py
@@ -160,6 +160,14 @@
         self._members.on_change = lambda: None
         self._hub.stop()
 
+    def add_secret(self, secret: str) -> None:
+        """
+        Use another shared secret besides those before.
+
+        :param secret: The secret.
+        """
+        self._hub.call(self._hub.add_secret, secret)
+
     def read_mode(self) -> StoreReadMode:
         """Tell which instances read the store; callable in any thread."""
         return self._cell_gossip.read_mode
--- a/src/waxwingwinch/gateway/_process.py
+++ b/src/waxwingwinch/gateway/_process.py
@@ -20,6 +20,7 @@
 from waxwingwinch.gateway._joining import (
     MEMBERS_TOPIC,
     SECRET_BYTES,
+    OwnRecords,
     ensure_shared_secret,
     publish_member,
     withdraw_member,
@@ -264,8 +265,9 @@
             FollowPlan(MEMBERS_TOPIC, MEMBERS_PACE, SHARED_MEMBERS_PACE),
             self._clock,
             applier.apply_member,
-            self._state.members.retain_only,
+            applier.retain_members,
             applier.on_members_read,
+            on_return=applier.return_members,
         )
 
     def _make_info_servers(self) -> tuple[InfoServer, ...]:
@@ -286,10 +288,11 @@
         """Start gossip and publish this instance's record to the others."""
         own = self._state.local_member
         followers = (self._configuration, self._upstreams, self._member_records)
+        secret = ensure_shared_secret(self._store)
         gossip = Gossip(
             self._state.members,
             PeerIdentity(own.instance_id, PeerProgram.ENTRY, own.zone, "gateway"),
-            ensure_shared_secret(self._store),
+            secret,
             StoreFeed(followers, self._clock, self._history),
             GossipHandlers(
                 make_report=self._reports.make,
@@ -309,6 +312,11 @@
         for follower in followers:
             follower.read_mode = gossip.read_mode
         publish_member(self._store, own)
+        own_records = OwnRecords(
+            self._store, own, secret, gossip.add_secret, self._state.stopping
+        )
+        self._applier.on_member_lost = own_records.member_lost
+        self._applier.on_store_returned = own_records.store_returned
         self._member_records.start()
         GatewayJoined(instance_id=own.instance_id).write()
 
--- a/src/waxwingwinch/gateway/_process_log_lines.py
+++ b/src/waxwingwinch/gateway/_process_log_lines.py
@@ -64,6 +64,22 @@
     reason: str
 
 
+@log_line("gateway:member_rewritten")
+class MemberRewritten(LogLine):
+    """
+    The store lacks this instance's member record, which is written again.
+
+    :param incarnation: The incarnation in the record.
+    """
+
+    incarnation: str
+
+
+@log_line("gateway:secret_replaced")
+class SecretReplaced(LogLine):
+    """The store holds another shared secret than before; both are accepted."""
+
+
 @log_line("gateway:secret_exists")
 class SecretExists(LogLine):
     """Another instance created the shared secret first."""
--- a/src/waxwingwinch/gateway/_record_applier.py
+++ b/src/waxwingwinch/gateway/_record_applier.py
@@ -1,5 +1,7 @@
 """Applies records of the platform's store to the state of the process."""
 
+from collections.abc import Callable
+
 from attrs import evolve
 
 from waxwingwinch._exceptions import MalformedMessage
@@ -38,6 +40,10 @@
         self._state = state
         self._adapter = adapter
         self._clock = clock
+        #: Called when the store lacks the member record of this process.
+        self.on_member_lost: Callable[[], None] = lambda: None
+        #: Called when the store has returned from an older copy.
+        self.on_store_returned: Callable[[], None] = lambda: None
         #: The last entry of each upstream without its heartbeat fields.
         self._last_content: dict[UpstreamId, Upstream] = {}
 
@@ -154,18 +160,48 @@
         :param record: The record.
         :returns: What the record changes.
         """
+        is_own = record.key == self._state.local_member.instance_id
         if record.value is None:
-            self._state.members.remove(InstanceId(record.key))
+            if is_own:
+                self.on_member_lost()
+            else:
+                self._state.members.remove(InstanceId(record.key))
             return RecordEffect.NEW
         try:
             member = decode_message(record.value)
         except MalformedMessage as error:
             MemberMalformed(record.key, str(error)).write()
             return RecordEffect.NEW
-        if isinstance(member, Member):
+        if is_own and member != self._state.local_member:
+            self.on_member_lost()
+        elif isinstance(member, Member):
             self._state.members.put(member)
         return RecordEffect.NEW
 
+    def retain_members(self, keys: frozenset[str]) -> None:
+        """
+        Remove the instances that a snapshot does not contain.
+
+        :param keys: The keys of the snapshot.
+        """
+        self._check_own_record(keys)
+        self._state.members.retain_only(keys | {self._state.local_member.instance_id})
+
+    def return_members(self, keys: frozenset[str]) -> None:
+        """
+        Keep the instances that an older copy of the store does not contain.
+
+        They write their records again.
+
+        :param keys: The keys of the snapshot.
+        """
+        self._check_own_record(keys)
+        self.on_store_returned()
+
+    def _check_own_record(self, keys: frozenset[str]) -> None:
+        if self._state.local_member.instance_id not in keys:
+            self.on_member_lost()
+
     def on_members_read(self, _: float) -> None:
         """Recompute the shares of quotas and budgets after a read."""
         self.share_limits()
--- a/src/waxwingwinch/peers/_hub.py
+++ b/src/waxwingwinch/peers/_hub.py
@@ -212,7 +212,8 @@
     ) -> None:
         self._address = address
         self._identity = identity
-        self._shared_secrets = tuple(shared_secrets)
+        # Shared with the links, which use it at their next handshake.
+        self._shared_secrets = list(shared_secrets)
         self._handlers = HandlerTable()
         self._loop = asyncio.new_event_loop()
         self._tasks: set[asyncio.Task[None]] = set()
@@ -250,6 +251,14 @@
             self.call(stopped.set)
         self._thread.join()
 
+    def add_secret(self, secret: str) -> None:
+        """
+        Use another secret to sign; those before are still accepted.
+
+        :param secret: The secret.
+        """
+        self._shared_secrets.insert(0, secret)
+
     def call(self, function: Callable[..., None], *arguments: Any) -> None:
         """
         Call a function in the hub's thread, without waiting for it.
--- a/src/waxwingwinch/platform/tests/test_restored_store.py
+++ b/src/waxwingwinch/platform/tests/test_restored_store.py
@@ -174,6 +174,33 @@
     assert second_epoch > first_epoch
 
 
+# Guards against instances of which nobody knows after a return, and against
+# two groups of instances with different secrets.
+def test_instances_find_one_another_after_all_records_are_lost(make_fleet):
+    fleet = make_fleet(3)
+    configuration = fleet.store.topics["keyed.op"]
+    fleet.restore({"keyed.op": configuration})
+    assert wait_until(lambda: fleet.recorded() == set(fleet.gateways))
+    fleet.start("edge-late", "zone-0")
+    assert wait_until(lambda: fleet.recorded() == set(fleet.gateways))
+    late = fleet.gateways["edge-late"]
+
+    def resolved():
+        connection = http.client.HTTPConnection(HOST, late.directory, timeout=3.0)
+        try:
+            connection.request("GET", "/v1/resolve?name=x&region=r&zone=zone-0")
+            return connection.getresponse().read()
+        except OSError:
+            return b""
+        finally:
+            connection.close()
+
+    others = [fleet.gateways[name] for name in ("edge-0", "edge-2")]
+    assert wait_until(
+        lambda: all(b"%d" % gateway.front in resolved() for gateway in others)
+    )
+
+
 @pytest.fixture
 def store():
     store = StoreStandin()
