Take a response that breaks off in its head for none

Callers saw: a 200 with an empty body, framed as whole (MIXED on other operators' systems).

Cause: http.client reads a head until a blank line or the end of the connection, and doesn't tell which. A head that was cut before its framing looks like a response without framing, whose body ends with the connection.

Change: the response class of both clients remembers the last line and raises IncompleteRead without the blank line. Calls of the store, orders and the upstreams of the older programs are read by the same class.

Elsewhere: handshakes of websockets between instances and requests of callers have parsers of their own that demand the blank line.

--- a/src/waxwingwinch/gateway/_connections.py
+++ b/src/waxwingwinch/gateway/_connections.py
@@ -18,6 +18,7 @@
     AnswerMissing,
     ConnectionBroken,
     NotSent,
+    WholeHeadResponse,
     is_closed_by_peer,
 )
 
@@ -141,6 +142,7 @@
             timeout=max(min(timeout_seconds, CONNECT_TIMEOUT_SECONDS), 0.001),
             socket_options=list(SOCKET_OPTIONS),
         )
+        self._connection.response_class = WholeHeadResponse
         try:
             self._connection.connect()
         except TRANSPORT_ERRORS as error:
--- a/src/waxwingwinch/http/__init__.py
+++ b/src/waxwingwinch/http/__init__.py
@@ -18,6 +18,7 @@
     exchange,
 )
 from waxwingwinch.http._sockets import is_closed_by_peer
+from waxwingwinch.http._whole_heads import WholeHeadResponse
 
 __all__ = [
     "RESPONSE_TIMEOUT_SECONDS",
@@ -34,6 +35,7 @@
     "HttpRequest",
     "NotSent",
     "SocketOption",
+    "WholeHeadResponse",
     "exchange",
     "is_closed_by_peer",
 ]
--- a/src/waxwingwinch/http/_exchange.py
+++ b/src/waxwingwinch/http/_exchange.py
@@ -19,6 +19,7 @@
 
 from waxwingwinch._json import decode_json
 from waxwingwinch._types import Address
+from waxwingwinch.http._whole_heads import WholeHeadResponse
 
 #: Longest wait for a connection.
 CONNECT_TIMEOUT_SECONDS = 1.0
@@ -151,6 +152,7 @@
             timeout=connect_timeout_seconds,
             socket_options=list(socket_options),
         )
+        self._connection.response_class = WholeHeadResponse
         try:
             self._connection.connect()
         except TRANSPORT_ERRORS as error:
--- /dev/null
+++ b/src/waxwingwinch/platform/tests/test_broken_heads.py
@@ -0,0 +1,85 @@
+"""Upstreams that close the connection in the middle of an answer's head."""
+
+import pytest
+
+from waxwingwinch.adapters.tests._raw_server import raw_server
+from waxwingwinch.gateway import UpstreamConnection
+from waxwingwinch.http import AnswerMissing, HttpRequest, exchange
+from waxwingwinch.platform.tests.standin import UpstreamHandler
+from waxwingwinch.platform.tests.test_program import PlatformHarness
+
+HEAD = (
+    b"HTTP/1.1 200 OK\r\n"
+    b"X-Waxwingwinch-Request-Id: r-1\r\n"
+    b"X-Waxwingwinch-Response-Stamp: stamp\r\n"
+    b"Content-Length: 12\r\n"
+    b"\r\n"
+)
+UNFRAMED_HEAD = HEAD.replace(b"Content-Length: 12\r\n", b"")
+
+
+def read_by_gateway(address):
+    connection = UpstreamConnection(address, 1.0)
+    try:
+        connection.send("POST", "/x", [("Host", "h")], b"", 1.0)
+        response = connection.read_head(1.0)
+        return response.status, connection.read_all(1.0)
+    finally:
+        connection.close()
+
+
+def read_by_exchange(address):
+    reply = exchange(address, HttpRequest("GET", "/x"), 1.0)
+    return reply.status, reply.body
+
+
+# Guards against a response that breaks off in its head and is taken for one
+# with an empty body.
+@pytest.mark.parametrize("read", [read_by_gateway, read_by_exchange])
+@pytest.mark.parametrize("head", [HEAD, UNFRAMED_HEAD])
+def test_a_head_that_breaks_off_is_no_answer(read, head):
+    for length in range(1, len(head)):
+        with raw_server(head[:length]) as address:
+            with pytest.raises(AnswerMissing):
+                read(address)
+
+
+@pytest.mark.parametrize("read", [read_by_gateway, read_by_exchange])
+def test_whole_heads_are_read(read):
+    for answer in (HEAD + b"twelve bytes", UNFRAMED_HEAD + b"twelve bytes"):
+        with raw_server(answer) as address:
+            assert read(address) == (200, b"twelve bytes")
+    with raw_server(b"HTTP/1.1 100 Continue\r\n\r\n" + HEAD.replace(b"12", b"0")) as at:
+        assert read(at) == (200, b"")
+
+
+class HeadBreakingHandler(UpstreamHandler):
+    """Closes the connection after a number of bytes of the head."""
+
+    length = 0
+
+    def serve(self):
+        self.body()
+        request_id = self.headers["X-Waxwingwinch-Request-Id"].encode()
+        self.wfile.write(
+            UNFRAMED_HEAD.replace(b"r-1", request_id)[: HeadBreakingHandler.length]
+        )
+        self.close_connection = True
+
+
+@pytest.fixture
+def harness(tmp_path):
+    harness = PlatformHarness(tmp_path)
+    yield harness
+    harness.stop()
+
+
+# Guards against a 200 with an empty body that looks whole to the caller.
+@pytest.mark.parametrize("path", ["/a/x", "/u/x", "/s/stream"])
+@pytest.mark.parametrize("length", [17, 40, 90, len(UNFRAMED_HEAD) - 2])
+def test_callers_get_no_success_from_a_broken_head(harness, path, length, monkeypatch):
+    harness.start()
+    monkeypatch.setattr(HeadBreakingHandler, "length", length)
+    monkeypatch.setattr(UpstreamHandler, "serve", HeadBreakingHandler.serve)
+    status, body, _ = harness.send_request(path)
+    assert (status, body) == (502, b"")
