Answer all requests before a stopping process ends

Cause: until 0.55 of the grace requests were taken whatever their deadline, and at 0.93 the process ended with those in progress.

Change: from 0.35 of the grace on, when callers have resolved the addresses again, a request is taken only if its deadline lies before the end, and is refused as not run otherwise, with a short Retry-After: others serve. Deadlines of the requests taken during a stop are bounded by its end. What is in progress at 0.9 is cancelled at its upstream and answered with 502.

Evidence: before, five of five cases lost their connection (whole processes, three kinds of routes late in the stop, requests sent before and right after SIGTERM to an upstream that needs 8 s); they pass.

Elsewhere: waxwing-entry keeps its own rule for stops, docs/operators/ planned-stop.md; not looked into.

--- a/src/waxwingwinch/gateway/_connections.py
+++ b/src/waxwingwinch/gateway/_connections.py
@@ -57,6 +57,7 @@
     """Why a request was cancelled."""
 
     CALLER_GONE = "caller_gone"
+    STOPPING = "stopping"
 
 
 class Cancelled(Exception):
--- a/src/waxwingwinch/gateway/_generation_relay.py
+++ b/src/waxwingwinch/gateway/_generation_relay.py
@@ -16,7 +16,7 @@
 from waxwingwinch.gateway._job import (
     Job,
     RelayContext,
-    raise_if_caller_disconnected,
+    raise_if_cancelled,
 )
 from waxwingwinch.gateway._loads import TrackedRequest
 from waxwingwinch.gateway._outcomes import (
@@ -331,7 +331,7 @@
             raise
         except (AnswerMissing, Cancelled) as error:
             stream.unfetched_cache = None
-            raise_if_caller_disconnected(job, error)
+            raise_if_cancelled(job, error)
             record_failure(self._context, job, engine, error)
             self._attempts.failed(observed, error)
             stream.progress = stream.progress.with_possible_execution(
@@ -378,7 +378,7 @@
             return False
         except _Interrupted as error:
             response.abort()
-            raise_if_caller_disconnected(job, error)
+            raise_if_cancelled(job, error)
             record_failure(self._context, job, attempt.engine, error)
             self._attempts.failed(attempt.observed, error)
             if stream.silent is None:
@@ -402,7 +402,7 @@
             response.finish()
         except AnswerMissing as error:
             response.abort()
-            raise_if_caller_disconnected(stream.job, error)
+            raise_if_cancelled(stream.job, error)
         if response.head.status != MISDIRECTED_STATUS:
             # The engine may have lacked the cache rather than the room.
             self._release_unfetched(stream)
--- a/src/waxwingwinch/gateway/_handler.py
+++ b/src/waxwingwinch/gateway/_handler.py
@@ -2,8 +2,10 @@
 
 import threading
 
+from attrs import frozen
+
 from waxwingwinch.gateway._caller_watcher import CallerWatcher
-from waxwingwinch.gateway._connections import Cancellation
+from waxwingwinch.gateway._connections import Cancellation, CancelReason
 from waxwingwinch.gateway._current_table import CurrentTable
 from waxwingwinch.gateway._generation_relay import GenerationRelay
 from waxwingwinch.gateway._job import Job, RelayContext
@@ -40,6 +42,8 @@
 #: ``Retry-After`` of an instance at its bound on concurrent requests; about
 #: the duration of a request.
 FULL_RETRY_SECONDS = 0.5
+#: ``Retry-After`` of an instance that is about to end; other instances serve.
+STOPPING_RETRY_SECONDS = 0.05
 #: Upper bound on the requests in progress, whatever the memory; a single
 #: Python interpreter makes no use of more.
 MAX_CONCURRENT_REQUESTS = 256
@@ -66,6 +70,20 @@
     return max(min(MAX_CONCURRENT_REQUESTS, by_memory, by_descriptors), 1)
 
 
+@frozen
+class StopPlan:
+    """
+    Until when a stopping process takes and answers requests.
+
+    :param late_seconds: Monotonic time from which on only requests are taken
+        whose deadline lies before the end.
+    :param end_seconds: Monotonic time by which all requests are answered.
+    """
+
+    late_seconds: float
+    end_seconds: float
+
+
 class RequestHandler:
     """
     Handles the requests of callers.
@@ -93,6 +111,8 @@
         self._plain_relay = PlainRelay(context)
         self._generation_relay = GenerationRelay(context)
         self._under_way = 0
+        self._stop_plan: StopPlan | None = None
+        self._cancellations: set[Cancellation] = set()
         self._lock = threading.Lock()
 
     @property
@@ -101,6 +121,21 @@
         with self._lock:
             return self._under_way
 
+    def begin_stop(self, plan: StopPlan) -> None:
+        """
+        Answer all requests before the process ends.
+
+        :param plan: Until when requests are taken and answered.
+        """
+        self._stop_plan = plan
+
+    def cancel_all(self) -> None:
+        """Cancel the requests in progress, which are then answered."""
+        with self._lock:
+            cancellations = tuple(self._cancellations)
+        for cancellation in cancellations:
+            cancellation.cancel(CancelReason.STOPPING)
+
     def handle(self, request: GatewayRequest, responder: Responder) -> None:
         """
         Handle a request.
@@ -145,6 +180,8 @@
         self._context.budget.record_request(job.service.name, request.arrived_seconds)
         if request.connection is not None:
             self._watcher.add(request.connection, job.cancellation)
+        with self._lock:
+            self._cancellations.add(job.cancellation)
         try:
             self._relay(job, responder)
         except RequestEnded as ended:
@@ -157,6 +194,8 @@
             raise
         finally:
             self._watcher.remove(job.cancellation)
+            with self._lock:
+                self._cancellations.discard(job.cancellation)
         RequestAnswered(
             request_id=request.request_id,
             route=route.name,
@@ -199,6 +238,7 @@
         end_seconds = request.arrived_seconds + route.timeout_seconds
         if request.deadline_seconds is not None:
             end_seconds = min(end_seconds, request.deadline_seconds)
+        end_seconds = self._end_before_stop(request, end_seconds)
         return Job(
             request,
             route,
@@ -208,6 +248,15 @@
             Cancellation(),
         )
 
+    def _end_before_stop(self, request: GatewayRequest, end_seconds: float) -> float:
+        """Return the deadline of a request, bounded by that of the process."""
+        plan = self._stop_plan
+        if plan is None or end_seconds <= plan.end_seconds:
+            return end_seconds
+        if request.arrived_seconds >= plan.late_seconds:
+            raise RequestEnded(503, RefusalReason.STOPPING, STOPPING_RETRY_SECONDS)
+        return plan.end_seconds
+
     def _charge_quota(
         self, customer: CustomerRules | None, request: GatewayRequest
     ) -> float:
--- a/src/waxwingwinch/gateway/_job.py
+++ b/src/waxwingwinch/gateway/_job.py
@@ -4,12 +4,16 @@
 
 from waxwingwinch._types import CustomerId, UpstreamId, ZoneName
 from waxwingwinch.gateway._arrivals import Arrivals
-from waxwingwinch.gateway._connections import Cancellation
+from waxwingwinch.gateway._connections import Cancellation, CancelReason
 from waxwingwinch.gateway._crash_evidence import CrashEvidence
 from waxwingwinch.gateway._loads import LoadTracker
 from waxwingwinch.gateway._model import CustomerRules, Route, ServiceRules
 from waxwingwinch.gateway._named_limits import NamedLimits
-from waxwingwinch.gateway._outcomes import CallerDisconnected
+from waxwingwinch.gateway._outcomes import (
+    CallerDisconnected,
+    RefusalReason,
+    RequestEnded,
+)
 from waxwingwinch.gateway._permits import PermitBroker
 from waxwingwinch.gateway._placement_log import PlacementLog
 from waxwingwinch.gateway._prefixes import PrefixIndex
@@ -197,13 +201,18 @@
     crashes: CrashEvidence = field(repr=False)
 
 
-def raise_if_caller_disconnected(job: Job, error: Exception) -> None:
+def raise_if_cancelled(job: Job, error: Exception) -> None:
     """
-    Raise if a call failed because the request was cancelled by its caller.
+    Raise if a call failed because the request was cancelled.
 
     :param job: The request.
     :param error: The error of the call.
     :raises CallerDisconnected: If the caller has closed its connection.
+    :raises RequestEnded: If the process is about to end.
     """
-    if job.cancellation.reason is not None:
-        raise CallerDisconnected(str(error)) from error
+    match job.cancellation.reason:
+        case CancelReason.CALLER_GONE:
+            raise CallerDisconnected(str(error)) from error
+        case CancelReason.STOPPING:
+            # An upstream may have executed the request.
+            raise RequestEnded(502, RefusalReason.STOPPING) from error
--- a/src/waxwingwinch/gateway/_outcomes.py
+++ b/src/waxwingwinch/gateway/_outcomes.py
@@ -17,6 +17,7 @@
     OVERLOADED = "overloaded"
     UPSTREAM_LIMIT = "upstream_limit"
     CRASHES_ENGINES = "crashes_engines"
+    STOPPING = "stopping"
     INSTANCE_FULL = "instance_full"
     NOT_EXECUTED = "not_executed"
     OUT_OF_TIME = "out_of_time"
--- a/src/waxwingwinch/gateway/_plain_relay.py
+++ b/src/waxwingwinch/gateway/_plain_relay.py
@@ -11,7 +11,7 @@
     Job,
     Progress,
     RelayContext,
-    raise_if_caller_disconnected,
+    raise_if_cancelled,
 )
 from waxwingwinch.gateway._loads import NO_LOAD
 from waxwingwinch.gateway._outcomes import (
@@ -113,7 +113,7 @@
             )
             return None
         except (AnswerMissing, Cancelled) as error:
-            raise_if_caller_disconnected(job, error)
+            raise_if_cancelled(job, error)
             record_failure(self._context, job, upstream, error)
             self._attempts.failed(observed, error)
             exchange.add_possible_execution(upstream)
@@ -207,7 +207,7 @@
         try:
             response = self._receive(exchange, attempt)
         except (AnswerMissing, Cancelled) as error:
-            raise_if_caller_disconnected(job, error)
+            raise_if_cancelled(job, error)
             record_failure(self._context, job, upstream, error)
             self._attempts.failed(attempt.observed, error)
             exchange.add_possible_execution(upstream)
--- a/src/waxwingwinch/gateway/_prefill.py
+++ b/src/waxwingwinch/gateway/_prefill.py
@@ -8,7 +8,7 @@
     Job,
     Progress,
     RelayContext,
-    raise_if_caller_disconnected,
+    raise_if_cancelled,
 )
 from waxwingwinch.gateway._loads import NO_LOAD
 from waxwingwinch.gateway._placement import FIRST_EVENT_SECONDS, RunSplit, work_seconds
@@ -104,7 +104,7 @@
             record_failure(self._context, job, engine, error)
             return PrefillFailed(progress.with_connect_failure(engine.upstream_id))
         except (AnswerMissing, Cancelled) as error:
-            raise_if_caller_disconnected(job, error)
+            raise_if_cancelled(job, error)
             record_failure(self._context, job, engine, error)
             return PrefillFailed(progress.with_failed_prefill(engine.upstream_id))
         finally:
--- a/src/waxwingwinch/gateway/_process.py
+++ b/src/waxwingwinch/gateway/_process.py
@@ -11,7 +11,11 @@
 from waxwingwinch.gateway._follower import FollowPlan, Pace, TopicFollower
 from waxwingwinch.gateway._front import FrontServer
 from waxwingwinch.gateway._gossip import Gossip, GossipHandlers
-from waxwingwinch.gateway._handler import RequestHandler, max_concurrent_requests
+from waxwingwinch.gateway._handler import (
+    RequestHandler,
+    StopPlan,
+    max_concurrent_requests,
+)
 from waxwingwinch.gateway._history import HistoryWatch
 from waxwingwinch.gateway._info_server import InfoServer
 from waxwingwinch.gateway._instance_endpoints import InstanceEndpoints
@@ -66,6 +70,15 @@
 #: Fraction of the grace period for which a stopping process still reads
 #: requests; callers that have not resolved the addresses again still connect.
 ACCEPT_GRACE_FRACTION = 0.55
+#: Fraction of the grace period after which only requests are taken whose
+#: deadline lies before the end. By then callers have resolved the addresses
+#: again, those that keep them for longer, too.
+LATE_GRACE_FRACTION = 0.35
+#: Fraction of the grace period that bounds the deadlines of requests.
+ANSWER_GRACE_FRACTION = 0.88
+#: Fraction of the grace period after which requests in progress are cancelled
+#: and answered.
+CANCEL_GRACE_FRACTION = 0.9
 #: Fraction of the grace period after which the process stops waiting for
 #: requests in progress and exits.
 END_GRACE_FRACTION = 0.93
@@ -324,6 +337,12 @@
         started_seconds = self._clock.now_seconds()
         grace_seconds = self._options.grace_seconds
         GatewayStopping(under_way=self._handler.under_way).write()
+        self._handler.begin_stop(
+            StopPlan(
+                started_seconds + grace_seconds * LATE_GRACE_FRACTION,
+                started_seconds + grace_seconds * ANSWER_GRACE_FRACTION,
+            )
+        )
         self._front.is_stopping = True
         self._duty_worker.stop()
         accept_until_seconds = started_seconds + grace_seconds * ACCEPT_GRACE_FRACTION
@@ -332,8 +351,11 @@
             time.sleep(STOP_POLL_SECONDS)
         # A request read from here on could be cut by the end of the process.
         self._front.close_to_callers()
+        cancel_seconds = started_seconds + grace_seconds * CANCEL_GRACE_FRACTION
         while self._front.under_way and self._clock.now_seconds() < end_seconds:
             time.sleep(STOP_POLL_SECONDS)
+            if self._clock.now_seconds() >= cancel_seconds:
+                self._handler.cancel_all()
         self._withdraw()
         GatewayStopped(
             under_way=self._front.under_way,
--- a/src/waxwingwinch/platform/tests/test_program.py
+++ b/src/waxwingwinch/platform/tests/test_program.py
@@ -237,6 +237,69 @@
     assert len(answered) > 10
 
 
+def send_with_deadline(harness, path, deadline_ms):
+    headers = {**harness.headers(), "X-Waxwingwinch-Deadline-Ms": str(deadline_ms)}
+    port = harness.gateways[0].front
+    connection = http.client.HTTPConnection(HOST, port, timeout=6.0)
+    try:
+        connection.request("POST", path, b"", headers)
+        response = connection.getresponse()
+        response.read()
+        return response
+    finally:
+        connection.close()
+
+
+# Guards against requests that come late in a planned stop, are passed on, and
+# are cut without an answer at its end.
+@pytest.mark.parametrize("path", ["/u/x", "/a/x", "/s/stream"])
+def test_a_late_request_is_refused_if_the_stop_could_cut_it(harness, path):
+    harness.start()
+    for upstream in harness.upstreams:
+        upstream.work_seconds = upstream.pause_seconds = 3.0
+    requests = harness.requests()
+    harness.gateways[0].process.send_signal(signal.SIGTERM)
+    time.sleep(1.7)
+    response = send_with_deadline(harness, path, 4_000)
+    assert response.status == 503
+    assert float(response.headers["Retry-After"]) < 1.0
+    assert response.headers["Connection"] == "close"
+    assert harness.requests() == requests
+
+
+def test_a_late_request_is_served_if_its_deadline_lies_before_the_end(harness):
+    harness.start()
+    harness.gateways[0].process.send_signal(signal.SIGTERM)
+    time.sleep(1.7)
+    assert send_with_deadline(harness, "/u/x", 1_000).status == 200
+
+
+# Guards against a request that is still unanswered at the end of a planned
+# stop and cut without an answer.
+@pytest.mark.parametrize("sent_before", [True, False])
+def test_a_request_is_answered_before_its_process_ends(harness, sent_before):
+    harness.start()
+    for upstream in harness.upstreams:
+        upstream.work_seconds = 8.0
+    responses = []
+
+    def send():
+        responses.append(send_with_deadline(harness, "/u/x", 10_000))
+
+    caller = threading.Thread(target=send)
+    process = harness.gateways[0].process
+    if sent_before:
+        caller.start()
+        time.sleep(0.1)
+    process.send_signal(signal.SIGTERM)
+    time.sleep(0.5)
+    if not sent_before:
+        caller.start()
+    caller.join()
+    assert [response.status for response in responses] in ([502], [504])
+    assert process.wait(3.0) == 0
+
+
 # Guards against a stop that waits for connections on which nothing was sent.
 def test_a_stop_waits_for_no_idle_connection(harness):
     harness.start()
