Use one function for the error of a silent call, and one play of crashes

Both relays decided in the same lines why a silent call is given up, and two tests played the same course of crashes.

--- a/src/waxwingwinch/gateway/_generation_relay.py
+++ b/src/waxwingwinch/gateway/_generation_relay.py
@@ -56,7 +56,11 @@
     SilentCall,
     UpstreamResponse,
 )
-from waxwingwinch.gateway._upstream_calls import MISDIRECTED_STATUS, open_call
+from waxwingwinch.gateway._upstream_calls import (
+    MISDIRECTED_STATUS,
+    open_call,
+    silence_error,
+)
 from waxwingwinch.gateway._upstreams import Upstream
 from waxwingwinch.http import AnswerMissing, ConnectionBroken, NotSent
 
@@ -487,11 +491,9 @@
         silent = stream.silent
         if silent is None:
             return
-        error = AnswerMissing("silent until another engine had begun to answer")
-        try:
-            silent.response.wait(0.0)
-        except AnswerMissing as broken:
-            error = broken
+        error = silence_error(
+            silent.response, "silent until another engine had begun to answer"
+        )
         stream.drop_silent()
         record_failure(self._context, stream.job, silent.engine, error)
         self._attempts.failed(silent.observed, error)
--- a/src/waxwingwinch/gateway/_plain_relay.py
+++ b/src/waxwingwinch/gateway/_plain_relay.py
@@ -40,6 +40,7 @@
 from waxwingwinch.gateway._upstream_calls import (
     MISDIRECTED_STATUS,
     send_call,
+    silence_error,
 )
 from waxwingwinch.gateway._upstreams import Upstream
 from waxwingwinch.http import AnswerMissing, NotSent
@@ -260,11 +261,9 @@
         silent = exchange.silent
         if silent is None:
             return
-        error = AnswerMissing("silent until another upstream had answered")
-        try:
-            silent.open_call.wait(0.0)
-        except AnswerMissing as broken:
-            error = broken
+        error = silence_error(
+            silent.open_call, "silent until another upstream had answered"
+        )
         exchange.drop_silent()
         record_failure(self._context, exchange.job, silent.upstream, error)
         self._attempts.failed(silent.observed, error)
--- a/src/waxwingwinch/gateway/_upstream_calls.py
+++ b/src/waxwingwinch/gateway/_upstream_calls.py
@@ -15,6 +15,7 @@
     UpstreamResponse,
 )
 from waxwingwinch.gateway._upstreams import Upstream
+from waxwingwinch.http import AnswerMissing
 
 #: Status of an upstream that now serves another service or is another
 #: incarnation (421 Misdirected Request).
@@ -114,6 +115,20 @@
     return SentCall(context, job, upstream, pending, now_seconds)
 
 
+def silence_error(call: PendingCall | UpstreamResponse, reason: str) -> AnswerMissing:
+    """
+    Return why a silent call is given up; its error if it has broken off.
+
+    :param call: The call.
+    :param reason: The reason if it is still open.
+    """
+    try:
+        call.wait(0.0)
+    except AnswerMissing as error:
+        return error
+    return AnswerMissing(reason)
+
+
 def _record_send(
     context: RelayContext, job: Job, upstream: Upstream, now_seconds: float
 ) -> None:
--- a/src/waxwingwinch/platform/tests/test_crashing_parts.py
+++ b/src/waxwingwinch/platform/tests/test_crashing_parts.py
@@ -22,7 +22,9 @@
 #: Requests with the part that may reach engines, sent later than the contact
 #: time after the fifth crash; from the users' rule.
 MAX_LATE_REQUESTS = 3
-#: Crashes of one request after which the same holds for it.
+#: Crashes with a part after which its requests count as late, and of one
+#: request.
+MAX_PART_CRASHES = 5
 MAX_REQUEST_CRASHES = 3
 #: The contact time, by number of instances.
 CONTACT_SECONDS = {7: 3.0, 18: 4.0}
@@ -129,7 +131,7 @@
         caller.start()
         self.threads.append(caller)
 
-    def late_requests(self, contact_seconds, crashes=5):
+    def late_requests(self, contact_seconds, crashes):
         """Return how many deadly requests came later than allowed."""
         last = sorted(self.engines.crashes)[crashes - 1 : crashes]
         return sum(
@@ -171,25 +173,31 @@
         fleet.stop()
 
 
-# Guards against requests with one part that crash engine after engine, and
-# against sound requests refused beside them.
-@pytest.mark.parametrize("instances", [7, 18])
-def test_a_part_that_crashes_engines_is_refused_everywhere(make_fleet, instances):
-    contact_seconds = CONTACT_SECONDS[instances]
-    fleet = make_fleet(instances)
+def play_deadly(fleet, send, counted_crashes, contact_seconds):
+    """Check late deadly requests and the sound requests beside them."""
     calm_seconds = time.monotonic()
     fleet.call_periodically(fleet.send_sound, SOUND_PER_SECOND)
     time.sleep(CALM_SECONDS)
     deadly_seconds = time.monotonic()
-    fleet.call_periodically(fleet.send_deadly, DEADLY_PER_SECOND)
+    fleet.call_periodically(send, DEADLY_PER_SECOND)
     time.sleep(DEADLY_SECONDS)
     end_seconds = time.monotonic()
     crashes = sorted(fleet.engines.crashes)
-    assert fleet.late_requests(contact_seconds) <= MAX_LATE_REQUESTS, crashes
-    last_seconds = crashes[min(4, len(crashes) - 1)]
+    late = fleet.late_requests(contact_seconds, counted_crashes)
+    assert late <= MAX_LATE_REQUESTS, crashes
+    last_seconds = crashes[min(counted_crashes, len(crashes)) - 1]
     calm = fleet.served_ratio(calm_seconds, deadly_seconds)
     beside = fleet.served_ratio(last_seconds + 2 * contact_seconds, end_seconds)
     assert beside >= MIN_SERVED_RATIO * calm
+
+
+# Guards against requests with one part that crash engine after engine, and
+# against sound requests refused beside them.
+@pytest.mark.parametrize("instances", [7, 18])
+def test_a_part_that_crashes_engines_is_refused_everywhere(make_fleet, instances):
+    contact_seconds = CONTACT_SECONDS[instances]
+    fleet = make_fleet(instances)
+    play_deadly(fleet, fleet.send_deadly, MAX_PART_CRASHES, contact_seconds)
     # Refused as not run, with the time to return; never as the caller's fault.
     statuses = {answer.status for answer in fleet.deadly}
     assert statuses <= {502, 503}
@@ -204,20 +212,8 @@
 def test_a_request_that_crashes_engines_is_refused_everywhere(make_fleet, instances):
     contact_seconds = CONTACT_SECONDS[instances]
     fleet = make_fleet(instances)
-    calm_seconds = time.monotonic()
-    fleet.call_periodically(fleet.send_sound, SOUND_PER_SECOND)
-    time.sleep(CALM_SECONDS)
-    deadly_seconds = time.monotonic()
-    fleet.call_periodically(fleet.send_deadly_request, DEADLY_PER_SECOND)
-    time.sleep(DEADLY_SECONDS)
-    end_seconds = time.monotonic()
-    crashes = sorted(fleet.engines.crashes)
-    late = fleet.late_requests(contact_seconds, MAX_REQUEST_CRASHES)
-    assert late <= MAX_LATE_REQUESTS, crashes
-    last_seconds = crashes[min(MAX_REQUEST_CRASHES, len(crashes)) - 1]
-    calm = fleet.served_ratio(calm_seconds, deadly_seconds)
-    beside = fleet.served_ratio(last_seconds + 2 * contact_seconds, end_seconds)
-    assert beside >= MIN_SERVED_RATIO * calm
+    send = fleet.send_deadly_request
+    play_deadly(fleet, send, MAX_REQUEST_CRASHES, contact_seconds)
     assert {answer.status for answer in fleet.deadly} <= {502, 503}
 
 
