Decode what answers state of their upstreams in one place, and log it

Nothing told whether an upstream had said that it leaves: neither the header of that nor Retry-After of a 503 was decoded, so the hypotheses on DRAIN (never read, forgotten, a way around the choice) looked alike in the output.

The adapter now decodes limit, leaving and time of return of each answer into one typed record, also of answers that are no promise to the caller, of lists of caches, releases of KV caches and role changes, and hands it to one observer. Malformed and repeated values are logged and count as absent; an answer of another upstream states nothing. limit:malformed became upstream:statement_malformed. Leaving and time of return are logged (upstream:stated) and counted, and decide nothing yet.

--- a/src/waxwingwinch/gateway/__init__.py
+++ b/src/waxwingwinch/gateway/__init__.py
@@ -19,7 +19,6 @@
 from waxwingwinch.gateway._duty_worker import DutyCalls, StaleFencingToken
 from waxwingwinch.gateway._front import RawRequest, RequestDecoder
 from waxwingwinch.gateway._http_parser import MalformedRequest
-from waxwingwinch.gateway._limit_log_lines import NamedLimitMalformed
 from waxwingwinch.gateway._log_writer import LogWriter
 from waxwingwinch.gateway._members import Member
 from waxwingwinch.gateway._model import (
@@ -56,6 +55,12 @@
     ResponseHead,
 )
 from waxwingwinch.gateway._scaling import UpstreamCount
+from waxwingwinch.gateway._statement_log_lines import StatementMalformed
+from waxwingwinch.gateway._statements import (
+    OnStatements,
+    UpstreamStatements,
+    ignore_statements,
+)
 from waxwingwinch.gateway._store import (
     AppendConflict,
     HistoryReplaced,
@@ -101,7 +106,7 @@
     "MAX_ERA",
     "MAX_OFFSET",
     "Member",
-    "NamedLimitMalformed",
+    "OnStatements",
     "PendingCall",
     "PlatformStore",
     "PrefillOnly",
@@ -122,15 +127,18 @@
     "SettingsUnreadable",
     "SilentCall",
     "StaleFencingToken",
+    "StatementMalformed",
     "StoreEraMalformed",
     "Upstream",
     "UpstreamCall",
     "UpstreamConnection",
     "UpstreamCount",
     "UpstreamResponse",
+    "UpstreamStatements",
     "UpstreamTransport",
     "WeightedService",
     "era_of",
+    "ignore_statements",
     "make_position",
     "offset_of",
 ]
--- a/src/waxwingwinch/gateway/_duty_worker.py
+++ b/src/waxwingwinch/gateway/_duty_worker.py
@@ -24,6 +24,7 @@
     wanted_role_change,
 )
 from waxwingwinch.gateway._silence import silence_limit_seconds
+from waxwingwinch.gateway._statements import OnStatements
 from waxwingwinch.gateway._upstreams import Upstream, UpstreamDirectory
 from waxwingwinch.gateway._usage_reporter import UsageReporter
 from waxwingwinch.gateway._usage_table import UsageTable
@@ -69,8 +70,13 @@
     Every method raises ``PlatformUnavailable`` if there is no response,
     ``PlatformRefused`` if the call is rejected, and
     :class:`StaleFencingToken` if the receiver has seen a higher fencing token.
+
+    :param on_statements: Receives what each answer of an engine states about
+        the engine.
     """
 
+    on_statements: OnStatements
+
     def report_usage(
         self, window: int, counts: dict[CustomerId, int], epoch: int
     ) -> None:
--- a/src/waxwingwinch/gateway/_limit_log_lines.py
+++ b/src/waxwingwinch/gateway/_limit_log_lines.py
@@ -93,14 +93,3 @@
     keeper: str
     reason: str
     took_seconds: float
-
-
-@log_line("limit:malformed")
-class NamedLimitMalformed(LogLine):
-    """
-    The limit in a response is not a non-negative decimal number.
-
-    :param value: The value in the response.
-    """
-
-    value: str
--- a/src/waxwingwinch/gateway/_process.py
+++ b/src/waxwingwinch/gateway/_process.py
@@ -41,6 +41,7 @@
 from waxwingwinch.gateway._record_applier import RecordApplier
 from waxwingwinch.gateway._reports import StateReporter
 from waxwingwinch.gateway._state import GatewayState
+from waxwingwinch.gateway._statements import StatementObserver
 from waxwingwinch.gateway._store_feed import StoreFeed
 from waxwingwinch.kernel import Clock
 from waxwingwinch.peers import PeerIdentity, PeerProgram
@@ -143,6 +144,9 @@
             lambda: self._state.is_ready,
             clock,
         )
+        statements = StatementObserver(self._state.limits, self._state.telemetry, clock)
+        adapter.transport.on_statements = statements.observe
+        adapter.duty_calls.on_statements = statements.observe
         self._handler = self._make_handler()
         self._duty_worker = self._make_duty_worker()
         self._front = FrontServer(
--- a/src/waxwingwinch/gateway/_requests.py
+++ b/src/waxwingwinch/gateway/_requests.py
@@ -91,8 +91,6 @@
     :param not_executed: True if the upstream states that it did not execute
         the request.
     :param is_signed: True if the upstream signed the response.
-    :param limit_per_second: Requests per second that the upstream takes from
-        all instances together, as the response states; None if it states none.
     :param is_framed: True if the response states where its body ends; a body
         without framing ends with its connection.
     """
@@ -102,7 +100,6 @@
     request_id: str | None
     not_executed: bool
     is_signed: bool
-    limit_per_second: float | None = None
     is_framed: bool = True
 
     @property
--- /dev/null
+++ b/src/waxwingwinch/gateway/_statements.py
@@ -0,0 +1,112 @@
+"""What answers of upstreams state about the upstreams themselves."""
+
+from collections.abc import Callable
+
+from attrs import field, frozen
+
+from waxwingwinch.gateway._named_limits import NamedLimit, NamedLimits
+from waxwingwinch.gateway._statement_log_lines import UpstreamStated
+from waxwingwinch.gateway._telemetry import CounterName, Telemetry
+from waxwingwinch.gateway._upstreams import Upstream
+from waxwingwinch.kernel import Clock
+
+
+@frozen
+class UpstreamStatements:
+    """
+    What an answer states about its upstream.
+
+    :param is_success: True if the status of the answer is 2xx.
+    :param limit_per_second: Requests per second that the upstream takes from
+        all instances together; None if the answer names no limit.
+    :param is_leaving: True if the upstream takes no new work any more.
+    :param return_seconds: Time for which the upstream wants no request from
+        this instance; None if the answer names none.
+    """
+
+    is_success: bool = True
+    limit_per_second: float | None = None
+    is_leaving: bool = False
+    return_seconds: float | None = None
+
+
+#: Receives the statements of an answer, given the upstream and the monotonic
+#: time at which the request was sent.
+OnStatements = Callable[[Upstream, UpstreamStatements, float], None]
+
+
+def ignore_statements(
+    upstream: Upstream, statements: UpstreamStatements, sent_seconds: float
+) -> None:
+    """
+    Do nothing, as nobody observes statements yet.
+
+    :param upstream: The upstream that answered.
+    :param statements: What its answer states.
+    :param sent_seconds: Monotonic time at which the request was sent.
+    """
+
+
+@frozen
+class StatementObserver:
+    """
+    Passes what answers state to the decisions that depend on it.
+
+    :param limits: Limits that upstreams name.
+    :param telemetry: Metrics of the process.
+    :param clock: Source of the present time.
+    """
+
+    _limits: NamedLimits = field(repr=False)
+    _telemetry: Telemetry = field(repr=False)
+    _clock: Clock = field(repr=False)
+
+    def observe(
+        self, upstream: Upstream, statements: UpstreamStatements, sent_seconds: float
+    ) -> None:
+        """
+        Record what an answer states.
+
+        :param upstream: The upstream that answered.
+        :param statements: What its answer states.
+        :param sent_seconds: Monotonic time at which the request was sent.
+        """
+        now_seconds = self._clock.now_seconds()
+        self._observe_limit(upstream, statements, sent_seconds, now_seconds)
+        if statements.is_leaving or statements.return_seconds is not None:
+            self._log(upstream, statements, sent_seconds, now_seconds)
+
+    def _observe_limit(
+        self,
+        upstream: Upstream,
+        statements: UpstreamStatements,
+        sent_seconds: float,
+        now_seconds: float,
+    ) -> None:
+        limit_per_second = statements.limit_per_second
+        if limit_per_second is None and not statements.is_success:
+            return
+        observed_seconds = sent_seconds if limit_per_second is None else now_seconds
+        self._limits.observe(
+            upstream.upstream_id,
+            NamedLimit(upstream.started_ms, limit_per_second, observed_seconds),
+            now_seconds,
+        )
+
+    def _log(
+        self,
+        upstream: Upstream,
+        statements: UpstreamStatements,
+        sent_seconds: float,
+        now_seconds: float,
+    ) -> None:
+        kind = "leaving" if statements.is_leaving else "return"
+        self._telemetry.count(CounterName.STATEMENTS, kind)
+        UpstreamStated(
+            upstream_id=upstream.upstream_id,
+            started_ms=upstream.started_ms,
+            registered_state=upstream.state.value,
+            is_leaving=statements.is_leaving,
+            return_seconds=statements.return_seconds,
+            sent_age_seconds=now_seconds - sent_seconds,
+        ).write()
--- a/src/waxwingwinch/gateway/_telemetry.py
+++ b/src/waxwingwinch/gateway/_telemetry.py
@@ -36,6 +36,7 @@
     LIMITED_SENDS = "waxwing_limited_sends"
     LIMIT_PERMITS = "waxwing_limit_permits"
     BROKEN_ATTEMPTS = "waxwing_broken_attempts"
+    STATEMENTS = "waxwing_upstream_statements"
 
 
 class StoreCallResult(enum.Enum):
--- a/src/waxwingwinch/gateway/_transport.py
+++ b/src/waxwingwinch/gateway/_transport.py
@@ -7,6 +7,7 @@
 from waxwingwinch._types import Address, CustomerId
 from waxwingwinch.gateway._connections import Cancellation, UpstreamConnection
 from waxwingwinch.gateway._requests import GatewayRequest, PromptPart, ResponseHead
+from waxwingwinch.gateway._statements import OnStatements
 from waxwingwinch.gateway._upstreams import Upstream
 
 
@@ -149,7 +150,13 @@
 
 
 class UpstreamTransport(Protocol):
-    """Sends calls to upstreams."""
+    """
+    Sends calls to upstreams.
+
+    :param on_statements: Receives what each answer states about its upstream.
+    """
+
+    on_statements: OnStatements
 
     def open(
         self,
--- a/src/waxwingwinch/gateway/_upstream_calls.py
+++ b/src/waxwingwinch/gateway/_upstream_calls.py
@@ -1,10 +1,9 @@
-"""Calls to upstreams, with what their answers say of limits."""
+"""Calls to upstreams."""
 
 from attrs import define
 
 from waxwingwinch.gateway._job import Job, RelayContext
 from waxwingwinch.gateway._limit_log_lines import LimitedRequestSent
-from waxwingwinch.gateway._named_limits import NamedLimit
 from waxwingwinch.gateway._request_log_lines import UpstreamBegan
 from waxwingwinch.gateway._requests import ResponseHead
 from waxwingwinch.gateway._telemetry import CounterName
@@ -160,23 +159,3 @@
         status=head.status,
         took_seconds=context.clock.now_seconds() - sent_seconds,
     ).write()
-    _observe_limit(context, upstream, head, sent_seconds)
-
-
-def _observe_limit(
-    context: RelayContext, upstream: Upstream, head: ResponseHead, sent_seconds: float
-) -> None:
-    """Record what the head of a response says of the upstream's limit."""
-    if head.status == MISDIRECTED_STATUS:
-        # Another upstream answered.
-        return
-    limit_per_second = head.limit_per_second
-    if limit_per_second is None and not head.is_success:
-        return
-    now_seconds = context.clock.now_seconds()
-    observed_seconds = sent_seconds if limit_per_second is None else now_seconds
-    context.limits.observe(
-        upstream.upstream_id,
-        NamedLimit(upstream.started_ms, limit_per_second, observed_seconds),
-        now_seconds,
-    )
--- a/src/waxwingwinch/gateway/tests/fakes.py
+++ b/src/waxwingwinch/gateway/tests/fakes.py
@@ -9,6 +9,7 @@
 from waxwingwinch._exceptions import PlatformUnavailable, RecordsExpired
 from waxwingwinch._types import LogPage, LogRecord
 from waxwingwinch.gateway._positions import era_of, make_position, offset_of
+from waxwingwinch.gateway._statements import OnStatements, ignore_statements
 from waxwingwinch.gateway._store import (
     AppendConflict,
     HistoryReplaced,
@@ -155,6 +156,7 @@
     role_changes: list[Any] = field(factory=list)
     usage_error: Exception | None = None
     spot_error: Exception | None = None
+    on_statements: OnStatements = ignore_statements
 
     def report_usage(self, window, counts, epoch):
         if self.usage_error is not None:
--- a/src/waxwingwinch/gateway/tests/relay_harness.py
+++ b/src/waxwingwinch/gateway/tests/relay_harness.py
@@ -46,8 +46,15 @@
 )
 from waxwingwinch.gateway._retry_budget import RetryBudget
 from waxwingwinch.gateway._slowdowns import SlowdownTracker
+from waxwingwinch.gateway._statements import (
+    OnStatements,
+    StatementObserver,
+    UpstreamStatements,
+    ignore_statements,
+)
 from waxwingwinch.gateway._telemetry import Telemetry
 from waxwingwinch.gateway._transport import PrefillOnly
+from waxwingwinch.gateway._upstream_calls import MISDIRECTED_STATUS
 from waxwingwinch.gateway._upstreams import (
     RegisteredState,
     Upstream,
@@ -81,6 +88,8 @@
         the request.
     :param is_signed: True if the upstream signs the response.
     :param limit_per_second: The limit that the response names, if any.
+    :param is_leaving: True if the response says that the upstream leaves.
+    :param return_seconds: Time for which the response asks for no request.
     :param delay_seconds: Time until the head of the response.
     :param during: Called with the cancellation during the call.
     :param media_type: Media type of the response, if it states one.
@@ -93,6 +102,8 @@
     not_executed: bool = False
     is_signed: bool = True
     limit_per_second: float | None = None
+    is_leaving: bool = False
+    return_seconds: float | None = None
     delay_seconds: float = 0.0
     during: Callable[[Any], object] | None = None
     media_type: str | None = None
@@ -157,6 +168,7 @@
     call: Any
     script: ScriptedResponse
     delay_seconds: float
+    sent_seconds: float = 0.0
     is_aborted: bool = False
 
     def wait(self, timeout_seconds):
@@ -182,9 +194,19 @@
             self.call.request.request_id,
             script.not_executed,
             script.is_signed,
-            script.limit_per_second,
             script.is_framed,
         )
+        if script.status != MISDIRECTED_STATUS:
+            self.transport.on_statements(
+                self.upstream,
+                UpstreamStatements(
+                    head.is_success,
+                    script.limit_per_second,
+                    script.is_leaving,
+                    script.return_seconds,
+                ),
+                self.sent_seconds,
+            )
         # A copy of an exception would lose its cause.
         pieces = [
             copy(piece) if isinstance(piece, Silence) else piece
@@ -219,6 +241,7 @@
     pending: list[Any] = field(factory=list)
     released_handles: list[Any] = field(factory=list)
     unresponsive: set[str] = field(factory=set)
+    on_statements: OnStatements = ignore_statements
 
     def open(
         self, upstream, call, cancellation, now_seconds, wait_seconds, silent=None
@@ -235,7 +258,9 @@
             script.during(cancellation)
         if isinstance(script.error, NotSent):
             raise script.error
-        pending = FakeCall(self, upstream, call, script, script.delay_seconds)
+        pending = FakeCall(
+            self, upstream, call, script, script.delay_seconds, now_seconds
+        )
         self.pending.append(pending)
         return pending
 
@@ -349,6 +374,8 @@
             lambda: True,
             self.clock,
         )
+        observer = StatementObserver(self.limits, self.telemetry, self.clock)
+        self.transport.on_statements = observer.observe
         context = RelayContext(
             self.clock,
             ZONE,
--- a/src/waxwingwinch/platform/_adapter.py
+++ b/src/waxwingwinch/platform/_adapter.py
@@ -56,7 +56,9 @@
         return cls(
             PlatformStoreClient(settings.store_address),
             PlatformTransport(clock),
-            PlatformDutyCalls(settings.orders_address, settings.options.instance_id),
+            PlatformDutyCalls(
+                settings.orders_address, settings.options.instance_id, clock
+            ),
             PlatformRequestDecoder(),
         )
 
--- a/src/waxwingwinch/platform/_answers.py
+++ b/src/waxwingwinch/platform/_answers.py
@@ -10,7 +10,7 @@
 REFUSAL_STATUSES = (408, 429, 503)
 
 
-def check_answer(head: ResponseHead, request_id: str, is_kept: bool) -> None:
+def check_identity(head: ResponseHead, request_id: str, is_kept: bool) -> None:
     """
     Raise unless a response is certain to be the answer to a request.
 
@@ -20,19 +20,13 @@
     :param head: Status and headers of the response.
     :param request_id: Id of the request that was sent.
     :param is_kept: True if the connection has carried other requests.
-    :raises AnswerMissing: If the response may belong to another request, or
-        makes a promise to the caller that the upstream did not make.
+    :raises AnswerMissing: If the response may belong to another request.
     """
     if head.status < MIN_FINAL_STATUS:
         raise AnswerMissing(
             f"expected the response to request {request_id},"
             f" got the informational status {head.status}"
         )
-    if head.status in REFUSAL_STATUSES and not head.not_executed:
-        raise AnswerMissing(
-            f"got status {head.status} without the statement that request"
-            f" {request_id} was not executed"
-        )
     if head.request_id is None and is_kept:
         raise AnswerMissing(
             f"expected the response to request {request_id}, got a response with"
@@ -43,3 +37,19 @@
             f"expected the response to request {request_id},"
             f" got the response to request {head.request_id}"
         )
+
+
+def check_refusal(head: ResponseHead, request_id: str) -> None:
+    """
+    Raise if an answer promises what its upstream did not state.
+
+    :param head: Status and headers of the answer.
+    :param request_id: Id of the request that was sent.
+    :raises AnswerMissing: If the status promises the caller that the request
+        was not executed, and the upstream does not.
+    """
+    if head.status in REFUSAL_STATUSES and not head.not_executed:
+        raise AnswerMissing(
+            f"got status {head.status} without the statement that request"
+            f" {request_id} was not executed"
+        )
--- a/src/waxwingwinch/platform/_duty_calls.py
+++ b/src/waxwingwinch/platform/_duty_calls.py
@@ -1,10 +1,17 @@
 """Calls that only the duty holder makes."""
 
-from attrs import define
+from attrs import define, field
+from urllib3 import HTTPHeaderDict
 
 from waxwingwinch._exceptions import PlatformRefused, PlatformUnavailable
 from waxwingwinch._types import Address, CustomerId, EngineRole, InstanceId
-from waxwingwinch.gateway import StaleFencingToken, Upstream, UpstreamCount
+from waxwingwinch.gateway import (
+    OnStatements,
+    StaleFencingToken,
+    Upstream,
+    UpstreamCount,
+    ignore_statements,
+)
 from waxwingwinch.http import (
     ORDER_SOCKET_OPTIONS,
     AnswerMissing,
@@ -13,11 +20,13 @@
     NotSent,
     exchange,
 )
+from waxwingwinch.kernel import Clock
 from waxwingwinch.platform._headers import (
     DUTY_HOLDER,
     EXPECT_INSTANCE,
     FENCE_TOKEN,
 )
+from waxwingwinch.platform._statements import report_statements
 from waxwingwinch.platform._store import encode_json
 
 #: Time-out of a call; short because the duty holder renews its lease between
@@ -33,10 +42,15 @@
     :param address: Address for ordering upstreams and reporting usage; None
         if the platform has no such interface, in which case both do nothing.
     :param holder: Id of this instance, the holder of the duty.
+    :param clock: Source of the present time.
+    :param on_statements: Receives what each answer of an engine states about
+        the engine.
     """
 
     address: Address | None
     holder: InstanceId
+    clock: Clock = field(repr=False)
+    on_statements: OnStatements = field(default=ignore_statements, repr=False)
 
     def report_usage(
         self, window: int, counts: dict[CustomerId, int], epoch: int
@@ -89,7 +103,15 @@
             "fenceToken": fence_token(epoch),
         }
         headers = ((EXPECT_INSTANCE, str(engine.upstream_id)),)
+        sent_seconds = self.clock.now_seconds()
         reply = self._call(engine.address, "/v1/order", body, headers)
+        report_statements(
+            self.on_statements,
+            engine,
+            sent_seconds,
+            reply.status,
+            HTTPHeaderDict(reply.headers),
+        )
         if reply.status == 412:
             raise StaleFencingToken(
                 f"engine {engine.upstream_id} saw a higher fencing token"
--- a/src/waxwingwinch/platform/_headers.py
+++ b/src/waxwingwinch/platform/_headers.py
@@ -21,8 +21,14 @@
 SERVING_STAGE = "X-Waxwingwinch-Serving-Stage"
 KV_SOURCE = "X-Waxwingwinch-Kv-Source"
 LAST_EVENT_ID = "Last-Event-Id"
+#: Id of the upstream that answered.
+INSTANCE_ID = "X-Waxwingwinch-Instance-Id"
 #: Requests per second that an upstream takes from all instances together.
 SERVER_LIMIT = "Server-Limit"
+#: Sent by an upstream that takes no new work any more.
+SERVER_LEAVING = "Server-Leaving"
+#: Seconds for which an upstream that turns a request away wants no other.
+RETRY_AFTER = "Retry-After"
 #: Number of times that the store has returned from an older copy.
 STORE_ERA = "Store-Era"
 DUTY_HOLDER = "X-Waxwingwinch-Duty-Holder"
@@ -50,7 +56,7 @@
         "X-Waxwingwinch-Pin-Ms",
         "X-Waxwingwinch-Kv-Backup",
         "X-Waxwingwinch-Expect-Version",
-        "X-Waxwingwinch-Instance-Id",
+        INSTANCE_ID,
         "Kv-Fetch",
     )
 )
--- a/src/waxwingwinch/platform/_transport.py
+++ b/src/waxwingwinch/platform/_transport.py
@@ -1,10 +1,11 @@
 """Calls to upstreams in the platform's wire format."""
 
-import math
 import re
+from collections.abc import Callable
+from functools import partial
 from typing import Any
 
-from urllib3 import HTTPResponse
+from urllib3 import HTTPHeaderDict, HTTPResponse
 
 from waxwingwinch._json import decode_json
 from waxwingwinch.gateway import (
@@ -15,7 +16,7 @@
     DecodeFromCache,
     FullExecution,
     HandleNotReleased,
-    NamedLimitMalformed,
+    OnStatements,
     PrefillOnly,
     PromptPart,
     ResponseHead,
@@ -24,16 +25,18 @@
     UpstreamCall,
     UpstreamConnection,
     UpstreamResponse,
+    ignore_statements,
 )
 from waxwingwinch.http import (
     MAX_BODY_BYTES,
     AnswerMissing,
+    HttpReply,
     HttpRequest,
     NotSent,
     exchange,
 )
 from waxwingwinch.kernel import Clock
-from waxwingwinch.platform._answers import check_answer
+from waxwingwinch.platform._answers import check_identity, check_refusal
 from waxwingwinch.platform._fields import read_integer
 from waxwingwinch.platform._headers import (
     DEADLINE_MS,
@@ -45,15 +48,16 @@
     PRIORITY,
     REQUEST_ID,
     RESPONSE_STAMP,
-    SERVER_LIMIT,
     SERVING_STAGE,
     TENANT,
 )
+from waxwingwinch.platform._statements import (
+    MISDIRECTED_STATUS,
+    report_statements,
+)
 
 #: Highest priority number that engines accept.
 PRIORITY_MAX = 9
-#: HTTP status with which an upstream refuses a request meant for another one.
-MISDIRECTED_STATUS = 421
 #: Time-out of the request for the prompt parts cached at an engine.
 KV_LIST_TIMEOUT_SECONDS = 1.0
 #: Time-out of the request to free a KV cache.
@@ -109,7 +113,6 @@
             request_id=headers.get(REQUEST_ID),
             not_executed=not_executed or response.status == MISDIRECTED_STATUS,
             is_signed=RESPONSE_STAMP in headers,
-            limit_per_second=_parse_limit(headers.get(SERVER_LIMIT)),
             is_framed=response.chunked or response.length_remaining is not None,
         )
 
@@ -182,6 +185,7 @@
     :param is_kept: True if the connection has carried other requests.
     :param cancellation: Closes the connection if the call is cancelled.
     :param clock: Source of the present time.
+    :param observe: Receives the response if it answers the request.
     """
 
     def __init__(
@@ -193,6 +197,7 @@
         is_kept: bool,
         cancellation: Cancellation,
         clock: Clock,
+        observe: Callable[[HTTPResponse], None],
     ) -> None:
         self._pool = pool
         self._pool_key = pool_key
@@ -201,6 +206,7 @@
         self._is_kept = is_kept
         self._cancellation = cancellation
         self._clock = clock
+        self._observe = observe
 
     def wait(self, timeout_seconds: float) -> bool:
         """
@@ -239,15 +245,20 @@
         :raises AnswerMissing: If no response to this request arrived.
         """
         try:
+            wire_response = self._connection.read_head(timeout_seconds)
             response = PlatformResponse(
                 self._pool,
                 self._pool_key,
                 self._connection,
-                self._connection.read_head(timeout_seconds),
+                wire_response,
                 self._cancellation,
                 self._clock,
             )
-            check_answer(response.head, self._request_id, self._is_kept)
+            check_identity(response.head, self._request_id, self._is_kept)
+            # A refusal without its promise is no answer, but states as much
+            # about its upstream as any other.
+            self._observe(wire_response)
+            check_refusal(response.head, self._request_id)
         except AnswerMissing:
             self.abort()
             raise
@@ -269,6 +280,7 @@
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._pool = ConnectionPool()
+        self.on_statements: OnStatements = ignore_statements
 
     def open(
         self,
@@ -357,7 +369,35 @@
             is_kept,
             cancellation,
             self._clock,
+            partial(self._report, upstream, now_seconds),
+        )
+
+    def _report(
+        self, upstream: Upstream, sent_seconds: float, response: HTTPResponse
+    ) -> None:
+        report_statements(
+            self.on_statements,
+            upstream,
+            sent_seconds,
+            response.status,
+            response.headers,
+        )
+
+    def _exchange(
+        self, upstream: Upstream, method: str, path: str, timeout_seconds: float
+    ) -> HttpReply:
+        """Send a call of the gateway itself."""
+        request = HttpRequest(method, path, ((EXPECT_INSTANCE, upstream.upstream_id),))
+        sent_seconds = self._clock.now_seconds()
+        reply = exchange(upstream.address, request, timeout_seconds)
+        report_statements(
+            self.on_statements,
+            upstream,
+            sent_seconds,
+            reply.status,
+            HTTPHeaderDict(reply.headers),
         )
+        return reply
 
     def read_handle(self, response: UpstreamResponse, timeout_seconds: float) -> str:
         """
@@ -390,10 +430,7 @@
         :raises NotSent: If the engine could not be reached.
         :raises AnswerMissing: If the engine returned no valid list.
         """
-        request = HttpRequest(
-            "GET", "/v1/kv-list", ((EXPECT_INSTANCE, upstream.upstream_id),)
-        )
-        reply = exchange(upstream.address, request, KV_LIST_TIMEOUT_SECONDS)
+        reply = self._exchange(upstream, "GET", "/v1/kv-list", KV_LIST_TIMEOUT_SECONDS)
         try:
             return tuple(
                 PromptPart(
@@ -415,13 +452,9 @@
         :param upstream: The prefill engine that exported the KV cache.
         :param handle: KV handle of the KV cache.
         """
-        request = HttpRequest(
-            "DELETE",
-            f"/v1/kv-handle/{handle}",
-            ((EXPECT_INSTANCE, upstream.upstream_id),),
-        )
+        path = f"/v1/kv-handle/{handle}"
         try:
-            exchange(upstream.address, request, KV_HANDLE_DELETE_TIMEOUT_SECONDS)
+            self._exchange(upstream, "DELETE", path, KV_HANDLE_DELETE_TIMEOUT_SECONDS)
         except (NotSent, AnswerMissing) as error:
             # The engine frees the KV cache by itself after a few seconds.
             HandleNotReleased(
@@ -469,17 +502,3 @@
 def _idle_seconds(keep_alive: str) -> float | None:
     found = _KEEP_ALIVE.search(keep_alive)
     return float(found[1]) if found else None
-
-
-def _parse_limit(value: str | None) -> float | None:
-    """Return the limit that a response names; None if it names none."""
-    if value is None:
-        return None
-    try:
-        limit_per_second = float(value)
-    except ValueError:
-        limit_per_second = math.nan
-    if not math.isfinite(limit_per_second) or limit_per_second < 0:
-        NamedLimitMalformed(value=value).write()
-        return None
-    return limit_per_second
--- a/src/waxwingwinch/platform/tests/test_odd_entries.py
+++ b/src/waxwingwinch/platform/tests/test_odd_entries.py
@@ -40,7 +40,7 @@
         adapter = PlatformAdapter(
             store,
             PlatformTransport(clock),
-            PlatformDutyCalls(None, InstanceId("own")),
+            PlatformDutyCalls(None, InstanceId("own"), FakeClock()),
             PlatformRequestDecoder(),
         )
         self.state = make_state()
--- a/src/waxwingwinch/platform/tests/test_wire_names.py
+++ b/src/waxwingwinch/platform/tests/test_wire_names.py
@@ -9,7 +9,7 @@
 ADAPTER = PACKAGE / "platform"
 #: Headers, fields, paths and settings of the platform's wire formats.
 WIRE_NAMES = re.compile(
-    r"X-Waxwingwinch|Server-Limit|apiKeys|bootS|coldLeftMs|desired\"|directoryAddr|fenceToken"
+    r"X-Waxwingwinch|Server-Limit|Server-Leaving|apiKeys|bootS|coldLeftMs|desired\"|directoryAddr|fenceToken"
     r"|firstStart|gapTargetMs|graceS|hasMore|healthPath|heartbeatMs|kvCapacity"
     r"|kvHandle|kvTokenBytes|leaseMs|log-append|log-newest|log-read|maxConns"
     r"|nodeName|pathPrefix|plainTokens|portRange|quotaSlack|rateKind|ratePerS"
