Send nothing to upstreams whose answers say that they leave

Cause: a statement that one side makes and nothing on the other side decodes; the second of its kind after Server-Limit.

The directory of upstreams now marks the incarnation (id and start) as draining from the first answer on, whatever entries, peers or a returned store say later, also after its entry lapsed. All choices (runs, prefills, decodes, resumptions, replacements, the last choice), roles and orders already go by that state. The instance that was told first reports it to the others, once and in full reports; one entry of some 20 bytes for each leaving upstream. Runs under way are left alone.

--- a/src/waxwingwinch/gateway/_change_log.py
+++ b/src/waxwingwinch/gateway/_change_log.py
@@ -122,6 +122,7 @@
         or delta.limited_sends
         or not delta.crash_evidence.is_empty
         or previous.unreachable
+        or previous.leaving != delta.leaving
         or _status_fields(previous) != _status_fields(delta)
     )
 
--- a/src/waxwingwinch/gateway/_process.py
+++ b/src/waxwingwinch/gateway/_process.py
@@ -144,7 +144,9 @@
             lambda: self._state.is_ready,
             clock,
         )
-        statements = StatementObserver(self._state.limits, self._state.telemetry, clock)
+        statements = StatementObserver(
+            self._state.directory, self._state.limits, self._state.telemetry, clock
+        )
         adapter.transport.on_statements = statements.observe
         adapter.duty_calls.on_statements = statements.observe
         self._handler = self._make_handler()
--- a/src/waxwingwinch/gateway/_record_applier.py
+++ b/src/waxwingwinch/gateway/_record_applier.py
@@ -96,12 +96,15 @@
         if previous is not None and previous.started_ms != upstream.started_ms:
             self._state.prefixes.remove_engine(upstream_id)
             self._state.slowdowns.remove_engine(upstream_id)
-        if previous is None or previous.state is not upstream.state:
+        known = self._state.directory.get(upstream_id)
+        # An answer that says that the upstream leaves outweighs its entries.
+        state = known.state if known is not None else upstream.state
+        if previous is None or previous.state is not state:
             UpstreamRegistered(
                 upstream_id=upstream_id,
                 service=upstream.service,
                 zone=upstream.zone,
-                state=upstream.state.value,
+                state=state.value,
                 role=upstream.role.value if upstream.role else None,
                 is_spot=upstream.is_spot,
                 cold_seconds=max(upstream.cold_until_seconds - now_seconds, 0.0),
--- a/src/waxwingwinch/gateway/_report_messages.py
+++ b/src/waxwingwinch/gateway/_report_messages.py
@@ -52,6 +52,20 @@
     remaining_seconds: float
 
 
+@message("gateway_leaving_upstream", is_positional=True)
+@frozen
+class LeavingUpstream:
+    """
+    An upstream whose answers say that it leaves.
+
+    :param upstream_id: The upstream.
+    :param started_ms: Unix time of its start in milliseconds.
+    """
+
+    upstream_id: UpstreamId
+    started_ms: int
+
+
 @message("gateway_report", is_positional=True)
 @frozen
 class InstanceReport:
@@ -78,6 +92,7 @@
     :param named_limits: Limits that upstreams recently named to it.
     :param limited_sends: Its recent requests to upstreams with a limit.
     :param crash_evidence: What it knows of crashes of engines.
+    :param leaving: Upstreams that it was first told to leave.
     """
 
     instance_id: InstanceId
@@ -98,6 +113,7 @@
     named_limits: tuple[NamedLimitReport, ...] = ()
     limited_sends: tuple[LimitedSends, ...] = ()
     crash_evidence: CrashEvidenceReport = CrashEvidenceReport()
+    leaving: tuple[LeavingUpstream, ...] = ()
 
     @property
     def has_recent_store_read(self) -> bool:
--- a/src/waxwingwinch/gateway/_report_table.py
+++ b/src/waxwingwinch/gateway/_report_table.py
@@ -264,6 +264,7 @@
         named_limits=report.named_limits,
         limited_sends=report.limited_sends,
         crash_evidence=report.crash_evidence,
+        leaving=report.leaving,
     )
 
 
--- a/src/waxwingwinch/gateway/_reports.py
+++ b/src/waxwingwinch/gateway/_reports.py
@@ -14,11 +14,13 @@
 from waxwingwinch.gateway._record_applier import RecordApplier
 from waxwingwinch.gateway._report_messages import (
     InstanceReport,
+    LeavingUpstream,
     PromptPlacement,
     RoleChangeReport,
 )
 from waxwingwinch.gateway._report_table import ReceivedReport
 from waxwingwinch.gateway._state import GatewayState
+from waxwingwinch.gateway._statement_log_lines import UpstreamLeaving
 from waxwingwinch.kernel import Clock
 
 
@@ -94,6 +96,10 @@
             named_limits=state.limits.limit_reports(now_seconds),
             limited_sends=limited_sends,
             crash_evidence=state.crashes.report(now_seconds),
+            leaving=tuple(
+                LeavingUpstream(upstream_id, started_ms)
+                for upstream_id, started_ms in state.directory.local_leaving()
+            ),
         ).with_loads(state.loads.local_loads())
 
     def apply(self, report: InstanceReport, made_seconds: float) -> None:
@@ -133,6 +139,7 @@
             report.instance_id, report.incarnation, report.limited_sends, made_seconds
         )
         state.crashes.apply(report.crash_evidence, report.incarnation, made_seconds)
+        self._record_leaving(report, made_seconds)
         known = self._last_placements.get(report.instance_id)
         for placement in report.placements:
             if known is None or known.precedes(report.incarnation, placement):
@@ -213,6 +220,21 @@
             for upstream_id, role_change in role_changes.items()
         )
 
+    def _record_leaving(self, report: InstanceReport, made_seconds: float) -> None:
+        directory = self._state.directory
+        for leaving in report.leaving:
+            known = directory.get(leaving.upstream_id)
+            if directory.record_leaving(
+                leaving.upstream_id, leaving.started_ms, is_local=False
+            ):
+                UpstreamLeaving(
+                    upstream_id=leaving.upstream_id,
+                    started_ms=leaving.started_ms,
+                    reporter=report.instance_id,
+                    registered_state=known.state.value if known else None,
+                    age_seconds=self._clock.now_seconds() - made_seconds,
+                ).write()
+
     def _record_placement(self, placement: PromptPlacement) -> None:
         upstream = self._state.directory.get(placement.upstream_id)
         table = self._state.table.get()
--- a/src/waxwingwinch/gateway/_statement_log_lines.py
+++ b/src/waxwingwinch/gateway/_statement_log_lines.py
@@ -3,25 +3,40 @@
 from waxwingwinch.gateway._log_line import LogLine, log_line
 
 
-@log_line("upstream:stated")
-class UpstreamStated(LogLine):
+@log_line("upstream:leaving")
+class UpstreamLeaving(LogLine):
     """
-    An answer states that its upstream leaves or wants no request for a time.
+    An answer says that an upstream leaves; it gets no new work.
+
+    :param upstream_id: The upstream.
+    :param started_ms: Unix time of its start in milliseconds.
+    :param reporter: The instance that was told; None for this one.
+    :param registered_state: State of its entry before; None if it has none.
+    :param age_seconds: Time since the request, or the report, was sent.
+    """
+
+    upstream_id: str
+    started_ms: int
+    reporter: str | None
+    registered_state: str | None
+    age_seconds: float
+
+
+@log_line("upstream:turned_away")
+class UpstreamTurnedAway(LogLine):
+    """
+    An upstream turned a request away and named the time of return.
 
     :param upstream_id: The upstream.
     :param started_ms: Unix time of its start in milliseconds.
-    :param registered_state: State of its entry when the request was sent.
-    :param is_leaving: True if it takes no new work any more.
     :param return_seconds: Time for which it wants no request from this
-        instance; None if it names none.
+        instance.
     :param sent_age_seconds: Time since the request was sent.
     """
 
     upstream_id: str
     started_ms: int
-    registered_state: str
-    is_leaving: bool
-    return_seconds: float | None
+    return_seconds: float
     sent_age_seconds: float
 
 
--- a/src/waxwingwinch/gateway/_statements.py
+++ b/src/waxwingwinch/gateway/_statements.py
@@ -5,9 +5,12 @@
 from attrs import field, frozen
 
 from waxwingwinch.gateway._named_limits import NamedLimit, NamedLimits
-from waxwingwinch.gateway._statement_log_lines import UpstreamStated
+from waxwingwinch.gateway._statement_log_lines import (
+    UpstreamLeaving,
+    UpstreamTurnedAway,
+)
 from waxwingwinch.gateway._telemetry import CounterName, Telemetry
-from waxwingwinch.gateway._upstreams import Upstream
+from waxwingwinch.gateway._upstreams import Upstream, UpstreamDirectory
 from waxwingwinch.kernel import Clock
 
 
@@ -52,11 +55,13 @@
     """
     Passes what answers state to the decisions that depend on it.
 
+    :param directory: The known upstreams.
     :param limits: Limits that upstreams name.
     :param telemetry: Metrics of the process.
     :param clock: Source of the present time.
     """
 
+    _directory: UpstreamDirectory = field(repr=False)
     _limits: NamedLimits = field(repr=False)
     _telemetry: Telemetry = field(repr=False)
     _clock: Clock = field(repr=False)
@@ -73,8 +78,16 @@
         """
         now_seconds = self._clock.now_seconds()
         self._observe_limit(upstream, statements, sent_seconds, now_seconds)
-        if statements.is_leaving or statements.return_seconds is not None:
-            self._log(upstream, statements, sent_seconds, now_seconds)
+        if statements.is_leaving:
+            self._observe_leaving(upstream, now_seconds - sent_seconds)
+        if statements.return_seconds is not None:
+            self._telemetry.count(CounterName.STATEMENTS, "return")
+            UpstreamTurnedAway(
+                upstream_id=upstream.upstream_id,
+                started_ms=upstream.started_ms,
+                return_seconds=statements.return_seconds,
+                sent_age_seconds=now_seconds - sent_seconds,
+            ).write()
 
     def _observe_limit(
         self,
@@ -93,20 +106,16 @@
             now_seconds,
         )
 
-    def _log(
-        self,
-        upstream: Upstream,
-        statements: UpstreamStatements,
-        sent_seconds: float,
-        now_seconds: float,
-    ) -> None:
-        kind = "leaving" if statements.is_leaving else "return"
-        self._telemetry.count(CounterName.STATEMENTS, kind)
-        UpstreamStated(
-            upstream_id=upstream.upstream_id,
-            started_ms=upstream.started_ms,
-            registered_state=upstream.state.value,
-            is_leaving=statements.is_leaving,
-            return_seconds=statements.return_seconds,
-            sent_age_seconds=now_seconds - sent_seconds,
-        ).write()
+    def _observe_leaving(self, upstream: Upstream, sent_age_seconds: float) -> None:
+        self._telemetry.count(CounterName.STATEMENTS, "leaving")
+        is_new = self._directory.record_leaving(
+            upstream.upstream_id, upstream.started_ms, is_local=True
+        )
+        if is_new:
+            UpstreamLeaving(
+                upstream_id=upstream.upstream_id,
+                started_ms=upstream.started_ms,
+                reporter=None,
+                registered_state=upstream.state.value,
+                age_seconds=sent_age_seconds,
+            ).write()
--- a/src/waxwingwinch/gateway/_upstreams.py
+++ b/src/waxwingwinch/gateway/_upstreams.py
@@ -17,12 +17,13 @@
 #: Time after an outage of the store for which an entry that disappeared in it
 #: is kept; from the platform's promise of when entries are restored.
 LAPSED_GRACE_SECONDS = 2.0
-#: Number of removed upstreams whose last entries are retained.
+#: Number of removed upstreams whose last entries are retained, and of leaving
+#: upstreams that are remembered.
 MAX_REMOVED = 1_000
 
 
 class RegisteredState(enum.Enum):
-    """State that an upstream has registered."""
+    """State that an upstream has registered, or stated in an answer."""
 
     READY = "ready"
     DRAINING = "draining"
@@ -80,6 +81,19 @@
     ejected_until_seconds: float
 
 
+@frozen
+class _Leaving:
+    """
+    An incarnation of an upstream whose answers say that it leaves.
+
+    :param started_ms: Unix time of the incarnation's start in milliseconds.
+    :param is_local: True if an answer to this process was the first to say so.
+    """
+
+    started_ms: int
+    is_local: bool
+
+
 @frozen
 class OrderedRoleChange:
     """
@@ -105,6 +119,8 @@
         self._failure_streaks: dict[UpstreamId, _FailureStreak] = {}
         self._unreachable_seconds: dict[UpstreamId, float] = {}
         self._role_changes: dict[UpstreamId, OrderedRoleChange] = {}
+        # Retained after a removal; an entry may lapse and return as ready.
+        self._leaving: OrderedDict[UpstreamId, _Leaving] = OrderedDict()
         self._read_seconds: float | None = None
         self._lock = threading.Lock()
 
@@ -144,12 +160,15 @@
                 return known
             if known is not None and upstream.started_ms > known.started_ms:
                 self._failure_streaks.pop(upstream.upstream_id, None)
-            self._upstreams[upstream.upstream_id] = self._with_ordered_role(upstream)
+            self._upstreams[upstream.upstream_id] = self._as_known(upstream)
             self._lapsed.pop(upstream.upstream_id, None)
             return known
 
-    def _with_ordered_role(self, upstream: Upstream) -> Upstream:
-        """Return the entry with the role that was ordered last, if any."""
+    def _as_known(self, upstream: Upstream) -> Upstream:
+        """Return the entry with what is known beyond it."""
+        leaving = self._leaving.get(upstream.upstream_id)
+        if leaving is not None and leaving.started_ms == upstream.started_ms:
+            upstream = evolve(upstream, state=RegisteredState.DRAINING)
         role_change = self._role_changes.get(upstream.upstream_id)
         if role_change is None or role_change.role is upstream.role:
             return upstream
@@ -216,6 +235,47 @@
                 draining = evolve(upstream, state=RegisteredState.DRAINING)
                 self._upstreams[upstream.upstream_id] = draining
 
+    def record_leaving(
+        self, upstream_id: UpstreamId, started_ms: int, is_local: bool
+    ) -> bool:
+        """
+        Record that the answers of an upstream say that it leaves.
+
+        The incarnation gets no new work, whatever its entries say.
+
+        :param upstream_id: Id of the upstream.
+        :param started_ms: Unix time of the incarnation's start in
+            milliseconds.
+        :param is_local: True if an answer to this process says so.
+        :returns: False if it was known.
+        """
+        with self._lock:
+            known = self._leaving.get(upstream_id)
+            if known is not None and known.started_ms >= started_ms:
+                return False
+            self._leaving[upstream_id] = _Leaving(started_ms, is_local)
+            self._leaving.move_to_end(upstream_id)
+            while len(self._leaving) > MAX_REMOVED:
+                self._leaving.popitem(last=False)
+            upstream = self._upstreams.get(upstream_id)
+            if upstream is not None:
+                self._upstreams[upstream_id] = self._as_known(upstream)
+            return True
+
+    def local_leaving(self) -> tuple[tuple[UpstreamId, int], ...]:
+        """
+        Return the present upstreams that this process was first told to leave.
+
+        :returns: Pairs of the id and the start of the incarnation, as Unix
+            time in milliseconds.
+        """
+        with self._lock:
+            return tuple(
+                (upstream_id, leaving.started_ms)
+                for upstream_id, leaving in self._leaving.items()
+                if leaving.is_local and upstream_id in self._upstreams
+            )
+
     def record_role_change(
         self, upstream_id: UpstreamId, role: EngineRole, until_seconds: float
     ) -> None:
--- a/src/waxwingwinch/gateway/tests/test_upstreams.py
+++ b/src/waxwingwinch/gateway/tests/test_upstreams.py
@@ -7,6 +7,7 @@
     FIRST_EJECTION_SECONDS,
     LAPSED_GRACE_SECONDS,
     MAX_EJECTION_SECONDS,
+    MAX_REMOVED,
     RegisteredState,
     Upstream,
     UpstreamDirectory,
@@ -133,3 +134,58 @@
     assert directory.age_seconds(5.0) is None
     directory.record_read(5.0)
     assert directory.age_seconds(7.5) == 2.5
+
+
+# Guards against work for a leaving upstream whose entries still say ready.
+def test_an_upstream_that_says_that_it_leaves_is_not_used_again():
+    directory = UpstreamDirectory()
+    directory.put(ENTRY)
+    assert directory.record_leaving(ENTRY.upstream_id, 1_000, is_local=True)
+    assert usable(directory) == []
+    assert directory.ready(ENTRY.upstream_id) is None
+    directory.put(evolve(ENTRY, sequence=7))
+    directory.record_role_change(ENTRY.upstream_id, EngineRole.DECODE, 1.0)
+    assert usable(directory, 2.0) == []
+
+
+# Guards against a statement that a lapsed and restored entry undoes.
+def test_a_statement_outlasts_the_removal_of_the_entry():
+    directory = UpstreamDirectory()
+    directory.put(ENTRY)
+    directory.record_leaving(ENTRY.upstream_id, 1_000, is_local=True)
+    directory.remove(ENTRY.upstream_id)
+    directory.put(evolve(ENTRY, sequence=7))
+    assert usable(directory) == []
+
+
+def test_a_restarted_upstream_is_not_bound_by_what_it_said_before():
+    directory = UpstreamDirectory()
+    directory.put(ENTRY)
+    directory.record_leaving(ENTRY.upstream_id, 1_000, is_local=True)
+    directory.put(evolve(ENTRY, started_ms=2_000, sequence=1))
+    assert usable(directory) == ["u"]
+    # A late answer of the incarnation before.
+    directory.record_leaving(ENTRY.upstream_id, 1_000, is_local=True)
+    assert usable(directory) == ["u"]
+
+
+def test_only_what_an_answer_said_first_is_reported():
+    directory = UpstreamDirectory()
+    other = evolve(ENTRY, upstream_id=UpstreamId("v"))
+    directory.put(ENTRY)
+    directory.put(other)
+    assert directory.record_leaving(ENTRY.upstream_id, 1_000, is_local=True)
+    assert directory.record_leaving(other.upstream_id, 1_000, is_local=False)
+    assert not directory.record_leaving(other.upstream_id, 1_000, is_local=True)
+    assert directory.local_leaving() == (("u", 1_000),)
+    directory.remove(ENTRY.upstream_id)
+    assert directory.local_leaving() == ()
+
+
+def test_the_number_of_remembered_leaving_upstreams_is_bounded():
+    directory = UpstreamDirectory()
+    for number in range(MAX_REMOVED + 1):
+        directory.record_leaving(UpstreamId(f"u{number}"), 1_000, is_local=True)
+    directory.put(evolve(ENTRY, upstream_id=UpstreamId("u0")))
+    directory.put(evolve(ENTRY, upstream_id=UpstreamId("u1")))
+    assert usable(directory) == ["u0"]
