Leave upstreams alone until the return that they have named

An upstream that turns a request away with 503 may name for how long it wants no other from this instance. The time was decoded since and decided nothing: such an upstream was avoided for 0.5 s like one that fails, and tried again, or taken as the last choice at once.

If all upstreams of a service are away, callers get 503 at once with the return of the first, spread over slots and instances for at most ten seconds (upstreams_away, service:away). New metric waxwing_upstream_away_seconds, new walk on the operations page.

--- a/src/waxwingwinch/gateway/_duty_worker.py
+++ b/src/waxwingwinch/gateway/_duty_worker.py
@@ -326,8 +326,11 @@
                 continue
             engines = self._directory.for_service(service.name)
             change = wanted_role_change(engines, self._usage.is_empty())
-            engine = self._directory.get(change.upstream_id) if change else None
-            if change is None or engine is None:
+            if change is None:
+                continue
+            engine = self._directory.ready(change.upstream_id, now_seconds)
+            if engine is None:
+                # It leaves by now, or wants no call of this process yet.
                 continue
             self._next_role_change_seconds = now_seconds + ROLE_CHANGE_INTERVAL_SECONDS
             self._calls.change_role(
--- a/src/waxwingwinch/gateway/_engine_choice.py
+++ b/src/waxwingwinch/gateway/_engine_choice.py
@@ -126,7 +126,7 @@
         now_seconds: float,
     ) -> Upstream | None:
         if chosen_id not in progress.excluded:
-            chosen = self._context.directory.ready(chosen_id)
+            chosen = self._context.directory.ready(chosen_id, now_seconds)
             if chosen is not None and permits.acquire(chosen) is None:
                 return chosen
         options = self._options(job, prompt, progress, now_seconds)
@@ -136,7 +136,7 @@
         )
         if not isinstance(placement, RunDirectly):
             return None
-        return self._context.directory.ready(placement.upstream_id)
+        return self._context.directory.ready(placement.upstream_id, now_seconds)
 
     def _admit_and_place(
         self,
--- a/src/waxwingwinch/gateway/_generation_relay.py
+++ b/src/waxwingwinch/gateway/_generation_relay.py
@@ -158,7 +158,9 @@
         if stream.has_begun:
             self._end_without_engine(stream, now_seconds, None, reason)
             return True
-        raise blocked_refusal(stream.job, stream.progress, block, now_seconds)
+        raise blocked_refusal(
+            self._context, stream.job, stream.progress, block, now_seconds
+        )
 
     def _end_without_engine(
         self,
@@ -168,7 +170,9 @@
         reason: str,
     ) -> None:
         if not stream.has_begun:
-            raise final_refusal(stream.job, stream.progress, now_seconds, no_permit)
+            raise final_refusal(
+                self._context, stream.job, stream.progress, now_seconds, no_permit
+            )
         StreamAborted(
             request_id=stream.job.request.request_id,
             sends=stream.progress.sends,
@@ -200,7 +204,9 @@
         """Execute a placement; return whether a complete response was sent."""
         match placement:
             case RunDirectly(engine_id, work_tokens):
-                engine = self._context.directory.ready(engine_id)
+                engine = self._context.directory.ready(
+                    engine_id, self._context.clock.now_seconds()
+                )
                 if engine is None:
                     return False
                 self._engine_chooser.record_prompt(
@@ -264,7 +270,9 @@
         self, stream: StreamState, prompt: Prompt, placement: RunSplit
     ) -> PrefilledCache | None:
         """Have the prompt prefilled; return None if no engine did."""
-        prefill_engine = self._context.directory.ready(placement.prefill_id)
+        prefill_engine = self._context.directory.ready(
+            placement.prefill_id, self._context.clock.now_seconds()
+        )
         if prefill_engine is None:
             return None
         self._engine_chooser.record_prompt(
--- a/src/waxwingwinch/gateway/_instance_endpoints.py
+++ b/src/waxwingwinch/gateway/_instance_endpoints.py
@@ -106,6 +106,7 @@
             *self._upstream_gauges(),
             *self._limit_gauges(now_seconds),
             *self._named_limit_gauges(now_seconds),
+            *self._away_gauges(now_seconds),
             *self._load_gauges(now_seconds),
         ]
 
@@ -155,6 +156,22 @@
             ]
         return gauges
 
+    def _away_gauges(self, now_seconds: float) -> list[Gauge]:
+        """Return the upstreams that want no request from this process."""
+        table = self._state.table.get()
+        services = table.configuration.services if table is not None else ()
+        return [
+            Gauge(
+                "waxwing_upstream_away_seconds",
+                (("upstream", str(upstream.upstream_id)),),
+                until_seconds - now_seconds,
+            )
+            for service in services
+            for upstream, until_seconds in self._state.directory.away(
+                service, now_seconds
+            ).items()
+        ]
+
     def _load_gauges(self, now_seconds: float) -> list[Gauge]:
         """Return the work in progress by service, including that of peers."""
         waiting: dict[str, int] = {}
--- a/src/waxwingwinch/gateway/_job.py
+++ b/src/waxwingwinch/gateway/_job.py
@@ -19,6 +19,7 @@
 from waxwingwinch.gateway._prefixes import PrefixIndex
 from waxwingwinch.gateway._requests import GatewayRequest
 from waxwingwinch.gateway._retry_budget import RetryBudget
+from waxwingwinch.gateway._returns import ReturnSchedule
 from waxwingwinch.gateway._slowdowns import SlowdownTracker
 from waxwingwinch.gateway._telemetry import Telemetry
 from waxwingwinch.gateway._transport import Phase, UpstreamCall, UpstreamTransport
@@ -182,6 +183,7 @@
     :param transport: Sends calls to upstreams.
     :param usage: Counts started requests by customer.
     :param telemetry: Metrics of the process.
+    :param returns: Tells refused callers when upstreams return.
     :param crashes: Crashes of engines, and the parts blamed for them.
     """
 
@@ -198,6 +200,7 @@
     transport: UpstreamTransport = field(repr=False)
     usage: UsageCounts = field(repr=False)
     telemetry: Telemetry = field(repr=False)
+    returns: ReturnSchedule = field(repr=False)
     crashes: CrashEvidence = field(repr=False)
 
 
--- a/src/waxwingwinch/gateway/_outcomes.py
+++ b/src/waxwingwinch/gateway/_outcomes.py
@@ -16,6 +16,7 @@
     NO_UPSTREAM = "no_upstream"
     OVERLOADED = "overloaded"
     UPSTREAM_LIMIT = "upstream_limit"
+    UPSTREAMS_AWAY = "upstreams_away"
     CRASHES_ENGINES = "crashes_engines"
     STOPPING = "stopping"
     INSTANCE_FULL = "instance_full"
--- a/src/waxwingwinch/gateway/_plain_relay.py
+++ b/src/waxwingwinch/gateway/_plain_relay.py
@@ -103,7 +103,9 @@
                 return self._keep_silent(exchange, "no other upstream is usable")
             if exchange.fallback is not None:
                 return exchange.fallback
-            raise final_refusal(job, exchange.progress, now_seconds, upstream)
+            raise final_refusal(
+                self._context, job, exchange.progress, now_seconds, upstream
+            )
         observed = self._attempts.begin(job, upstream)
         try:
             attempt = self._open(exchange, observed, now_seconds)
@@ -131,7 +133,9 @@
             return self._keep_silent(exchange, "the request crashes upstreams")
         if exchange.fallback is not None:
             return exchange.fallback
-        raise blocked_refusal(exchange.job, exchange.progress, block, now_seconds)
+        raise blocked_refusal(
+            self._context, exchange.job, exchange.progress, block, now_seconds
+        )
 
     def _open(
         self, exchange: PlainExchange, observed: Attempt, now_seconds: float
@@ -415,24 +419,30 @@
 
 
 def blocked_refusal(
-    job: Job, progress: Progress, block: PartBlock, now_seconds: float
+    context: RelayContext,
+    job: Job,
+    progress: Progress,
+    block: PartBlock,
+    now_seconds: float,
 ) -> RequestEnded:
     """
     Return the refusal of a request that crashes upstreams.
 
+    :param context: Dependencies shared by the relays of the process.
     :param job: The request.
     :param progress: The attempts so far.
     :param block: Why it is not sent.
     :param now_seconds: Monotonic time.
     """
     if progress.may_have_run:
-        return final_refusal(job, progress, now_seconds)
+        return final_refusal(context, job, progress, now_seconds)
     return RequestEnded(
         503, RefusalReason.CRASHES_ENGINES, block.until_seconds - now_seconds
     )
 
 
 def final_refusal(
+    context: RelayContext,
     job: Job,
     progress: Progress,
     now_seconds: float,
@@ -441,6 +451,7 @@
     """
     Return the refusal of a request that no upstream answered.
 
+    :param context: Dependencies shared by the relays of the process.
     :param job: The request.
     :param progress: The attempts so far.
     :param now_seconds: Monotonic time.
@@ -455,5 +466,10 @@
         return RequestEnded(503, RefusalReason.OUT_OF_TIME)
     if no_permit is not None:
         return RequestEnded(503, RefusalReason.UPSTREAM_LIMIT, no_permit.return_seconds)
+    return_seconds = context.returns.wait_seconds(
+        job.request.request_id, job.service.name, now_seconds
+    )
+    if return_seconds is not None:
+        return RequestEnded(503, RefusalReason.UPSTREAMS_AWAY, return_seconds)
     reason = RefusalReason.NOT_EXECUTED if progress.sends else RefusalReason.NO_UPSTREAM
     return RequestEnded(503, reason, BUSY_RETRY_SECONDS)
--- a/src/waxwingwinch/gateway/_prefill.py
+++ b/src/waxwingwinch/gateway/_prefill.py
@@ -2,6 +2,7 @@
 
 from attrs import frozen
 
+from waxwingwinch.gateway._cluster_log_lines import HandleNotReleased
 from waxwingwinch.gateway._connections import Cancelled
 from waxwingwinch.gateway._crash_blame import Incarnation
 from waxwingwinch.gateway._job import (
@@ -136,6 +137,14 @@
 
         :param cache: The KV cache.
         """
+        now_seconds = self._context.clock.now_seconds()
+        if self._context.directory.is_away(cache.engine, now_seconds):
+            # The engine frees the KV cache by itself after a few seconds.
+            HandleNotReleased(
+                upstream_id=cache.engine.upstream_id,
+                reason="the engine wants no request yet",
+            ).write()
+            return
         self._context.transport.release_handle(cache.engine, cache.handle)
 
     def _request_prefill(
--- a/src/waxwingwinch/gateway/_process.py
+++ b/src/waxwingwinch/gateway/_process.py
@@ -40,6 +40,7 @@
 )
 from waxwingwinch.gateway._record_applier import RecordApplier
 from waxwingwinch.gateway._reports import StateReporter
+from waxwingwinch.gateway._returns import ReturnSchedule
 from waxwingwinch.gateway._state import GatewayState
 from waxwingwinch.gateway._statements import StatementObserver
 from waxwingwinch.gateway._store_feed import StoreFeed
@@ -221,6 +222,7 @@
             self._adapter.transport,
             state.usage,
             state.telemetry,
+            ReturnSchedule(state.directory, state.members),
             state.crashes,
         )
         return RequestHandler(
--- a/src/waxwingwinch/gateway/_statement_log_lines.py
+++ b/src/waxwingwinch/gateway/_statement_log_lines.py
@@ -40,6 +40,29 @@
     sent_age_seconds: float
 
 
+@log_line("service:away")
+class ServiceAway(LogLine):
+    """
+    A request is refused, as all upstreams of its service are away.
+
+    :param request_id: Id of the request.
+    :param service: Name of the service.
+    :param upstreams: Number of its upstreams that are away.
+    :param slots: Requests that they serve concurrently.
+    :param instances: Instances that accept callers.
+    :param earliest_seconds: Time until the first upstream returns.
+    :param return_seconds: Time after which the caller should return.
+    """
+
+    request_id: str
+    service: str
+    upstreams: int
+    slots: int
+    instances: int
+    earliest_seconds: float
+    return_seconds: float
+
+
 @log_line("upstream:statement_malformed")
 class StatementMalformed(LogLine):
     """
--- a/src/waxwingwinch/gateway/_statements.py
+++ b/src/waxwingwinch/gateway/_statements.py
@@ -81,6 +81,11 @@
         if statements.is_leaving:
             self._observe_leaving(upstream, now_seconds - sent_seconds)
         if statements.return_seconds is not None:
+            self._directory.record_away(
+                upstream.upstream_id,
+                upstream.started_ms,
+                now_seconds + statements.return_seconds,
+            )
             self._telemetry.count(CounterName.STATEMENTS, "return")
             UpstreamTurnedAway(
                 upstream_id=upstream.upstream_id,
--- a/src/waxwingwinch/gateway/_upstreams.py
+++ b/src/waxwingwinch/gateway/_upstreams.py
@@ -94,6 +94,20 @@
     is_local: bool
 
 
+@frozen
+class _Away:
+    """
+    An incarnation of an upstream that has turned a request of this process
+    away and named the time of its return.
+
+    :param started_ms: Unix time of the incarnation's start in milliseconds.
+    :param until_seconds: Monotonic time of the return.
+    """
+
+    started_ms: int
+    until_seconds: float
+
+
 @frozen
 class OrderedRoleChange:
     """
@@ -121,6 +135,7 @@
         self._role_changes: dict[UpstreamId, OrderedRoleChange] = {}
         # Retained after a removal; an entry may lapse and return as ready.
         self._leaving: OrderedDict[UpstreamId, _Leaving] = OrderedDict()
+        self._away: dict[UpstreamId, _Away] = {}
         self._read_seconds: float | None = None
         self._lock = threading.Lock()
 
@@ -191,6 +206,7 @@
             self._failure_streaks.pop(upstream_id, None)
             self._unreachable_seconds.pop(upstream_id, None)
             self._role_changes.pop(upstream_id, None)
+            self._away.pop(upstream_id, None)
 
     def mark_lapsed(self, upstream_id: UpstreamId, now_seconds: float) -> None:
         """
@@ -276,6 +292,60 @@
                 if leaving.is_local and upstream_id in self._upstreams
             )
 
+    def record_away(
+        self, upstream_id: UpstreamId, started_ms: int, until_seconds: float
+    ) -> None:
+        """
+        Record until when an upstream wants no request from this process.
+
+        An earlier statement of a later time holds, too.
+
+        :param upstream_id: Id of the upstream.
+        :param started_ms: Unix time of the incarnation's start in
+            milliseconds.
+        :param until_seconds: Monotonic time of its return.
+        """
+        with self._lock:
+            known = self._away.get(upstream_id)
+            if known is not None and known.started_ms > started_ms:
+                return
+            if known is not None and known.started_ms == started_ms:
+                until_seconds = max(until_seconds, known.until_seconds)
+            self._away[upstream_id] = _Away(started_ms, until_seconds)
+
+    def away(self, service: str, now_seconds: float) -> dict[Upstream, float]:
+        """
+        Return the ready upstreams of a service that want no request now.
+
+        :param service: Name of the service.
+        :param now_seconds: Monotonic time.
+        :returns: The monotonic time of the return of each.
+        """
+        with self._lock:
+            return {
+                upstream: until_seconds
+                for upstream in self._upstreams.values()
+                if upstream.service == service
+                and upstream.state is RegisteredState.READY
+                and (until_seconds := self._away_until_seconds(upstream)) > now_seconds
+            }
+
+    def is_away(self, upstream: Upstream, now_seconds: float) -> bool:
+        """
+        Tell whether an upstream wants no request from this process now.
+
+        :param upstream: The upstream.
+        :param now_seconds: Monotonic time.
+        """
+        with self._lock:
+            return self._away_until_seconds(upstream) > now_seconds
+
+    def _away_until_seconds(self, upstream: Upstream) -> float:
+        away = self._away.get(upstream.upstream_id)
+        if away is None or away.started_ms != upstream.started_ms:
+            return 0.0
+        return away.until_seconds
+
     def record_role_change(
         self, upstream_id: UpstreamId, role: EngineRole, until_seconds: float
     ) -> None:
@@ -412,18 +482,27 @@
         with self._lock:
             return self._upstreams.get(upstream_id)
 
-    def ready(self, upstream_id: UpstreamId) -> Upstream | None:
+    def ready(self, upstream_id: UpstreamId, now_seconds: float) -> Upstream | None:
         """
-        Return the entry of an upstream; None unless it is registered as ready.
+        Return the entry of an upstream; None unless it takes new work.
 
         In contrast to `usable`, ejections and role changes don't count.
 
         :param upstream_id: Its id.
+        :param now_seconds: Monotonic time.
         """
-        upstream = self.get(upstream_id)
-        if upstream is None or upstream.state is not RegisteredState.READY:
-            return None
-        return upstream
+        with self._lock:
+            upstream = self._upstreams.get(upstream_id)
+            if upstream is None or not self._takes_work(upstream, now_seconds):
+                return None
+            return upstream
+
+    def _takes_work(self, upstream: Upstream, now_seconds: float) -> bool:
+        """Tell whether an upstream takes new work, as far as it says."""
+        return (
+            upstream.state is RegisteredState.READY
+            and self._away_until_seconds(upstream) <= now_seconds
+        )
 
     def all(self) -> tuple[Upstream, ...]:
         """Return all known upstreams."""
@@ -448,7 +527,8 @@
         Return the upstreams that can take new work of a service.
 
         If all upstreams of a role are ejected, those whose ejection ends first
-        are returned, since one of them may have recovered.
+        are returned, since one of them may have recovered. Upstreams that
+        leave or are away are never returned.
 
         :param service: Name of the service.
         :param now_seconds: Monotonic time.
@@ -457,7 +537,7 @@
         by_role: dict[EngineRole | None, list[Upstream]] = {}
         with self._lock:
             for upstream in self._upstreams.values():
-                is_ready = upstream.state is RegisteredState.READY
+                is_ready = self._takes_work(upstream, now_seconds)
                 role_change = self._role_changes.get(upstream.upstream_id)
                 is_serving = (
                     role_change is None or role_change.until_seconds <= now_seconds
--- a/src/waxwingwinch/gateway/tests/relay_harness.py
+++ b/src/waxwingwinch/gateway/tests/relay_harness.py
@@ -45,6 +45,7 @@
     ResponseHead,
 )
 from waxwingwinch.gateway._retry_budget import RetryBudget
+from waxwingwinch.gateway._returns import ReturnSchedule
 from waxwingwinch.gateway._slowdowns import SlowdownTracker
 from waxwingwinch.gateway._statements import (
     OnStatements,
@@ -392,6 +393,7 @@
             self.transport,
             self.usage,
             self.telemetry,
+            ReturnSchedule(self.directory, self.members),
             self.crashes,
         )
         self.handler = RequestHandler(context, self.table, self.quotas, CallerWatcher())
--- a/src/waxwingwinch/gateway/tests/test_duty_worker.py
+++ b/src/waxwingwinch/gateway/tests/test_duty_worker.py
@@ -168,6 +168,24 @@
     assert all(epoch == 0 for _, _, epoch in harness.calls.role_changes)
 
 
+# Guards against orders to an engine that leaves or wants no call for a time.
+def test_engines_that_leave_or_are_away_are_not_ordered(harness):
+    for number in range(6):
+        engine = upstream(f"d{number}", "llm", EngineRole.DECODE)
+        harness.directory.put(engine)
+        if number < 2:
+            harness.directory.record_leaving(engine.upstream_id, 1, is_local=True)
+        else:
+            harness.directory.record_away(
+                engine.upstream_id, 1, harness.clock.seconds + 5.0
+            )
+    harness.run_for(5.0)
+    assert harness.calls.role_changes == []
+    harness.run_for(5.0)
+    changed = [str(name) for name, _, _ in harness.calls.role_changes]
+    assert changed and not {"d0", "d1"} & set(changed)
+
+
 def test_nothing_is_ordered_without_the_duty(harness):
     other = DutyLease(harness.store, InstanceId("other"), 3.0, harness.clock)
     other.read(0.0)
--- a/src/waxwingwinch/gateway/tests/test_upstreams.py
+++ b/src/waxwingwinch/gateway/tests/test_upstreams.py
@@ -142,7 +142,7 @@
     directory.put(ENTRY)
     assert directory.record_leaving(ENTRY.upstream_id, 1_000, is_local=True)
     assert usable(directory) == []
-    assert directory.ready(ENTRY.upstream_id) is None
+    assert directory.ready(ENTRY.upstream_id, 0.0) is None
     directory.put(evolve(ENTRY, sequence=7))
     directory.record_role_change(ENTRY.upstream_id, EngineRole.DECODE, 1.0)
     assert usable(directory, 2.0) == []
--- a/src/waxwingwinch/observability/_traces.py
+++ b/src/waxwingwinch/observability/_traces.py
@@ -23,17 +23,19 @@
 }
 #: Lines that log failed requests to an upstream; they are retained in
 #: addition to the line about the upstream's state.
-FAILURE_TYPES = frozenset({"upstream:failed", "upstream:rejected"})
+FAILURE_TYPES = frozenset(
+    {"upstream:failed", "upstream:rejected", "upstream:turned_away"}
+)
 #: Lines that don't change a process's view of the cluster.
 STATELESS_TYPES = frozenset(
     {
         "limit:decided",
-        "limit:malformed",
         "limit:sent",
         "limit:unanswered",
         "upstream:answered",
         "upstream:began",
         "upstream:kept",
+        "upstream:statement_malformed",
     }
 )
 #: Fields that eliot adds to each line.
--- a/src/waxwingwinch/platform/tests/standin.py
+++ b/src/waxwingwinch/platform/tests/standin.py
@@ -247,6 +247,13 @@
             if owner.named_seconds is None:
                 owner.named_seconds = time.monotonic()
             signed.append(("Server-Limit", str(owner.limit_per_second)))
+        if owner.return_seconds is not None:
+            refusal = [
+                ("X-Waxwingwinch-Not-Executed", "busy"),
+                ("Retry-After", str(owner.return_seconds)),
+            ]
+            self.respond(503, b"", [*signed, *refusal])
+            return
         if self.path.endswith("/stream"):
             self.stream(signed)
             return
@@ -284,6 +291,8 @@
         self.requests = []
         self.arrivals = []
         self.limit_per_second = None
+        #: Seconds for which it turns requests away; None if it takes them.
+        self.return_seconds = None
         #: Monotonic time of the first answer that names the limit.
         self.named_seconds = None
         self.work_seconds = 0.0
--- a/src/waxwingwinch/platform/tests/test_operations_page.py
+++ b/src/waxwingwinch/platform/tests/test_operations_page.py
@@ -175,3 +175,18 @@
     assert field(output, "limit:changed", "limit_per_second") == "0.100"
     assert field(output, "limit:decided", "is_granted") == "false"
     assert field(output, "request:refused", "reason") == '"upstream_limit"'
+
+
+def test_refused_until_upstreams_return(harness, tmp_path):
+    harness.start()
+    for upstream in harness.upstreams:
+        upstream.return_seconds = 20
+    # The first request learns when the upstreams return.
+    statuses = [harness.send_request()[0] for _ in range(2)]
+    assert statuses == [503, 503]
+    procedure = Procedure.read("Refused until upstreams return")
+    time.sleep(0.5)
+    output = procedure.run(tmp_path, f"request-{harness.request_count}")
+    assert set(line_types(output)) == set(procedure.expected_types)
+    assert field(output, "upstream:turned_away", "return_seconds") == "20.000"
+    assert field(output, "request:refused", "reason") == '"upstreams_away"'
