--- a/src/waxwingwinch/platform/_headers.py
+++ b/src/waxwingwinch/platform/_headers.py
@@ -77,3 +77,14 @@
         "upgrade",
     }
 )
+
+#: Headers of upstreams' answers that no decision needs, with the reason; in
+#: lower case. All others have to be decoded.
+UNUSED_RESPONSE_HEADERS = {
+    "content-encoding": "bodies are asked for without; passed on to the caller",
+    "content-length": "framing, read by the HTTP client",
+    "date": "clocks of upstreams are not used",
+    "server": "names software, not the upstream",
+    "transfer-encoding": "framing, read by the HTTP client",
+    "x-waxwingwinch-weight-versions": "one version for each service is used",
+}
