Keep the return that an upstream has named while its entry is gone

An upstream that is away and whose entry lapses, or is removed and comes back in an outage of the store, got requests again before its return: the time was dropped with the entry, unlike what is known of leaving upstreams. Found while reading; test_the_time_of_return_outlasts_the_removal_of_the_entry failed before.

The time is retained like last entries and leaving upstreams, the last thousand of each. A test with 195 instances shows that one tells all others.

--- a/src/waxwingwinch/gateway/_upstreams.py
+++ b/src/waxwingwinch/gateway/_upstreams.py
@@ -3,6 +3,7 @@
 import enum
 import threading
 from collections import OrderedDict
+from typing import TypeVar
 
 from attrs import evolve, frozen
 
@@ -17,11 +18,14 @@
 #: Time after an outage of the store for which an entry that disappeared in it
 #: is kept; from the platform's promise of when entries are restored.
 LAPSED_GRACE_SECONDS = 2.0
-#: Number of removed upstreams whose last entries are retained, and of leaving
-#: upstreams that are remembered.
+#: Number of upstreams whose last entries and statements are retained after
+#: their removal.
 MAX_REMOVED = 1_000
 
 
+Value = TypeVar("Value")
+
+
 class RegisteredState(enum.Enum):
     """State that an upstream has registered, or stated in an answer."""
 
@@ -135,7 +139,7 @@
         self._role_changes: dict[UpstreamId, OrderedRoleChange] = {}
         # Retained after a removal; an entry may lapse and return as ready.
         self._leaving: OrderedDict[UpstreamId, _Leaving] = OrderedDict()
-        self._away: dict[UpstreamId, _Away] = {}
+        self._away: OrderedDict[UpstreamId, _Away] = OrderedDict()
         self._read_seconds: float | None = None
         self._lock = threading.Lock()
 
@@ -198,15 +202,11 @@
         with self._lock:
             removed = self._upstreams.pop(upstream_id, None)
             if removed is not None:
-                self._removed[upstream_id] = removed
-                self._removed.move_to_end(upstream_id)
-            while len(self._removed) > MAX_REMOVED:
-                self._removed.popitem(last=False)
+                _retain(self._removed, upstream_id, removed)
             self._lapsed.pop(upstream_id, None)
             self._failure_streaks.pop(upstream_id, None)
             self._unreachable_seconds.pop(upstream_id, None)
             self._role_changes.pop(upstream_id, None)
-            self._away.pop(upstream_id, None)
 
     def mark_lapsed(self, upstream_id: UpstreamId, now_seconds: float) -> None:
         """
@@ -269,10 +269,7 @@
             known = self._leaving.get(upstream_id)
             if known is not None and known.started_ms >= started_ms:
                 return False
-            self._leaving[upstream_id] = _Leaving(started_ms, is_local)
-            self._leaving.move_to_end(upstream_id)
-            while len(self._leaving) > MAX_REMOVED:
-                self._leaving.popitem(last=False)
+            _retain(self._leaving, upstream_id, _Leaving(started_ms, is_local))
             upstream = self._upstreams.get(upstream_id)
             if upstream is not None:
                 self._upstreams[upstream_id] = self._as_known(upstream)
@@ -311,7 +308,7 @@
                 return
             if known is not None and known.started_ms == started_ms:
                 until_seconds = max(until_seconds, known.until_seconds)
-            self._away[upstream_id] = _Away(started_ms, until_seconds)
+            _retain(self._away, upstream_id, _Away(started_ms, until_seconds))
 
     def away(self, service: str, now_seconds: float) -> dict[Upstream, float]:
         """
@@ -567,3 +564,13 @@
     def _ejected_until_seconds(self, upstream_id: UpstreamId) -> float:
         streak = self._failure_streaks.get(upstream_id)
         return streak.ejected_until_seconds if streak is not None else 0.0
+
+
+def _retain(
+    table: OrderedDict[UpstreamId, Value], upstream_id: UpstreamId, value: Value
+) -> None:
+    """Put a value into a table that holds the last ones only."""
+    table[upstream_id] = value
+    table.move_to_end(upstream_id)
+    while len(table) > MAX_REMOVED:
+        table.popitem(last=False)
--- a/src/waxwingwinch/gateway/tests/test_away_upstreams.py
+++ b/src/waxwingwinch/gateway/tests/test_away_upstreams.py
@@ -79,6 +79,17 @@
     assert directory.away("shop", 4.0) == {restarted: 5.0}
 
 
+# Guards against a time of return that a lapsed and restored entry undoes.
+def test_the_time_of_return_outlasts_the_removal_of_the_entry():
+    directory, known = UpstreamDirectory(), upstream("u1")
+    directory.put(known)
+    directory.record_away(known.upstream_id, 1, 5.0)
+    directory.remove(known.upstream_id)
+    directory.put(evolve(known, sequence=known.sequence + 1))
+    assert directory.usable("shop", 4.9) == ()
+    assert len(directory.usable("shop", 5.0)) == 1
+
+
 def test_neither_prefills_nor_decodes_reach_engines_that_are_away():
     harness = RelayHarness()
     harness.add_engines(prefill=2, decode=2)
--- a/src/waxwingwinch/gateway/tests/test_reports.py
+++ b/src/waxwingwinch/gateway/tests/test_reports.py
@@ -87,3 +87,23 @@
     (changed,) = build().reports
     assert [item.upstream_id for item in changed.report.leaving] == ["u1"]
     assert build().reports == ()
+
+
+# Guards against a fleet in which each instance learns and reports by itself.
+def test_one_of_many_instances_tells_all_the_others():
+    clock, leaving = FakeClock(), upstream("u1")
+    reporters = []
+    for number in range(195):
+        state = make_state()
+        state.directory.put(leaving)
+        reporters.append((InstanceId(f"i{number}"), state, make_reporter(state, clock)))
+    _, first, teller = reporters[0]
+    first.directory.record_leaving(leaving.upstream_id, 1, is_local=True)
+    told = evolve(teller.make(), instance_id=InstanceId("i0"))
+    for _, state, reporter in reporters[1:]:
+        reporter.apply(told, clock.seconds)
+        # An answer that was under way says the same a moment later.
+        state.directory.record_leaving(leaving.upstream_id, 1, is_local=True)
+    for name, state, reporter in reporters:
+        assert state.directory.usable("shop", clock.seconds) == ()
+        assert bool(reporter.make().leaving) is (name == "i0")
