--- a/src/waxwingwinch/platform/tests/standin.py
+++ b/src/waxwingwinch/platform/tests/standin.py
@@ -378,3 +378,12 @@
             self.process.kill()
         self.process.wait()
         self.log.close()
+
+
+def stop_all(callers, gateways, store, upstreams):
+    """Wait for the callers that were started, and stop all servers."""
+    for caller in callers:
+        if caller.ident is not None:
+            caller.join()
+    for server in (*gateways, store, *upstreams):
+        server.stop()
--- a/src/waxwingwinch/platform/tests/stating_fleet.py
+++ b/src/waxwingwinch/platform/tests/stating_fleet.py
@@ -13,6 +13,7 @@
     Gateway,
     StoreStandin,
     make_configuration,
+    stop_all,
     wait_until,
 )
 from waxwingwinch.platform.tests.stating_upstream import EVENTS, StatingUpstream
@@ -120,14 +121,7 @@
 
     def stop(self):
         self.stopping.set()
-        for caller in self.callers:
-            if caller.ident is not None:
-                caller.join()
-        for gateway in self.gateways:
-            gateway.stop()
-        self.store.stop()
-        for upstream in self.upstreams:
-            upstream.stop()
+        stop_all(self.callers, self.gateways, self.store, self.upstreams)
 
     def end_traffic(self):
         """Stop the callers, and wait for their last answers."""
--- a/src/waxwingwinch/platform/tests/test_limit_over_instances.py
+++ b/src/waxwingwinch/platform/tests/test_limit_over_instances.py
@@ -17,6 +17,7 @@
     StoreStandin,
     UpstreamStandin,
     make_configuration,
+    stop_all,
     wait_until,
 )
 
@@ -103,14 +104,7 @@
 
     def stop(self):
         self.stopping.set()
-        for caller in self.callers:
-            if caller.ident is not None:
-                caller.join()
-        for gateway in self.gateways:
-            gateway.stop()
-        self.store.stop()
-        for upstream in self.upstreams:
-            upstream.stop()
+        stop_all(self.callers, self.gateways, self.store, self.upstreams)
 
     def call(self, number, instances):
         """Send requests to one instance until the test ends."""
