Let only answers to requests of callers end a limit

Since the answers to releases, lists of caches and orders are observed, too. A success without a limit ends the limit that an upstream has named; whether it names one in answers to such calls is not known, and a limit that ended with them would have been exceeded. Found while reading the change; test_only_answers_to_requests_of_callers_end_a_limit failed before (3 ended).

--- a/src/waxwingwinch/gateway/_statements.py
+++ b/src/waxwingwinch/gateway/_statements.py
@@ -19,7 +19,8 @@
     """
     What an answer states about its upstream.
 
-    :param is_success: True if the status of the answer is 2xx.
+    :param may_end_limit: True if the answer would name a limit in force: a
+        success for a request of a caller.
     :param limit_per_second: Requests per second that the upstream takes from
         all instances together; None if the answer names no limit.
     :param is_leaving: True if the upstream takes no new work any more.
@@ -27,7 +28,7 @@
         this instance; None if the answer names none.
     """
 
-    is_success: bool = True
+    may_end_limit: bool = True
     limit_per_second: float | None = None
     is_leaving: bool = False
     return_seconds: float | None = None
@@ -102,7 +103,7 @@
         now_seconds: float,
     ) -> None:
         limit_per_second = statements.limit_per_second
-        if limit_per_second is None and not statements.is_success:
+        if limit_per_second is None and not statements.may_end_limit:
             return
         observed_seconds = sent_seconds if limit_per_second is None else now_seconds
         self._limits.observe(
--- a/src/waxwingwinch/platform/_duty_calls.py
+++ b/src/waxwingwinch/platform/_duty_calls.py
@@ -111,6 +111,7 @@
             sent_seconds,
             reply.status,
             HTTPHeaderDict(reply.headers),
+            is_own_call=True,
         )
         if reply.status == 412:
             raise StaleFencingToken(
--- a/src/waxwingwinch/platform/_statements.py
+++ b/src/waxwingwinch/platform/_statements.py
@@ -30,7 +30,7 @@
 
 
 def read_statements(
-    upstream: Upstream, status: int, headers: Mapping[str, str]
+    upstream: Upstream, status: int, headers: Mapping[str, str], is_own_call: bool
 ) -> UpstreamStatements | None:
     """
     Decode what an answer states about its upstream.
@@ -41,13 +41,14 @@
     :param status: HTTP status of the answer.
     :param headers: Headers of the answer; the values of a repeated header are
         joined by commas.
+    :param is_own_call: True for a call of the gateway itself, such as orders.
     :returns: None if another upstream has answered.
     """
     answered_id = headers.get(INSTANCE_ID, upstream.upstream_id)
     if status == MISDIRECTED_STATUS or answered_id != upstream.upstream_id:
         return None
     return UpstreamStatements(
-        is_success=200 <= status < 300,
+        may_end_limit=200 <= status < 300 and not is_own_call,
         limit_per_second=_read_decimal(upstream, headers, SERVER_LIMIT),
         is_leaving=_read_leaving(upstream, headers),
         return_seconds=_read_return(upstream, status, headers),
@@ -60,6 +61,7 @@
     sent_seconds: float,
     status: int,
     headers: Mapping[str, str],
+    is_own_call: bool,
 ) -> None:
     """
     Decode what an answer states about its upstream, and pass it on.
@@ -70,8 +72,9 @@
     :param status: HTTP status of the answer.
     :param headers: Headers of the answer; the values of a repeated header are
         joined by commas.
+    :param is_own_call: True for a call of the gateway itself, such as orders.
     """
-    statements = read_statements(upstream, status, headers)
+    statements = read_statements(upstream, status, headers, is_own_call)
     if statements is not None:
         on_statements(upstream, statements, sent_seconds)
 
--- a/src/waxwingwinch/platform/_transport.py
+++ b/src/waxwingwinch/platform/_transport.py
@@ -381,6 +381,7 @@
             sent_seconds,
             response.status,
             response.headers,
+            is_own_call=False,
         )
 
     def _exchange(
@@ -396,6 +397,7 @@
             sent_seconds,
             reply.status,
             HTTPHeaderDict(reply.headers),
+            is_own_call=True,
         )
         return reply
 
--- a/src/waxwingwinch/platform/tests/test_statement_sources.py
+++ b/src/waxwingwinch/platform/tests/test_statement_sources.py
@@ -22,8 +22,10 @@
     def __init__(self):
         self.leaving = []
         self.returns = []
+        self.limits_ended = 0
 
     def observe(self, known, statements, sent_seconds):
+        self.limits_ended += statements.may_end_limit
         if statements.is_leaving:
             self.leaving.append(str(known.upstream_id))
         if statements.return_seconds is not None:
@@ -105,6 +107,22 @@
     assert observed.leaving == ["e1", "e1"]
 
 
+# Guards against the end of a limit by an answer that would not name it.
+def test_only_answers_to_requests_of_callers_end_a_limit(reply_with):
+    observed, transport = Observed(), PlatformTransport(SystemClock())
+    transport.on_statements = observed.observe
+    calls = PlatformDutyCalls(None, InstanceId("own"), SystemClock(), observed.observe)
+    reply_with(200)
+    transport.cached_parts(E1)
+    transport.release_handle(E1, "h")
+    calls.change_role(E1, EngineRole.DECODE, 1)
+    assert observed.limits_ended == 0
+    with raw_engine([(answer("r-0"),)]) as engine:
+        caller, observed = observed_caller(engine)
+        caller.body("r-0")
+        assert observed.limits_ended == 1
+
+
 def test_the_answer_to_an_order_is_observed(reply_with):
     observed = Observed()
     calls = PlatformDutyCalls(None, InstanceId("own"), SystemClock(), observed.observe)
--- a/src/waxwingwinch/platform/tests/test_statements.py
+++ b/src/waxwingwinch/platform/tests/test_statements.py
@@ -25,7 +25,7 @@
 
 
 def read(status=200, *headers, known=E1):
-    return read_statements(known, status, HTTPHeaderDict(headers))
+    return read_statements(known, status, HTTPHeaderDict(headers), is_own_call=False)
 
 
 @pytest.mark.parametrize(
