--- a/review/lab/standins.py
+++ b/review/lab/standins.py
@@ -323,6 +323,9 @@
             "LANG": "C.UTF-8",
             "PYTHONPATH": str(ROOT / "target" / "deps"),
             "PYTHONDONTWRITEBYTECODE": "1",
+            # DEPLOY.md names it among the variables that the platform sets.
+            # With more arenas a process takes more memory.
+            "MALLOC_ARENA_MAX": "1",
             "WAXWINGWINCH_CONFIG": str(self.settings),
         }
         with self.log_path.open("ab") as log:
@@ -376,6 +379,23 @@
     return bool(predicate())
 
 
+def first_engine(engines, request_id, seconds):
+    """Wait until an engine works on a request; return it, or None."""
+
+    def find():
+        return next(
+            (
+                engine
+                for engine in engines
+                if any(run["id"] == request_id for run in list(engine.runs))
+            ),
+            None,
+        )
+
+    wait_until(lambda: find() is not None, seconds)
+    return find()
+
+
 class Answer:
     """What a client got: its status (0 for none), headers, body and end."""
 
