Record signals from the first moment of a process

Seen: a SIGHUP in the first 0.4 s of a process ended it, since its default action stood until the modules were imported and the state was built.

Handlers now stand before the imports and record what arrives; the process acts on it once it can. SIGTERM is recorded in the same way, with its time, from which the times of a stop count: a stop that is noticed late no longer takes requests for longer than it has time for.

Signals of the first some 20 ms, before the interpreter runs the program, can't be caught.

--- a/src/run_gateway.py
+++ b/src/run_gateway.py
@@ -1,5 +1,5 @@
 """Starts the gateway from a checkout, without an installed package."""
 
-import runpy
+from waxwingwinch.platform.__main__ import run
 
-runpy.run_module("waxwingwinch.platform", run_name="__main__")
+run()
--- a/src/waxwingwinch/gateway/_process.py
+++ b/src/waxwingwinch/gateway/_process.py
@@ -120,6 +120,7 @@
         self._options = options
         self._adapter = adapter
         self._clock = clock
+        self._stop_signalled_seconds = 0.0
         own = Member(
             options.instance_id,
             secrets.token_hex(SECRET_BYTES),
@@ -190,8 +191,13 @@
         self._state.stopping.wait()
         self._stop()
 
-    def request_stop(self) -> None:
-        """Request a graceful stop; safe to call from a signal handler."""
+    def request_stop(self, signalled_seconds: float) -> None:
+        """
+        Request a graceful stop; safe to call from a signal handler.
+
+        :param signalled_seconds: Monotonic time of the signal.
+        """
+        self._stop_signalled_seconds = signalled_seconds
         self._state.stopping.set()
 
     def update(self, options: GatewayOptions) -> None:
@@ -342,7 +348,7 @@
         GatewayJoined(instance_id=own.instance_id).write()
 
     def _stop(self) -> None:
-        started_seconds = self._clock.now_seconds()
+        started_seconds = self._stop_signalled_seconds
         grace_seconds = self._options.grace_seconds
         GatewayStopping(under_way=self._handler.under_way).write()
         self._handler.begin_stop(
--- a/src/waxwingwinch/platform/_main.py
+++ b/src/waxwingwinch/platform/_main.py
@@ -1,7 +1,6 @@
 """The program ``waxwing-gateway``: the gateway on the users' platform."""
 
 import argparse
-import signal
 import sys
 from pathlib import Path
 
@@ -16,6 +15,7 @@
     load_instance_settings,
     settings_path,
 )
+from waxwingwinch.platform._signals import SignalInbox
 
 #: Maximum rate of log lines of one message type. With about thirty types, few
 #: of them frequent, an instance writes at most about 100 KB a second.
@@ -26,8 +26,12 @@
 LOG_DRAIN_TIMEOUT_SECONDS = 0.3
 
 
-def main() -> int:
-    """Run the program and return its exit status."""
+def main(signals: SignalInbox) -> int:
+    """
+    Run the program and return its exit status.
+
+    :param signals: The signals of the platform, recorded from the start.
+    """
     # argparse, because importing typer costs each instance several megabytes.
     parser = argparse.ArgumentParser(prog="waxwing-gateway", description=__doc__)
     parser.add_argument("settings", nargs="?", type=Path, help="the settings file")
@@ -44,11 +48,11 @@
     if arguments.check:
         print(f"{path} is valid")
         return 0
-    _serve(path, settings)
+    _serve(path, settings, signals)
     return 0
 
 
-def _serve(path: Path, settings: InstanceSettings) -> None:
+def _serve(path: Path, settings: InstanceSettings, signals: SignalInbox) -> None:
     clock = SteadyWallClock(SystemClock())
     logs = LogWriter(sys.stdout.buffer)
     set_up_logs(logs, clock, LOG_MESSAGES_PER_SECOND)  # type: ignore[arg-type]
@@ -61,7 +65,6 @@
 
     reloader = SettingsReloader(path, apply)
     reloader.start()
-    signal.signal(signal.SIGTERM, lambda *_: process.request_stop())
-    signal.signal(signal.SIGHUP, lambda *_: reloader.request_poll())
+    signals.deliver(process.request_stop, reloader.request_poll)
     process.run()
     logs.drain(LOG_DRAIN_TIMEOUT_SECONDS)
--- a/src/waxwingwinch/platform/tests/standin.py
+++ b/src/waxwingwinch/platform/tests/standin.py
@@ -1,6 +1,7 @@
 """Stand-ins for the store and upstreams, with the platform's protocol."""
 
 import base64
+import http.client
 import json
 import struct
 import subprocess
@@ -353,7 +354,8 @@
     def __init__(self, folder, store, name, zone="north", more_settings=""):
         ports = sorted(free_port() for _ in range(5))
         first, second, self.front, self.ready, self.directory = ports
-        self.metrics = second
+        self.peers, self.metrics = first, second
+        self.hold_ports()
         settings = folder / f"{name}.conf"
         settings.write_text(
             f"nodeName={name}\nzone={zone}\nzones.{zone}=region\nip={HOST}\n"
@@ -373,6 +375,20 @@
             stderr=subprocess.STDOUT,
         )
 
+    def is_ready(self):
+        """Ask the process whether it takes callers."""
+        connection = http.client.HTTPConnection(HOST, self.ready, timeout=2.0)
+        try:
+            connection.request("GET", "/v1/readyz")
+            return connection.getresponse().status == 200
+        except (OSError, http.client.HTTPException):
+            return False
+        finally:
+            connection.close()
+
+    def hold_ports(self):
+        """Do nothing; tests use ports of the gateway before it starts."""
+
     def stop(self):
         if self.process.poll() is None:
             self.process.kill()
