Wait for a port that is in use at the start

With the port of peers in use, the process served but never joined the others: the error ended the thread that joins.

Each port is now bound by one function that tries again until it is free and logs listener:port_in_use; a stop ends the wait. Readiness, directory and metrics listen only once the front does, so that no caller is told of an instance to which it can't connect.

Elsewhere: the older programs bind through CherryPy and the server of peers, and still end.

--- a/src/waxwingwinch/gateway/_front.py
+++ b/src/waxwingwinch/gateway/_front.py
@@ -2,6 +2,7 @@
 
 import socket
 import threading
+from collections.abc import Callable
 from http import HTTPStatus
 from typing import Any, Protocol
 
@@ -18,6 +19,7 @@
     StrictHeaderReader,
     read_body,
 )
+from waxwingwinch.gateway._listening import ListeningMixin
 from waxwingwinch.gateway._model import CallerLimits
 from waxwingwinch.gateway._outcomes import CallerDisconnected
 from waxwingwinch.gateway._process_log_lines import FrontServerError
@@ -277,7 +279,9 @@
             super()._conditional_error(req, response)  # type: ignore[misc]
 
 
-class FrontServer(ElasticThreadPoolMixin, HTTPServer):  # type: ignore[misc]
+class FrontServer(  # type: ignore[misc]
+    ListeningMixin, ElasticThreadPoolMixin, HTTPServer
+):
     """
     Serves callers, with one thread per request in progress.
 
@@ -390,8 +394,16 @@
                 if not connection.has_request:
                     connection.stop_reading()
 
-    def start_in_background(self) -> None:
-        """Listen and serve requests in background threads."""
+    def start_in_background(
+        self, is_stopping: Callable[[], bool] = lambda: False
+    ) -> None:
+        """
+        Listen, once the port is free, and serve in background threads.
+
+        :param is_stopping: Tells whether the process stops.
+        :raises BindAbandoned: If it stops before the port is free.
+        """
+        self.gives_up_binding = is_stopping
         self.prepare()
         threading.Thread(target=self.serve, name="front", daemon=True).start()
 
--- a/src/waxwingwinch/gateway/_gossip.py
+++ b/src/waxwingwinch/gateway/_gossip.py
@@ -128,7 +128,9 @@
         self._neighbours: dict[Member, _Neighbour] = {}
         self._fetching_from: set[InstanceId] = set()
         self._report_table = ReportTable(members.local_member.instance_id)
-        self._hub = PeerHub(members.local_member.peer_address, identity, [secret])
+        self._hub = PeerHub(
+            members.local_member.peer_address, identity, [secret], waits_for_port=True
+        )
         exchange_handlers = ExchangeHandlers(
             self._apply_update, self._fetch_if_newer, self._refresh_local_report
         )
@@ -147,7 +149,7 @@
 
     def start(self) -> None:
         """
-        Listen for peers and dial them.
+        Listen for peers, once the port is free, and dial them.
 
         :raises OSError: If the peer address cannot be listened at.
         """
--- a/src/waxwingwinch/gateway/_info_server.py
+++ b/src/waxwingwinch/gateway/_info_server.py
@@ -8,6 +8,7 @@
 from cheroot.wsgi import Server
 
 from waxwingwinch._types import Address
+from waxwingwinch.gateway._listening import ListeningMixin
 from waxwingwinch.gateway._thread_pool import ElasticThreadPoolMixin
 
 #: Minimum number of threads of each server; requests are rare and handled
@@ -37,7 +38,7 @@
 InfoHandler = Callable[[str, str], InfoReply]
 
 
-class _InfoWsgiServer(ElasticThreadPoolMixin, Server):  # type: ignore[misc]
+class _InfoWsgiServer(ListeningMixin, ElasticThreadPoolMixin, Server):  # type: ignore[misc]
     """A WSGI server with an elastic thread pool."""
 
 
@@ -62,9 +63,12 @@
         self._server.keep_alive_conn_limit = None  # type: ignore[assignment]
 
     def start(self) -> None:
-        """Listen and serve requests in background threads."""
+        """Listen, once the port is free, and serve in background threads."""
+        threading.Thread(target=self._run, daemon=True).start()
+
+    def _run(self) -> None:
         self._server.prepare()
-        threading.Thread(target=self._server.serve, daemon=True).start()
+        self._server.serve()
 
     def _application(
         self, environ: dict[str, Any], start_response: Callable[..., object]
--- a/src/waxwingwinch/gateway/_process.py
+++ b/src/waxwingwinch/gateway/_process.py
@@ -34,6 +34,7 @@
 from waxwingwinch.gateway._permits import PermitBroker
 from waxwingwinch.gateway._process_log_lines import (
     GatewayJoined,
+    GatewayNotServing,
     GatewayStarting,
     GatewayStopped,
     GatewayStopping,
@@ -44,7 +45,7 @@
 from waxwingwinch.gateway._state import GatewayState
 from waxwingwinch.gateway._statements import StatementObserver
 from waxwingwinch.gateway._store_feed import StoreFeed
-from waxwingwinch.kernel import Clock
+from waxwingwinch.kernel import BindAbandoned, Clock
 from waxwingwinch.peers import PeerIdentity, PeerProgram
 
 #: How long the store may hold a read of the configuration. A connection that
@@ -181,9 +182,14 @@
         self._watcher.start()
         self._configuration.start()
         self._upstreams.start()
+        try:
+            self._front.start_in_background(self._state.stopping.is_set)
+        except BindAbandoned as abandoned:
+            GatewayNotServing(reason=f"{abandoned} is in use").write()
+            return
+        # Callers are told of this instance only once they can connect to it.
         for server in self._info_servers:
             server.start()
-        self._front.start_in_background()
         threading.Thread(target=self._join, name="join", daemon=True).start()
         if not self._options.is_first_start:
             self._survey.start()
--- a/src/waxwingwinch/gateway/_process_log_lines.py
+++ b/src/waxwingwinch/gateway/_process_log_lines.py
@@ -53,6 +53,17 @@
     took_seconds: float
 
 
+@log_line("gateway:not_serving")
+class GatewayNotServing(LogLine):
+    """
+    The process was stopped before it served callers.
+
+    :param reason: The condition observed.
+    """
+
+    reason: str
+
+
 @log_line("gateway:not_withdrawn")
 class GatewayNotWithdrawn(LogLine):
     """
--- a/src/waxwingwinch/kernel/__init__.py
+++ b/src/waxwingwinch/kernel/__init__.py
@@ -1,6 +1,25 @@
-"""Service registry, service life cycle and clocks of a process."""
+"""Service registry, service life cycle, clocks and ports of a process."""
 
+from waxwingwinch.kernel._binding import (
+    BIND_RETRY_SECONDS,
+    BindAbandoned,
+    bind_when_free,
+    is_port_in_use,
+    log_port_in_use,
+)
 from waxwingwinch.kernel._clock import Clock, SteadyWallClock, SystemClock
 from waxwingwinch.kernel._registry import Health, Registry, Service
 
-__all__ = ["Clock", "Health", "Registry", "Service", "SteadyWallClock", "SystemClock"]
+__all__ = [
+    "BIND_RETRY_SECONDS",
+    "BindAbandoned",
+    "Clock",
+    "Health",
+    "Registry",
+    "Service",
+    "SteadyWallClock",
+    "SystemClock",
+    "bind_when_free",
+    "is_port_in_use",
+    "log_port_in_use",
+]
--- a/src/waxwingwinch/peers/_hub.py
+++ b/src/waxwingwinch/peers/_hub.py
@@ -9,12 +9,17 @@
 from attrs import define, field
 from websockets.asyncio.client import connect
 from websockets.asyncio.connection import Connection
-from websockets.asyncio.server import ServerConnection, serve
+from websockets.asyncio.server import Server, ServerConnection, serve
 from websockets.exceptions import ConnectionClosed, WebSocketException
 
 from waxwingwinch._exceptions import MalformedMessage, PeerUnavailable
 from waxwingwinch._types import Address
 from waxwingwinch.codec import decode_message, encode_message
+from waxwingwinch.kernel import (
+    BIND_RETRY_SECONDS,
+    is_port_in_use,
+    log_port_in_use,
+)
 from waxwingwinch.peers._frames import NO_REPLY, Frame, decode_frame
 from waxwingwinch.peers._handlers import Handler, HandlerTable
 from waxwingwinch.peers._handshake import (
@@ -202,6 +207,7 @@
     :param address: Address to listen on.
     :param identity: Identity of this process.
     :param shared_secrets: Accepted secrets; the first is used to sign.
+    :param waits_for_port: True to wait while another process uses the port.
     """
 
     def __init__(
@@ -209,9 +215,11 @@
         address: Address,
         identity: PeerIdentity,
         shared_secrets: Sequence[str],
+        waits_for_port: bool = False,
     ) -> None:
         self._address = address
         self._identity = identity
+        self._waits_for_port = waits_for_port
         # Shared with the links, which use it at their next handshake.
         self._shared_secrets = list(shared_secrets)
         self._handlers = HandlerTable()
@@ -308,12 +316,7 @@
     async def _serve(self) -> None:
         stopped = asyncio.Event()
         try:
-            server = await serve(
-                self._serve_peer,
-                self._address.host,
-                self._address.port,
-                **SERVE_OPTIONS,
-            )
+            server = await self._listen()
         except OSError as error:
             self._failure = error
             self._is_started.set()
@@ -323,6 +326,23 @@
         async with server:
             await stopped.wait()
 
+    async def _listen(self) -> Server:
+        attempts = 0
+        while True:
+            try:
+                return await serve(
+                    self._serve_peer,
+                    self._address.host,
+                    self._address.port,
+                    **SERVE_OPTIONS,
+                )
+            except OSError as error:
+                if not (self._waits_for_port and is_port_in_use(error)):
+                    raise
+                log_port_in_use(str(self._address), attempts)
+            attempts += 1
+            await asyncio.sleep(BIND_RETRY_SECONDS)
+
     async def _serve_peer(self, connection: ServerConnection) -> None:
         try:
             steps = server_handshake(self._identity, self._shared_secrets)
