Read signals from a pipe, in a thread of their own

What callers saw: requests at an instance that was to stop ended without an answer when SIGKILL came at the end of the grace period, since the stop had never begun. In a trial 5 requests under way, one for each connection, after 49 had been answered since the signal; gateway:stopping was missing.

Cause: what a signal asks for was done in its handler, in the main thread. Setting an event takes a lock, and the interrupted main thread may hold it: just when it begins to wait for the stop, or in the handler of an earlier signal (SIGHUP and SIGHUP, SIGTERM and SIGTERM). It then waits for itself for ever.

The handlers now only replace the default actions. The interpreter writes the number of each signal to a pipe, from whatever thread receives it, and a thread reads it and does what it asks for.

--- /dev/null
+++ b/src/waxwingwinch/_signals.py
@@ -0,0 +1,68 @@
+"""SIGTERM and SIGHUP, recorded from the first moment of a process."""
+
+import os
+import signal
+import threading
+import time
+from collections.abc import Callable
+
+_READ_BYTES = 4_096
+
+
+class SignalInbox:
+    """
+    Passes SIGTERM and SIGHUP to a thread.
+
+    A handler of Python runs in the main thread, which may hold any lock at
+    that moment, or be in the handler of an earlier signal. It does not run
+    while the main thread waits, if the kernel gave the signal to another
+    thread. So the handlers only replace the default actions, and a thread
+    reads the signals from a pipe.
+    """
+
+    def __init__(self) -> None:
+        self._reader, self._writer = os.pipe()
+        self._first_stop_seconds: float | None = None
+
+    def install(self) -> None:
+        """Install the handlers; called in the main thread."""
+        os.set_blocking(self._writer, False)
+        signal.set_wakeup_fd(self._writer, warn_on_full_buffer=False)
+        signal.signal(signal.SIGTERM, self._note_stop)
+        signal.signal(signal.SIGHUP, lambda *_: None)
+
+    def deliver(
+        self, on_stop: Callable[[float], None], on_reload: Callable[[], None]
+    ) -> None:
+        """
+        Deliver the signals so far and all later ones, in a thread.
+
+        :param on_stop: Called for the first SIGTERM with the monotonic time at
+            which it was noticed.
+        :param on_reload: Called for each SIGHUP before it.
+        """
+        threading.Thread(
+            target=self._deliver_all,
+            args=(on_stop, on_reload),
+            name="signals",
+            daemon=True,
+        ).start()
+
+    def _deliver_all(
+        self, on_stop: Callable[[float], None], on_reload: Callable[[], None]
+    ) -> None:
+        while True:
+            for number in os.read(self._reader, _READ_BYTES):
+                if number == signal.SIGTERM:
+                    on_stop(self._first_stop_seconds or _now_seconds())
+                    return
+                if number == signal.SIGHUP:
+                    on_reload()
+
+    def _note_stop(self, *_: object) -> None:
+        if self._first_stop_seconds is None:
+            self._first_stop_seconds = _now_seconds()
+
+
+def _now_seconds() -> float:
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/src/waxwingwinch/platform/__main__.py
+++ b/src/waxwingwinch/platform/__main__.py
@@ -4,7 +4,7 @@
 import sys
 from typing import NoReturn
 
-from waxwingwinch.platform._signals import SignalInbox
+from waxwingwinch._signals import SignalInbox
 
 
 def run() -> NoReturn:
--- a/src/waxwingwinch/platform/_main.py
+++ b/src/waxwingwinch/platform/_main.py
@@ -4,6 +4,7 @@
 import sys
 from pathlib import Path
 
+from waxwingwinch._signals import SignalInbox
 from waxwingwinch.findings import SettingsInvalid, format_findings
 from waxwingwinch.gateway import GatewayProcess, LogWriter
 from waxwingwinch.kernel import SteadyWallClock, SystemClock
@@ -15,7 +16,6 @@
     load_instance_settings,
     settings_path,
 )
-from waxwingwinch.platform._signals import SignalInbox
 
 #: Maximum rate of log lines of one message type. With about thirty types, few
 #: of them frequent, an instance writes at most about 100 KB a second.
