Skip all interim responses of upstreams

Seen: callers got 502 for each request that an upstream answered with a 103 or 102 before its final response, after the upstream had run it, on all routes, those that may run once included.

http.client skips 100 alone; any other interim response was taken for the final one, and lacked the signature. By RFC 9110, section 15.2, one or more may come before the final response. The reader of heads now goes on until a status of 200 or more; a 101 is an error, as no request asks to switch protocols.

--- a/src/waxwingwinch/http/_whole_heads.py
+++ b/src/waxwingwinch/http/_whole_heads.py
@@ -4,6 +4,7 @@
 import io
 import socket
 import time
+from http import HTTPStatus
 from typing import Any
 
 #: The line that ends a head.
@@ -116,17 +117,28 @@
 
     def begin(self) -> None:
         """
-        Read the head.
+        Read the head of the final response; skip interim ones.
 
         :raises http.client.IncompleteRead: If the connection ends in it.
+        :raises http.client.BadStatusLine: If the server switches protocols.
         """
         reader: Any = self.fp
         lines: Any = _LineReader(reader)
         self.fp = lines
         try:
             super().begin()
+            while self._is_interim():
+                # Without headers, begin() reads another head.
+                self.headers = self.msg = None  # type: ignore[assignment]
+                super().begin()
         finally:
             if self.fp is lines:
                 self.fp = reader
         if lines.last_line not in _HEAD_ENDS:
             raise http.client.IncompleteRead(lines.last_line)
+
+    def _is_interim(self) -> bool:
+        """Tell whether another response follows (RFC 9110, section 15.2)."""
+        if self.status == HTTPStatus.SWITCHING_PROTOCOLS:
+            raise http.client.BadStatusLine("101 without a request to upgrade")
+        return 100 <= self.status < 200
--- a/src/waxwingwinch/platform/tests/test_broken_heads.py
+++ b/src/waxwingwinch/platform/tests/test_broken_heads.py
@@ -53,6 +53,37 @@
         assert read(at) == (200, b"")
 
 
+INTERIM_HEADS = (
+    b"HTTP/1.1 103 Early Hints\r\nLink: </style.css>\r\n\r\n",
+    b"HTTP/1.1 102 Processing\r\n\r\n",
+    b"HTTP/1.1 199 Other\r\nContent-Length: 3\r\n\r\n",
+)
+
+
+# Guards against an interim response that is taken for the final one, so that
+# callers get 502 for a request that ran.
+@pytest.mark.parametrize("read", [read_by_gateway, read_by_exchange])
+@pytest.mark.parametrize("interim", [*INTERIM_HEADS, b"".join(INTERIM_HEADS * 2)])
+def test_interim_responses_are_skipped(read, interim):
+    with raw_server(interim + HEAD + b"twelve bytes") as address:
+        assert read(address) == (200, b"twelve bytes")
+
+
+# Guards against a head without a final response that is taken for an answer.
+@pytest.mark.parametrize("read", [read_by_gateway, read_by_exchange])
+@pytest.mark.parametrize(
+    "heads",
+    [
+        INTERIM_HEADS[0],
+        INTERIM_HEADS[0] + HEAD[:30],
+        b"HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n" + HEAD,
+    ],
+)
+def test_interim_responses_alone_are_no_answer(read, heads):
+    with raw_server(heads) as address, pytest.raises(AnswerMissing):
+        read(address)
+
+
 class HeadBreakingHandler(UpstreamHandler):
     """Closes the connection after a number of bytes of the head."""
 
@@ -83,3 +114,22 @@
     monkeypatch.setattr(UpstreamHandler, "serve", HeadBreakingHandler.serve)
     status, body, _ = harness.send_request(path)
     assert (status, body) == (502, b"")
+
+
+class HintingHandler(UpstreamHandler):
+    """Sends interim responses before its answer."""
+
+    def serve(self):
+        for head in INTERIM_HEADS:
+            self.wfile.write(head)
+        original_serve(self)
+
+
+original_serve = UpstreamHandler.serve
+
+
+@pytest.mark.parametrize("path", ["/a/x", "/u/x", "/s/stream"])
+def test_callers_get_the_answer_after_interim_responses(harness, path, monkeypatch):
+    harness.start()
+    monkeypatch.setattr(UpstreamHandler, "serve", HintingHandler.serve)
+    assert harness.send_request(path)[0] == 200
