Grant the overlap of a silent engine and its replacement once

The longest overlap, 0.3 s, was counted anew once the head had arrived. It now ends at one moment, counted from when the replacement was sent, and both waits end there.

--- a/src/waxwingwinch/gateway/_generation_relay.py
+++ b/src/waxwingwinch/gateway/_generation_relay.py
@@ -321,6 +321,7 @@
             self._release_unfetched(stream)
             return None
         last_event_id = stream.splitter.last_event_id
+        stream.overlap_end_seconds = self._overlap_end_seconds(stream, now_seconds)
         observed = self._attempts.begin(job, engine, last_event_id)
         try:
             response = open_call(
@@ -368,14 +369,17 @@
         silent = stream.silent
         if silent is None:
             return None
+        overlap_seconds = max(stream.overlap_end_seconds - now_seconds, 0.0)
+        return SilentCall(silent.response, overlap_seconds)
+
+    def _overlap_end_seconds(self, stream: StreamState, now_seconds: float) -> float:
+        """Return until when the silent engine and another may both work."""
+        silent = stream.silent
         # An engine that can't be reached either has probably failed.
-        has_failed = self._context.directory.was_unreachable(
+        has_failed = silent is not None and self._context.directory.was_unreachable(
             silent.engine.upstream_id, now_seconds - STALL_TIMEOUT_SECONDS
         )
-        overlap_seconds = (
-            stream.job.end_seconds - now_seconds if has_failed else OVERLAP_SECONDS
-        )
-        return SilentCall(silent.response, overlap_seconds)
+        return stream.job.end_seconds if has_failed else now_seconds + OVERLAP_SECONDS
 
     def _relay_attempt(self, stream: StreamState, attempt: StreamAttempt) -> bool:
         """Forward a response; return whether a complete response was sent."""
@@ -473,16 +477,13 @@
 
     def _take_over(self, stream: StreamState, attempt: StreamAttempt) -> bytes:
         """Return the first events of a response that replaces a silent one."""
-        now_seconds = self._context.clock.now_seconds()
-        silent = self._silent_call(stream, now_seconds)
-        overlap_seconds = silent.overlap_seconds if silent is not None else 0.0
         splitter, events = stream.splitter.resumed(), b""
         try:
             while not events:
-                elapsed_seconds = self._context.clock.now_seconds() - now_seconds
-                remaining_seconds = overlap_seconds - elapsed_seconds
+                now_seconds = self._context.clock.now_seconds()
+                remaining_seconds = stream.overlap_end_seconds - now_seconds
                 if not attempt.response.wait(max(remaining_seconds, 0.0)):
-                    raise CallDropped(f"no event within {overlap_seconds:.3f} s")
+                    raise CallDropped("no event while both engines may work")
                 piece = attempt.response.read_some(max(remaining_seconds, 0.001))
                 if not piece:
                     break
--- a/src/waxwingwinch/gateway/_stream_state.py
+++ b/src/waxwingwinch/gateway/_stream_state.py
@@ -53,6 +53,8 @@
     :param expected_seconds: Estimated time to the first event.
     :param placement_name: Class name of the last placement, for the log.
     :param silent: The open attempt whose engine is silent, if any.
+    :param overlap_end_seconds: Monotonic time until which the silent engine
+        and its replacement may both work.
     :param unfetched_cache: KV cache that no engine has fetched yet.
     """
 
@@ -64,6 +66,7 @@
     expected_seconds: float = 0.0
     placement_name: str = ""
     silent: StreamAttempt | None = None
+    overlap_end_seconds: float = 0.0
     unfetched_cache: PrefilledCache | None = None
 
     @property
--- a/src/waxwingwinch/platform/tests/engine_standin.py
+++ b/src/waxwingwinch/platform/tests/engine_standin.py
@@ -45,6 +45,8 @@
         self.send_header("Content-Type", "text/event-stream")
         self.send_header("Transfer-Encoding", "chunked")
         self.end_headers()
+        if last:
+            self.pause(owner.first_event_seconds)
         for number in range(last + 1, EVENTS + 1):
             if number == owner.silent_before and not last:
                 self.pause(owner.silent_seconds)
@@ -83,6 +85,8 @@
         self.silent_before = 0
         self.silent_seconds = 0.0
         self.head_seconds = 0.0
+        #: Time from the head of a resumed stream to its first event.
+        self.first_event_seconds = 0.0
         self.rejects = lambda last: False
         self.arrivals = []
         self.broken_seconds = []
--- a/src/waxwingwinch/platform/tests/test_silent_engines.py
+++ b/src/waxwingwinch/platform/tests/test_silent_engines.py
@@ -141,6 +141,18 @@
     assert harness.overlap_seconds() < ALLOWED_OVERLAP_SECONDS
 
 
+# Guards against an overlap that is granted once for the head and once more for
+# the first event of a replacement (TWICE).
+@pytest.mark.parametrize("head_seconds", [0.05, 0.15, 0.25])
+def test_the_head_of_a_replacement_does_not_extend_the_overlap(harness, head_seconds):
+    harness.silence(4.0)
+    for engine in harness.engines:
+        engine.head_seconds = head_seconds
+        engine.first_event_seconds = 0.5 - head_seconds
+    assert harness.stream("r-1") == STREAM
+    assert harness.overlap_seconds() < ALLOWED_OVERLAP_SECONDS
+
+
 # Guards against the loss of a plain request whose sound upstream was silent
 # for a moment while no other upstream took it.
 def test_a_silent_upstream_answers_a_plain_request_if_others_reject_it(harness):
