Keep a silent stream while its engine refuses connections only

Each connection that failed counted as a sign that the engine had failed for its open streams, too; its replacement then had until the deadline. A refused connection says that the engine can be reached. Only one that timed out is such a sign now, and the silent call is then given up before the request is sent to another engine, so that both never work at once.

--- a/src/waxwingwinch/gateway/_connections.py
+++ b/src/waxwingwinch/gateway/_connections.py
@@ -18,8 +18,8 @@
     TRANSPORT_ERRORS,
     AnswerMissing,
     ConnectionBroken,
-    NotSent,
     WholeHeadResponse,
+    connect_error,
     is_closed_by_peer,
 )
 
@@ -148,7 +148,7 @@
             self._connection.connect()
         except TRANSPORT_ERRORS as error:
             self._connection.close()
-            raise NotSent(f"{address}: {error}") from error
+            raise connect_error(address, error) from error
         # urllib3 drops its reference to the socket once the upstream announces
         # that it will close the connection; abort() still needs the socket.
         self._socket = self._connection.sock
--- a/src/waxwingwinch/gateway/_generation_relay.py
+++ b/src/waxwingwinch/gateway/_generation_relay.py
@@ -67,8 +67,8 @@
 #: Time without data after which another engine is asked to resume a stream, if
 #: its route allows it; callers time out after twice that.
 STALL_TIMEOUT_SECONDS = 1.0
-#: Longest time for which an engine that can be reached and its replacement run
-#: a stream at once; below the time that the platform tolerates.
+#: Longest time for which a silent engine and its replacement run a stream at
+#: once; below the time that the platform tolerates.
 OVERLAP_SECONDS = 0.3
 
 
@@ -321,7 +321,8 @@
             self._release_unfetched(stream)
             return None
         last_event_id = stream.splitter.last_event_id
-        stream.overlap_end_seconds = self._overlap_end_seconds(stream, now_seconds)
+        self._give_up_unresponsive(stream, now_seconds)
+        stream.overlap_end_seconds = now_seconds + OVERLAP_SECONDS
         observed = self._attempts.begin(job, engine, last_event_id)
         try:
             response = open_call(
@@ -372,14 +373,13 @@
         overlap_seconds = max(stream.overlap_end_seconds - now_seconds, 0.0)
         return SilentCall(silent.response, overlap_seconds)
 
-    def _overlap_end_seconds(self, stream: StreamState, now_seconds: float) -> float:
-        """Return until when the silent engine and another may both work."""
+    def _give_up_unresponsive(self, stream: StreamState, now_seconds: float) -> None:
+        """Cancel the silent attempt if its engine has probably failed."""
         silent = stream.silent
-        # An engine that can't be reached either has probably failed.
-        has_failed = silent is not None and self._context.directory.was_unreachable(
+        if silent is not None and self._context.directory.was_unresponsive(
             silent.engine.upstream_id, now_seconds - STALL_TIMEOUT_SECONDS
-        )
-        return stream.job.end_seconds if has_failed else now_seconds + OVERLAP_SECONDS
+        ):
+            self._give_up_silent(stream, "silent, and not to be connected to")
 
     def _relay_attempt(self, stream: StreamState, attempt: StreamAttempt) -> bool:
         """Forward a response; return whether a complete response was sent."""
@@ -492,18 +492,16 @@
             raise _Interrupted(str(error)) from error
         if not events:
             _check_end(splitter, attempt)
-        self._give_up_silent(stream)
+        self._give_up_silent(stream, "silent until another engine had begun to answer")
         stream.splitter = splitter
         return events
 
-    def _give_up_silent(self, stream: StreamState) -> None:
-        """Cancel the silent attempt, as another engine has begun to answer."""
+    def _give_up_silent(self, stream: StreamState, reason: str) -> None:
+        """Cancel the silent attempt in favour of another engine."""
         silent = stream.silent
         if silent is None:
             return
-        error = silence_error(
-            silent.response, "silent until another engine had begun to answer"
-        )
+        error = silence_error(silent.response, reason)
         stream.drop_silent()
         record_failure(self._context, stream.job, silent.engine, error)
         self._attempts.failed(silent.observed, error)
--- a/src/waxwingwinch/gateway/_plain_relay.py
+++ b/src/waxwingwinch/gateway/_plain_relay.py
@@ -43,7 +43,7 @@
     silence_error,
 )
 from waxwingwinch.gateway._upstreams import Upstream
-from waxwingwinch.http import AnswerMissing, NotSent
+from waxwingwinch.http import AnswerMissing, ConnectTimedOut, NotSent
 
 #: Time without a response after which another upstream is asked, relative to
 #: the latency objective of the route; at least a third of the remaining time.
@@ -358,14 +358,14 @@
     now_seconds = context.clock.now_seconds()
     context.telemetry.count(CounterName.UPSTREAM_FAILURES, type(error).__name__)
     context.telemetry.count(CounterName.EJECTIONS, job.service.name)
-    if isinstance(error, NotSent):
-        ejected_seconds = context.directory.record_unreachable(
-            upstream.upstream_id, now_seconds
-        )
-    else:
-        ejected_seconds = context.directory.record_failure(
-            upstream.upstream_id, now_seconds
-        )
+    match error:
+        case ConnectTimedOut():
+            record = context.directory.record_unresponsive
+        case NotSent():
+            record = context.directory.record_unreachable
+        case _:
+            record = context.directory.record_failure
+    ejected_seconds = record(upstream.upstream_id, now_seconds)
     UpstreamFailed(
         request_id=job.request.request_id,
         upstream_id=upstream.upstream_id,
--- a/src/waxwingwinch/gateway/_upstreams.py
+++ b/src/waxwingwinch/gateway/_upstreams.py
@@ -136,6 +136,7 @@
         self._lapsed: dict[UpstreamId, float] = {}
         self._failure_streaks: dict[UpstreamId, _FailureStreak] = {}
         self._unreachable_seconds: dict[UpstreamId, float] = {}
+        self._unresponsive_seconds: dict[UpstreamId, float] = {}
         self._role_changes: dict[UpstreamId, OrderedRoleChange] = {}
         # Retained after a removal; an entry may lapse and return as ready.
         self._leaving: OrderedDict[UpstreamId, _Leaving] = OrderedDict()
@@ -206,6 +207,7 @@
             self._lapsed.pop(upstream_id, None)
             self._failure_streaks.pop(upstream_id, None)
             self._unreachable_seconds.pop(upstream_id, None)
+            self._unresponsive_seconds.pop(upstream_id, None)
             self._role_changes.pop(upstream_id, None)
 
     def mark_lapsed(self, upstream_id: UpstreamId, now_seconds: float) -> None:
@@ -418,6 +420,32 @@
             at_seconds = self._unreachable_seconds.get(upstream_id)
         return at_seconds is not None and at_seconds >= since_seconds
 
+    def was_unresponsive(self, upstream_id: UpstreamId, since_seconds: float) -> bool:
+        """
+        Tell whether connecting to an upstream has timed out lately.
+
+        One that refuses a connection is reachable, and may go on with the
+        requests that it runs.
+
+        :param upstream_id: Id of the upstream.
+        :param since_seconds: Monotonic time; earlier time-outs don't count.
+        """
+        with self._lock:
+            at_seconds = self._unresponsive_seconds.get(upstream_id)
+        return at_seconds is not None and at_seconds >= since_seconds
+
+    def record_unresponsive(self, upstream_id: UpstreamId, now_seconds: float) -> float:
+        """
+        Record that connecting to an upstream timed out, and eject it.
+
+        :param upstream_id: Id of the upstream.
+        :param now_seconds: Monotonic time.
+        :returns: Duration of the ejection in seconds.
+        """
+        with self._lock:
+            self._unresponsive_seconds[upstream_id] = now_seconds
+        return self.record_unreachable(upstream_id, now_seconds)
+
     def record_unreachable(self, upstream_id: UpstreamId, now_seconds: float) -> float:
         """
         Record that a connection to an upstream failed, and eject it.
--- a/src/waxwingwinch/gateway/tests/test_generation_relay.py
+++ b/src/waxwingwinch/gateway/tests/test_generation_relay.py
@@ -528,7 +528,7 @@
     )
     for _ in range(2):
         harness.directory.record_failure(UpstreamId("d1"), harness.clock.seconds)
-    harness.directory.record_unreachable(UpstreamId("d0"), harness.clock.seconds + 0.5)
+    harness.directory.record_unresponsive(UpstreamId("d0"), harness.clock.seconds + 0.5)
     response = harness.send(prompt=SHORT_PROMPT)
     assert response.is_complete
     assert response.body == events(1, 3)
@@ -536,6 +536,37 @@
     assert harness.clock.seconds < 102.0
 
 
+# Guards against a stream that runs at two engines (TWICE), since a connection
+# that the first one refused counted as its failure.
+def test_an_engine_that_refuses_connections_keeps_its_silent_streams():
+    harness = make_silent_harness(
+        1.8, ScriptedResponse(pieces=(events(3, 3),), delay_seconds=0.7)
+    )
+    for _ in range(2):
+        harness.directory.record_failure(UpstreamId("d1"), harness.clock.seconds)
+    harness.directory.record_unreachable(UpstreamId("d0"), harness.clock.seconds + 0.5)
+    response = harness.send(prompt=SHORT_PROMPT)
+    assert response.body == events(1, 3)
+    assert harness.transport.responses[0].outcome == ["finished"]
+
+
+# Guards against a stream that runs at two engines (TWICE) if the first one did
+# not respond to a connection request, but goes on.
+def test_an_engine_that_does_not_respond_is_given_up_before_it_is_replaced():
+    harness = make_silent_harness(
+        1.5, ScriptedResponse(pieces=(events(3, 3),), delay_seconds=0.8)
+    )
+    for _ in range(2):
+        harness.directory.record_failure(UpstreamId("d1"), harness.clock.seconds)
+    harness.directory.record_unresponsive(UpstreamId("d0"), harness.clock.seconds + 0.5)
+    response = harness.send(prompt=SHORT_PROMPT)
+    assert response.body == events(1, 3)
+    assert [answer.outcome for answer in harness.transport.responses] == [
+        ["aborted"],
+        ["finished"],
+    ]
+
+
 # Guards against new work for an engine that has failed silently: it is avoided
 # longer than one whose silence passes.
 def test_an_engine_whose_stream_was_taken_over_is_avoided_longer():
--- a/src/waxwingwinch/http/__init__.py
+++ b/src/waxwingwinch/http/__init__.py
@@ -10,11 +10,13 @@
     TRANSPORT_ERRORS,
     AnswerMissing,
     ConnectionBroken,
+    ConnectTimedOut,
     Exchange,
     HttpReply,
     HttpRequest,
     NotSent,
     SocketOption,
+    connect_error,
     exchange,
 )
 from waxwingwinch.http._sockets import is_closed_by_peer
@@ -29,6 +31,7 @@
     "PLAIN_SOCKET_OPTIONS",
     "TRANSPORT_ERRORS",
     "AnswerMissing",
+    "ConnectTimedOut",
     "ConnectionBroken",
     "Exchange",
     "HttpReply",
@@ -36,6 +39,7 @@
     "NotSent",
     "SocketOption",
     "WholeHeadResponse",
+    "connect_error",
     "exchange",
     "is_closed_by_peer",
 ]
--- a/src/waxwingwinch/http/_exchange.py
+++ b/src/waxwingwinch/http/_exchange.py
@@ -16,7 +16,7 @@
 from attrs import frozen
 from urllib3 import HTTPHeaderDict, HTTPResponse
 from urllib3.connection import HTTPConnection
-from urllib3.exceptions import HTTPError
+from urllib3.exceptions import ConnectTimeoutError, HTTPError
 
 from waxwingwinch._json import decode_json
 from waxwingwinch._types import Address
@@ -66,6 +66,14 @@
     """No byte of the request left the process."""
 
 
+class ConnectTimedOut(NotSent):
+    """
+    The server did not respond to the connection request.
+
+    A server that is at its limit, or has ended, refuses a connection at once.
+    """
+
+
 class AnswerMissing(Exception):
     """The request may have arrived, but no complete response was received."""
 
@@ -126,6 +134,17 @@
         return decode_json(self.body, MAX_BODY_BYTES)
 
 
+def connect_error(address: Address, error: Exception) -> NotSent:
+    """
+    Return the error for a connection that was not made.
+
+    :param address: The server.
+    :param error: The error of the HTTP client.
+    """
+    kind = ConnectTimedOut if isinstance(error, ConnectTimeoutError) else NotSent
+    return kind(f"{address}: {error}")
+
+
 class Exchange:
     """
     A request sent on a new connection, whose response body can be read.
@@ -157,7 +176,7 @@
             self._connection.connect()
         except TRANSPORT_ERRORS as error:
             self._connection.close()
-            raise NotSent(f"{address}: {error}") from error
+            raise connect_error(address, error) from error
         # HTTPConnection drops its socket once the response announces that the
         # server will close, so close() needs a separate reference.
         self._socket = self._connection.sock
