Read signals of the older programs from a pipe, too

The same cause elsewhere: waxwing-entry, waxwing-control and the stand-ins set an event in the handler of a signal, on whose lock the interrupted main thread could wait for itself. They use the same inbox now.

--- a/src/waxwing_testbed/standins/_main.py
+++ b/src/waxwing_testbed/standins/_main.py
@@ -3,7 +3,6 @@
 import pathlib
 import signal
 import threading
-from types import FrameType
 from typing import Annotated
 
 import typer
@@ -14,6 +13,7 @@
 from waxwing_testbed.standins._process import StandinProcess
 from waxwing_testbed.standins._settings import StandinSettings, load_settings
 from waxwing_testbed.web import WebServer
+from waxwingwinch._signals import SignalInbox
 
 _EXIT_MALFORMED_SETTINGS = 2
 
@@ -25,12 +25,9 @@
 ) -> None:
     """Run the stand-ins of one settings file until SIGTERM."""
     stop = threading.Event()
-
-    def request_stop(number: int, frame: FrameType | None) -> None:
-        stop.set()
-
-    signal.signal(signal.SIGTERM, request_stop)
-    signal.signal(signal.SIGINT, request_stop)
+    signals = SignalInbox((signal.SIGTERM, signal.SIGINT))
+    signals.install()
+    signals.deliver(lambda _: stop.set())
     loaded = _load_or_exit(settings)
     process = StandinProcess(loaded)
     process.start()
--- a/src/waxwingwinch/_signals.py
+++ b/src/waxwingwinch/_signals.py
@@ -1,4 +1,4 @@
-"""SIGTERM and SIGHUP, recorded from the first moment of a process."""
+"""Signals to a process, recorded from its first moment."""
 
 import os
 import signal
@@ -11,16 +11,25 @@
 
 class SignalInbox:
     """
-    Passes SIGTERM and SIGHUP to a thread.
+    Passes signals to a thread.
 
     A handler of Python runs in the main thread, which may hold any lock at
     that moment, or be in the handler of an earlier signal. It does not run
     while the main thread waits, if the kernel gave the signal to another
     thread. So the handlers only replace the default actions, and a thread
     reads the signals from a pipe.
+
+    :param stop_signals: Signals that ask the process to stop.
+    :param reload_signals: Signals that ask it to reload its settings.
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self,
+        stop_signals: tuple[signal.Signals, ...] = (signal.SIGTERM,),
+        reload_signals: tuple[signal.Signals, ...] = (),
+    ) -> None:
+        self._stop_signals = stop_signals
+        self._reload_signals = reload_signals
         self._reader, self._writer = os.pipe()
         self._first_stop_seconds: float | None = None
 
@@ -28,18 +37,22 @@
         """Install the handlers; called in the main thread."""
         os.set_blocking(self._writer, False)
         signal.set_wakeup_fd(self._writer, warn_on_full_buffer=False)
-        signal.signal(signal.SIGTERM, self._note_stop)
-        signal.signal(signal.SIGHUP, lambda *_: None)
+        for number in self._stop_signals:
+            signal.signal(number, self._note_stop)
+        for number in self._reload_signals:
+            signal.signal(number, lambda *_: None)
 
     def deliver(
-        self, on_stop: Callable[[float], None], on_reload: Callable[[], None]
+        self,
+        on_stop: Callable[[float], object],
+        on_reload: Callable[[], object] = lambda: None,
     ) -> None:
         """
         Deliver the signals so far and all later ones, in a thread.
 
-        :param on_stop: Called for the first SIGTERM with the monotonic time at
-            which it was noticed.
-        :param on_reload: Called for each SIGHUP before it.
+        :param on_stop: Called for the first signal to stop, with the monotonic
+            time at which it was noticed.
+        :param on_reload: Called for each signal to reload before it.
         """
         threading.Thread(
             target=self._deliver_all,
@@ -49,14 +62,14 @@
         ).start()
 
     def _deliver_all(
-        self, on_stop: Callable[[float], None], on_reload: Callable[[], None]
+        self, on_stop: Callable[[float], object], on_reload: Callable[[], object]
     ) -> None:
         while True:
             for number in os.read(self._reader, _READ_BYTES):
-                if number == signal.SIGTERM:
+                if number in self._stop_signals:
                     on_stop(self._first_stop_seconds or _now_seconds())
                     return
-                if number == signal.SIGHUP:
+                if number in self._reload_signals:
                     on_reload()
 
     def _note_stop(self, *_: object) -> None:
--- a/src/waxwingwinch/control/_main.py
+++ b/src/waxwingwinch/control/_main.py
@@ -4,11 +4,11 @@
 import signal
 import sys
 import threading
-from types import FrameType
 from typing import Annotated
 
 import typer
 
+from waxwingwinch._signals import SignalInbox
 from waxwingwinch.control._process import build_process
 from waxwingwinch.findings import SettingsInvalid, format_findings
 from waxwingwinch.kernel import SystemClock
@@ -33,12 +33,9 @@
         typer.echo(f"{settings} is valid")
         return
     stop = threading.Event()
-
-    def request_stop(number: int, frame: FrameType | None) -> None:
-        stop.set()
-
-    signal.signal(signal.SIGTERM, request_stop)
-    signal.signal(signal.SIGINT, request_stop)
+    signals = SignalInbox((signal.SIGTERM, signal.SIGINT))
+    signals.install()
+    signals.deliver(lambda _: stop.set())
     set_up_logs(sys.stderr, SystemClock())
     registry = build_process(loaded)
     registry.start_all()
--- a/src/waxwingwinch/entry/_main.py
+++ b/src/waxwingwinch/entry/_main.py
@@ -7,6 +7,7 @@
 
 import typer
 
+from waxwingwinch._signals import SignalInbox
 from waxwingwinch.entry._process import EntryProcess
 from waxwingwinch.findings import SettingsInvalid, format_findings
 from waxwingwinch.kernel import SystemClock
@@ -35,8 +36,9 @@
         return
     set_up_logs(sys.stderr, SystemClock())
     process = EntryProcess(loaded)
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: process.stopping.set())
+    signals = SignalInbox((signal.SIGTERM, signal.SIGINT))
+    signals.install()
+    signals.deliver(lambda _: process.stopping.set())
     process.start()
     process.stopping.wait()
     process.stop()
--- a/src/waxwingwinch/platform/__main__.py
+++ b/src/waxwingwinch/platform/__main__.py
@@ -1,6 +1,7 @@
 """Starts the gateway on the users' platform."""
 
 import os
+import signal
 import sys
 from typing import NoReturn
 
@@ -9,7 +10,7 @@
 
 def run() -> NoReturn:
     """Run the program and end the process."""
-    signals = SignalInbox()
+    signals = SignalInbox(reload_signals=(signal.SIGHUP,))
     signals.install()
     # A signal that arrives during this import is recorded.
     from waxwingwinch.platform._main import main
