Record connections that are closed without an answer

An instance that stops accepts connections and closes them unread, and nothing in its logs or metrics told so: from the outside a request that lies unread in a socket can't be told from one that was read and lost.

caller:left_unanswered names the stage (unread, reading, passed_on), the time since the connection was accepted or became readable, and whether it was a kept one; waxwing_unanswered_connections counts all of them, since lines of one type are limited in rate. gateway:stopping tells how long after its signal the stop was noticed, gateway:stopped how many connections were closed unread and how many requests were cancelled. No decision is changed.

--- a/src/waxwingwinch/gateway/_front.py
+++ b/src/waxwingwinch/gateway/_front.py
@@ -30,6 +30,8 @@
 )
 from waxwingwinch.gateway._requests import GatewayRequest
 from waxwingwinch.gateway._thread_pool import ElasticThreadPoolMixin
+from waxwingwinch.gateway._unanswered import UnansweredConnections, UnansweredStage
+from waxwingwinch.http import is_closed_by_peer
 from waxwingwinch.kernel import Clock
 
 #: Worker threads that are kept when there is little load.
@@ -252,11 +254,20 @@
     #: False once reading has been shut down, which looks as if the caller had
     #: closed the connection.
     is_watchable = True
+    #: Monotonic time at which it was accepted or last became readable.
+    ready_seconds = 0.0
+
+    @property
+    def is_kept(self) -> bool:
+        """True if it has carried a request before."""
+        return self.last_used is not None
 
     def communicate(self) -> bool:
         """Handle the next request; return whether to keep the connection."""
         server: FrontServer = self.server
         if not server.begin_reading(self):
+            if not is_closed_by_peer(self.socket):
+                server.record_unanswered(self, UnansweredStage.UNREAD)
             return False
         try:
             self.socket.settimeout(server.limits.header_timeout_seconds)
@@ -291,6 +302,7 @@
     :param table: Holds the configuration, with the limits on requests.
     :param clock: Source of the present time.
     :param max_concurrent_requests: Requests that may be in progress at once.
+    :param unanswered: Records connections closed without an answer.
     """
 
     ConnectionClass = FrontConnection
@@ -303,6 +315,7 @@
         table: CurrentTable,
         clock: Clock,
         max_concurrent_requests: int,
+        unanswered: UnansweredConnections,
     ) -> None:
         super().__init__((address.host, address.port), gateway=None)
         self.configure_threads(
@@ -318,6 +331,7 @@
         #: connection.
         self.is_stopping = False
         self._table = table
+        self._unanswered = unanswered
         self._reading: set[FrontConnection] = set()
         self._is_closed_to_callers = False
         self._reading_lock = threading.Lock()
@@ -352,6 +366,15 @@
         with self._reading_lock:
             return len(self._reading)
 
+    def process_conn(self, connection: FrontConnection) -> None:
+        """
+        Serve a connection that is new or has become readable.
+
+        :param connection: The connection.
+        """
+        connection.ready_seconds = self.clock.now_seconds()
+        super().process_conn(connection)  # type: ignore[no-untyped-call]
+
     def begin_reading(self, connection: FrontConnection) -> bool:
         """
         Count a connection whose next request is about to be read.
@@ -393,6 +416,35 @@
             for connection in self._reading:
                 if not connection.has_request:
                     connection.stop_reading()
+                    self.record_unanswered(connection, UnansweredStage.READING)
+
+    def record_unanswered(
+        self, connection: FrontConnection, stage: UnansweredStage
+    ) -> None:
+        """
+        Record a connection that is closed without an answer.
+
+        :param connection: The connection.
+        :param stage: How far its request was.
+        """
+        age_seconds = self.clock.now_seconds() - connection.ready_seconds
+        self._unanswered.record(stage, age_seconds, connection.is_kept)
+
+    def record_cancelled(self, requests: tuple[GatewayRequest, ...]) -> None:
+        """
+        Record the connections of requests that were cancelled.
+
+        :param requests: The requests.
+        """
+        sockets = {id(request.connection) for request in requests}
+        with self._reading_lock:
+            connections = [
+                connection
+                for connection in self._reading
+                if id(connection.socket) in sockets
+            ]
+        for connection in connections:
+            self.record_unanswered(connection, UnansweredStage.PASSED_ON)
 
     def start_in_background(
         self, is_stopping: Callable[[], bool] = lambda: False
--- a/src/waxwingwinch/gateway/_handler.py
+++ b/src/waxwingwinch/gateway/_handler.py
@@ -112,7 +112,7 @@
         self._generation_relay = GenerationRelay(context)
         self._under_way = 0
         self._stop_plan: StopPlan | None = None
-        self._cancellations: set[Cancellation] = set()
+        self._cancellations: dict[Cancellation, GatewayRequest] = {}
         self._lock = threading.Lock()
 
     @property
@@ -129,12 +129,18 @@
         """
         self._stop_plan = plan
 
-    def cancel_all(self) -> None:
-        """Cancel the requests in progress, which are then answered."""
+    def cancel_all(self) -> tuple[GatewayRequest, ...]:
+        """Cancel the requests in progress, and return those not yet so."""
         with self._lock:
-            cancellations = tuple(self._cancellations)
-        for cancellation in cancellations:
+            requests = dict(self._cancellations)
+        cancelled = tuple(
+            request
+            for cancellation, request in requests.items()
+            if cancellation.reason is None
+        )
+        for cancellation in requests:
             cancellation.cancel(CancelReason.STOPPING)
+        return cancelled
 
     def handle(self, request: GatewayRequest, responder: Responder) -> None:
         """
@@ -181,7 +187,7 @@
         if request.connection is not None:
             self._watcher.add(request.connection, job.cancellation)
         with self._lock:
-            self._cancellations.add(job.cancellation)
+            self._cancellations[job.cancellation] = request
         try:
             self._relay(job, responder)
         except RequestEnded as ended:
@@ -195,7 +201,7 @@
         finally:
             self._watcher.remove(job.cancellation)
             with self._lock:
-                self._cancellations.discard(job.cancellation)
+                self._cancellations.pop(job.cancellation, None)
         RequestAnswered(
             request_id=request.request_id,
             route=route.name,
--- a/src/waxwingwinch/gateway/_process.py
+++ b/src/waxwingwinch/gateway/_process.py
@@ -45,6 +45,7 @@
 from waxwingwinch.gateway._state import GatewayState
 from waxwingwinch.gateway._statements import StatementObserver
 from waxwingwinch.gateway._store_feed import StoreFeed
+from waxwingwinch.gateway._unanswered import UnansweredConnections, UnansweredStage
 from waxwingwinch.kernel import BindAbandoned, Clock
 from waxwingwinch.peers import PeerIdentity, PeerProgram
 
@@ -154,6 +155,7 @@
         adapter.duty_calls.on_statements = statements.observe
         self._handler = self._make_handler()
         self._duty_worker = self._make_duty_worker()
+        self._unanswered = UnansweredConnections(self._state.telemetry)
         self._front = FrontServer(
             options.front_address,
             self._handler,
@@ -161,6 +163,7 @@
             self._state.table,
             clock,
             self._max_concurrent_requests,
+            self._unanswered,
         )
         self._make_followers()
         self._reports = StateReporter(
@@ -356,7 +359,10 @@
     def _stop(self) -> None:
         started_seconds = self._stop_signalled_seconds
         grace_seconds = self._options.grace_seconds
-        GatewayStopping(under_way=self._handler.under_way).write()
+        GatewayStopping(
+            under_way=self._handler.under_way,
+            noticed_after_seconds=self._clock.now_seconds() - started_seconds,
+        ).write()
         self._handler.begin_stop(
             StopPlan(
                 started_seconds + grace_seconds * LATE_GRACE_FRACTION,
@@ -375,10 +381,12 @@
         while self._front.under_way and self._clock.now_seconds() < end_seconds:
             time.sleep(STOP_POLL_SECONDS)
             if self._clock.now_seconds() >= cancel_seconds:
-                self._handler.cancel_all()
+                self._front.record_cancelled(self._handler.cancel_all())
         self._withdraw()
         GatewayStopped(
             under_way=self._front.under_way,
+            unread=self._unanswered.count(UnansweredStage.UNREAD),
+            cancelled=self._unanswered.count(UnansweredStage.PASSED_ON),
             took_seconds=self._clock.now_seconds() - started_seconds,
         ).write()
 
--- a/src/waxwingwinch/gateway/_process_log_lines.py
+++ b/src/waxwingwinch/gateway/_process_log_lines.py
@@ -35,9 +35,11 @@
     A graceful stop has begun.
 
     :param under_way: Number of requests in progress.
+    :param noticed_after_seconds: Time since the signal.
     """
 
     under_way: int
+    noticed_after_seconds: float
 
 
 @log_line("gateway:stopped")
@@ -46,10 +48,14 @@
     A graceful stop has ended.
 
     :param under_way: Number of requests still in progress.
+    :param unread: Connections closed without reading from them.
+    :param cancelled: Requests cancelled at their upstreams.
     :param took_seconds: Duration of the stop.
     """
 
     under_way: int
+    unread: int
+    cancelled: int
     took_seconds: float
 
 
--- a/src/waxwingwinch/gateway/_request_log_lines.py
+++ b/src/waxwingwinch/gateway/_request_log_lines.py
@@ -345,6 +345,22 @@
     reason: str
 
 
+@log_line("caller:left_unanswered")
+class CallerLeftUnanswered(LogLine):
+    """
+    A connection was closed without an answer; a request may have arrived.
+
+    :param stage: How far the request was (unread, reading or passed_on).
+    :param age_seconds: Time since the connection was accepted, or became
+        readable again.
+    :param is_kept: True if the connection has carried a request before.
+    """
+
+    stage: str
+    age_seconds: float
+    is_kept: bool
+
+
 @log_line("request:second_response_dropped")
 class SecondResponseDropped(LogLine):
     """
--- a/src/waxwingwinch/gateway/_telemetry.py
+++ b/src/waxwingwinch/gateway/_telemetry.py
@@ -37,6 +37,7 @@
     LIMIT_PERMITS = "waxwing_limit_permits"
     BROKEN_ATTEMPTS = "waxwing_broken_attempts"
     STATEMENTS = "waxwing_upstream_statements"
+    UNANSWERED_CONNECTIONS = "waxwing_unanswered_connections"
 
 
 class StoreCallResult(enum.Enum):
--- /dev/null
+++ b/src/waxwingwinch/gateway/_unanswered.py
@@ -0,0 +1,56 @@
+"""Records connections that are closed without an answer to a request."""
+
+import enum
+import threading
+
+from waxwingwinch.gateway._request_log_lines import CallerLeftUnanswered
+from waxwingwinch.gateway._telemetry import CounterName, Telemetry
+
+
+class UnansweredStage(enum.Enum):
+    """How far a request was when its connection was closed."""
+
+    #: Nothing of it was read from its connection.
+    UNREAD = "unread"
+    #: Reading was shut down while a request was waited for.
+    READING = "reading"
+    #: It was cancelled at its upstream.
+    PASSED_ON = "passed_on"
+
+
+class UnansweredConnections:
+    """
+    Counts and logs connections closed without an answer; thread-safe.
+
+    :param telemetry: Receives the counts.
+    """
+
+    def __init__(self, telemetry: Telemetry) -> None:
+        self._telemetry = telemetry
+        self._counts = dict.fromkeys(UnansweredStage, 0)
+        self._lock = threading.Lock()
+
+    def record(self, stage: UnansweredStage, age_seconds: float, is_kept: bool) -> None:
+        """
+        Record a connection on which a request may have arrived.
+
+        :param stage: How far the request was.
+        :param age_seconds: Time since the connection was accepted, or became
+            readable again.
+        :param is_kept: True if it has carried a request before.
+        """
+        with self._lock:
+            self._counts[stage] += 1
+        self._telemetry.count(CounterName.UNANSWERED_CONNECTIONS, stage.value)
+        CallerLeftUnanswered(
+            stage=stage.value, age_seconds=age_seconds, is_kept=is_kept
+        ).write()
+
+    def count(self, stage: UnansweredStage) -> int:
+        """
+        Return the number of connections closed at a stage.
+
+        :param stage: How far their requests were.
+        """
+        with self._lock:
+            return self._counts[stage]
