Answer or refuse every request that reaches a stopping instance

Seen: 240 to 1,350 whole requests in each planned stop ended with a closed connection, some of them later than 0.2 s after their last byte; 2 to 11 streams were cut at 0.88 to 0.93 of the grace period.

Cause: from 0.55 of the grace period on, the front accepted connections and closed them unread, kept ones too; it said "Connection: close" though a pipelined request had arrived; the listening socket stayed open until the end, so the kernel reset what was in its queue. The record was withdrawn after the last answers (0.5 s for which answers were cut), and a slow release of the duty delayed each phase.

One owner, gateway/_stop.py: stop_schedule computes all times from the signal and the grace period, StopSequence runs the phases and closes the listening sockets. New handshakes are filtered, the queue is emptied and answered, then the kernel refuses. Connections are read until the end and refused with 503; only those on which nothing has arrived are closed. The record is withdrawn beside the last answers, which may come up to 0.9 of the period (before: 0.88), cancelled at 0.92; requests are taken without condition for 2.8 s at most.

--- a/src/waxwingwinch/gateway/_front.py
+++ b/src/waxwingwinch/gateway/_front.py
@@ -1,15 +1,18 @@
 """The HTTP server for callers, built on cheroot, the server of CherryPy."""
 
-import socket
 import threading
 from collections.abc import Callable
 from http import HTTPStatus
 from typing import Any, Protocol
 
 from attrs import frozen
-from cheroot.server import HTTPConnection, HTTPRequest, HTTPServer
+from cheroot.server import HTTPRequest, HTTPServer
 
 from waxwingwinch._types import Address
+from waxwingwinch.gateway._caller_connections import (
+    CallerConnection,
+    CallerConnectionsMixin,
+)
 from waxwingwinch.gateway._current_table import CurrentTable
 from waxwingwinch.gateway._handler import RequestHandler
 from waxwingwinch.gateway._http_parser import (
@@ -30,8 +33,7 @@
 )
 from waxwingwinch.gateway._requests import GatewayRequest
 from waxwingwinch.gateway._thread_pool import ElasticThreadPoolMixin
-from waxwingwinch.gateway._unanswered import UnansweredConnections, UnansweredStage
-from waxwingwinch.http import is_closed_by_peer
+from waxwingwinch.gateway._unanswered import UnansweredConnections
 from waxwingwinch.kernel import Clock
 
 #: Worker threads that are kept when there is little load.
@@ -152,7 +154,7 @@
 
     def _head(self, status: int, headers: tuple[tuple[str, str], ...]) -> bytes:
         self._request.sent_headers = True
-        if self._request.server.is_stopping:
+        if self._request.server.is_last_answer(self._request.conn):
             self._request.close_connection = True
         lines = [f"HTTP/1.1 {status} {_reason_phrase(status)}"]
         lines += [f"{name}: {value}" for name, value in headers]
@@ -245,53 +247,14 @@
             CallerConnectionClosed(None, repr(error)).write()
 
 
-class FrontConnection(HTTPConnection):  # type: ignore[misc]
-    """A caller's connection."""
+class FrontConnection(CallerConnection):
+    """A caller's connection, whose requests are parsed strictly."""
 
     RequestHandlerClass = FrontRequest
-    #: True once the next request has begun to arrive.
-    has_request = False
-    #: False once reading has been shut down, which looks as if the caller had
-    #: closed the connection.
-    is_watchable = True
-    #: Monotonic time at which it was accepted or last became readable.
-    ready_seconds = 0.0
-
-    @property
-    def is_kept(self) -> bool:
-        """True if it has carried a request before."""
-        return self.last_used is not None
-
-    def communicate(self) -> bool:
-        """Handle the next request; return whether to keep the connection."""
-        server: FrontServer = self.server
-        if not server.begin_reading(self):
-            if not is_closed_by_peer(self.socket):
-                server.record_unanswered(self, UnansweredStage.UNREAD)
-            return False
-        try:
-            self.socket.settimeout(server.limits.header_timeout_seconds)
-            return bool(super().communicate())  # type: ignore[no-untyped-call]
-        finally:
-            server.end_reading(self)
-
-    def stop_reading(self) -> None:
-        """Read nothing that has not arrived yet."""
-        self.is_watchable = False
-        try:
-            self.socket.shutdown(socket.SHUT_RD)
-        except OSError as error:
-            CallerConnectionClosed(None, repr(error)).write()
-
-    def _conditional_error(self, req: Any, response: str) -> None:
-        # No error response is sent on a connection on which no request has
-        # started.
-        if req and req.started_request:
-            super()._conditional_error(req, response)  # type: ignore[misc]
 
 
 class FrontServer(  # type: ignore[misc]
-    ListeningMixin, ElasticThreadPoolMixin, HTTPServer
+    CallerConnectionsMixin, ListeningMixin, ElasticThreadPoolMixin, HTTPServer
 ):
     """
     Serves callers, with one thread per request in progress.
@@ -321,20 +284,14 @@
         self.configure_threads(
             FRONT_MIN_THREADS, max_concurrent_requests + REFUSAL_THREADS
         )
+        self.configure_connections(unanswered)
         self.request_queue_size = ACCEPT_BACKLOG
         # None means no limit.
         self.keep_alive_conn_limit = None  # type: ignore[assignment]
         self.handler = handler
         self.decoder = decoder
         self.clock = clock
-        #: True once the server shuts down; each response then closes its
-        #: connection.
-        self.is_stopping = False
         self._table = table
-        self._unanswered = unanswered
-        self._reading: set[FrontConnection] = set()
-        self._is_closed_to_callers = False
-        self._reading_lock = threading.Lock()
 
     @property
     def limits(self) -> CallerLimits:
@@ -360,92 +317,6 @@
     def max_request_header_size(self, _: int) -> None:
         """Ignore the server's default; the configuration sets the limit."""
 
-    @property
-    def under_way(self) -> int:
-        """Number of connections with a request being read or answered."""
-        with self._reading_lock:
-            return len(self._reading)
-
-    def process_conn(self, connection: FrontConnection) -> None:
-        """
-        Serve a connection that is new or has become readable.
-
-        :param connection: The connection.
-        """
-        connection.ready_seconds = self.clock.now_seconds()
-        super().process_conn(connection)  # type: ignore[no-untyped-call]
-
-    def begin_reading(self, connection: FrontConnection) -> bool:
-        """
-        Count a connection whose next request is about to be read.
-
-        :param connection: The connection.
-        :returns: False if no further request may be read.
-        """
-        with self._reading_lock:
-            if self._is_closed_to_callers:
-                return False
-            connection.has_request = False
-            self._reading.add(connection)
-            return True
-
-    def end_reading(self, connection: FrontConnection) -> None:
-        """
-        Count a connection no more.
-
-        :param connection: The connection.
-        """
-        with self._reading_lock:
-            self._reading.discard(connection)
-
-    def note_request(self, connection: FrontConnection) -> None:
-        """
-        Record that the first line of a connection's next request has arrived.
-
-        :param connection: The connection.
-        """
-        with self._reading_lock:
-            connection.has_request = True
-
-    def close_to_callers(self) -> None:
-        """Read no further request; those that have begun are answered."""
-        # Under the lock, since shutting down the reading of a request that has
-        # just begun would look as if its caller had left.
-        with self._reading_lock:
-            self._is_closed_to_callers = True
-            for connection in self._reading:
-                if not connection.has_request:
-                    connection.stop_reading()
-                    self.record_unanswered(connection, UnansweredStage.READING)
-
-    def record_unanswered(
-        self, connection: FrontConnection, stage: UnansweredStage
-    ) -> None:
-        """
-        Record a connection that is closed without an answer.
-
-        :param connection: The connection.
-        :param stage: How far its request was.
-        """
-        age_seconds = self.clock.now_seconds() - connection.ready_seconds
-        self._unanswered.record(stage, age_seconds, connection.is_kept)
-
-    def record_cancelled(self, requests: tuple[GatewayRequest, ...]) -> None:
-        """
-        Record the connections of requests that were cancelled.
-
-        :param requests: The requests.
-        """
-        sockets = {id(request.connection) for request in requests}
-        with self._reading_lock:
-            connections = [
-                connection
-                for connection in self._reading
-                if id(connection.socket) in sockets
-            ]
-        for connection in connections:
-            self.record_unanswered(connection, UnansweredStage.PASSED_ON)
-
     def start_in_background(
         self, is_stopping: Callable[[], bool] = lambda: False
     ) -> None:
--- a/src/waxwingwinch/gateway/_handler.py
+++ b/src/waxwingwinch/gateway/_handler.py
@@ -2,8 +2,6 @@
 
 import threading
 
-from attrs import frozen
-
 from waxwingwinch.gateway._caller_watcher import CallerWatcher
 from waxwingwinch.gateway._connections import Cancellation, CancelReason
 from waxwingwinch.gateway._current_table import CurrentTable
@@ -31,6 +29,7 @@
 )
 from waxwingwinch.gateway._requests import GatewayRequest, Prompt
 from waxwingwinch.gateway._routes import RouteTable, choose_service
+from waxwingwinch.gateway._stop import StopSchedule
 
 #: Used for a streaming request that declares no prompt.
 EMPTY_PROMPT = Prompt("", 0, 0)
@@ -70,20 +69,6 @@
     return max(min(MAX_CONCURRENT_REQUESTS, by_memory, by_descriptors), 1)
 
 
-@frozen
-class StopPlan:
-    """
-    Until when a stopping process takes and answers requests.
-
-    :param late_seconds: Monotonic time from which on only requests are taken
-        whose deadline lies before the end.
-    :param end_seconds: Monotonic time by which all requests are answered.
-    """
-
-    late_seconds: float
-    end_seconds: float
-
-
 class RequestHandler:
     """
     Handles the requests of callers.
@@ -111,7 +96,7 @@
         self._plain_relay = PlainRelay(context)
         self._generation_relay = GenerationRelay(context)
         self._under_way = 0
-        self._stop_plan: StopPlan | None = None
+        self._stop_schedule: StopSchedule | None = None
         self._cancellations: dict[Cancellation, GatewayRequest] = {}
         self._lock = threading.Lock()
 
@@ -121,13 +106,13 @@
         with self._lock:
             return self._under_way
 
-    def begin_stop(self, plan: StopPlan) -> None:
+    def begin_stop(self, schedule: StopSchedule) -> None:
         """
         Answer all requests before the process ends.
 
-        :param plan: Until when requests are taken and answered.
+        :param schedule: Until when requests are taken and answered.
         """
-        self._stop_plan = plan
+        self._stop_schedule = schedule
 
     def cancel_all(self) -> tuple[GatewayRequest, ...]:
         """Cancel the requests in progress, and return those not yet so."""
@@ -256,12 +241,15 @@
 
     def _end_before_stop(self, request: GatewayRequest, end_seconds: float) -> float:
         """Return the deadline of a request, bounded by that of the process."""
-        plan = self._stop_plan
-        if plan is None or end_seconds <= plan.end_seconds:
+        schedule = self._stop_schedule
+        if schedule is None:
             return end_seconds
-        if request.arrived_seconds >= plan.late_seconds:
+        bounded_seconds = schedule.deadline_seconds(
+            request.arrived_seconds, end_seconds
+        )
+        if bounded_seconds is None:
             raise RequestEnded(503, RefusalReason.STOPPING, STOPPING_RETRY_SECONDS)
-        return plan.end_seconds
+        return bounded_seconds
 
     def _charge_quota(
         self, customer: CustomerRules | None, request: GatewayRequest
--- a/src/waxwingwinch/gateway/_info_server.py
+++ b/src/waxwingwinch/gateway/_info_server.py
@@ -8,6 +8,7 @@
 from cheroot.wsgi import Server
 
 from waxwingwinch._types import Address
+from waxwingwinch.gateway._closing import ClosingMixin
 from waxwingwinch.gateway._listening import ListeningMixin
 from waxwingwinch.gateway._thread_pool import ElasticThreadPoolMixin
 
@@ -38,7 +39,9 @@
 InfoHandler = Callable[[str, str], InfoReply]
 
 
-class _InfoWsgiServer(ListeningMixin, ElasticThreadPoolMixin, Server):  # type: ignore[misc]
+class _InfoWsgiServer(  # type: ignore[misc]
+    ClosingMixin, ListeningMixin, ElasticThreadPoolMixin, Server
+):
     """A WSGI server with an elastic thread pool."""
 
 
@@ -66,6 +69,26 @@
         """Listen, once the port is free, and serve in background threads."""
         threading.Thread(target=self._run, daemon=True).start()
 
+    def refuse_handshakes(self) -> None:
+        """Begin no further handshake; those under way are completed."""
+        self._server.refuse_handshakes()
+
+    def stop_listening(self, timeout_seconds: float) -> None:
+        """
+        Accept what is in the queue, then let the kernel refuse connections.
+
+        :param timeout_seconds: Maximum wait.
+        """
+        self._server.stop_listening(timeout_seconds)
+
+    def close_idle(self, timeout_seconds: float) -> None:
+        """
+        Close the connections on which nothing has arrived.
+
+        :param timeout_seconds: Maximum wait.
+        """
+        self._server.close_idle(timeout_seconds)
+
     def _run(self) -> None:
         self._server.prepare()
         self._server.serve()
--- a/src/waxwingwinch/gateway/_process.py
+++ b/src/waxwingwinch/gateway/_process.py
@@ -2,7 +2,6 @@
 
 import secrets
 import threading
-import time
 
 from waxwingwinch.gateway._cache_survey import CacheSurvey
 from waxwingwinch.gateway._caller_watcher import CallerWatcher
@@ -13,7 +12,6 @@
 from waxwingwinch.gateway._gossip import Gossip, GossipHandlers
 from waxwingwinch.gateway._handler import (
     RequestHandler,
-    StopPlan,
     max_concurrent_requests,
 )
 from waxwingwinch.gateway._history import HistoryWatch
@@ -44,6 +42,7 @@
 from waxwingwinch.gateway._returns import ReturnSchedule
 from waxwingwinch.gateway._state import GatewayState
 from waxwingwinch.gateway._statements import StatementObserver
+from waxwingwinch.gateway._stop import StopSequence, stop_schedule
 from waxwingwinch.gateway._store_feed import StoreFeed
 from waxwingwinch.gateway._unanswered import UnansweredConnections, UnansweredStage
 from waxwingwinch.kernel import BindAbandoned, Clock
@@ -71,26 +70,6 @@
 #: The fraction for an instance that reads the store on behalf of others; the
 #: entries reach them after two further exchanges.
 SHARED_UPSTREAMS_PAUSE_FRACTION = 0.1
-#: Fraction of the grace period for which a stopping process still reads
-#: requests; callers that have not resolved the addresses again still connect.
-ACCEPT_GRACE_FRACTION = 0.55
-#: Fraction of the grace period after which only requests are taken whose
-#: deadline lies before the end. By then callers have resolved the addresses
-#: again, those that keep them for longer, too.
-LATE_GRACE_FRACTION = 0.35
-#: Fraction of the grace period that bounds the deadlines of requests.
-ANSWER_GRACE_FRACTION = 0.88
-#: Fraction of the grace period after which requests in progress are cancelled
-#: and answered.
-CANCEL_GRACE_FRACTION = 0.9
-#: Fraction of the grace period after which the process stops waiting for
-#: requests in progress and exits.
-END_GRACE_FRACTION = 0.93
-#: Timeout for withdrawing the instance's record from the store at the end of a
-#: stop; a healthy store responds in a tenth of this time.
-WITHDRAW_SECONDS = 0.5
-#: Interval at which a stop checks for requests in progress.
-STOP_POLL_SECONDS = 0.05
 
 
 def upstreams_pace(drain_seconds: float, is_shared: bool) -> Pace:
@@ -358,31 +337,24 @@
 
     def _stop(self) -> None:
         started_seconds = self._stop_signalled_seconds
-        grace_seconds = self._options.grace_seconds
         GatewayStopping(
             under_way=self._handler.under_way,
             noticed_after_seconds=self._clock.now_seconds() - started_seconds,
         ).write()
-        self._handler.begin_stop(
-            StopPlan(
-                started_seconds + grace_seconds * LATE_GRACE_FRACTION,
-                started_seconds + grace_seconds * ANSWER_GRACE_FRACTION,
-            )
+        sequence = StopSequence(
+            stop_schedule(started_seconds, self._options.grace_seconds),
+            self._front,
+            self._handler,
+            self._info_servers,
+            self._withdraw,
+            self._clock,
         )
-        self._front.is_stopping = True
-        self._duty_worker.stop()
-        accept_until_seconds = started_seconds + grace_seconds * ACCEPT_GRACE_FRACTION
-        end_seconds = started_seconds + grace_seconds * END_GRACE_FRACTION
-        while self._clock.now_seconds() < accept_until_seconds:
-            time.sleep(STOP_POLL_SECONDS)
-        # A request read from here on could be cut by the end of the process.
-        self._front.close_to_callers()
-        cancel_seconds = started_seconds + grace_seconds * CANCEL_GRACE_FRACTION
-        while self._front.under_way and self._clock.now_seconds() < end_seconds:
-            time.sleep(STOP_POLL_SECONDS)
-            if self._clock.now_seconds() >= cancel_seconds:
-                self._front.record_cancelled(self._handler.cancel_all())
-        self._withdraw()
+        sequence.begin()
+        # The store may be slow to take the release of the duty.
+        threading.Thread(
+            target=self._duty_worker.stop, name="duty-stop", daemon=True
+        ).start()
+        sequence.run()
         GatewayStopped(
             under_way=self._front.under_way,
             unread=self._unanswered.count(UnansweredStage.UNREAD),
@@ -396,10 +368,4 @@
             # The instance did not finish joining: the member topic was never
             # read, so there is no end offset for the conditional delete.
             return
-        thread = threading.Thread(
-            target=withdraw_member,
-            args=(self._store, self._state.local_member.instance_id, end_offset),
-            daemon=True,
-        )
-        thread.start()
-        thread.join(WITHDRAW_SECONDS)
+        withdraw_member(self._store, self._state.local_member.instance_id, end_offset)
--- a/src/waxwingwinch/gateway/_process_log_lines.py
+++ b/src/waxwingwinch/gateway/_process_log_lines.py
@@ -59,6 +59,17 @@
     took_seconds: float
 
 
+@log_line("listener:filter_refused")
+class ListenerFilterRefused(LogLine):
+    """
+    The kernel refused the filter that holds back new connections at a stop.
+
+    :param reason: The error or condition observed.
+    """
+
+    reason: str
+
+
 @log_line("gateway:not_serving")
 class GatewayNotServing(LogLine):
     """
--- a/src/waxwingwinch/gateway/_unanswered.py
+++ b/src/waxwingwinch/gateway/_unanswered.py
@@ -10,9 +10,9 @@
 class UnansweredStage(enum.Enum):
     """How far a request was when its connection was closed."""
 
-    #: Nothing of it was read from its connection.
+    #: It had arrived, and nothing of it was read.
     UNREAD = "unread"
-    #: Reading was shut down while a request was waited for.
+    #: It was being read or answered.
     READING = "reading"
     #: It was cancelled at its upstream.
     PASSED_ON = "passed_on"
--- a/src/waxwingwinch/gateway/tests/test_front_responder.py
+++ b/src/waxwingwinch/gateway/tests/test_front_responder.py
@@ -16,6 +16,9 @@
 class FakeServer:
     is_stopping: bool = False
 
+    def is_last_answer(self, connection):
+        return self.is_stopping
+
 
 @define
 class FakeConnection:
--- a/src/waxwingwinch/kernel/__init__.py
+++ b/src/waxwingwinch/kernel/__init__.py
@@ -9,6 +9,7 @@
 )
 from waxwingwinch.kernel._clock import Clock, SteadyWallClock, SystemClock
 from waxwingwinch.kernel._registry import Health, Registry, Service
+from waxwingwinch.kernel._socket_filter import drop_new_handshakes
 
 __all__ = [
     "BIND_RETRY_SECONDS",
@@ -20,6 +21,7 @@
     "SteadyWallClock",
     "SystemClock",
     "bind_when_free",
+    "drop_new_handshakes",
     "is_port_in_use",
     "log_port_in_use",
 ]
--- a/src/waxwingwinch/platform/tests/test_front.py
+++ b/src/waxwingwinch/platform/tests/test_front.py
@@ -97,3 +97,87 @@
             caller.settimeout(5.0)
             assert caller.recv(1_000).startswith(b"HTTP/1.1 200")
     assert handler.seen == [False]
+
+
+REQUEST = b"GET /a HTTP/1.1\r\nHost: h\r\nX-Waxwingwinch-Request-Id: r\r\n\r\n"
+
+
+def connect(address):
+    return socket.create_connection((address.host, address.port), 5.0)
+
+
+# Guards against connections in the listen queue that a stop resets.
+def test_connections_of_the_queue_are_answered_as_listening_ends(monkeypatch):
+    with front_server(AnsweringHandler()) as (address, server):
+        callers: list[socket.socket] = []
+        accept = server._connections._from_server_socket
+
+        def connect_and_accept(listener):
+            # More connections arrive while the queue is emptied.
+            if len(callers) < 20:
+                callers.append(connect(address))
+                callers[-1].sendall(REQUEST)
+            return accept(listener)
+
+        monkeypatch.setattr(
+            server._connections, "_from_server_socket", connect_and_accept
+        )
+        callers.append(connect(address))
+        callers[-1].sendall(REQUEST)
+        server.stop_listening(5.0)
+        with pytest.raises(ConnectionRefusedError):
+            connect(address)
+        assert len(callers) == 20
+        for caller in callers:
+            assert caller.recv(1_000).startswith(b"HTTP/1.1 200")
+            caller.close()
+
+
+def test_no_handshake_begins_once_they_are_refused():
+    with front_server(AnsweringHandler()) as (address, server):
+        with connect(address) as before:
+            server.refuse_handshakes()
+            with pytest.raises(TimeoutError):
+                socket.create_connection((address.host, address.port), 0.3)
+            before.sendall(REQUEST)
+            assert before.recv(1_000).startswith(b"HTTP/1.1 200")
+
+
+# Guards against requests on kept connections that a stop closes unread.
+def test_kept_connections_are_closed_only_if_nothing_has_arrived(monkeypatch):
+    with front_server(AnsweringHandler()) as (address, server):
+        idle, used = connect(address), connect(address)
+        for caller in (idle, used):
+            caller.sendall(REQUEST)
+            assert caller.recv(1_000).startswith(b"HTTP/1.1 200")
+        deadline_seconds = time.monotonic() + 5.0
+        while server.under_way and time.monotonic() < deadline_seconds:
+            time.sleep(0.01)
+        close_idle = server._close_idle
+
+        def send_and_close():
+            used.sendall(REQUEST)
+            close_idle()
+
+        monkeypatch.setattr(server, "_close_idle", send_and_close)
+        server.begin_stop()
+        server.close_to_callers()
+        server.close_idle(5.0)
+        assert idle.recv(1_000) == b""
+        answer = used.recv(1_000)
+        assert answer.startswith(b"HTTP/1.1 200")
+        assert b"Connection: close" in answer
+        idle.close()
+        used.close()
+
+
+def test_pipelined_requests_are_all_answered_during_a_stop():
+    with front_server(AnsweringHandler()) as (address, server):
+        server.begin_stop()
+        with connect(address) as caller:
+            caller.sendall(REQUEST * 3)
+            received = b""
+            while part := caller.recv(1_000):
+                received += part
+    assert received.count(b"HTTP/1.1 200") == 3
+    assert received.count(b"Connection: close") == 1
