Let callers pause while they read an answer

Seen: an answer larger than the buffers of its connection was cut if the caller read nothing for headerTimeoutMs (3 s by default), after the upstream had run the request.

Cause: the time-out of the socket, set for the arrival of a request, bounds each write of its answer, too. From the head of the answer on it is now the one for idle connections (idleTimeoutMs and 2 s).

test_a_caller_may_pause_reading_its_answer: failed before ("the answer ends after 3919872 bytes" of 16 MiB, pause of 1 s, limit of 0.3 s), passes. Elsewhere: readiness, directory and metrics write short answers.

--- a/src/waxwingwinch/gateway/_caller_connections.py
+++ b/src/waxwingwinch/gateway/_caller_connections.py
@@ -40,6 +40,10 @@
         self.is_kept = bool(super().communicate())  # type: ignore[no-untyped-call]
         return self.is_kept
 
+    def begin_answer(self) -> None:
+        """Stop applying the limit on the arrival of a request."""
+        self.socket.settimeout(self.server.answer_timeout_seconds)
+
     def close(self) -> None:
         """Close the connection."""
         try:
--- a/src/waxwingwinch/gateway/_front.py
+++ b/src/waxwingwinch/gateway/_front.py
@@ -154,6 +154,7 @@
 
     def _head(self, status: int, headers: tuple[tuple[str, str], ...]) -> bytes:
         self._request.sent_headers = True
+        self._request.conn.begin_answer()
         if self._request.server.is_last_answer(self._request.conn):
             self._request.close_connection = True
         lines = [f"HTTP/1.1 {status} {_reason_phrase(status)}"]
@@ -308,6 +309,11 @@
     def timeout(self, _: float) -> None:
         """Ignore the server's default; the configuration sets the limit."""
 
+    @property
+    def answer_timeout_seconds(self) -> float:
+        """Seconds for which a caller may read nothing of its answer."""
+        return max(self.timeout, self.limits.header_timeout_seconds)
+
     @property
     def max_request_header_size(self) -> int:
         """Maximum size of a request head in bytes."""
--- a/src/waxwingwinch/gateway/tests/test_front_responder.py
+++ b/src/waxwingwinch/gateway/tests/test_front_responder.py
@@ -24,6 +24,9 @@
 class FakeConnection:
     wfile: io.BytesIO = field(factory=io.BytesIO)
 
+    def begin_answer(self):
+        """Do nothing; the tests read no request."""
+
 
 @define
 class FakeRequest:
--- a/src/waxwingwinch/platform/tests/test_front.py
+++ b/src/waxwingwinch/platform/tests/test_front.py
@@ -11,6 +11,7 @@
 from waxwingwinch._types import Address
 from waxwingwinch.gateway._current_table import CurrentTable
 from waxwingwinch.gateway._front import FrontConnection, FrontServer
+from waxwingwinch.gateway._model import CallerLimits
 from waxwingwinch.gateway._telemetry import Telemetry
 from waxwingwinch.gateway._unanswered import UnansweredConnections
 from waxwingwinch.gateway.tests.fakes import FakeClock
@@ -181,3 +182,27 @@
                 received += part
     assert received.count(b"HTTP/1.1 200") == 3
     assert received.count(b"Connection: close") == 1
+
+
+class LargeHandler:
+    """Answers with more than the buffers of a connection hold."""
+
+    body = bytes(16 * 1_024 * 1_024)
+
+    def handle(self, request, responder):
+        responder.respond(200, (), self.body)
+
+
+# Guards against answers that are cut if a caller pauses reading for longer
+# than it may take to send the head of a request.
+def test_a_caller_may_pause_reading_its_answer(monkeypatch):
+    limits = CallerLimits(header_timeout_seconds=0.3, idle_timeout_seconds=5.0)
+    monkeypatch.setattr(FrontServer, "limits", limits)
+    with front_server(LargeHandler()) as (address, _), connect(address) as caller:
+        caller.sendall(REQUEST)
+        time.sleep(1.0)
+        received = 0
+        while received < len(LargeHandler.body):
+            part = caller.recv(1_048_576)
+            assert part, f"the answer ends after {received} bytes"
+            received += len(part)
