Answer a request that arrives as its connection expires

Callers that reuse connections within the limit meet this only when a configuration shortens idleTimeoutMs: all connections idle for longer expire at once.

Cause: cheroot closes what was idle for too long without a look at its socket. A connection that waits for its next request now closes only if nothing has arrived; else the request is served.

test_a_request_that_arrives_before_its_connection_expires_is_answered failed before (end of the connection in place of an answer), passes. Elsewhere: the close of kept connections at a stop goes the same way. A request that is still on its way can't be helped.

--- a/src/waxwingwinch/gateway/_caller_connections.py
+++ b/src/waxwingwinch/gateway/_caller_connections.py
@@ -26,6 +26,8 @@
     ready_seconds = 0.0
     #: True if it has carried a request before.
     is_kept = False
+    #: True while it waits in the selector for its next request.
+    is_waiting = False
     #: True once its request was cancelled by a stop.
     is_cancelled = False
 
@@ -45,7 +47,10 @@
         self.socket.settimeout(self.server.answer_timeout_seconds)
 
     def close(self) -> None:
-        """Close the connection."""
+        """Close the connection, unless its next request has arrived."""
+        if self.is_waiting and self.has_input and not is_closed_by_peer(self.socket):
+            self.server.dispatch(self)
+            return
         try:
             super().close()  # type: ignore[no-untyped-call]
         finally:
@@ -125,10 +130,10 @@
         is_new = connection.last_used is None
         if is_new and self._is_stopping and not connection.has_input:
             # It holds no thread until its request arrives.
-            self._connections.put(connection)
+            self._keep(connection)
             return
         with self._reading_lock:
-            connection.has_request = False
+            connection.has_request = connection.is_waiting = False
             self._reading.add(connection)
         super().dispatch(connection)
 
@@ -147,10 +152,14 @@
             is_kept = self.ready and not self._is_closed_to_callers
             if is_kept:
                 self._reading.discard(connection)
-                self._connections.put(connection)
+                self._keep(connection)
         if not is_kept:
             connection.close()
 
+    def _keep(self, connection: CallerConnection) -> None:
+        connection.is_waiting = True
+        self._connections.put(connection)
+
     def take_idle(self) -> list[CallerConnection]:
         """Remove the idle connections from the selector and return them."""
         with self._reading_lock:
--- a/src/waxwingwinch/platform/tests/test_front.py
+++ b/src/waxwingwinch/platform/tests/test_front.py
@@ -206,3 +206,28 @@
             part = caller.recv(1_048_576)
             assert part, f"the answer ends after {received} bytes"
             received += len(part)
+
+
+# Guards against a request that arrives as its connection expires, as many do
+# at once when the configuration shortens the idle timeout.
+def test_a_request_that_arrives_before_its_connection_expires_is_answered(
+    monkeypatch,
+):
+    limits = CallerLimits(idle_timeout_seconds=60.0)
+    monkeypatch.setattr(FrontServer, "limits", limits)
+    with front_server(AnsweringHandler()) as (address, server):
+        with connect(address) as caller:
+            caller.sendall(REQUEST)
+            assert caller.recv(1_000).startswith(b"HTTP/1.1 200")
+            expire = server._connections._expire
+
+            def send_and_expire(threshold):
+                caller.sendall(REQUEST)
+                expire(threshold)
+
+            monkeypatch.setattr(server._connections, "_expire", send_and_expire)
+            shortened = CallerLimits(idle_timeout_seconds=-60.0)
+            monkeypatch.setattr(FrontServer, "limits", shortened)
+            # The server looks for idle connections after an event.
+            connect(address).close()
+            assert caller.recv(1_000).startswith(b"HTTP/1.1 200")
