--- a/src/waxwingwinch/gateway/_front.py
+++ b/src/waxwingwinch/gateway/_front.py
@@ -1,15 +1,18 @@
 """The HTTP server for callers, built on cheroot, the server of CherryPy."""
 
-import socket
 import threading
 from collections.abc import Callable
 from http import HTTPStatus
 from typing import Any, Protocol
 
 from attrs import frozen
-from cheroot.server import HTTPConnection, HTTPRequest, HTTPServer
+from cheroot.server import HTTPRequest, HTTPServer
 
 from waxwingwinch._types import Address
+from waxwingwinch.gateway._caller_connections import (
+    CallerConnection,
+    CallerConnectionsMixin,
+)
 from waxwingwinch.gateway._current_table import CurrentTable
 from waxwingwinch.gateway._handler import RequestHandler
 from waxwingwinch.gateway._http_parser import (
@@ -30,6 +33,7 @@
 )
 from waxwingwinch.gateway._requests import GatewayRequest
 from waxwingwinch.gateway._thread_pool import ElasticThreadPoolMixin
+from waxwingwinch.gateway._unanswered import UnansweredConnections
 from waxwingwinch.kernel import Clock
 
 #: Worker threads that are kept when there is little load.
@@ -150,7 +154,8 @@
 
     def _head(self, status: int, headers: tuple[tuple[str, str], ...]) -> bytes:
         self._request.sent_headers = True
-        if self._request.server.is_stopping:
+        self._request.conn.begin_answer()
+        if self._request.server.is_last_answer(self._request.conn):
             self._request.close_connection = True
         lines = [f"HTTP/1.1 {status} {_reason_phrase(status)}"]
         lines += [f"{name}: {value}" for name, value in headers]
@@ -243,44 +248,14 @@
             CallerConnectionClosed(None, repr(error)).write()
 
 
-class FrontConnection(HTTPConnection):  # type: ignore[misc]
-    """A caller's connection."""
+class FrontConnection(CallerConnection):
+    """A caller's connection, whose requests are parsed strictly."""
 
     RequestHandlerClass = FrontRequest
-    #: True once the next request has begun to arrive.
-    has_request = False
-    #: False once reading has been shut down, which looks as if the caller had
-    #: closed the connection.
-    is_watchable = True
-
-    def communicate(self) -> bool:
-        """Handle the next request; return whether to keep the connection."""
-        server: FrontServer = self.server
-        if not server.begin_reading(self):
-            return False
-        try:
-            self.socket.settimeout(server.limits.header_timeout_seconds)
-            return bool(super().communicate())  # type: ignore[no-untyped-call]
-        finally:
-            server.end_reading(self)
-
-    def stop_reading(self) -> None:
-        """Read nothing that has not arrived yet."""
-        self.is_watchable = False
-        try:
-            self.socket.shutdown(socket.SHUT_RD)
-        except OSError as error:
-            CallerConnectionClosed(None, repr(error)).write()
-
-    def _conditional_error(self, req: Any, response: str) -> None:
-        # No error response is sent on a connection on which no request has
-        # started.
-        if req and req.started_request:
-            super()._conditional_error(req, response)  # type: ignore[misc]
 
 
 class FrontServer(  # type: ignore[misc]
-    ListeningMixin, ElasticThreadPoolMixin, HTTPServer
+    CallerConnectionsMixin, ListeningMixin, ElasticThreadPoolMixin, HTTPServer
 ):
     """
     Serves callers, with one thread per request in progress.
@@ -291,6 +266,7 @@
     :param table: Holds the configuration, with the limits on requests.
     :param clock: Source of the present time.
     :param max_concurrent_requests: Requests that may be in progress at once.
+    :param unanswered: Records connections closed without an answer.
     """
 
     ConnectionClass = FrontConnection
@@ -303,24 +279,20 @@
         table: CurrentTable,
         clock: Clock,
         max_concurrent_requests: int,
+        unanswered: UnansweredConnections,
     ) -> None:
         super().__init__((address.host, address.port), gateway=None)
         self.configure_threads(
             FRONT_MIN_THREADS, max_concurrent_requests + REFUSAL_THREADS
         )
+        self.configure_connections(unanswered)
         self.request_queue_size = ACCEPT_BACKLOG
         # None means no limit.
         self.keep_alive_conn_limit = None  # type: ignore[assignment]
         self.handler = handler
         self.decoder = decoder
         self.clock = clock
-        #: True once the server shuts down; each response then closes its
-        #: connection.
-        self.is_stopping = False
         self._table = table
-        self._reading: set[FrontConnection] = set()
-        self._is_closed_to_callers = False
-        self._reading_lock = threading.Lock()
 
     @property
     def limits(self) -> CallerLimits:
@@ -337,6 +309,11 @@
     def timeout(self, _: float) -> None:
         """Ignore the server's default; the configuration sets the limit."""
 
+    @property
+    def answer_timeout_seconds(self) -> float:
+        """Seconds for which a caller may read nothing of its answer."""
+        return max(self.timeout, self.limits.header_timeout_seconds)
+
     @property
     def max_request_header_size(self) -> int:
         """Maximum size of a request head in bytes."""
@@ -346,54 +323,6 @@
     def max_request_header_size(self, _: int) -> None:
         """Ignore the server's default; the configuration sets the limit."""
 
-    @property
-    def under_way(self) -> int:
-        """Number of connections with a request being read or answered."""
-        with self._reading_lock:
-            return len(self._reading)
-
-    def begin_reading(self, connection: FrontConnection) -> bool:
-        """
-        Count a connection whose next request is about to be read.
-
-        :param connection: The connection.
-        :returns: False if no further request may be read.
-        """
-        with self._reading_lock:
-            if self._is_closed_to_callers:
-                return False
-            connection.has_request = False
-            self._reading.add(connection)
-            return True
-
-    def end_reading(self, connection: FrontConnection) -> None:
-        """
-        Count a connection no more.
-
-        :param connection: The connection.
-        """
-        with self._reading_lock:
-            self._reading.discard(connection)
-
-    def note_request(self, connection: FrontConnection) -> None:
-        """
-        Record that the first line of a connection's next request has arrived.
-
-        :param connection: The connection.
-        """
-        with self._reading_lock:
-            connection.has_request = True
-
-    def close_to_callers(self) -> None:
-        """Read no further request; those that have begun are answered."""
-        # Under the lock, since shutting down the reading of a request that has
-        # just begun would look as if its caller had left.
-        with self._reading_lock:
-            self._is_closed_to_callers = True
-            for connection in self._reading:
-                if not connection.has_request:
-                    connection.stop_reading()
-
     def start_in_background(
         self, is_stopping: Callable[[], bool] = lambda: False
     ) -> None:
--- a/src/waxwingwinch/platform/tests/test_early_signals.py
+++ b/src/waxwingwinch/platform/tests/test_early_signals.py
@@ -1,6 +1,7 @@
 """Signals in the first moments of a process."""
 
 import json
+import os
 import signal
 import subprocess
 import sys
@@ -70,3 +71,14 @@
         "waxwingwinch.platform",
         "waxwingwinch.platform.__main__",
     }
+
+
+# Guards against a signal that is handled in another thread than the main one,
+# which then sleeps on, so that the process is killed with all its requests.
+def test_a_signal_is_noticed_whichever_thread_it_is_sent_to(tmp_path, store, gateways):
+    gateways.append(Gateway(tmp_path, store, "edge"))
+    assert wait_until(gateways[0].is_ready)
+    process = gateways[0].process
+    threads = sorted(int(name) for name in os.listdir(f"/proc/{process.pid}/task"))
+    os.kill(threads[-1], signal.SIGTERM)
+    assert process.wait(6.0) == 0
