List that connections are lost as no thread can be started

What callers saw: while no thread could be started for 5 s, beside 62 callers, 125 connections with a whole request were reset, 79 of them 0.2 s and more after the last byte, and 27 requests had no answer when their callers gave up after 9.5 s. None had been passed on.

Cause: ElasticThreadPool.put raises after the connection has been taken from the selector; nothing refers to it any more. As HTTPConnection is part of a reference cycle, its socket stays open until the garbage collector runs. The thread that did not start stays counted, so that after as many failures as the maximum no thread is ever started.

Evidence: both tests fail with the RuntimeError of Thread.start, raised by put.

--- a/src/waxwingwinch/gateway/tests/test_thread_pool.py
+++ b/src/waxwingwinch/gateway/tests/test_thread_pool.py
@@ -3,6 +3,8 @@
 import threading
 import time
 
+import pytest
+
 from waxwingwinch.gateway import _thread_pool
 from waxwingwinch.gateway._handler import (
     MAX_CONCURRENT_REQUESTS,
@@ -126,3 +128,42 @@
     assert max_concurrent_requests(552 * mb, 7_900) == MAX_CONCURRENT_REQUESTS
     assert max_concurrent_requests(552 * mb, 400) == 50
     assert max_concurrent_requests(0, 0) == 1
+
+
+@pytest.fixture
+def no_threads(monkeypatch):
+    """An event during which the operating system refuses further threads."""
+    is_refusing = threading.Event()
+    start = threading.Thread.start
+
+    def start_if_allowed(thread):
+        if is_refusing.is_set():
+            raise RuntimeError("can't start new thread")
+        start(thread)
+
+    monkeypatch.setattr(threading.Thread, "start", start_if_allowed)
+    return is_refusing
+
+
+# Guards against connections that are lost as no thread can be started.
+def test_a_connection_waits_for_a_thread_if_no_other_can_be_started(no_threads):
+    server = FakeServer()
+    no_threads.set()
+    burst = Burst(server, MAX_THREADS)
+    burst.wait_until_served(MIN_THREADS)
+    burst.release.set()
+    burst.wait_until_served(MAX_THREADS - MIN_THREADS)
+
+
+# Guards against a pool that counts threads that did not start.
+def test_threads_that_did_not_start_are_not_counted(no_threads):
+    server = FakeServer()
+    no_threads.set()
+    burst = Burst(server, 2 * MAX_THREADS)
+    burst.release.set()
+    burst.wait_until_served(2 * MAX_THREADS)
+    assert server.requests.size == MIN_THREADS
+    no_threads.clear()
+    second_burst = Burst(server, MAX_THREADS)
+    second_burst.wait_until_served(MAX_THREADS)
+    second_burst.release.set()
