List that a step of the time of day ends idle connections

What callers saw: as the time of day stepped forward by 9 s or an hour, 39 callers that were idle found their connections closed at once; after a step back of an hour idle connections were not closed any more. No request that had been passed on was lost.

Cause: cheroot's ConnectionManager notes and compares the last use of a connection by time.time.

Evidence: the test fails for both steps: closed 1.3 s after the step forward, open 4.3 s after the step back, with a timeout of 2.5 s.

--- a/src/waxwingwinch/platform/tests/test_front.py
+++ b/src/waxwingwinch/platform/tests/test_front.py
@@ -94,3 +94,32 @@
             caller.settimeout(5.0)
             assert caller.recv(1_000).startswith(b"HTTP/1.1 200")
     assert handler.seen == [False]
+
+
+REQUEST = b"GET /a HTTP/1.1\r\nHost: h\r\nX-Waxwingwinch-Request-Id: r\r\n\r\n"
+
+
+# Guards against kept connections that are closed all at once, or never, as the
+# time of day is set.
+@pytest.mark.parametrize("step_seconds", [3_600.0, -3_600.0])
+def test_idle_connections_end_in_time_whatever_the_time_of_day(
+    monkeypatch, step_seconds
+):
+    wall_seconds = time.time
+    timeout_seconds = 2.5
+    monkeypatch.setattr(
+        FrontServer, "timeout", property(lambda _: timeout_seconds, lambda *_: None)
+    )
+    with (
+        front_server(AnsweringHandler()) as (address, _),
+        socket.create_connection((address.host, address.port), 5.0) as caller,
+    ):
+        caller.sendall(REQUEST)
+        assert caller.recv(1_024).startswith(b"HTTP/1.1 200")
+        # The server keeps the connection only after it has written the answer.
+        time.sleep(0.2)
+        monkeypatch.setattr(time, "time", lambda: wall_seconds() + step_seconds)
+        time.sleep(1.3)
+        assert not is_closed_by_peer(caller)
+        time.sleep(3.0)
+        assert is_closed_by_peer(caller)
