List that silent callers hold up those that ask

What callers saw: beside 600 callers that connected and sent nothing, the answers to 30 others fell from 19 to 1 a second for 7 s; requests waited up to 9.5 s until they were read, and their deadlines were counted from then on only.

Cause: the server gives a new connection to a thread before its first byte has come, for up to the timeout of heads.

Evidence: the test fails with TimeoutError after 1 s.

--- a/src/waxwingwinch/platform/tests/test_front.py
+++ b/src/waxwingwinch/platform/tests/test_front.py
@@ -123,3 +123,20 @@
         assert not is_closed_by_peer(caller)
         time.sleep(3.0)
         assert is_closed_by_peer(caller)
+
+
+# Guards against callers that connect and send nothing, and take the threads of
+# those that ask.
+def test_silent_callers_hold_up_no_others():
+    with contextlib.ExitStack() as callers:
+        address, server = callers.enter_context(front_server(AnsweringHandler()))
+        for _ in range(server.requests.max):
+            callers.enter_context(
+                socket.create_connection((address.host, address.port), 5.0)
+            )
+        time.sleep(0.2)
+        asking = callers.enter_context(
+            socket.create_connection((address.host, address.port), 1.0)
+        )
+        asking.sendall(REQUEST)
+        assert asking.recv(1_024).startswith(b"HTTP/1.1 200")
