Keep a connection for which no thread can be started

What callers saw: while no thread could be started, connections with a whole request were reset or never answered (152 in 5 s beside 62 callers), none of them passed on.

Cause: ElasticThreadPool.put raised out of the server's loop after the connection had been taken from the selector, and counted a thread that did not start.

Why it works: put queues the connection in any case; a thread that has been started takes it up, as at the maximum of threads. Only threads that run are counted. The refusal is logged.

Elsewhere: the server's other users of the pool, readiness, discovery and metrics, have the same pool. Threads that are started once, at the start of the process, end it if they are refused.

--- a/src/waxwingwinch/gateway/_thread_pool.py
+++ b/src/waxwingwinch/gateway/_thread_pool.py
@@ -73,6 +73,9 @@
         """
         Queue a connection; start a thread if none is idle.
 
+        If the operating system refuses a thread, the connection waits for one
+        of those that have been started.
+
         :param connection: The connection.
         """
         with self._lock:
@@ -82,9 +85,15 @@
         self._connections.put(connection)
 
     def _start_thread(self) -> None:
+        thread = threading.Thread(target=self._run, name="front-worker", daemon=True)
+        try:
+            thread.start()
+        except (RuntimeError, MemoryError) as error:
+            # The connection waits for a thread that has been started.
+            self._server.error_log(f"a thread could not be started: {error!r}")
+            return
         self._size += 1
         self._surplus_threads += 1
-        threading.Thread(target=self._run, name="front-worker", daemon=True).start()
 
     def _run(self) -> None:
         while True:
