Measure idle connections by the steady clock

What callers saw: as the time of day stepped forward, all connections that were idle were closed at once (39 callers); after a step back idle connections stayed open.

Cause: cheroot's ConnectionManager measures idle time by time.time.

Evidence: the test failed for a step of an hour forward and back before.

Why it works: the server's manager of connections is replaced by one whose loop uses the monotonic clock. Its order is as before: requests that have arrived are taken before idle connections are closed.

Elsewhere: the servers of readiness, discovery and metrics get the same manager. In the gateway, the platform's adapter and their clock, time.time is read in SystemClock.wall_seconds alone, which SteadyWallClock guards.

--- a/src/waxwingwinch/gateway/_thread_pool.py
+++ b/src/waxwingwinch/gateway/_thread_pool.py
@@ -4,6 +4,8 @@
 import threading
 from typing import Any
 
+from waxwingwinch.gateway._idle_connections import IdleConnections
+
 #: Idle time after which a thread beyond the minimum ends; longer than the
 #: pauses within a burst of requests.
 IDLE_THREAD_SECONDS = 2.0
@@ -139,12 +141,13 @@
 
 
 class ElasticThreadPoolMixin:
-    """Mixin that gives a cheroot HTTP server an elastic thread pool."""
+    """Mixin with the thread pool and idle connections of an HTTP server."""
 
     #: Interval at which expired idle connections are closed; half of the
     #: margin by which callers close their idle connections earlier.
     expiration_interval = 1.0
     requests: Any
+    _connections: Any
 
     def configure_threads(self, min_threads: int, max_threads: int) -> None:
         """
@@ -155,5 +158,11 @@
         """
         self.requests = ElasticThreadPool(self, min_threads, max_threads)
 
+    def prepare(self) -> None:
+        """Listen, and start the minimum number of threads."""
+        super().prepare()  # type: ignore[misc]
+        self._connections.close()
+        self._connections = IdleConnections(self)
+
     def _serve_unservicable(self) -> None:
         """Do nothing; no connection is rejected because of a full queue."""
