Take a thread for a caller once its request begins

What callers saw: beside 600 callers that connected and sent nothing, the answers to 30 others fell to 1 a second for 7 s, and one request waited in the queue until its caller had given up.

Cause: a new connection took a thread before its first byte had come, for up to the timeout of heads.

Evidence: the test failed with TimeoutError after 1 s before.

Why it works: a new connection waits in the selector, as a kept one does. A caller that sends nothing is closed at the idle timeout in place of that of heads, or to make room.

Elsewhere: a caller that sends a part of a head still holds a thread, for up to the timeout of heads after each byte.

--- a/src/waxwingwinch/gateway/_idle_connections.py
+++ b/src/waxwingwinch/gateway/_idle_connections.py
@@ -33,7 +33,6 @@
     server: Any
     _selector: Any
     _stop_requested: bool
-    _expire: Callable[[float], None]
     _from_server_socket: Callable[[Any], Any]
     _remove_invalid_sockets: Callable[[], None]
     #: Monotonic time of the next attempt to accept; None if not paused.
@@ -48,7 +47,11 @@
         connection.last_used = time.monotonic()
         if connection.rfile.has_data():
             self.server.process_conn(connection)
-            return
+        else:
+            self._register(connection)
+
+    def _register(self, connection: Any) -> None:
+        connection.idle_since_seconds = time.monotonic()
         self._selector.register(
             connection.socket.fileno(), selectors.EVENT_READ, connection
         )
@@ -67,7 +70,7 @@
             now_seconds = time.monotonic()
             self._resume_accepting(now_seconds)
             if now_seconds >= expire_seconds:
-                self._expire(now_seconds - self.server.timeout)
+                self._close_idle(self._idle_since(now_seconds - self.server.timeout))
                 expire_seconds = now_seconds + expiration_interval
 
     def _process_ready(self, ready: tuple[tuple[int, Any], ...]) -> None:
@@ -89,26 +92,34 @@
             self._make_room(error, time.monotonic())
             return
         if connection is not None:
-            self.server.process_conn(connection)
+            # Its thread is taken only once its first request arrives.
+            self._register(connection)
 
     def _make_room(self, error: OSError, now_seconds: float) -> None:
         """Close the connections that were idle longest; pause if none was."""
-        idle = [
-            (connection.last_used, descriptor, connection)
-            for descriptor, connection in self._selector.connections
-            if connection is not self.server
-            and connection.last_used <= now_seconds - REPLACEABLE_IDLE_SECONDS
-        ]
-        idle.sort(key=lambda entry: entry[0])
+        idle = self._idle_since(now_seconds - REPLACEABLE_IDLE_SECONDS)
+        idle.sort(key=lambda entry: entry[1].idle_since_seconds)
         replaced = idle[: math.ceil(REPLACED_FRACTION * len(idle))]
-        for _, descriptor, connection in replaced:
-            self._selector.unregister(descriptor)
-            connection.close()
+        self._close_idle(replaced)
         if not replaced:
             self._selector.unregister(self.server.socket.fileno())
             self._accept_seconds = now_seconds + ACCEPT_PAUSE_SECONDS
         AcceptFailed(reason=repr(error), closed=len(replaced)).write()
 
+    def _idle_since(self, since_seconds: float) -> list[tuple[int, Any]]:
+        """Return the connections that have been idle from a time on."""
+        return [
+            (descriptor, connection)
+            for descriptor, connection in self._selector.connections
+            if connection is not self.server
+            and connection.idle_since_seconds <= since_seconds
+        ]
+
+    def _close_idle(self, idle: list[tuple[int, Any]]) -> None:
+        for descriptor, connection in idle:
+            self._selector.unregister(descriptor)
+            connection.close()
+
     def _resume_accepting(self, now_seconds: float) -> None:
         if self._accept_seconds is None or now_seconds < self._accept_seconds:
             return
