Name the error of the server of callers in its log line

What operators saw: front:server_error with the reason "Error in HTTPServer.serve", 50 lines a second while descriptors were used up, and no word on which error it was.

Cause: cheroot gives the error to its log as a traceback only, which is left out since it could contain prompts.

Evidence: the test failed before; the reason lacked (MemoryError).

Why it works: the line names the type of the error that is being handled. Its text is left out, as it could contain prompts.

Elsewhere: the servers of readiness, discovery and metrics print tracebacks to standard error, as before; they see no prompts.

--- a/src/waxwingwinch/gateway/_front.py
+++ b/src/waxwingwinch/gateway/_front.py
@@ -1,6 +1,7 @@
 """The HTTP server for callers, built on cheroot, the server of CherryPy."""
 
 import socket
+import sys
 import threading
 from http import HTTPStatus
 from typing import Any, Protocol
@@ -405,4 +406,6 @@
         :param level: Severity.
         :param traceback: Unused; a traceback could contain prompts.
         """
-        FrontServerError(reason=msg, level=level).write()
+        error = sys.exception()
+        reason = msg if error is None else f"{msg} ({type(error).__name__})"
+        FrontServerError(reason=reason, level=level).write()
--- a/src/waxwingwinch/platform/tests/test_front.py
+++ b/src/waxwingwinch/platform/tests/test_front.py
@@ -6,7 +6,9 @@
 import time
 from typing import Any
 
+import eliot
 import pytest
+from cheroot.connections import ConnectionManager
 
 from waxwingwinch._types import Address
 from waxwingwinch.gateway._current_table import CurrentTable
@@ -15,6 +17,7 @@
 from waxwingwinch.http import is_closed_by_peer
 from waxwingwinch.peers.tests.ports import free_port
 from waxwingwinch.platform._requests import PlatformRequestDecoder
+from waxwingwinch.platform.tests.standin import wait_until
 
 
 class AnsweringHandler:
@@ -140,3 +143,30 @@
         )
         asking.sendall(REQUEST)
         assert asking.recv(1_024).startswith(b"HTTP/1.1 200")
+
+
+# Guards against log lines on the server's errors that do not say which.
+def test_an_error_of_the_server_is_named_in_the_log(monkeypatch):
+    messages: list[dict[str, Any]] = []
+
+    def accept(manager, listener):
+        listener.accept()[0].close()
+        raise MemoryError
+
+    with front_server(AnsweringHandler()) as (address, _):
+        monkeypatch.setattr(ConnectionManager, "_from_server_socket", accept)
+        eliot.add_destinations(messages.append)
+        try:
+            socket.create_connection((address.host, address.port), 5.0).close()
+            assert wait_until(lambda: reasons_of(messages), 5.0)
+        finally:
+            eliot.remove_destination(messages.append)
+    assert reasons_of(messages) == ["Error in HTTPServer.serve (MemoryError)"]
+
+
+def reasons_of(messages):
+    return [
+        message["reason"]
+        for message in messages
+        if message["message_type"] == "front:server_error"
+    ]
