--- a/src/waxwingwinch/gateway/_caller_connections.py
+++ b/src/waxwingwinch/gateway/_caller_connections.py
@@ -128,9 +128,9 @@
         """
         connection.ready_seconds = self.clock.now_seconds()
         is_new = connection.last_used is None
-        if is_new and self._is_stopping and not connection.has_input:
+        if is_new and not connection.has_input:
             # It holds no thread until its request arrives.
-            self._keep(connection)
+            self._connections.put(connection)
             return
         with self._reading_lock:
             connection.has_request = connection.is_waiting = False
@@ -152,14 +152,10 @@
             is_kept = self.ready and not self._is_closed_to_callers
             if is_kept:
                 self._reading.discard(connection)
-                self._keep(connection)
+                self._connections.put(connection)
         if not is_kept:
             connection.close()
 
-    def _keep(self, connection: CallerConnection) -> None:
-        connection.is_waiting = True
-        self._connections.put(connection)
-
     def take_idle(self) -> list[CallerConnection]:
         """Remove the idle connections from the selector and return them."""
         with self._reading_lock:
--- a/src/waxwingwinch/gateway/_closing.py
+++ b/src/waxwingwinch/gateway/_closing.py
@@ -9,7 +9,10 @@
 from collections.abc import Callable
 from typing import Any
 
-from waxwingwinch.gateway._process_log_lines import ListenerFilterRefused
+from waxwingwinch.gateway._process_log_lines import (
+    AcceptFailed,
+    ListenerFilterRefused,
+)
 from waxwingwinch.kernel import drop_new_handshakes
 
 
@@ -23,7 +26,7 @@
     """
 
     #: Never expires as an idle connection.
-    last_used = math.inf
+    idle_since_seconds = math.inf
 
     def __init__(self, call: Callable[[], None]) -> None:
         self._call = call
@@ -138,12 +141,19 @@
     def _close_listener(self) -> None:
         if self.socket.fileno() < 0:
             return
+        self._connections.stop_accepting()
+        try:
+            self._accept_queue()
+        except OSError as error:
+            # As a rule, the process has no descriptor left.
+            AcceptFailed(reason=repr(error), closed=0).write()
+        self.socket.close()
+
+    def _accept_queue(self) -> None:
         while has_input(self.socket):
             connection = self._connections._from_server_socket(self.socket)
             if connection is not None:
                 self.process_conn(connection)
-        self._connections._selector.unregister(self.socket.fileno())
-        self.socket.close()
 
     def _close_idle(self) -> None:
         for connection in self.take_idle():
--- a/src/waxwingwinch/gateway/_front.py
+++ b/src/waxwingwinch/gateway/_front.py
@@ -1,5 +1,6 @@
 """The HTTP server for callers, built on cheroot, the server of CherryPy."""
 
+import sys
 import threading
 from collections.abc import Callable
 from http import HTTPStatus
@@ -346,4 +347,6 @@
         :param level: Severity.
         :param traceback: Unused; a traceback could contain prompts.
         """
-        FrontServerError(reason=msg, level=level).write()
+        error = sys.exception()
+        reason = msg if error is None else f"{msg} ({type(error).__name__})"
+        FrontServerError(reason=reason, level=level).write()
--- a/src/waxwingwinch/gateway/_thread_pool.py
+++ b/src/waxwingwinch/gateway/_thread_pool.py
@@ -4,6 +4,8 @@
 import threading
 from typing import Any
 
+from waxwingwinch.gateway._idle_connections import IdleConnections
+
 #: Idle time after which a thread beyond the minimum ends; longer than the
 #: pauses within a burst of requests.
 IDLE_THREAD_SECONDS = 2.0
@@ -73,6 +75,9 @@
         """
         Queue a connection; start a thread if none is idle.
 
+        If the operating system refuses a thread, the connection waits for one
+        of those that have been started.
+
         :param connection: The connection.
         """
         with self._lock:
@@ -82,9 +87,15 @@
         self._connections.put(connection)
 
     def _start_thread(self) -> None:
+        thread = threading.Thread(target=self._run, name="front-worker", daemon=True)
+        try:
+            thread.start()
+        except (RuntimeError, MemoryError) as error:
+            # The connection waits for a thread that has been started.
+            self._server.error_log(f"a thread could not be started: {error!r}")
+            return
         self._size += 1
         self._surplus_threads += 1
-        threading.Thread(target=self._run, name="front-worker", daemon=True).start()
 
     def _run(self) -> None:
         while True:
@@ -130,12 +141,13 @@
 
 
 class ElasticThreadPoolMixin:
-    """Mixin that gives a cheroot HTTP server an elastic thread pool."""
+    """Mixin with the thread pool and idle connections of an HTTP server."""
 
     #: Interval at which expired idle connections are closed; half of the
     #: margin by which callers close their idle connections earlier.
     expiration_interval = 1.0
     requests: Any
+    _connections: Any
 
     def configure_threads(self, min_threads: int, max_threads: int) -> None:
         """
@@ -146,5 +158,11 @@
         """
         self.requests = ElasticThreadPool(self, min_threads, max_threads)
 
+    def prepare(self) -> None:
+        """Listen, and start the minimum number of threads."""
+        super().prepare()  # type: ignore[misc]
+        self._connections.close()
+        self._connections = IdleConnections(self)
+
     def _serve_unservicable(self) -> None:
         """Do nothing; no connection is rejected because of a full queue."""
--- a/src/waxwingwinch/platform/tests/test_front.py
+++ b/src/waxwingwinch/platform/tests/test_front.py
@@ -6,7 +6,9 @@
 import time
 from typing import Any
 
+import eliot
 import pytest
+from cheroot.connections import ConnectionManager
 
 from waxwingwinch._types import Address
 from waxwingwinch.gateway._current_table import CurrentTable
@@ -18,6 +20,7 @@
 from waxwingwinch.http import is_closed_by_peer
 from waxwingwinch.peers.tests.ports import free_port
 from waxwingwinch.platform._requests import PlatformRequestDecoder
+from waxwingwinch.platform.tests.standin import wait_until
 
 
 class AnsweringHandler:
@@ -80,14 +83,14 @@
     handler = ObservingHandler()
     with front_server(handler) as (address, server):
         with socket.create_connection((address.host, address.port), 5.0) as caller:
+            caller.sendall(b"G")
             while not server.under_way:
                 time.sleep(0.01)
             stop_reading = FrontConnection.stop_reading
 
             def send_and_stop(connection):
                 caller.sendall(
-                    b"GET /a HTTP/1.1\r\nHost: h\r\n"
-                    b"X-Waxwingwinch-Request-Id: r\r\n\r\n"
+                    b"ET /a HTTP/1.1\r\nHost: h\r\nX-Waxwingwinch-Request-Id: r\r\n\r\n"
                 )
                 time.sleep(0.3)
                 stop_reading(connection)
@@ -219,15 +222,86 @@
         with connect(address) as caller:
             caller.sendall(REQUEST)
             assert caller.recv(1_000).startswith(b"HTTP/1.1 200")
-            expire = server._connections._expire
+            close_idle = server._connections._close_idle
 
-            def send_and_expire(threshold):
+            def send_and_close(expired):
                 caller.sendall(REQUEST)
-                expire(threshold)
+                close_idle(expired)
 
-            monkeypatch.setattr(server._connections, "_expire", send_and_expire)
-            shortened = CallerLimits(idle_timeout_seconds=-60.0)
+            monkeypatch.setattr(server._connections, "_close_idle", send_and_close)
+            shortened = CallerLimits(idle_timeout_seconds=-1.95)
+            time.sleep(0.2)
             monkeypatch.setattr(FrontServer, "limits", shortened)
             # The server looks for idle connections after an event.
             connect(address).close()
             assert caller.recv(1_000).startswith(b"HTTP/1.1 200")
+
+
+# Guards against kept connections that are closed all at once, or never, as the
+# time of day is set.
+@pytest.mark.parametrize("step_seconds", [3_600.0, -3_600.0])
+def test_idle_connections_end_in_time_whatever_the_time_of_day(
+    monkeypatch, step_seconds
+):
+    wall_seconds = time.time
+    timeout_seconds = 2.5
+    monkeypatch.setattr(
+        FrontServer, "timeout", property(lambda _: timeout_seconds, lambda *_: None)
+    )
+    with (
+        front_server(AnsweringHandler()) as (address, _),
+        socket.create_connection((address.host, address.port), 5.0) as caller,
+    ):
+        caller.sendall(REQUEST)
+        assert caller.recv(1_024).startswith(b"HTTP/1.1 200")
+        # The server keeps the connection only after it has written the answer.
+        time.sleep(0.2)
+        monkeypatch.setattr(time, "time", lambda: wall_seconds() + step_seconds)
+        time.sleep(1.3)
+        assert not is_closed_by_peer(caller)
+        time.sleep(3.0)
+        assert is_closed_by_peer(caller)
+
+
+# Guards against callers that connect and send nothing, and take the threads of
+# those that ask.
+def test_silent_callers_hold_up_no_others():
+    with contextlib.ExitStack() as callers:
+        address, server = callers.enter_context(front_server(AnsweringHandler()))
+        for _ in range(server.requests.max):
+            callers.enter_context(
+                socket.create_connection((address.host, address.port), 5.0)
+            )
+        time.sleep(0.2)
+        asking = callers.enter_context(
+            socket.create_connection((address.host, address.port), 1.0)
+        )
+        asking.sendall(REQUEST)
+        assert asking.recv(1_024).startswith(b"HTTP/1.1 200")
+
+
+# Guards against log lines on the server's errors that do not say which.
+def test_an_error_of_the_server_is_named_in_the_log(monkeypatch):
+    messages: list[dict[str, Any]] = []
+
+    def accept(manager, listener):
+        listener.accept()[0].close()
+        raise MemoryError
+
+    with front_server(AnsweringHandler()) as (address, _):
+        monkeypatch.setattr(ConnectionManager, "_from_server_socket", accept)
+        eliot.add_destinations(messages.append)
+        try:
+            socket.create_connection((address.host, address.port), 5.0).close()
+            assert wait_until(lambda: reasons_of(messages), 5.0)
+        finally:
+            eliot.remove_destination(messages.append)
+    assert reasons_of(messages) == ["Error in HTTPServer.serve (MemoryError)"]
+
+
+def reasons_of(messages):
+    return [
+        message["reason"]
+        for message in messages
+        if message["message_type"] == "front:server_error"
+    ]
