--- a/src/waxwingwinch/peers/tests/ports.py
+++ b/src/waxwingwinch/peers/tests/ports.py
@@ -14,7 +14,7 @@
 _offsets = itertools.count(os.getpid() * PROCESS_STRIDE)
 
 
-def free_port():
+def free_port() -> int:
     """Return an unused port, a different one at each call."""
     while True:
         port = PORTS[next(_offsets) % len(PORTS)]
--- a/src/waxwingwinch/platform/tests/standin.py
+++ b/src/waxwingwinch/platform/tests/standin.py
@@ -7,6 +7,7 @@
 import sys
 import threading
 import time
+from collections.abc import Iterable
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from pathlib import Path
 from typing import Any
@@ -42,7 +43,12 @@
     def log_message(self, format, *arguments):
         """Suppress the access log in the test output."""
 
-    def respond(self, status, body=b"", headers=()):
+    def respond(
+        self,
+        status: int,
+        body: bytes = b"",
+        headers: Iterable[tuple[str, str]] = (),
+    ) -> None:
         self.send_response(status)
         for name, value in headers:
             self.send_header(name, value)
@@ -53,7 +59,7 @@
         except OSError:
             self.close_connection = True
 
-    def body(self):
+    def body(self) -> bytes:
         return self.rfile.read(int(self.headers.get("Content-Length", 0)))
 
 
@@ -69,7 +75,7 @@
 
     handler: type[BaseHTTPRequestHandler]
 
-    def __init__(self):
+    def __init__(self) -> None:
         outer = self
 
         class Handler(self.handler):  # type: ignore[name-defined,misc]
@@ -79,7 +85,7 @@
         self.port = self.server.server_address[1]
         threading.Thread(target=self.server.serve_forever, daemon=True).start()
 
-    def stop(self):
+    def stop(self) -> None:
         self.server.shutdown()
         self.server.server_close()
 
@@ -91,7 +97,12 @@
     def do_POST(self):
         self.route()
 
-    def respond(self, status, body=b"", headers=()):
+    def respond(
+        self,
+        status: int,
+        body: bytes = b"",
+        headers: Iterable[tuple[str, str]] = (),
+    ) -> None:
         if self.owner.era is not None:
             headers = [*headers, ("Store-Era", str(self.owner.era))]
         super().respond(status, body, headers)
@@ -175,13 +186,13 @@
 
     handler = StoreHandler
 
-    def __init__(self):
-        self.topics = {}
+    def __init__(self) -> None:
+        self.topics: dict[str, list[bytes]] = {}
         self.changed = threading.Condition()
         self.is_down = False
         self.calls = 0
         #: Number of returns from an older copy; None without the header.
-        self.era = None
+        self.era: int | None = None
         super().__init__()
 
     def copy(self):
@@ -196,7 +207,7 @@
             self.era = (self.era or 0) + 1
             self.changed.notify_all()
 
-    def put(self, topic, key, value):
+    def put(self, topic: str, key: str, value: Any) -> None:
         encoded = key.encode()
         payload = json.dumps(value).encode() if value is not None else b""
         record = bytes([len(encoded)]) + encoded + payload
