Say why a lost request counts in the soak's report

A case of LOST names the planned work beside which the request was cut, or that its instance was calm, and only a SIGTERM whose grace period it lies in; before, a stop of the instance's predecessor was named too. The checks decide as before; unit tests hold the reasons.

--- a/src/waxwing_testbed/soak/_lost.py
+++ b/src/waxwing_testbed/soak/_lost.py
@@ -26,21 +26,29 @@
     :param history: The history.
     """
     lost = [call for call in history.calls if _is_lost(history, call)]
-    planned = [call for call in lost if _is_planned(history, call)]
+    reasons = {}
+    for call in lost:
+        if _is_planned(history, call):
+            reasons[call.request_id] = "beside a stop or reload"
     beside = [call for call in lost if _is_beside_configuration(history, call)]
     if _cuts_more_often(history, beside, lost):
-        planned += [call for call in beside if call not in planned]
+        for call in beside:
+            reasons.setdefault(call.request_id, "beside a configuration")
     kept = [
         call
         for call in lost
-        if call not in planned
+        if call.request_id not in reasons
         and call.is_kept
         and history.runs_of(call)
         and not _is_disturbed(history, call)
     ]
     if len(kept) > _TOLERATED_CUTS:
-        planned += kept
-    return [_lost_case(history, call) for call in planned]
+        reasons.update((call.request_id, "at a calm instance") for call in kept)
+    return [
+        _lost_case(history, call, reasons[call.request_id])
+        for call in lost
+        if call.request_id in reasons
+    ]
 
 
 def _is_lost(history: History, call: Call) -> bool:
@@ -127,11 +135,12 @@
     )
 
 
-def _lost_case(history: History, call: Call) -> Case:
+def _lost_case(history: History, call: Call, reason: str) -> Case:
     waited_seconds = call.ended_seconds - call.sent_seconds
-    detail = f"{call.result}, {waited_seconds:.3f} s after its last byte"
+    detail = f"{reason}, {call.result}, {waited_seconds:.3f} s after its last byte"
     detail += f", {len(history.runs_of(call))} upstreams got it"
-    for stop in _since(history, Cause.TERM, call, 0.0)[-1:]:
+    since_seconds = call.ended_seconds - history.bounds.grace_seconds - _MARGIN_SECONDS
+    for stop in _since(history, Cause.TERM, call, since_seconds)[-1:]:
         passed_seconds = call.ended_seconds - stop.started_seconds
         detail += f", {passed_seconds:.2f} s after SIGTERM"
     return make_case("LOST", call, detail)
--- a/src/waxwing_testbed/soak/tests/test_checks.py
+++ b/src/waxwing_testbed/soak/tests/test_checks.py
@@ -65,6 +65,7 @@
 def test_a_request_cut_by_a_stop_is_lost():
     (case,) = found(check_lost, CUT, CUT_RUN, STOP)
     assert (case.rule, case.request_id, case.instance) == ("LOST", "c1", "edge-0")
+    assert "beside a stop or reload" in case.detail
     assert "4.50 s after SIGTERM" in case.detail
 
 
@@ -91,7 +92,8 @@
 
 def test_requests_cut_only_beside_configurations_are_lost():
     second = evolve(FIRST, version=2, sent_seconds=19.0, acknowledged_seconds=19.0)
-    assert found(check_lost, CUT, CUT_RUN, second)
+    (case,) = found(check_lost, CUT, CUT_RUN, second)
+    assert "beside a configuration" in case.detail
     # Three times as many in seven times the time: under three times as often.
     new = evolve(CUT, is_kept=False)
     calls = [
@@ -112,7 +114,8 @@
 def test_more_than_three_kept_requests_cut_in_calm_times_are_lost():
     calls = [evolve(CUT, request_id=f"c{number}") for number in range(4)]
     runs = [evolve(CUT_RUN, request_id=call.request_id) for call in calls]
-    assert len(found(check_lost, *calls, *runs)) == 4
+    cases = found(check_lost, *calls, *runs)
+    assert ["at a calm instance" in case.detail for case in cases] == [True] * 4
     assert not found(check_lost, *calls[:3], *runs[:3])
     assert not found(check_lost, *calls)
 
