Open a reservation of memory for each request

The state of the process holds one account of the memory that requests and answers hold. The front opens a reservation before it reads a body and releases it once the answer is written. Relays reach it as job.reservation (or job.request.reservation) and the account as RelayContext.memory.

--- a/src/waxwingwinch/gateway/_front.py
+++ b/src/waxwingwinch/gateway/_front.py
@@ -5,7 +5,7 @@
 from http import HTTPStatus
 from typing import Any, Protocol
 
-from attrs import frozen
+from attrs import field, frozen
 from cheroot.server import HTTPConnection, HTTPRequest, HTTPServer
 
 from waxwingwinch._types import Address
@@ -18,6 +18,11 @@
     StrictHeaderReader,
     read_body,
 )
+from waxwingwinch.gateway._memory_account import (
+    MemoryAccount,
+    Reservation,
+    unbounded_reservation,
+)
 from waxwingwinch.gateway._model import CallerLimits
 from waxwingwinch.gateway._outcomes import CallerDisconnected
 from waxwingwinch.gateway._process_log_lines import FrontServerError
@@ -54,6 +59,7 @@
     :param headers: All headers in the order received.
     :param body: The complete body.
     :param connection: The caller's socket; None if it can't be watched.
+    :param reservation: The memory that the request and its answer hold.
     """
 
     method: str
@@ -61,6 +67,9 @@
     headers: tuple[tuple[str, str], ...]
     body: bytes
     connection: Any = None
+    reservation: Reservation = field(
+        factory=unbounded_reservation, eq=False, repr=False
+    )
 
 
 class RequestDecoder(Protocol):
@@ -193,7 +202,11 @@
 
     def respond(self) -> None:
         """Read the body and handle the request."""
-        responder = FrontResponder(self)
+        server: FrontServer = self.server
+        with server.memory.open() as reservation:
+            self._respond(FrontResponder(self), reservation)
+
+    def _respond(self, responder: FrontResponder, reservation: Reservation) -> None:
         server: FrontServer = self.server
         try:
             body = read_body(
@@ -205,6 +218,7 @@
                 tuple(self.inheaders.pairs),
                 body,
                 self.conn.socket if self.conn.is_watchable else None,
+                reservation,
             )
             request = server.decoder.decode(raw, server.clock.now_seconds())
         except (MalformedRequest, BodyTooLarge) as error:
@@ -287,6 +301,7 @@
     :param table: Holds the configuration, with the limits on requests.
     :param clock: Source of the present time.
     :param max_concurrent_requests: Requests that may be in progress at once.
+    :param memory: Counts the memory that requests and answers hold.
     """
 
     ConnectionClass = FrontConnection
@@ -299,6 +314,7 @@
         table: CurrentTable,
         clock: Clock,
         max_concurrent_requests: int,
+        memory: MemoryAccount,
     ) -> None:
         super().__init__((address.host, address.port), gateway=None)
         self.configure_threads(
@@ -310,6 +326,8 @@
         self.handler = handler
         self.decoder = decoder
         self.clock = clock
+        #: Counts the memory that requests and answers hold.
+        self.memory = memory
         #: True once the server shuts down; each response then closes its
         #: connection.
         self.is_stopping = False
--- a/src/waxwingwinch/gateway/_job.py
+++ b/src/waxwingwinch/gateway/_job.py
@@ -7,6 +7,7 @@
 from waxwingwinch.gateway._connections import Cancellation, CancelReason
 from waxwingwinch.gateway._crash_evidence import CrashEvidence
 from waxwingwinch.gateway._loads import LoadTracker
+from waxwingwinch.gateway._memory_account import MemoryAccount, Reservation
 from waxwingwinch.gateway._model import CustomerRules, Route, ServiceRules
 from waxwingwinch.gateway._named_limits import NamedLimits
 from waxwingwinch.gateway._outcomes import (
@@ -63,6 +64,11 @@
         """Customer of the request; None on public routes."""
         return self.customer.customer_id if self.customer is not None else None
 
+    @property
+    def reservation(self) -> Reservation:
+        """The memory that the request and its answer hold."""
+        return self.request.reservation
+
     @property
     def priority(self) -> int:
         """Priority of the request; 0 is the most urgent."""
@@ -185,6 +191,7 @@
     :param telemetry: Metrics of the process.
     :param returns: Tells refused callers when upstreams return.
     :param crashes: Crashes of engines, and the parts blamed for them.
+    :param memory: Counts the memory that requests and answers hold.
     """
 
     clock: Clock = field(repr=False)
@@ -202,6 +209,7 @@
     telemetry: Telemetry = field(repr=False)
     returns: ReturnSchedule = field(repr=False)
     crashes: CrashEvidence = field(repr=False)
+    memory: MemoryAccount = field(repr=False)
 
 
 def raise_if_cancelled(job: Job, error: Exception) -> None:
--- a/src/waxwingwinch/gateway/_memory_account.py
+++ b/src/waxwingwinch/gateway/_memory_account.py
@@ -1,5 +1,6 @@
 """The memory that requests and their answers may hold in one process."""
 
+import sys
 import threading
 
 
@@ -124,3 +125,8 @@
 
     def __exit__(self, *_: object) -> None:
         self.release()
+
+
+def unbounded_reservation() -> Reservation:
+    """Return an empty reservation of an account of its own without a limit."""
+    return MemoryAccount(sys.maxsize).open()
--- a/src/waxwingwinch/gateway/_process.py
+++ b/src/waxwingwinch/gateway/_process.py
@@ -159,6 +159,7 @@
             self._state.table,
             clock,
             self._max_concurrent_requests,
+            self._state.memory,
         )
         self._make_followers()
         self._reports = StateReporter(
@@ -224,6 +225,7 @@
             state.telemetry,
             ReturnSchedule(state.directory, state.members),
             state.crashes,
+            state.memory,
         )
         return RequestHandler(
             context,
--- a/src/waxwingwinch/gateway/_requests.py
+++ b/src/waxwingwinch/gateway/_requests.py
@@ -4,6 +4,8 @@
 
 from attrs import field, frozen
 
+from waxwingwinch.gateway._memory_account import Reservation, unbounded_reservation
+
 
 @frozen
 class PromptPart:
@@ -62,6 +64,7 @@
     :param last_event_id: The last event that the caller received, if it
         resumes a stream.
     :param connection: The caller's socket.
+    :param reservation: The memory that the request and its answer hold.
     """
 
     request_id: str
@@ -77,6 +80,9 @@
     prompt: Prompt | None = None
     last_event_id: str | None = None
     connection: socket.socket | None = field(default=None, repr=False)
+    reservation: Reservation = field(
+        factory=unbounded_reservation, eq=False, repr=False
+    )
 
 
 @frozen
--- a/src/waxwingwinch/gateway/_state.py
+++ b/src/waxwingwinch/gateway/_state.py
@@ -9,6 +9,7 @@
 from waxwingwinch.gateway._limit_keeper import LimitKeeper
 from waxwingwinch.gateway._loads import LoadTracker
 from waxwingwinch.gateway._members import Member, MemberDirectory
+from waxwingwinch.gateway._memory_account import MemoryAccount
 from waxwingwinch.gateway._named_limits import NamedLimits
 from waxwingwinch.gateway._options import GatewayOptions
 from waxwingwinch.gateway._outage import OutageTracker
@@ -36,6 +37,7 @@
     :param limits: Limits that upstreams name.
     :param limit_keeper: Keeps the limits of some upstreams for all instances.
     :param crashes: Crashes of engines, and the parts blamed for them.
+    :param memory: Counts the memory that requests and answers hold.
     :param table: The configuration in force.
     :param directory: Directory of the registered upstreams.
     :param loads: Work in progress at the upstreams.
@@ -57,6 +59,7 @@
     limits: NamedLimits
     limit_keeper: LimitKeeper
     crashes: CrashEvidence
+    memory: MemoryAccount
     table: CurrentTable = field(factory=CurrentTable)
     directory: UpstreamDirectory = field(factory=UpstreamDirectory)
     loads: LoadTracker = field(factory=LoadTracker)
@@ -98,6 +101,7 @@
             limits,
             LimitKeeper(limits, quotas.share, now_seconds),
             CrashEvidence(local_member.instance_id),
+            MemoryAccount(options.memory_bytes),
         )
 
     @property
--- a/src/waxwingwinch/gateway/tests/relay_harness.py
+++ b/src/waxwingwinch/gateway/tests/relay_harness.py
@@ -23,6 +23,7 @@
 from waxwingwinch.gateway._limit_keeper import LimitKeeper
 from waxwingwinch.gateway._loads import LoadTracker
 from waxwingwinch.gateway._members import Member, MemberDirectory
+from waxwingwinch.gateway._memory_account import MemoryAccount
 from waxwingwinch.gateway._model import (
     CustomerRules,
     EngineTraits,
@@ -381,6 +382,7 @@
             self.directory, self.limits, self.telemetry, self.clock
         )
         self.transport.on_statements = observer.observe
+        self.memory = MemoryAccount(10**9)
         context = RelayContext(
             self.clock,
             ZONE,
@@ -397,6 +399,7 @@
             self.telemetry,
             ReturnSchedule(self.directory, self.members),
             self.crashes,
+            self.memory,
         )
         self.handler = RequestHandler(context, self.table, self.quotas, CallerWatcher())
         self.version = 0
--- a/src/waxwingwinch/gateway/tests/test_cache_survey.py
+++ b/src/waxwingwinch/gateway/tests/test_cache_survey.py
@@ -7,6 +7,7 @@
 from waxwingwinch.gateway._crash_evidence import CrashEvidence
 from waxwingwinch.gateway._limit_keeper import LimitKeeper
 from waxwingwinch.gateway._members import Member, MemberDirectory
+from waxwingwinch.gateway._memory_account import MemoryAccount
 from waxwingwinch.gateway._model import GatewayConfiguration
 from waxwingwinch.gateway._named_limits import NamedLimits
 from waxwingwinch.gateway._quota import QuotaTracker
@@ -38,6 +39,7 @@
         limits,
         LimitKeeper(limits, quotas.share, 0.0),
         CrashEvidence(own.instance_id),
+        MemoryAccount(10**9),
     )
     state.table.publish(GatewayConfiguration(1, (), {"llm": LLM, "shop": SHOP}))
     return state
--- a/src/waxwingwinch/platform/_requests.py
+++ b/src/waxwingwinch/platform/_requests.py
@@ -66,6 +66,7 @@
             prompt=_parse_prompt(headers),
             last_event_id=headers.get(LAST_EVENT_ID.lower()),
             connection=raw.connection,
+            reservation=raw.reservation,
         )
 
 
--- a/src/waxwingwinch/platform/tests/test_front.py
+++ b/src/waxwingwinch/platform/tests/test_front.py
@@ -11,6 +11,7 @@
 from waxwingwinch._types import Address
 from waxwingwinch.gateway._current_table import CurrentTable
 from waxwingwinch.gateway._front import FrontConnection, FrontServer
+from waxwingwinch.gateway._memory_account import MemoryAccount
 from waxwingwinch.gateway.tests.fakes import FakeClock
 from waxwingwinch.http import is_closed_by_peer
 from waxwingwinch.peers.tests.ports import free_port
@@ -32,6 +33,7 @@
         CurrentTable(),
         FakeClock(),
         4,
+        MemoryAccount(10**9),
     )
     server.start_in_background()
     try:
