Tell the memory of a gateway process in metrics and at its end

Nothing said how much memory a process has or had: a process that was killed for it looked like any other that ended. Gauges tell its resident memory, the peak, and what requests hold; the line gateway:memory_used tells the same when the process ends.

--- a/src/waxwingwinch/gateway/_instance_endpoints.py
+++ b/src/waxwingwinch/gateway/_instance_endpoints.py
@@ -7,6 +7,7 @@
 from waxwingwinch.gateway._loads import NO_LOAD
 from waxwingwinch.gateway._members import addresses_for
 from waxwingwinch.gateway._options import GatewayAdapter
+from waxwingwinch.gateway._process_memory import peak_resident_bytes, resident_bytes
 from waxwingwinch.gateway._state import GatewayState
 from waxwingwinch.gateway._telemetry import Gauge
 from waxwingwinch.kernel import Clock
@@ -103,6 +104,7 @@
             ),
             Gauge("waxwing_blamed_parts", (), self._state.crashes.blamed_count()),
             Gauge("waxwing_instances_heard", (), ready_peer_count),
+            *self._memory_gauges(),
             *self._upstream_gauges(),
             *self._limit_gauges(now_seconds),
             *self._named_limit_gauges(now_seconds),
@@ -110,6 +112,17 @@
             *self._load_gauges(now_seconds),
         ]
 
+    def _memory_gauges(self) -> list[Gauge]:
+        """Return the memory of the process and of the requests' account."""
+        memory = self._state.memory
+        return [
+            Gauge("waxwing_resident_bytes", (), resident_bytes()),
+            Gauge("waxwing_resident_peak_bytes", (), peak_resident_bytes()),
+            Gauge("waxwing_request_memory_bytes", (), memory.held_bytes),
+            Gauge("waxwing_request_memory_peak_bytes", (), memory.peak_bytes),
+            Gauge("waxwing_request_memory_limit_bytes", (), memory.limit_bytes),
+        ]
+
     def _upstream_gauges(self) -> list[Gauge]:
         counts: dict[tuple[str, str], int] = {}
         for upstream in self._state.directory.all():
--- a/src/waxwingwinch/gateway/_process.py
+++ b/src/waxwingwinch/gateway/_process.py
@@ -37,7 +37,9 @@
     GatewayStarting,
     GatewayStopped,
     GatewayStopping,
+    MemoryUsed,
 )
+from waxwingwinch.gateway._process_memory import peak_resident_bytes
 from waxwingwinch.gateway._record_applier import RecordApplier
 from waxwingwinch.gateway._reports import StateReporter
 from waxwingwinch.gateway._returns import ReturnSchedule
@@ -190,6 +192,12 @@
         self._duty_worker.start()
         self._state.stopping.wait()
         self._stop()
+        MemoryUsed(
+            resident_peak_bytes=peak_resident_bytes(),
+            memory_bytes=self._options.memory_bytes,
+            held_peak_bytes=self._state.memory.peak_bytes,
+            limit_bytes=self._state.memory.limit_bytes,
+        ).write()
 
     def request_stop(self) -> None:
         """Request a graceful stop; safe to call from a signal handler."""
--- a/src/waxwingwinch/gateway/_process_log_lines.py
+++ b/src/waxwingwinch/gateway/_process_log_lines.py
@@ -53,6 +53,23 @@
     took_seconds: float
 
 
+@log_line("gateway:memory_used")
+class MemoryUsed(LogLine):
+    """
+    The memory that the process has used, written at its end.
+
+    :param resident_peak_bytes: Largest resident memory of the process.
+    :param memory_bytes: Memory that it may use.
+    :param held_peak_bytes: Most that requests and answers held at once.
+    :param limit_bytes: Maximum of what they may hold.
+    """
+
+    resident_peak_bytes: int
+    memory_bytes: int
+    held_peak_bytes: int
+    limit_bytes: int
+
+
 @log_line("gateway:not_withdrawn")
 class GatewayNotWithdrawn(LogLine):
     """
--- a/src/waxwingwinch/platform/tests/standin.py
+++ b/src/waxwingwinch/platform/tests/standin.py
@@ -297,6 +297,7 @@
         self.named_seconds = None
         self.work_seconds = 0.0
         self.drops_responses = False
+        self.slots = 6
         self.cold_ms = 0
         self.events = 5
         self.pause_seconds = 0.01
@@ -311,7 +312,7 @@
             "service": "shop",
             "address": f"{HOST}:{self.port}",
             "zone": "north",
-            "slots": 6,
+            "slots": self.slots,
             "state": state,
             "coldLeftMs": self.cold_ms,
             "seqNo": self.sequence,
