Show that long bodies drive a process over its memory

Real processes with limits of 100, 150 and 300 MB get bodies of 4 MiB in parts, some never finished, some chunked without end.

--- a/src/waxwingwinch/platform/tests/test_memory.py
+++ b/src/waxwingwinch/platform/tests/test_memory.py
@@ -3,8 +3,11 @@
 import http.client
 import json
 
+import pytest
+
 from waxwingwinch.platform.tests.memory_callers import (
     BYTES_PER_MB,
+    MAX_BODY_BYTES,
     MemoryHarness,
 )
 from waxwingwinch.platform.tests.standin import HOST
@@ -40,3 +43,38 @@
         (line,) = lines_of(harness.gateway, "gateway:memory_used")
         assert line["memory_bytes"] == 150 * BYTES_PER_MB
         assert line["resident_peak_bytes"] >= resident
+
+
+# Guards against a process that long bodies, as the configuration allows them,
+# drive over its memory: it is killed and takes all its requests along.
+@pytest.mark.parametrize(("memory_mb", "callers"), [(100, 40), (150, 60), (300, 100)])
+def test_long_bodies_stay_below_the_limit(tmp_path, memory_mb, callers):
+    with MemoryHarness(tmp_path, memory_mb, work_seconds=1.5) as harness:
+        whole = [harness.caller(pause_seconds=0.005) for _ in range(callers)]
+        unfinished = [
+            harness.caller(sent_bytes=MAX_BODY_BYTES // 2) for _ in range(callers // 10)
+        ]
+        endless = [harness.caller(length=None) for _ in range(callers // 10)]
+        harness.call(*whole, *unfinished, *endless)
+        assert harness.gateway.process.poll() is None
+        assert harness.memory_mb() < memory_mb
+        everyone = (*whole, *unfinished, *endless)
+        assert [caller.error for caller in everyone if not caller.status] == []
+        assert {caller.status for caller in whole} <= {200, 503}
+        assert {caller.status for caller in unfinished} <= {408, 503}
+        assert {caller.status for caller in endless} <= {413, 503}
+        refused = [caller for caller in everyone if caller.status == 503]
+        assert all(b"Retry-After: " in caller.answer for caller in refused)
+        passed_on = harness.upstream.request_ids
+        assert not passed_on & {caller.request_id for caller in refused}
+        assert harness.call(harness.caller(length=100)).status == 200
+
+
+# Guards against refusing a burst of ordinary requests for their memory.
+@pytest.mark.parametrize(("memory_mb", "callers"), [(100, 100), (300, 256)])
+def test_a_burst_of_small_requests_is_served(tmp_path, memory_mb, callers):
+    with MemoryHarness(tmp_path, memory_mb, work_seconds=1.5) as harness:
+        burst = [harness.caller(length=1_000) for _ in range(callers)]
+        harness.call(*burst)
+        assert {caller.status for caller in burst} == {200}
+        assert harness.memory_mb() < memory_mb
