Let callers that still send a body get an early answer

A request that was answered before its body was read (413, 400, 408) had its connection closed with bytes unread, so the kernel reset it: callers that send first and read then saw a broken pipe in place of the answer.

Elsewhere: all answers of the front itself take this way. Answers of the handler come after the whole body, but for bytes of a next request.

--- a/src/waxwingwinch/gateway/_front.py
+++ b/src/waxwingwinch/gateway/_front.py
@@ -18,6 +18,7 @@
     StrictHeaderReader,
     read_body,
 )
+from waxwingwinch.gateway._lingering_close import LingeringCloser
 from waxwingwinch.gateway._memory_account import (
     MemoryAccount,
     Reservation,
@@ -234,6 +235,7 @@
         # The next request on the connection can't be told apart from the
         # rest of the body.
         self.close_connection = True
+        self.conn.has_rest = True
         try:
             responder.respond(status, (), b"")
         except CallerDisconnected as lost:
@@ -247,6 +249,7 @@
         :param msg: The error, for the log.
         """
         self.close_connection = True
+        self.conn.has_rest = True
         RequestMalformed(int(str(status).partition(" ")[0]), str(msg)).write()
         head = f"HTTP/1.1 {status}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
         try:
@@ -264,6 +267,8 @@
     #: False once reading has been shut down, which looks as if the caller had
     #: closed the connection.
     is_watchable = True
+    #: True once a request was answered before it was read to its end.
+    has_rest = False
 
     def communicate(self) -> bool:
         """Handle the next request; return whether to keep the connection."""
@@ -276,6 +281,13 @@
         finally:
             server.end_reading(self)
 
+    def close(self) -> None:
+        """Close the connection; a caller that still sends gets its answer."""
+        if self.has_rest:
+            self.server.lingering.add(self.socket)
+        else:
+            super().close()  # type: ignore[no-untyped-call]
+
     def stop_reading(self) -> None:
         """Read nothing that has not arrived yet."""
         self.is_watchable = False
@@ -326,6 +338,8 @@
         self.handler = handler
         self.decoder = decoder
         self.clock = clock
+        #: Closes connections whose requests weren't read to their end.
+        self.lingering = LingeringCloser(clock)
         #: Counts the memory that requests and answers hold.
         self.memory = memory
         #: True once the server shuts down; each response then closes its
--- a/src/waxwingwinch/gateway/_request_log_lines.py
+++ b/src/waxwingwinch/gateway/_request_log_lines.py
@@ -356,6 +356,21 @@
     status: int
 
 
+@log_line("request:rest_not_read")
+class RestNotRead(LogLine):
+    """
+    A connection was closed before its caller had sent the rest of a request.
+
+    The request was answered before; the caller may not get the answer.
+
+    :param reason: Why no more is read (number, time, amount or an error).
+    :param discarded_bytes: How much was read and discarded.
+    """
+
+    reason: str
+    discarded_bytes: int
+
+
 @log_line("request:malformed")
 class RequestMalformed(LogLine):
     """
