Refuse requests for which there is no memory before their bodies are read

Callers with bodies of 4 MiB, as maxBodyBytes allows, drove a process over its memory: it was killed, and requests that upstreams had got ended without an answer. 256 requests were admitted at an estimate of 0.5 MB each, after their bodies had been read.

Each request reserves 128 KiB and its body, in chunks step by step, from one account before the body is read. The limit is memoryMb less the resident memory at the start and a fifth for what the process needs beside. Without room the request gets 503 with Retry-After and Connection: close, and isn't run. A body has to be whole by its caller's deadline; each wait for a byte has headerTimeoutMs as before.

Elsewhere: answers of upstreams, store and peers are not accounted here.

--- a/src/waxwingwinch/gateway/_front.py
+++ b/src/waxwingwinch/gateway/_front.py
@@ -9,6 +9,7 @@
 from cheroot.server import HTTPConnection, HTTPRequest, HTTPServer
 
 from waxwingwinch._types import Address
+from waxwingwinch.gateway._caller_stream import CallerStream, body_end_seconds
 from waxwingwinch.gateway._current_table import CurrentTable
 from waxwingwinch.gateway._handler import RequestHandler
 from waxwingwinch.gateway._http_parser import (
@@ -21,6 +22,7 @@
 from waxwingwinch.gateway._lingering_close import LingeringCloser
 from waxwingwinch.gateway._memory_account import (
     MemoryAccount,
+    MemoryExhausted,
     Reservation,
     unbounded_reservation,
 )
@@ -46,6 +48,11 @@
 #: Added to the idle timeout that callers use, so that the caller closes an
 #: idle connection first.
 IDLE_TIMEOUT_MARGIN_SECONDS = 2.0
+#: Memory of a request beside its body: its thread, its head, and the buffers
+#: of its connections.
+REQUEST_BYTES = 131_072
+#: Part of the memory for requests and answers that new requests leave free.
+REQUEST_SPARE_FRACTION = 0.125
 #: Statuses whose responses end with their head.
 BODILESS_STATUSES = (HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED)
 
@@ -210,32 +217,64 @@
     def _respond(self, responder: FrontResponder, reservation: Reservation) -> None:
         server: FrontServer = self.server
         try:
-            body = read_body(
-                self.conn.rfile, self.inheaders, server.limits.max_body_bytes
-            )
-            raw = RawRequest(
-                self.method.decode("latin-1"),
-                self.uri.decode("latin-1"),
-                tuple(self.inheaders.pairs),
-                body,
-                self.conn.socket if self.conn.is_watchable else None,
-                reservation,
-            )
-            request = server.decoder.decode(raw, server.clock.now_seconds())
+            head = self._decode_head(reservation)
+            reservation.grow(REQUEST_BYTES, REQUEST_SPARE_FRACTION)
+            body = self._read_body(head)
         except (MalformedRequest, BodyTooLarge) as error:
             self._reject(responder, error)
             return
+        except MemoryExhausted as exhausted:
+            self._close_with_rest()
+            server.handler.refuse_for_memory(head, responder, exhausted)
+            return
+        request = head.with_body(body, server.clock.now_seconds())
         server.handler.handle(request, responder)
         if not responder.is_complete:
             self.close_connection = True
 
-    def _reject(self, responder: FrontResponder, error: ValueError) -> None:
-        status = 413 if isinstance(error, BodyTooLarge) else 400
-        RequestMalformed(status, str(error)).write()
+    def _decode_head(self, reservation: Reservation) -> GatewayRequest:
+        """Return the request without its body."""
+        server: FrontServer = self.server
+        raw = RawRequest(
+            self.method.decode("latin-1"),
+            self.uri.decode("latin-1"),
+            tuple(self.inheaders.pairs),
+            b"",
+            self.conn.socket if self.conn.is_watchable else None,
+            reservation,
+        )
+        return server.decoder.decode(raw, server.clock.now_seconds())
+
+    def _read_body(self, head: GatewayRequest) -> bytearray:
+        server: FrontServer = self.server
+        limits = server.limits
+        pause_seconds = limits.header_timeout_seconds
+        end_seconds = body_end_seconds(
+            head.arrived_seconds,
+            head.deadline_seconds,
+            server.route_timeout_seconds(head),
+            pause_seconds,
+        )
+        stream = CallerStream(
+            self.conn.rfile, self.conn.socket, server.clock, end_seconds, pause_seconds
+        )
+        body = read_body(
+            stream, self.inheaders, limits.max_body_bytes, head.reservation
+        )
+        self.conn.socket.settimeout(pause_seconds)
+        return body
+
+    def _close_with_rest(self) -> None:
+        """Close the connection after the response; its request isn't read."""
         # The next request on the connection can't be told apart from the
         # rest of the body.
         self.close_connection = True
         self.conn.has_rest = True
+
+    def _reject(self, responder: FrontResponder, error: ValueError) -> None:
+        status = 413 if isinstance(error, BodyTooLarge) else 400
+        RequestMalformed(status, str(error)).write()
+        self._close_with_rest()
         try:
             responder.respond(status, (), b"")
         except CallerDisconnected as lost:
@@ -248,8 +287,7 @@
         :param status: Status code and reason phrase.
         :param msg: The error, for the log.
         """
-        self.close_connection = True
-        self.conn.has_rest = True
+        self._close_with_rest()
         RequestMalformed(int(str(status).partition(" ")[0]), str(msg)).write()
         head = f"HTTP/1.1 {status}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
         try:
@@ -356,6 +394,16 @@
         table = self._table.get()
         return table.configuration.limits if table is not None else CallerLimits()
 
+    def route_timeout_seconds(self, request: GatewayRequest) -> float:
+        """
+        Return the timeout of a request's route; 0 if it has none.
+
+        :param request: The request.
+        """
+        table = self._table.get()
+        route = table.route(request.host, request.path) if table is not None else None
+        return route.timeout_seconds if route is not None else 0.0
+
     @property  # type: ignore[override]
     def timeout(self) -> float:
         """Seconds for which an idle connection is kept open."""
--- a/src/waxwingwinch/gateway/_handler.py
+++ b/src/waxwingwinch/gateway/_handler.py
@@ -1,5 +1,6 @@
 """Request handling: routing, authentication, quotas and relaying."""
 
+import random
 import threading
 
 from attrs import frozen
@@ -9,6 +10,7 @@
 from waxwingwinch.gateway._current_table import CurrentTable
 from waxwingwinch.gateway._generation_relay import GenerationRelay
 from waxwingwinch.gateway._job import Job, RelayContext
+from waxwingwinch.gateway._memory_account import MemoryExhausted
 from waxwingwinch.gateway._model import (
     CustomerRules,
     QuotaUnit,
@@ -25,6 +27,7 @@
 from waxwingwinch.gateway._quota import QuotaTracker
 from waxwingwinch.gateway._request_log_lines import (
     CallerConnectionClosed,
+    MemoryRefused,
     QuotaExceeded,
     RequestAnswered,
     RequestRefused,
@@ -44,30 +47,27 @@
 FULL_RETRY_SECONDS = 0.5
 #: ``Retry-After`` of an instance that is about to end; other instances serve.
 STOPPING_RETRY_SECONDS = 0.05
+#: Bounds of the ``Retry-After`` of a request for which there is no memory;
+#: spread, so that the callers of long bodies don't return together.
+MEMORY_RETRY_SECONDS = (0.3, 0.9)
 #: Upper bound on the requests in progress, whatever the memory; a single
 #: Python interpreter makes no use of more.
 MAX_CONCURRENT_REQUESTS = 256
-#: Memory of a request in progress: its thread and the buffered parts of the
-#: prompt and the response.
-MEMORY_PER_REQUEST_BYTES = 512 * 1_024
-#: Fraction of an instance's memory available to requests. The program itself
-#: needs about a quarter of the memory of the smallest instances.
-REQUEST_MEMORY_FRACTION = 0.5
 #: File descriptors per request: the caller, the upstream, and idle
 #: connections to both.
 DESCRIPTORS_PER_REQUEST = 8
 
 
-def max_concurrent_requests(memory_bytes: int, descriptors: int) -> int:
+def max_concurrent_requests(descriptors: int) -> int:
     """
     Return the number of requests that an instance may serve concurrently.
 
-    :param memory_bytes: Memory limit of the process.
+    The memory of each is reserved as it begins.
+
     :param descriptors: File descriptors that the process may open.
     """
-    by_memory = int(memory_bytes * REQUEST_MEMORY_FRACTION) // MEMORY_PER_REQUEST_BYTES
     by_descriptors = descriptors // DESCRIPTORS_PER_REQUEST
-    return max(min(MAX_CONCURRENT_REQUESTS, by_memory, by_descriptors), 1)
+    return max(min(MAX_CONCURRENT_REQUESTS, by_descriptors), 1)
 
 
 @frozen
@@ -165,6 +165,30 @@
             with self._lock:
                 self._under_way -= 1
 
+    def refuse_for_memory(
+        self,
+        request: GatewayRequest,
+        responder: Responder,
+        exhausted: MemoryExhausted,
+    ) -> None:
+        """
+        Refuse a request for which there is no memory; it isn't run.
+
+        :param request: The request, without its body.
+        :param responder: Writes the response.
+        :param exhausted: What was requested and free.
+        """
+        MemoryRefused(
+            request_id=request.request_id,
+            requested_bytes=exhausted.requested_bytes,
+            free_bytes=exhausted.free_bytes,
+            held_bytes=self._context.memory.held_bytes,
+        ).write()
+        self._context.telemetry.record_refusal(None, "", RefusalReason.MEMORY)
+        retry_seconds = random.uniform(*MEMORY_RETRY_SECONDS)
+        ended = RequestEnded(503, RefusalReason.MEMORY, retry_seconds)
+        self._refuse(request, responder, ended)
+
     def _serve(self, request: GatewayRequest, responder: Responder) -> None:
         table = self._table.get()
         if table is None:
--- a/src/waxwingwinch/gateway/_http_parser.py
+++ b/src/waxwingwinch/gateway/_http_parser.py
@@ -5,6 +5,9 @@
 
 from cheroot.server import HeaderReader
 
+from waxwingwinch.gateway._caller_stream import ByteStream
+from waxwingwinch.gateway._memory_account import Reservation
+
 #: Headers that must not be repeated, since parsers differ in which value they
 #: use, which allows request smuggling.
 SINGLE_HEADERS = frozenset({"content-length", "host", "transfer-encoding"})
@@ -13,6 +16,13 @@
 CHUNK_LINE_BYTES = 256
 #: Most bytes of a chunk that are read at once.
 CHUNK_PIECE_BYTES = 65_536
+#: Memory that is reserved at once for a body in chunks: the buffer of a piece,
+#: and the next piece.
+CHUNK_STEP_BYTES = 2 * CHUNK_PIECE_BYTES
+#: Memory of a buffer that grows, relative to what it holds.
+GROWTH_FACTOR = 1.125
+#: Part of the memory for requests and answers that bodies leave free.
+BODY_SPARE_FRACTION = 0.25
 
 _NAME = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+")
 _VALUE = re.compile(rb"[\t\x20-\x7e\x80-\xff]*")
@@ -97,28 +107,36 @@
         raise MalformedRequest("the request has no Host header")
 
 
-def read_body(rfile: Any, table: HeaderTable, limit_bytes: int) -> bytearray:
+def read_body(
+    rfile: ByteStream, table: HeaderTable, limit_bytes: int, reservation: Reservation
+) -> bytearray:
     """
     Read the body of a request into one buffer.
 
     :param rfile: Stream positioned after the request head.
     :param table: The headers.
     :param limit_bytes: Maximum size of the body.
+    :param reservation: Grows by the body before it is read.
+    :raises MemoryExhausted: If there is no room for the body.
     :raises BodyTooLarge: If the body exceeds the limit.
     :raises MalformedRequest: If it is truncated or its chunks are malformed.
     """
     if b"Transfer-Encoding" in table:
-        return _read_chunks(rfile, limit_bytes)
+        return _read_chunks(rfile, limit_bytes, reservation)
     length = int(table.get(b"Content-Length", b"0"))
     if length > limit_bytes:
         raise BodyTooLarge(f"the request body exceeds the limit of {limit_bytes} bytes")
+    reservation.grow(length, BODY_SPARE_FRACTION)
     body = bytearray(length)
     _fill(rfile, memoryview(body))
     return body
 
 
-def _read_chunks(rfile: Any, limit_bytes: int) -> bytearray:
+def _read_chunks(
+    rfile: ByteStream, limit_bytes: int, reservation: Reservation
+) -> bytearray:
     body = bytearray()
+    reserved_bytes = 0
     piece = memoryview(bytearray(CHUNK_PIECE_BYTES))
     while left_bytes := _read_chunk_size(rfile):
         if len(body) + left_bytes > limit_bytes:
@@ -126,6 +144,9 @@
                 f"the request body exceeds the limit of {limit_bytes} bytes"
             )
         while left_bytes:
+            if reserved_bytes < len(body) * GROWTH_FACTOR + CHUNK_PIECE_BYTES:
+                reservation.grow(CHUNK_STEP_BYTES, BODY_SPARE_FRACTION)
+                reserved_bytes += CHUNK_STEP_BYTES
             size = _read_some(rfile, piece[:left_bytes])
             body += piece[:size]
             left_bytes -= size
@@ -137,7 +158,7 @@
     return body
 
 
-def _read_chunk_size(rfile: Any) -> int:
+def _read_chunk_size(rfile: ByteStream) -> int:
     line = rfile.readline(CHUNK_LINE_BYTES)
     size_match = _CHUNK_SIZE.fullmatch(line[:-2])
     if not line.endswith(b"\r\n") or size_match is None:
@@ -145,15 +166,15 @@
     return int(size_match[1], 16)
 
 
-def _fill(rfile: Any, buffer: memoryview) -> None:
+def _fill(rfile: ByteStream, buffer: memoryview) -> None:
     filled_bytes = 0
     while filled_bytes < len(buffer):
         filled_bytes += _read_some(rfile, buffer[filled_bytes:])
 
 
-def _read_some(rfile: Any, buffer: memoryview) -> int:
+def _read_some(rfile: ByteStream, buffer: memoryview) -> int:
     """Read what has arrived, at most as much as the buffer takes."""
-    size: int = rfile.readinto1(buffer)
+    size = rfile.readinto1(buffer)
     if not size:
         raise MalformedRequest(
             "the connection ended before the end of the request body"
--- a/src/waxwingwinch/gateway/_memory_account.py
+++ b/src/waxwingwinch/gateway/_memory_account.py
@@ -53,15 +53,17 @@
         """Return an empty reservation."""
         return Reservation(self)
 
-    def take(self, size_bytes: int) -> None:
+    def take(self, size_bytes: int, spare_fraction: float = 0.0) -> None:
         """
         Reserve memory.
 
         :param size_bytes: How much.
+        :param spare_fraction: Part of the limit that has to stay free.
         :raises MemoryExhausted: If there is no room for it.
         """
         with self._lock:
-            free_bytes = self.limit_bytes - self._held_bytes
+            spare_bytes = int(self.limit_bytes * spare_fraction)
+            free_bytes = self.limit_bytes - spare_bytes - self._held_bytes
             if size_bytes > free_bytes:
                 raise MemoryExhausted(size_bytes, free_bytes)
             self._held_bytes += size_bytes
@@ -95,15 +97,17 @@
         """What is reserved."""
         return self._size_bytes
 
-    def grow(self, size_bytes: int) -> None:
+    def grow(self, size_bytes: int, spare_fraction: float = 0.0) -> None:
         """
         Reserve more.
 
         :param size_bytes: How much more.
+        :param spare_fraction: Part of the account's limit that has to stay
+            free, for what is reserved in other places.
         :raises MemoryExhausted: If there is no room for it; what was reserved
             before stays.
         """
-        self._account.take(size_bytes)
+        self._account.take(size_bytes, spare_fraction)
         self._size_bytes += size_bytes
 
     def shrink(self, size_bytes: int) -> None:
--- a/src/waxwingwinch/gateway/_outcomes.py
+++ b/src/waxwingwinch/gateway/_outcomes.py
@@ -20,6 +20,7 @@
     CRASHES_ENGINES = "crashes_engines"
     STOPPING = "stopping"
     INSTANCE_FULL = "instance_full"
+    MEMORY = "memory"
     NOT_EXECUTED = "not_executed"
     OUT_OF_TIME = "out_of_time"
     OUTCOME_UNKNOWN = "outcome_unknown"
--- a/src/waxwingwinch/gateway/_process.py
+++ b/src/waxwingwinch/gateway/_process.py
@@ -136,9 +136,7 @@
         )
         self._applier = RecordApplier(self._state, adapter, clock)
         self._watcher = CallerWatcher()
-        self._max_concurrent_requests = max_concurrent_requests(
-            options.memory_bytes, options.descriptors
-        )
+        self._max_concurrent_requests = max_concurrent_requests(options.descriptors)
         self._permits = PermitBroker(
             self._state.limits,
             self._state.limit_keeper,
--- a/src/waxwingwinch/gateway/_process_memory.py
+++ b/src/waxwingwinch/gateway/_process_memory.py
@@ -8,6 +8,11 @@
 STATM = Path("/proc/self/statm")
 #: Unit of ``ru_maxrss``.
 RUSAGE_UNIT_BYTES = 1_024
+#: Part of the limit for what the process needs beyond its start: its tables,
+#: idle connections, messages of the store and of other instances.
+OWN_FRACTION = 0.2
+#: Least part of the limit for requests, however large the process is.
+MIN_REQUEST_FRACTION = 0.125
 
 
 def peak_resident_bytes() -> int:
@@ -22,3 +27,14 @@
     except (OSError, ValueError, IndexError):
         return peak_resident_bytes()
     return pages * os.sysconf("SC_PAGE_SIZE")
+
+
+def request_memory_bytes(memory_bytes: int, resident_bytes: int) -> int:
+    """
+    Return how much memory requests and their answers may hold.
+
+    :param memory_bytes: Memory limit of the process.
+    :param resident_bytes: Resident memory of the process at its start.
+    """
+    left_bytes = memory_bytes - resident_bytes - int(memory_bytes * OWN_FRACTION)
+    return max(left_bytes, int(memory_bytes * MIN_REQUEST_FRACTION))
--- a/src/waxwingwinch/gateway/_request_log_lines.py
+++ b/src/waxwingwinch/gateway/_request_log_lines.py
@@ -332,6 +332,23 @@
     took_seconds: float
 
 
+@log_line("request:memory_exhausted")
+class MemoryRefused(LogLine):
+    """
+    A request was refused, as there was no memory for it.
+
+    :param request_id: Id of the request.
+    :param requested_bytes: What was to be reserved.
+    :param free_bytes: What was free.
+    :param held_bytes: What all requests and answers held.
+    """
+
+    request_id: str
+    requested_bytes: int
+    free_bytes: int
+    held_bytes: int
+
+
 @log_line("request:caller_gone")
 class CallerConnectionClosed(LogLine):
     """
--- a/src/waxwingwinch/gateway/_requests.py
+++ b/src/waxwingwinch/gateway/_requests.py
@@ -2,7 +2,7 @@
 
 import socket
 
-from attrs import field, frozen
+from attrs import evolve, field, frozen
 
 from waxwingwinch.gateway._memory_account import Reservation, unbounded_reservation
 
@@ -84,6 +84,25 @@
         factory=unbounded_reservation, eq=False, repr=False
     )
 
+    def with_body(
+        self, body: bytes | bytearray, now_seconds: float
+    ) -> "GatewayRequest":
+        """
+        Return the request once its body has arrived, from when its time runs.
+
+        :param body: The complete body.
+        :param now_seconds: Monotonic time.
+        """
+        deadline_seconds = self.deadline_seconds
+        if deadline_seconds is not None:
+            deadline_seconds += now_seconds - self.arrived_seconds
+        return evolve(
+            self,
+            body=body,
+            arrived_seconds=now_seconds,
+            deadline_seconds=deadline_seconds,
+        )
+
 
 @frozen
 class ResponseHead:
--- a/src/waxwingwinch/gateway/_state.py
+++ b/src/waxwingwinch/gateway/_state.py
@@ -15,6 +15,10 @@
 from waxwingwinch.gateway._outage import OutageTracker
 from waxwingwinch.gateway._placement_log import PlacementLog
 from waxwingwinch.gateway._prefixes import PrefixIndex
+from waxwingwinch.gateway._process_memory import (
+    request_memory_bytes,
+    resident_bytes,
+)
 from waxwingwinch.gateway._quota import QuotaTracker
 from waxwingwinch.gateway._retry_budget import RetryBudget
 from waxwingwinch.gateway._slowdowns import SlowdownTracker
@@ -101,7 +105,7 @@
             limits,
             LimitKeeper(limits, quotas.share, now_seconds),
             CrashEvidence(local_member.instance_id),
-            MemoryAccount(options.memory_bytes),
+            MemoryAccount(request_memory_bytes(options.memory_bytes, resident_bytes())),
         )
 
     @property
--- a/src/waxwingwinch/gateway/tests/test_memory_account.py
+++ b/src/waxwingwinch/gateway/tests/test_memory_account.py
@@ -33,3 +33,14 @@
     second.shrink(40)
     second.release()
     assert account.held_bytes == 60
+
+
+def test_what_is_spared_stays_free_for_others():
+    account = MemoryAccount(100)
+    reservation = account.open()
+    with pytest.raises(MemoryExhausted) as refused:
+        reservation.grow(76, spare_fraction=0.25)
+    assert refused.value.free_bytes == 75
+    reservation.grow(75, spare_fraction=0.25)
+    reservation.grow(25)
+    assert account.held_bytes == 100
--- a/src/waxwingwinch/gateway/tests/test_thread_pool.py
+++ b/src/waxwingwinch/gateway/tests/test_thread_pool.py
@@ -120,9 +120,7 @@
     burst.release.set()
 
 
-def test_the_request_bound_follows_memory_and_descriptors():
-    mb = 1_048_576
-    assert max_concurrent_requests(200 * mb, 3_900) == 200
-    assert max_concurrent_requests(552 * mb, 7_900) == MAX_CONCURRENT_REQUESTS
-    assert max_concurrent_requests(552 * mb, 400) == 50
-    assert max_concurrent_requests(0, 0) == 1
+def test_the_request_bound_follows_descriptors():
+    assert max_concurrent_requests(7_900) == MAX_CONCURRENT_REQUESTS
+    assert max_concurrent_requests(400) == 50
+    assert max_concurrent_requests(0) == 1
--- a/src/waxwingwinch/platform/tests/test_memory.py
+++ b/src/waxwingwinch/platform/tests/test_memory.py
@@ -65,6 +65,12 @@
         assert {caller.status for caller in endless} <= {413, 503}
         refused = [caller for caller in everyone if caller.status == 503]
         assert all(b"Retry-After: " in caller.answer for caller in refused)
+        assert refused
+        metrics = metrics_of(harness.gateway)
+        assert metrics['waxwing_refusals_total{kind="memory"}'] == len(refused)
+        assert metrics["waxwing_request_memory_bytes"] == 0
+        line = lines_of(harness.gateway, "request:memory_exhausted")[0]
+        assert line["requested_bytes"] > line["free_bytes"]
         passed_on = harness.upstream.request_ids
         assert not passed_on & {caller.request_id for caller in refused}
         assert harness.call(harness.caller(length=100)).status == 200
