Bound what the kernel takes of callers before it is read

Received bytes that nobody has read count towards the memory of a process on the users' platform. With a buffer of 64 KiB, which Linux doubles, it takes 130 kB, and each request reserves 192 KiB in place of 128, which covers it.

Evidence: test_what_callers_send_ahead_is_covered_by_their_requests failed before with 4,354,858 bytes where 196,608 are allowed.

Elsewhere: connections to upstreams and the store are not bounded so.

--- a/src/waxwingwinch/gateway/_front.py
+++ b/src/waxwingwinch/gateway/_front.py
@@ -48,11 +48,15 @@
 #: Added to the idle timeout that callers use, so that the caller closes an
 #: idle connection first.
 IDLE_TIMEOUT_MARGIN_SECONDS = 2.0
-#: Memory of a request beside its body: its thread, its head, and the buffers
-#: of its connections.
-REQUEST_BYTES = 131_072
+#: Memory of a request beside its body: its thread, its head, the buffers of
+#: its connections, and what its caller has sent beyond it.
+REQUEST_BYTES = 196_608
 #: Part of the memory for requests and answers that new requests leave free.
 REQUEST_SPARE_FRACTION = 0.125
+#: Buffer of the kernel for what a caller has sent and the process hasn't read.
+#: Linux takes twice as much, so a body of 4 MiB arrives in a second over a
+#: link with a round trip of 30 ms.
+RECEIVE_BUFFER_BYTES = 65_536
 #: Statuses whose responses end with their head.
 BODILESS_STATUSES = (HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED)
 
@@ -308,6 +312,14 @@
     #: True once a request was answered before it was read to its end.
     has_rest = False
 
+    def __init__(self, server: Any, sock: socket.socket, *arguments: Any) -> None:
+        super().__init__(server, sock, *arguments)  # type: ignore[no-untyped-call]
+        # A size that is set doesn't grow with what a caller sends.
+        try:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        except OSError as error:
+            server.error_log(f"receive buffer not bounded: {error!r}")
+
     def communicate(self) -> bool:
         """Handle the next request; return whether to keep the connection."""
         server: FrontServer = self.server
--- a/src/waxwingwinch/platform/tests/memory_callers.py
+++ b/src/waxwingwinch/platform/tests/memory_callers.py
@@ -1,7 +1,11 @@
 """Callers with long bodies, and an upstream that keeps none of them."""
 
+import contextlib
+import fcntl
 import select
 import socket
+import struct
+import termios
 import threading
 import time
 from pathlib import Path
@@ -108,6 +112,18 @@
             left -= len(PART)
             time.sleep(self.pause_seconds)
 
+    def send_ahead(self, connection):
+        """Send until nothing is taken; return what the gateway's side took."""
+        connection.settimeout(0.5)
+        sent_bytes = 0
+        with contextlib.suppress(TimeoutError):
+            while sent_bytes < 10 * MAX_BODY_BYTES:
+                sent_bytes += connection.send(PART)
+        (unsent_bytes,) = struct.unpack(
+            "i", fcntl.ioctl(connection, termios.TIOCOUTQ, bytes(4))
+        )
+        return sent_bytes - unsent_bytes
+
     def send_chunks(self, connection):
         """Send chunks until an answer arrives."""
         chunk = b"%x\r\n%b\r\n" % (len(PART), PART)
--- a/src/waxwingwinch/platform/tests/test_memory.py
+++ b/src/waxwingwinch/platform/tests/test_memory.py
@@ -2,9 +2,11 @@
 
 import http.client
 import json
+import socket
 
 import pytest
 
+from waxwingwinch.gateway._front import REQUEST_BYTES
 from waxwingwinch.platform.tests.memory_callers import (
     BYTES_PER_MB,
     MAX_BODY_BYTES,
@@ -101,3 +103,14 @@
             assert {caller.status for caller in burst} == {200}
         # A fifth of the smallest limit, 100 MB, is left to the process itself.
         assert wait_until(lambda: harness.memory_mb("VmRSS") < before_mb + 20, 2.0)
+
+
+# Guards against bytes that the kernel takes for a connection and nobody reads:
+# they count towards the memory of the process on the users' platform.
+def test_what_callers_send_ahead_is_covered_by_their_requests(tmp_path):
+    with MemoryHarness(tmp_path, 150, work_seconds=2.0) as harness:
+        caller = harness.caller()
+        address = (HOST, harness.gateway.front)
+        with socket.create_connection(address, 5.0) as connection:
+            caller.send(connection)
+            assert caller.send_ahead(connection) <= REQUEST_BYTES
