--- a/src/waxwingwinch/gateway/_front.py
+++ b/src/waxwingwinch/gateway/_front.py
@@ -1,12 +1,13 @@
 """The HTTP server for callers, built on cheroot, the server of CherryPy."""
 
+import socket
 import sys
 import threading
 from collections.abc import Callable
 from http import HTTPStatus
 from typing import Any, Protocol
 
-from attrs import frozen
+from attrs import field, frozen
 from cheroot.server import HTTPRequest, HTTPServer
 
 from waxwingwinch._types import Address
@@ -14,6 +15,7 @@
     CallerConnection,
     CallerConnectionsMixin,
 )
+from waxwingwinch.gateway._caller_stream import CallerStream, body_end_seconds
 from waxwingwinch.gateway._current_table import CurrentTable
 from waxwingwinch.gateway._handler import RequestHandler
 from waxwingwinch.gateway._http_parser import (
@@ -23,7 +25,14 @@
     StrictHeaderReader,
     read_body,
 )
+from waxwingwinch.gateway._lingering_close import LingeringCloser
 from waxwingwinch.gateway._listening import ListeningMixin
+from waxwingwinch.gateway._memory_account import (
+    MemoryAccount,
+    MemoryExhausted,
+    Reservation,
+    unbounded_reservation,
+)
 from waxwingwinch.gateway._model import CallerLimits
 from waxwingwinch.gateway._outcomes import CallerDisconnected
 from waxwingwinch.gateway._process_log_lines import FrontServerError
@@ -47,6 +56,15 @@
 #: Added to the idle timeout that callers use, so that the caller closes an
 #: idle connection first.
 IDLE_TIMEOUT_MARGIN_SECONDS = 2.0
+#: Memory of a request beside its body: its thread, its head, the buffers of
+#: its connections, and what its caller has sent beyond it.
+REQUEST_BYTES = 196_608
+#: Part of the memory for requests and answers that new requests leave free.
+REQUEST_SPARE_FRACTION = 0.125
+#: Buffer of the kernel for what a caller has sent and the process hasn't read.
+#: Linux takes twice as much, so a body of 4 MiB arrives in a second over a
+#: link with a round trip of 30 ms.
+RECEIVE_BUFFER_BYTES = 65_536
 #: Statuses whose responses end with their head.
 BODILESS_STATUSES = (HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED)
 
@@ -61,13 +79,17 @@
     :param headers: All headers in the order received.
     :param body: The complete body.
     :param connection: The caller's socket; None if it can't be watched.
+    :param reservation: The memory that the request and its answer hold.
     """
 
     method: str
     target: str
     headers: tuple[tuple[str, str], ...]
-    body: bytes
+    body: bytes | bytearray
     connection: Any = None
+    reservation: Reservation = field(
+        factory=unbounded_reservation, eq=False, repr=False
+    )
 
 
 class RequestDecoder(Protocol):
@@ -201,33 +223,71 @@
 
     def respond(self) -> None:
         """Read the body and handle the request."""
-        responder = FrontResponder(self)
+        server: FrontServer = self.server
+        with server.memory.open() as reservation:
+            self._respond(FrontResponder(self), reservation)
+
+    def _respond(self, responder: FrontResponder, reservation: Reservation) -> None:
         server: FrontServer = self.server
         try:
-            body = read_body(
-                self.conn.rfile, self.inheaders, server.limits.max_body_bytes
-            )
-            raw = RawRequest(
-                self.method.decode("latin-1"),
-                self.uri.decode("latin-1"),
-                tuple(self.inheaders.pairs),
-                body,
-                self.conn.socket if self.conn.is_watchable else None,
-            )
-            request = server.decoder.decode(raw, server.clock.now_seconds())
+            head = self._decode_head(reservation)
+            reservation.grow(REQUEST_BYTES, REQUEST_SPARE_FRACTION)
+            body = self._read_body(head)
         except (MalformedRequest, BodyTooLarge) as error:
             self._reject(responder, error)
             return
+        except MemoryExhausted as exhausted:
+            self._close_with_rest()
+            server.handler.refuse_for_memory(head, responder, exhausted)
+            return
+        request = head.with_body(body, server.clock.now_seconds())
         server.handler.handle(request, responder)
         if not responder.is_complete:
             self.close_connection = True
 
-    def _reject(self, responder: FrontResponder, error: ValueError) -> None:
-        status = 413 if isinstance(error, BodyTooLarge) else 400
-        RequestMalformed(status, str(error)).write()
+    def _decode_head(self, reservation: Reservation) -> GatewayRequest:
+        """Return the request without its body."""
+        server: FrontServer = self.server
+        raw = RawRequest(
+            self.method.decode("latin-1"),
+            self.uri.decode("latin-1"),
+            tuple(self.inheaders.pairs),
+            b"",
+            self.conn.socket if self.conn.is_watchable else None,
+            reservation,
+        )
+        return server.decoder.decode(raw, server.clock.now_seconds())
+
+    def _read_body(self, head: GatewayRequest) -> bytearray:
+        server: FrontServer = self.server
+        limits = server.limits
+        pause_seconds = limits.header_timeout_seconds
+        end_seconds = body_end_seconds(
+            head.arrived_seconds,
+            head.deadline_seconds,
+            server.route_timeout_seconds(head),
+            pause_seconds,
+        )
+        stream = CallerStream(
+            self.conn.rfile, self.conn.socket, server.clock, end_seconds, pause_seconds
+        )
+        body = read_body(
+            stream, self.inheaders, limits.max_body_bytes, head.reservation
+        )
+        self.conn.socket.settimeout(pause_seconds)
+        return body
+
+    def _close_with_rest(self) -> None:
+        """Close the connection after the response; its request isn't read."""
         # The next request on the connection can't be told apart from the
         # rest of the body.
         self.close_connection = True
+        self.conn.has_rest = True
+
+    def _reject(self, responder: FrontResponder, error: ValueError) -> None:
+        status = 413 if isinstance(error, BodyTooLarge) else 400
+        RequestMalformed(status, str(error)).write()
+        self._close_with_rest()
         try:
             responder.respond(status, (), b"")
         except CallerDisconnected as lost:
@@ -240,7 +300,7 @@
         :param status: Status code and reason phrase.
         :param msg: The error, for the log.
         """
-        self.close_connection = True
+        self._close_with_rest()
         RequestMalformed(int(str(status).partition(" ")[0]), str(msg)).write()
         head = f"HTTP/1.1 {status}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
         try:
@@ -253,6 +313,24 @@
     """A caller's connection, whose requests are parsed strictly."""
 
     RequestHandlerClass = FrontRequest
+    #: True once a request was answered before it was read to its end.
+    has_rest = False
+
+    def __init__(self, server: Any, sock: socket.socket, *arguments: Any) -> None:
+        super().__init__(server, sock, *arguments)  # type: ignore[no-untyped-call]
+        # A size that is set doesn't grow with what a caller sends.
+        try:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        except OSError as error:
+            server.error_log(f"receive buffer not bounded: {error!r}")
+
+    def close(self) -> None:
+        """Close the connection; a caller that still sends gets its answer."""
+        if self.has_rest:
+            self.server.lingering.add(self.socket)
+            self.server.end_reading(self)
+        else:
+            super().close()
 
 
 class FrontServer(  # type: ignore[misc]
@@ -268,6 +346,7 @@
     :param clock: Source of the present time.
     :param max_concurrent_requests: Requests that may be in progress at once.
     :param unanswered: Records connections closed without an answer.
+    :param memory: Counts the memory that requests and answers hold.
     """
 
     ConnectionClass = FrontConnection
@@ -281,6 +360,7 @@
         clock: Clock,
         max_concurrent_requests: int,
         unanswered: UnansweredConnections,
+        memory: MemoryAccount,
     ) -> None:
         super().__init__((address.host, address.port), gateway=None)
         self.configure_threads(
@@ -293,6 +373,10 @@
         self.handler = handler
         self.decoder = decoder
         self.clock = clock
+        #: Closes connections whose requests weren't read to their end.
+        self.lingering = LingeringCloser(clock)
+        #: Counts the memory that requests and answers hold.
+        self.memory = memory
         self._table = table
 
     @property
@@ -301,6 +385,16 @@
         table = self._table.get()
         return table.configuration.limits if table is not None else CallerLimits()
 
+    def route_timeout_seconds(self, request: GatewayRequest) -> float:
+        """
+        Return the timeout of a request's route; 0 if it has none.
+
+        :param request: The request.
+        """
+        table = self._table.get()
+        route = table.route(request.host, request.path) if table is not None else None
+        return route.timeout_seconds if route is not None else 0.0
+
     @property  # type: ignore[override]
     def timeout(self) -> float:
         """Seconds for which an idle connection is kept open."""
--- a/src/waxwingwinch/gateway/_process.py
+++ b/src/waxwingwinch/gateway/_process.py
@@ -36,7 +36,9 @@
     GatewayStarting,
     GatewayStopped,
     GatewayStopping,
+    MemoryUsed,
 )
+from waxwingwinch.gateway._process_memory import peak_resident_bytes
 from waxwingwinch.gateway._record_applier import RecordApplier
 from waxwingwinch.gateway._reports import StateReporter
 from waxwingwinch.gateway._returns import ReturnSchedule
@@ -116,9 +118,7 @@
         )
         self._applier = RecordApplier(self._state, adapter, clock)
         self._watcher = CallerWatcher()
-        self._max_concurrent_requests = max_concurrent_requests(
-            options.memory_bytes, options.descriptors
-        )
+        self._max_concurrent_requests = max_concurrent_requests(options.descriptors)
         self._permits = PermitBroker(
             self._state.limits,
             self._state.limit_keeper,
@@ -143,6 +143,7 @@
             clock,
             self._max_concurrent_requests,
             self._unanswered,
+            self._state.memory,
         )
         self._make_followers()
         self._reports = StateReporter(
@@ -178,6 +179,12 @@
         self._duty_worker.start()
         self._state.stopping.wait()
         self._stop()
+        MemoryUsed(
+            resident_peak_bytes=peak_resident_bytes(),
+            memory_bytes=self._options.memory_bytes,
+            held_peak_bytes=self._state.memory.peak_bytes,
+            limit_bytes=self._state.memory.limit_bytes,
+        ).write()
 
     def request_stop(self, signalled_seconds: float) -> None:
         """
@@ -218,6 +225,7 @@
             state.telemetry,
             ReturnSchedule(state.directory, state.members),
             state.crashes,
+            state.memory,
         )
         return RequestHandler(
             context,
--- a/src/waxwingwinch/gateway/_process_log_lines.py
+++ b/src/waxwingwinch/gateway/_process_log_lines.py
@@ -70,6 +70,17 @@
     reason: str
 
 
+@log_line("gateway:malloc_unchanged")
+class MallocUnchanged(LogLine):
+    """
+    The C library's allocator keeps its settings; it may keep freed memory.
+
+    :param reason: Why they couldn't be changed.
+    """
+
+    reason: str
+
+
 @log_line("gateway:not_serving")
 class GatewayNotServing(LogLine):
     """
@@ -81,6 +92,23 @@
     reason: str
 
 
+@log_line("gateway:memory_used")
+class MemoryUsed(LogLine):
+    """
+    The memory that the process has used, written at its end.
+
+    :param resident_peak_bytes: Largest resident memory of the process.
+    :param memory_bytes: Memory that it may use.
+    :param held_peak_bytes: Most that requests and answers held at once.
+    :param limit_bytes: Maximum of what they may hold.
+    """
+
+    resident_peak_bytes: int
+    memory_bytes: int
+    held_peak_bytes: int
+    limit_bytes: int
+
+
 @log_line("gateway:not_withdrawn")
 class GatewayNotWithdrawn(LogLine):
     """
--- a/src/waxwingwinch/gateway/_request_log_lines.py
+++ b/src/waxwingwinch/gateway/_request_log_lines.py
@@ -332,6 +332,23 @@
     took_seconds: float
 
 
+@log_line("request:memory_exhausted")
+class MemoryRefused(LogLine):
+    """
+    A request was refused, as there was no memory for it.
+
+    :param request_id: Id of the request.
+    :param requested_bytes: What was to be reserved.
+    :param free_bytes: What was free.
+    :param held_bytes: What all requests and answers held.
+    """
+
+    request_id: str
+    requested_bytes: int
+    free_bytes: int
+    held_bytes: int
+
+
 @log_line("request:caller_gone")
 class CallerConnectionClosed(LogLine):
     """
@@ -372,6 +389,21 @@
     status: int
 
 
+@log_line("request:rest_not_read")
+class RestNotRead(LogLine):
+    """
+    A connection was closed before its caller had sent the rest of a request.
+
+    The request was answered before; the caller may not get the answer.
+
+    :param reason: Why no more is read (number, time, amount or an error).
+    :param discarded_bytes: How much was read and discarded.
+    """
+
+    reason: str
+    discarded_bytes: int
+
+
 @log_line("request:malformed")
 class RequestMalformed(LogLine):
     """
--- a/src/waxwingwinch/gateway/_requests.py
+++ b/src/waxwingwinch/gateway/_requests.py
@@ -2,7 +2,9 @@
 
 import socket
 
-from attrs import field, frozen
+from attrs import evolve, field, frozen
+
+from waxwingwinch.gateway._memory_account import Reservation, unbounded_reservation
 
 
 @frozen
@@ -62,6 +64,7 @@
     :param last_event_id: The last event that the caller received, if it
         resumes a stream.
     :param connection: The caller's socket.
+    :param reservation: The memory that the request and its answer hold.
     """
 
     request_id: str
@@ -70,13 +73,35 @@
     path: str
     host: str
     headers: tuple[tuple[str, str], ...] = field(repr=False)
-    body: bytes = field(repr=False)
+    body: bytes | bytearray = field(repr=False)
     arrived_seconds: float = 0.0
     deadline_seconds: float | None = None
     key: str | None = field(default=None, repr=False)
     prompt: Prompt | None = None
     last_event_id: str | None = None
     connection: socket.socket | None = field(default=None, repr=False)
+    reservation: Reservation = field(
+        factory=unbounded_reservation, eq=False, repr=False
+    )
+
+    def with_body(
+        self, body: bytes | bytearray, now_seconds: float
+    ) -> "GatewayRequest":
+        """
+        Return the request once its body has arrived, from when its time runs.
+
+        :param body: The complete body.
+        :param now_seconds: Monotonic time.
+        """
+        deadline_seconds = self.deadline_seconds
+        if deadline_seconds is not None:
+            deadline_seconds += now_seconds - self.arrived_seconds
+        return evolve(
+            self,
+            body=body,
+            arrived_seconds=now_seconds,
+            deadline_seconds=deadline_seconds,
+        )
 
 
 @frozen
--- a/src/waxwingwinch/gateway/_state.py
+++ b/src/waxwingwinch/gateway/_state.py
@@ -9,11 +9,16 @@
 from waxwingwinch.gateway._limit_keeper import LimitKeeper
 from waxwingwinch.gateway._loads import LoadTracker
 from waxwingwinch.gateway._members import Member, MemberDirectory
+from waxwingwinch.gateway._memory_account import MemoryAccount
 from waxwingwinch.gateway._named_limits import NamedLimits
 from waxwingwinch.gateway._options import GatewayOptions
 from waxwingwinch.gateway._outage import OutageTracker
 from waxwingwinch.gateway._placement_log import PlacementLog
 from waxwingwinch.gateway._prefixes import PrefixIndex
+from waxwingwinch.gateway._process_memory import (
+    request_memory_bytes,
+    resident_bytes,
+)
 from waxwingwinch.gateway._quota import QuotaTracker
 from waxwingwinch.gateway._retry_budget import RetryBudget
 from waxwingwinch.gateway._slowdowns import SlowdownTracker
@@ -36,6 +41,7 @@
     :param limits: Limits that upstreams name.
     :param limit_keeper: Keeps the limits of some upstreams for all instances.
     :param crashes: Crashes of engines, and the parts blamed for them.
+    :param memory: Counts the memory that requests and answers hold.
     :param table: The configuration in force.
     :param directory: Directory of the registered upstreams.
     :param loads: Work in progress at the upstreams.
@@ -57,6 +63,7 @@
     limits: NamedLimits
     limit_keeper: LimitKeeper
     crashes: CrashEvidence
+    memory: MemoryAccount
     table: CurrentTable = field(factory=CurrentTable)
     directory: UpstreamDirectory = field(factory=UpstreamDirectory)
     loads: LoadTracker = field(factory=LoadTracker)
@@ -98,6 +105,7 @@
             limits,
             LimitKeeper(limits, quotas.share, now_seconds),
             CrashEvidence(local_member.instance_id),
+            MemoryAccount(request_memory_bytes(options.memory_bytes, resident_bytes())),
         )
 
     @property
--- a/src/waxwingwinch/platform/tests/test_front.py
+++ b/src/waxwingwinch/platform/tests/test_front.py
@@ -13,6 +13,7 @@
 from waxwingwinch._types import Address
 from waxwingwinch.gateway._current_table import CurrentTable
 from waxwingwinch.gateway._front import FrontConnection, FrontServer
+from waxwingwinch.gateway._memory_account import MemoryAccount
 from waxwingwinch.gateway._model import CallerLimits
 from waxwingwinch.gateway._telemetry import Telemetry
 from waxwingwinch.gateway._unanswered import UnansweredConnections
@@ -39,6 +40,7 @@
         FakeClock(),
         4,
         UnansweredConnections(Telemetry()),
+        MemoryAccount(10**9),
     )
     server.start_in_background()
     try:
