Count a signal from before a pause that follows a wait

Seen: in 1 of 3 runs of test_stop.py on a busy machine (load 22 to 32 on eight cores), in the case with a pause of 0.6 s after SIGTERM, no connection was refused before the process was gone.

Cause, by reading and by the times of one run, which fit a signal counted 0.6 s late: the pause fell between the end of a wait for signals, which had seen none, and the reading of the clock. The note that the process runs was then as late as the end of the pause, and the signal, seen next, counted from there. After a pause, signals that came in it are now looked for before the note is renewed.

test_a_signal_that_came_in_a_pause_after_a_wait_counts_from_before failed before ([10.8] in place of [10.0]), passes.

--- a/src/waxwingwinch/platform/_signals.py
+++ b/src/waxwingwinch/platform/_signals.py
@@ -13,6 +13,17 @@
 MIN_PAUSE_SECONDS = 2 * RUN_NOTE_SECONDS
 
 
+def is_pause(noted_seconds: float, now_seconds: float) -> bool:
+    """
+    Return whether the process did not run for a time.
+
+    :param noted_seconds: Monotonic time at which the process last noted that
+        it runs.
+    :param now_seconds: Monotonic time.
+    """
+    return now_seconds - noted_seconds >= MIN_PAUSE_SECONDS
+
+
 def earliest_arrival_seconds(noted_seconds: float, now_seconds: float) -> float:
     """
     Return the earliest time at which a signal seen now may have arrived.
@@ -24,8 +35,7 @@
         it runs.
     :param now_seconds: Monotonic time.
     """
-    is_paused = now_seconds - noted_seconds >= MIN_PAUSE_SECONDS
-    return noted_seconds if is_paused else now_seconds
+    return noted_seconds if is_pause(noted_seconds, now_seconds) else now_seconds
 
 
 class SignalInbox:
@@ -72,6 +82,9 @@
         while True:
             info = signal.sigtimedwait(SIGNALS, RUN_NOTE_SECONDS)
             now_seconds = _now_seconds()
+            if info is None and is_pause(noted_seconds, now_seconds):
+                # The signal may have come in the pause, after the wait ended.
+                info = signal.sigtimedwait(SIGNALS, 0)
             if info is not None and info.si_signo == signal.SIGTERM:
                 self._stop(earliest_arrival_seconds(noted_seconds, now_seconds))
             elif info is not None:
--- a/src/waxwingwinch/platform/tests/test_signals.py
+++ b/src/waxwingwinch/platform/tests/test_signals.py
@@ -1,8 +1,15 @@
 """When a signal may have arrived."""
 
+import signal
+import threading
+
+import pytest
+
+from waxwingwinch.platform import _signals
 from waxwingwinch.platform._signals import (
     MIN_PAUSE_SECONDS,
     RUN_NOTE_SECONDS,
+    SignalInbox,
     earliest_arrival_seconds,
 )
 
@@ -16,3 +23,29 @@
 def test_a_signal_may_have_arrived_at_the_beginning_of_a_pause():
     assert earliest_arrival_seconds(10.0, 10.0 + MIN_PAUSE_SECONDS) == 10.0
     assert earliest_arrival_seconds(10.0, 10.8) == 10.0
+
+
+class EndOfSignals(BaseException):
+    """Ends the thread that waits for signals."""
+
+
+# Guards against a stop that counts from the end of a pause, if the pause came
+# between the end of a wait for signals and the reading of the clock.
+def test_a_signal_that_came_in_a_pause_after_a_wait_counts_from_before(monkeypatch):
+    seen = signal.struct_siginfo((signal.SIGTERM, 0, 0, 0, 0, 0, 0))
+    waits = [None, seen]
+
+    def wait(_, seconds):
+        if not waits:
+            raise EndOfSignals
+        return waits.pop(0)
+
+    times = iter([10.0, 10.8, 10.8])
+    monkeypatch.setattr(signal, "sigtimedwait", wait)
+    monkeypatch.setattr(_signals, "_now_seconds", lambda: next(times))
+    stops: list[float] = []
+    inbox = SignalInbox()
+    inbox.deliver(stops.append, threading.Event().set)
+    with pytest.raises(EndOfSignals):
+        inbox._run()
+    assert stops == [10.0]
