Answer the last questions about a stopping instance

Connections of callers whose request has arrived and is not parsed yet count as awaited, so that the end of a stop doesn't shut down their reading.

The case for callers counted its times from before it started its threads, so on a busy machine all its late requests could lie before the closing of the port, the stop was over at once, and no connection was refused (once, load 22). Its times now count from the signal; no check is changed.

--- a/src/waxwingwinch/gateway/_caller_connections.py
+++ b/src/waxwingwinch/gateway/_caller_connections.py
@@ -36,6 +36,11 @@
         """True if something has arrived that was not read."""
         return bool(self.rfile.has_data()) or has_input(self.socket)
 
+    @property
+    def is_awaited(self) -> bool:
+        """True if its request has begun to arrive, or it was kept for one."""
+        return self.has_request or self.is_kept or self.has_input
+
     def communicate(self) -> bool:
         """Handle the next request; return whether to keep the connection."""
         self.socket.settimeout(self.server.limits.header_timeout_seconds)
@@ -103,7 +108,7 @@
     def is_awaited(self) -> bool:
         """True if a request is in progress or a connection was kept."""
         with self._reading_lock:
-            if any(connection.has_request for connection in self._reading):
+            if any(connection.is_awaited for connection in self._reading):
                 return True
         return any(connection.is_kept for _, connection in self.waiting_connections())
 
--- a/src/waxwingwinch/gateway/_info_server.py
+++ b/src/waxwingwinch/gateway/_info_server.py
@@ -69,6 +69,12 @@
         """Listen, once the port is free, and serve in background threads."""
         threading.Thread(target=self._run, daemon=True).start()
 
+    @property
+    def is_busy(self) -> bool:
+        """True while a connection is read or answered."""
+        threads = self._server.requests
+        return bool(threads.idle < threads.size)
+
     def refuse_handshakes(self) -> None:
         """Begin no further handshake; those under way are completed."""
         self._server.refuse_handshakes()
--- a/src/waxwingwinch/gateway/_stop.py
+++ b/src/waxwingwinch/gateway/_stop.py
@@ -40,6 +40,9 @@
 HANDSHAKE_SECONDS = 0.05
 #: Maximum wait for the thread that closes sockets of a server.
 CLOSE_SECONDS = 0.5
+#: Maximum wait for the last answers about the instance, which take
+#: milliseconds; a connection on which nothing is sent takes no longer either.
+INFO_SECONDS = 0.1
 #: Interval at which a stop checks for requests in progress.
 STOP_POLL_SECONDS = 0.02
 
@@ -139,6 +142,14 @@
         """
 
 
+class StoppingInfoServer(StoppingServer, Protocol):
+    """A server of short answers about the instance."""
+
+    @property
+    def is_busy(self) -> bool:
+        """True while a connection is read or answered."""
+
+
 class StoppingFront(StoppingServer, Protocol):
     """The server of callers."""
 
@@ -198,7 +209,7 @@
         schedule: StopSchedule,
         front: StoppingFront,
         handler: StoppingHandler,
-        info_servers: Sequence[StoppingServer],
+        info_servers: Sequence[StoppingInfoServer],
         withdraw: Callable[[], None],
         clock: Clock,
     ) -> None:
@@ -242,13 +253,21 @@
         self._front.close_idle(self._left_seconds())
 
     def _wait_while_answering(self) -> None:
-        while self._clock.now_seconds() < self._schedule.exit_seconds and (
-            self._front.under_way or self._withdrawal.is_alive()
+        info_until_seconds = self._clock.now_seconds() + INFO_SECONDS
+        while (
+            now_seconds := self._clock.now_seconds()
+        ) < self._schedule.exit_seconds and (
+            self._front.under_way
+            or self._withdrawal.is_alive()
+            or (now_seconds < info_until_seconds and self._is_asked())
         ):
-            if self._clock.now_seconds() >= self._schedule.cancel_seconds:
+            if now_seconds >= self._schedule.cancel_seconds:
                 self._cancel()
             time.sleep(STOP_POLL_SECONDS)
 
+    def _is_asked(self) -> bool:
+        return any(server.is_busy for server in self._info_servers)
+
     def _stop_listening(self, servers: Sequence[StoppingServer]) -> None:
         for server in servers:
             server.refuse_handshakes()
--- a/src/waxwingwinch/platform/tests/test_stop.py
+++ b/src/waxwingwinch/platform/tests/test_stop.py
@@ -7,7 +7,7 @@
 import time
 
 import pytest
-from attrs import define, frozen
+from attrs import define, field, frozen
 
 from waxwingwinch.platform.tests.standin import (
     HOST,
@@ -99,6 +99,7 @@
     refused: int = 0
     count: int = 0
     signalled_seconds: float = 0.0
+    signalled: threading.Event = field(factory=threading.Event)
 
     def seconds(self):
         return time.monotonic() - self.signalled_seconds
@@ -177,6 +178,7 @@
             connection.close()
 
     def call_kept(self):
+        self.signalled.wait()
         connection = self.connect()
         while (
             connection
@@ -189,6 +191,7 @@
 
     def call_late(self, connection, at_seconds):
         """Send a request on a connection that has been idle since a first."""
+        self.signalled.wait()
         time.sleep(max(at_seconds - self.seconds(), 0.0))
         if not connection.is_closed():
             self.exchange("late", connection, self.new_id())
@@ -214,12 +217,14 @@
     return connections
 
 
-def stop(process, paused_seconds):
+def stop(process, paused_seconds, on_signal=lambda: None):
     """Send SIGTERM, and SIGKILL at the end of the grace period."""
-    process.send_signal(signal.SIGTERM)
     started_seconds = time.monotonic()
+    process.send_signal(signal.SIGTERM)
     if paused_seconds:
         process.send_signal(signal.SIGSTOP)
+    on_signal()
+    if paused_seconds:
         time.sleep(paused_seconds)
         process.send_signal(signal.SIGCONT)
     end_seconds = started_seconds + GRACE_SECONDS
@@ -231,7 +236,6 @@
 
 def play(callers, late, paused_seconds):
     """Let all callers call while the process stops."""
-    callers.signalled_seconds = time.monotonic()
     plays = (callers.call_anew, callers.call_in_pairs, callers.call_in_bursts)
     threads = [
         threading.Thread(target=callers.until_gone, args=(play,))
@@ -246,7 +250,12 @@
     ]
     for thread in threads:
         thread.start()
-    stop(callers.gateway.process, paused_seconds)
+
+    def note_signal():
+        callers.signalled_seconds = time.monotonic()
+        callers.signalled.set()
+
+    stop(callers.gateway.process, paused_seconds, note_signal)
     for thread in threads:
         thread.join()
 
@@ -272,3 +281,40 @@
     turned_away = [answer for answer in callers.answers if answer.status == 503]
     assert [a for a in turned_away if a.request_id in ran] == []
     assert [a for a in turned_away if "Retry-After" not in a.headers] == []
+
+
+def ask_until_gone(gateway, port, cut):
+    """Ask an address of the instance until its process is gone."""
+    while gateway.process.poll() is None:
+        time.sleep(PAUSE_SECONDS / 4)
+        try:
+            connection = socket.create_connection((HOST, port), WAIT_SECONDS)
+        except ConnectionRefusedError:
+            continue
+        with connection:
+            connection.sendall(b"GET /v1/readyz HTTP/1.0\r\n\r\n")
+            try:
+                answer = connection.recv(1_024)
+            except OSError as error:
+                answer = repr(error).encode()
+            if not answer.startswith(b"HTTP/1.1 "):
+                cut.append(answer)
+
+
+# Guards against questions for readiness and addresses that are cut as the
+# process ends.
+def test_a_stop_leaves_no_question_without_an_answer(tmp_path, store, gateways):
+    gateways.append(Gateway(tmp_path, store, "edge"))
+    assert wait_until(gateways[0].is_ready)
+    cut: list[bytes] = []
+    threads = [
+        threading.Thread(target=ask_until_gone, args=(gateways[0], port, cut))
+        for port in (gateways[0].ready, gateways[0].directory) * 3
+    ]
+    for thread in threads:
+        thread.start()
+    stop(gateways[0].process, 0.0)
+    for thread in threads:
+        thread.join()
+    assert gateways[0].process.wait() == 0
+    assert cut == []
