--- a/src/waxwingwinch/_signals.py
+++ b/src/waxwingwinch/_signals.py
@@ -15,6 +15,17 @@
 _READ_BYTES = 4_096
 
 
+def is_pause(noted_seconds: float, now_seconds: float) -> bool:
+    """
+    Tell whether the process did not run for a time.
+
+    :param noted_seconds: Monotonic time at which the process last noted that
+        it runs.
+    :param now_seconds: Monotonic time.
+    """
+    return now_seconds - noted_seconds >= MIN_PAUSE_SECONDS
+
+
 def earliest_arrival_seconds(noted_seconds: float, seen_seconds: float) -> float:
     """
     Return the earliest time at which a signal may have arrived.
@@ -26,8 +37,7 @@
         it runs.
     :param seen_seconds: Monotonic time at which it saw the signal.
     """
-    is_paused = seen_seconds - noted_seconds >= MIN_PAUSE_SECONDS
-    return noted_seconds if is_paused else seen_seconds
+    return noted_seconds if is_pause(noted_seconds, seen_seconds) else seen_seconds
 
 
 class SignalInbox:
@@ -91,6 +101,9 @@
         while True:
             has_signals = bool(poller.poll(RUN_NOTE_SECONDS * 1_000))
             now_seconds = _now_seconds()
+            if not has_signals and is_pause(noted_seconds, now_seconds):
+                # A signal may have come in the pause, after the wait ended.
+                has_signals = bool(poller.poll(0))
             for number in os.read(self._reader, _READ_BYTES) if has_signals else b"":
                 if number in self._stop_signals:
                     seen_seconds = self._first_stop_seconds or now_seconds
