--- a/src/waxwingwinch/platform/tests/standin.py
+++ b/src/waxwingwinch/platform/tests/standin.py
@@ -230,6 +230,9 @@
     def do_GET(self):
         self.serve()
 
+    def do_HEAD(self):
+        self.serve()
+
     def do_POST(self):
         self.serve()
 
