Bound the head of a response

A server could make the process hold 6.5 MB for a single head: a hundred lines of 64 KiB, and more with interim responses before it, for each request that waits for it. A head with its interim responses may now have 64 KiB; a larger one is no answer, as one that breaks off.

The new test failed before: heads of 70 KB were read.

--- a/src/waxwingwinch/http/_whole_heads.py
+++ b/src/waxwingwinch/http/_whole_heads.py
@@ -8,6 +8,9 @@
 
 #: The line that ends a head.
 _HEAD_ENDS = (b"\r\n", b"\n")
+#: Largest head, with the interim responses before it; several times what
+#: servers send.
+MAX_HEAD_BYTES = 64 * 1_024
 
 
 class _LineReader:
@@ -21,14 +24,22 @@
         self._reader = reader
         #: The last line read; empty at the end of the connection.
         self.last_line = b""
+        self._read_bytes = 0
 
     def readline(self, limit: int = -1) -> bytes:
         """
         Read a line, or a part of it at the end of the connection.
 
         :param limit: Maximum number of bytes.
+        :raises http.client.HTTPException: If the head exceeds
+            :data:`MAX_HEAD_BYTES`.
         """
         self.last_line = self._reader.readline(limit)
+        self._read_bytes += len(self.last_line)
+        if self._read_bytes > MAX_HEAD_BYTES:
+            raise http.client.HTTPException(
+                f"the head of a response exceeds {MAX_HEAD_BYTES} bytes"
+            )
         return self.last_line
 
     def __getattr__(self, name: str) -> Any:
--- a/src/waxwingwinch/platform/tests/test_broken_heads.py
+++ b/src/waxwingwinch/platform/tests/test_broken_heads.py
@@ -15,6 +15,7 @@
     b"Content-Length: 12\r\n"
     b"\r\n"
 )
+INTERIM = b"HTTP/1.1 100 Continue\r\nX-More: a\r\n\r\n"
 UNFRAMED_HEAD = HEAD.replace(b"Content-Length: 12\r\n", b"")
 
 
@@ -53,6 +54,19 @@
         assert read(at) == (200, b"")
 
 
+# Guards against heads that take several megabytes each.
+@pytest.mark.parametrize("read", [read_by_gateway, read_by_exchange])
+@pytest.mark.parametrize(
+    "start", [b"", b"HTTP/1.1 100 Continue\r\nX-More: a\r\n\r\n" * 2_000]
+)
+def test_a_head_that_is_too_large_is_no_answer(read, start):
+    more = b"X-More: " + b"a" * 1_000 + b"\r\n"
+    head = start + HEAD.replace(b"\r\n\r\n", b"\r\n" + more * 70 + b"\r\n")
+    with raw_server(head + b"twelve bytes") as address:
+        with pytest.raises(AnswerMissing):
+            read(address)
+
+
 class HeadBreakingHandler(UpstreamHandler):
     """Closes the connection after a number of bytes of the head."""
 
