Let callers read their answers until the deadline of the request

A caller that stopped reading for longer than headerTimeoutMs had its answer cut: writes used the time-out that the socket had from reading the head. Each write now may take until the deadline of its request, and at least that time.

Answers go to the socket itself: the server's buffered writer copied what was left of a body for each part that the kernel took. Head and body are joined only up to 16 KiB. A response can also be begun with a known length, declares none with status 204 or 304, and comes without chunks to callers of HTTP/1.0, whose connection is reset if such a body can't be completed.

Elsewhere: the refusal of a malformed head is the only other write to a caller and fits the kernel's buffer.

--- a/src/waxwingwinch/gateway/_front.py
+++ b/src/waxwingwinch/gateway/_front.py
@@ -1,6 +1,8 @@
 """The HTTP server for callers, built on cheroot, the server of CherryPy."""
 
+import enum
 import socket
+import struct
 import threading
 from http import HTTPStatus
 from typing import Any, Protocol
@@ -59,6 +61,24 @@
 RECEIVE_BUFFER_BYTES = 65_536
 #: Statuses whose responses end with their head.
 BODILESS_STATUSES = (HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED)
+#: Largest head and body that are joined to be sent in one packet.
+MAX_JOINED_BYTES = 16 * 1_024
+
+#: ``struct linger`` with a timeout of 0: closing resets the connection.
+_LINGER_RESET = struct.pack("ii", 1, 0)
+
+
+class BodyFraming(enum.Enum):
+    """How a caller finds the end of a body."""
+
+    #: The response has no body.
+    NONE = enum.auto()
+    #: It declares the length of its body.
+    LENGTH = enum.auto()
+    #: The body comes in chunks.
+    CHUNKS = enum.auto()
+    #: The body ends with its connection.
+    CONNECTION = enum.auto()
 
 
 @frozen
@@ -106,10 +126,19 @@
 
     def __init__(self, request: "FrontRequest") -> None:
         self._request = request
-        self._has_body = True
+        self._framing = BodyFraming.LENGTH
+        self._end_seconds = 0.0
         #: True once the complete response has been written.
         self.is_complete = False
 
+    def write_until(self, end_seconds: float) -> None:
+        """
+        Set until when the caller may take its time to read the response.
+
+        :param end_seconds: Monotonic time of the request's deadline.
+        """
+        self._end_seconds = end_seconds
+
     def respond(
         self, status: int, headers: tuple[tuple[str, str], ...], body: bytes
     ) -> None:
@@ -125,47 +154,72 @@
             SecondResponseDropped(status).write()
             self.abort()
             return
-        framing = ("Content-Length", str(len(body)))
+        framing: tuple[tuple[str, str], ...] = ()
+        if status not in BODILESS_STATUSES:
+            framing = (("Content-Length", str(len(body))),)
         payload = b"" if self._request.method == b"HEAD" else body
-        self._send(self._head(status, (*headers, framing)) + payload)
+        self._send(self._head(status, (*headers, *framing)), payload)
         self.is_complete = True
 
-    def begin(self, status: int, headers: tuple[tuple[str, str], ...]) -> None:
+    def begin(
+        self,
+        status: int,
+        headers: tuple[tuple[str, str], ...],
+        body_bytes: int | None = None,
+    ) -> None:
         """
-        Write the head of a response with a chunked body.
+        Write the head of a response whose body follows in parts.
 
         :param status: HTTP status.
         :param headers: Headers except those that frame the body.
+        :param body_bytes: Size of the body; None if it is not known.
         :raises CallerDisconnected: If the caller has closed its connection.
         """
-        is_bodiless = status in BODILESS_STATUSES
-        self._has_body = self._request.method != b"HEAD" and not is_bodiless
-        framing = () if is_bodiless else (("Transfer-Encoding", "chunked"),)
+        framing: tuple[tuple[str, str], ...] = ()
+        if status in BODILESS_STATUSES:
+            self._framing = BodyFraming.NONE
+        elif body_bytes is not None:
+            self._framing = BodyFraming.LENGTH
+            framing = (("Content-Length", str(body_bytes)),)
+        elif self._request.response_protocol == "HTTP/1.0":
+            # Such a caller knows no chunks.
+            self._framing = BodyFraming.CONNECTION
+            self._request.close_connection = True
+        else:
+            self._framing = BodyFraming.CHUNKS
+            framing = (("Transfer-Encoding", "chunked"),)
+        if self._request.method == b"HEAD":
+            self._framing = BodyFraming.NONE
         self._send(self._head(status, (*headers, *framing)))
 
     def write(self, piece: bytes) -> None:
         """
-        Write a chunk of the body.
+        Write a part of the body.
 
         :param piece: The data; must not be empty.
         :raises CallerDisconnected: If the caller has closed its connection.
         """
-        if self._has_body:
-            self._send(b"%x\r\n%b\r\n" % (len(piece), piece))
+        match self._framing:
+            case BodyFraming.CHUNKS:
+                self._send(b"%x\r\n" % len(piece), piece, b"\r\n")
+            case BodyFraming.LENGTH | BodyFraming.CONNECTION:
+                self._send(piece)
 
     def end(self) -> None:
         """
-        Write the last chunk, which ends the body.
+        Complete the body.
 
         :raises CallerDisconnected: If the caller has closed its connection.
         """
-        if self._has_body:
+        if self._framing is BodyFraming.CHUNKS:
             self._send(b"0\r\n\r\n")
         self.is_complete = True
 
     def abort(self) -> None:
         """Close the connection, so that the response is seen as truncated."""
         self._request.close_connection = True
+        if self._framing is BodyFraming.CONNECTION:
+            self._request.conn.must_reset = True
 
     def _head(self, status: int, headers: tuple[tuple[str, str], ...]) -> bytes:
         self._request.sent_headers = True
@@ -177,13 +231,27 @@
             lines.append("Connection: close")
         return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
 
-    def _send(self, data: bytes) -> None:
+    def _send(self, *parts: bytes) -> None:
+        """Write parts to the socket, joined if that copies little."""
+        if sum(map(len, parts)) <= MAX_JOINED_BYTES:
+            parts = (b"".join(parts),)
         try:
-            self._request.conn.wfile.write(data)
+            for part in parts:
+                self._send_part(part)
         except (OSError, ValueError) as error:
             self._request.close_connection = True
             raise CallerDisconnected(repr(error)) from error
 
+    def _send_part(self, part: bytes) -> None:
+        server: FrontServer = self._request.server
+        remaining_seconds = self._end_seconds - server.clock.now_seconds()
+        connection = self._request.conn.socket
+        # The timeout of a socket bounds a whole call of sendall().
+        connection.settimeout(
+            max(remaining_seconds, server.limits.header_timeout_seconds)
+        )
+        connection.sendall(part)
+
 
 def _reason_phrase(status: int) -> str:
     try:
@@ -311,6 +379,9 @@
     is_watchable = True
     #: True once a request was answered before it was read to its end.
     has_rest = False
+    #: True if the connection is reset when it is closed, since its orderly end
+    #: would look like the end of a body.
+    must_reset = False
 
     def __init__(self, server: Any, sock: socket.socket, *arguments: Any) -> None:
         super().__init__(server, sock, *arguments)  # type: ignore[no-untyped-call]
@@ -333,11 +404,21 @@
 
     def close(self) -> None:
         """Close the connection; a caller that still sends gets its answer."""
-        if self.has_rest:
+        if self.must_reset:
+            self._reset()
+        elif self.has_rest:
             self.server.lingering.add(self.socket)
         else:
             super().close()  # type: ignore[no-untyped-call]
 
+    def _reset(self) -> None:
+        self.rfile.close()
+        try:
+            self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_RESET)
+        except OSError as error:
+            CallerConnectionClosed(None, repr(error)).write()
+        self.socket.close()
+
     def stop_reading(self) -> None:
         """Read nothing that has not arrived yet."""
         self.is_watchable = False
--- a/src/waxwingwinch/gateway/_outcomes.py
+++ b/src/waxwingwinch/gateway/_outcomes.py
@@ -51,6 +51,13 @@
 class Responder(Protocol):
     """Writes one response to a caller."""
 
+    def write_until(self, end_seconds: float) -> None:
+        """
+        Set until when the caller may take its time to read the response.
+
+        :param end_seconds: Monotonic time of the request's deadline.
+        """
+
     def respond(
         self, status: int, headers: tuple[tuple[str, str], ...], body: bytes
     ) -> None:
@@ -63,20 +70,26 @@
         :raises CallerDisconnected: If the caller closed its connection.
         """
 
-    def begin(self, status: int, headers: tuple[tuple[str, str], ...]) -> None:
+    def begin(
+        self,
+        status: int,
+        headers: tuple[tuple[str, str], ...],
+        body_bytes: int | None = None,
+    ) -> None:
         """
-        Write the head of a streamed response.
+        Write the head of a response whose body follows in parts.
 
         :param status: HTTP status.
         :param headers: Headers without those for the framing of the body.
+        :param body_bytes: Size of the body; None if it is not known.
         :raises CallerDisconnected: If the caller closed its connection.
         """
 
     def write(self, piece: bytes) -> None:
         """
-        Write a chunk of the body.
+        Write a part of the body.
 
-        :param piece: The chunk; not empty.
+        :param piece: The part; not empty.
         :raises CallerDisconnected: If the caller closed its connection.
         """
 
--- a/src/waxwingwinch/gateway/tests/relay_harness.py
+++ b/src/waxwingwinch/gateway/tests/relay_harness.py
@@ -309,13 +309,17 @@
     is_complete: bool = False
     is_aborted: bool = False
     breaks_after: int | None = None
+    end_seconds: float = 0.0
+
+    def write_until(self, end_seconds):
+        self.end_seconds = end_seconds
 
     def respond(self, status, headers, body):
         assert self.status is None, "a response has one head"
         self.status, self.headers, self.body = status, headers, body
         self.is_complete = True
 
-    def begin(self, status, headers):
+    def begin(self, status, headers, body_bytes=None):
         assert self.status is None, "a response has one head"
         self.status, self.headers = status, headers
 
