Pass long answers on as their callers read them

A plain answer was held whole, and more than once, until its caller had read it: 30 callers that read answers of 6 MB at 2 MB/s took 771 MB, and a body without end all memory that there was. Callers saw a closed connection, as the process was killed.

A body up to 128 KiB is held as before, so that another upstream can be asked if the first breaks off in it. A longer one is passed on: head and framing, what was read, and then part by part, so that the upstream sends only as fast as the caller reads. If the upstream breaks off, the answer is aborted, visibly incomplete and not repeated. A long failure that would be kept while others are asked is dropped. A caller that hasn't read its answer at the deadline loses it; the upstream isn't blamed. If the memory account has no room for the first parts, they are passed on at once. The kernel holds at most 128 KiB of an upstream's unread data, doubled by its own accounting, where it went up to several megabytes.

What a stream holds of its incomplete events beyond 64 KiB is reserved; without room the answer ends with 502, or is aborted, and the engine isn't blamed. An incomplete event grows in place and only what is new of it is searched. Bodies that the gateway reads for itself, handles of KV caches and rejections, are bounded by 64 KiB.

Elsewhere: answers of failing engines go the same way.

--- a/src/waxwingwinch/gateway/_body_reader.py
+++ b/src/waxwingwinch/gateway/_body_reader.py
@@ -12,8 +12,9 @@
 
 #: Maximum length of a chunk size or trailer line.
 MAX_LINE_BYTES = 8_192
+#: What is read from the connection at once.
+READ_BYTES = 65_536
 
-_READ_BYTES = 65_536
 _CHUNK_SIZE = re.compile(rb"([0-9A-Fa-f]{1,15})[ \t]*(;.*)?")
 
 
@@ -198,7 +199,7 @@
 
     def _receive(self) -> None:
         try:
-            data = self.connection.recv(_READ_BYTES)
+            data = self.connection.recv(READ_BYTES)
         except BlockingIOError:
             return
         except OSError as error:
--- a/src/waxwingwinch/gateway/_connections.py
+++ b/src/waxwingwinch/gateway/_connections.py
@@ -40,6 +40,12 @@
 REUSE_FRACTION = 0.5
 #: Maximum number of idle connections per upstream.
 MAX_IDLE_CONNECTIONS = 8
+#: Largest body that the gateway itself reads: the handle of a KV cache, or the
+#: reason of a rejection.
+MAX_READ_BODY_BYTES = 64 * 1_024
+#: What the kernel holds of a connection's unread data. It counts as memory of
+#: the process; by default it grows to several megabytes.
+RECEIVE_BUFFER_BYTES = 128 * 1_024
 #: Interval at which expired idle connections are closed; a small part of the
 #: time for which they may be reused.
 SWEEP_INTERVAL_SECONDS = 1.0
@@ -47,6 +53,7 @@
 SOCKET_OPTIONS = (
     (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
     (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES),
     (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_INTERVAL_SECONDS),
     (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_SECONDS),
     (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
@@ -297,15 +304,20 @@
 
     def read_all(self, timeout_seconds: float) -> bytes:
         """
-        Read the complete body.
+        Read the complete body of a response that the gateway itself needs.
 
         :param timeout_seconds: Longest wait.
-        :raises AnswerMissing: If the body was truncated or timed out.
+        :raises AnswerMissing: If the body was truncated, timed out or is
+            longer than :data:`MAX_READ_BODY_BYTES`.
         """
         end_seconds = time.monotonic() + timeout_seconds
         body = bytearray()
         while part := self.read_some(end_seconds - time.monotonic()):
             body += part
+            if len(body) > MAX_READ_BODY_BYTES:
+                raise AnswerMissing(
+                    f"the response body exceeds {MAX_READ_BODY_BYTES} bytes"
+                )
         return bytes(body)
 
     def has_no_unread_data(self) -> bool:
--- a/src/waxwingwinch/gateway/_event_stream.py
+++ b/src/waxwingwinch/gateway/_event_stream.py
@@ -1,9 +1,12 @@
 """Splitting a stream of server-sent events into complete events."""
 
-from attrs import define
+from attrs import define, field
 
 #: Maximum size of a buffered incomplete event; far above real events.
 MAX_EVENT_BYTES = 1_048_576
+#: What ends an event.
+SEPARATORS = (b"\n\n", b"\r\n\r\n")
+MAX_SEPARATOR_BYTES = 4
 
 
 class EventTooLarge(ValueError):
@@ -25,7 +28,7 @@
 
     last_event_id: str | None = None
     event_count: int = 0
-    _pending: bytes = b""
+    _pending: bytearray = field(factory=bytearray)
     _is_resuming: bool = False
 
     def feed(self, piece: bytes) -> bytes:
@@ -37,9 +40,13 @@
         :raises EventOutOfOrder: If a resumed stream doesn't go on after the
             last event.
         """
-        data = self._pending + piece
-        end = _end_of_last_event(data)
-        complete, self._pending = data[:end], data[end:]
+        # The end of an event can only lie in what is new, or span it.
+        searched_bytes = max(len(self._pending) - MAX_SEPARATOR_BYTES + 1, 0)
+        self._pending += piece
+        end = _end_of_last_event(self._pending, searched_bytes)
+        with memoryview(self._pending) as pending:
+            complete = bytes(pending[:end])
+        del self._pending[:end]
         if len(self._pending) > MAX_EVENT_BYTES:
             raise EventTooLarge(f"a server-sent event exceeds {MAX_EVENT_BYTES} bytes")
         event_ids = _event_ids(complete)
@@ -64,7 +71,7 @@
         The bytes that follow are those of another response, which has to go
         on after that event.
         """
-        self._pending = b""
+        self._pending = bytearray()
         self._is_resuming = self.last_event_id is not None
 
     def _check_order(self, event_ids: list[str]) -> None:
@@ -77,6 +84,11 @@
                 f" event {event_ids[0]}"
             )
 
+    @property
+    def partial_bytes(self) -> int:
+        """Size of the buffered incomplete event."""
+        return len(self._pending)
+
     @property
     def has_partial_event(self) -> bool:
         """Tell whether an incomplete event is buffered."""
@@ -98,11 +110,11 @@
     return event_id != last_event_id
 
 
-def _end_of_last_event(data: bytes) -> int:
+def _end_of_last_event(data: bytearray, start: int) -> int:
     """Return the position after the last blank line, 0 if there is none."""
     positions = []
-    for separator in (b"\n\n", b"\r\n\r\n"):
-        found = data.rfind(separator)
+    for separator in SEPARATORS:
+        found = data.rfind(separator, start)
         if found >= 0:
             positions.append(found + len(separator))
     return max(positions, default=0)
--- a/src/waxwingwinch/gateway/_generation_relay.py
+++ b/src/waxwingwinch/gateway/_generation_relay.py
@@ -1,6 +1,9 @@
 """Relaying the streamed response of a generation, and resuming it."""
 
 from waxwingwinch._types import UpstreamId
+from waxwingwinch.gateway._answer_log_lines import AnswerNotHeld
+from waxwingwinch.gateway._answer_passing import AnswerPasser, respond_whole
+from waxwingwinch.gateway._answer_start import read_start
 from waxwingwinch.gateway._attempts import (
     AttemptObserver,
     suspect_part_ids,
@@ -19,8 +22,11 @@
     raise_if_cancelled,
 )
 from waxwingwinch.gateway._loads import TrackedRequest
+from waxwingwinch.gateway._memory_account import MemoryExhausted
 from waxwingwinch.gateway._outcomes import (
     CallerDisconnected,
+    RefusalReason,
+    RequestEnded,
     Responder,
 )
 from waxwingwinch.gateway._permits import AttemptPermits, NoPermit
@@ -29,12 +35,11 @@
     RunDirectly,
     RunSplit,
 )
+from waxwingwinch.gateway._plain_exchange import CompleteResponse, OpenAnswer
 from waxwingwinch.gateway._plain_relay import (
     blocked_refusal,
     final_refusal,
     may_attempt,
-    record_failure,
-    record_rejection,
 )
 from waxwingwinch.gateway._prefill import (
     PrefilledCache,
@@ -59,6 +64,8 @@
 from waxwingwinch.gateway._upstream_calls import (
     MISDIRECTED_STATUS,
     open_call,
+    record_failure,
+    record_rejection,
     silence_error,
 )
 from waxwingwinch.gateway._upstreams import Upstream
@@ -92,6 +99,7 @@
         self._engine_chooser = EngineChooser(context)
         self._prefill_relay = PrefillRelay(context)
         self._attempts = AttemptObserver(context)
+        self._passer = AnswerPasser(context)
 
     def serve(self, job: Job, prompt: Prompt, responder: Responder) -> None:
         """
@@ -397,7 +405,7 @@
             if stream.silent is None:
                 stream.splitter.drop_partial_event()
             return False
-        except (CallDropped, CallerDisconnected):
+        except (CallDropped, CallerDisconnected, RequestEnded):
             response.abort()
             raise
         finally:
@@ -433,7 +441,7 @@
         if stream.head is not None:
             _check_resumption(stream.head, head)
         if not head.is_success:
-            return self._relay_error_response(stream, response)
+            return self._relay_error_response(stream, attempt)
         if not head.is_signed:
             raise _Interrupted(
                 "the upstream sent a success response without a signature"
@@ -442,7 +450,8 @@
         if stream.silent is not None:
             self._forward(stream, attempt, self._take_over(stream, attempt))
         while piece := self._read(stream, attempt):
-            self._forward(stream, attempt, _split(stream.splitter, piece))
+            self._forward(stream, attempt, _split(stream, stream.splitter, piece))
+            stream.hold(stream.splitter.partial_bytes)
         _check_end(stream.splitter, attempt)
         if head.is_framed:
             # Without framing, a crash between two events looks like the end.
@@ -486,7 +495,7 @@
                 piece = attempt.response.read_some(max(remaining_seconds, 0.001))
                 if not piece:
                     break
-                events = _split(splitter, piece)
+                events = _split(stream, splitter, piece)
         except AnswerMissing as error:
             raise _Interrupted(str(error)) from error
         if not events:
@@ -532,19 +541,28 @@
         ).write()
 
     def _relay_error_response(
-        self, stream: StreamState, response: UpstreamResponse
+        self, stream: StreamState, attempt: StreamAttempt
     ) -> bool:
-        job = stream.job
+        job, response, clock = stream.job, attempt.response, self._context.clock
         try:
-            now_seconds = self._context.clock.now_seconds()
-            body = response.read_all(job.end_seconds - now_seconds)
+            start = read_start(job, response, clock)
         except AnswerMissing as error:
             raise _Interrupted(str(error)) from error
-        response.finish()
-        if may_attempt(job, stream.progress, self._context.clock.now_seconds()):
+        if start.is_whole:
+            response.finish()
+        if may_attempt(job, stream.progress, clock.now_seconds()):
             # The response is dropped, as another attempt is allowed.
+            if not start.is_whole:
+                response.abort()
             return False
-        stream.responder.respond(response.head.status, response.head.headers, body)
+        if start.is_whole:
+            whole = CompleteResponse(response.head, start.data)
+            respond_whole(job, whole, stream.responder)
+        else:
+            answer = OpenAnswer(
+                attempt.observed, attempt.tracked_request, response, start.data
+            )
+            self._passer.pass_on(job, answer, stream.responder)
         return True
 
     def _begin(self, stream: StreamState, head: ResponseHead) -> None:
@@ -576,11 +594,26 @@
             raise _Interrupted(str(error)) from error
 
 
-def _split(splitter: EventSplitter, piece: bytes) -> bytes:
+def _split(stream: StreamState, splitter: EventSplitter, piece: bytes) -> bytes:
+    """Return the events that a piece completes; reserve what is held."""
     try:
-        return splitter.feed(piece)
+        events = splitter.feed(piece)
     except (EventTooLarge, EventOutOfOrder) as error:
         raise _Interrupted(str(error)) from error
+    held_bytes = len(events) + splitter.partial_bytes
+    if splitter is not stream.splitter:
+        held_bytes += stream.splitter.partial_bytes
+    try:
+        stream.hold(held_bytes)
+    except MemoryExhausted as error:
+        AnswerNotHeld(
+            request_id=stream.job.request.request_id,
+            held_bytes=held_bytes,
+            requested_bytes=error.requested_bytes,
+            free_bytes=error.free_bytes,
+        ).write()
+        raise RequestEnded(502, RefusalReason.OUTCOME_UNKNOWN) from error
+    return events
 
 
 def _check_resumption(first: ResponseHead, head: ResponseHead) -> None:
--- a/src/waxwingwinch/gateway/_plain_exchange.py
+++ b/src/waxwingwinch/gateway/_plain_exchange.py
@@ -6,7 +6,7 @@
 from waxwingwinch.gateway._job import Job, Progress
 from waxwingwinch.gateway._loads import TrackedRequest
 from waxwingwinch.gateway._requests import ResponseHead
-from waxwingwinch.gateway._transport import PendingCall
+from waxwingwinch.gateway._transport import PendingCall, UpstreamResponse
 from waxwingwinch.gateway._upstream_calls import SentCall
 from waxwingwinch.gateway._upstreams import Upstream
 
@@ -57,6 +57,46 @@
         return self.sent_call.pending
 
 
+@define(eq=False)
+class OpenAnswer:
+    """
+    A response that is too large to be held, read in part.
+
+    :param observed: What is recorded of the attempt that it answers.
+    :param tracked_request: Counts the request at the upstream.
+    :param response: The response.
+    :param start: What was read of the body.
+    """
+
+    observed: Attempt
+    tracked_request: TrackedRequest
+    response: UpstreamResponse
+    start: bytes
+
+    @property
+    def head(self) -> ResponseHead:
+        """Status and headers."""
+        return self.response.head
+
+    def take_start(self) -> bytes:
+        """Return what was read of the body, and hold it no longer."""
+        start, self.start = self.start, b""
+        return start
+
+    def finish(self) -> None:
+        """Release the connection after the complete body was read."""
+        self.response.finish()
+        self.tracked_request.end()
+
+    def abort(self) -> None:
+        """Cancel the request at the upstream."""
+        self.response.abort()
+        self.tracked_request.end()
+
+
+PlainAnswer = CompleteResponse | OpenAnswer
+
+
 @define(eq=False)
 class PlainExchange:
     """
--- a/src/waxwingwinch/gateway/_plain_relay.py
+++ b/src/waxwingwinch/gateway/_plain_relay.py
@@ -1,6 +1,9 @@
 """Relaying a request to a plain service."""
 
 from waxwingwinch._types import EngineRole, UpstreamId
+from waxwingwinch.gateway._answer_log_lines import AnswerDropped
+from waxwingwinch.gateway._answer_passing import AnswerPasser, respond_whole
+from waxwingwinch.gateway._answer_start import read_start
 from waxwingwinch.gateway._attempts import Attempt, AttemptObserver
 from waxwingwinch.gateway._connections import CallDropped, Cancelled
 from waxwingwinch.gateway._crash_evidence import PartBlock
@@ -23,6 +26,8 @@
 from waxwingwinch.gateway._placement import PlainOption, place_plain
 from waxwingwinch.gateway._plain_exchange import (
     CompleteResponse,
+    OpenAnswer,
+    PlainAnswer,
     PlainAttempt,
     PlainExchange,
 )
@@ -30,15 +35,12 @@
     RequestSent,
     SilentUpstreamKept,
     UpstreamAnswered,
-    UpstreamFailed,
-    UpstreamRejected,
 )
-from waxwingwinch.gateway._requests import ResponseHead
 from waxwingwinch.gateway._retry_payments import charge_calls
-from waxwingwinch.gateway._telemetry import CounterName
 from waxwingwinch.gateway._transport import FullExecution, SilentCall
 from waxwingwinch.gateway._upstream_calls import (
-    MISDIRECTED_STATUS,
+    record_failure,
+    record_rejection,
     send_call,
     silence_error,
 )
@@ -60,6 +62,7 @@
     def __init__(self, context: RelayContext) -> None:
         self._context = context
         self._attempts = AttemptObserver(context)
+        self._passer = AnswerPasser(context)
 
     def serve(self, job: Job, responder: Responder) -> None:
         """
@@ -77,9 +80,13 @@
             self._context.clock.now_seconds() - job.request.arrived_seconds,
             job.route.target_seconds,
         )
-        responder.respond(response.head.status, response.head.headers, response.body)
+        if isinstance(response, OpenAnswer):
+            if self._passer.pass_on(job, response, responder):
+                self._record_whole(response.observed)
+        else:
+            respond_whole(job, response, responder)
 
-    def _obtain_response(self, job: Job) -> CompleteResponse:
+    def _obtain_response(self, job: Job) -> PlainAnswer:
         exchange = PlainExchange(job)
         try:
             while True:
@@ -89,7 +96,7 @@
         finally:
             exchange.drop_silent()
 
-    def _serve_once(self, exchange: PlainExchange) -> CompleteResponse | None:
+    def _serve_once(self, exchange: PlainExchange) -> PlainAnswer | None:
         """Make one attempt; return None if another one is to be made."""
         job, now_seconds = exchange.job, self._context.clock.now_seconds()
         block = self._attempts.block(job, exchange.progress.sends, now_seconds)
@@ -127,7 +134,7 @@
 
     def _end_blocked(
         self, exchange: PlainExchange, block: PartBlock, now_seconds: float
-    ) -> CompleteResponse | None:
+    ) -> PlainAnswer | None:
         """End a blamed request, unless an upstream still runs it."""
         if exchange.silent is not None:
             return self._keep_silent(exchange, "the request crashes upstreams")
@@ -171,7 +178,7 @@
 
     def _read_first(
         self, exchange: PlainExchange, attempt: PlainAttempt
-    ) -> CompleteResponse | None:
+    ) -> PlainAnswer | None:
         """Read the response of whichever upstream gives a usable one first."""
         silent = exchange.silent
         if silent is None:
@@ -192,9 +199,7 @@
                 return response
         return self._read(exchange, attempt)
 
-    def _keep_silent(
-        self, exchange: PlainExchange, reason: str
-    ) -> CompleteResponse | None:
+    def _keep_silent(self, exchange: PlainExchange, reason: str) -> PlainAnswer | None:
         """Wait for the upstream that was silent."""
         attempt = exchange.take_silent()
         SilentUpstreamKept(
@@ -206,11 +211,12 @@
 
     def _read(
         self, exchange: PlainExchange, attempt: PlainAttempt
-    ) -> CompleteResponse | None:
+    ) -> PlainAnswer | None:
         """Read a response; return None if another attempt is to be made."""
         job, upstream = exchange.job, attempt.upstream
+        answer: PlainAnswer | None = None
         try:
-            response = self._receive(exchange, attempt)
+            answer = self._receive(exchange, attempt)
         except (AnswerMissing, Cancelled) as error:
             raise_if_cancelled(job, error)
             record_failure(self._context, job, upstream, error)
@@ -218,39 +224,64 @@
             exchange.add_possible_execution(upstream)
             return None
         finally:
-            attempt.tracked_request.end()
-        if response.head.not_executed:
-            record_rejection(self._context, job, upstream, response.head)
-            self._attempts.rejected(attempt.observed, response.head)
+            if not isinstance(answer, OpenAnswer):
+                attempt.tracked_request.end()
+        if answer.head.not_executed:
+            if isinstance(answer, OpenAnswer):
+                answer.abort()
+            record_rejection(self._context, job, upstream, answer.head)
+            self._attempts.rejected(attempt.observed, answer.head)
             exchange.progress = exchange.progress.with_rejection(upstream.upstream_id)
             return None
         self._attempts.answered(attempt.observed)
-        self._attempts.succeeded(attempt.observed)
-        self._context.directory.record_success(upstream.upstream_id)
+        if isinstance(answer, CompleteResponse):
+            self._record_whole(attempt.observed)
         self._context.usage.record_start(
             job.customer_id, self._context.clock.wall_seconds()
         )
-        if response.head.status < 500 or not job.route.is_retryable:
-            return response
-        exchange.fallback = response
+        if answer.head.status < 500 or not job.route.is_retryable:
+            return answer
+        return self._keep_fallback(exchange, upstream, answer)
+
+    def _record_whole(self, observed: Attempt) -> None:
+        self._attempts.succeeded(observed)
+        self._context.directory.record_success(observed.upstream.upstream_id)
+
+    def _keep_fallback(
+        self, exchange: PlainExchange, upstream: Upstream, answer: PlainAnswer
+    ) -> PlainAnswer | None:
+        """Keep a failure while others are asked; return it if none may be."""
         exchange.add_possible_execution(upstream)
+        if isinstance(answer, CompleteResponse):
+            exchange.fallback = answer
+            return None
+        now_seconds = self._context.clock.now_seconds()
+        if not may_attempt(exchange.job, exchange.progress, now_seconds):
+            return answer
+        answer.abort()
+        AnswerDropped(
+            request_id=exchange.job.request.request_id,
+            upstream_id=upstream.upstream_id,
+            status=answer.head.status,
+            read_bytes=len(answer.start),
+        ).write()
         return None
 
-    def _receive(
-        self, exchange: PlainExchange, attempt: PlainAttempt
-    ) -> CompleteResponse:
+    def _receive(self, exchange: PlainExchange, attempt: PlainAttempt) -> PlainAnswer:
+        """Read a response as far as it may be held."""
         clock, end_seconds = self._context.clock, exchange.job.end_seconds
         response = attempt.sent_call.receive(end_seconds - clock.now_seconds())
         try:
-            body = response.read_all(end_seconds - clock.now_seconds())
+            start = read_start(exchange.job, response, clock)
+            if response.head.is_success and not response.head.is_signed:
+                raise AnswerMissing(
+                    "the upstream sent a success response without a signature"
+                )
         except AnswerMissing:
             response.abort()
             raise
-        response.finish()
-        if response.head.is_success and not response.head.is_signed:
-            raise AnswerMissing(
-                "the upstream sent a success response without a signature"
-            )
+        if start.is_whole:
+            response.finish()
         if response.head.is_success:
             self._give_up_silent(exchange)
         UpstreamAnswered(
@@ -259,7 +290,11 @@
             response.head.status,
             clock.now_seconds() - attempt.observed.sent_seconds,
         ).write()
-        return CompleteResponse(response.head, body)
+        if start.is_whole:
+            return CompleteResponse(response.head, start.data)
+        return OpenAnswer(
+            attempt.observed, attempt.tracked_request, response, start.data
+        )
 
     def _give_up_silent(self, exchange: PlainExchange) -> None:
         silent = exchange.silent
@@ -344,61 +379,6 @@
         )
 
 
-def record_failure(
-    context: RelayContext, job: Job, upstream: Upstream, error: Exception
-) -> None:
-    """
-    Record a failed call; the upstream is ejected from selection for a time.
-
-    :param context: Dependencies shared by the relays of the process.
-    :param job: The request.
-    :param upstream: The upstream.
-    :param error: The error of the call.
-    """
-    now_seconds = context.clock.now_seconds()
-    context.telemetry.count(CounterName.UPSTREAM_FAILURES, type(error).__name__)
-    context.telemetry.count(CounterName.EJECTIONS, job.service.name)
-    if isinstance(error, NotSent):
-        ejected_seconds = context.directory.record_unreachable(
-            upstream.upstream_id, now_seconds
-        )
-    else:
-        ejected_seconds = context.directory.record_failure(
-            upstream.upstream_id, now_seconds
-        )
-    UpstreamFailed(
-        request_id=job.request.request_id,
-        upstream_id=upstream.upstream_id,
-        error=type(error).__name__,
-        reason=str(error),
-        avoided_seconds=ejected_seconds,
-    ).write()
-
-
-def record_rejection(
-    context: RelayContext, job: Job, upstream: Upstream, head: ResponseHead
-) -> None:
-    """
-    Record that an upstream rejected a request without executing it.
-
-    :param context: Dependencies shared by the relays of the process.
-    :param job: The request.
-    :param upstream: The upstream.
-    :param head: Status and headers of its response.
-    """
-    if head.status == MISDIRECTED_STATUS:
-        context.directory.mark_misdirected(upstream)
-    else:
-        context.directory.record_failure(
-            upstream.upstream_id, context.clock.now_seconds()
-        )
-    UpstreamRejected(
-        request_id=job.request.request_id,
-        upstream_id=upstream.upstream_id,
-        status=head.status,
-    ).write()
-
-
 def may_attempt(job: Job, progress: Progress, now_seconds: float) -> bool:
     """
     Tell whether a request may be sent to a further upstream.
--- a/src/waxwingwinch/gateway/_prefill.py
+++ b/src/waxwingwinch/gateway/_prefill.py
@@ -13,14 +13,17 @@
 )
 from waxwingwinch.gateway._loads import NO_LOAD
 from waxwingwinch.gateway._placement import FIRST_EVENT_SECONDS, RunSplit, work_seconds
-from waxwingwinch.gateway._plain_relay import record_failure, record_rejection
 from waxwingwinch.gateway._request_log_lines import PromptRead
 from waxwingwinch.gateway._transport import (
     PrefillOnly,
     SilentCall,
     UpstreamResponse,
 )
-from waxwingwinch.gateway._upstream_calls import open_call
+from waxwingwinch.gateway._upstream_calls import (
+    open_call,
+    record_failure,
+    record_rejection,
+)
 from waxwingwinch.gateway._upstreams import Upstream
 from waxwingwinch.http import AnswerMissing, NotSent
 
@@ -171,7 +174,11 @@
             SilentCall(silent, wait_seconds) if silent is not None else None,
         )
         if response.head.not_executed:
-            response.read_all(wait_seconds)
+            try:
+                response.read_all(wait_seconds)
+            except AnswerMissing:
+                response.abort()
+                raise
             response.finish()
             record_rejection(self._context, job, engine, response.head)
             return None
--- a/src/waxwingwinch/gateway/_requests.py
+++ b/src/waxwingwinch/gateway/_requests.py
@@ -118,6 +118,8 @@
     :param is_signed: True if the upstream signed the response.
     :param is_framed: True if the response states where its body ends; a body
         without framing ends with its connection.
+    :param body_bytes: Length that the response declares, also if it has no
+        body, as one to HEAD; None if it declares none.
     """
 
     status: int
@@ -126,6 +128,7 @@
     not_executed: bool
     is_signed: bool
     is_framed: bool = True
+    body_bytes: int | None = None
 
     @property
     def media_type(self) -> str | None:
--- a/src/waxwingwinch/gateway/_stream_state.py
+++ b/src/waxwingwinch/gateway/_stream_state.py
@@ -12,6 +12,12 @@
 from waxwingwinch.gateway._transport import UpstreamResponse
 from waxwingwinch.gateway._upstreams import Upstream
 
+#: What a stream may hold of its events without a reservation; far above usual
+#: events, and a part of the memory that each request is given.
+FREE_EVENT_BYTES = 64 * 1_024
+#: An incomplete event is copied when more of it arrives.
+EVENT_COPIES = 2
+
 
 @define(eq=False)
 class StreamAttempt:
@@ -65,6 +71,22 @@
     placement_name: str = ""
     silent: StreamAttempt | None = None
     unfetched_cache: PrefilledCache | None = None
+    _reserved_bytes: int = 0
+
+    def hold(self, size_bytes: int) -> None:
+        """
+        Reserve memory for events that are incomplete or not yet written.
+
+        :param size_bytes: Their size; what was reserved before for larger
+            ones is released.
+        :raises MemoryExhausted: If there is no room for them.
+        """
+        excess_bytes = max(size_bytes - FREE_EVENT_BYTES, 0) * EVENT_COPIES
+        if excess_bytes > self._reserved_bytes:
+            self.job.reservation.grow(excess_bytes - self._reserved_bytes)
+        else:
+            self.job.reservation.shrink(self._reserved_bytes - excess_bytes)
+        self._reserved_bytes = excess_bytes
 
     @property
     def has_begun(self) -> bool:
--- a/src/waxwingwinch/gateway/_transport.py
+++ b/src/waxwingwinch/gateway/_transport.py
@@ -104,10 +104,11 @@
 
     def read_all(self, timeout_seconds: float) -> bytes:
         """
-        Read the complete body.
+        Read the complete body of a response that the gateway itself needs.
 
         :param timeout_seconds: Longest wait.
-        :raises AnswerMissing: If the body was truncated or timed out.
+        :raises AnswerMissing: If the body was truncated, timed out or is not
+            short.
         """
 
     def finish(self) -> None:
--- a/src/waxwingwinch/gateway/_upstream_calls.py
+++ b/src/waxwingwinch/gateway/_upstream_calls.py
@@ -4,7 +4,11 @@
 
 from waxwingwinch.gateway._job import Job, RelayContext
 from waxwingwinch.gateway._limit_log_lines import LimitedRequestSent
-from waxwingwinch.gateway._request_log_lines import UpstreamBegan
+from waxwingwinch.gateway._request_log_lines import (
+    UpstreamBegan,
+    UpstreamFailed,
+    UpstreamRejected,
+)
 from waxwingwinch.gateway._requests import ResponseHead
 from waxwingwinch.gateway._telemetry import CounterName
 from waxwingwinch.gateway._transport import (
@@ -14,7 +18,7 @@
     UpstreamResponse,
 )
 from waxwingwinch.gateway._upstreams import Upstream
-from waxwingwinch.http import AnswerMissing
+from waxwingwinch.http import AnswerMissing, NotSent
 
 #: Status of an upstream that now serves another service or is another
 #: incarnation (421 Misdirected Request).
@@ -128,6 +132,61 @@
     return AnswerMissing(reason)
 
 
+def record_failure(
+    context: RelayContext, job: Job, upstream: Upstream, error: Exception
+) -> None:
+    """
+    Record a failed call; the upstream is ejected from selection for a time.
+
+    :param context: Dependencies shared by the relays of the process.
+    :param job: The request.
+    :param upstream: The upstream.
+    :param error: The error of the call.
+    """
+    now_seconds = context.clock.now_seconds()
+    context.telemetry.count(CounterName.UPSTREAM_FAILURES, type(error).__name__)
+    context.telemetry.count(CounterName.EJECTIONS, job.service.name)
+    if isinstance(error, NotSent):
+        ejected_seconds = context.directory.record_unreachable(
+            upstream.upstream_id, now_seconds
+        )
+    else:
+        ejected_seconds = context.directory.record_failure(
+            upstream.upstream_id, now_seconds
+        )
+    UpstreamFailed(
+        request_id=job.request.request_id,
+        upstream_id=upstream.upstream_id,
+        error=type(error).__name__,
+        reason=str(error),
+        avoided_seconds=ejected_seconds,
+    ).write()
+
+
+def record_rejection(
+    context: RelayContext, job: Job, upstream: Upstream, head: ResponseHead
+) -> None:
+    """
+    Record that an upstream rejected a request without executing it.
+
+    :param context: Dependencies shared by the relays of the process.
+    :param job: The request.
+    :param upstream: The upstream.
+    :param head: Status and headers of its response.
+    """
+    if head.status == MISDIRECTED_STATUS:
+        context.directory.mark_misdirected(upstream)
+    else:
+        context.directory.record_failure(
+            upstream.upstream_id, context.clock.now_seconds()
+        )
+    UpstreamRejected(
+        request_id=job.request.request_id,
+        upstream_id=upstream.upstream_id,
+        status=head.status,
+    ).write()
+
+
 def _record_send(
     context: RelayContext, job: Job, upstream: Upstream, now_seconds: float
 ) -> None:
--- a/src/waxwingwinch/platform/_headers.py
+++ b/src/waxwingwinch/platform/_headers.py
@@ -31,6 +31,10 @@
 RETRY_AFTER = "Retry-After"
 #: Number of times that the store has returned from an older copy.
 STORE_ERA = "Store-Era"
+CONNECTION = "Connection"
+#: Framing of a body.
+CONTENT_LENGTH = "Content-Length"
+TRANSFER_ENCODING = "Transfer-Encoding"
 DUTY_HOLDER = "X-Waxwingwinch-Duty-Holder"
 FENCE_TOKEN = "X-Waxwingwinch-Fence-Token"
 
@@ -82,9 +86,7 @@
 #: lower case. All others have to be decoded.
 UNUSED_RESPONSE_HEADERS = {
     "content-encoding": "bodies are asked for without; passed on to the caller",
-    "content-length": "framing, read by the HTTP client",
     "date": "clocks of upstreams are not used",
     "server": "names software, not the upstream",
-    "transfer-encoding": "framing, read by the HTTP client",
     "x-waxwingwinch-weight-versions": "one version for each service is used",
 }
--- a/src/waxwingwinch/platform/_transport.py
+++ b/src/waxwingwinch/platform/_transport.py
@@ -39,6 +39,8 @@
 from waxwingwinch.platform._answers import check_identity, check_refusal
 from waxwingwinch.platform._fields import read_integer
 from waxwingwinch.platform._headers import (
+    CONNECTION,
+    CONTENT_LENGTH,
     DEADLINE_MS,
     EXPECT_INSTANCE,
     HOP_BY_HOP_HEADERS,
@@ -50,6 +52,7 @@
     RESPONSE_STAMP,
     SERVING_STAGE,
     TENANT,
+    TRANSFER_ENCODING,
 )
 from waxwingwinch.platform._statements import (
     MISDIRECTED_STATUS,
@@ -68,6 +71,7 @@
 
 _MILLISECONDS_PER_SECOND = 1_000
 _HANDLE = re.compile(r"[\x21-\x7e]{1,256}")
+_LENGTH = re.compile(r"[0-9]{1,18}")
 _KEEP_ALIVE = re.compile(r"timeout=(\d+)")
 
 
@@ -100,7 +104,7 @@
         self._clock = clock
         headers = response.headers
         self._idle_seconds = _idle_seconds(headers.get("Keep-Alive", ""))
-        self._is_persistent = headers.get("Connection", "").lower() != "close"
+        self._is_persistent = headers.get(CONNECTION, "").lower() != "close"
         not_executed = NOT_EXECUTED in headers
         #: Status and headers, without hop-by-hop headers.
         self.head = ResponseHead(
@@ -114,6 +118,7 @@
             not_executed=not_executed or response.status == MISDIRECTED_STATUS,
             is_signed=RESPONSE_STAMP in headers,
             is_framed=response.chunked or response.length_remaining is not None,
+            body_bytes=_declared_bytes(headers),
         )
 
     def wait(self, timeout_seconds: float) -> bool:
@@ -148,10 +153,11 @@
 
     def read_all(self, timeout_seconds: float) -> bytes:
         """
-        Read the whole body.
+        Read the whole body of a response that the gateway itself needs.
 
         :param timeout_seconds: Maximum wait.
-        :raises AnswerMissing: If the body was truncated or timed out.
+        :raises AnswerMissing: If the body was truncated, timed out or is not
+            short.
         """
         return self._connection.read_all(timeout_seconds)
 
@@ -501,6 +507,15 @@
     return value
 
 
+def _declared_bytes(headers: HTTPHeaderDict) -> int | None:
+    """Return the length that a response declares; None if it has none."""
+    # A response with chunks has no other length, whatever it declares.
+    if TRANSFER_ENCODING in headers:
+        return None
+    value = headers.get(CONTENT_LENGTH, "")
+    return int(value) if _LENGTH.fullmatch(value) else None
+
+
 def _idle_seconds(keep_alive: str) -> float | None:
     found = _KEEP_ALIVE.search(keep_alive)
     return float(found[1]) if found else None
