Bound the answers that the gateway reads for itself

Answers of the store, to duty calls and to calls of the gateway itself at engines were read up to 64 MiB each. They are now bounded near what they may hold: 8 MiB for the store, whose pages are about 1 MB and may hold a longer first record, 4 MiB for the list of a cache, 64 KiB where only the status is used. The new test with a store's answer of more than 8 MiB expects the call to count as unavailable; a page of 4 MB is read.

--- a/src/waxwingwinch/http/_exchange.py
+++ b/src/waxwingwinch/http/_exchange.py
@@ -203,19 +203,22 @@
         except TRANSPORT_ERRORS as error:
             raise AnswerMissing(repr(error)) from error
 
-    def read_all(self, deadline_seconds: float) -> bytes:
+    def read_all(
+        self, deadline_seconds: float, max_body_bytes: int = MAX_BODY_BYTES
+    ) -> bytes:
         """
         Read the rest of the body.
 
         :param deadline_seconds: Monotonic time at which reading times out.
+        :param max_body_bytes: Largest accepted body.
         :raises AnswerMissing: If the body was truncated, timed out or is
-            longer than ``MAX_BODY_BYTES``.
+            longer than that.
         """
         body = bytearray()
         while chunk := self.read_some(deadline_seconds - time.monotonic()):
             body += chunk
-            if len(body) > MAX_BODY_BYTES:
-                raise AnswerMissing(f"response body exceeds {MAX_BODY_BYTES} bytes")
+            if len(body) > max_body_bytes:
+                raise AnswerMissing(f"response body exceeds {max_body_bytes} bytes")
         return bytes(body)
 
     def close(self) -> None:
@@ -234,6 +237,7 @@
     timeout_seconds: float,
     connect_timeout_seconds: float = CONNECT_TIMEOUT_SECONDS,
     socket_options: tuple[SocketOption, ...] = PLAIN_SOCKET_OPTIONS,
+    max_body_bytes: int = MAX_BODY_BYTES,
 ) -> HttpReply:
     """
     Send a request and read the complete response.
@@ -244,6 +248,7 @@
         from the start of connecting.
     :param connect_timeout_seconds: Longest wait for the connection.
     :param socket_options: Options of the connection.
+    :param max_body_bytes: Largest accepted response body.
     :raises NotSent: If no byte of the request left the process.
     :raises AnswerMissing: If no complete response was received.
     """
@@ -256,7 +261,7 @@
         socket_options,
     )
     try:
-        body = http_exchange.read_all(deadline_seconds)
+        body = http_exchange.read_all(deadline_seconds, max_body_bytes)
         headers = tuple(http_exchange.response.headers.items())
         return HttpReply(http_exchange.response.status, headers, body)
     finally:
--- a/src/waxwingwinch/platform/_duty_calls.py
+++ b/src/waxwingwinch/platform/_duty_calls.py
@@ -32,6 +32,8 @@
 #: Time-out of a call; short because the duty holder renews its lease between
 #: calls.
 CALL_TIMEOUT_SECONDS = 0.7
+#: Largest answer to a call; only its status is used.
+MAX_ANSWER_BYTES = 64 * 1_024
 
 
 @define(eq=False)
@@ -153,6 +155,7 @@
                 request,
                 CALL_TIMEOUT_SECONDS,
                 socket_options=ORDER_SOCKET_OPTIONS,
+                max_body_bytes=MAX_ANSWER_BYTES,
             )
         except NotSent as error:
             raise PlatformUnavailable(str(error), False) from error
--- a/src/waxwingwinch/platform/_store.py
+++ b/src/waxwingwinch/platform/_store.py
@@ -38,6 +38,10 @@
 #: long poll. The store normally responds within a few milliseconds but can be
 #: many times slower under load.
 RESPONSE_TIMEOUT_SECONDS = 1.0
+#: Largest answer of the store. A read is asked for 1,024 kB of records, and a
+#: page of newest records holds 1 MB, a third more in base64; the first record
+#: of either may be longer.
+MAX_ANSWER_BYTES = 8 * 1_024 * 1_024
 #: Prefix of keyed topics, which retain the newest record of each key.
 KEYED_TOPIC_PREFIX = "keyed."
 #: Partition of all records: the gateway's own topics have a single partition.
@@ -205,7 +209,10 @@
         request = HttpRequest(method, f"/v1/{name}?{urlencode(query)}", body=body)
         try:
             reply = exchange(
-                self.address, request, wait_seconds + RESPONSE_TIMEOUT_SECONDS
+                self.address,
+                request,
+                wait_seconds + RESPONSE_TIMEOUT_SECONDS,
+                max_body_bytes=MAX_ANSWER_BYTES,
             )
         except NotSent as error:
             raise PlatformUnavailable(str(error), False) from error
--- a/src/waxwingwinch/platform/_transport.py
+++ b/src/waxwingwinch/platform/_transport.py
@@ -66,6 +66,9 @@
 #: Time-out of the request to free a KV cache.
 KV_HANDLE_DELETE_TIMEOUT_SECONDS = 1.0
 
+#: Largest answer to a call of the gateway itself: the list of a cache with a
+#: part for each few tokens of an engine's memory.
+MAX_LIST_BYTES = 4 * 1_024 * 1_024
 #: Maximum length of a prompt part; far beyond the KV cache of an engine.
 MAX_PART_TOKENS = 10**9
 
@@ -396,7 +399,12 @@
         """Send a call of the gateway itself."""
         request = HttpRequest(method, path, ((EXPECT_INSTANCE, upstream.upstream_id),))
         sent_seconds = self._clock.now_seconds()
-        reply = exchange(upstream.address, request, timeout_seconds)
+        reply = exchange(
+            upstream.address,
+            request,
+            timeout_seconds,
+            max_body_bytes=MAX_LIST_BYTES,
+        )
         report_statements(
             self.on_statements,
             upstream,
--- a/src/waxwingwinch/platform/tests/test_odd_store_answers.py
+++ b/src/waxwingwinch/platform/tests/test_odd_store_answers.py
@@ -7,7 +7,11 @@
 
 from waxwingwinch._exceptions import PlatformUnavailable
 from waxwingwinch.adapters.tests._raw_server import raw_server
-from waxwingwinch.platform._store import PlatformStoreClient, _decode_page
+from waxwingwinch.platform._store import (
+    MAX_ANSWER_BYTES,
+    PlatformStoreClient,
+    _decode_page,
+)
 
 DEEP_LIST = b"[" * 100_000 + b"]" * 100_000
 #: JSON values that no field of an answer may hold.
@@ -133,3 +137,17 @@
         return
     taken = sum(4 + len(record.payload) for record in page.records)
     assert taken == max(len(body) - 16, 0)
+
+
+# Guards against an answer of the store that takes the memory of the process.
+def test_an_answer_without_reasonable_end():
+    assert_unavailable(b"200 OK", b"x" * (MAX_ANSWER_BYTES + 1), read)
+
+
+def test_a_page_of_several_megabytes_is_read():
+    records = [b"r" * 1_000_000] * 4
+    page = struct.pack(">QQ", len(records), 0)
+    page += b"".join(struct.pack(">I", len(record)) + record for record in records)
+    with raw_server(answer(b"200 OK", page)) as address:
+        found = read(PlatformStoreClient(address))
+    assert [record.payload for record in found.records] == records
