Take refused streams for what they are in a test

The test on the incomplete events of 100 streams took a refusal (503, not run, whole and empty) for a stream that was served, and failed once requests were refused for lack of memory. It now checks the size of all streams that ended with status 200, and that all others got a truthful status; so does the one on events without end.

--- a/src/waxwingwinch/platform/tests/test_answer_memory.py
+++ b/src/waxwingwinch/platform/tests/test_answer_memory.py
@@ -101,7 +101,8 @@
     harness = start(150)
     outcomes = harness.call_at_once(40, "/s/endless-event")
     assert_within(harness, 150)
-    assert not any(outcome.is_whole for outcome in outcomes)
+    assert not any(outcome.is_whole for outcome in outcomes if outcome.status == 200)
+    assert {outcome.status for outcome in outcomes} <= TRUTHFUL_STATUSES | {200}
 
 
 # Guards against an end for lack of memory while events of many streams are
@@ -110,7 +111,10 @@
     harness = start(150)
     outcomes = harness.call_at_once(100, "/s/long-event/900000")
     assert_within(harness, 150)
-    served = [outcome for outcome in outcomes if outcome.is_whole]
+    assert {outcome.status for outcome in outcomes} <= TRUTHFUL_STATUSES | {200}
+    served = [
+        outcome for outcome in outcomes if outcome.status == 200 and outcome.is_whole
+    ]
     assert all(outcome.size_bytes > 900_000 for outcome in served)
     assert len(served) >= 10
 
