--- a/src/waxwingwinch/platform/_transport.py
+++ b/src/waxwingwinch/platform/_transport.py
@@ -39,6 +39,8 @@
 from waxwingwinch.platform._answers import check_identity, check_refusal
 from waxwingwinch.platform._fields import read_integer
 from waxwingwinch.platform._headers import (
+    CONNECTION,
+    CONTENT_LENGTH,
     DEADLINE_MS,
     EXPECT_INSTANCE,
     HOP_BY_HOP_HEADERS,
@@ -50,6 +52,7 @@
     RESPONSE_STAMP,
     SERVING_STAGE,
     TENANT,
+    TRANSFER_ENCODING,
 )
 from waxwingwinch.platform._statements import (
     MISDIRECTED_STATUS,
@@ -104,9 +107,8 @@
         self._clock = clock
         headers = response.headers
         self._idle_seconds = _idle_seconds(headers.get("Keep-Alive", ""))
-        self._is_persistent = headers.get("Connection", "").lower() != "close"
+        self._is_persistent = headers.get(CONNECTION, "").lower() != "close"
         not_executed = NOT_EXECUTED in headers
-        is_framed = response.chunked or response.length_remaining is not None
         #: Status and headers, without hop-by-hop headers.
         self.head = ResponseHead(
             status=response.status,
@@ -118,7 +120,7 @@
             request_id=headers.get(REQUEST_ID),
             not_executed=not_executed or response.status == MISDIRECTED_STATUS,
             is_signed=RESPONSE_STAMP in headers,
-            is_framed=is_framed,
+            is_framed=response.chunked or response.length_remaining is not None,
             body_bytes=_declared_bytes(headers),
         )
 
@@ -516,9 +518,9 @@
 def _declared_bytes(headers: HTTPHeaderDict) -> int | None:
     """Return the length that a response declares; None if it has none."""
     # A response with chunks has no other length, whatever it declares.
-    if "Transfer-Encoding" in headers:
+    if TRANSFER_ENCODING in headers:
         return None
-    value = headers.get("Content-Length", "")
+    value = headers.get(CONTENT_LENGTH, "")
     return int(value) if _LENGTH.fullmatch(value) else None
 
 
