List that a slow head holds its thread without end

What callers saw: beside 300 callers that sent a byte of their head every 2 s, 30 others got 34, 9, 2 and then no answers in 2 s, for as long as the 300 stayed; 6 requests had no answer when their callers gave up.

Cause: the timeout of heads is that of the socket, which begins anew with each byte; each head in progress holds a thread.

Evidence: the test fails (assert False: no answer within 3 s, with a timeout of heads of 0.5 s). Not mended here.

--- a/src/waxwingwinch/platform/tests/test_front.py
+++ b/src/waxwingwinch/platform/tests/test_front.py
@@ -13,6 +13,7 @@
 from waxwingwinch._types import Address
 from waxwingwinch.gateway._current_table import CurrentTable
 from waxwingwinch.gateway._front import FrontConnection, FrontServer
+from waxwingwinch.gateway._model import CallerLimits
 from waxwingwinch.gateway.tests.fakes import FakeClock
 from waxwingwinch.http import is_closed_by_peer
 from waxwingwinch.peers.tests.ports import free_port
@@ -170,3 +171,33 @@
         for message in messages
         if message["message_type"] == "front:server_error"
     ]
+
+
+# Guards against heads that arrive by the byte and hold their threads for as
+# long as their callers like.
+def test_a_head_that_arrives_slowly_ends_at_its_timeout(monkeypatch):
+    limits = CallerLimits(header_timeout_seconds=0.5)
+    monkeypatch.setattr(FrontServer, "limits", property(lambda _: limits))
+    with contextlib.ExitStack() as callers:
+        address, server = callers.enter_context(front_server(AnsweringHandler()))
+        slow = [
+            callers.enter_context(
+                socket.create_connection((address.host, address.port), 5.0)
+            )
+            for _ in range(server.requests.max)
+        ]
+        asking = callers.enter_context(
+            socket.create_connection((address.host, address.port), 0.2)
+        )
+        answer = b""
+        for number in range(15):
+            for caller in slow:
+                with contextlib.suppress(OSError):
+                    caller.sendall(REQUEST[number : number + 1])
+            if number == 1:
+                asking.sendall(REQUEST)
+            if number >= 1 and not answer:
+                with contextlib.suppress(TimeoutError):
+                    answer = asking.recv(1_024)
+            time.sleep(0.1)
+        assert answer.startswith(b"HTTP/1.1 200")
