--- a/src/waxwingwinch/gateway/_generation_relay.py
+++ b/src/waxwingwinch/gateway/_generation_relay.py
@@ -67,8 +67,8 @@
 #: Time without data after which another engine is asked to resume a stream, if
 #: its route allows it; callers time out after twice that.
 STALL_TIMEOUT_SECONDS = 1.0
-#: Longest time for which an engine that can be reached and its replacement run
-#: a stream at once; below the time that the platform tolerates.
+#: Longest time for which a silent engine and its replacement run a stream at
+#: once; below the time that the platform tolerates.
 OVERLAP_SECONDS = 0.3
 
 
@@ -321,6 +321,8 @@
             self._release_unfetched(stream)
             return None
         last_event_id = stream.splitter.last_event_id
+        self._give_up_unresponsive(stream, now_seconds)
+        stream.overlap_end_seconds = now_seconds + OVERLAP_SECONDS
         observed = self._attempts.begin(job, engine, last_event_id)
         try:
             response = open_call(
@@ -368,15 +370,17 @@
         silent = stream.silent
         if silent is None:
             return None
-        # An engine that can't be reached either has probably failed.
-        has_failed = self._context.directory.was_unreachable(
-            silent.engine.upstream_id, now_seconds - STALL_TIMEOUT_SECONDS
-        )
-        overlap_seconds = (
-            stream.job.end_seconds - now_seconds if has_failed else OVERLAP_SECONDS
-        )
+        overlap_seconds = max(stream.overlap_end_seconds - now_seconds, 0.0)
         return SilentCall(silent.response, overlap_seconds)
 
+    def _give_up_unresponsive(self, stream: StreamState, now_seconds: float) -> None:
+        """Cancel the silent attempt if its engine has probably failed."""
+        silent = stream.silent
+        if silent is not None and self._context.directory.was_unresponsive(
+            silent.engine.upstream_id, now_seconds - STALL_TIMEOUT_SECONDS
+        ):
+            self._give_up_silent(stream, "silent, and not to be connected to")
+
     def _relay_attempt(self, stream: StreamState, attempt: StreamAttempt) -> bool:
         """Forward a response; return whether a complete response was sent."""
         job, response = stream.job, attempt.response
@@ -473,16 +477,13 @@
 
     def _take_over(self, stream: StreamState, attempt: StreamAttempt) -> bytes:
         """Return the first events of a response that replaces a silent one."""
-        now_seconds = self._context.clock.now_seconds()
-        silent = self._silent_call(stream, now_seconds)
-        overlap_seconds = silent.overlap_seconds if silent is not None else 0.0
         splitter, events = stream.splitter.resumed(), b""
         try:
             while not events:
-                elapsed_seconds = self._context.clock.now_seconds() - now_seconds
-                remaining_seconds = overlap_seconds - elapsed_seconds
+                now_seconds = self._context.clock.now_seconds()
+                remaining_seconds = stream.overlap_end_seconds - now_seconds
                 if not attempt.response.wait(max(remaining_seconds, 0.0)):
-                    raise CallDropped(f"no event within {overlap_seconds:.3f} s")
+                    raise CallDropped("no event while both engines may work")
                 piece = attempt.response.read_some(max(remaining_seconds, 0.001))
                 if not piece:
                     break
@@ -491,18 +492,16 @@
             raise _Interrupted(str(error)) from error
         if not events:
             _check_end(splitter, attempt)
-        self._give_up_silent(stream)
+        self._give_up_silent(stream, "silent until another engine had begun to answer")
         stream.splitter = splitter
         return events
 
-    def _give_up_silent(self, stream: StreamState) -> None:
-        """Cancel the silent attempt, as another engine has begun to answer."""
+    def _give_up_silent(self, stream: StreamState, reason: str) -> None:
+        """Cancel the silent attempt in favour of another engine."""
         silent = stream.silent
         if silent is None:
             return
-        error = silence_error(
-            silent.response, "silent until another engine had begun to answer"
-        )
+        error = silence_error(silent.response, reason)
         stream.drop_silent()
         record_failure(self._context, stream.job, silent.engine, error)
         self._attempts.failed(silent.observed, error)
--- a/src/waxwingwinch/gateway/_idle_connections.py
+++ b/src/waxwingwinch/gateway/_idle_connections.py
@@ -10,9 +10,9 @@
 
 from waxwingwinch.gateway._process_log_lines import AcceptFailed
 
-#: Pause before the next attempt to accept a connection, after an attempt
-#: failed and no idle connection could be closed.
-ACCEPT_PAUSE_SECONDS = 0.1
+#: Pause of the loop after an attempt to accept a connection failed and no idle
+#: connection could be closed; requests on kept connections wait as long.
+ACCEPT_PAUSE_SECONDS = 0.02
 #: Idle time from which a connection may be closed to make room for a new one.
 REPLACEABLE_IDLE_SECONDS = 1.0
 #: Fraction of these connections that are closed at once.
@@ -35,8 +35,6 @@
     _stop_requested: bool
     _from_server_socket: Callable[[Any], Any]
     _remove_invalid_sockets: Callable[[], None]
-    #: Monotonic time of the next attempt to accept; None if not paused.
-    _accept_seconds: float | None = None
 
     def put(self, connection: Any) -> None:
         """
@@ -59,18 +57,15 @@
     def _run(self, expiration_interval: float) -> None:
         expire_seconds = time.monotonic() + expiration_interval
         while not self._stop_requested:
-            is_paused = self._accept_seconds is not None
-            timeout_seconds = ACCEPT_PAUSE_SECONDS if is_paused else expiration_interval
             try:
-                ready = self._selector.select(timeout=timeout_seconds)
+                ready = self._selector.select(timeout=expiration_interval)
             except OSError:
                 self._remove_invalid_sockets()
                 continue
             self._process_ready(tuple(ready))
             now_seconds = time.monotonic()
-            self._resume_accepting(now_seconds)
             if now_seconds >= expire_seconds:
-                self._close_idle(self._idle_since(now_seconds - self.server.timeout))
+                self._expire(now_seconds - self.server.timeout)
                 expire_seconds = now_seconds + expiration_interval
 
     def _process_ready(self, ready: tuple[tuple[int, Any], ...]) -> None:
@@ -84,6 +79,9 @@
             self._accept()
 
     def _accept(self) -> None:
+        if self.server.socket.fileno() < 0:
+            # A task of a stop has just closed it.
+            return
         try:
             connection = self._from_server_socket(self.server.socket)
         except OSError as error:
@@ -93,6 +91,7 @@
             return
         if connection is not None:
             # Its thread is taken only once its first request arrives.
+            connection.is_waiting = True
             self._register(connection)
 
     def _make_room(self, error: OSError, now_seconds: float) -> None:
@@ -101,10 +100,9 @@
         idle.sort(key=lambda entry: entry[1].idle_since_seconds)
         replaced = idle[: math.ceil(REPLACED_FRACTION * len(idle))]
         self._close_idle(replaced)
-        if not replaced:
-            self._selector.unregister(self.server.socket.fileno())
-            self._accept_seconds = now_seconds + ACCEPT_PAUSE_SECONDS
         AcceptFailed(reason=repr(error), closed=len(replaced)).write()
+        if not replaced:
+            time.sleep(ACCEPT_PAUSE_SECONDS)
 
     def _idle_since(self, since_seconds: float) -> list[tuple[int, Any]]:
         """Return the connections that have been idle from a time on."""
@@ -115,15 +113,10 @@
             and connection.idle_since_seconds <= since_seconds
         ]
 
+    def _expire(self, threshold: float) -> None:
+        self._close_idle(self._idle_since(threshold))
+
     def _close_idle(self, idle: list[tuple[int, Any]]) -> None:
         for descriptor, connection in idle:
             self._selector.unregister(descriptor)
             connection.close()
-
-    def _resume_accepting(self, now_seconds: float) -> None:
-        if self._accept_seconds is None or now_seconds < self._accept_seconds:
-            return
-        self._accept_seconds = None
-        self._selector.register(
-            self.server.socket.fileno(), selectors.EVENT_READ, self.server
-        )
--- a/src/waxwingwinch/gateway/_process.py
+++ b/src/waxwingwinch/gateway/_process.py
@@ -2,7 +2,6 @@
 
 import secrets
 import threading
-import time
 
 from waxwingwinch.gateway._cache_survey import CacheSurvey
 from waxwingwinch.gateway._caller_watcher import CallerWatcher
@@ -13,7 +12,6 @@
 from waxwingwinch.gateway._gossip import Gossip, GossipHandlers
 from waxwingwinch.gateway._handler import (
     RequestHandler,
-    StopPlan,
     max_concurrent_requests,
 )
 from waxwingwinch.gateway._history import HistoryWatch
@@ -34,6 +32,7 @@
 from waxwingwinch.gateway._permits import PermitBroker
 from waxwingwinch.gateway._process_log_lines import (
     GatewayJoined,
+    GatewayNotServing,
     GatewayStarting,
     GatewayStopped,
     GatewayStopping,
@@ -43,8 +42,10 @@
 from waxwingwinch.gateway._returns import ReturnSchedule
 from waxwingwinch.gateway._state import GatewayState
 from waxwingwinch.gateway._statements import StatementObserver
+from waxwingwinch.gateway._stop import StopSequence, stop_schedule
 from waxwingwinch.gateway._store_feed import StoreFeed
-from waxwingwinch.kernel import Clock
+from waxwingwinch.gateway._unanswered import UnansweredConnections, UnansweredStage
+from waxwingwinch.kernel import BindAbandoned, Clock
 from waxwingwinch.peers import PeerIdentity, PeerProgram
 
 #: How long the store may hold a read of the configuration. A connection that
@@ -69,26 +70,6 @@
 #: The fraction for an instance that reads the store on behalf of others; the
 #: entries reach them after two further exchanges.
 SHARED_UPSTREAMS_PAUSE_FRACTION = 0.1
-#: Fraction of the grace period for which a stopping process still reads
-#: requests; callers that have not resolved the addresses again still connect.
-ACCEPT_GRACE_FRACTION = 0.55
-#: Fraction of the grace period after which only requests are taken whose
-#: deadline lies before the end. By then callers have resolved the addresses
-#: again, those that keep them for longer, too.
-LATE_GRACE_FRACTION = 0.35
-#: Fraction of the grace period that bounds the deadlines of requests.
-ANSWER_GRACE_FRACTION = 0.88
-#: Fraction of the grace period after which requests in progress are cancelled
-#: and answered.
-CANCEL_GRACE_FRACTION = 0.9
-#: Fraction of the grace period after which the process stops waiting for
-#: requests in progress and exits.
-END_GRACE_FRACTION = 0.93
-#: Timeout for withdrawing the instance's record from the store at the end of a
-#: stop; a healthy store responds in a tenth of this time.
-WITHDRAW_SECONDS = 0.5
-#: Interval at which a stop checks for requests in progress.
-STOP_POLL_SECONDS = 0.05
 
 
 def upstreams_pace(drain_seconds: float, is_shared: bool) -> Pace:
@@ -120,6 +101,7 @@
         self._options = options
         self._adapter = adapter
         self._clock = clock
+        self._stop_signalled_seconds = 0.0
         own = Member(
             options.instance_id,
             secrets.token_hex(SECRET_BYTES),
@@ -152,6 +134,7 @@
         adapter.duty_calls.on_statements = statements.observe
         self._handler = self._make_handler()
         self._duty_worker = self._make_duty_worker()
+        self._unanswered = UnansweredConnections(self._state.telemetry)
         self._front = FrontServer(
             options.front_address,
             self._handler,
@@ -159,6 +142,7 @@
             self._state.table,
             clock,
             self._max_concurrent_requests,
+            self._unanswered,
         )
         self._make_followers()
         self._reports = StateReporter(
@@ -180,9 +164,14 @@
         self._watcher.start()
         self._configuration.start()
         self._upstreams.start()
+        try:
+            self._front.start_in_background(self._state.stopping.is_set)
+        except BindAbandoned as abandoned:
+            GatewayNotServing(reason=f"{abandoned} is in use").write()
+            return
+        # Callers are told of this instance only once they can connect to it.
         for server in self._info_servers:
             server.start()
-        self._front.start_in_background()
         threading.Thread(target=self._join, name="join", daemon=True).start()
         if not self._options.is_first_start:
             self._survey.start()
@@ -190,8 +179,13 @@
         self._state.stopping.wait()
         self._stop()
 
-    def request_stop(self) -> None:
-        """Request a graceful stop; safe to call from a signal handler."""
+    def request_stop(self, signalled_seconds: float) -> None:
+        """
+        Request a graceful stop; safe to call from a signal handler.
+
+        :param signalled_seconds: Monotonic time of the signal.
+        """
+        self._stop_signalled_seconds = signalled_seconds
         self._state.stopping.set()
 
     def update(self, options: GatewayOptions) -> None:
@@ -342,31 +336,29 @@
         GatewayJoined(instance_id=own.instance_id).write()
 
     def _stop(self) -> None:
-        started_seconds = self._clock.now_seconds()
-        grace_seconds = self._options.grace_seconds
-        GatewayStopping(under_way=self._handler.under_way).write()
-        self._handler.begin_stop(
-            StopPlan(
-                started_seconds + grace_seconds * LATE_GRACE_FRACTION,
-                started_seconds + grace_seconds * ANSWER_GRACE_FRACTION,
-            )
+        started_seconds = self._stop_signalled_seconds
+        GatewayStopping(
+            under_way=self._handler.under_way,
+            noticed_after_seconds=self._clock.now_seconds() - started_seconds,
+        ).write()
+        sequence = StopSequence(
+            stop_schedule(started_seconds, self._options.grace_seconds),
+            self._front,
+            self._handler,
+            self._info_servers,
+            self._withdraw,
+            self._clock,
         )
-        self._front.is_stopping = True
-        self._duty_worker.stop()
-        accept_until_seconds = started_seconds + grace_seconds * ACCEPT_GRACE_FRACTION
-        end_seconds = started_seconds + grace_seconds * END_GRACE_FRACTION
-        while self._clock.now_seconds() < accept_until_seconds:
-            time.sleep(STOP_POLL_SECONDS)
-        # A request read from here on could be cut by the end of the process.
-        self._front.close_to_callers()
-        cancel_seconds = started_seconds + grace_seconds * CANCEL_GRACE_FRACTION
-        while self._front.under_way and self._clock.now_seconds() < end_seconds:
-            time.sleep(STOP_POLL_SECONDS)
-            if self._clock.now_seconds() >= cancel_seconds:
-                self._handler.cancel_all()
-        self._withdraw()
+        sequence.begin()
+        # The store may be slow to take the release of the duty.
+        threading.Thread(
+            target=self._duty_worker.stop, name="duty-stop", daemon=True
+        ).start()
+        sequence.run()
         GatewayStopped(
             under_way=self._front.under_way,
+            unread=self._unanswered.count(UnansweredStage.UNREAD),
+            cancelled=self._unanswered.count(UnansweredStage.PASSED_ON),
             took_seconds=self._clock.now_seconds() - started_seconds,
         ).write()
 
@@ -376,10 +368,4 @@
             # The instance did not finish joining: the member topic was never
             # read, so there is no end offset for the conditional delete.
             return
-        thread = threading.Thread(
-            target=withdraw_member,
-            args=(self._store, self._state.local_member.instance_id, end_offset),
-            daemon=True,
-        )
-        thread.start()
-        thread.join(WITHDRAW_SECONDS)
+        withdraw_member(self._store, self._state.local_member.instance_id, end_offset)
--- a/src/waxwingwinch/gateway/tests/test_front_responder.py
+++ b/src/waxwingwinch/gateway/tests/test_front_responder.py
@@ -16,11 +16,17 @@
 class FakeServer:
     is_stopping: bool = False
 
+    def is_last_answer(self, connection):
+        return self.is_stopping
+
 
 @define
 class FakeConnection:
     wfile: io.BytesIO = field(factory=io.BytesIO)
 
+    def begin_answer(self):
+        """Do nothing; the tests read no request."""
+
 
 @define
 class FakeRequest:
