Read an answer that has begun until its deadline

Cause: the deadline of each request was shortened by 0.02 s, in which an error can be sent. An answer that has begun can be replaced by no error any more; the time was only taken from it. Streams and answers that are passed on end at the deadline itself now.

test_a_stream_is_read_until_its_deadline failed before, passes. Elsewhere: answers that have not begun still end 0.02 s early, with 504 or 503.

--- a/src/waxwingwinch/gateway/_answer_passing.py
+++ b/src/waxwingwinch/gateway/_answer_passing.py
@@ -99,7 +99,7 @@
         yield answer.take_start()
         clock, response = self._context.clock, answer.response
         while True:
-            remaining_seconds = job.end_seconds - clock.now_seconds()
+            remaining_seconds = job.cut_seconds - clock.now_seconds()
             if remaining_seconds <= 0.0:
                 raise _OutOfTime
             part = response.read_some(remaining_seconds)
--- a/src/waxwingwinch/gateway/_generation_relay.py
+++ b/src/waxwingwinch/gateway/_generation_relay.py
@@ -571,7 +571,8 @@
 
     def _read(self, stream: StreamState, attempt: StreamAttempt) -> bytes:
         job, response = stream.job, attempt.response
-        remaining_seconds = job.end_seconds - self._context.clock.now_seconds()
+        end_seconds = job.cut_seconds if stream.has_begun else job.end_seconds
+        remaining_seconds = end_seconds - self._context.clock.now_seconds()
         may_resume = (
             job.route.is_retryable
             and stream.has_begun
@@ -587,7 +588,7 @@
                     silent_seconds=STALL_TIMEOUT_SECONDS,
                 ).write()
                 raise _EngineSilent
-            remaining_seconds = job.end_seconds - self._context.clock.now_seconds()
+            remaining_seconds = end_seconds - self._context.clock.now_seconds()
             return response.read_some(remaining_seconds)
         except AnswerMissing as error:
             raise _Interrupted(str(error)) from error
--- a/src/waxwingwinch/gateway/_handler.py
+++ b/src/waxwingwinch/gateway/_handler.py
@@ -191,7 +191,7 @@
             raise RequestEnded(404, RefusalReason.NO_ROUTE)
         customer = self._authenticate(table, route, request)
         job = self._create_job(table, route, customer, request)
-        responder.write_until(job.end_seconds)
+        responder.write_until(job.cut_seconds)
         cost = self._charge_quota(customer, request)
         self._context.budget.record_request(job.service.name, request.arrived_seconds)
         if request.connection is not None:
@@ -261,6 +261,7 @@
             service,
             customer,
             end_seconds - RESPONSE_MARGIN_SECONDS,
+            end_seconds,
             Cancellation(),
         )
 
--- a/src/waxwingwinch/gateway/_job.py
+++ b/src/waxwingwinch/gateway/_job.py
@@ -48,7 +48,10 @@
     :param route: The route that it matched.
     :param service: The service chosen by the route.
     :param customer: Customer of the request; None on public routes.
-    :param end_seconds: Monotonic time of the deadline for the response.
+    :param end_seconds: Monotonic time until which a response may begin; leaves
+        time to send an error.
+    :param cut_seconds: Monotonic time at which a response that has begun is
+        cut; the deadline itself.
     :param cancellation: Cancels the request.
     """
 
@@ -57,6 +60,7 @@
     service: ServiceRules
     customer: CustomerRules | None
     end_seconds: float
+    cut_seconds: float
     cancellation: Cancellation
 
     @property
--- a/src/waxwingwinch/gateway/tests/test_generation_relay.py
+++ b/src/waxwingwinch/gateway/tests/test_generation_relay.py
@@ -567,6 +567,19 @@
     ]
 
 
+# Guards against a stream that is cut before its deadline, for an error that can
+# no longer be sent (LOST).
+def test_a_stream_is_read_until_its_deadline():
+    harness = RelayHarness()
+    harness.add_engines(prefill=0, decode=1)
+    harness.publish_stream(max_attempts=1)
+    pieces = (events(1, 2), Silence(5.99), events(3, 3))
+    harness.transport.scripts = {"d0": [ScriptedResponse(pieces=pieces)]}
+    response = harness.send(prompt=SHORT_PROMPT)
+    assert response.is_complete
+    assert response.body == events(1, 3)
+
+
 # Guards against new work for an engine that has failed silently: it is avoided
 # longer than one whose silence passes.
 def test_an_engine_whose_stream_was_taken_over_is_avoided_longer():
