--- a/src/waxwingwinch/gateway/tests/test_generation_relay.py
+++ b/src/waxwingwinch/gateway/tests/test_generation_relay.py
@@ -567,8 +567,8 @@
     ]
 
 
-# Guards against a stream that is cut before its deadline, for an error that can
-# no longer be sent (LOST).
+# Guards against a stream that is cut before its deadline, as if an error could
+# still be sent (LOST).
 def test_a_stream_is_read_until_its_deadline():
     harness = RelayHarness()
     harness.add_engines(prefill=0, decode=1)
