Go on with a stop of which a part fails

Tasks of the selector wait in a queue whose descriptor is opened at the start. Each part of a stop is run apart and its error logged as gateway:stop_impaired, so that requests are answered until the end. The accept queue makes room as the running server does before it gives up, and a request that arrives just as the server closes is dispatched.

test_a_stop_goes_on_after_a_part_of_it_failed failed before, passes.

--- a/src/waxwingwinch/gateway/_caller_connections.py
+++ b/src/waxwingwinch/gateway/_caller_connections.py
@@ -154,7 +154,10 @@
             if is_kept:
                 self._reading.discard(connection)
                 self._connections.put(connection)
-        if not is_kept:
+        if not is_kept and connection.has_input:
+            # It arrived as the server closed, and is owed an answer.
+            self.dispatch(connection)
+        elif not is_kept:
             connection.close()
 
     def take_idle(self) -> list[CallerConnection]:
--- a/src/waxwingwinch/gateway/_closing.py
+++ b/src/waxwingwinch/gateway/_closing.py
@@ -7,41 +7,51 @@
 import socket
 import threading
 from collections.abc import Callable
+from queue import SimpleQueue
 from typing import Any
 
-from waxwingwinch.gateway._process_log_lines import (
-    AcceptFailed,
-    ListenerFilterRefused,
-)
+from waxwingwinch.gateway._process_log_lines import ListenerFilterRefused
 from waxwingwinch.kernel import drop_new_handshakes
 
 
-class SelectorTask:
+class SelectorTasks:
     """
-    A call that the thread of a server's selector runs once.
+    Calls that the thread of a server's selector runs.
 
-    It stands in for a connection that has become readable.
-
-    :param call: The call.
+    It stands in for a connection that becomes readable. Its descriptor is
+    opened at the start, as there may be none left when a call is needed.
     """
 
     #: Never expires as an idle connection.
     idle_since_seconds = math.inf
 
-    def __init__(self, call: Callable[[], None]) -> None:
-        self._call = call
-        #: Readable at once.
-        self.descriptor = os.eventfd(1)
-        #: Set once the call has been run.
-        self.done = threading.Event()
+    def __init__(self) -> None:
+        #: Readable while calls wait.
+        self.descriptor = os.eventfd(0, os.EFD_NONBLOCK)
+        self._calls: SimpleQueue[tuple[Callable[[], None], threading.Event]]
+        self._calls = SimpleQueue()
+
+    def submit(self, call: Callable[[], None]) -> threading.Event:
+        """
+        Have a call run.
+
+        :param call: The call.
+        :returns: An event that is set once it has been run.
+        """
+        done = threading.Event()
+        self._calls.put((call, done))
+        os.eventfd_write(self.descriptor, 1)
+        return done
 
     def run(self) -> None:
-        """Run the call."""
-        self.close()
-        try:
-            self._call()
-        finally:
-            self.done.set()
+        """Run the calls that wait."""
+        os.eventfd_read(self.descriptor)
+        while not self._calls.empty():
+            call, done = self._calls.get()
+            try:
+                call()
+            finally:
+                done.set()
 
     def close(self) -> None:
         """Release the descriptor."""
@@ -74,6 +84,18 @@
     requests: Any
     socket: Any
     _connections: Any
+    _tasks: SelectorTasks
+
+    def prepare(self) -> None:
+        """Listen, and prepare for tasks of the selector's thread."""
+        super().prepare()  # type: ignore[misc]
+        self._tasks = SelectorTasks()
+        self._wait_for_tasks()
+
+    def _wait_for_tasks(self) -> None:
+        self._connections._selector.register(
+            self._tasks.descriptor, selectors.EVENT_READ, data=self._tasks
+        )
 
     def process_conn(self, connection: Any) -> None:
         """
@@ -81,7 +103,8 @@
 
         :param connection: The connection or task.
         """
-        if isinstance(connection, SelectorTask):
+        if isinstance(connection, SelectorTasks):
+            self._wait_for_tasks()
             connection.run()
         else:
             self.dispatch(connection)
@@ -126,34 +149,29 @@
         return [
             (descriptor, connection)
             for descriptor, connection in list(self._connections._selector.connections)
-            if connection is not self and not isinstance(connection, SelectorTask)
+            if connection is not self and not isinstance(connection, SelectorTasks)
         ]
 
     def _run_task(self, call: Callable[[], None], timeout_seconds: float) -> None:
         if not self.ready:
             return
-        task = SelectorTask(call)
-        self._connections._selector.register(
-            task.descriptor, selectors.EVENT_READ, data=task
-        )
-        task.done.wait(max(timeout_seconds, 0.0))
+        self._tasks.submit(call).wait(max(timeout_seconds, 0.0))
 
     def _close_listener(self) -> None:
         if self.socket.fileno() < 0:
             return
         self._connections.stop_accepting()
-        try:
-            self._accept_queue()
-        except OSError as error:
-            # As a rule, the process has no descriptor left.
-            AcceptFailed(reason=repr(error), closed=0).write()
-        self.socket.close()
-
-    def _accept_queue(self) -> None:
-        while has_input(self.socket):
-            connection = self._connections._from_server_socket(self.socket)
+        has_room = True
+        while has_room and has_input(self.socket):
+            try:
+                connection = self._connections._from_server_socket(self.socket)
+            except OSError as error:
+                # As a rule, the process has no descriptor left.
+                has_room = self._connections.make_room(error)
+                continue
             if connection is not None:
                 self.process_conn(connection)
+        self.socket.close()
 
     def _close_idle(self) -> None:
         for connection in self.take_idle():
--- a/src/waxwingwinch/gateway/_idle_connections.py
+++ b/src/waxwingwinch/gateway/_idle_connections.py
@@ -98,22 +98,27 @@
         except OSError as error:
             # As a rule, the process has no descriptor left. Without a pause,
             # the socket would be ready again at once.
-            self._make_room(error, time.monotonic())
+            if not self.make_room(error):
+                self._selector.unregister(self.server.socket.fileno())
+                self._accept_seconds = time.monotonic() + ACCEPT_PAUSE_SECONDS
             return
         if connection is not None:
             # Its thread is taken only once its first request arrives.
             self._register(connection)
 
-    def _make_room(self, error: OSError, now_seconds: float) -> None:
-        """Close the connections that were idle longest; pause if none was."""
-        idle = self._idle_since(now_seconds - REPLACEABLE_IDLE_SECONDS)
+    def make_room(self, error: OSError) -> bool:
+        """
+        Close the connections that were idle longest, as accepting has failed.
+
+        :param error: The error.
+        :returns: False if none was idle for long enough.
+        """
+        idle = self._idle_since(time.monotonic() - REPLACEABLE_IDLE_SECONDS)
         idle.sort(key=lambda entry: entry[1].idle_since_seconds)
         replaced = idle[: math.ceil(REPLACED_FRACTION * len(idle))]
         self._close_idle(replaced)
-        if not replaced:
-            self._selector.unregister(self.server.socket.fileno())
-            self._accept_seconds = now_seconds + ACCEPT_PAUSE_SECONDS
         AcceptFailed(reason=repr(error), closed=len(replaced)).write()
+        return bool(replaced)
 
     def _idle_since(self, since_seconds: float) -> list[tuple[int, Any]]:
         """Return the connections that have been idle from a time on."""
--- a/src/waxwingwinch/gateway/_process.py
+++ b/src/waxwingwinch/gateway/_process.py
@@ -44,7 +44,7 @@
 from waxwingwinch.gateway._returns import ReturnSchedule
 from waxwingwinch.gateway._state import GatewayState
 from waxwingwinch.gateway._statements import StatementObserver
-from waxwingwinch.gateway._stop import StopSequence, stop_schedule
+from waxwingwinch.gateway._stop import StopSequence, run_part, stop_schedule
 from waxwingwinch.gateway._store_feed import StoreFeed
 from waxwingwinch.gateway._unanswered import UnansweredConnections, UnansweredStage
 from waxwingwinch.kernel import BindAbandoned, Clock
@@ -359,9 +359,10 @@
         )
         sequence.begin()
         # The store may be slow to take the release of the duty.
-        threading.Thread(
+        release = threading.Thread(
             target=self._duty_worker.stop, name="duty-stop", daemon=True
-        ).start()
+        )
+        run_part("release", release.start)
         sequence.run()
         GatewayStopped(
             under_way=self._front.under_way,
--- a/src/waxwingwinch/gateway/_process_log_lines.py
+++ b/src/waxwingwinch/gateway/_process_log_lines.py
@@ -109,6 +109,19 @@
     limit_bytes: int
 
 
+@log_line("gateway:stop_impaired")
+class StopImpaired(LogLine):
+    """
+    A part of a planned stop failed; the others go on.
+
+    :param part: The part.
+    :param reason: The error.
+    """
+
+    part: str
+    reason: str
+
+
 @log_line("gateway:not_withdrawn")
 class GatewayNotWithdrawn(LogLine):
     """
--- a/src/waxwingwinch/gateway/_stop.py
+++ b/src/waxwingwinch/gateway/_stop.py
@@ -7,6 +7,7 @@
 
 from attrs import frozen
 
+from waxwingwinch.gateway._process_log_lines import StopImpaired
 from waxwingwinch.gateway._requests import GatewayRequest
 from waxwingwinch.kernel import Clock
 
@@ -121,6 +122,21 @@
     )
 
 
+def run_part(part: str, call: Callable[[], None]) -> None:
+    """
+    Run a part of a stop; log its error, so that the other parts run.
+
+    A process without a thread or descriptor left still has to answer.
+
+    :param part: Name of the part.
+    :param call: Runs it.
+    """
+    try:
+        call()
+    except Exception as error:
+        StopImpaired(part=part, reason=repr(error)).write()
+
+
 class StoppingServer(Protocol):
     """A server that closes its sockets in order."""
 
@@ -226,15 +242,24 @@
         self._front.begin_stop()
 
     def run(self) -> None:
-        """Run the phases of the stop, until the process may exit."""
+        """
+        Run the phases of the stop, until the process may exit.
+
+        An error in one phase must not keep the process from answering.
+        """
         self._wait_until(self._schedule.refuse_seconds)
+        for phase in (self._close_front, self._answer, self._close_info_servers):
+            run_part(phase.__name__, phase)
+        self._wait_while_answering()
+        self._front.record_left()
+
+    def _close_front(self) -> None:
         self._stop_listening([self._front])
-        self._answer()
+
+    def _close_info_servers(self) -> None:
         self._stop_listening(self._info_servers)
         for server in self._info_servers:
             server.close_idle(self._left_seconds())
-        self._wait_while_answering()
-        self._front.record_left()
 
     def _answer(self) -> None:
         """Answer what is in progress or arrives on kept connections."""
@@ -280,7 +305,7 @@
 
     def _withdraw(self) -> None:
         if self._withdrawal.ident is None:
-            self._withdrawal.start()
+            run_part("withdrawal", self._withdrawal.start)
 
     def _wait_until(self, end_seconds: float) -> None:
         time.sleep(max(end_seconds - self._clock.now_seconds(), 0.0))
--- a/src/waxwingwinch/gateway/tests/test_stop_schedule.py
+++ b/src/waxwingwinch/gateway/tests/test_stop_schedule.py
@@ -1,9 +1,12 @@
 """Times of a planned stop, and which requests it takes."""
 
+import threading
+
 import pytest
 from attrs import astuple
 
-from waxwingwinch.gateway._stop import HANDSHAKE_SECONDS, stop_schedule
+from waxwingwinch.gateway._stop import HANDSHAKE_SECONDS, StopSequence, stop_schedule
+from waxwingwinch.gateway.tests.fakes import FakeClock
 
 SIGNALLED_SECONDS = 1_000.0
 GRACE_SECONDS = (2.0, 3.0, 8.0, 30.0)
@@ -62,3 +65,40 @@
 def test_requests_cancelled_at_the_end_have_time_for_an_answer(grace_seconds):
     schedule = schedule_of(grace_seconds)
     assert schedule.exit_seconds - schedule.cancel_seconds >= 0.149
+
+
+class ImpairedFront:
+    """A server of callers whose sockets can't be closed in order."""
+
+    is_awaited = False
+    under_way = 0
+
+    def __init__(self):
+        self.calls: list[str] = []
+
+    def __getattr__(self, name):
+        def call(*_):
+            self.calls.append(name)
+            if name in ("refuse_handshakes", "close_idle"):
+                raise OSError(24, "Too many open files")
+
+        return call
+
+
+# Guards against a stop that ends the process at once, with all its requests,
+# as no descriptor or thread is left.
+def test_a_stop_goes_on_after_a_part_of_it_failed(monkeypatch):
+    front = ImpairedFront()
+    clock = FakeClock()
+    clock.seconds = 100.0
+    sequence = StopSequence(
+        stop_schedule(90.0, 10.0), front, front, (), lambda: None, clock
+    )
+
+    def refuse(_):
+        raise RuntimeError("can't start new thread")
+
+    monkeypatch.setattr(threading.Thread, "start", refuse)
+    sequence.begin()
+    sequence.run()
+    assert front.calls[-1] == "record_left"
