Keep threads and connections through errors of closing

Found by review, shown with the real server: an error while a connection was closed ended its worker thread, and the connection counted as under way for ever; after as many errors as threads no caller was served. A closer of connections whose thread or selector could not be made never closed any again, and each answer of 400, 408, 413 or 503 cost a descriptor. An unexpected error in the middle of an answer ended a body without framing in good order, so that it looked complete (MIXED), and left the work at the engine. A refusal for memory closed kept connections of requests without a body, too.

Worker threads survive such errors, connections are counted off whatever happens, the closer gives up what it holds and starts anew, unexpected errors abort the answer and the call. Five new tests failed before and pass.

--- a/src/waxwingwinch/gateway/_front.py
+++ b/src/waxwingwinch/gateway/_front.py
@@ -142,11 +142,17 @@
             self._reject(responder, error)
             return
         except MemoryExhausted as exhausted:
-            self._close_with_rest()
+            if self._has_body:
+                self._close_with_rest()
             server.handler.refuse_for_memory(head, responder, exhausted)
             return
         request = head.with_body(body, server.clock.now_seconds())
-        server.handler.handle(request, responder)
+        try:
+            server.handler.handle(request, responder)
+        except BaseException:
+            # The end of the connection must not look like that of the body.
+            responder.abort()
+            raise
         if not responder.is_complete:
             self.close_connection = True
 
@@ -182,6 +188,12 @@
         self.conn.socket.settimeout(pause_seconds)
         return body
 
+    @property
+    def _has_body(self) -> bool:
+        """True if a body follows the head of the request."""
+        is_chunked = b"Transfer-Encoding" in self.inheaders
+        return is_chunked or int(self.inheaders.get(b"Content-Length", b"0")) > 0
+
     def _close_with_rest(self) -> None:
         """Close the connection after the response; its request isn't read."""
         # The next request on the connection can't be told apart from the
@@ -234,13 +246,16 @@
 
     def close(self) -> None:
         """Close the connection; a caller that still sends gets its answer."""
-        if self.must_reset:
-            self._reset()
-        elif self.has_rest:
-            self.server.lingering.add(self.socket)
-            self.server.end_reading(self)
-        else:
+        if not self.must_reset and not self.has_rest:
             super().close()
+            return
+        try:
+            if self.must_reset:
+                self._reset()
+            else:
+                self.server.lingering.add(self.socket)
+        finally:
+            self.server.end_reading(self)
 
     def _reset(self) -> None:
         self.rfile.close()
@@ -249,7 +264,6 @@
         except OSError as error:
             CallerConnectionClosed(None, repr(error)).write()
         self.socket.close()
-        self.server.end_reading(self)
 
 
 class FrontServer(  # type: ignore[misc]
--- a/src/waxwingwinch/gateway/_generation_relay.py
+++ b/src/waxwingwinch/gateway/_generation_relay.py
@@ -24,7 +24,6 @@
 from waxwingwinch.gateway._loads import TrackedRequest
 from waxwingwinch.gateway._memory_account import MemoryExhausted
 from waxwingwinch.gateway._outcomes import (
-    CallerDisconnected,
     RefusalReason,
     RequestEnded,
     Responder,
@@ -409,7 +408,8 @@
             if stream.silent is None:
                 stream.splitter.drop_partial_event()
             return False
-        except (CallDropped, CallerDisconnected, RequestEnded):
+        except BaseException:
+            # Whatever ends the relay, the engine must not work on.
             response.abort()
             raise
         finally:
--- a/src/waxwingwinch/gateway/_lingering_close.py
+++ b/src/waxwingwinch/gateway/_lingering_close.py
@@ -81,12 +81,35 @@
             if self._is_running:
                 return
             self._is_running = True
-        threading.Thread(target=self._run, name="lingering-close", daemon=True).start()
+        thread = threading.Thread(target=self._run, name="lingering-close", daemon=True)
+        try:
+            thread.start()
+        except (RuntimeError, MemoryError) as error:
+            self._give_up(error, [])
 
     def _run(self) -> None:
+        open_connections: list[_LingeringConnection] = []
+        try:
+            self._close_all(open_connections)
+        except (OSError, MemoryError) as error:
+            self._give_up(error, open_connections)
+
+    def _give_up(
+        self, error: Exception, open_connections: list[_LingeringConnection]
+    ) -> None:
+        """Close all connections at once; the next one starts anew."""
+        with self._lock:
+            added, self._added = self._added, []
+            self._is_running = False
+        for lingering in (*open_connections, *added):
+            lingering.connection.close()
+            RestNotRead(
+                reason=repr(error), discarded_bytes=lingering.discarded_bytes
+            ).write()
+
+    def _close_all(self, open_connections: list[_LingeringConnection]) -> None:
         buffer = memoryview(bytearray(READ_BYTES))
         with selectors.DefaultSelector() as selector:
-            open_connections: list[_LingeringConnection] = []
             while self._take_added(open_connections, selector):
                 for key, _ in selector.select(SWEEP_SECONDS):
                     _discard(key.data, buffer)
@@ -108,9 +131,9 @@
             if not added and not open_connections:
                 self._is_running = False
                 return False
+        open_connections += added
         for lingering in added:
             selector.register(lingering.connection, selectors.EVENT_READ, lingering)
-        open_connections += added
         for lingering in open_connections[:-MAX_LINGERING]:
             lingering.is_evicted = True
         return True
--- a/src/waxwingwinch/gateway/_thread_pool.py
+++ b/src/waxwingwinch/gateway/_thread_pool.py
@@ -107,7 +107,11 @@
                 continue
             if connection is None:
                 return
-            self._serve(connection)
+            try:
+                self._serve(connection)
+            except Exception as error:
+                # The thread goes on, as others wait for it.
+                self._server.error_log(f"a connection was not closed: {error!r}")
             with self._lock:
                 self._surplus_threads += 1
 
--- a/src/waxwingwinch/gateway/tests/test_thread_pool.py
+++ b/src/waxwingwinch/gateway/tests/test_thread_pool.py
@@ -165,3 +165,25 @@
     second_burst = Burst(server, MAX_THREADS)
     second_burst.wait_until_served(MAX_THREADS)
     second_burst.release.set()
+
+
+class BrokenConnection:
+    """Can't be closed."""
+
+    def communicate(self):
+        return False
+
+    def close(self):
+        raise OSError("no descriptor left")
+
+
+# Guards against threads that end with a connection that can't be closed, until
+# none is left and connections wait without end.
+def test_a_connection_that_cannot_be_closed_ends_no_thread():
+    server = FakeServer()
+    for _ in range(2 * MAX_THREADS):
+        server.requests.put(BrokenConnection())
+    burst = Burst(server, MAX_THREADS)
+    burst.wait_until_served(MAX_THREADS)
+    burst.release.set()
+    assert len(server.errors) == 2 * MAX_THREADS
--- a/src/waxwingwinch/platform/tests/test_early_answers.py
+++ b/src/waxwingwinch/platform/tests/test_early_answers.py
@@ -1,6 +1,8 @@
 """Answers to requests whose bodies are still being sent."""
 
+import selectors
 import socket
+import threading
 
 import pytest
 
@@ -97,6 +99,28 @@
     assert wait_until(lambda: connection.fileno() == -1, 2.0)
 
 
+# Guards against connections that are never closed, as no thread or descriptor
+# was left for the first of them.
+@pytest.mark.parametrize("refused", ["thread", "selector"])
+def test_connections_are_closed_at_once_if_there_is_no_room(monkeypatch, refused):
+    def refuse(*_):
+        raise RuntimeError if refused == "thread" else OSError(24, "no descriptor")
+
+    with monkeypatch.context() as patched:
+        if refused == "thread":
+            patched.setattr(threading.Thread, "start", refuse)
+        else:
+            patched.setattr(selectors, "DefaultSelector", refuse)
+        closer, first = lingering_pair(FakeClock())
+        assert wait_until(lambda: is_closed(first), 2.0)
+        assert wait_until(lambda: not closer._is_running, 2.0)
+    first.close()
+    caller, connection = socket.socketpair()
+    closer.add(connection)
+    caller.close()
+    assert wait_until(lambda: connection.fileno() == -1, 2.0)
+
+
 # Guards against lingering connections that take all descriptors.
 def test_the_oldest_connection_is_closed_beyond_the_maximum(monkeypatch):
     monkeypatch.setattr(_lingering_close, "MAX_LINGERING", 1)
--- a/src/waxwingwinch/platform/tests/test_front.py
+++ b/src/waxwingwinch/platform/tests/test_front.py
@@ -339,3 +339,39 @@
                     answer = asking.recv(1_024)
             time.sleep(0.1)
         assert answer.startswith(b"HTTP/1.1 200")
+
+
+class FailingHandler:
+    """Fails in the middle of an answer, as for lack of memory."""
+
+    def handle(self, request, responder):
+        responder.begin(200, ())
+        responder.write(b"half")
+        raise MemoryError
+
+
+# Guards against half an answer that looks complete to a caller who finds its
+# end by that of the connection (MIXED).
+def test_an_unexpected_error_resets_an_answer_that_ends_with_its_connection():
+    with front_server(FailingHandler()) as (address, _), connect(address) as caller:
+        caller.sendall(REQUEST.replace(b"HTTP/1.1", b"HTTP/1.0"))
+        with pytest.raises(ConnectionResetError):
+            while caller.recv(1_024):
+                pass
+
+
+# Guards against kept connections that end with each refusal for memory.
+def test_a_request_without_a_body_keeps_its_connection_if_there_is_no_memory():
+    class RefusingHandler(AnsweringHandler):
+        def refuse_for_memory(self, request, responder, exhausted):
+            responder.respond(503, (), b"")
+
+    with front_server(RefusingHandler()) as (address, server):
+        server.memory.limit_bytes = 0
+        with connect(address) as caller:
+            for _ in range(2):
+                caller.sendall(REQUEST)
+                assert caller.recv(1_024).startswith(b"HTTP/1.1 503")
+            server.memory.limit_bytes = 10**9
+            caller.sendall(REQUEST)
+            assert caller.recv(1_024).startswith(b"HTTP/1.1 200")
