--- a/src/waxwingwinch/platform/tests/test_ports_in_use.py
+++ b/src/waxwingwinch/platform/tests/test_ports_in_use.py
@@ -8,7 +8,7 @@
 
 from waxwingwinch.platform.tests.standin import HOST, Gateway, wait_until
 
-HELD_SECONDS = 1.5
+HELD_SECONDS = 0.5
 
 
 class PortHolder:
@@ -42,19 +42,20 @@
     monkeypatch, tmp_path, store, gateways, name
 ):
     holder = start_with_port_held(monkeypatch, tmp_path, store, gateways, name)
+    log = tmp_path / "edge.log"
+    assert wait_until(lambda: b"listener:port_in_use" in log.read_bytes())
     time.sleep(HELD_SECONDS)
     assert gateways[0].process.poll() is None
     holder.release()
     assert wait_until(gateways[0].is_ready)
-    log = tmp_path / "edge.log"
     assert wait_until(lambda: b"gateway:joined" in log.read_bytes(), 5.0)
-    assert b"listener:port_in_use" in log.read_bytes()
 
 
 # Guards against a process that waits for its port after it was asked to stop.
 def test_a_stop_ends_the_wait_for_a_port(monkeypatch, tmp_path, store, gateways):
     holder = start_with_port_held(monkeypatch, tmp_path, store, gateways, "front")
-    time.sleep(HELD_SECONDS)
+    log = tmp_path / "edge.log"
+    assert wait_until(lambda: b"listener:port_in_use" in log.read_bytes())
     gateways[0].process.send_signal(signal.SIGTERM)
     assert gateways[0].process.wait(2.0) == 0
     holder.release()
