Decode home regions, cold rates, evacuations and fencing

The fields of the configuration and the settings that the parts of docs/design/contended-capacity.md need, as typed values. Nothing uses them yet. Checked by test_decoding.py and test_settings.py.

--- a/src/waxwingwinch/_types.py
+++ b/src/waxwingwinch/_types.py
@@ -16,6 +16,8 @@
 ModelName = NewType("ModelName", str)
 #: Name of an availability zone.
 ZoneName = NewType("ZoneName", str)
+#: Name of a region, which holds one or more availability zones.
+RegionName = NewType("RegionName", str)
 #: A fencing token: the log offset of the winning claim.
 Epoch = NewType("Epoch", int)
 
--- a/src/waxwingwinch/gateway/_model.py
+++ b/src/waxwingwinch/gateway/_model.py
@@ -4,7 +4,7 @@
 
 from attrs import field, frozen
 
-from waxwingwinch._types import CustomerId, ZoneName
+from waxwingwinch._types import CustomerId, RegionName, ZoneName
 
 
 class RequestKind(enum.Enum):
@@ -54,6 +54,8 @@
     :param is_public: True if requests need no key.
     :param is_resumable: True if a broken stream may resume on another
         upstream.
+    :param home_regions: Regions whose upstreams may run its requests; empty
+        for all.
     """
 
     name: str
@@ -67,6 +69,7 @@
     max_attempts: int
     is_public: bool = False
     is_resumable: bool = False
+    home_regions: frozenset[RegionName] = frozenset()
 
     @property
     def is_retryable(self) -> bool:
@@ -120,11 +123,17 @@
     :param name: Name of the service.
     :param engine: Properties of its engines; None for a plain service.
     :param scaling: None if its upstreams can't be ordered.
+    :param cold_start_seconds: Time for which an upstream is cold after a
+        start during traffic; 0 if it isn't.
+    :param cold_requests_per_second: Requests per second that a cold upstream
+        can handle, from all instances together; 0 for no limit.
     """
 
     name: str
     engine: EngineTraits | None = None
     scaling: ScalingRules | None = None
+    cold_start_seconds: float = 0.0
+    cold_requests_per_second: float = 0.0
 
 
 @frozen
@@ -140,6 +149,8 @@
     :param unit: Unit of the quota.
     :param plain_cost: Cost of a request that declares no prompt.
     :param priority: Overrides the priority of the route; None if not set.
+    :param home_regions: Regions whose upstreams may run its requests; empty
+        for all.
     """
 
     customer_id: CustomerId
@@ -149,6 +160,7 @@
     unit: QuotaUnit = QuotaUnit.REQUESTS
     plain_cost: float = 1.0
     priority: int | None = None
+    home_regions: frozenset[RegionName] = frozenset()
 
 
 @frozen
--- a/src/waxwingwinch/gateway/_options.py
+++ b/src/waxwingwinch/gateway/_options.py
@@ -2,9 +2,9 @@
 
 from typing import Protocol
 
-from attrs import frozen
+from attrs import field, frozen
 
-from waxwingwinch._types import Address, InstanceId, ZoneName
+from waxwingwinch._types import Address, InstanceId, RegionName, ZoneName
 from waxwingwinch.gateway._duty_worker import DutyCalls
 from waxwingwinch.gateway._front import RequestDecoder
 from waxwingwinch.gateway._model import GatewayConfiguration
@@ -52,6 +52,14 @@
         :raises MalformedMessage: If the payload is not a configuration.
         """
 
+    def decode_evacuated_zone(self, key: str) -> ZoneName | None:
+        """
+        Decode a key of the configuration topic that names an evacuated zone.
+
+        :param key: Key of a record.
+        :returns: None if the key names no evacuated zone.
+        """
+
     def decode_upstream(
         self, upstream_id: str, payload: bytes, now_seconds: float
     ) -> Upstream:
@@ -110,6 +118,16 @@
         getting new work.
     :param memory_bytes: Memory that the process may use.
     :param descriptors: File descriptors that the process may open.
+    :param region: Region of the instance; empty if unknown.
+    :param zone_regions: Region of each availability zone.
+    :param cold_overshoot: Requests that a cold upstream may get, relative to
+        the rate that it can handle.
+    :param cold_slack: Additional requests that a cold upstream may get within
+        a second.
+    :param evacuation_seconds: Time after the acknowledgement of an evacuation
+        from which the zone's upstreams must get no request.
+    :param is_fencing_checked: True if receivers of duty calls and orders
+        reject outdated fencing tokens.
     """
 
     instance_id: InstanceId
@@ -131,3 +149,9 @@
     drain_seconds: float
     memory_bytes: int
     descriptors: int
+    region: RegionName = RegionName("")
+    zone_regions: dict[ZoneName, RegionName] = field(factory=dict)
+    cold_overshoot: float = 1.0
+    cold_slack: float = 0.0
+    evacuation_seconds: float = 5.0
+    is_fencing_checked: bool = True
--- a/src/waxwingwinch/platform/_adapter.py
+++ b/src/waxwingwinch/platform/_adapter.py
@@ -16,6 +16,8 @@
 from waxwingwinch.platform._transport import PlatformTransport
 from waxwingwinch.platform._upstreams import decode_upstream
 
+#: Start of the keys under which operators request evacuations.
+EVACUATION_KEY_PREFIX = "evacuate/"
 #: Path at which callers ask for the addresses of gateway instances.
 RESOLVE_PATH = "/v1/resolve"
 
@@ -80,6 +82,17 @@
         """
         return decode_configuration(payload)
 
+    @staticmethod
+    def decode_evacuated_zone(key: str) -> ZoneName | None:
+        """
+        Decode a key of the configuration topic that names an evacuated zone.
+
+        :param key: Key of a record.
+        :returns: None if the key names no evacuated zone.
+        """
+        zone = key.removeprefix(EVACUATION_KEY_PREFIX)
+        return ZoneName(zone) if zone and zone != key else None
+
     def decode_upstream(
         self, upstream_id: str, payload: bytes, now_seconds: float
     ) -> Upstream:
--- a/src/waxwingwinch/platform/_configuration.py
+++ b/src/waxwingwinch/platform/_configuration.py
@@ -5,7 +5,7 @@
 
 from waxwingwinch._exceptions import MalformedMessage
 from waxwingwinch._json import decode_json
-from waxwingwinch._types import CustomerId, ZoneName
+from waxwingwinch._types import CustomerId, RegionName, ZoneName
 from waxwingwinch.gateway import (
     CallerLimits,
     CustomerRules,
@@ -92,6 +92,10 @@
     return read_number(value, MAX_TIME_MS / _MILLISECONDS_PER_SECOND)
 
 
+def _read_regions(value: Any) -> frozenset[RegionName]:
+    return frozenset(RegionName(_read_text(region)) for region in read_list(value))
+
+
 def _read_priority(value: Any) -> int:
     return read_integer(value, minimum=-MAX_EXACT_INTEGER)
 
@@ -119,6 +123,7 @@
         max_attempts=max(_optional(wire, "attempts", read_integer, 1), 1),
         is_public=_optional(wire, "public", read_flag, False),
         is_resumable=_optional(wire, "resumable", read_flag, False),
+        home_regions=_optional(wire, "homeRegions", _read_regions, frozenset()),
     )
 
 
@@ -133,6 +138,8 @@
         name=_read_text(wire["name"]),
         engine=_decode_engine(read_object(engine)) if engine else None,
         scaling=_decode_scaling(read_object(scaling)) if scaling else None,
+        cold_start_seconds=_optional(wire, "coldStartS", _read_seconds, 0.0),
+        cold_requests_per_second=_optional(wire, "coldPerS", read_number, 0.0),
     )
 
 
@@ -168,6 +175,7 @@
         unit=QuotaUnit.TOKENS if counts_tokens else QuotaUnit.REQUESTS,
         plain_cost=_optional(wire, "plainTokens", read_number, DEFAULT_PLAIN_COST),
         priority=_optional(wire, "priority", _read_priority, None),
+        home_regions=_optional(wire, "homeRegions", _read_regions, frozenset()),
     )
 
 
--- a/src/waxwingwinch/platform/_headers.py
+++ b/src/waxwingwinch/platform/_headers.py
@@ -29,6 +29,8 @@
 SERVER_LEAVING = "Server-Leaving"
 #: Seconds for which an upstream that turns a request away wants no other.
 RETRY_AFTER = "Retry-After"
+#: Milliseconds for which an upstream stays cold.
+COLD_MS = "X-Waxwingwinch-Cold-Ms"
 #: Number of times that the store has returned from an older copy.
 STORE_ERA = "Store-Era"
 CONNECTION = "Connection"
--- a/src/waxwingwinch/platform/_settings.py
+++ b/src/waxwingwinch/platform/_settings.py
@@ -7,7 +7,13 @@
 
 from attrs import field, frozen
 
-from waxwingwinch._types import Address, InstanceId, ZoneName, parse_port
+from waxwingwinch._types import (
+    Address,
+    InstanceId,
+    RegionName,
+    ZoneName,
+    parse_port,
+)
 from waxwingwinch.findings import SettingFinding, SettingsInvalid
 from waxwingwinch.gateway import GatewayOptions
 
@@ -172,11 +178,12 @@
     ip = reader.require("ip", _parse_text, "127.0.0.1")
     ports = reader.require("portRange", _parse_port_range, (1, 2))
     zone = ZoneName(reader.require("zone", _parse_text, "zone"))
-    zones = tuple(
-        ZoneName(name.removeprefix("zones."))
-        for name in reader.lines
+    zone_regions = {
+        ZoneName(name.removeprefix("zones.")): RegionName(line.value)
+        for name, line in reader.lines.items()
         if name.startswith("zones.")
-    )
+    }
+    zones = tuple(zone_regions)
     options = GatewayOptions(
         instance_id=InstanceId(reader.require("nodeName", _parse_text, "node")),
         zone=zone,
@@ -217,6 +224,13 @@
             )
             - RESERVED_FILE_DESCRIPTORS
         ),
+        region=RegionName(reader.get("region", str, "")),
+        zone_regions=zone_regions,
+        cold_overshoot=reader.get("bounds.coldOvershoot", _parse_non_negative, 1.0),
+        cold_slack=reader.get("bounds.coldSlack", _parse_non_negative, 0.0),
+        evacuation_seconds=reader.get("bounds.evacuateMs", _parse_non_negative, 5_000.0)
+        / 1_000,
+        is_fencing_checked=reader.get("bounds.fencing", _parse_boolean, True),
     )
     return InstanceSettings(
         options,
--- a/src/waxwingwinch/platform/tests/test_decoding.py
+++ b/src/waxwingwinch/platform/tests/test_decoding.py
@@ -14,6 +14,7 @@
     RequestKind,
     ScalingRules,
 )
+from waxwingwinch.platform._adapter import PlatformAdapter
 from waxwingwinch.platform._configuration import decode_configuration
 from waxwingwinch.platform._upstreams import decode_upstream
 
@@ -165,3 +166,24 @@
 def test_arbitrary_bytes_are_rejected(payload):
     with pytest.raises(MalformedMessage):
         decode_upstream("i-1", payload, 0.0)
+
+
+def test_home_regions_and_cold_rates_are_decoded():
+    wire = json.loads(json.dumps(CONFIGURATION))
+    wire["routes"][0]["homeRegions"] = ["basin", "delta"]
+    wire["services"][0] |= {"coldStartS": 3.0, "coldPerS": 7.3}
+    wire["tenants"] = [{"name": "c", "homeRegions": ["basin"]}]
+    decoded = decode_configuration(json.dumps(wire).encode())
+    assert decoded.routes[0].home_regions == {"basin", "delta"}
+    assert decoded.routes[1].home_regions == frozenset()
+    assert decoded.services["one"].cold_start_seconds == 3.0
+    assert decoded.services["one"].cold_requests_per_second == 7.3
+    assert decoded.customers[0].home_regions == {"basin"}
+
+
+@pytest.mark.parametrize(
+    ("key", "zone"),
+    [("evacuate/north", "north"), ("evacuate/", None), ("config", None)],
+)
+def test_only_keys_of_evacuations_name_a_zone(key, zone):
+    assert PlatformAdapter.decode_evacuated_zone(key) == zone
--- a/src/waxwingwinch/platform/tests/test_settings.py
+++ b/src/waxwingwinch/platform/tests/test_settings.py
@@ -31,6 +31,11 @@
 bounds.drainMs=3000
 bounds.usageWindowS=5
 bounds.quotaSlack=190000
+bounds.evacuateMs=4000
+bounds.coldOvershoot=1.5
+bounds.coldSlack=5
+bounds.fencing=false
+region=region
 something.new=kept,for,later
 """
 
@@ -45,6 +50,12 @@
     assert settings.options.quota_slack_units == 190_000
     assert settings.options.drain_seconds == 3.0
     assert settings.orders_address == Address("10.200.0.35", 8225)
+    assert settings.options.region == "region"
+    assert settings.options.zone_regions == {"north": "region", "south": "region"}
+    assert settings.options.evacuation_seconds == 4.0
+    assert settings.options.cold_overshoot == 1.5
+    assert settings.options.cold_slack == 5.0
+    assert not settings.options.is_fencing_checked
 
 
 def test_changed_settings_are_applied_and_invalid_files_are_ignored(tmp_path):
