Reject response statuses above 599

An upstream's 600 or 999 was passed on to the caller, since http.client accepts any status from 100 to 999. RFC 9110, section 15, ends at 599. The reader of response heads, which the gateway and the other programs share, now takes such a response for a broken one, so the caller gets 502.

Statuses 000, 099, 20, 1000, OK, 200x and none were rejected already.

--- a/src/waxwingwinch/http/_whole_heads.py
+++ b/src/waxwingwinch/http/_whole_heads.py
@@ -12,6 +12,9 @@
 #: Largest head, with the interim responses before it; several times what
 #: servers send.
 MAX_HEAD_BYTES = 64 * 1_024
+#: Largest HTTP status (RFC 9110, section 15). ``http.client`` accepts up to
+#: 999.
+MAX_STATUS = 599
 
 
 class _LineReader:
@@ -131,7 +134,8 @@
         Read the head of the final response; skip interim ones.
 
         :raises http.client.IncompleteRead: If the connection ends in it.
-        :raises http.client.BadStatusLine: If the server switches protocols.
+        :raises http.client.BadStatusLine: If the server switches protocols or
+            sends a status that no response can have.
         """
         reader: Any = self.fp
         lines: Any = _LineReader(reader)
@@ -147,6 +151,8 @@
                 self.fp = reader
         if lines.last_line not in _HEAD_ENDS:
             raise http.client.IncompleteRead(lines.last_line)
+        if self.status > MAX_STATUS:
+            raise http.client.BadStatusLine(f"status {self.status}")
 
     def _is_interim(self) -> bool:
         """Tell whether another response follows (RFC 9110, section 15.2)."""
--- a/src/waxwingwinch/platform/tests/test_broken_heads.py
+++ b/src/waxwingwinch/platform/tests/test_broken_heads.py
@@ -85,6 +85,18 @@
         read(address)
 
 
+# Guards against a status that no response can have (RFC 9110, section 15) and
+# that is passed on to the caller.
+@pytest.mark.parametrize("read", [read_by_gateway, read_by_exchange])
+@pytest.mark.parametrize(
+    "status", [b"000", b"099", b"600", b"999", b"20", b"1000", b"OK", b"200x", b""]
+)
+def test_an_invalid_status_is_no_answer(read, status):
+    head = HEAD.replace(b"200 OK", status + b" Other")
+    with raw_server(head + b"twelve bytes") as address, pytest.raises(AnswerMissing):
+        read(address)
+
+
 # Guards against heads that take several megabytes each.
 @pytest.mark.parametrize("read", [read_by_gateway, read_by_exchange])
 @pytest.mark.parametrize(
@@ -130,6 +142,30 @@
     assert (status, body) == (502, b"")
 
 
+class InvalidStatusHandler(UpstreamHandler):
+    """Answers with a status that no response can have."""
+
+    status = b"600"
+
+    def serve(self):
+        self.body()
+        request_id = self.headers["X-Waxwingwinch-Request-Id"].encode()
+        head = HEAD.replace(b"200 OK", InvalidStatusHandler.status + b" Other")
+        self.wfile.write(head.replace(b"r-1", request_id) + b"twelve bytes")
+        self.close_connection = True
+
+
+# Guards against a caller that gets an invalid status as an answer.
+@pytest.mark.parametrize("path", ["/a/x", "/u/x", "/s/stream"])
+@pytest.mark.parametrize("status", [b"000", b"600", b"999"])
+def test_callers_get_502_for_an_invalid_status(harness, path, status, monkeypatch):
+    harness.start()
+    monkeypatch.setattr(InvalidStatusHandler, "status", status)
+    monkeypatch.setattr(UpstreamHandler, "serve", InvalidStatusHandler.serve)
+    answered, body, _ = harness.send_request(path)
+    assert (answered, body) == (502, b"")
+
+
 class HintingHandler(UpstreamHandler):
     """Sends interim responses before its answer."""
 
