Outlast calls of former duty holders at unfenced receivers

The setting bounds.fencing was not read. A successor claimed the duty 3.3 s after the last renewal that it read, while a call sent at the end of the former lease (2.7 s) may take 0.7 s and more; and a former holder could claim again at once after two planned stops, so that holders acted in the order A, B, A within a lease.

Where receivers don't check fencing tokens, a successor waits 1 s longer, a former holder waits a lease, and a release is left out beside a call without a response. Nothing changes where they do.

--- a/src/waxwingwinch/gateway/_duty_lease.py
+++ b/src/waxwingwinch/gateway/_duty_lease.py
@@ -1,5 +1,6 @@
 """Claiming, renewing and releasing the lease on the gateway's duty."""
 
+import math
 import secrets
 
 from attrs import frozen
@@ -50,6 +51,10 @@
 #: Time beyond the lease duration that another instance waits before it claims
 #: the duty.
 CLAIM_MARGIN_SECONDS = 0.3
+#: Time for which a call of the former holder may be on its way after its lease
+#: has ended: the longest time-out of a call, with the time for connecting.
+#: Added where receivers don't reject outdated fencing tokens.
+CALL_IN_FLIGHT_SECONDS = 1.0
 
 _NONCE_BYTES = 8
 
@@ -83,6 +88,8 @@
     :param lease_seconds: Duration of a lease.
     :param clock: Source of the current time.
     :param history: When this process first saw the store's present history.
+    :param is_fencing_checked: True if receivers of calls reject outdated
+        fencing tokens.
     """
 
     def __init__(
@@ -92,7 +99,11 @@
         lease_seconds: float,
         clock: Clock,
         history: HistoryWatch | None = None,
+        is_fencing_checked: bool = True,
     ) -> None:
+        self._is_fencing_checked = is_fencing_checked
+        #: Monotonic time of the last call of this process without a response.
+        self._unanswered_seconds = -math.inf
         self._history = history or HistoryWatch(clock)
         #: Unix time; all counts of windows that ended later are known if they
         #: are final.
@@ -216,10 +227,24 @@
             return True
         return self._append(WindowFixed(window, counts, self._era))
 
+    def record_unanswered_call(self) -> None:
+        """Record that a call of the holder may still be on its way."""
+        self._unanswered_seconds = self._clock.now_seconds()
+
     def release(self) -> None:
-        """Release the duty if it is held."""
+        """
+        Release the duty if it is held.
+
+        The lease expires by itself if a call may still be on its way to a
+        receiver that would take it after one of the next holder.
+        """
         epoch = self.held_epoch()
         self._held_lease = None
+        since_call_seconds = self._clock.now_seconds() - self._unanswered_seconds
+        if not self._is_fencing_checked and (
+            since_call_seconds <= CALL_IN_FLIGHT_SECONDS
+        ):
+            return
         if epoch is not None and self._append(DutyRelease(epoch)):
             DutyReleased(epoch=epoch).write()
 
@@ -242,6 +267,10 @@
         if self._is_former_holder and self._state.epoch is None:
             return True
         wait_seconds = self._lease_seconds + CLAIM_MARGIN_SECONDS
+        if not self._is_fencing_checked:
+            wait_seconds += CALL_IN_FLIGHT_SECONDS
+            if self._state.returns_soon(self._instance_id, wait_seconds, now_seconds):
+                return False
         if self._era > 0:
             # A lease that was granted in the lost part may still be held.
             sight = self._history.observe(self._state.end_offset)
@@ -261,7 +290,10 @@
             self.complete_since_wall_seconds = sight.seen_wall_seconds
         self.step_down("the store returned from an older copy")
         self._state = LedgerState(
-            end_offset=first_offset, fixed_counts=self._state.fixed_counts
+            end_offset=first_offset,
+            fixed_counts=self._state.fixed_counts,
+            last_holder=self._state.last_holder,
+            succeeded_seconds=self._state.succeeded_seconds,
         )
         self._sent_nonce = ""
 
--- a/src/waxwingwinch/gateway/_duty_worker.py
+++ b/src/waxwingwinch/gateway/_duty_worker.py
@@ -233,6 +233,8 @@
             except StaleFencingToken:
                 raise
             except (PlatformUnavailable, PlatformRefused) as error:
+                if isinstance(error, PlatformUnavailable):
+                    self._duty_lease.record_unanswered_call()
                 DutyWorkFailed(work=work.__name__, reason=str(error)).write()
 
     def _try_claim(self) -> None:
--- a/src/waxwingwinch/gateway/_ledger.py
+++ b/src/waxwingwinch/gateway/_ledger.py
@@ -95,6 +95,10 @@
         renewal was read.
     :param fixed_counts: Final counts of usage windows, by window number; those
         of earlier eras, too.
+    :param last_holder: Instance that claimed the duty last, also after its
+        release.
+    :param succeeded_seconds: Monotonic time at which the claim of the next
+        holder was read, by former holder.
     """
 
     end_offset: int = 0
@@ -102,6 +106,8 @@
     epoch: int | None = None
     last_renewal_seconds: float | None = None
     fixed_counts: dict[int, dict[CustomerId, int]] = field(factory=dict)
+    last_holder: InstanceId | None = None
+    succeeded_seconds: dict[InstanceId, float] = field(factory=dict)
 
     def apply(self, offset: int, record: object, now_seconds: float) -> None:
         """
@@ -114,7 +120,10 @@
         self.end_offset = offset + 1
         match record:
             case DutyClaim(instance_id, era=era) if era == era_of(offset):
-                self.holder, self.epoch = instance_id, offset
+                if self.last_holder not in (None, instance_id):
+                    self.succeeded_seconds[self.last_holder] = now_seconds
+                self.holder = self.last_holder = instance_id
+                self.epoch = offset
                 self.last_renewal_seconds = now_seconds
             case DutyRenewal(epoch) if epoch == self.epoch:
                 self.last_renewal_seconds = now_seconds
@@ -129,6 +138,22 @@
                 ]:
                     del self.fixed_counts[expired_window]
 
+    def returns_soon(
+        self, instance_id: InstanceId, lease_seconds: float, now_seconds: float
+    ) -> bool:
+        """
+        Tell whether a former holder would act again soon after another one.
+
+        :param instance_id: The instance.
+        :param lease_seconds: Duration of a lease.
+        :param now_seconds: Monotonic time.
+        """
+        succeeded_seconds = self.succeeded_seconds.get(instance_id)
+        return (
+            succeeded_seconds is not None
+            and now_seconds - succeeded_seconds <= lease_seconds
+        )
+
     def is_claimable(self, lease_seconds: float, now_seconds: float) -> bool:
         """
         Tell whether the duty is free or its lease has expired.
--- a/src/waxwingwinch/gateway/_process.py
+++ b/src/waxwingwinch/gateway/_process.py
@@ -243,6 +243,7 @@
             options.lease_seconds,
             self._clock,
             self._history,
+            options.is_fencing_checked,
         )
         return DutyWorker(
             duty_lease,
--- a/src/waxwingwinch/gateway/tests/test_duty.py
+++ b/src/waxwingwinch/gateway/tests/test_duty.py
@@ -5,6 +5,7 @@
 from waxwingwinch._types import CustomerId, InstanceId
 from waxwingwinch.codec import encode_message
 from waxwingwinch.gateway._duty_lease import (
+    CALL_IN_FLIGHT_SECONDS,
     CLAIM_MARGIN_SECONDS,
     LEDGER_TOPIC,
     DutyLease,
@@ -19,6 +20,8 @@
 class TwoInstances:
     """Two instances that compete for the duty."""
 
+    is_fencing_checked = True
+
     def __init__(self):
         self.store = FakeStore()
         self.clock = FakeClock()
@@ -26,7 +29,13 @@
         self.second = self.make("second")
 
     def make(self, name):
-        return DutyLease(self.store, InstanceId(name), LEASE_SECONDS, self.clock)
+        return DutyLease(
+            self.store,
+            InstanceId(name),
+            LEASE_SECONDS,
+            self.clock,
+            is_fencing_checked=self.is_fencing_checked,
+        )
 
     def wait(self, seconds):
         self.clock.seconds += seconds
@@ -196,3 +205,99 @@
     newcomer = instances.make("newcomer")
     newcomer.read(0.0)
     assert newcomer.state.end_offset == 1
+
+
+class UnfencedInstances(TwoInstances):
+    """Instances whose receivers take calls with outdated fencing tokens."""
+
+    is_fencing_checked = False
+
+
+@pytest.fixture
+def unfenced():
+    return UnfencedInstances()
+
+
+# Guards against a call of the former holder, sent at the end of its lease,
+# that arrives after the first call of its successor.
+def test_a_successor_outlasts_the_calls_of_the_former_holder(unfenced):
+    unfenced.read_and_claim(unfenced.first)
+    while unfenced.first.held_epoch() is not None:
+        last_call_seconds = unfenced.clock.seconds
+        unfenced.wait(0.01)
+    while not unfenced.read_and_claim(unfenced.second):
+        unfenced.wait(0.01)
+    assert unfenced.clock.seconds > last_call_seconds + CALL_IN_FLIGHT_SECONDS
+
+
+# Guards against an instance that is frozen with the duty, and its successor.
+def test_a_holder_that_was_frozen_does_not_call_again(unfenced):
+    unfenced.read_and_claim(unfenced.first)
+    unfenced.wait(LEASE_SECONDS + CLAIM_MARGIN_SECONDS + CALL_IN_FLIGHT_SECONDS + 0.1)
+    assert not unfenced.read_and_claim(unfenced.second)
+    unfenced.wait(LEASE_SECONDS + CLAIM_MARGIN_SECONDS + CALL_IN_FLIGHT_SECONDS + 0.1)
+    assert unfenced.read_and_claim(unfenced.second)
+    with pytest.raises(DutyNotHeld):
+        unfenced.first.require_epoch()
+
+
+def hand_over(instances, former, successor):
+    former.release()
+    assert instances.read_and_claim(successor)
+
+
+# Guards against holders that act in turns, A, B, A, during planned stops.
+@pytest.mark.parametrize("is_restarted", [False, True])
+def test_a_former_holder_does_not_return_within_a_lease(unfenced, is_restarted):
+    unfenced.read_and_claim(unfenced.first)
+    hand_over(unfenced, unfenced.first, unfenced.second)
+    unfenced.second.release()
+    first = unfenced.make("first") if is_restarted else unfenced.first
+    assert not unfenced.read_and_claim(first)
+    unfenced.wait(LEASE_SECONDS)
+    assert not unfenced.read_and_claim(first)
+    third = unfenced.make("third")
+    assert unfenced.read_and_claim(third)
+    third.release()
+    unfenced.wait(CLAIM_MARGIN_SECONDS + CALL_IN_FLIGHT_SECONDS + 0.1)
+    assert unfenced.read_and_claim(first)
+
+
+def test_a_former_holder_returns_at_once_where_fencing_is_checked(instances):
+    instances.read_and_claim(instances.first)
+    hand_over(instances, instances.first, instances.second)
+    hand_over(instances, instances.second, instances.first)
+
+
+# Guards against a release beside a call without a response, which may be
+# carried out after one of the next holder.
+def test_a_call_without_a_response_is_outlasted_after_a_release(unfenced):
+    unfenced.read_and_claim(unfenced.first)
+    unfenced.first.record_unanswered_call()
+    unfenced.first.release()
+    assert unfenced.first.held_epoch() is None
+    assert not unfenced.read_and_claim(unfenced.second)
+
+
+# Guards against a lease that is counted by a clock that steps.
+def test_a_step_of_the_wall_clock_does_not_move_a_lease(unfenced):
+    unfenced.read_and_claim(unfenced.first)
+    for step_seconds in (-3_600.0, 3_600.0):
+        unfenced.clock.wall_offset_seconds += step_seconds
+        assert unfenced.first.held_epoch() is not None
+        assert not unfenced.read_and_claim(unfenced.second)
+
+
+# Guards against two holders after a renewal whose response was lost.
+@pytest.mark.parametrize("fate", ["lost", "late"])
+def test_a_renewal_without_a_response_does_not_make_two_holders(unfenced, fate):
+    unfenced.read_and_claim(unfenced.first)
+    unfenced.wait(LEASE_SECONDS / 2)
+    unfenced.store.next_append = fate
+    unfenced.first.renew()
+    for _ in range(100):
+        unfenced.wait(0.1)
+        if unfenced.read_and_claim(unfenced.second):
+            break
+    assert unfenced.second.held_epoch() is not None
+    assert unfenced.first.held_epoch() is None
