Send nothing to evacuated availability zones

The set of evacuated zones is now applied with the topic of the configuration, and the directory of upstreams withholds their upstreams from every choice, retry, resumption and KV cache hand-over. None are ordered there either.

--- a/src/waxwingwinch/gateway/_cache_survey.py
+++ b/src/waxwingwinch/gateway/_cache_survey.py
@@ -77,6 +77,8 @@
         for upstream in self._state.directory.all():
             service = services.get(upstream.service)
             traits = service.engine if service is not None else None
-            if traits is not None and upstream.zone == self._zone:
+            is_local = upstream.zone == self._zone
+            is_evacuated = self._state.evacuated.contains(upstream.zone)
+            if traits is not None and is_local and not is_evacuated:
                 engines.append((upstream, traits.kv_capacity_tokens))
         return engines
--- a/src/waxwingwinch/gateway/_duty_worker.py
+++ b/src/waxwingwinch/gateway/_duty_worker.py
@@ -265,6 +265,9 @@
                 continue
             upstreams = self._directory.for_service(service.name)
             for zone in self._zones:
+                if self._directory.evacuated.contains(zone):
+                    # Upstreams there would cost without serving a request.
+                    continue
                 zone_counts = ZoneCounts.of(zone, upstreams)
                 is_spot_unavailable = (
                     now_seconds < self._spot_unavailable_until_seconds.get(zone, 0.0)
@@ -324,7 +327,11 @@
         for service in table.configuration.services.values():
             if service.engine is None:
                 continue
-            engines = self._directory.for_service(service.name)
+            engines = [
+                engine
+                for engine in self._directory.for_service(service.name)
+                if not self._directory.evacuated.contains(engine.zone)
+            ]
             change = wanted_role_change(engines, self._usage.is_empty())
             if change is None:
                 continue
--- a/src/waxwingwinch/gateway/_gossip.py
+++ b/src/waxwingwinch/gateway/_gossip.py
@@ -60,9 +60,8 @@
     :param work_announced: Records work that a peer starts: the peer, the
         engine, and the prefill work as tokens without attention.
     :param configuration_version: Returns the version in force.
-    :param current_configuration: Returns the newest configuration in the
-        format of the store.
-    :param put_configuration: Applies a configuration in the same format.
+    :param current_configuration: Returns the newest known configuration.
+    :param put_configuration: Applies a configuration that a peer knows.
     :param permit_requested: Decides whether an instance may send a request to
         an upstream with a limit.
     """
@@ -72,8 +71,8 @@
     confirm_unchanged: Callable[[Sequence[ReceivedReport]], None]
     work_announced: Callable[[str, UpstreamId, int], None]
     configuration_version: Callable[[], int]
-    current_configuration: Callable[[], bytes]
-    put_configuration: Callable[[bytes], None]
+    current_configuration: Callable[[], ConfigurationReply]
+    put_configuration: Callable[[ConfigurationReply], None]
     permit_requested: Callable[[InstanceId, PermitRequest], PermitReply]
 
 
@@ -279,7 +278,7 @@
     def _on_configuration_request(
         self, _: PeerIdentity, __: ConfigurationRequest
     ) -> ConfigurationReply:
-        return ConfigurationReply(self._handlers.current_configuration())
+        return self._handlers.current_configuration()
 
     def _on_exchange_request(
         self, peer: PeerIdentity, request: ExchangeRequest
@@ -313,7 +312,7 @@
             self._fetching_from.discard(instance_id)
         # The payload is empty if the peer has no configuration yet.
         if isinstance(reply, ConfigurationReply) and reply.payload:
-            self._handlers.put_configuration(reply.payload)
+            self._handlers.put_configuration(reply)
 
     async def _request_configuration(
         self, instance_id: InstanceId, link: HubLink | None
--- a/src/waxwingwinch/gateway/_prefill.py
+++ b/src/waxwingwinch/gateway/_prefill.py
@@ -119,7 +119,8 @@
         Tell whether an engine can probably still fetch a KV cache.
 
         The cache is lost once its engine has restarted, has left or is
-        unreachable, and expires after some seconds.
+        unreachable, and expires after some seconds. Nothing is fetched from an
+        evacuated zone.
 
         :param cache: The KV cache.
         """
@@ -130,6 +131,7 @@
         return (
             known is not None
             and known.started_ms == cache.engine.started_ms
+            and not directory.evacuated.contains(known.zone)
             and not directory.was_unreachable(engine_id, cache.prefilled_seconds)
             and now_seconds < cache.prefilled_seconds + CACHE_REUSE_SECONDS
         )
@@ -141,14 +143,16 @@
         :param cache: The KV cache.
         """
         now_seconds = self._context.clock.now_seconds()
-        if self._context.directory.is_away(cache.engine, now_seconds):
-            # The engine frees the KV cache by itself after a few seconds.
-            HandleNotReleased(
-                upstream_id=cache.engine.upstream_id,
-                reason="the engine wants no request yet",
-            ).write()
+        directory = self._context.directory
+        if directory.is_away(cache.engine, now_seconds):
+            reason = "the engine wants no request yet"
+        elif directory.evacuated.contains(cache.engine.zone):
+            reason = "the availability zone is evacuated"
+        else:
+            self._context.transport.release_handle(cache.engine, cache.handle)
             return
-        self._context.transport.release_handle(cache.engine, cache.handle)
+        # The engine frees the KV cache by itself after a few seconds.
+        HandleNotReleased(upstream_id=cache.engine.upstream_id, reason=reason).write()
 
     def _request_prefill(
         self,
--- a/src/waxwingwinch/gateway/_process.py
+++ b/src/waxwingwinch/gateway/_process.py
@@ -268,6 +268,8 @@
             ),
             self._clock,
             applier.apply_configuration,
+            applier.retain_evacuations,
+            on_return=applier.return_evacuations,
         )
         self._upstreams = TopicFollower(
             self._store,
@@ -323,8 +325,8 @@
                 confirm_unchanged=self._reports.confirm_unchanged,
                 work_announced=self._state.loads.add_announced_work,
                 configuration_version=lambda: self._state.table.version,
-                current_configuration=lambda: self._state.configuration_payload,
-                put_configuration=self._applier.put_configuration,
+                current_configuration=self._applier.current_configuration,
+                put_configuration=self._applier.put_peer_configuration,
                 permit_requested=self._reports.decide_permit,
             ),
             self._clock,
--- a/src/waxwingwinch/gateway/_record_applier.py
+++ b/src/waxwingwinch/gateway/_record_applier.py
@@ -5,7 +5,7 @@
 from attrs import evolve
 
 from waxwingwinch._exceptions import MalformedMessage
-from waxwingwinch._types import InstanceId, UpstreamId
+from waxwingwinch._types import InstanceId, UpstreamId, ZoneName
 from waxwingwinch.codec import decode_message
 from waxwingwinch.gateway._cluster_log_lines import (
     ConfigurationMalformed,
@@ -19,6 +19,7 @@
 from waxwingwinch.gateway._follower import RecordEffect
 from waxwingwinch.gateway._members import Member
 from waxwingwinch.gateway._options import GatewayAdapter
+from waxwingwinch.gateway._report_messages import ConfigurationReply
 from waxwingwinch.gateway._state import GatewayState
 from waxwingwinch.gateway._store import KeyedRecord
 from waxwingwinch.gateway._upstreams import Upstream
@@ -56,8 +57,56 @@
         """
         if record.key == self._adapter.configuration_key and record.value:
             self.put_configuration(record.value)
+        zone = self._adapter.decode_evacuated_zone(record.key)
+        if zone is not None and record.value is None:
+            self._state.evacuated.remove(zone)
+        elif zone is not None:
+            self._state.evacuated.put(zone)
         return RecordEffect.NEW
 
+    def retain_evacuations(self, keys: frozenset[str]) -> None:
+        """
+        Put the evacuations of a snapshot in force, and end all others.
+
+        Called before the records of the snapshot are applied, so that no
+        request is served under its configuration without its evacuations.
+
+        :param keys: The keys of the snapshot.
+        """
+        self._state.evacuated.set_all(self._evacuated_zones(keys))
+
+    def return_evacuations(self, keys: frozenset[str]) -> None:
+        """
+        Put the evacuations of an older copy of the store in force.
+
+        Those that the copy lacks stay in force, since the operator writes
+        them again.
+
+        :param keys: The keys of the snapshot.
+        """
+        self._state.evacuated.add_all(self._evacuated_zones(keys))
+
+    def _evacuated_zones(self, keys: frozenset[str]) -> list[ZoneName]:
+        zones = map(self._adapter.decode_evacuated_zone, keys)
+        return [zone for zone in zones if zone is not None]
+
+    def current_configuration(self) -> ConfigurationReply:
+        """Return the newest known configuration, for an instance without."""
+        state = self._state
+        zones = tuple(sorted(state.evacuated.zones()))
+        return ConfigurationReply(state.configuration_payload, zones)
+
+    def put_peer_configuration(self, reply: ConfigurationReply) -> None:
+        """
+        Activate what a peer has read of the configuration topic.
+
+        :param reply: The newest that the peer has read.
+        """
+        if not self._state.table.version:
+            # A process that has read the topic knows the evacuations.
+            self._state.evacuated.add_all(reply.evacuated_zones)
+        self.put_configuration(reply.payload)
+
     def put_configuration(self, payload: bytes) -> None:
         """
         Activate a configuration version unless malformed or outdated.
--- a/src/waxwingwinch/gateway/_report_messages.py
+++ b/src/waxwingwinch/gateway/_report_messages.py
@@ -2,7 +2,13 @@
 
 from attrs import evolve, field, frozen
 
-from waxwingwinch._types import CustomerId, EngineRole, InstanceId, UpstreamId
+from waxwingwinch._types import (
+    CustomerId,
+    EngineRole,
+    InstanceId,
+    UpstreamId,
+    ZoneName,
+)
 from waxwingwinch.codec import message
 from waxwingwinch.gateway._crash_messages import CrashEvidenceReport
 from waxwingwinch.gateway._feed_messages import FeedPage
@@ -171,9 +177,11 @@
 
     :param payload: In the format of the store; empty if the peer has read
         none.
+    :param evacuated_zones: Availability zones whose upstreams get no requests.
     """
 
     payload: bytes = field(repr=False)
+    evacuated_zones: tuple[ZoneName, ...] = ()
 
 
 @message("gateway_relayed_report", is_positional=True)
--- a/src/waxwingwinch/gateway/_state.py
+++ b/src/waxwingwinch/gateway/_state.py
@@ -26,6 +26,7 @@
 from waxwingwinch.gateway._upstreams import UpstreamDirectory
 from waxwingwinch.gateway._usage_counts import UsageCounts
 from waxwingwinch.gateway._usage_table import UsageTable
+from waxwingwinch.gateway.evacuation import EvacuatedZones
 
 
 @define(eq=False)
@@ -43,6 +44,7 @@
     :param crashes: Crashes of engines, and the parts blamed for them.
     :param memory: Counts the memory that requests and answers hold.
     :param table: The configuration in force.
+    :param evacuated: Availability zones whose upstreams get no requests.
     :param directory: Directory of the registered upstreams.
     :param loads: Work in progress at the upstreams.
     :param prefixes: Estimated cached prompt parts of the engines.
@@ -65,7 +67,8 @@
     crashes: CrashEvidence
     memory: MemoryAccount
     table: CurrentTable = field(factory=CurrentTable)
-    directory: UpstreamDirectory = field(factory=UpstreamDirectory)
+    evacuated: EvacuatedZones = field(factory=EvacuatedZones)
+    directory: UpstreamDirectory = field()
     loads: LoadTracker = field(factory=LoadTracker)
     prefixes: PrefixIndex = field(factory=PrefixIndex)
     slowdowns: SlowdownTracker = field(factory=SlowdownTracker)
@@ -76,6 +79,10 @@
     stopping: threading.Event = field(factory=threading.Event)
     configuration_payload: bytes = field(default=b"", repr=False)
 
+    @directory.default
+    def _make_directory(self) -> UpstreamDirectory:
+        return UpstreamDirectory(self.evacuated)
+
     @classmethod
     def create(
         cls, local_member: Member, options: GatewayOptions, now_seconds: float
--- a/src/waxwingwinch/gateway/_upstreams.py
+++ b/src/waxwingwinch/gateway/_upstreams.py
@@ -8,6 +8,7 @@
 from attrs import evolve, frozen
 
 from waxwingwinch._types import Address, EngineRole, UpstreamId, ZoneName
+from waxwingwinch.gateway.evacuation import EvacuatedZones
 
 #: Time for which an upstream is ejected after its first failure; doubles with
 #: each further failure. Short, since most restarts take a few seconds. Also
@@ -126,9 +127,15 @@
 
 
 class UpstreamDirectory:
-    """The registered upstreams; may be used from all threads."""
+    """
+    The registered upstreams; may be used from all threads.
+
+    :param evacuated: Availability zones whose upstreams get no requests.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, evacuated: EvacuatedZones | None = None) -> None:
+        #: Availability zones whose upstreams get no requests.
+        self.evacuated = evacuated or EvacuatedZones()
         self._upstreams: dict[UpstreamId, Upstream] = {}
         # Last entries of removed upstreams; an older entry may arrive after
         # the removal.
@@ -326,6 +333,7 @@
                 for upstream in self._upstreams.values()
                 if upstream.service == service
                 and upstream.state is RegisteredState.READY
+                and not self.evacuated.contains(upstream.zone)
                 and (until_seconds := self._away_until_seconds(upstream)) > now_seconds
             }
 
@@ -523,9 +531,10 @@
             return upstream
 
     def _takes_work(self, upstream: Upstream, now_seconds: float) -> bool:
-        """Tell whether an upstream takes new work, as far as it says."""
+        """Tell whether an upstream may get new work, as far as it says."""
         return (
             upstream.state is RegisteredState.READY
+            and not self.evacuated.contains(upstream.zone)
             and self._away_until_seconds(upstream) <= now_seconds
         )
 
@@ -553,7 +562,7 @@
 
         If all upstreams of a role are ejected, those whose ejection ends first
         are returned, since one of them may have recovered. Upstreams that
-        leave or are away are never returned.
+        leave, are away or are in an evacuated zone are never returned.
 
         :param service: Name of the service.
         :param now_seconds: Monotonic time.
--- a/src/waxwingwinch/gateway/tests/test_gossip.py
+++ b/src/waxwingwinch/gateway/tests/test_gossip.py
@@ -11,7 +11,7 @@
 from waxwingwinch.gateway._gossip import Gossip, GossipHandlers
 from waxwingwinch.gateway._limit_messages import PermitReply
 from waxwingwinch.gateway._members import Member, MemberDirectory
-from waxwingwinch.gateway._report_messages import InstanceReport
+from waxwingwinch.gateway._report_messages import ConfigurationReply, InstanceReport
 from waxwingwinch.gateway._store_feed import StoreFeed
 from waxwingwinch.kernel import SystemClock
 from waxwingwinch.peers import PeerIdentity, PeerProgram
@@ -48,8 +48,8 @@
             self.confirm_unchanged,
             lambda *work: self.announced.append(work),
             lambda: self.version,
-            lambda: b"version %d" % self.version,
-            self.payloads.append,
+            lambda: ConfigurationReply(b"version %d" % self.version),
+            lambda reply: self.payloads.append(reply.payload),
             self.decide_permit,
         )
         own = self.member
