Count a held read without records from its start

The store answers a read that it already holds without the records written since, and the read counted as fresh at its end, a second later; those who relied on it then waited for 2.2 s more before they read for themselves.

A read without records is now as old as its start. Readers for others hold reads for 0.5 s instead of 1 s, so that what they pass on still reaches 2.2 s at most before others read themselves.

--- a/src/waxwingwinch/gateway/_follower.py
+++ b/src/waxwingwinch/gateway/_follower.py
@@ -98,7 +98,9 @@
     def max_age_seconds(self) -> float:
         """Age of another instance's read from which on it is not relied on."""
         shared = self.shared_pace
-        return shared.wait_seconds + shared.pause_seconds + FEED_MARGIN_SECONDS
+        # A read without records is as old as its start when it ends, and the
+        # next one takes as long.
+        return 2 * shared.wait_seconds + shared.pause_seconds + FEED_MARGIN_SECONDS
 
 
 @frozen
@@ -317,7 +319,7 @@
         :raises PlatformUnavailable: If the store does not answer.
         :raises PlatformRefused: If the store rejects the call.
         """
-        from_offset = self.end_offset
+        from_offset, sent_seconds = self.end_offset, self._clock.now_seconds()
         if from_offset is None:
             read_result = self._store.snapshot(self._plan.topic)
         else:
@@ -335,9 +337,12 @@
             ):
                 # A page from another instance was applied during the read.
                 return
-            self._apply_read(
-                read_result, from_offset is None, self._clock.now_seconds()
+            # The store may answer a held read without the records that were
+            # written after it began to turn this instance away.
+            read_seconds = (
+                self._clock.now_seconds() if read_result.records else sent_seconds
             )
+            self._apply_read(read_result, from_offset is None, read_seconds)
 
     def _apply_read(
         self, read_result: KeyedSnapshot, is_full: bool, read_seconds: float
--- a/src/waxwingwinch/gateway/_process.py
+++ b/src/waxwingwinch/gateway/_process.py
@@ -55,8 +55,9 @@
 #: which a configuration change must take effect.
 CONFIGURATION_PACE = Pace(wait_seconds=2.0)
 #: The same for an instance that reads the store on behalf of others; the
-#: change reaches them only after a further exchange.
-SHARED_CONFIGURATION_PACE = Pace(wait_seconds=1.0)
+#: change reaches them only after a further exchange, and they rely on a read
+#: for twice this time.
+SHARED_CONFIGURATION_PACE = Pace(wait_seconds=0.5)
 #: The same for the records of instances, which change rarely. The pause lets
 #: the records of many instances that start together arrive in few calls.
 MEMBERS_PACE = Pace(wait_seconds=5.0, pause_seconds=0.2)
--- a/src/waxwingwinch/gateway/tests/test_follower.py
+++ b/src/waxwingwinch/gateway/tests/test_follower.py
@@ -158,6 +158,28 @@
     return SharedReads()
 
 
+# Guards against a withdrawn key that is served for over three seconds: the
+# store held a read that had begun before it turned the reader away, and
+# answered it without the records written since.
+def test_a_read_without_records_is_as_old_as_its_start(shared, monkeypatch):
+    changes = FakeStore.changes
+
+    def hold(store, topic, from_offset, wait_seconds):
+        result = changes(store, topic, from_offset, wait_seconds)
+        shared.clock.seconds += 1.0
+        shared.store.put(TOPIC, "a", b"1")
+        return result
+
+    monkeypatch.setattr(FakeStore, "changes", hold)
+    started_seconds = shared.clock.seconds
+    shared.reader.follower.step()
+    page = shared.pass_on()
+    assert page.age_seconds == pytest.approx(shared.clock.seconds - started_seconds)
+    max_age_seconds = shared.other.follower._plan.max_age_seconds
+    until_read = shared.other.follower.seconds_until_read(shared.clock.seconds)
+    assert until_read == pytest.approx(max_age_seconds - 1.0)
+
+
 def test_records_reach_another_instance_without_a_store_call(shared):
     """Guards against billed calls of hundreds of instances."""
     shared.store.put(TOPIC, "a", b"1")
