Report an epoch under which the holder acts no more

A holder that steps down now reports its epoch, and never revives it. An instance that reads this epoch in the ledger claims the duty at once, or after the time of a call on its way where receivers don't check fencing tokens.

--- a/src/waxwingwinch/gateway/_duty_lease.py
+++ b/src/waxwingwinch/gateway/_duty_lease.py
@@ -102,6 +102,12 @@
         is_fencing_checked: bool = True,
     ) -> None:
         self._is_fencing_checked = is_fencing_checked
+        #: Last epoch under which this process acts no more.
+        self.relinquished_epoch: int | None = None
+        # The last epoch of another holder that acts under it no more, and the
+        # monotonic time at which its report arrived.
+        self._peer_relinquished_epoch: int | None = None
+        self._peer_relinquished_seconds = 0.0
         #: Monotonic time of the last call of this process without a response.
         self._unanswered_seconds = -math.inf
         self._history = history or HistoryWatch(clock)
@@ -227,6 +233,22 @@
             return True
         return self._append(WindowFixed(window, counts, self._era))
 
+    def record_relinquished(self, epoch: int) -> bool:
+        """
+        Record that another holder acts no more under its epoch.
+
+        Its lease needn't be waited for.
+
+        :param epoch: The epoch.
+        :returns: False if it was known.
+        """
+        known_epoch = self._peer_relinquished_epoch
+        if known_epoch is not None and known_epoch >= epoch:
+            return False
+        self._peer_relinquished_epoch = epoch
+        self._peer_relinquished_seconds = self._clock.now_seconds()
+        return True
+
     def record_unanswered_call(self) -> None:
         """Record that a call of the holder may still be on its way."""
         self._unanswered_seconds = self._clock.now_seconds()
@@ -256,6 +278,9 @@
         """
         if self._held_lease is not None:
             DutySteppedDown(epoch=self._held_lease.epoch, reason=reason).write()
+            self.relinquished_epoch = self._held_lease.epoch
+            # A renewal that is read back must not revive the lease.
+            self._sent_nonce = ""
         self._held_lease = None
 
     @property
@@ -276,8 +301,18 @@
             sight = self._history.observe(self._state.end_offset)
             if now_seconds - sight.seen_seconds <= wait_seconds:
                 return False
+        if self._is_relinquished(now_seconds):
+            return True
         return self._state.is_claimable(wait_seconds, now_seconds)
 
+    def _is_relinquished(self, now_seconds: float) -> bool:
+        """Tell whether the holder has said that it acts no more."""
+        epoch = self._state.epoch
+        if epoch is None or epoch != self._peer_relinquished_epoch:
+            return False
+        since_seconds = now_seconds - self._peer_relinquished_seconds
+        return self._is_fencing_checked or since_seconds > CALL_IN_FLIGHT_SECONDS
+
     def _begin_history(self, first_offset: int) -> None:
         """Start over after the store has returned from an older copy."""
         sight = self._history.observe(first_offset)
--- a/src/waxwingwinch/gateway/_duty_worker.py
+++ b/src/waxwingwinch/gateway/_duty_worker.py
@@ -196,6 +196,19 @@
         if instance_id != self._members.local_member.instance_id:
             self._holder_reported_seconds = now_seconds
 
+    def relinquished_epoch(self) -> int | None:
+        """Return the last epoch under which this instance acts no more."""
+        return self._duty_lease.relinquished_epoch
+
+    def holder_relinquished(self, epoch: int) -> None:
+        """
+        Record that an instance acts no more under an epoch that it held.
+
+        :param epoch: The epoch.
+        """
+        if self._duty_lease.record_relinquished(epoch):
+            self._holder_reported_seconds = None
+
     def _run(self) -> None:
         while not self._stopping.wait(self._pause_seconds()):
             self.run_once()
--- a/src/waxwingwinch/gateway/_report_messages.py
+++ b/src/waxwingwinch/gateway/_report_messages.py
@@ -99,6 +99,8 @@
     :param limited_sends: Its recent requests to upstreams with a limit.
     :param crash_evidence: What it knows of crashes of engines.
     :param leaving: Upstreams that it was first told to leave.
+    :param relinquished_epoch: Last epoch of the duty under which it acts no
+        more; None if there is none.
     """
 
     instance_id: InstanceId
@@ -120,6 +122,7 @@
     limited_sends: tuple[LimitedSends, ...] = ()
     crash_evidence: CrashEvidenceReport = CrashEvidenceReport()
     leaving: tuple[LeavingUpstream, ...] = ()
+    relinquished_epoch: int | None = None
 
     @property
     def has_recent_store_read(self) -> bool:
--- a/src/waxwingwinch/gateway/_reports.py
+++ b/src/waxwingwinch/gateway/_reports.py
@@ -100,6 +100,7 @@
                 LeavingUpstream(upstream_id, started_ms)
                 for upstream_id, started_ms in state.directory.local_leaving()
             ),
+            relinquished_epoch=self._duty_worker.relinquished_epoch(),
         ).with_loads(state.loads.local_loads())
 
     def apply(self, report: InstanceReport, made_seconds: float) -> None:
@@ -123,8 +124,7 @@
         state.usage_table.merge(report.incarnation, report.usage)
         if report.store_age_seconds is not None:
             state.outage.record_peer_read(report.store_age_seconds, made_seconds)
-        if report.held_epoch is not None:
-            self._duty_worker.holder_reported(report.instance_id, made_seconds)
+        self._apply_duty(report, made_seconds)
         for upstream_id in report.unreachable:
             state.directory.record_unreachable_from_peer(upstream_id, made_seconds)
         for role_change in report.switching:
@@ -149,6 +149,12 @@
                 report.incarnation, report.placements[-1].sequence
             )
 
+    def _apply_duty(self, report: InstanceReport, made_seconds: float) -> None:
+        if report.held_epoch is not None:
+            self._duty_worker.holder_reported(report.instance_id, made_seconds)
+        if report.relinquished_epoch is not None:
+            self._duty_worker.holder_relinquished(report.relinquished_epoch)
+
     def decide_permit(
         self, sender_id: InstanceId, request: PermitRequest
     ) -> PermitReply:
--- a/src/waxwingwinch/gateway/tests/test_duty.py
+++ b/src/waxwingwinch/gateway/tests/test_duty.py
@@ -301,3 +301,46 @@
             break
     assert unfenced.second.held_epoch() is not None
     assert unfenced.first.held_epoch() is None
+
+
+# Guards against a usage window that is reported late: an instance that first
+# reads the ledger after the holder was cut off from the store waits a whole
+# lease, though the holder says that it acts no more.
+@pytest.mark.parametrize("kind", [TwoInstances, UnfencedInstances])
+def test_a_relinquished_lease_is_not_waited_for(kind):
+    instances = kind()
+    instances.read_and_claim(instances.first)
+    epoch = instances.first.held_epoch()
+    instances.wait(LEASE_SECONDS)
+    assert instances.first.held_epoch() is None
+    instances.first.step_down("its lease has expired")
+    assert instances.first.relinquished_epoch == epoch
+    assert not instances.read_and_claim(instances.second)
+    assert instances.second.record_relinquished(epoch)
+    assert not instances.second.record_relinquished(epoch)
+    if not instances.second._is_fencing_checked:
+        assert not instances.second.try_claim()
+        instances.wait(CALL_IN_FLIGHT_SECONDS + 0.1)
+    assert instances.second.try_claim()
+
+
+# Guards against a lease that returns after its holder has said that it acts
+# no more, by a renewal that is read back.
+def test_a_relinquished_lease_does_not_return(instances):
+    instances.read_and_claim(instances.first)
+    instances.wait(LEASE_SECONDS / 2)
+    instances.store.next_append = "lost"
+    instances.first.renew()
+    instances.first.step_down("the store does not answer")
+    instances.first.read(0.0)
+    assert instances.first.held_epoch() is None
+
+
+# Guards against the report of an earlier epoch that ends a later one.
+def test_an_earlier_epoch_ends_no_later_lease(instances):
+    instances.read_and_claim(instances.first)
+    earlier = instances.first.held_epoch()
+    instances.first.release()
+    assert instances.read_and_claim(instances.first)
+    instances.second.record_relinquished(earlier)
+    assert not instances.read_and_claim(instances.second)
--- a/src/waxwingwinch/gateway/tests/test_reports.py
+++ b/src/waxwingwinch/gateway/tests/test_reports.py
@@ -22,6 +22,9 @@
     def held_epoch(self):
         return None
 
+    def relinquished_epoch(self):
+        return None
+
 
 class IgnoringApplier:
     """Ignores that the instances have changed."""
