Decode a configuration once, and check its texts together

A version arrives from the store and from several peers, and each arrival was decoded: 29.6 ms of processor time for 2,000 routes (565 KB), 14.3 ms of them for JSON, two thirds of that to check single texts for lone surrogates. An instance has half of a core.

A payload that is in force is no longer decoded. Lone surrogates are looked for in the payload; texts are checked one by one only where it may hold some.

Keeping decoded routes to compare the next version with was ruled out: it doubles the memory, and saves nothing for added routes.

--- a/src/waxwingwinch/_json.py
+++ b/src/waxwingwinch/_json.py
@@ -2,6 +2,8 @@
 
 import json
 import math
+from collections.abc import Iterator
+from itertools import chain
 from typing import Any, NoReturn
 
 #: Maximum nesting of arrays and objects.
@@ -12,6 +14,8 @@
 #: Maximum length of an integer within those bounds, with its sign.
 MAX_INTEGER_CHARACTERS = 20
 
+_CONTAINERS = (dict, list)
+
 
 def decode_json(payload: bytes | str, max_bytes: int) -> Any:
     """
@@ -35,7 +39,9 @@
         )
     except RecursionError as error:
         raise ValueError(_nesting_problem()) from error
-    _check_values(value)
+    _check_nesting(value)
+    if _may_hold_surrogates(payload):
+        _check_texts(value)
     return value
 
 
@@ -59,24 +65,50 @@
     raise ValueError(f"{name} is not a JSON number")
 
 
-def _check_values(value: Any) -> None:
-    """Check nesting and texts level by level, without recursion."""
+def _check_nesting(value: Any) -> None:
+    """Check nesting level by level, without recursion."""
+    level = [value] if type(value) in _CONTAINERS else []
+    for _ in range(MAX_NESTING_LEVELS):
+        if not level:
+            return
+        level = [child for child in _children(level) if type(child) in _CONTAINERS]
+    if any(level):
+        raise ValueError(_nesting_problem())
+
+
+def _children(containers: list[Any]) -> Iterator[Any]:
+    return chain.from_iterable(
+        container.values() if type(container) is dict else container
+        for container in containers
+    )
+
+
+def _may_hold_surrogates(payload: bytes | str) -> bool:
+    """
+    Tell whether a text of the payload may hold a lone surrogate.
+
+    Checking the payload takes a hundredth of the time of checking each text.
+    """
+    try:
+        encoded = payload.encode() if isinstance(payload, str) else payload
+        encoded.decode()
+    except UnicodeError:
+        return True
+    # Zero bytes occur in UTF-16 and UTF-32, whose escapes differ.
+    return any(sign in encoded for sign in (b"\\ud", b"\\uD", b"\0"))
+
+
+def _check_texts(value: Any) -> None:
     level = [value]
-    for _ in range(MAX_NESTING_LEVELS + 1):
-        children: list[Any] = []
+    while level:
         for item in level:
             match item:
                 case str():
                     _check_text(item)
-                case list():
-                    children.extend(item)
                 case dict():
-                    children.extend(item.keys())
-                    children.extend(item.values())
-        if not children:
-            return
-        level = children
-    raise ValueError(_nesting_problem())
+                    for key in item:
+                        _check_text(key)
+        level = list(_children([item for item in level if type(item) in _CONTAINERS]))
 
 
 def _check_text(text: str) -> None:
--- a/src/waxwingwinch/gateway/_record_applier.py
+++ b/src/waxwingwinch/gateway/_record_applier.py
@@ -113,6 +113,9 @@
 
         :param payload: The version as encoded in the store.
         """
+        if payload == self._state.configuration_payload:
+            # Each version arrives from the store and from several peers.
+            return
         try:
             configuration = self._adapter.decode_configuration(payload)
         except MalformedMessage as error:
