Let long answers of the store take longer on slow links

Each received byte now puts the time-out off at 300 KB/s, half of such a link. A store that sends no bytes, or trickles them, is given up as soon as before.

--- a/src/waxwingwinch/http/_exchange.py
+++ b/src/waxwingwinch/http/_exchange.py
@@ -6,6 +6,7 @@
 and a retry inside the HTTP client would hide that uncertainty.
 """
 
+import math
 import socket
 import struct
 import time
@@ -223,19 +224,27 @@
             raise AnswerMissing(repr(error)) from error
 
     def read_all(
-        self, deadline_seconds: float, max_body_bytes: int = MAX_BODY_BYTES
+        self,
+        deadline_seconds: float,
+        max_body_bytes: int = MAX_BODY_BYTES,
+        min_bytes_per_second: float = math.inf,
     ) -> bytes:
         """
         Read the rest of the body.
 
         :param deadline_seconds: Monotonic time at which reading times out.
         :param max_body_bytes: Largest accepted body.
+        :param min_bytes_per_second: Rate at which received bytes put the
+            deadline off.
         :raises AnswerMissing: If the body was truncated, timed out or is
             longer than that.
         """
         body = bytearray()
-        while chunk := self.read_some(deadline_seconds - time.monotonic()):
+        timeout_seconds = deadline_seconds - time.monotonic()
+        while chunk := self.read_some(timeout_seconds):
             body += chunk
+            end_seconds = deadline_seconds + len(body) / min_bytes_per_second
+            timeout_seconds = end_seconds - time.monotonic()
             if len(body) > max_body_bytes:
                 raise AnswerMissing(f"response body exceeds {max_body_bytes} bytes")
         return bytes(body)
@@ -257,6 +266,7 @@
     connect_timeout_seconds: float = CONNECT_TIMEOUT_SECONDS,
     socket_options: tuple[SocketOption, ...] = PLAIN_SOCKET_OPTIONS,
     max_body_bytes: int = MAX_BODY_BYTES,
+    min_bytes_per_second: float = math.inf,
 ) -> HttpReply:
     """
     Send a request and read the complete response.
@@ -268,6 +278,8 @@
     :param connect_timeout_seconds: Longest wait for the connection.
     :param socket_options: Options of the connection.
     :param max_body_bytes: Largest accepted response body.
+    :param min_bytes_per_second: Rate at which received bytes of the body
+        prolong the time-out.
     :raises NotSent: If no byte of the request left the process.
     :raises AnswerMissing: If no complete response was received.
     """
@@ -280,7 +292,9 @@
         socket_options,
     )
     try:
-        body = http_exchange.read_all(deadline_seconds, max_body_bytes)
+        body = http_exchange.read_all(
+            deadline_seconds, max_body_bytes, min_bytes_per_second
+        )
         headers = tuple(http_exchange.response.headers.items())
         return HttpReply(http_exchange.response.status, headers, body)
     finally:
--- a/src/waxwingwinch/platform/_store.py
+++ b/src/waxwingwinch/platform/_store.py
@@ -38,6 +38,10 @@
 #: long poll. The store normally responds within a few milliseconds but can be
 #: many times slower under load.
 RESPONSE_TIMEOUT_SECONDS = 1.0
+#: Rate at which the received bytes of an answer prolong this time-out: half of
+#: what the slowest links of instances carry (5 Mbit/s), on which the newest
+#: records of a topic, up to 1.4 MB in base64, take over two seconds.
+MIN_ANSWER_BYTES_PER_SECOND = 300_000.0
 #: Largest answer of the store. A read is asked for 1,024 kB of records, and a
 #: page of newest records holds 1 MB, a third more in base64; the first record
 #: of either may be longer.
@@ -213,6 +217,7 @@
                 request,
                 wait_seconds + RESPONSE_TIMEOUT_SECONDS,
                 max_body_bytes=MAX_ANSWER_BYTES,
+                min_bytes_per_second=MIN_ANSWER_BYTES_PER_SECOND,
             )
         except NotSent as error:
             raise PlatformUnavailable(str(error), False) from error
