Count the age of passed-on records from the request

A page says how old its records are; the receiver counted that age from the arrival, so the records became younger by the time of each way. Instances that pass pages on to one another several times a second kept them young, and nobody read the store.

The age now counts from when the page was asked for, which is never later than when it was made. test_passing_on_makes_no_record_younger failed before.

--- a/src/waxwingwinch/gateway/_cell_gossip.py
+++ b/src/waxwingwinch/gateway/_cell_gossip.py
@@ -82,7 +82,11 @@
         )
 
     def handle_reply(
-        self, reply: ExchangeReply, member: Member, link: HubLink
+        self,
+        reply: ExchangeReply,
+        member: Member,
+        link: HubLink,
+        asked_seconds: float,
     ) -> ReplyQuality:
         """
         Apply a reply, and return its quality.
@@ -90,9 +94,10 @@
         :param reply: The reply.
         :param member: The instance that sent the reply.
         :param link: The link to that instance.
+        :param asked_seconds: Monotonic time at which the request was sent.
         """
         reported_count = self._cell_gossip.apply_reply(
-            self.channel, reply, member, link
+            self.channel, reply, member, link, asked_seconds
         )
         return (
             ReplyQuality.GOOD
@@ -136,7 +141,11 @@
         )
 
     def handle_reply(
-        self, reply: ExchangeReply, member: Member, link: HubLink
+        self,
+        reply: ExchangeReply,
+        member: Member,
+        link: HubLink,
+        asked_seconds: float,
     ) -> ReplyQuality:
         """
         Apply a reply, and return its quality.
@@ -144,9 +153,10 @@
         :param reply: The reply.
         :param member: The instance that sent the reply.
         :param link: The link to that instance.
+        :param asked_seconds: Monotonic time at which the request was sent.
         """
         reported_count = self._cell_gossip.apply_reply(
-            self.channel, reply, member, link
+            self.channel, reply, member, link, asked_seconds
         )
         if not reply.is_collector:
             return ReplyQuality.NOT_COLLECTOR
@@ -276,7 +286,12 @@
         return ExchangeReply(number, self.is_collector, change_sets, pages)
 
     def apply_reply(
-        self, channel: str, reply: ExchangeReply, member: Member, link: HubLink
+        self,
+        channel: str,
+        reply: ExchangeReply,
+        member: Member,
+        link: HubLink,
+        asked_seconds: float,
     ) -> int:
         """
         Apply a reply, and return the number of recent reports on its channel.
@@ -285,9 +300,10 @@
         :param reply: The reply.
         :param member: The instance that sent the reply.
         :param link: The link to that instance.
+        :param asked_seconds: Monotonic time at which the request was sent.
         :raises MalformedMessage: If a change set cannot be decoded.
         """
-        self.feed.apply_pages(reply.pages)
+        self.feed.apply_pages(reply.pages, asked_seconds)
         now_seconds = self._clock.now_seconds()
         for sent in reply.change_sets:
             changes = unpack_changes(sent.payload)
--- a/src/waxwingwinch/gateway/_exchange_reader.py
+++ b/src/waxwingwinch/gateway/_exchange_reader.py
@@ -53,7 +53,11 @@
         """
 
     def handle_reply(
-        self, reply: ExchangeReply, member: Member, link: HubLink
+        self,
+        reply: ExchangeReply,
+        member: Member,
+        link: HubLink,
+        asked_seconds: float,
     ) -> ReplyQuality:
         """
         Apply a reply, and return its quality.
@@ -61,6 +65,7 @@
         :param reply: The reply.
         :param member: The instance that sent the reply.
         :param link: The link to that instance.
+        :param asked_seconds: Monotonic time at which the request was sent.
         :raises MalformedMessage: If the reply cannot be decoded.
         """
 
@@ -149,7 +154,7 @@
                     raise MalformedMessage(
                         "expected an exchange reply, got another message"
                     )
-                quality = self._exchange.handle_reply(reply, member, link)
+                quality = self._exchange.handle_reply(reply, member, link, sent_seconds)
             except (PeerUnavailable, MalformedMessage) as error:
                 if is_reached:
                     self._log_lost(member, str(error))
--- a/src/waxwingwinch/gateway/_follower.py
+++ b/src/waxwingwinch/gateway/_follower.py
@@ -251,7 +251,7 @@
         if self._prepare is not None:
             self._prepare(records)
 
-    def apply_page(self, page: FeedPage, now_seconds: float) -> None:
+    def apply_page(self, page: FeedPage, asked_seconds: float) -> None:
         """
         Apply the records that another instance has read.
 
@@ -259,7 +259,7 @@
         page is ignored.
 
         :param page: The page from the other instance.
-        :param now_seconds: Monotonic time.
+        :param asked_seconds: Monotonic time at which it was asked for.
         """
         with self._lock:
             if self._is_of_earlier_era(page.end_offset):
@@ -271,7 +271,7 @@
             if not is_contiguous and not (page.is_full and is_ahead):
                 # The page is outdated, or there is a gap before its records.
                 return
-            read_seconds = now_seconds - page.age_seconds
+            read_seconds = asked_seconds - page.age_seconds
             if read_seconds <= self._read_seconds and is_same:
                 return
             if (
--- a/src/waxwingwinch/gateway/_store_feed.py
+++ b/src/waxwingwinch/gateway/_store_feed.py
@@ -72,7 +72,7 @@
         large_bytes = page.large_bytes
         return not large_bytes or self._budget.take(large_bytes, now_seconds)
 
-    def apply_pages(self, pages: Iterable[FeedPage]) -> None:
+    def apply_pages(self, pages: Iterable[FeedPage], asked_seconds: float) -> None:
         """
         Apply the records that another instance has read.
 
@@ -80,8 +80,11 @@
         configuration takes longer than the hub may be held up.
 
         :param pages: The pages from the other instance.
+        :param asked_seconds: Monotonic time at which they were asked for. The
+            ages in the pages are counted from it: counted from the arrival,
+            records would become younger on each way, and instances that pass
+            them on to one another would never find them outdated.
         """
-        now_seconds = self._clock.now_seconds()
         for page in pages:
             self._history.observe(page.end_offset)
             follower = self._followers.get(page.topic)
@@ -89,23 +92,23 @@
                 continue
             if not page.large_bytes:
                 follower.prepare(page.records)
-                follower.apply_page(page, now_seconds)
+                follower.apply_page(page, asked_seconds)
             elif page.topic not in self._applying:
                 self._applying.add(page.topic)
                 threading.Thread(
                     target=self._apply_large,
-                    args=(follower, page, now_seconds),
+                    args=(follower, page, asked_seconds),
                     name=f"apply-{page.topic}",
                     daemon=True,
                 ).start()
 
     def _apply_large(
-        self, follower: TopicFollower, page: FeedPage, received_seconds: float
+        self, follower: TopicFollower, page: FeedPage, asked_seconds: float
     ) -> None:
         try:
             unpacked = page.unpack()
             follower.prepare(unpacked.records)
-            follower.apply_page(unpacked, received_seconds)
+            follower.apply_page(unpacked, asked_seconds)
         except MalformedMessage as error:
             PageMalformed(page.topic, str(error)).write()
         finally:
--- a/src/waxwingwinch/gateway/tests/test_exchange_reader.py
+++ b/src/waxwingwinch/gateway/tests/test_exchange_reader.py
@@ -47,7 +47,7 @@
         self.numbers.append(number)
         return ExchangeRequest(number, False)
 
-    def handle_reply(self, reply, member, link):
+    def handle_reply(self, reply, member, link, asked_seconds):
         return self.qualities.get(member, ReplyQuality.GOOD)
 
     def is_alive(self, member):
--- a/src/waxwingwinch/gateway/tests/test_follower.py
+++ b/src/waxwingwinch/gateway/tests/test_follower.py
@@ -12,6 +12,7 @@
     TopicFollower,
 )
 from waxwingwinch.gateway._outage import OutageTracker
+from waxwingwinch.gateway._store_feed import StoreFeed
 from waxwingwinch.gateway.tests.fakes import FakeClock, FakeStore
 
 TOPIC = "servers"
@@ -180,6 +181,28 @@
     assert until_read == pytest.approx(max_age_seconds - 1.0)
 
 
+# Guards against two instances that the store turns away and that keep each
+# other's records young: withdrawn keys were served for eight seconds, since
+# nobody read the store.
+def test_passing_on_makes_no_record_younger(shared):
+    read_seconds = shared.clock.seconds
+    feeds = [
+        StoreFeed([each.follower], shared.clock)
+        for each in (shared.reader, shared.other)
+    ]
+    for number in range(20):
+        sender, receiver = feeds[number % 2], feeds[1 - number % 2]
+        asked_seconds = shared.clock.seconds
+        shared.clock.seconds += 0.05
+        pages = sender.pages(receiver.offsets())
+        shared.clock.seconds += 0.05
+        receiver.apply_pages(pages, asked_seconds)
+    elapsed_seconds = shared.clock.seconds - read_seconds
+    for each in (shared.reader, shared.other):
+        page = each.follower.page_since(each.follower.end_offset, shared.clock.seconds)
+        assert page.age_seconds >= elapsed_seconds - 1e-6
+
+
 def test_records_reach_another_instance_without_a_store_call(shared):
     """Guards against billed calls of hundreds of instances."""
     shared.store.put(TOPIC, "a", b"1")
