Let collectors read the store before all others do

While both readers of the store were turned away, each instance would have read the store for itself. The collectors of the other cells now read 0.6 s earlier, so their cells get the records with the next exchanges, and the calls are those of some collectors. The two readers are in different availability zones where there are several.

--- a/src/waxwingwinch/gateway/_cell_gossip.py
+++ b/src/waxwingwinch/gateway/_cell_gossip.py
@@ -26,7 +26,8 @@
 #: itself. It allows for two instances of the cell that do not answer.
 COLLECTOR_TIMEOUT_SECONDS = 1.5
 #: Number of cells whose collectors read the store for all instances, so that
-#: one of them may lose its connection to the store.
+#: one of them may lose its connection to the store. The collectors of the
+#: other cells take their place if what they pass on is late.
 STORE_READING_CELLS = 2
 #: Fraction of all instances of which a collector must have recent reports. It
 #: is low so that the instances that survive a fault which stops most of them
@@ -236,12 +237,16 @@
         plan = self._plan
         if plan is None or plan.own_cell is None:
             return StoreReadMode.INDEPENDENT
-        first_cells = sorted([plan.own_cell, *plan.other_cells], key=str)[
-            :STORE_READING_CELLS
-        ]
-        if self.is_collector and plan.own_cell in first_cells:
+        if not self.is_collector:
+            return StoreReadMode.DELEGATED
+        # In different availability zones where there are several.
+        cells = sorted(
+            [plan.own_cell, *plan.other_cells],
+            key=lambda cell: (cell.number, cell.zone),
+        )
+        if plan.own_cell in cells[:STORE_READING_CELLS]:
             return StoreReadMode.SHARED
-        return StoreReadMode.DELEGATED
+        return StoreReadMode.STANDBY
 
     def update_collector_role(self) -> None:
         """Become collector if the cell has none, else give up that role."""
--- a/src/waxwingwinch/gateway/_follower.py
+++ b/src/waxwingwinch/gateway/_follower.py
@@ -34,6 +34,10 @@
 #: Margin beyond the interval of reads after which passed-on records count as
 #: outdated. Records pass through two instances, and one exchange may be lost.
 FEED_MARGIN_SECONDS = 1.2
+#: The same margin for the instances that take the place of the readers; it
+#: covers one exchange. Others get their records before they read themselves,
+#: which saves most of the calls.
+STANDBY_MARGIN_SECONDS = 0.6
 #: Number of changes of a topic retained for slow readers. A reader that lacks
 #: more receives the newest records of all keys.
 MAX_CHANGES = 500
@@ -59,6 +63,9 @@
     INDEPENDENT = "independent"
     #: This instance reads the store, and other instances rely on it.
     SHARED = "shared"
+    #: This instance reads the store in place of the instances that do, before
+    #: all others would.
+    STANDBY = "standby"
     #: Other instances read the store, as long as the records that they pass on
     #: are recent enough.
     DELEGATED = "delegated"
@@ -97,10 +104,18 @@
     @property
     def max_age_seconds(self) -> float:
         """Age of another instance's read from which on it is not relied on."""
-        shared = self.shared_pace
+        return self._read_interval_seconds + FEED_MARGIN_SECONDS
+
+    @property
+    def standby_age_seconds(self) -> float:
+        """The same age for an instance that takes the place of a reader."""
+        return self._read_interval_seconds + STANDBY_MARGIN_SECONDS
+
+    @property
+    def _read_interval_seconds(self) -> float:
         # A read without records is as old as its start when it ends, and the
         # next one takes as long.
-        return 2 * shared.wait_seconds + shared.pause_seconds + FEED_MARGIN_SECONDS
+        return 2 * self.shared_pace.wait_seconds + self.shared_pace.pause_seconds
 
 
 @frozen
@@ -314,10 +329,16 @@
 
         :param now_seconds: Monotonic time.
         """
-        is_delegated = self.read_mode() is StoreReadMode.DELEGATED
-        if self._end_offset is None or not is_delegated:
+        if self._end_offset is None:
             return 0.0
-        return self._read_seconds + self._plan.max_age_seconds - now_seconds
+        match self.read_mode():
+            case StoreReadMode.DELEGATED:
+                max_age_seconds = self._plan.max_age_seconds
+            case StoreReadMode.STANDBY:
+                max_age_seconds = self._plan.standby_age_seconds
+            case _:
+                return 0.0
+        return self._read_seconds + max_age_seconds - now_seconds
 
     def restart(self) -> None:
         """Start over with a snapshot of the topic at the next step."""
@@ -425,8 +446,11 @@
         self._changes.append(_Change(at_offset, record))
 
     def _pace(self) -> Pace:
-        is_shared = self.read_mode() is StoreReadMode.SHARED
-        return self._plan.shared_pace if is_shared else self._plan.pace
+        is_relied_on = self.read_mode() in (
+            StoreReadMode.SHARED,
+            StoreReadMode.STANDBY,
+        )
+        return self._plan.shared_pace if is_relied_on else self._plan.pace
 
     def record_outage(self, error: Exception) -> None:
         """
--- a/src/waxwingwinch/gateway/tests/test_follower.py
+++ b/src/waxwingwinch/gateway/tests/test_follower.py
@@ -203,6 +203,23 @@
         assert page.age_seconds >= elapsed_seconds - 1e-6
 
 
+# Guards against hundreds of instances that all read the store while both
+# readers are turned away.
+def test_a_standby_reads_in_time_for_the_others(shared):
+    standby = shared.other.follower
+    plan = standby._plan
+    standby.read_mode = lambda: StoreReadMode.STANDBY
+    until_read = standby.seconds_until_read(shared.clock.seconds)
+    assert until_read == pytest.approx(plan.standby_age_seconds)
+    assert 0 < until_read < plan.max_age_seconds
+    shared.clock.seconds += until_read
+    shared.store.put(TOPIC, "a", b"1")
+    standby.step()
+    page = standby.page_since(0, shared.clock.seconds)
+    assert page.age_seconds == 0.0
+    assert [record.key for record in page.records] == ["a"]
+
+
 def test_records_reach_another_instance_without_a_store_call(shared):
     """Guards against billed calls of hundreds of instances."""
     shared.store.put(TOPIC, "a", b"1")
--- a/src/waxwingwinch/gateway/tests/test_process.py
+++ b/src/waxwingwinch/gateway/tests/test_process.py
@@ -41,6 +41,20 @@
     assert propagation_seconds < plan.max_age_seconds
 
 
+# Guards against standbys that read the store although the readers do.
+@pytest.mark.parametrize("drain_seconds", [2.0, 3.0, 4.0])
+def test_standbys_are_idle_while_records_arrive(drain_seconds):
+    configuration = FollowPlan("op", CONFIGURATION_PACE, SHARED_CONFIGURATION_PACE)
+    for plan in (upstreams_plan(drain_seconds), configuration):
+        pace = plan.shared_pace
+        oldest_seconds = 2 * pace.wait_seconds + pace.pause_seconds
+        arrival_seconds = oldest_seconds + EXCHANGE_INTERVAL_SECONDS
+        assert arrival_seconds < plan.standby_age_seconds
+        # Two exchanges bring what a standby reads to the others in time.
+        relayed_seconds = plan.standby_age_seconds + 2 * EXCHANGE_INTERVAL_SECONDS
+        assert relayed_seconds <= plan.max_age_seconds + 1e-9
+
+
 @pytest.mark.parametrize("deadline_seconds", [3.0, 4.0])
 def test_a_failed_reader_is_replaced_before_a_version_is_overdue(
     deadline_seconds,
