Survey each engine's cache by one instance of a large fleet

With more than 16 instances each engine is now read by one instance of its zone, and 1.5 s later by those that have heard nothing of it.

--- a/src/waxwingwinch/gateway/_prefixes.py
+++ b/src/waxwingwinch/gateway/_prefixes.py
@@ -44,6 +44,15 @@
             while excess > 0 and cached:
                 excess -= cached.popitem(last=False)[1]
 
+    def knows(self, upstream_id: UpstreamId) -> bool:
+        """
+        Tell whether anything is known of an engine's cache.
+
+        :param upstream_id: The engine.
+        """
+        with self._lock:
+            return upstream_id in self._parts
+
     def remove_engine(self, upstream_id: UpstreamId) -> None:
         """
         Discard the parts of an engine that restarted or was removed.
--- a/src/waxwingwinch/gateway/tests/test_cache_survey.py
+++ b/src/waxwingwinch/gateway/tests/test_cache_survey.py
@@ -55,8 +55,52 @@
         state.directory.put(registered)
     transport = FakeTransport(clock)
     transport.unresponsive.add("d1")
+    # The survey waits for the records of the others.
+    state.members.put(Member(InstanceId("peer"), "p", ZONE, NOWHERE, NOWHERE))
     CacheSurvey(state, transport, ZONE, clock).run()
     part = (PromptPart("held-d0", 1_000),)
     assert state.prefixes.cached_tokens(near.upstream_id, part) == 1_000
     (reported,) = state.placements.recent()
     assert (reported.upstream_id, reported.parts()) == ("d0", part)
+
+
+def make_fleet(instances):
+    """Return the surveys of instances in one zone, and their states."""
+    clock = FakeClock()
+    members = [
+        Member(InstanceId(f"i{number}"), f"i{number}", ZONE, NOWHERE, NOWHERE)
+        for number in range(instances)
+    ]
+    states = []
+    for own in members:
+        state = make_state()
+        state.local_member = own
+        state.members = MemberDirectory(own)
+        for member in members:
+            state.members.put(member)
+        for number in range(6):
+            state.directory.put(upstream(f"d{number}", "llm", EngineRole.DECODE))
+        states.append(state)
+    transport = FakeTransport(clock)
+    return [CacheSurvey(state, transport, ZONE, clock) for state in states], states
+
+
+# Guards against hundreds of calls that delay engines, and reports of the same
+# caches by every instance, when all instances of a fleet restart together.
+def test_each_engine_of_a_large_fleet_is_read_by_one_instance():
+    surveys, _ = make_fleet(20)
+    assigned = [
+        engine.upstream_id
+        for survey in surveys
+        for engine, _ in survey.assigned_engines()
+    ]
+    assert sorted(assigned) == [f"d{number}" for number in range(6)]
+
+
+def test_engines_of_which_nothing_was_reported_are_read_later():
+    surveys, states = make_fleet(20)
+    states[0].prefixes.record_use(upstream("d0").upstream_id, (), 1_000)
+    unknown = [engine.upstream_id for engine, _ in surveys[0].unknown_engines()]
+    assert unknown == [f"d{number}" for number in range(1, 6)]
+    surveys[0].read(surveys[0].unknown_engines())
+    assert surveys[0].unknown_engines() == []
