--- a/src/waxwingwinch/gateway/_cache_survey.py
+++ b/src/waxwingwinch/gateway/_cache_survey.py
@@ -76,7 +76,7 @@
             self.read(self._zone_engines())
 
     def assigned_engines(self) -> list[tuple[Upstream, int]]:
-        """Return the zone's engines that this instance reads for the others."""
+        """Return the zone's engines that this instance reads for others."""
         own = self._state.local_member
         instances = [own, *self._state.members.others()]
         return [
