Wait for the only collector in a test that stops it

The test waited until a cell had any collector, and failed at its unpacking when two instances collected at the start (seen once at load 22 on seven cores). It now waits until there is one, as the test before it does.

--- a/src/waxwingwinch/gateway/tests/test_gossip.py
+++ b/src/waxwingwinch/gateway/tests/test_gossip.py
@@ -181,9 +181,10 @@
     """The collector of a cell is killed."""
     wait_until(lambda: have_all_reports(instances), "all instances have all reports")
     cell = max(cells_of(instances).values(), key=len)
+    # At the start, several instances collect until they have found the first.
     wait_until(
-        lambda: any(instance.is_collector() for instance in cell),
-        "the cell has a collector",
+        lambda: [instance.is_collector() for instance in cell].count(True) == 1,
+        "the cell has one collector",
     )
     [stopped] = [instance for instance in cell if instance.is_collector()]
     stopped.gossip.stop()
