Tell instances when the store refuses their readers

With cells, two collectors read the store for all. When the store refused both, the others relied on their last read until it was 2.2 s old, although the store served them.

Each page now says whether its sender reads the store for others and whether the store serves it; a call without a response counts as refused 0.5 s after the time for which the store may hold it. A collector that hears only of refused readers, and whose own reads are refused or not made, tells its cell, and each of them reads the store itself within 0.2 s at random, for as long as that lasts. What a collector says isn't passed on further, so that two instances don't confirm it to each other. While one reader is served nothing changes.

A shorter age limit was ruled out: it multiplies calls while nothing is amiss but one lost exchange. Reads of the collectors alone, on behalf of their cells, would take fewer calls but one more exchange.

--- a/src/waxwingwinch/gateway/_cell_gossip.py
+++ b/src/waxwingwinch/gateway/_cell_gossip.py
@@ -287,7 +287,8 @@
         :param link: The link to that instance.
         :raises MalformedMessage: If a change set cannot be decoded.
         """
-        self.feed.apply_pages(reply.pages)
+        is_collector = channel == CollectorExchange.channel and reply.is_collector
+        self.feed.apply_pages(reply.pages, member.instance_id, is_collector)
         now_seconds = self._clock.now_seconds()
         for sent in reply.change_sets:
             changes = unpack_changes(sent.payload)
--- a/src/waxwingwinch/gateway/_feed_messages.py
+++ b/src/waxwingwinch/gateway/_feed_messages.py
@@ -7,7 +7,11 @@
 from waxwingwinch._exceptions import MalformedMessage
 from waxwingwinch.codec import message
 from waxwingwinch.gateway._store import KeyedRecord
-from waxwingwinch.gateway.feeds import LARGE_VALUE_BYTES, unpack_value
+from waxwingwinch.gateway.feeds import (
+    LARGE_VALUE_BYTES,
+    ReaderState,
+    unpack_value,
+)
 
 
 @message("gateway_feed_page", is_positional=True)
@@ -24,6 +28,10 @@
     :param records: The records, except those that only repeat their
         predecessor.
     :param packed: Indices of the records whose value is compressed.
+    :param reader_state: Whether the sender reads the store on behalf of
+        others, as the number of a `ReaderState`.
+    :param is_reader_lost: True if the store refuses all readers that the
+        sender knows of.
     """
 
     topic: str
@@ -32,6 +40,8 @@
     age_seconds: float
     records: tuple[KeyedRecord, ...]
     packed: tuple[int, ...] = ()
+    reader_state: int = ReaderState.NO_READER.value
+    is_reader_lost: bool = False
 
     @property
     def is_full(self) -> bool:
--- a/src/waxwingwinch/gateway/_follower.py
+++ b/src/waxwingwinch/gateway/_follower.py
@@ -24,6 +24,7 @@
 from waxwingwinch.gateway._positions import era_of
 from waxwingwinch.gateway._record_log_lines import RecordSkipped
 from waxwingwinch.gateway._store import KeyedRecord, KeyedSnapshot, PlatformStore
+from waxwingwinch.gateway.feeds import ReaderState, ReaderWatch, StoreCalls
 from waxwingwinch.kernel import Clock
 
 #: Initial pause after a failed call; doubles up to `MAX_PAUSE_SECONDS`.
@@ -190,6 +191,10 @@
         self._read_seconds = clock.now_seconds()
         #: Monotonic time of the first of the latest consecutive failures.
         self._failing_since_seconds: float | None = None
+        self._calls = StoreCalls()
+        self._readers = ReaderWatch()
+        #: Set when the store refuses all readers this instance relies on.
+        self._reader_lost = threading.Event()
         self._newest: dict[str, KeyedRecord] = {}
         self._changes: deque[_Change] = deque(maxlen=MAX_CHANGES)
         #: Changes at earlier offsets are no longer retained.
@@ -240,8 +245,43 @@
                 self._end_offset,
                 age_seconds,
                 tuple(records),
+                reader_state=self._reader_state(now_seconds).value,
+                is_reader_lost=self._is_reader_lost(now_seconds),
             )
 
+    def hear_reader(
+        self, page: FeedPage, sender_id: str, is_collector: bool, now_seconds: float
+    ) -> None:
+        """
+        Record what the sender of a page says about the readers of the store.
+
+        :param page: The page.
+        :param sender_id: The sender.
+        :param is_collector: True if it is the collector of the own cell.
+        :param now_seconds: Monotonic time.
+        """
+        with self._lock:
+            if is_collector:
+                self._readers.hear_collector(page.is_reader_lost, now_seconds)
+            elif page.reader_state in set(ReaderState):
+                state = ReaderState(page.reader_state)
+                self._readers.hear_reader(sender_id, state, now_seconds)
+            if self._readers.seconds_until_read(now_seconds) is not None:
+                self._reader_lost.set()
+
+    def _reader_state(self, now_seconds: float) -> ReaderState:
+        if self.read_mode() is not StoreReadMode.SHARED:
+            return ReaderState.NO_READER
+        is_refused = self._calls.is_refused(now_seconds)
+        return ReaderState.REFUSED if is_refused else ReaderState.SERVED
+
+    def _is_reader_lost(self, now_seconds: float) -> bool:
+        """Tell whether the store refuses all readers, and this instance."""
+        is_shared = self.read_mode() is StoreReadMode.SHARED
+        is_known = is_shared or self._calls.is_recent(now_seconds)
+        own = self._calls.is_refused(now_seconds) if is_known else None
+        return self._readers.are_all_refused(own, now_seconds)
+
     def prepare(self, records: Sequence[KeyedRecord]) -> None:
         """
         Decode records that are about to be applied, where that takes long.
@@ -288,7 +328,8 @@
         while True:
             seconds_until_read = self.seconds_until_read(self._clock.now_seconds())
             if seconds_until_read > 0:
-                time.sleep(seconds_until_read)
+                self._reader_lost.wait(seconds_until_read)
+                self._reader_lost.clear()
                 continue
             try:
                 self.step()
@@ -317,6 +358,10 @@
         is_delegated = self.read_mode() is StoreReadMode.DELEGATED
         if self._end_offset is None or not is_delegated:
             return 0.0
+        with self._lock:
+            lost_seconds = self._readers.seconds_until_read(now_seconds)
+        if lost_seconds is not None:
+            return lost_seconds
         return self._read_seconds + self._plan.max_age_seconds - now_seconds
 
     def restart(self) -> None:
@@ -333,16 +378,7 @@
         :raises PlatformRefused: If the store rejects the call.
         """
         from_offset, sent_seconds = self.end_offset, self._clock.now_seconds()
-        if from_offset is None:
-            read_result = self._store.snapshot(self._plan.topic)
-        else:
-            # A call that started while the store was unavailable may never be
-            # answered; a call without a wait has a shorter timeout.
-            is_unavailable = self._failing_since_seconds is not None
-            wait_seconds = 0.0 if is_unavailable else self._pace().wait_seconds
-            read_result = self._store.changes(
-                self._plan.topic, from_offset, wait_seconds
-            )
+        read_result = self._read(from_offset, sent_seconds)
         read_seconds = self._clock.now_seconds()
         self.prepare(read_result.records)
         with self._lock:
@@ -358,6 +394,24 @@
                 read_seconds = sent_seconds
             self._apply_read(read_result, from_offset is None, read_seconds)
 
+    def _read(self, from_offset: int | None, now_seconds: float) -> KeyedSnapshot:
+        # A call that started while the store was unavailable may never be
+        # answered; a call without a wait has a shorter timeout.
+        is_unavailable = self._failing_since_seconds is not None
+        can_wait = from_offset is not None and not is_unavailable
+        wait_seconds = self._pace().wait_seconds if can_wait else 0.0
+        self._calls.begin(wait_seconds, now_seconds)
+        has_failed = False
+        try:
+            if from_offset is None:
+                return self._store.snapshot(self._plan.topic)
+            return self._store.changes(self._plan.topic, from_offset, wait_seconds)
+        except (PlatformUnavailable, PlatformRefused):
+            has_failed = True
+            raise
+        finally:
+            self._calls.end(has_failed, self._clock.now_seconds())
+
     def _apply_read(
         self, read_result: KeyedSnapshot, is_full: bool, read_seconds: float
     ) -> None:
--- a/src/waxwingwinch/gateway/_store_feed.py
+++ b/src/waxwingwinch/gateway/_store_feed.py
@@ -72,7 +72,9 @@
         large_bytes = page.large_bytes
         return not large_bytes or self._budget.take(large_bytes, now_seconds)
 
-    def apply_pages(self, pages: Iterable[FeedPage]) -> None:
+    def apply_pages(
+        self, pages: Iterable[FeedPage], sender_id: str, is_collector: bool
+    ) -> None:
         """
         Apply the records that another instance has read.
 
@@ -80,6 +82,8 @@
         configuration takes longer than the hub may be held up.
 
         :param pages: The pages from the other instance.
+        :param sender_id: That instance.
+        :param is_collector: True if it is the collector of the own cell.
         """
         now_seconds = self._clock.now_seconds()
         for page in pages:
@@ -87,6 +91,7 @@
             follower = self._followers.get(page.topic)
             if follower is None:
                 continue
+            follower.hear_reader(page, sender_id, is_collector, now_seconds)
             if not page.large_bytes:
                 follower.prepare(page.records)
                 follower.apply_page(page, now_seconds)
--- a/src/waxwingwinch/gateway/feeds/__init__.py
+++ b/src/waxwingwinch/gateway/feeds/__init__.py
@@ -7,11 +7,19 @@
     ValuePacker,
     unpack_value,
 )
+from waxwingwinch.gateway.feeds._readers import (
+    ReaderState,
+    ReaderWatch,
+    StoreCalls,
+)
 
 __all__ = [
     "LARGE_VALUE_BYTES",
     "LargePageBudget",
     "PageMalformed",
+    "ReaderState",
+    "ReaderWatch",
+    "StoreCalls",
     "ValuePacker",
     "unpack_value",
 ]
--- a/src/waxwingwinch/gateway/feeds/tests/test_large_pages.py
+++ b/src/waxwingwinch/gateway/feeds/tests/test_large_pages.py
@@ -79,7 +79,7 @@
     pages = feeds.pages()
     sent_bytes = sum(len(encode_message(page)) for page in pages)
     assert sent_bytes / LINK_BYTES_PER_SECOND < 0.2 * EXCHANGE_TIMEOUT_SECONDS
-    feeds.other.apply_pages(pages)
+    feeds.other.apply_pages(pages, "reader", True)
     applied = await_applied(feeds, join_threads)
     assert applied == [("first", b"1"), ("config", value), ("last", b"2")]
 
@@ -90,7 +90,7 @@
     feeds.write("config", value)
     [page] = feeds.pages(accepts_packed=False)
     assert page.records[0].value == value
-    feeds.other.apply_pages([page])
+    feeds.other.apply_pages([page], "reader", True)
     assert await_applied(feeds, join_threads) == [("config", value)]
 
 
@@ -133,9 +133,9 @@
     feeds.write("config", large_configuration(100))
     [page] = feeds.pages()
     record = evolve(page.records[0], value=b"x" * 5_000)
-    feeds.other.apply_pages([evolve(page, records=(record,))])
+    feeds.other.apply_pages([evolve(page, records=(record,))], "reader", True)
     assert await_applied(feeds, join_threads) == []
-    feeds.other.apply_pages([page])
+    feeds.other.apply_pages([page], "reader", True)
     assert len(await_applied(feeds, join_threads)) == 1
 
 
