Log who reads the store for an instance, and how old its records are

The logs of instances that relied on another one's reads had no line about the store, a reader or a feed between 1.3 s and 5.7 s, so that it could not be told who was late.

Pages name the instance that read the store. store:reader is written when that changes, with the age of the records and how long the former reader was silent. Two readers deliver in turn, so a reader stays until it has delivered nothing for as long as records are relied on; an own read replaces it at once. waxwing_configuration_age_seconds is the time since the newest read.

--- a/src/waxwingwinch/gateway/_feed_messages.py
+++ b/src/waxwingwinch/gateway/_feed_messages.py
@@ -32,6 +32,8 @@
         others, as the number of a `ReaderState`.
     :param is_reader_lost: True if the store refuses all readers that the
         sender knows of.
+    :param reader_id: The instance that read the records from the store; empty
+        if it is the sender.
     """
 
     topic: str
@@ -42,6 +44,7 @@
     packed: tuple[int, ...] = ()
     reader_state: int = ReaderState.NO_READER.value
     is_reader_lost: bool = False
+    reader_id: str = ""
 
     @property
     def is_full(self) -> bool:
--- a/src/waxwingwinch/gateway/_follower.py
+++ b/src/waxwingwinch/gateway/_follower.py
@@ -24,7 +24,14 @@
 from waxwingwinch.gateway._positions import era_of
 from waxwingwinch.gateway._record_log_lines import RecordSkipped
 from waxwingwinch.gateway._store import KeyedRecord, KeyedSnapshot, PlatformStore
-from waxwingwinch.gateway.feeds import ReaderState, ReaderWatch, StoreCalls
+from waxwingwinch.gateway.feeds import (
+    OWN_READS,
+    ReaderState,
+    ReaderWatch,
+    ReadSource,
+    SourceWatch,
+    StoreCalls,
+)
 from waxwingwinch.kernel import Clock
 
 #: Initial pause after a failed call; doubles up to `MAX_PAUSE_SECONDS`.
@@ -193,6 +200,7 @@
         self._failing_since_seconds: float | None = None
         self._calls = StoreCalls()
         self._readers = ReaderWatch()
+        self._sources = SourceWatch(plan.topic, plan.max_age_seconds)
         #: Set when the store refuses all readers this instance relies on.
         self._reader_lost = threading.Event()
         self._newest: dict[str, KeyedRecord] = {}
@@ -219,6 +227,16 @@
         with self._lock:
             return self._end_offset
 
+    def age_seconds(self, now_seconds: float) -> float | None:
+        """
+        Return the time since the newest read; None before the first.
+
+        :param now_seconds: Monotonic time.
+        """
+        with self._lock:
+            is_read = self._sources.source is not None
+            return now_seconds - self._read_seconds if is_read else None
+
     def page_since(self, offset: int | None, now_seconds: float) -> FeedPage | None:
         """
         Return the records that a follower at an offset lacks.
@@ -247,6 +265,7 @@
                 tuple(records),
                 reader_state=self._reader_state(now_seconds).value,
                 is_reader_lost=self._is_reader_lost(now_seconds),
+                reader_id=self._reader_id(),
             )
 
     def hear_reader(
@@ -269,6 +288,10 @@
             if self._readers.seconds_until_read(now_seconds) is not None:
                 self._reader_lost.set()
 
+    def _reader_id(self) -> str:
+        source = self._sources.source
+        return "" if source is None or source.reader == OWN_READS else source.reader
+
     def _reader_state(self, now_seconds: float) -> ReaderState:
         if self.read_mode() is not StoreReadMode.SHARED:
             return ReaderState.NO_READER
@@ -291,7 +314,9 @@
         if self._prepare is not None:
             self._prepare(records)
 
-    def apply_page(self, page: FeedPage, now_seconds: float) -> None:
+    def apply_page(
+        self, page: FeedPage, now_seconds: float, sender_id: str = ""
+    ) -> None:
         """
         Apply the records that another instance has read.
 
@@ -300,6 +325,7 @@
 
         :param page: The page from the other instance.
         :param now_seconds: Monotonic time.
+        :param sender_id: That instance.
         """
         with self._lock:
             if self._is_of_earlier_era(page.end_offset):
@@ -321,7 +347,8 @@
                 # The store has served another instance since the failure here.
                 self._record_recovery()
             read_result = KeyedSnapshot(page.records, page.end_offset)
-            self._apply_read(read_result, page.is_full, read_seconds)
+            source = ReadSource(page.reader_id or sender_id, sender_id)
+            self._apply_read(read_result, page.is_full, read_seconds, source)
 
     def _run(self) -> None:
         pause_seconds = MIN_PAUSE_SECONDS
@@ -392,7 +419,12 @@
             # written after it began to turn this instance away.
             if not read_result.records:
                 read_seconds = sent_seconds
-            self._apply_read(read_result, from_offset is None, read_seconds)
+            self._apply_read(
+                read_result,
+                from_offset is None,
+                read_seconds,
+                ReadSource(OWN_READS, OWN_READS),
+            )
 
     def _read(self, from_offset: int | None, now_seconds: float) -> KeyedSnapshot:
         # A call that started while the store was unavailable may never be
@@ -413,7 +445,11 @@
             self._calls.end(has_failed, self._clock.now_seconds())
 
     def _apply_read(
-        self, read_result: KeyedSnapshot, is_full: bool, read_seconds: float
+        self,
+        read_result: KeyedSnapshot,
+        is_full: bool,
+        read_seconds: float,
+        source: ReadSource,
     ) -> None:
         if is_full:
             self._newest.clear()
@@ -424,6 +460,12 @@
             self._apply_record(record, is_full)
         self._end_offset = read_result.end_offset
         self._read_seconds = max(self._read_seconds, read_seconds)
+        is_delegated = self.read_mode() is StoreReadMode.DELEGATED
+        line = self._sources.observe(
+            source, read_seconds, self._clock.now_seconds(), is_delegated
+        )
+        if line is not None:
+            line.write()
         if self._after_read is not None:
             self._after_read(read_seconds)
 
--- a/src/waxwingwinch/gateway/_instance_endpoints.py
+++ b/src/waxwingwinch/gateway/_instance_endpoints.py
@@ -30,6 +30,8 @@
     :param under_way: Returns the number of requests in progress.
     :param held_epoch: Returns the epoch of the duty if this instance holds it,
         else None.
+    :param configuration_age: Returns the time since the newest read of the
+        configuration topic, given the present time; None before the first.
     """
 
     def __init__(
@@ -39,12 +41,14 @@
         clock: Clock,
         under_way: Callable[[], int],
         held_epoch: Callable[[], int | None],
+        configuration_age: Callable[[float], float | None],
     ) -> None:
         self._state = state
         self._adapter = adapter
         self._clock = clock
         self._under_way = under_way
         self._held_epoch = held_epoch
+        self._configuration_age = configuration_age
 
     def ready(self, path: str, query: str) -> InfoReply:
         """
@@ -92,6 +96,7 @@
         now_seconds = self._clock.now_seconds()
         epoch = self._held_epoch()
         age_seconds = self._state.directory.age_seconds(now_seconds)
+        configuration_seconds = self._configuration_age(now_seconds)
         ready_peer_count = len(self._state.members.ready_others(now_seconds))
         return [
             Gauge("waxwing_configuration_version", (), self._state.table.version),
@@ -102,6 +107,11 @@
                 (),
                 UNKNOWN if age_seconds is None else age_seconds,
             ),
+            Gauge(
+                "waxwing_configuration_age_seconds",
+                (),
+                UNKNOWN if configuration_seconds is None else configuration_seconds,
+            ),
             Gauge("waxwing_blamed_parts", (), self._state.crashes.blamed_count()),
             Gauge("waxwing_instances_heard", (), ready_peer_count),
             Gauge("waxwing_evacuated_zones", (), len(self._state.evacuated.zones())),
--- a/src/waxwingwinch/gateway/_process.py
+++ b/src/waxwingwinch/gateway/_process.py
@@ -305,6 +305,7 @@
             self._clock,
             lambda: self._handler.under_way,
             self._duty_worker.held_epoch,
+            self._configuration.age_seconds,
         )
         return (
             InfoServer(self._options.ready_address, endpoints.ready),
--- a/src/waxwingwinch/gateway/_store_feed.py
+++ b/src/waxwingwinch/gateway/_store_feed.py
@@ -94,23 +94,27 @@
             follower.hear_reader(page, sender_id, is_collector, now_seconds)
             if not page.large_bytes:
                 follower.prepare(page.records)
-                follower.apply_page(page, now_seconds)
+                follower.apply_page(page, now_seconds, sender_id)
             elif page.topic not in self._applying:
                 self._applying.add(page.topic)
                 threading.Thread(
                     target=self._apply_large,
-                    args=(follower, page, now_seconds),
+                    args=(follower, page, now_seconds, sender_id),
                     name=f"apply-{page.topic}",
                     daemon=True,
                 ).start()
 
     def _apply_large(
-        self, follower: TopicFollower, page: FeedPage, received_seconds: float
+        self,
+        follower: TopicFollower,
+        page: FeedPage,
+        received_seconds: float,
+        sender_id: str,
     ) -> None:
         try:
             unpacked = page.unpack()
             follower.prepare(unpacked.records)
-            follower.apply_page(unpacked, received_seconds)
+            follower.apply_page(unpacked, received_seconds, sender_id)
         except MalformedMessage as error:
             PageMalformed(page.topic, str(error)).write()
         finally:
--- a/src/waxwingwinch/gateway/feeds/__init__.py
+++ b/src/waxwingwinch/gateway/feeds/__init__.py
@@ -12,13 +12,17 @@
     ReaderWatch,
     StoreCalls,
 )
+from waxwingwinch.gateway.feeds._sources import OWN_READS, ReadSource, SourceWatch
 
 __all__ = [
     "LARGE_VALUE_BYTES",
     "LargePageBudget",
+    "OWN_READS",
     "PageMalformed",
+    "ReadSource",
     "ReaderState",
     "ReaderWatch",
+    "SourceWatch",
     "StoreCalls",
     "ValuePacker",
     "unpack_value",
