--- a/src/waxwingwinch/gateway/_cell_gossip.py
+++ b/src/waxwingwinch/gateway/_cell_gossip.py
@@ -308,7 +308,10 @@
         :param asked_seconds: Monotonic time at which the request was sent.
         :raises MalformedMessage: If a change set cannot be decoded.
         """
-        self.feed.apply_pages(reply.pages, asked_seconds)
+        is_collector = channel == CollectorExchange.channel and reply.is_collector
+        self.feed.apply_pages(
+            reply.pages, member.instance_id, is_collector, asked_seconds
+        )
         now_seconds = self._clock.now_seconds()
         for sent in reply.change_sets:
             changes = unpack_changes(sent.payload)
--- a/src/waxwingwinch/gateway/_follower.py
+++ b/src/waxwingwinch/gateway/_follower.py
@@ -24,6 +24,14 @@
 from waxwingwinch.gateway._positions import era_of
 from waxwingwinch.gateway._record_log_lines import RecordSkipped
 from waxwingwinch.gateway._store import KeyedRecord, KeyedSnapshot, PlatformStore
+from waxwingwinch.gateway.feeds import (
+    OWN_READS,
+    ReaderState,
+    ReaderWatch,
+    ReadSource,
+    SourceWatch,
+    StoreCalls,
+)
 from waxwingwinch.kernel import Clock
 
 #: Initial pause after a failed call; doubles up to `MAX_PAUSE_SECONDS`.
@@ -38,6 +46,9 @@
 #: covers one exchange. Others get their records before they read themselves,
 #: which saves most of the calls.
 STANDBY_MARGIN_SECONDS = 0.6
+#: Time that others leave them once the store refuses the readers: a read and
+#: the exchange that brings its records.
+STANDBY_READ_SECONDS = 0.4
 #: Number of changes of a topic retained for slow readers. A reader that lacks
 #: more receives the newest records of all keys.
 MAX_CHANGES = 500
@@ -205,6 +216,11 @@
         self._read_seconds = clock.now_seconds()
         #: Monotonic time of the first of the latest consecutive failures.
         self._failing_since_seconds: float | None = None
+        self._calls = StoreCalls()
+        self._readers = ReaderWatch()
+        self._sources = SourceWatch(plan.topic, plan.max_age_seconds)
+        #: Set when the store refuses all readers this instance relies on.
+        self._reader_lost = threading.Event()
         self._newest: dict[str, KeyedRecord] = {}
         self._changes: deque[_Change] = deque(maxlen=MAX_CHANGES)
         #: Changes at earlier offsets are no longer retained.
@@ -229,6 +245,16 @@
         with self._lock:
             return self._end_offset
 
+    def age_seconds(self, now_seconds: float) -> float | None:
+        """
+        Return the time since the newest read; None before the first.
+
+        :param now_seconds: Monotonic time.
+        """
+        with self._lock:
+            is_read = self._sources.source is not None
+            return now_seconds - self._read_seconds if is_read else None
+
     def page_since(self, offset: int | None, now_seconds: float) -> FeedPage | None:
         """
         Return the records that a follower at an offset lacks.
@@ -255,8 +281,48 @@
                 self._end_offset,
                 age_seconds,
                 tuple(records),
+                reader_state=self._reader_state(now_seconds).value,
+                is_reader_lost=self._is_reader_lost(now_seconds),
+                reader_id=self._reader_id(),
             )
 
+    def hear_reader(
+        self, page: FeedPage, sender_id: str, is_collector: bool, now_seconds: float
+    ) -> None:
+        """
+        Record what the sender of a page says about the readers of the store.
+
+        :param page: The page.
+        :param sender_id: The sender.
+        :param is_collector: True if it is the collector of the own cell.
+        :param now_seconds: Monotonic time.
+        """
+        with self._lock:
+            if is_collector:
+                self._readers.hear_collector(page.is_reader_lost, now_seconds)
+            elif page.reader_state in set(ReaderState):
+                state = ReaderState(page.reader_state)
+                self._readers.hear_reader(sender_id, state, now_seconds)
+            if self._readers.seconds_until_read(now_seconds) is not None:
+                self._reader_lost.set()
+
+    def _reader_id(self) -> str:
+        source = self._sources.source
+        return "" if source is None or source.reader == OWN_READS else source.reader
+
+    def _reader_state(self, now_seconds: float) -> ReaderState:
+        if self.read_mode() is not StoreReadMode.SHARED:
+            return ReaderState.NO_READER
+        is_refused = self._calls.is_refused(now_seconds)
+        return ReaderState.REFUSED if is_refused else ReaderState.SERVED
+
+    def _is_reader_lost(self, now_seconds: float) -> bool:
+        """Tell whether the store refuses all readers, and this instance."""
+        is_shared = self.read_mode() is StoreReadMode.SHARED
+        is_known = is_shared or self._calls.is_recent(now_seconds)
+        own = self._calls.is_refused(now_seconds) if is_known else None
+        return self._readers.are_all_refused(own, now_seconds)
+
     def prepare(self, records: Sequence[KeyedRecord]) -> None:
         """
         Decode records that are about to be applied, where that takes long.
@@ -266,7 +332,9 @@
         if self._prepare is not None:
             self._prepare(records)
 
-    def apply_page(self, page: FeedPage, asked_seconds: float) -> None:
+    def apply_page(
+        self, page: FeedPage, asked_seconds: float, sender_id: str = ""
+    ) -> None:
         """
         Apply the records that another instance has read.
 
@@ -275,6 +343,7 @@
 
         :param page: The page from the other instance.
         :param asked_seconds: Monotonic time at which it was asked for.
+        :param sender_id: That instance.
         """
         with self._lock:
             if self._is_of_earlier_era(page.end_offset):
@@ -296,14 +365,16 @@
                 # The store has served another instance since the failure here.
                 self._record_recovery()
             read_result = KeyedSnapshot(page.records, page.end_offset)
-            self._apply_read(read_result, page.is_full, read_seconds)
+            source = ReadSource(page.reader_id or sender_id, sender_id)
+            self._apply_read(read_result, page.is_full, read_seconds, source)
 
     def _run(self) -> None:
         pause_seconds = MIN_PAUSE_SECONDS
         while True:
             seconds_until_read = self.seconds_until_read(self._clock.now_seconds())
             if seconds_until_read > 0:
-                time.sleep(seconds_until_read)
+                self._reader_lost.wait(seconds_until_read)
+                self._reader_lost.clear()
                 continue
             try:
                 self.step()
@@ -334,10 +405,18 @@
         match self.read_mode():
             case StoreReadMode.DELEGATED:
                 max_age_seconds = self._plan.max_age_seconds
+                standby_seconds = STANDBY_READ_SECONDS
             case StoreReadMode.STANDBY:
                 max_age_seconds = self._plan.standby_age_seconds
+                standby_seconds = 0.0
             case _:
                 return 0.0
+        with self._lock:
+            lost_seconds = self._readers.seconds_until_read(
+                now_seconds, standby_seconds
+            )
+        if lost_seconds is not None:
+            return lost_seconds
         return self._read_seconds + max_age_seconds - now_seconds
 
     def restart(self) -> None:
@@ -354,16 +433,7 @@
         :raises PlatformRefused: If the store rejects the call.
         """
         from_offset, sent_seconds = self.end_offset, self._clock.now_seconds()
-        if from_offset is None:
-            read_result = self._store.snapshot(self._plan.topic)
-        else:
-            # A call that started while the store was unavailable may never be
-            # answered; a call without a wait has a shorter timeout.
-            is_unavailable = self._failing_since_seconds is not None
-            wait_seconds = 0.0 if is_unavailable else self._pace().wait_seconds
-            read_result = self._store.changes(
-                self._plan.topic, from_offset, wait_seconds
-            )
+        read_result = self._read(from_offset, sent_seconds)
         read_seconds = self._clock.now_seconds()
         self.prepare(read_result.records)
         with self._lock:
@@ -377,10 +447,37 @@
             # written after it began to turn this instance away.
             if not read_result.records:
                 read_seconds = sent_seconds
-            self._apply_read(read_result, from_offset is None, read_seconds)
+            self._apply_read(
+                read_result,
+                from_offset is None,
+                read_seconds,
+                ReadSource(OWN_READS, OWN_READS),
+            )
+
+    def _read(self, from_offset: int | None, now_seconds: float) -> KeyedSnapshot:
+        # A call that started while the store was unavailable may never be
+        # answered; a call without a wait has a shorter timeout.
+        is_unavailable = self._failing_since_seconds is not None
+        can_wait = from_offset is not None and not is_unavailable
+        wait_seconds = self._pace().wait_seconds if can_wait else 0.0
+        self._calls.begin(wait_seconds, now_seconds)
+        has_failed = False
+        try:
+            if from_offset is None:
+                return self._store.snapshot(self._plan.topic)
+            return self._store.changes(self._plan.topic, from_offset, wait_seconds)
+        except (PlatformUnavailable, PlatformRefused):
+            has_failed = True
+            raise
+        finally:
+            self._calls.end(has_failed, self._clock.now_seconds())
 
     def _apply_read(
-        self, read_result: KeyedSnapshot, is_full: bool, read_seconds: float
+        self,
+        read_result: KeyedSnapshot,
+        is_full: bool,
+        read_seconds: float,
+        source: ReadSource,
     ) -> None:
         if is_full:
             self._newest.clear()
@@ -391,6 +488,12 @@
             self._apply_record(record, is_full)
         self._end_offset = read_result.end_offset
         self._read_seconds = max(self._read_seconds, read_seconds)
+        is_delegated = self.read_mode() is StoreReadMode.DELEGATED
+        line = self._sources.observe(
+            source, read_seconds, self._clock.now_seconds(), is_delegated
+        )
+        if line is not None:
+            line.write()
         if self._after_read is not None:
             self._after_read(read_seconds)
 
--- a/src/waxwingwinch/gateway/_store_feed.py
+++ b/src/waxwingwinch/gateway/_store_feed.py
@@ -72,7 +72,13 @@
         large_bytes = page.large_bytes
         return not large_bytes or self._budget.take(large_bytes, now_seconds)
 
-    def apply_pages(self, pages: Iterable[FeedPage], asked_seconds: float) -> None:
+    def apply_pages(
+        self,
+        pages: Iterable[FeedPage],
+        sender_id: str,
+        is_collector: bool,
+        asked_seconds: float,
+    ) -> None:
         """
         Apply the records that another instance has read.
 
@@ -80,35 +86,43 @@
         configuration takes longer than the hub may be held up.
 
         :param pages: The pages from the other instance.
+        :param sender_id: That instance.
+        :param is_collector: True if it is the collector of the own cell.
         :param asked_seconds: Monotonic time at which they were asked for. The
             ages in the pages are counted from it: counted from the arrival,
             records would become younger on each way, and instances that pass
             them on to one another would never find them outdated.
         """
+        now_seconds = self._clock.now_seconds()
         for page in pages:
             self._history.observe(page.end_offset)
             follower = self._followers.get(page.topic)
             if follower is None:
                 continue
+            follower.hear_reader(page, sender_id, is_collector, now_seconds)
             if not page.large_bytes:
                 follower.prepare(page.records)
-                follower.apply_page(page, asked_seconds)
+                follower.apply_page(page, asked_seconds, sender_id)
             elif page.topic not in self._applying:
                 self._applying.add(page.topic)
                 threading.Thread(
                     target=self._apply_large,
-                    args=(follower, page, asked_seconds),
+                    args=(follower, page, asked_seconds, sender_id),
                     name=f"apply-{page.topic}",
                     daemon=True,
                 ).start()
 
     def _apply_large(
-        self, follower: TopicFollower, page: FeedPage, asked_seconds: float
+        self,
+        follower: TopicFollower,
+        page: FeedPage,
+        asked_seconds: float,
+        sender_id: str,
     ) -> None:
         try:
             unpacked = page.unpack()
             follower.prepare(unpacked.records)
-            follower.apply_page(unpacked, asked_seconds)
+            follower.apply_page(unpacked, asked_seconds, sender_id)
         except MalformedMessage as error:
             PageMalformed(page.topic, str(error)).write()
         finally:
--- a/src/waxwingwinch/gateway/feeds/__init__.py
+++ b/src/waxwingwinch/gateway/feeds/__init__.py
@@ -7,11 +7,23 @@
     ValuePacker,
     unpack_value,
 )
+from waxwingwinch.gateway.feeds._readers import (
+    ReaderState,
+    ReaderWatch,
+    StoreCalls,
+)
+from waxwingwinch.gateway.feeds._sources import OWN_READS, ReadSource, SourceWatch
 
 __all__ = [
     "LARGE_VALUE_BYTES",
     "LargePageBudget",
+    "OWN_READS",
     "PageMalformed",
+    "ReadSource",
+    "ReaderState",
+    "ReaderWatch",
+    "SourceWatch",
+    "StoreCalls",
     "ValuePacker",
     "unpack_value",
 ]
--- a/src/waxwingwinch/gateway/tests/test_follower.py
+++ b/src/waxwingwinch/gateway/tests/test_follower.py
@@ -196,7 +196,7 @@
         shared.clock.seconds += 0.05
         pages = sender.pages(receiver.offsets())
         shared.clock.seconds += 0.05
-        receiver.apply_pages(pages, asked_seconds)
+        receiver.apply_pages(pages, "other", False, asked_seconds)
     elapsed_seconds = shared.clock.seconds - read_seconds
     for each in (shared.reader, shared.other):
         page = each.follower.page_since(each.follower.end_offset, shared.clock.seconds)
