Keep requests in the home regions of route and customer

Home regions were decoded and not used: requests went to any region. The directory of upstreams now withholds the upstreams outside the allowed zones from each choice, retry, resumption and second attempt, and KV caches are neither fetched nor released there. The zones follow the configuration in force, so they apply to running requests, too. Requests without an allowed zone or upstream are refused at once with reasons of their own.

The service discovery reads the caller's region and host name, and names instances in the caller's region first, then those in the home regions.

Without home regions, no upstream is examined beyond what was.

--- a/src/waxwingwinch/gateway/__init__.py
+++ b/src/waxwingwinch/gateway/__init__.py
@@ -80,6 +80,7 @@
     UpstreamTransport,
 )
 from waxwingwinch.gateway._upstreams import RegisteredState, Upstream
+from waxwingwinch.gateway.homes import ResolveQuery
 
 __all__ = [
     "AppendConflict",
@@ -118,6 +119,7 @@
     "RegisteredState",
     "RequestDecoder",
     "RequestKind",
+    "ResolveQuery",
     "ResponseHead",
     "Route",
     "ScalingRules",
--- a/src/waxwingwinch/gateway/_engine_choice.py
+++ b/src/waxwingwinch/gateway/_engine_choice.py
@@ -126,7 +126,9 @@
         now_seconds: float,
     ) -> Upstream | None:
         if chosen_id not in progress.excluded:
-            chosen = self._context.directory.ready(chosen_id, now_seconds)
+            chosen = self._context.directory.ready(
+                chosen_id, now_seconds, job.homes.zones()
+            )
             if chosen is not None and permits.acquire(chosen) is None:
                 return chosen
         options = self._options(job, prompt, progress, now_seconds)
@@ -136,7 +138,9 @@
         )
         if not isinstance(placement, RunDirectly):
             return None
-        return self._context.directory.ready(placement.upstream_id, now_seconds)
+        return self._context.directory.ready(
+            placement.upstream_id, now_seconds, job.homes.zones()
+        )
 
     def _admit_and_place(
         self,
@@ -291,7 +295,7 @@
                 self._context.slowdowns.slowdown(upstream.upstream_id),
             )
             for upstream in self._context.directory.usable(
-                job.service.name, now_seconds, progress.excluded
+                job.service.name, now_seconds, progress.excluded, job.homes.zones()
             )
         ]
 
--- a/src/waxwingwinch/gateway/_generation_relay.py
+++ b/src/waxwingwinch/gateway/_generation_relay.py
@@ -212,7 +212,9 @@
         match placement:
             case RunDirectly(engine_id, work_tokens):
                 engine = self._context.directory.ready(
-                    engine_id, self._context.clock.now_seconds()
+                    engine_id,
+                    self._context.clock.now_seconds(),
+                    stream.job.homes.zones(),
                 )
                 if engine is None:
                     return False
@@ -241,7 +243,7 @@
         was sent.
         """
         stream.unfetched_cache = cache
-        while self._prefill_relay.is_available(cache):
+        while self._prefill_relay.is_available(stream.job, cache):
             engine, stream.progress = self._engine_chooser.decode_engine(
                 stream.job, prompt, stream.progress, permits, decode_id
             )
@@ -278,7 +280,9 @@
     ) -> PrefilledCache | None:
         """Have the prompt prefilled; return None if no engine did."""
         prefill_engine = self._context.directory.ready(
-            placement.prefill_id, self._context.clock.now_seconds()
+            placement.prefill_id,
+            self._context.clock.now_seconds(),
+            stream.job.homes.zones(),
         )
         if prefill_engine is None:
             return None
@@ -436,7 +440,7 @@
         """Release the KV cache that no engine has fetched, if any."""
         cache, stream.unfetched_cache = stream.unfetched_cache, None
         if cache is not None:
-            self._prefill_relay.release(cache)
+            self._prefill_relay.release(stream.job, cache)
 
     def _relay(self, stream: StreamState, attempt: StreamAttempt) -> bool:
         """Forward a response; return False if it was dropped for a retry."""
--- a/src/waxwingwinch/gateway/_handler.py
+++ b/src/waxwingwinch/gateway/_handler.py
@@ -33,6 +33,7 @@
 from waxwingwinch.gateway._requests import GatewayRequest, Prompt
 from waxwingwinch.gateway._routes import RouteTable, choose_service
 from waxwingwinch.gateway._stop import StopSchedule
+from waxwingwinch.gateway.homes import RequestHomes, home_refusal
 
 #: Used for a streaming request that declares no prompt.
 EMPTY_PROMPT = Prompt("", 0, 0)
@@ -192,6 +193,7 @@
         customer = self._authenticate(table, route, request)
         job = self._create_job(table, route, customer, request)
         responder.write_until(job.cut_seconds)
+        self._refuse_outside_homes(job)
         cost = self._charge_quota(customer, request)
         self._context.budget.record_request(job.service.name, request.arrived_seconds)
         if request.connection is not None:
@@ -255,6 +257,9 @@
         if request.deadline_seconds is not None:
             end_seconds = min(end_seconds, request.deadline_seconds)
         end_seconds = self._end_before_stop(request, end_seconds)
+        homes = RequestHomes(
+            self._table, self._context.zone_regions, request, table, route, customer
+        )
         return Job(
             request,
             route,
@@ -263,7 +268,25 @@
             end_seconds - RESPONSE_MARGIN_SECONDS,
             end_seconds,
             Cancellation(),
+            homes,
+        )
+
+    def _refuse_outside_homes(self, job: Job) -> None:
+        """Refuse a request for which no availability zone is allowed."""
+        zones = job.homes.zones()
+        if zones is None or zones:
+            return
+        ended = home_refusal(
+            job.homes,
+            self._context.directory,
+            job.service.name,
+            job.request.arrived_seconds,
         )
+        if ended is not None:
+            self._context.telemetry.record_refusal(
+                job.customer_id, job.route.name, ended.reason
+            )
+            raise ended
 
     def _end_before_stop(self, request: GatewayRequest, end_seconds: float) -> float:
         """Return the deadline of a request, bounded by that of the process."""
--- a/src/waxwingwinch/gateway/_instance_endpoints.py
+++ b/src/waxwingwinch/gateway/_instance_endpoints.py
@@ -10,6 +10,7 @@
 from waxwingwinch.gateway._process_memory import peak_resident_bytes, resident_bytes
 from waxwingwinch.gateway._state import GatewayState
 from waxwingwinch.gateway._telemetry import Gauge
+from waxwingwinch.gateway.homes import nearest_members
 from waxwingwinch.kernel import Clock
 
 #: Time for which callers may cache a list of addresses.
@@ -63,8 +64,8 @@
         :param path: Path of the request.
         :param query: Query string of the request.
         """
-        zone = self._adapter.read_resolve(path, parse_qs(query))
-        if zone is None:
+        resolve_query = self._adapter.read_resolve(path, parse_qs(query))
+        if resolve_query is None:
             return InfoReply("404 Not Found")
         now_seconds = self._clock.now_seconds()
         candidates = list(self._state.members.ready_others(now_seconds))
@@ -72,7 +73,14 @@
             candidates.append(self._state.local_member)
         if not candidates:
             return InfoReply("503 Service Unavailable")
-        addresses = addresses_for(zone, candidates)
+        table = self._state.table.get()
+        home_regions = (
+            table.home_regions(resolve_query.host) if table is not None else frozenset()
+        )
+        nearest = nearest_members(
+            resolve_query, candidates, self._state.zone_regions, home_regions
+        )
+        addresses = addresses_for(resolve_query.zone, nearest)
         body = self._adapter.encode_resolve(addresses, ADDRESS_LIFE_SECONDS)
         return InfoReply("200 OK", body)
 
--- a/src/waxwingwinch/gateway/_job.py
+++ b/src/waxwingwinch/gateway/_job.py
@@ -1,8 +1,10 @@
 """A request to be relayed, its attempts, and the dependencies of relays."""
 
+from collections.abc import Mapping
+
 from attrs import evolve, field, frozen
 
-from waxwingwinch._types import CustomerId, UpstreamId, ZoneName
+from waxwingwinch._types import CustomerId, RegionName, UpstreamId, ZoneName
 from waxwingwinch.gateway._arrivals import Arrivals
 from waxwingwinch.gateway._connections import Cancellation, CancelReason
 from waxwingwinch.gateway._crash_evidence import CrashEvidence
@@ -26,6 +28,7 @@
 from waxwingwinch.gateway._transport import Phase, UpstreamCall, UpstreamTransport
 from waxwingwinch.gateway._upstreams import UpstreamDirectory
 from waxwingwinch.gateway._usage_counts import UsageCounts
+from waxwingwinch.gateway.homes import RequestHomes
 from waxwingwinch.kernel import Clock
 
 #: Failed connection attempts after which a request is refused; each adds to
@@ -53,6 +56,7 @@
     :param cut_seconds: Monotonic time at which a response that has begun is
         cut; the deadline itself.
     :param cancellation: Cancels the request.
+    :param homes: The availability zones that may get it.
     """
 
     request: GatewayRequest
@@ -62,6 +66,7 @@
     end_seconds: float
     cut_seconds: float
     cancellation: Cancellation
+    homes: RequestHomes
 
     @property
     def customer_id(self) -> CustomerId | None:
@@ -196,6 +201,8 @@
     :param returns: Tells refused callers when upstreams return.
     :param crashes: Crashes of engines, and the parts blamed for them.
     :param memory: Counts the memory that requests and answers hold.
+    :param zone_regions: Region of each availability zone whose region is
+        known.
     """
 
     clock: Clock = field(repr=False)
@@ -214,6 +221,7 @@
     returns: ReturnSchedule = field(repr=False)
     crashes: CrashEvidence = field(repr=False)
     memory: MemoryAccount = field(repr=False)
+    zone_regions: Mapping[ZoneName, RegionName] = field(factory=dict)
 
 
 def raise_if_cancelled(job: Job, error: Exception) -> None:
--- a/src/waxwingwinch/gateway/_options.py
+++ b/src/waxwingwinch/gateway/_options.py
@@ -11,6 +11,7 @@
 from waxwingwinch.gateway._store import PlatformStore
 from waxwingwinch.gateway._transport import UpstreamTransport
 from waxwingwinch.gateway._upstreams import Upstream
+from waxwingwinch.gateway.homes import ResolveQuery
 
 
 class GatewayAdapter(Protocol):
@@ -72,14 +73,16 @@
         :raises MalformedMessage: If the entry describes no usable upstream.
         """
 
-    def read_resolve(self, path: str, query: dict[str, list[str]]) -> ZoneName | None:
+    def read_resolve(
+        self, path: str, query: dict[str, list[str]]
+    ) -> ResolveQuery | None:
         """
         Parse a caller's discovery request.
 
         :param path: Path of the request.
         :param query: Query parameters of the request.
-        :returns: The caller's availability zone; None if the request is not a
-            discovery request.
+        :returns: The caller's question; None if the request is not a discovery
+            request.
         """
 
     def encode_resolve(
--- a/src/waxwingwinch/gateway/_outcomes.py
+++ b/src/waxwingwinch/gateway/_outcomes.py
@@ -17,6 +17,8 @@
     OVERLOADED = "overloaded"
     UPSTREAM_LIMIT = "upstream_limit"
     UPSTREAMS_AWAY = "upstreams_away"
+    NO_HOME_REGION = "no_home_region"
+    NO_HOME_UPSTREAM = "no_home_upstream"
     CRASHES_ENGINES = "crashes_engines"
     STOPPING = "stopping"
     INSTANCE_FULL = "instance_full"
--- a/src/waxwingwinch/gateway/_plain_relay.py
+++ b/src/waxwingwinch/gateway/_plain_relay.py
@@ -45,6 +45,7 @@
     silence_error,
 )
 from waxwingwinch.gateway._upstreams import Upstream
+from waxwingwinch.gateway.homes import home_refusal
 from waxwingwinch.http import AnswerMissing, NotSent
 
 #: Time without a response after which another upstream is asked, relative to
@@ -317,7 +318,7 @@
         usable = {
             upstream.upstream_id: upstream
             for upstream in self._context.directory.usable(
-                job.service.name, now_seconds, progress.excluded
+                job.service.name, now_seconds, progress.excluded, job.homes.zones()
             )
             if upstream.role is not EngineRole.PREFILL
         }
@@ -447,9 +448,14 @@
     if no_permit is not None:
         return RequestEnded(503, RefusalReason.UPSTREAM_LIMIT, no_permit.return_seconds)
     return_seconds = context.returns.wait_seconds(
-        job.request.request_id, job.service.name, now_seconds
+        job.request.request_id, job.service.name, now_seconds, job.homes.zones()
     )
     if return_seconds is not None:
         return RequestEnded(503, RefusalReason.UPSTREAMS_AWAY, return_seconds)
+    outside_home = home_refusal(
+        job.homes, context.directory, job.service.name, now_seconds
+    )
+    if outside_home is not None:
+        return outside_home
     reason = RefusalReason.NOT_EXECUTED if progress.sends else RefusalReason.NO_UPSTREAM
     return RequestEnded(503, reason, BUSY_RETRY_SECONDS)
--- a/src/waxwingwinch/gateway/_prefill.py
+++ b/src/waxwingwinch/gateway/_prefill.py
@@ -114,40 +114,46 @@
         finally:
             tracked_request.end()
 
-    def is_available(self, cache: PrefilledCache) -> bool:
+    def is_available(self, job: Job, cache: PrefilledCache) -> bool:
         """
         Tell whether an engine can probably still fetch a KV cache.
 
         The cache is lost once its engine has restarted, has left or is
         unreachable, and expires after some seconds. Nothing is fetched from an
-        evacuated zone.
+        evacuated zone or from outside the home regions.
 
+        :param job: The request.
         :param cache: The KV cache.
         """
         now_seconds = self._context.clock.now_seconds()
         engine_id = cache.engine.upstream_id
         directory = self._context.directory
         known = directory.get(engine_id)
+        zones = job.homes.zones()
         return (
             known is not None
             and known.started_ms == cache.engine.started_ms
             and not directory.evacuated.contains(known.zone)
+            and (zones is None or known.zone in zones)
             and not directory.was_unreachable(engine_id, cache.prefilled_seconds)
             and now_seconds < cache.prefilled_seconds + CACHE_REUSE_SECONDS
         )
 
-    def release(self, cache: PrefilledCache) -> None:
+    def release(self, job: Job, cache: PrefilledCache) -> None:
         """
         Release a KV cache that will not be fetched.
 
+        :param job: The request.
         :param cache: The KV cache.
         """
         now_seconds = self._context.clock.now_seconds()
-        directory = self._context.directory
+        directory, zones = self._context.directory, job.homes.zones()
         if directory.is_away(cache.engine, now_seconds):
             reason = "the engine wants no request yet"
         elif directory.evacuated.contains(cache.engine.zone):
             reason = "the availability zone is evacuated"
+        elif zones is not None and cache.engine.zone not in zones:
+            reason = "the engine is outside the home regions"
         else:
             self._context.transport.release_handle(cache.engine, cache.handle)
             return
--- a/src/waxwingwinch/gateway/_process.py
+++ b/src/waxwingwinch/gateway/_process.py
@@ -226,6 +226,7 @@
             ReturnSchedule(state.directory, state.members),
             state.crashes,
             state.memory,
+            state.zone_regions,
         )
         return RequestHandler(
             context,
--- a/src/waxwingwinch/gateway/_returns.py
+++ b/src/waxwingwinch/gateway/_returns.py
@@ -2,7 +2,7 @@
 
 import threading
 
-from waxwingwinch._types import EngineRole
+from waxwingwinch._types import EngineRole, ZoneName
 from waxwingwinch.gateway._members import MemberDirectory
 from waxwingwinch.gateway._statement_log_lines import ServiceAway
 from waxwingwinch.gateway._upstreams import UpstreamDirectory
@@ -27,11 +27,16 @@
     def __init__(self, directory: UpstreamDirectory, members: MemberDirectory) -> None:
         self._directory = directory
         self._members = members
-        self._next_seconds: dict[str, float] = {}
+        # By service and allowed zones; there are few sets of home regions.
+        self._next_seconds: dict[tuple[str, frozenset[ZoneName] | None], float] = {}
         self._lock = threading.Lock()
 
     def wait_seconds(
-        self, request_id: str, service: str, now_seconds: float
+        self,
+        request_id: str,
+        service: str,
+        now_seconds: float,
+        zones: frozenset[ZoneName] | None = None,
     ) -> float | None:
         """
         Return after which time a refused caller should return.
@@ -39,18 +44,20 @@
         :param request_id: Id of the refused request.
         :param service: Name of the service.
         :param now_seconds: Monotonic time.
+        :param zones: Availability zones that may get the request; None for
+            all.
         :returns: None unless the upstreams that take requests of the service
             are all away.
         """
         if any(
             upstream.role is not EngineRole.PREFILL
-            for upstream in self._directory.usable(service, now_seconds)
+            for upstream in self._directory.usable(service, now_seconds, zones=zones)
         ):
             return None
         away = {
             upstream: until_seconds
             for upstream, until_seconds in self._directory.away(
-                service, now_seconds
+                service, now_seconds, zones
             ).items()
             if upstream.role is not EngineRole.PREFILL
         }
@@ -60,7 +67,7 @@
         slots = sum(upstream.slots for upstream in away)
         instances = len(self._members.ready_others(now_seconds)) + 1
         return_seconds = self._assign(
-            service, earliest_seconds, SLOT_SECONDS * instances / slots
+            (service, zones), earliest_seconds, SLOT_SECONDS * instances / slots
         )
         ServiceAway(
             request_id=request_id,
@@ -74,14 +81,15 @@
         return return_seconds - now_seconds
 
     def _assign(
-        self, service: str, earliest_seconds: float, interval_seconds: float
+        self,
+        key: tuple[str, frozenset[ZoneName] | None],
+        earliest_seconds: float,
+        interval_seconds: float,
     ) -> float:
         """Return the monotonic time of the next return."""
         with self._lock:
-            assigned_seconds = max(
-                self._next_seconds.get(service, 0.0), earliest_seconds
-            )
+            assigned_seconds = max(self._next_seconds.get(key, 0.0), earliest_seconds)
             if assigned_seconds > earliest_seconds + MAX_SPREAD_SECONDS:
                 assigned_seconds = earliest_seconds
-            self._next_seconds[service] = assigned_seconds + interval_seconds
+            self._next_seconds[key] = assigned_seconds + interval_seconds
             return assigned_seconds
--- a/src/waxwingwinch/gateway/_routes.py
+++ b/src/waxwingwinch/gateway/_routes.py
@@ -5,6 +5,7 @@
 
 from attrs import frozen
 
+from waxwingwinch._types import RegionName
 from waxwingwinch.gateway._model import CustomerRules, GatewayConfiguration, Route
 
 #: Number of cached hashes; enough for all instances, upstreams and the prompt
@@ -54,12 +55,26 @@
         :param host: Host name, with or without a port.
         :param path: Path without the query.
         """
-        name = host.lower().rpartition(":")[0] if ":" in host else host.lower()
-        for route in self._routes_by_host.get(name, ()):
+        for route in self._routes_of(host):
             if path.startswith(route.path_prefix):
                 return route
         return None
 
+    def home_regions(self, host: str) -> frozenset[RegionName]:
+        """
+        Return the home regions of all routes of a host.
+
+        :param host: Host name, with or without a port.
+        :returns: Empty if a route has none, or if the host has no route.
+        """
+        regions = [route.home_regions for route in self._routes_of(host)]
+        return frozenset().union(*regions) if all(regions) else frozenset()
+
+    def _routes_of(self, host: str) -> tuple[Route, ...]:
+        """Return the routes of a host, those with the longest prefix first."""
+        name = host.lower().rpartition(":")[0] if ":" in host else host.lower()
+        return self._routes_by_host.get(name, ())
+
     def customer(self, key: str) -> CustomerRules | None:
         """
         Return the customer that holds a key.
--- a/src/waxwingwinch/gateway/_state.py
+++ b/src/waxwingwinch/gateway/_state.py
@@ -4,6 +4,7 @@
 
 from attrs import define, field
 
+from waxwingwinch._types import RegionName, ZoneName
 from waxwingwinch.gateway._crash_evidence import CrashEvidence
 from waxwingwinch.gateway._current_table import CurrentTable
 from waxwingwinch.gateway._limit_keeper import LimitKeeper
@@ -27,6 +28,7 @@
 from waxwingwinch.gateway._usage_counts import UsageCounts
 from waxwingwinch.gateway._usage_table import UsageTable
 from waxwingwinch.gateway.evacuation import EvacuatedZones
+from waxwingwinch.gateway.homes import known_regions
 
 
 @define(eq=False)
@@ -55,6 +57,8 @@
     :param telemetry: Counters and histograms for the metrics.
     :param stopping: Set when a planned stop begins.
     :param configuration_payload: The configuration in force, as stored.
+    :param zone_regions: Region of each availability zone whose region is
+        known.
     """
 
     local_member: Member
@@ -78,6 +82,7 @@
     telemetry: Telemetry = field(factory=Telemetry)
     stopping: threading.Event = field(factory=threading.Event)
     configuration_payload: bytes = field(default=b"", repr=False)
+    zone_regions: dict[ZoneName, RegionName] = field(factory=dict)
 
     @directory.default
     def _make_directory(self) -> UpstreamDirectory:
@@ -113,6 +118,9 @@
             LimitKeeper(limits, quotas.share, now_seconds),
             CrashEvidence(local_member.instance_id),
             MemoryAccount(request_memory_bytes(options.memory_bytes, resident_bytes())),
+            zone_regions=known_regions(
+                options.zone, options.region, options.zone_regions
+            ),
         )
 
     @property
--- a/src/waxwingwinch/gateway/_upstreams.py
+++ b/src/waxwingwinch/gateway/_upstreams.py
@@ -3,6 +3,7 @@
 import enum
 import threading
 from collections import OrderedDict
+from collections.abc import Iterable
 from typing import TypeVar
 
 from attrs import evolve, frozen
@@ -319,18 +320,25 @@
                 until_seconds = max(until_seconds, known.until_seconds)
             _retain(self._away, upstream_id, _Away(started_ms, until_seconds))
 
-    def away(self, service: str, now_seconds: float) -> dict[Upstream, float]:
+    def away(
+        self,
+        service: str,
+        now_seconds: float,
+        zones: frozenset[ZoneName] | None = None,
+    ) -> dict[Upstream, float]:
         """
         Return the ready upstreams of a service that want no request now.
 
         :param service: Name of the service.
         :param now_seconds: Monotonic time.
+        :param zones: Availability zones to which they are restricted; None for
+            all.
         :returns: The monotonic time of the return of each.
         """
         with self._lock:
             return {
                 upstream: until_seconds
-                for upstream in self._upstreams.values()
+                for upstream in self._in_zones(zones)
                 if upstream.service == service
                 and upstream.state is RegisteredState.READY
                 and not self.evacuated.contains(upstream.zone)
@@ -515,7 +523,12 @@
         with self._lock:
             return self._upstreams.get(upstream_id)
 
-    def ready(self, upstream_id: UpstreamId, now_seconds: float) -> Upstream | None:
+    def ready(
+        self,
+        upstream_id: UpstreamId,
+        now_seconds: float,
+        zones: frozenset[ZoneName] | None = None,
+    ) -> Upstream | None:
         """
         Return the entry of an upstream; None unless it takes new work.
 
@@ -523,12 +536,20 @@
 
         :param upstream_id: Its id.
         :param now_seconds: Monotonic time.
+        :param zones: Availability zones that may get the work; None for all.
         """
         with self._lock:
             upstream = self._upstreams.get(upstream_id)
             if upstream is None or not self._takes_work(upstream, now_seconds):
                 return None
-            return upstream
+            return upstream if zones is None or upstream.zone in zones else None
+
+    def _in_zones(self, zones: frozenset[ZoneName] | None) -> Iterable[Upstream]:
+        """Return the upstreams in the given zones; without a cost for all."""
+        upstreams = self._upstreams.values()
+        if zones is None:
+            return upstreams
+        return [upstream for upstream in upstreams if upstream.zone in zones]
 
     def _takes_work(self, upstream: Upstream, now_seconds: float) -> bool:
         """Tell whether an upstream may get new work, as far as it says."""
@@ -556,6 +577,7 @@
         service: str,
         now_seconds: float,
         excluded: frozenset[UpstreamId] = frozenset(),
+        zones: frozenset[ZoneName] | None = None,
     ) -> tuple[Upstream, ...]:
         """
         Return the upstreams that can take new work of a service.
@@ -567,10 +589,11 @@
         :param service: Name of the service.
         :param now_seconds: Monotonic time.
         :param excluded: Upstreams that must not be returned.
+        :param zones: Availability zones that may get the work; None for all.
         """
         by_role: dict[EngineRole | None, list[Upstream]] = {}
         with self._lock:
-            for upstream in self._upstreams.values():
+            for upstream in self._in_zones(zones):
                 is_ready = self._takes_work(upstream, now_seconds)
                 role_change = self._role_changes.get(upstream.upstream_id)
                 is_serving = (
--- a/src/waxwingwinch/gateway/tests/relay_harness.py
+++ b/src/waxwingwinch/gateway/tests/relay_harness.py
@@ -11,6 +11,7 @@
     CustomerId,
     EngineRole,
     InstanceId,
+    RegionName,
     UpstreamId,
     ZoneName,
 )
@@ -387,6 +388,7 @@
         )
         self.transport.on_statements = observer.observe
         self.memory = MemoryAccount(10**9)
+        self.zone_regions: dict[ZoneName, RegionName] = {}
         context = RelayContext(
             self.clock,
             ZONE,
@@ -404,6 +406,7 @@
             ReturnSchedule(self.directory, self.members),
             self.crashes,
             self.memory,
+            self.zone_regions,
         )
         self.handler = RequestHandler(context, self.table, self.quotas, CallerWatcher())
         self.version = 0
--- a/src/waxwingwinch/platform/_adapter.py
+++ b/src/waxwingwinch/platform/_adapter.py
@@ -2,9 +2,10 @@
 
 from attrs import frozen
 
-from waxwingwinch._types import Address, ZoneName
+from waxwingwinch._types import Address, RegionName, ZoneName
 from waxwingwinch.gateway import (
     GatewayConfiguration,
+    ResolveQuery,
     Upstream,
 )
 from waxwingwinch.kernel import Clock
@@ -106,18 +107,24 @@
         """
         return decode_upstream(upstream_id, payload, now_seconds)
 
-    def read_resolve(self, path: str, query: dict[str, list[str]]) -> ZoneName | None:
+    def read_resolve(
+        self, path: str, query: dict[str, list[str]]
+    ) -> ResolveQuery | None:
         """
         Parse a caller's request for the addresses of gateway instances.
 
         :param path: Path of the request.
         :param query: Query parameters of the request.
-        :returns: The caller's availability zone; None if the path is not
+        :returns: The caller's question; None if the path is not
             ``RESOLVE_PATH``.
         """
         if path != RESOLVE_PATH:
             return None
-        return ZoneName(query.get("zone", [""])[0])
+        return ResolveQuery(
+            host=query.get("name", [""])[0],
+            region=RegionName(query.get("region", [""])[0]),
+            zone=ZoneName(query.get("zone", [""])[0]),
+        )
 
     def encode_resolve(
         self, addresses: tuple[Address, ...], ttl_seconds: float
