Bound the requests to cold upstreams over all instances

A cold upstream (coldLeftMs in its entry, or Cold-Ms in its answers) could get any number of requests from all instances together; only the choice of a plain upstream counted it one step more loaded.

Where a service names a rate for cold upstreams, each request to one needs a permit. The keepers of an upstream follow from the member records alone: a first keeper with what a cold upstream can handle, and reserve keepers with a request each. All their shares stay below the bound, so nothing has to be detected when instances end, freeze or are cut off.

--- a/src/waxwingwinch/gateway/__init__.py
+++ b/src/waxwingwinch/gateway/__init__.py
@@ -80,6 +80,7 @@
     UpstreamTransport,
 )
 from waxwingwinch.gateway._upstreams import RegisteredState, Upstream
+from waxwingwinch.gateway.cold import NoColdPermit
 
 __all__ = [
     "AppendConflict",
@@ -99,6 +100,7 @@
     "GatewayProcess",
     "GatewayRequest",
     "HandleNotReleased",
+    "NoColdPermit",
     "HistoryReplaced",
     "KeyedRecord",
     "KeyedSnapshot",
--- a/src/waxwingwinch/gateway/_cache_survey.py
+++ b/src/waxwingwinch/gateway/_cache_survey.py
@@ -7,6 +7,7 @@
 from waxwingwinch.gateway._state import GatewayState
 from waxwingwinch.gateway._transport import UpstreamTransport
 from waxwingwinch.gateway._upstreams import Upstream
+from waxwingwinch.gateway.cold import OwnCallSkipped
 from waxwingwinch.http import AnswerMissing, NotSent
 from waxwingwinch.kernel import Clock
 
@@ -53,6 +54,12 @@
         while not self._zone_engines() and self._clock.now_seconds() < end_seconds:
             pause.wait(POLL_INTERVAL_SECONDS)
         for engine, capacity_tokens in self._zone_engines():
+            if self._state.cold.is_limited(engine, self._clock.now_seconds()):
+                # Its cache is as good as empty.
+                OwnCallSkipped(
+                    upstream_id=engine.upstream_id, call="cache survey"
+                ).write()
+                continue
             try:
                 parts = self._transport.cached_parts(engine)
             except (NotSent, AnswerMissing) as error:
--- a/src/waxwingwinch/gateway/_change_log.py
+++ b/src/waxwingwinch/gateway/_change_log.py
@@ -120,6 +120,7 @@
         or delta.switching
         or delta.named_limits
         or delta.limited_sends
+        or delta.cold
         or not delta.crash_evidence.is_empty
         or previous.unreachable
         or previous.leaving != delta.leaving
--- a/src/waxwingwinch/gateway/_duty_worker.py
+++ b/src/waxwingwinch/gateway/_duty_worker.py
@@ -1,7 +1,7 @@
 """Claiming the gateway's duty and doing the work of its holder."""
 
 import threading
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import Protocol
 
 from attrs import frozen
@@ -148,6 +148,8 @@
         window_seconds: float,
         clock: Clock,
     ) -> None:
+        #: Tells whether an upstream may get a call of the gateway now.
+        self.may_call: Callable[[Upstream], bool] = lambda _: True
         self._duty_lease = duty_lease
         self._calls = calls
         self._table = table
@@ -341,6 +343,9 @@
             if engine is None:
                 # It leaves by now, or wants no call of this process yet.
                 continue
+            if not self.may_call(engine):
+                # It is cold; the change is tried again with the next run.
+                continue
             self._next_role_change_seconds = now_seconds + ROLE_CHANGE_INTERVAL_SECONDS
             self._calls.change_role(
                 engine, change.role, self._duty_lease.require_epoch()
--- a/src/waxwingwinch/gateway/_engine_choice.py
+++ b/src/waxwingwinch/gateway/_engine_choice.py
@@ -289,6 +289,7 @@
                     upstream.upstream_id, prompt.parts
                 ),
                 self._context.slowdowns.slowdown(upstream.upstream_id),
+                self._context.permits.is_cold(upstream),
             )
             for upstream in self._context.directory.usable(
                 job.service.name, now_seconds, progress.excluded
--- a/src/waxwingwinch/gateway/_limit_messages.py
+++ b/src/waxwingwinch/gateway/_limit_messages.py
@@ -55,6 +55,8 @@
     :param limit_age_seconds: Time since the limit was last observed.
     :param is_last: True if the caller is refused without the permit, and told
         when to return.
+    :param cold_seconds: Time for which the upstream is cold; 0 if the request
+        is about a limit that it names.
     """
 
     upstream_id: UpstreamId
@@ -62,6 +64,7 @@
     limit_per_second: float
     limit_age_seconds: float
     is_last: bool
+    cold_seconds: float = 0.0
 
 
 @message("gateway_permit_reply", is_positional=True)
--- a/src/waxwingwinch/gateway/_permits.py
+++ b/src/waxwingwinch/gateway/_permits.py
@@ -18,6 +18,7 @@
 from waxwingwinch.gateway._routes import stable_rank
 from waxwingwinch.gateway._telemetry import CounterName, Telemetry
 from waxwingwinch.gateway._upstreams import Upstream
+from waxwingwinch.gateway.cold import ColdBroker, NoColdPermit, OwnCallSkipped
 from waxwingwinch.kernel import Clock
 
 #: Longest wait for the keeper of a limit; several round trips between zones.
@@ -73,6 +74,7 @@
     :param telemetry: Metrics of the process.
     :param is_ready: Tells whether this process accepts callers.
     :param clock: Source of the present time.
+    :param cold: Obtains permits for cold upstreams; None if none are needed.
     """
 
     def __init__(
@@ -83,6 +85,7 @@
         telemetry: Telemetry,
         is_ready: Callable[[], bool],
         clock: Clock,
+        cold: ColdBroker | None = None,
     ) -> None:
         #: Asks another instance, given the longest wait in seconds.
         self.ask: Callable[[Member, PermitRequest, float], PermitReply] = _ask_nobody
@@ -92,6 +95,7 @@
         self._telemetry = telemetry
         self._is_ready = is_ready
         self._clock = clock
+        self._cold = cold
         self._refused_until_seconds: dict[UpstreamId, float] = {}
         self._lock = threading.Lock()
 
@@ -104,6 +108,66 @@
         limit = self._limits.get(upstream.upstream_id, upstream.started_ms)
         return limit is not None
 
+    def is_cold(self, upstream: Upstream) -> bool:
+        """
+        Tell whether requests to an upstream are bounded, as it is cold.
+
+        :param upstream: The upstream.
+        """
+        return self._cold is not None and self._cold.is_needed(upstream)
+
+    def acquire_cold(self, request_id: str, upstream: Upstream) -> NoPermit | None:
+        """
+        Obtain a permit for an upstream if it is cold.
+
+        :param request_id: Id of the request.
+        :param upstream: The upstream.
+        :returns: None if the request may be sent soon.
+        """
+        if self._cold is None or not self.is_cold(upstream):
+            return None
+        refusal = self._cold.acquire(request_id, upstream, self.ask)
+        if refusal is None:
+            return None
+        return NoPermit(
+            upstream.upstream_id, refusal.wait_seconds, refusal.return_seconds
+        )
+
+    def take_cold(self, request_id: str, upstream: Upstream) -> float | None:
+        """
+        Use the permit of a request that is sent now, if its upstream is cold.
+
+        :param request_id: Id of the request.
+        :param upstream: The upstream.
+        :returns: Monotonic time by which it has to be sent; None for any time.
+        :raises NoColdPermit: If the request must not be sent there.
+        """
+        if self._cold is None or not self._cold.is_needed(upstream):
+            return None
+        return self._cold.take(request_id, upstream, self.ask)
+
+    def may_call(self, upstream: Upstream) -> bool:
+        """
+        Tell whether the gateway itself may call an upstream at once.
+
+        :param upstream: The upstream.
+        """
+        try:
+            self.take_cold(f"own-{upstream.upstream_id}", upstream)
+        except NoColdPermit:
+            OwnCallSkipped(upstream_id=upstream.upstream_id, call="order").write()
+            return False
+        return True
+
+    def record_failure(self, upstream: Upstream) -> None:
+        """
+        Record a failed call: the upstream may have restarted, and be cold.
+
+        :param upstream: The upstream.
+        """
+        if self._cold is not None:
+            self._cold.suspect(upstream)
+
     def acquire(
         self, request_id: str, upstream: Upstream, is_last: bool
     ) -> NoPermit | None:
@@ -115,6 +179,9 @@
         :param is_last: True if the caller is refused without the permit.
         :returns: None if the request may be sent.
         """
+        refusal = self.acquire_cold(request_id, upstream)
+        if refusal is not None:
+            return refusal
         limit = self._limits.get(upstream.upstream_id, upstream.started_ms)
         if limit is None:
             return None
@@ -237,7 +304,8 @@
         if upstream.upstream_id in self._granted or not self._broker.is_needed(
             upstream
         ):
-            return None
+            # A permit for a cold upstream expires before a prefill ends.
+            return self._broker.acquire_cold(self._request_id, upstream)
         refusal = self._broker.acquire(self._request_id, upstream, is_last)
         if refusal is None:
             self._granted.add(upstream.upstream_id)
--- a/src/waxwingwinch/gateway/_placement.py
+++ b/src/waxwingwinch/gateway/_placement.py
@@ -37,6 +37,12 @@
 #: Fraction of the latency objective within which one engine runs both phases
 #: although two would be faster; transferring a KV cache has a price.
 DIRECT_TARGET_FRACTION = 0.6
+#: Prefill time of a cold engine relative to the same engine later. Assumed:
+#: upstreams state how long they are cold, not how slow.
+COLD_SLOWDOWN = 2.0
+#: Minimum time saved for which a cold engine is preferred; above the affinity
+#: penalty, so that affinity doesn't use up the few requests that it can take.
+COLD_PENALTY_SECONDS = 0.5
 #: Maximum affinity penalty; for an engine with nothing of a prompt cached, it
 #: depends only on a hash of the shared prefix and the engine, which makes all
 #: instances choose the same engine.
@@ -57,6 +63,7 @@
     :param load: Work in progress there.
     :param cached_tokens: Leading tokens of the prompt that it has cached.
     :param slowdown: Its measured prefill time relative to the expected time.
+    :param is_cold: True while it is cold and gets few requests.
     """
 
     upstream_id: UpstreamId
@@ -65,6 +72,12 @@
     load: UpstreamLoad
     cached_tokens: int = 0
     slowdown: float = 1.0
+    is_cold: bool = False
+
+    @property
+    def present_slowdown(self) -> float:
+        """Prefill time relative to the expected time, also while cold."""
+        return self.slowdown * (COLD_SLOWDOWN if self.is_cold else 1.0)
 
 
 @frozen
@@ -153,6 +166,7 @@
                 prompt, pair[0].upstream_id, pair[1].read_tokens
             )
             + _zone_penalty_seconds(pair[0].zone, local_zone)
+            + _cold_penalty_seconds(pair[0])
         ),
     )
     split = _plan_split(prompt, options, decode_engines, local_zone)
@@ -198,7 +212,7 @@
 def _plan_direct(prompt: PromptSize, option: EngineOption) -> RunDirectly:
     cached_tokens = min(option.cached_tokens, prompt.tokens)
     engine_factor = DECODE_SLOWDOWN if option.role is EngineRole.DECODE else 1.0
-    engine_factor *= option.slowdown
+    engine_factor *= option.present_slowdown
     prefill_seconds = estimate_prefill_seconds(prompt.tokens, cached_tokens)
     idle_seconds = engine_factor * prefill_seconds + FIRST_EVENT_SECONDS
     queue_seconds = engine_factor * work_seconds(option.load.waiting_tokens)
@@ -232,12 +246,14 @@
                 prompt.tokens - min(option.cached_tokens, prompt.tokens),
             )
             + _zone_penalty_seconds(option.zone, local_zone)
+            + _cold_penalty_seconds(option)
         ),
     )
     decode_engine = min(
         decode_engines,
         key=lambda option: (
             _decode_delay_seconds(option)
+            + _cold_penalty_seconds(option)
             + AFFINITY_SECONDS * stable_rank(prompt.shared_id, option.upstream_id)
             + (
                 0.0
@@ -249,7 +265,7 @@
     cached_tokens = min(prefill_engine.cached_tokens, prompt.tokens)
     prefill_seconds = estimate_prefill_seconds(prompt.tokens, cached_tokens)
     idle_seconds = (
-        prefill_engine.slowdown * prefill_seconds
+        prefill_engine.present_slowdown * prefill_seconds
         + KV_TRANSFER_SECONDS
         + FIRST_EVENT_SECONDS
     )
@@ -267,13 +283,13 @@
 
 def _prefill_delay_seconds(prompt: PromptSize, option: EngineOption) -> float:
     cached_tokens = min(option.cached_tokens, prompt.tokens)
-    return _queue_seconds(option) + option.slowdown * estimate_prefill_seconds(
+    return _queue_seconds(option) + option.present_slowdown * estimate_prefill_seconds(
         prompt.tokens, cached_tokens
     )
 
 
 def _queue_seconds(option: EngineOption) -> float:
-    return option.slowdown * work_seconds(option.load.waiting_tokens)
+    return option.present_slowdown * work_seconds(option.load.waiting_tokens)
 
 
 def _decode_delay_seconds(option: EngineOption) -> float:
@@ -301,6 +317,10 @@
     return 0.0 if zone == local_zone else OTHER_ZONE_PENALTY_SECONDS
 
 
+def _cold_penalty_seconds(option: EngineOption) -> float:
+    return COLD_PENALTY_SECONDS if option.is_cold else 0.0
+
+
 @frozen
 class PlainOption:
     """
--- a/src/waxwingwinch/gateway/_plain_relay.py
+++ b/src/waxwingwinch/gateway/_plain_relay.py
@@ -327,7 +327,7 @@
                 upstream.zone,
                 upstream.slots,
                 totals.get(upstream.upstream_id, NO_LOAD).running,
-                upstream.cold_until_seconds > now_seconds,
+                self._context.directory.is_cold(upstream, now_seconds),
             )
             for upstream in usable.values()
         ]
--- a/src/waxwingwinch/gateway/_prefill.py
+++ b/src/waxwingwinch/gateway/_prefill.py
@@ -148,6 +148,8 @@
             reason = "the engine wants no request yet"
         elif directory.evacuated.contains(cache.engine.zone):
             reason = "the availability zone is evacuated"
+        elif self._context.permits.is_cold(cache.engine):
+            reason = "the engine is cold"
         else:
             self._context.transport.release_handle(cache.engine, cache.handle)
             return
--- a/src/waxwingwinch/gateway/_process.py
+++ b/src/waxwingwinch/gateway/_process.py
@@ -47,6 +47,7 @@
 from waxwingwinch.gateway._stop import StopSequence, run_part, stop_schedule
 from waxwingwinch.gateway._store_feed import StoreFeed
 from waxwingwinch.gateway._unanswered import UnansweredConnections, UnansweredStage
+from waxwingwinch.gateway.cold import ColdBroker
 from waxwingwinch.kernel import BindAbandoned, Clock
 from waxwingwinch.peers import PeerIdentity, PeerProgram
 
@@ -126,14 +127,25 @@
             self._state.telemetry,
             lambda: self._state.is_ready,
             clock,
+            ColdBroker(
+                self._state.cold_keeper,
+                self._state.members,
+                self._state.telemetry,
+                clock,
+            ),
         )
         statements = StatementObserver(
-            self._state.directory, self._state.limits, self._state.telemetry, clock
+            self._state.directory,
+            self._state.limits,
+            self._state.telemetry,
+            clock,
+            self._state.cold,
         )
         adapter.transport.on_statements = statements.observe
         adapter.duty_calls.on_statements = statements.observe
         self._handler = self._make_handler()
         self._duty_worker = self._make_duty_worker()
+        self._duty_worker.may_call = self._permits.may_call
         self._unanswered = UnansweredConnections(self._state.telemetry)
         self._front = FrontServer(
             options.front_address,
--- a/src/waxwingwinch/gateway/_record_applier.py
+++ b/src/waxwingwinch/gateway/_record_applier.py
@@ -141,6 +141,7 @@
             UpstreamMalformed(record.key, str(error)).write()
             self._drop_upstream(upstream_id)
             return RecordEffect.NEW
+        self._record_cold(upstream, now_seconds)
         previous = self._state.directory.put(upstream)
         if previous is not None and previous.started_ms != upstream.started_ms:
             self._state.prefixes.remove_engine(upstream_id)
@@ -161,6 +162,17 @@
             ).write()
         return self._classify_entry(upstream)
 
+    def _record_cold(self, upstream: Upstream, now_seconds: float) -> None:
+        """Record whether an upstream is cold, before it gets requests."""
+        directory = self._state.directory
+        age_seconds = None
+        if directory.age_seconds(now_seconds) is None:
+            # The upstream may have started long before this process.
+            started_seconds = upstream.started_ms / 1_000
+            age_seconds = max(self._clock.wall_seconds() - started_seconds, 0.0)
+        previous = directory.get(upstream.upstream_id)
+        self._state.cold.put_entry(upstream, previous, age_seconds, now_seconds)
+
     def _classify_entry(self, upstream: Upstream) -> RecordEffect:
         """Classify an entry that was just applied."""
         known = self._state.directory.get(upstream.upstream_id)
@@ -257,6 +269,7 @@
     def on_members_read(self, _: float) -> None:
         """Recompute the shares of quotas and budgets after a read."""
         self.share_limits()
+        self._state.cold_keeper.record_members(self._clock.now_seconds())
 
     def share_limits(self) -> None:
         """Divide quotas and budgets among the instances with a record."""
--- a/src/waxwingwinch/gateway/_report_messages.py
+++ b/src/waxwingwinch/gateway/_report_messages.py
@@ -16,6 +16,7 @@
 from waxwingwinch.gateway._loads import UpstreamLoad
 from waxwingwinch.gateway._outage import PEER_READ_MAX_AGE_SECONDS
 from waxwingwinch.gateway._requests import PromptPart
+from waxwingwinch.gateway.cold import ColdUpstreamReport
 
 
 @message("gateway_prompt_placement", is_positional=True)
@@ -99,6 +100,7 @@
     :param limited_sends: Its recent requests to upstreams with a limit.
     :param crash_evidence: What it knows of crashes of engines.
     :param leaving: Upstreams that it was first told to leave.
+    :param cold: Upstreams whose answers told it that they are cold.
     """
 
     instance_id: InstanceId
@@ -120,6 +122,7 @@
     limited_sends: tuple[LimitedSends, ...] = ()
     crash_evidence: CrashEvidenceReport = CrashEvidenceReport()
     leaving: tuple[LeavingUpstream, ...] = ()
+    cold: tuple[ColdUpstreamReport, ...] = ()
 
     @property
     def has_recent_store_read(self) -> bool:
--- a/src/waxwingwinch/gateway/_report_table.py
+++ b/src/waxwingwinch/gateway/_report_table.py
@@ -265,6 +265,7 @@
         limited_sends=report.limited_sends,
         crash_evidence=report.crash_evidence,
         leaving=report.leaving,
+        cold=report.cold,
     )
 
 
--- a/src/waxwingwinch/gateway/_reports.py
+++ b/src/waxwingwinch/gateway/_reports.py
@@ -93,6 +93,7 @@
             switching=self._switching(now_seconds),
             placements=state.placements.recent(),
             sequence=self._sequence,
+            cold=state.cold.reports(now_seconds),
             named_limits=state.limits.limit_reports(now_seconds),
             limited_sends=limited_sends,
             crash_evidence=state.crashes.report(now_seconds),
@@ -140,6 +141,7 @@
         )
         state.crashes.apply(report.crash_evidence, report.incarnation, made_seconds)
         self._record_leaving(report, made_seconds)
+        self._record_cold(report, made_seconds)
         known = self._last_placements.get(report.instance_id)
         for placement in report.placements:
             if known is None or known.precedes(report.incarnation, placement):
@@ -158,9 +160,10 @@
         :param sender_id: The instance.
         :param request: What it asks.
         """
-        return self._state.limit_keeper.decide(
-            sender_id, request, self._clock.now_seconds()
-        )
+        now_seconds = self._clock.now_seconds()
+        if request.cold_seconds > 0:
+            return self._state.cold_keeper.decide(request, now_seconds)
+        return self._state.limit_keeper.decide(sender_id, request, now_seconds)
 
     def confirm_unchanged(self, received_reports: Sequence[ReceivedReport]) -> None:
         """
@@ -201,12 +204,14 @@
         """Count this process's own requests, and delete what is outdated."""
         state = self._state
         state.limit_keeper.mark_active(now_seconds)
+        state.cold_keeper.mark_active(now_seconds)
         own = state.local_member
         state.limit_keeper.record_sends(
             own.instance_id, own.incarnation, limited_sends, now_seconds
         )
         upstream_ids = {upstream.upstream_id for upstream in state.directory.all()}
         state.limits.retain_only(upstream_ids)
+        state.cold.retain_only(upstream_ids, now_seconds)
         state.limit_keeper.retain_only(upstream_ids, now_seconds)
 
     def _switching(self, now_seconds: float) -> tuple[RoleChangeReport, ...]:
@@ -235,6 +240,25 @@
                     age_seconds=self._clock.now_seconds() - made_seconds,
                 ).write()
 
+    def _record_cold(self, report: InstanceReport, made_seconds: float) -> None:
+        directory, cold = self._state.directory, self._state.cold
+        for upstream_id in report.unreachable:
+            unreachable = directory.get(upstream_id)
+            if unreachable is not None:
+                # It may have restarted, and be cold.
+                cold.suspect(unreachable, made_seconds)
+        for stated in report.cold:
+            upstream = directory.get(stated.upstream_id)
+            if upstream is not None:
+                cold.record_report(
+                    upstream,
+                    stated.started_ms,
+                    stated.remaining_seconds,
+                    report.instance_id,
+                    made_seconds,
+                    self._clock.now_seconds(),
+                )
+
     def _record_placement(self, placement: PromptPlacement) -> None:
         upstream = self._state.directory.get(placement.upstream_id)
         table = self._state.table.get()
--- a/src/waxwingwinch/gateway/_state.py
+++ b/src/waxwingwinch/gateway/_state.py
@@ -10,6 +10,7 @@
 from waxwingwinch.gateway._loads import LoadTracker
 from waxwingwinch.gateway._members import Member, MemberDirectory
 from waxwingwinch.gateway._memory_account import MemoryAccount
+from waxwingwinch.gateway._model import ServiceRules
 from waxwingwinch.gateway._named_limits import NamedLimits
 from waxwingwinch.gateway._options import GatewayOptions
 from waxwingwinch.gateway._outage import OutageTracker
@@ -26,6 +27,7 @@
 from waxwingwinch.gateway._upstreams import UpstreamDirectory
 from waxwingwinch.gateway._usage_counts import UsageCounts
 from waxwingwinch.gateway._usage_table import UsageTable
+from waxwingwinch.gateway.cold import ColdKeeper, ColdPeriods, ColdPolicy
 from waxwingwinch.gateway.evacuation import EvacuatedZones
 
 
@@ -46,6 +48,10 @@
     :param table: The configuration in force.
     :param evacuated: Availability zones whose upstreams get no requests.
     :param directory: Directory of the registered upstreams.
+    :param cold_policy: What the settings say of cold upstreams.
+    :param cold: The times during which upstreams are cold.
+    :param cold_keeper: Grants requests to some cold upstreams for all
+        instances.
     :param loads: Work in progress at the upstreams.
     :param prefixes: Estimated cached prompt parts of the engines.
     :param slowdowns: Measured prefill slowdown of the engines.
@@ -69,6 +75,9 @@
     table: CurrentTable = field(factory=CurrentTable)
     evacuated: EvacuatedZones = field(factory=EvacuatedZones)
     directory: UpstreamDirectory = field()
+    cold_policy: ColdPolicy = ColdPolicy()
+    cold: ColdPeriods = field()
+    cold_keeper: ColdKeeper = field()
     loads: LoadTracker = field(factory=LoadTracker)
     prefixes: PrefixIndex = field(factory=PrefixIndex)
     slowdowns: SlowdownTracker = field(factory=SlowdownTracker)
@@ -83,6 +92,20 @@
     def _make_directory(self) -> UpstreamDirectory:
         return UpstreamDirectory(self.evacuated)
 
+    @cold.default
+    def _make_cold(self) -> ColdPeriods:
+        cold = ColdPeriods(self._find_rules)
+        self.directory.cold_until_seconds = cold.until_seconds
+        return cold
+
+    @cold_keeper.default
+    def _make_cold_keeper(self) -> ColdKeeper:
+        return ColdKeeper(self.cold, self.members, self.cold_policy, self.directory.get)
+
+    def _find_rules(self, service: str) -> ServiceRules | None:
+        table = self.table.get()
+        return table.configuration.services.get(service) if table is not None else None
+
     @classmethod
     def create(
         cls, local_member: Member, options: GatewayOptions, now_seconds: float
@@ -113,6 +136,7 @@
             LimitKeeper(limits, quotas.share, now_seconds),
             CrashEvidence(local_member.instance_id),
             MemoryAccount(request_memory_bytes(options.memory_bytes, resident_bytes())),
+            cold_policy=ColdPolicy(options.cold_overshoot, options.cold_slack),
         )
 
     @property
--- a/src/waxwingwinch/gateway/_statements.py
+++ b/src/waxwingwinch/gateway/_statements.py
@@ -11,6 +11,7 @@
 )
 from waxwingwinch.gateway._telemetry import CounterName, Telemetry
 from waxwingwinch.gateway._upstreams import Upstream, UpstreamDirectory
+from waxwingwinch.gateway.cold import ColdPeriods
 from waxwingwinch.kernel import Clock
 
 
@@ -26,12 +27,15 @@
     :param is_leaving: True if the upstream takes no new work any more.
     :param return_seconds: Time for which the upstream wants no request from
         this instance; None if the answer names none.
+    :param cold_seconds: Time for which the upstream remains cold; None if the
+        answer doesn't say.
     """
 
     may_end_limit: bool = True
     limit_per_second: float | None = None
     is_leaving: bool = False
     return_seconds: float | None = None
+    cold_seconds: float | None = None
 
 
 #: Receives the statements of an answer, given the upstream and the monotonic
@@ -60,12 +64,14 @@
     :param limits: Limits that upstreams name.
     :param telemetry: Metrics of the process.
     :param clock: Source of the present time.
+    :param cold: The times during which upstreams are cold.
     """
 
     _directory: UpstreamDirectory = field(repr=False)
     _limits: NamedLimits = field(repr=False)
     _telemetry: Telemetry = field(repr=False)
     _clock: Clock = field(repr=False)
+    _cold: ColdPeriods | None = field(default=None, repr=False)
 
     def observe(
         self, upstream: Upstream, statements: UpstreamStatements, sent_seconds: float
@@ -79,6 +85,11 @@
         """
         now_seconds = self._clock.now_seconds()
         self._observe_limit(upstream, statements, sent_seconds, now_seconds)
+        if statements.cold_seconds is not None and self._cold is not None:
+            self._telemetry.count(CounterName.STATEMENTS, "cold")
+            self._cold.record_statement(
+                upstream, statements.cold_seconds, sent_seconds, now_seconds
+            )
         if statements.is_leaving:
             self._observe_leaving(upstream, now_seconds - sent_seconds)
         if statements.return_seconds is not None:
--- a/src/waxwingwinch/gateway/_telemetry.py
+++ b/src/waxwingwinch/gateway/_telemetry.py
@@ -35,6 +35,8 @@
     EJECTIONS = "waxwing_ejections"
     LIMITED_SENDS = "waxwing_limited_sends"
     LIMIT_PERMITS = "waxwing_limit_permits"
+    COLD_PERMITS = "waxwing_cold_permits"
+    COLD_SENDS = "waxwing_cold_sends"
     BROKEN_ATTEMPTS = "waxwing_broken_attempts"
     STATEMENTS = "waxwing_upstream_statements"
     UNANSWERED_CONNECTIONS = "waxwing_unanswered_connections"
--- a/src/waxwingwinch/gateway/_transport.py
+++ b/src/waxwingwinch/gateway/_transport.py
@@ -50,6 +50,8 @@
     :param last_event_id: The event after which a resumed stream continues.
     :param needs_new_connection: True if no idle connection may be reused,
         since the request could not be retried if it turned out closed.
+    :param latest_send_seconds: Monotonic time after which it must not be sent,
+        as its permit for a cold upstream has expired; None for any time.
     """
 
     request: GatewayRequest
@@ -59,6 +61,7 @@
     end_seconds: float
     last_event_id: str | None = None
     needs_new_connection: bool = False
+    latest_send_seconds: float | None = None
 
 
 class OpenCall(Protocol):
--- a/src/waxwingwinch/gateway/_upstream_calls.py
+++ b/src/waxwingwinch/gateway/_upstream_calls.py
@@ -1,6 +1,6 @@
 """Calls to upstreams."""
 
-from attrs import define
+from attrs import define, evolve
 
 from waxwingwinch.gateway._job import Job, RelayContext
 from waxwingwinch.gateway._limit_log_lines import LimitedRequestSent
@@ -18,6 +18,7 @@
     UpstreamResponse,
 )
 from waxwingwinch.gateway._upstreams import Upstream
+from waxwingwinch.gateway.cold import NoColdPermit
 from waxwingwinch.http import AnswerMissing, ConnectTimedOut, NotSent
 
 #: Status of an upstream that now serves another service or is another
@@ -50,6 +51,7 @@
     :raises CallDropped: If the earlier call is preferred.
     :raises Cancelled: If it was cancelled before it was sent.
     """
+    call = _with_permit(context, job, upstream, call)
     _record_send(context, job, upstream, now_seconds)
     response = context.transport.open(
         upstream, call, job.cancellation, now_seconds, wait_seconds, silent
@@ -111,6 +113,7 @@
     :raises AnswerMissing: If the connection failed meanwhile.
     :raises Cancelled: If it was cancelled before it was sent.
     """
+    call = _with_permit(context, job, upstream, call)
     _record_send(context, job, upstream, now_seconds)
     pending = context.transport.send(
         upstream, call, job.cancellation, now_seconds, wait_seconds
@@ -143,6 +146,10 @@
     :param upstream: The upstream.
     :param error: The error of the call.
     """
+    if isinstance(error, NoColdPermit):
+        # The upstream hasn't failed; the decision is logged already.
+        return
+    context.permits.record_failure(upstream)
     now_seconds = context.clock.now_seconds()
     context.telemetry.count(CounterName.UPSTREAM_FAILURES, type(error).__name__)
     context.telemetry.count(CounterName.EJECTIONS, job.service.name)
@@ -187,6 +194,15 @@
     ).write()
 
 
+def _with_permit(
+    context: RelayContext, job: Job, upstream: Upstream, call: UpstreamCall
+) -> UpstreamCall:
+    latest_seconds = context.permits.take_cold(job.request.request_id, upstream)
+    if latest_seconds is None:
+        return call
+    return evolve(call, latest_send_seconds=latest_seconds)
+
+
 def _record_send(
     context: RelayContext, job: Job, upstream: Upstream, now_seconds: float
 ) -> None:
--- a/src/waxwingwinch/gateway/_upstreams.py
+++ b/src/waxwingwinch/gateway/_upstreams.py
@@ -3,6 +3,7 @@
 import enum
 import threading
 from collections import OrderedDict
+from collections.abc import Callable
 from typing import TypeVar
 
 from attrs import evolve, frozen
@@ -50,6 +51,7 @@
     :param role: Role of an engine; None for a plain upstream.
     :param is_spot: True if the platform may reclaim it.
     :param sequence: Increases with each entry of one incarnation.
+    :param is_cold_stated: False if the entry doesn't say whether it is cold.
     """
 
     upstream_id: UpstreamId
@@ -63,6 +65,7 @@
     role: EngineRole | None = None
     is_spot: bool = False
     sequence: int = 0
+    is_cold_stated: bool = True
 
     def is_older_than(self, other: "Upstream") -> bool:
         """
@@ -136,6 +139,10 @@
     def __init__(self, evacuated: EvacuatedZones | None = None) -> None:
         #: Availability zones whose upstreams get no requests.
         self.evacuated = evacuated or EvacuatedZones()
+        #: Returns the monotonic time until which an upstream is cold.
+        self.cold_until_seconds: Callable[[Upstream], float] = lambda upstream: (
+            upstream.cold_until_seconds
+        )
         self._upstreams: dict[UpstreamId, Upstream] = {}
         # Last entries of removed upstreams; an older entry may arrive after
         # the removal.
@@ -347,6 +354,15 @@
         with self._lock:
             return self._away_until_seconds(upstream) > now_seconds
 
+    def is_cold(self, upstream: Upstream, now_seconds: float) -> bool:
+        """
+        Tell whether an upstream is cold.
+
+        :param upstream: The upstream.
+        :param now_seconds: Monotonic time.
+        """
+        return self.cold_until_seconds(upstream) > now_seconds
+
     def _away_until_seconds(self, upstream: Upstream) -> float:
         away = self._away.get(upstream.upstream_id)
         if away is None or away.started_ms != upstream.started_ms:
--- a/src/waxwingwinch/platform/_statements.py
+++ b/src/waxwingwinch/platform/_statements.py
@@ -11,11 +11,13 @@
     UpstreamStatements,
 )
 from waxwingwinch.platform._headers import (
+    COLD_MS,
     INSTANCE_ID,
     RETRY_AFTER,
     SERVER_LEAVING,
     SERVER_LIMIT,
 )
+from waxwingwinch.platform._upstreams import MAX_COLD_MS
 
 #: HTTP status with which an upstream refuses a request meant for another one.
 MISDIRECTED_STATUS = 421
@@ -26,6 +28,8 @@
 #: Characters of a malformed value that are logged.
 MAX_LOGGED_CHARACTERS = 64
 
+_MILLISECONDS_PER_SECOND = 1_000
+_MILLISECONDS = re.compile(r"[0-9]{1,18}")
 _DECIMAL = re.compile(r"[0-9]+(\.[0-9]*)?|\.[0-9]+")
 
 
@@ -52,6 +56,7 @@
         limit_per_second=_read_decimal(upstream, headers, SERVER_LIMIT),
         is_leaving=_read_leaving(upstream, headers),
         return_seconds=_read_return(upstream, status, headers),
+        cold_seconds=_read_cold(upstream, headers),
     )
 
 
@@ -98,6 +103,17 @@
     return None if seconds is None else min(seconds, MAX_RETURN_SECONDS)
 
 
+def _read_cold(upstream: Upstream, headers: Mapping[str, str]) -> float | None:
+    value = headers.get(COLD_MS)
+    if value is None:
+        return None
+    text = value.strip()
+    if not _MILLISECONDS.fullmatch(text):
+        _log_malformed(upstream, COLD_MS, value)
+        return None
+    return min(int(text), MAX_COLD_MS) / _MILLISECONDS_PER_SECOND
+
+
 def _read_decimal(
     upstream: Upstream, headers: Mapping[str, str], name: str
 ) -> float | None:
--- a/src/waxwingwinch/platform/_transport.py
+++ b/src/waxwingwinch/platform/_transport.py
@@ -16,6 +16,7 @@
     DecodeFromCache,
     FullExecution,
     HandleNotReleased,
+    NoColdPermit,
     OnStatements,
     PrefillOnly,
     PromptPart,
@@ -359,6 +360,14 @@
                 raise NotSent(
                     f"timed out after {wait_seconds} s before the request was sent"
                 )
+            if (
+                call.latest_send_seconds is not None
+                and self._clock.now_seconds() > call.latest_send_seconds
+            ):
+                raise NoColdPermit(
+                    f"connecting to {upstream.upstream_id} took longer than its"
+                    " permit lasts"
+                )
             connection.send(
                 call.request.method,
                 call.request.target,
--- a/src/waxwingwinch/platform/_upstreams.py
+++ b/src/waxwingwinch/platform/_upstreams.py
@@ -45,6 +45,7 @@
         if not _UPSTREAM_ID.fullmatch(upstream_id):
             raise ValueError("the id is not 1 to 255 printable ASCII characters")
         wire = read_object(decode_json(payload, MAX_RECORD_BYTES))
+        is_cold_stated = "coldLeftMs" in wire
         cold_ms = read_integer(wire.get("coldLeftMs", 0), maximum=MAX_COLD_MS)
         cold_seconds = cold_ms / _MILLISECONDS_PER_SECOND
         stage = wire.get("stage")
@@ -62,6 +63,7 @@
             # In registration records, seqNo is the record's version, not an
             # order number.
             sequence=read_integer(wire.get("seqNo", 0), maximum=MAX_SEQUENCE),
+            is_cold_stated=is_cold_stated,
         )
     except (ValueError, KeyError) as error:
         raise MalformedMessage(
