Treat upstreams as cold after broken connections and suspensions

An instance whose connection to an upstream failed, or which was suspended, still has the old entry of an upstream that may have restarted. Until a new entry has been read, or for the time that a start takes, it asks for permits. It doesn't tell others, since a link that is cut would slow down a whole zone.

A keeper that doesn't know that an upstream is cold lets it rest for a second from the first question on.

--- a/src/waxwingwinch/gateway/_record_applier.py
+++ b/src/waxwingwinch/gateway/_record_applier.py
@@ -214,6 +214,7 @@
         """
         now_seconds = self._clock.now_seconds()
         self._state.directory.record_read(read_seconds)
+        self._state.cold.record_read(read_seconds)
         for upstream_id in self._state.directory.expire_lapsed(now_seconds):
             UpstreamLapsed(upstream_id=upstream_id).write()
 
--- a/src/waxwingwinch/gateway/_reports.py
+++ b/src/waxwingwinch/gateway/_reports.py
@@ -242,11 +242,6 @@
 
     def _record_cold(self, report: InstanceReport, made_seconds: float) -> None:
         directory, cold = self._state.directory, self._state.cold
-        for upstream_id in report.unreachable:
-            unreachable = directory.get(upstream_id)
-            if unreachable is not None:
-                # It may have restarted, and be cold.
-                cold.suspect(unreachable, made_seconds)
         for stated in report.cold:
             upstream = directory.get(stated.upstream_id)
             if upstream is not None:
--- a/src/waxwingwinch/gateway/_upstream_calls.py
+++ b/src/waxwingwinch/gateway/_upstream_calls.py
@@ -1,6 +1,9 @@
 """Calls to upstreams."""
 
+from http.client import IncompleteRead
+
 from attrs import define, evolve
+from urllib3.exceptions import ProtocolError
 
 from waxwingwinch.gateway._job import Job, RelayContext
 from waxwingwinch.gateway._limit_log_lines import LimitedRequestSent
@@ -19,7 +22,7 @@
 )
 from waxwingwinch.gateway._upstreams import Upstream
 from waxwingwinch.gateway.cold import NoColdPermit
-from waxwingwinch.http import AnswerMissing, ConnectTimedOut, NotSent
+from waxwingwinch.http import AnswerMissing, ConnectionBroken, ConnectTimedOut, NotSent
 
 #: Status of an upstream that now serves another service or is another
 #: incarnation (421 Misdirected Request).
@@ -149,7 +152,8 @@
     if isinstance(error, NoColdPermit):
         # The upstream hasn't failed; the decision is logged already.
         return
-    context.permits.record_failure(upstream)
+    if _may_have_restarted(error):
+        context.permits.record_failure(upstream)
     now_seconds = context.clock.now_seconds()
     context.telemetry.count(CounterName.UPSTREAM_FAILURES, type(error).__name__)
     context.telemetry.count(CounterName.EJECTIONS, job.service.name)
@@ -170,6 +174,14 @@
     ).write()
 
 
+def _may_have_restarted(error: Exception) -> bool:
+    """Tell whether an upstream may have ended; one that is slow has not."""
+    broken = (ConnectionError, IncompleteRead, ProtocolError)
+    return isinstance(error, NotSent | ConnectionBroken) or isinstance(
+        error.__cause__, broken
+    )
+
+
 def record_rejection(
     context: RelayContext, job: Job, upstream: Upstream, head: ResponseHead
 ) -> None:
--- a/src/waxwingwinch/gateway/cold/_broker.py
+++ b/src/waxwingwinch/gateway/cold/_broker.py
@@ -79,7 +79,9 @@
 
         :param upstream: The upstream.
         """
-        return self._keeper.periods.is_limited(upstream, self._clock.now_seconds())
+        now_seconds = self._clock.now_seconds()
+        self._keeper.notice_suspension(now_seconds)
+        return self._keeper.periods.is_limited(upstream, now_seconds)
 
     def suspect(self, upstream: Upstream) -> None:
         """
--- a/src/waxwingwinch/gateway/cold/_keeper.py
+++ b/src/waxwingwinch/gateway/cold/_keeper.py
@@ -14,6 +14,7 @@
 from waxwingwinch.gateway._routes import stable_rank
 from waxwingwinch.gateway._upstreams import Upstream
 from waxwingwinch.gateway.cold._budgets import (
+    BOUND_SECONDS,
     GRANT_WINDOW_SECONDS,
     ColdBudgets,
     ColdPolicy,
@@ -27,6 +28,9 @@
 #: Time without contact to any other instance after which a keeper grants
 #: nothing more, as the records that made it one are outdated.
 MAX_ISOLATION_SECONDS = 60.0
+#: Time without a question about an upstream after which the next one begins a
+#: new series; longer than refused instances wait before they ask again.
+QUESTION_EXPIRY_SECONDS = 3.0
 #: Wait named by an instance that keeps nothing of an upstream now.
 NOT_KEEPER_WAIT_SECONDS = 0.5
 
@@ -126,6 +130,8 @@
         self._former_views: deque[_View] = deque()
         self._keepers: dict[UpstreamId, ColdKeepers] = {}
         self._grants: dict[UpstreamId, deque[float]] = {}
+        # Times of the first and the last question of a series.
+        self._questions: dict[UpstreamId, tuple[float, float]] = {}
         self._lock = threading.Lock()
 
     def record_members(self, now_seconds: float) -> None:
@@ -163,6 +169,8 @@
         with self._lock:
             if now_seconds - self._active_seconds > SUSPENSION_SECONDS:
                 self._running_since_seconds = now_seconds
+                if self._view is not None:
+                    self.periods.doubt_entries(now_seconds)
             self._active_seconds = now_seconds
             if has_contact or not self._members.others():
                 self._contact_seconds = now_seconds
@@ -175,6 +183,20 @@
             for upstream_id, grants in list(self._grants.items()):
                 if not grants or grants[-1] < now_seconds - GRANT_WINDOW_SECONDS:
                     del self._grants[upstream_id]
+            for upstream_id, (_, last_seconds) in list(self._questions.items()):
+                if now_seconds - last_seconds > QUESTION_EXPIRY_SECONDS:
+                    del self._questions[upstream_id]
+
+    def notice_suspension(self, now_seconds: float) -> None:
+        """
+        Record a suspension of the process before it sends anything.
+
+        :param now_seconds: Monotonic time.
+        """
+        with self._lock:
+            was_suspended = now_seconds - self._active_seconds > SUSPENSION_SECONDS
+        if was_suspended and self._view is not None:
+            self.mark_active(now_seconds)
 
     def keepers(self, upstream: Upstream) -> ColdKeepers | None:
         """
@@ -207,16 +229,14 @@
         if upstream is None or not budget:
             wait_seconds = NOT_KEEPER_WAIT_SECONDS
             return PermitReply(False, wait_seconds, wait_seconds, 0, 0.0)
-        self.periods.record_report(
-            upstream,
-            request.started_ms,
-            request.cold_seconds,
-            InstanceId("asking instance"),
-            now_seconds,
-            now_seconds,
-        )
         rest_until_seconds = self.periods.rest_until_seconds(request.upstream_id)
+        is_known = self.periods.until_seconds(upstream) > now_seconds
         with self._lock:
+            first_seconds = self._record_question(request.upstream_id, now_seconds)
+            if not is_known:
+                # The asking instance knows or suspects more than this one, as
+                # others don't either.
+                rest_until_seconds = first_seconds + BOUND_SECONDS
             grants = self._grants.setdefault(request.upstream_id, deque())
             while grants and grants[0] <= now_seconds - GRANT_WINDOW_SECONDS:
                 grants.popleft()
@@ -231,6 +251,16 @@
                 is_granted, wait_seconds, wait_seconds, len(grants), float(budget)
             )
 
+    def _record_question(self, upstream_id: UpstreamId, now_seconds: float) -> float:
+        """Return the time of the first of a series of questions."""
+        first_seconds, last_seconds = self._questions.get(
+            upstream_id, (now_seconds, now_seconds)
+        )
+        if now_seconds - last_seconds > QUESTION_EXPIRY_SECONDS:
+            first_seconds = now_seconds
+        self._questions[upstream_id] = (first_seconds, now_seconds)
+        return first_seconds
+
     def _choose(self, upstream: Upstream, view: _View) -> ColdKeepers:
         budgets = self._policy.budgets(self.periods.rate(upstream))
         return choose_cold_keepers(upstream, view.instances, budgets.reserve_keepers)
--- a/src/waxwingwinch/gateway/cold/_periods.py
+++ b/src/waxwingwinch/gateway/cold/_periods.py
@@ -44,6 +44,8 @@
         self._find_rules = find_rules
         self._periods: dict[UpstreamId, _Period] = {}
         self._rest_until_seconds: dict[UpstreamId, float] = {}
+        # Monotonic time since which the entries may be outdated.
+        self._doubt_seconds: float | None = None
         self._lock = threading.Lock()
 
     def rate(self, upstream: Upstream) -> float:
@@ -63,7 +65,12 @@
         :param upstream: Its entry.
         """
         with self._lock:
-            return self._until_seconds(upstream)
+            until_seconds = self._until_seconds(upstream)
+            doubt_seconds = self._doubt_seconds
+        rules = self._find_rules(upstream.service)
+        if doubt_seconds is None or rules is None or not rules.cold_requests_per_second:
+            return until_seconds
+        return max(until_seconds, doubt_seconds + rules.cold_start_seconds)
 
     def is_limited(self, upstream: Upstream, now_seconds: float) -> bool:
         """
@@ -186,6 +193,25 @@
             until_seconds = now_seconds + rules.cold_start_seconds
             self._turn_cold(upstream, upstream, until_seconds, "failure", now_seconds)
 
+    def doubt_entries(self, now_seconds: float) -> None:
+        """
+        Record that the process was suspended: any upstream may have restarted.
+
+        :param now_seconds: Monotonic time.
+        """
+        with self._lock:
+            self._doubt_seconds = now_seconds
+
+    def record_read(self, read_seconds: float) -> None:
+        """
+        Record that the entries were read.
+
+        :param read_seconds: Monotonic time of the read.
+        """
+        with self._lock:
+            if self._doubt_seconds is not None and read_seconds > self._doubt_seconds:
+                self._doubt_seconds = None
+
     def reports(self, now_seconds: float) -> tuple[ColdUpstreamReport, ...]:
         """
         Return what answers to this process state, for the other instances.
--- /dev/null
+++ b/src/waxwingwinch/platform/tests/test_cold_upstreams.py
@@ -0,0 +1,146 @@
+"""Gateway processes before an upstream that turns cold, with real requests."""
+
+import json
+import threading
+import time
+from functools import partial
+
+import pytest
+
+from waxwingwinch.platform.tests.standin import (
+    Gateway,
+    make_configuration,
+    wait_until,
+)
+from waxwingwinch.platform.tests.test_limit_over_instances import Fleet
+
+INSTANCES = 5
+#: Most that may arrive within a second: 7.3 * 1.5 + 5.
+BOUND = 15
+#: Time from joining until an instance has read all member records and grants.
+START_SECONDS = 8.0
+COLD_SECONDS = 10.0
+#: Longest time for which a request that is refused may be held.
+REFUSAL_SECONDS = 1.0
+
+
+class ColdFleet(Fleet):
+    """Gateway processes whose service names a rate for cold upstreams."""
+
+    def __init__(self, folder, cold_per_second):
+        super().__init__(folder, INSTANCES)
+        configuration = make_configuration(2)
+        service = configuration["services"][0]
+        service |= {"coldStartS": 3.0, "coldPerS": cold_per_second}
+        self.store.put("op", "config", configuration)
+        for number in range(INSTANCES):
+            assert wait_until(partial(self.logged, number, "gateway:joined"))
+        time.sleep(START_SECONDS)
+
+    def start_gateway(self, number):
+        return Gateway(
+            self.folder,
+            self.store,
+            f"edge-{number}",
+            f"zone-{number % 2}",
+            "bounds.coldOvershoot=1.5\nbounds.coldSlack=5\n",
+        )
+
+    def logged(self, number, name):
+        """Return the lines of a kind that an instance has logged."""
+        text = (self.folder / f"edge-{number}.log").read_text()
+        lines = [line for line in text.splitlines() if f'"{name}"' in line]
+        return [json.loads(line) for line in lines]
+
+    def all_know_seconds(self):
+        """Return the monotonic time at which all instances knew."""
+        offset_seconds = time.time() - time.monotonic()
+        learned = [self.logged(number, "cold:learned") for number in range(INSTANCES)]
+        assert [len(lines) for lines in learned] == [3] * INSTANCES
+        return max(line["timestamp"] for lines in learned for line in lines) - (
+            offset_seconds
+        )
+
+    def send_traffic(self):
+        """Let 10 callers send 8 requests a second each until the test ends."""
+
+        def call(number, caller):
+            count = 0
+            while not self.stopping.wait(0.125):
+                count += 1
+                answer = self.send(number, f"request-{number}-{caller}-{count}")
+                if answer is not None:
+                    self.answers.append(answer)
+
+        self.callers = [
+            threading.Thread(target=call, args=(number, caller))
+            for number in range(INSTANCES)
+            for caller in range(2)
+        ]
+        for caller in self.callers:
+            caller.start()
+        time.sleep(1.0)
+
+    def keep_cold(self, seconds):
+        """Let all upstreams say that they are cold, until the time is up."""
+        end_seconds = time.monotonic() + seconds
+        while (left_seconds := end_seconds - time.monotonic()) > 0:
+            for upstream in self.upstreams:
+                upstream.cold_ms = int(left_seconds * 1_000) + 1
+                upstream.register(self.store)
+            time.sleep(min(0.5, left_seconds))
+
+
+@pytest.fixture
+def make_fleet(tmp_path):
+    fleets = []
+
+    def make(cold_per_second):
+        fleets.append(ColdFleet(tmp_path, cold_per_second))
+        return fleets[-1]
+
+    yield make
+    for fleet in fleets:
+        fleet.stop()
+
+
+def most_in_a_second(upstream, since_seconds, until_seconds):
+    arrivals = sorted(
+        arrival.at_seconds
+        for arrival in upstream.arrivals
+        if since_seconds <= arrival.at_seconds <= until_seconds
+    )
+    return max(
+        (sum(end - 1.0 < at <= end for at in arrivals) for end in arrivals), default=0
+    )
+
+
+# Guards against cold upstreams that get more from all processes together than
+# they survive, and against callers that wait for one of them.
+def test_cold_upstreams_get_few_requests_and_the_others_are_refused(make_fleet):
+    fleet = make_fleet(7.3)
+    fleet.send_traffic()
+    assert {answer.status for answer in fleet.answers} == {200}
+    fleet.keep_cold(COLD_SECONDS)
+    until_seconds = time.monotonic() - 0.2
+    known_seconds = fleet.all_know_seconds()
+    most = [
+        most_in_a_second(upstream, known_seconds, until_seconds)
+        for upstream in fleet.upstreams
+    ]
+    assert max(most) <= BOUND
+    assert min(most) > 3
+    refused = [answer for answer in fleet.answers if answer.status != 200]
+    assert {answer.status for answer in refused} == {503}
+    assert max(answer.took_seconds for answer in refused) < REFUSAL_SECONDS
+    assert all(float(answer.retry_after) > 0 for answer in refused)
+
+
+# Guards against a change where the service names no rate.
+def test_without_a_rate_cold_upstreams_get_what_is_sent(make_fleet):
+    fleet = make_fleet(0)
+    fleet.send_traffic()
+    fleet.keep_cold(3.0)
+    assert {answer.status for answer in fleet.answers} == {200}
+    for number in range(INSTANCES):
+        assert fleet.logged(number, "cold:decided") == []
