--- a/src/waxwingwinch/gateway/_engine_choice.py
+++ b/src/waxwingwinch/gateway/_engine_choice.py
@@ -5,11 +5,12 @@
 from waxwingwinch._types import EngineRole, UpstreamId
 from waxwingwinch.gateway._admission import Admit, Refuse, admit_generation
 from waxwingwinch.gateway._arrivals import Arrivals
+from waxwingwinch.gateway._attempt_permits import AttemptPermits
 from waxwingwinch.gateway._attempts import shared_part_ids
 from waxwingwinch.gateway._job import Job, Progress, RelayContext
 from waxwingwinch.gateway._loads import NO_LOAD
 from waxwingwinch.gateway._outcomes import RefusalReason, RequestEnded
-from waxwingwinch.gateway._permits import AttemptPermits, NoPermit
+from waxwingwinch.gateway._permits import NoPermit
 from waxwingwinch.gateway._placement import (
     EngineOption,
     Placement,
--- a/src/waxwingwinch/gateway/_generation_relay.py
+++ b/src/waxwingwinch/gateway/_generation_relay.py
@@ -4,6 +4,7 @@
 from waxwingwinch.gateway._answer_log_lines import AnswerNotHeld
 from waxwingwinch.gateway._answer_passing import AnswerPasser, respond_whole
 from waxwingwinch.gateway._answer_start import read_start
+from waxwingwinch.gateway._attempt_permits import AttemptPermits
 from waxwingwinch.gateway._attempts import (
     AttemptObserver,
     suspect_part_ids,
@@ -28,7 +29,7 @@
     RequestEnded,
     Responder,
 )
-from waxwingwinch.gateway._permits import AttemptPermits, NoPermit
+from waxwingwinch.gateway._permits import NoPermit
 from waxwingwinch.gateway._placement import (
     Placement,
     RunDirectly,
