--- a/src/waxwingwinch/gateway/cold/_keeper.py
+++ b/src/waxwingwinch/gateway/cold/_keeper.py
@@ -1,6 +1,5 @@
 """Decides on behalf of all instances what cold upstreams may get."""
 
-import heapq
 import threading
 from collections import deque
 from collections.abc import Callable
@@ -11,15 +10,14 @@
 from waxwingwinch.gateway._limit_keeper import SUSPENSION_SECONDS
 from waxwingwinch.gateway._limit_messages import PermitReply, PermitRequest
 from waxwingwinch.gateway._members import Member, MemberDirectory
-from waxwingwinch.gateway._routes import stable_rank
 from waxwingwinch.gateway._upstreams import Upstream
 from waxwingwinch.gateway.cold._budgets import (
     BOUND_SECONDS,
     GRANT_WINDOW_SECONDS,
-    ColdBudgets,
     ColdPolicy,
 )
 from waxwingwinch.gateway.cold._periods import ColdPeriods
+from waxwingwinch.gateway.cold._roles import ColdKeepers, choose_cold_keepers
 
 #: Time for which an instance must have been a keeper by the member records
 #: before it grants. A former first keeper that was cut off has noticed by then
@@ -31,59 +29,12 @@
 #: Time without a question about an upstream after which the next one begins a
 #: new series; longer than refused instances wait before they ask again.
 QUESTION_EXPIRY_SECONDS = 3.0
+#: Number of upstreams whose keepers are cached; twice those designed for.
+MAX_CACHED_KEEPERS = 4_000
 #: Wait named by an instance that keeps nothing of an upstream now.
 NOT_KEEPER_WAIT_SECONDS = 0.5
 
 
-@frozen
-class ColdKeepers:
-    """
-    The instances that grant requests to one cold upstream.
-
-    :param primary: The first keeper.
-    :param reserve: The reserve keepers.
-    """
-
-    primary: Member
-    reserve: tuple[Member, ...]
-
-    def budget_of(self, instance_id: InstanceId, budgets: ColdBudgets) -> int:
-        """
-        Return what an instance may grant within a window.
-
-        :param instance_id: The instance.
-        :param budgets: How the bound of the upstream is divided.
-        """
-        if self.primary.instance_id == instance_id:
-            return budgets.primary
-        return int(any(member.instance_id == instance_id for member in self.reserve))
-
-
-def choose_cold_keepers(
-    upstream: Upstream, instances: tuple[Member, ...], reserve_count: int
-) -> ColdKeepers:
-    """
-    Return the keepers of a cold upstream.
-
-    They follow from the member records alone, whether the instances are alive
-    or not. So an instance that is cut off can't take over the share of
-    another one that is still in use.
-
-    :param upstream: The upstream.
-    :param instances: All instances with a member record; at least one.
-    :param reserve_count: Number of reserve keepers.
-    """
-
-    def rank(member: Member) -> float:
-        return stable_rank(upstream.upstream_id, member.instance_id)
-
-    primary = max(
-        instances, key=lambda member: (member.zone == upstream.zone, rank(member))
-    )
-    others = [member for member in instances if member is not primary]
-    return ColdKeepers(primary, tuple(heapq.nlargest(reserve_count, others, key=rank)))
-
-
 @frozen
 class _View:
     """
@@ -128,7 +79,7 @@
         # None until the member records were read.
         self._view: _View | None = None
         self._former_views: deque[_View] = deque()
-        self._keepers: dict[UpstreamId, ColdKeepers] = {}
+        self._keepers: dict[tuple[UpstreamId, float], ColdKeepers] = {}
         self._grants: dict[UpstreamId, deque[float]] = {}
         # Times of the first and the last question of a series.
         self._questions: dict[UpstreamId, tuple[float, float]] = {}
@@ -208,10 +159,14 @@
         with self._lock:
             if self._view is None:
                 return None
-            known = self._keepers.get(upstream.upstream_id)
+            # A configuration with another rate changes the number of keepers.
+            key = (upstream.upstream_id, self.periods.rate(upstream))
+            known = self._keepers.get(key)
             if known is None:
                 known = self._choose(upstream, self._view)
-                self._keepers[upstream.upstream_id] = known
+                if len(self._keepers) >= MAX_CACHED_KEEPERS:
+                    self._keepers.clear()
+                self._keepers[key] = known
             return known
 
     def decide(self, request: PermitRequest, now_seconds: float) -> PermitReply:
--- a/src/waxwingwinch/gateway/cold/_periods.py
+++ b/src/waxwingwinch/gateway/cold/_periods.py
@@ -263,13 +263,15 @@
         upstream_id, started_ms = upstream.upstream_id, upstream.started_ms
         is_local = source == ANSWER_SOURCE
         with self._lock:
+            known = self._periods.get(upstream_id)
+            if known is not None and known.started_ms > started_ms:
+                return
             was_cold = (
                 previous is not None
                 and previous.started_ms == started_ms
                 and self._until_seconds(previous) > now_seconds
             )
             period = _Period(started_ms, until_seconds, now_seconds, is_local)
-            known = self._periods.get(upstream_id)
             if known is not None and known.started_ms == started_ms:
                 period = evolve(
                     period,
