--- a/src/waxwingwinch/gateway/_cache_survey.py
+++ b/src/waxwingwinch/gateway/_cache_survey.py
@@ -10,6 +10,7 @@
 from waxwingwinch.gateway._state import GatewayState
 from waxwingwinch.gateway._transport import UpstreamTransport
 from waxwingwinch.gateway._upstreams import Upstream
+from waxwingwinch.gateway.cold import OwnCallSkipped
 from waxwingwinch.http import AnswerMissing, NotSent
 from waxwingwinch.kernel import Clock
 
@@ -100,6 +101,12 @@
         :param engines: The engines and their KV cache capacities.
         """
         for engine, capacity_tokens in engines:
+            if self._state.cold.is_limited(engine, self._clock.now_seconds()):
+                # Its cache is as good as empty.
+                OwnCallSkipped(
+                    upstream_id=engine.upstream_id, call="cache survey"
+                ).write()
+                continue
             try:
                 parts = self._transport.cached_parts(engine)
             except (NotSent, AnswerMissing) as error:
--- a/src/waxwingwinch/gateway/_engine_choice.py
+++ b/src/waxwingwinch/gateway/_engine_choice.py
@@ -5,11 +5,12 @@
 from waxwingwinch._types import EngineRole, UpstreamId
 from waxwingwinch.gateway._admission import Admit, Refuse, admit_generation
 from waxwingwinch.gateway._arrivals import Arrivals
+from waxwingwinch.gateway._attempt_permits import AttemptPermits
 from waxwingwinch.gateway._attempts import shared_part_ids
 from waxwingwinch.gateway._job import Job, Progress, RelayContext
 from waxwingwinch.gateway._loads import NO_LOAD
 from waxwingwinch.gateway._outcomes import RefusalReason, RequestEnded
-from waxwingwinch.gateway._permits import AttemptPermits, NoPermit
+from waxwingwinch.gateway._permits import NoPermit
 from waxwingwinch.gateway._placement import (
     EngineOption,
     Placement,
@@ -293,6 +294,7 @@
                     upstream.upstream_id, prompt.parts
                 ),
                 self._context.slowdowns.slowdown(upstream.upstream_id),
+                self._context.permits.is_cold(upstream),
             )
             for upstream in self._context.directory.usable(
                 job.service.name, now_seconds, progress.excluded, job.homes.zones()
--- a/src/waxwingwinch/gateway/_prefill.py
+++ b/src/waxwingwinch/gateway/_prefill.py
@@ -154,6 +154,8 @@
             reason = "the availability zone is evacuated"
         elif zones is not None and cache.engine.zone not in zones:
             reason = "the engine is outside the home regions"
+        elif self._context.permits.is_cold(cache.engine):
+            reason = "the engine is cold"
         else:
             self._context.transport.release_handle(cache.engine, cache.handle)
             return
--- a/src/waxwingwinch/gateway/_report_messages.py
+++ b/src/waxwingwinch/gateway/_report_messages.py
@@ -18,6 +18,7 @@
 from waxwingwinch.gateway._loads import UpstreamLoad
 from waxwingwinch.gateway._outage import PEER_READ_MAX_AGE_SECONDS
 from waxwingwinch.gateway._requests import PromptPart
+from waxwingwinch.gateway.cold import ColdUpstreamReport
 from waxwingwinch.gateway.feeds import unpack_value
 
 
@@ -104,6 +105,7 @@
     :param leaving: Upstreams that it was first told to leave.
     :param relinquished_epoch: Last epoch of the duty under which it acts no
         more; None if there is none.
+    :param cold: Upstreams whose answers told it that they are cold.
     """
 
     instance_id: InstanceId
@@ -126,6 +128,7 @@
     crash_evidence: CrashEvidenceReport = CrashEvidenceReport()
     leaving: tuple[LeavingUpstream, ...] = ()
     relinquished_epoch: int | None = None
+    cold: tuple[ColdUpstreamReport, ...] = ()
 
     @property
     def has_recent_store_read(self) -> bool:
