Learn the speed and the failures of upstreams

Slowdowns were learned from split prefills alone, with known and unknown waits taken for slowness, and plain upstreams were chosen by load alone. Measure prefills, events of streams and plain calls against the mean of the service, with a lasting and a passing average for each incarnation; only differences beyond the noise count. Choices scale the expected times and the load steps by them, and second attempts at plain upstreams prefer those with the fewest recent failures.

--- a/src/waxwingwinch/gateway/_engine_choice.py
+++ b/src/waxwingwinch/gateway/_engine_choice.py
@@ -288,7 +288,7 @@
                 self._context.prefixes.cached_tokens(
                     upstream.upstream_id, prompt.parts
                 ),
-                self._context.slowdowns.slowdown(upstream.upstream_id),
+                self._context.capacity.estimate(upstream, now_seconds),
             )
             for upstream in self._context.directory.usable(
                 job.service.name, now_seconds, progress.excluded
--- a/src/waxwingwinch/gateway/_generation_relay.py
+++ b/src/waxwingwinch/gateway/_generation_relay.py
@@ -5,6 +5,7 @@
 from waxwingwinch.gateway._answer_passing import AnswerPasser, respond_whole
 from waxwingwinch.gateway._answer_start import read_start
 from waxwingwinch.gateway._attempts import (
+    Attempt,
     AttemptObserver,
     suspect_part_ids,
 )
@@ -30,9 +31,11 @@
 )
 from waxwingwinch.gateway._permits import AttemptPermits, NoPermit
 from waxwingwinch.gateway._placement import (
+    FIRST_EVENT_SECONDS,
     Placement,
     RunDirectly,
     RunSplit,
+    engine_work_seconds,
 )
 from waxwingwinch.gateway._plain_exchange import CompleteResponse, OpenAnswer
 from waxwingwinch.gateway._plain_relay import (
@@ -65,9 +68,11 @@
     open_call,
     record_failure,
     record_rejection,
+    record_status,
     silence_error,
 )
 from waxwingwinch.gateway._upstreams import Upstream
+from waxwingwinch.gateway.capacity import StreamMeter
 from waxwingwinch.http import AnswerMissing, ConnectionBroken, NotSent
 
 #: Time without data after which another engine is asked to resume a stream, if
@@ -210,7 +215,7 @@
     ) -> bool:
         """Execute a placement; return whether a complete response was sent."""
         match placement:
-            case RunDirectly(engine_id, work_tokens):
+            case RunDirectly(engine_id, work_tokens, waiting_tokens=waiting_tokens):
                 engine = self._context.directory.ready(
                     engine_id, self._context.clock.now_seconds()
                 )
@@ -219,7 +224,7 @@
                 self._engine_chooser.record_prompt(
                     stream.job, prompt, engine_id, work_tokens
                 )
-                return self._execute(stream, engine, None, work_tokens)
+                return self._execute(stream, engine, None, work_tokens, waiting_tokens)
             case RunSplit(decode_id=decode_id):
                 cache = self._prefill(stream, prompt, placement)
                 if cache is None:
@@ -261,10 +266,11 @@
         engine: Upstream,
         cache: PrefilledCache | None,
         work_tokens: int,
+        waiting_tokens: int = 0,
     ) -> bool:
         tracked_request = self._context.loads.begin(engine.upstream_id, work_tokens)
         try:
-            attempt = self._open(stream, engine, cache, tracked_request)
+            attempt = self._open(stream, engine, cache, tracked_request, waiting_tokens)
         except BaseException:
             tracked_request.end()
             raise
@@ -312,6 +318,7 @@
         engine: Upstream,
         cache: PrefilledCache | None,
         tracked_request: TrackedRequest,
+        waiting_tokens: int,
     ) -> StreamAttempt | None:
         """Open the response of an engine; return None if it gave none."""
         job = stream.job
@@ -331,6 +338,9 @@
         self._give_up_unresponsive(stream, now_seconds)
         stream.overlap_end_seconds = now_seconds + OVERLAP_SECONDS
         observed = self._attempts.begin(job, engine, last_event_id)
+        meter = self._meter(
+            engine, observed, tracked_request.waiting_tokens, waiting_tokens
+        )
         try:
             response = open_call(
                 self._context,
@@ -355,6 +365,7 @@
             stream.unfetched_cache = None
             raise_if_cancelled(job, error)
             record_failure(self._context, job, engine, error)
+            meter.failed(self._context.clock.now_seconds())
             self._attempts.failed(observed, error)
             stream.progress = stream.progress.with_possible_execution(
                 engine.upstream_id
@@ -367,7 +378,30 @@
         stream.unfetched_cache = None
         stream.progress = stream.progress.with_possible_execution(engine.upstream_id)
         return StreamAttempt(
-            engine, response, tracked_request, observed, stream.splitter.event_count
+            engine,
+            response,
+            tracked_request,
+            observed,
+            meter,
+            stream.splitter.event_count,
+        )
+
+    def _meter(
+        self,
+        engine: Upstream,
+        observed: Attempt,
+        work_tokens: int,
+        waiting_tokens: int,
+    ) -> StreamMeter:
+        """Return the meter of an attempt that is about to be sent."""
+        if not work_tokens or observed.is_resumption:
+            return StreamMeter(self._context.capacity, engine, observed.sent_seconds)
+        return StreamMeter(
+            self._context.capacity,
+            engine,
+            observed.sent_seconds,
+            engine_work_seconds(engine.role, work_tokens) + FIRST_EVENT_SECONDS,
+            engine_work_seconds(engine.role, waiting_tokens),
         )
 
     def _silent_call(
@@ -404,6 +438,7 @@
             response.abort()
             raise_if_cancelled(job, error)
             record_failure(self._context, job, attempt.engine, error)
+            attempt.meter.failed(self._context.clock.now_seconds())
             self._attempts.failed(attempt.observed, error)
             if stream.silent is None:
                 stream.splitter.drop_partial_event()
@@ -460,6 +495,9 @@
         if head.is_framed:
             # Without framing, a crash between two events looks like the end.
             self._attempts.succeeded(attempt.observed)
+        self._context.capacity.observe_success(
+            attempt.engine, self._context.clock.now_seconds()
+        )
         self._begin(stream, head)
         stream.responder.end()
         response.finish()
@@ -471,9 +509,11 @@
         """Write complete events to the caller, if there are any."""
         if not events:
             return
-        self._attempts.progressed(
-            attempt.observed, stream.splitter.event_count - attempt.first_event
-        )
+        event_count = stream.splitter.event_count - attempt.first_event
+        self._attempts.progressed(attempt.observed, event_count)
+        before_seconds = self._context.clock.now_seconds()
+        if attempt.meter.is_due(event_count):
+            attempt.meter.progressed(event_count, before_seconds)
         if not attempt.has_events:
             attempt.has_events = True
             attempt.tracked_request.mark_prefilled()
@@ -483,6 +523,7 @@
             self._log_first_event(stream)
         self._begin(stream, attempt.response.head)
         stream.responder.write(events)
+        attempt.meter.wrote(self._context.clock.now_seconds() - before_seconds)
 
     def _take_over(self, stream: StreamState, attempt: StreamAttempt) -> bytes:
         """Return the first events of a response that replaces a silent one."""
@@ -549,6 +590,7 @@
             raise _Interrupted(str(error)) from error
         if start.is_whole:
             response.finish()
+        record_status(self._context, attempt.engine, response.head)
         if may_attempt(job, stream.progress, clock.now_seconds()):
             # The response is dropped, as another attempt is allowed.
             if not start.is_whole:
--- a/src/waxwingwinch/gateway/_job.py
+++ b/src/waxwingwinch/gateway/_job.py
@@ -21,11 +21,11 @@
 from waxwingwinch.gateway._requests import GatewayRequest
 from waxwingwinch.gateway._retry_budget import RetryBudget
 from waxwingwinch.gateway._returns import ReturnSchedule
-from waxwingwinch.gateway._slowdowns import SlowdownTracker
 from waxwingwinch.gateway._telemetry import Telemetry
 from waxwingwinch.gateway._transport import Phase, UpstreamCall, UpstreamTransport
 from waxwingwinch.gateway._upstreams import UpstreamDirectory
 from waxwingwinch.gateway._usage_counts import UsageCounts
+from waxwingwinch.gateway.capacity import CapacityTracker
 from waxwingwinch.kernel import Clock
 
 #: Failed connection attempts after which a request is refused; each adds to
@@ -185,7 +185,7 @@
     :param directory: The known upstreams.
     :param loads: Work in progress by upstream.
     :param prefixes: Prefixes in the KV caches of engines.
-    :param slowdowns: Learned prefill durations, relative to the expected ones.
+    :param capacity: Learned speed and failures of upstreams.
     :param placements: Recent placements, reported to the other instances.
     :param budget: Retry budgets of the services.
     :param limits: Limits that upstreams name.
@@ -203,7 +203,7 @@
     directory: UpstreamDirectory = field(repr=False)
     loads: LoadTracker = field(repr=False)
     prefixes: PrefixIndex = field(repr=False)
-    slowdowns: SlowdownTracker = field(repr=False)
+    capacity: CapacityTracker = field(repr=False)
     placements: PlacementLog = field(repr=False)
     budget: RetryBudget = field(repr=False)
     limits: NamedLimits = field(repr=False)
--- a/src/waxwingwinch/gateway/_loads.py
+++ b/src/waxwingwinch/gateway/_loads.py
@@ -182,6 +182,33 @@
         with self._lock:
             return dict(self._local_loads)
 
+    def total(self, upstream_id: UpstreamId, now_seconds: float) -> UpstreamLoad:
+        """
+        Return the work of this process and its current peers at one upstream.
+
+        :param upstream_id: The upstream.
+        :param now_seconds: Monotonic time.
+        """
+        with self._lock:
+            oldest_seconds = self._oldest_seconds(now_seconds)
+            load = self._local_loads.get(upstream_id, NO_LOAD)
+            waiting, running = load.waiting_tokens, load.running
+            for peer_loads in self._peers.values():
+                peer_load = peer_loads.loads.get(upstream_id)
+                if (
+                    peer_load is not None
+                    and peer_loads.last_message_seconds >= oldest_seconds
+                ):
+                    waiting += peer_load.waiting_tokens
+                    running += peer_load.running
+        return UpstreamLoad(waiting, running)
+
+    def _oldest_seconds(self, now_seconds: float) -> float:
+        """Return the time from which messages of peers count."""
+        return now_seconds - silence_limit_seconds(
+            PEER_LOADS_TIMEOUT_SECONDS, len(self._peers) + 1
+        )
+
     def totals(self, now_seconds: float) -> dict[UpstreamId, UpstreamLoad]:
         """
         Return the work of this process and its current peers by upstream.
@@ -189,9 +216,7 @@
         :param now_seconds: Monotonic time.
         """
         with self._lock:
-            oldest_seconds = now_seconds - silence_limit_seconds(
-                PEER_LOADS_TIMEOUT_SECONDS, len(self._peers) + 1
-            )
+            oldest_seconds = self._oldest_seconds(now_seconds)
             load_tables = [self._local_loads] + [
                 peer_loads.loads
                 for peer_loads in self._peers.values()
--- a/src/waxwingwinch/gateway/_placement.py
+++ b/src/waxwingwinch/gateway/_placement.py
@@ -7,6 +7,7 @@
 from waxwingwinch._types import EngineRole, UpstreamId, ZoneName
 from waxwingwinch.gateway._loads import UpstreamLoad
 from waxwingwinch.gateway._routes import stable_hash, stable_rank
+from waxwingwinch.gateway.capacity import NOMINAL_ESTIMATE, CapacityEstimate
 
 #: Prompt tokens that a prefill engine processes per second, without attention;
 #: from the users' data sheet of engines.
@@ -41,6 +42,15 @@
 #: depends only on a hash of the shared prefix and the engine, which makes all
 #: instances choose the same engine.
 AFFINITY_SECONDS = 0.3
+#: Time that a failed attempt at a generation costs its caller, about that of a
+#: time-out; counted by the learned rate of failures.
+FAILURE_SECONDS = 1.0
+#: Load steps that a failed attempt at a plain request costs: more than a full
+#: upstream, since the attempts of a request are few.
+FAILURE_STEPS = 4.0
+#: Smallest difference of the learned speeds of plain upstreams that outweighs
+#: the availability zone, in load steps.
+SCORE_STEP = 0.25
 #: Largest number of requests that may queue at a plain upstream, relative to
 #: its slots.
 PLAIN_QUEUE_RATIO = 3.0
@@ -56,7 +66,7 @@
     :param zone: Its availability zone.
     :param load: Work in progress there.
     :param cached_tokens: Leading tokens of the prompt that it has cached.
-    :param slowdown: Its measured prefill time relative to the expected time.
+    :param capacity: Its learned speed and failures.
     """
 
     upstream_id: UpstreamId
@@ -64,7 +74,7 @@
     zone: ZoneName
     load: UpstreamLoad
     cached_tokens: int = 0
-    slowdown: float = 1.0
+    capacity: CapacityEstimate = NOMINAL_ESTIMATE
 
 
 @frozen
@@ -93,12 +103,14 @@
     :param expected_seconds: Estimated time to the first event.
     :param own_seconds: The part of `expected_seconds` that an idle engine
         would take.
+    :param waiting_tokens: Prefill work known at the engine before it.
     """
 
     upstream_id: UpstreamId
     read_tokens: int
     expected_seconds: float
     own_seconds: float
+    waiting_tokens: int = 0
 
 
 @frozen
@@ -153,6 +165,7 @@
                 prompt, pair[0].upstream_id, pair[1].read_tokens
             )
             + _zone_penalty_seconds(pair[0].zone, local_zone)
+            + FAILURE_SECONDS * pair[0].capacity.failures
         ),
     )
     split = _plan_split(prompt, options, decode_engines, local_zone)
@@ -186,6 +199,17 @@
     return work_tokens / PREFILL_TOKENS_PER_SECOND
 
 
+def engine_work_seconds(role: EngineRole | None, work_tokens: int) -> float:
+    """
+    Return the time that an engine of a role takes for prefill work.
+
+    :param role: The role.
+    :param work_tokens: The work, as tokens without attention.
+    """
+    factor = DECODE_SLOWDOWN if role is EngineRole.DECODE else 1.0
+    return factor * work_seconds(work_tokens)
+
+
 def prefill_work_tokens(seconds: float) -> int:
     """
     Return the tokens that take as long without attention as a prefill with it.
@@ -198,16 +222,18 @@
 def _plan_direct(prompt: PromptSize, option: EngineOption) -> RunDirectly:
     cached_tokens = min(option.cached_tokens, prompt.tokens)
     engine_factor = DECODE_SLOWDOWN if option.role is EngineRole.DECODE else 1.0
-    engine_factor *= option.slowdown
+    engine_factor *= option.capacity.prefill
     prefill_seconds = estimate_prefill_seconds(prompt.tokens, cached_tokens)
-    idle_seconds = engine_factor * prefill_seconds + FIRST_EVENT_SECONDS
+    decode_factor = option.capacity.decode
+    idle_seconds = engine_factor * prefill_seconds + FIRST_EVENT_SECONDS * decode_factor
     queue_seconds = engine_factor * work_seconds(option.load.waiting_tokens)
-    queue_seconds += option.load.running * RUNNING_REQUEST_SECONDS
+    queue_seconds += option.load.running * RUNNING_REQUEST_SECONDS * decode_factor
     return RunDirectly(
         option.upstream_id,
         prefill_work_tokens(prefill_seconds),
         queue_seconds + idle_seconds,
         idle_seconds,
+        option.load.waiting_tokens,
     )
 
 
@@ -232,6 +258,7 @@
                 prompt.tokens - min(option.cached_tokens, prompt.tokens),
             )
             + _zone_penalty_seconds(option.zone, local_zone)
+            + FAILURE_SECONDS * option.capacity.failures
         ),
     )
     decode_engine = min(
@@ -244,12 +271,13 @@
                 if option.zone == prefill_engine.zone
                 else ZONE_TRANSFER_PENALTY_SECONDS
             )
+            + FAILURE_SECONDS * option.capacity.failures
         ),
     )
     cached_tokens = min(prefill_engine.cached_tokens, prompt.tokens)
     prefill_seconds = estimate_prefill_seconds(prompt.tokens, cached_tokens)
     idle_seconds = (
-        prefill_engine.slowdown * prefill_seconds
+        prefill_engine.capacity.prefill * prefill_seconds
         + KV_TRANSFER_SECONDS
         + FIRST_EVENT_SECONDS
     )
@@ -267,19 +295,22 @@
 
 def _prefill_delay_seconds(prompt: PromptSize, option: EngineOption) -> float:
     cached_tokens = min(option.cached_tokens, prompt.tokens)
-    return _queue_seconds(option) + option.slowdown * estimate_prefill_seconds(
+    return _queue_seconds(option) + option.capacity.prefill * estimate_prefill_seconds(
         prompt.tokens, cached_tokens
     )
 
 
 def _queue_seconds(option: EngineOption) -> float:
-    return option.slowdown * work_seconds(option.load.waiting_tokens)
+    return option.capacity.prefill * work_seconds(option.load.waiting_tokens)
 
 
 def _decode_delay_seconds(option: EngineOption) -> float:
     # A decode engine fetches a KV cache between the pieces of its own
     # prefills, so only the number of running requests delays it.
-    return option.load.running * 4 * RUNNING_REQUEST_SECONDS
+    running_seconds = option.load.running * 4 * RUNNING_REQUEST_SECONDS
+    own_seconds = KV_TRANSFER_SECONDS + FIRST_EVENT_SECONDS
+    decode_factor = option.capacity.decode
+    return running_seconds * decode_factor + own_seconds * (decode_factor - 1.0)
 
 
 def _affinity_penalty_seconds(
@@ -311,6 +342,7 @@
     :param slots: Requests that it serves concurrently.
     :param running: Requests in progress there.
     :param is_cold: True while it is warming up after its start.
+    :param capacity: Its learned speed and failures.
     """
 
     upstream_id: UpstreamId
@@ -318,20 +350,27 @@
     slots: int
     running: int
     is_cold: bool = False
+    capacity: CapacityEstimate = NOMINAL_ESTIMATE
 
 
 def place_plain(
-    options: Sequence[PlainOption], local_zone: ZoneName
+    options: Sequence[PlainOption],
+    local_zone: ZoneName,
+    is_retry: bool = False,
+    request_id: str = "",
 ) -> UpstreamId | None:
     """
     Choose a plain upstream by its load, then by its availability zone.
 
     Loads are compared in steps of half the slots, so that a smaller difference
     does not outweigh the availability zone; a cold upstream counts one step
-    more.
+    more. A learned speed scales the steps, and recent failures add some; a
+    retry prefers the upstreams with the fewest failures, whatever their load.
 
     :param options: All usable upstreams of the service.
     :param local_zone: Availability zone of this process.
+    :param is_retry: True if another upstream has failed the request.
+    :param request_id: Spreads requests where upstreams differ.
     :returns: None if the queues of all upstreams are full.
     """
     open_options = [
@@ -341,13 +380,47 @@
     ]
     if not open_options:
         return None
-    best = min(
-        open_options,
-        key=lambda option: (
-            option.running // max(option.slots // 2, 1) + (1 if option.is_cold else 0),
-            option.zone != local_zone,
-            option.running,
-            stable_hash(option.upstream_id),
-        ),
-    )
-    return best.upstream_id
+    if all(_is_usual(option.capacity) for option in open_options):
+        return min(
+            open_options,
+            key=lambda option: (
+                _load_steps(option),
+                option.zone != local_zone,
+                option.running,
+                stable_hash(option.upstream_id),
+            ),
+        ).upstream_id
+    # The instances know of one another's requests with a delay. If all chose
+    # the least busy of the few fast upstreams, it would be overloaded at once.
+    ranked = [
+        (
+            (
+                option.capacity.failures if is_retry else 0.0,
+                _plain_score(option),
+                option.zone != local_zone,
+            ),
+            option,
+        )
+        for option in open_options
+    ]
+    best_rank = min(rank for rank, _ in ranked)
+    best = [option for rank, option in ranked if rank == best_rank]
+    best.sort(key=lambda option: stable_rank(request_id, option.upstream_id))
+    return min(best[:2], key=lambda option: option.running).upstream_id
+
+
+def _is_usual(capacity: CapacityEstimate) -> bool:
+    return capacity.plain == 1.0 and not capacity.failures
+
+
+def _load_steps(option: PlainOption) -> int:
+    """Return the load of an upstream in steps of half its slots."""
+    return option.running // max(option.slots // 2, 1) + (1 if option.is_cold else 0)
+
+
+def _plain_score(option: PlainOption) -> float:
+    """Return the load steps scaled by the learned speed, with failures."""
+    capacity = option.capacity
+    score = (_load_steps(option) + 1) * capacity.plain - 1
+    score += FAILURE_STEPS * capacity.failures
+    return round(score / SCORE_STEP) * SCORE_STEP
--- a/src/waxwingwinch/gateway/_plain_exchange.py
+++ b/src/waxwingwinch/gateway/_plain_exchange.py
@@ -33,12 +33,14 @@
     :param tracked_request: Counts the request at the upstream.
     :param observed: What is recorded of the attempt.
     :param sent: The call; None until it was sent.
+    :param running: Requests known at the upstream before it.
     """
 
     upstream: Upstream
     tracked_request: TrackedRequest
     observed: Attempt
     sent: SentCall | None = None
+    running: int = 0
 
     @property
     def sent_call(self) -> SentCall:
@@ -106,12 +108,14 @@
     :param progress: The attempts so far.
     :param fallback: An error response, used if there is no better one.
     :param silent: The open attempt whose upstream is silent, if any.
+    :param running: Requests known at the upstream that was chosen last.
     """
 
     job: Job
     progress: Progress = field(factory=Progress)
     fallback: CompleteResponse | None = None
     silent: PlainAttempt | None = None
+    running: int = 0
 
     def add_possible_execution(self, upstream: Upstream) -> None:
         """
--- a/src/waxwingwinch/gateway/_plain_relay.py
+++ b/src/waxwingwinch/gateway/_plain_relay.py
@@ -41,6 +41,7 @@
 from waxwingwinch.gateway._upstream_calls import (
     record_failure,
     record_rejection,
+    record_status,
     send_call,
     silence_error,
 )
@@ -102,9 +103,7 @@
         block = self._attempts.block(job, exchange.progress.sends, now_seconds)
         if block is not None:
             return self._end_blocked(exchange, block, now_seconds)
-        upstream, exchange.progress = self._choose_upstream(
-            job, exchange.progress, now_seconds
-        )
+        upstream, exchange.progress = self._choose_upstream(exchange, now_seconds)
         if upstream is None or isinstance(upstream, NoPermit):
             if exchange.silent is not None:
                 return self._keep_silent(exchange, "no other upstream is usable")
@@ -152,7 +151,10 @@
         wait_seconds = job.end_seconds - now_seconds
         call = job.call(FullExecution())
         attempt = PlainAttempt(
-            upstream, context.loads.begin(upstream.upstream_id, 0), observed
+            upstream,
+            context.loads.begin(upstream.upstream_id, 0),
+            observed,
+            running=exchange.running,
         )
         try:
             attempt.sent = send_call(
@@ -169,6 +171,7 @@
                     context.directory.record_silence(
                         upstream.upstream_id, context.clock.now_seconds()
                     )
+                    self._measure(attempt, is_complete=False)
                     exchange.add_possible_execution(upstream)
                     exchange.silent = attempt
             return attempt if exchange.silent is None else None
@@ -234,7 +237,10 @@
             exchange.progress = exchange.progress.with_rejection(upstream.upstream_id)
             return None
         self._attempts.answered(attempt.observed)
+        record_status(self._context, upstream, answer.head)
         if isinstance(answer, CompleteResponse):
+            if answer.head.is_success:
+                self._measure(attempt)
             self._record_whole(attempt.observed)
         self._context.usage.record_start(
             job.customer_id, self._context.clock.wall_seconds()
@@ -243,6 +249,21 @@
             return answer
         return self._keep_fallback(exchange, upstream, answer)
 
+    def _measure(self, attempt: PlainAttempt, is_complete: bool = True) -> None:
+        """Record how long an attempt has taken."""
+        observed, now_seconds = attempt.observed, self._context.clock.now_seconds()
+        # Reports of requests that others sent before it arrive after it.
+        upstream_id = attempt.upstream.upstream_id
+        late = self._context.loads.total(upstream_id, now_seconds)
+        self._context.capacity.observe_plain(
+            attempt.upstream,
+            observed.job.route.name,
+            max(attempt.running, late.running - 1),
+            now_seconds - observed.sent_seconds,
+            now_seconds,
+            is_complete,
+        )
+
     def _record_whole(self, observed: Attempt) -> None:
         self._attempts.succeeded(observed)
         self._context.directory.record_success(observed.upstream.upstream_id)
@@ -308,9 +329,10 @@
         self._attempts.failed(silent.observed, error)
 
     def _choose_upstream(
-        self, job: Job, progress: Progress, now_seconds: float
+        self, exchange: PlainExchange, now_seconds: float
     ) -> tuple[Upstream | NoPermit | None, Progress]:
         """Choose an upstream; also return the progress with its charge."""
+        job, progress = exchange.job, exchange.progress
         if not may_attempt(job, progress, now_seconds):
             return None, progress
         totals = self._context.loads.totals(now_seconds)
@@ -328,35 +350,44 @@
                 upstream.slots,
                 totals.get(upstream.upstream_id, NO_LOAD).running,
                 upstream.cold_until_seconds > now_seconds,
+                self._context.capacity.estimate(upstream, now_seconds),
             )
             for upstream in usable.values()
         ]
-        chosen = self._place_with_permit(job, usable, options)
+        is_retry = progress.was_placed
+        chosen = self._place_with_permit(job, usable, options, is_retry)
         if chosen is None or isinstance(chosen, NoPermit):
             return chosen, progress
         planned = progress.arrivals.with_call()
         charged = charge_calls(self._context, job, progress, planned, now_seconds)
         if charged is None:
             return None, progress
+        exchange.running = totals.get(chosen.upstream_id, NO_LOAD).running
         RequestSent(
             request_id=job.request.request_id,
             route=job.route.name,
             entries_age_seconds=self._context.directory.age_seconds(now_seconds),
             upstream_id=chosen.upstream_id,
-            running=totals.get(chosen.upstream_id, NO_LOAD).running,
+            running=exchange.running,
             options=len(options),
             sends=progress.sends + 1,
         ).write()
         return chosen, charged
 
     def _place_with_permit(
-        self, job: Job, usable: dict[UpstreamId, Upstream], options: list[PlainOption]
+        self,
+        job: Job,
+        usable: dict[UpstreamId, Upstream],
+        options: list[PlainOption],
+        is_retry: bool,
     ) -> Upstream | NoPermit | None:
         """Choose an upstream whose limit, if it names one, has room."""
         permits, request_id = self._context.permits, job.request.request_id
         refused: dict[UpstreamId, NoPermit] = {}
         remaining = options
-        while chosen := place_plain(remaining, self._context.zone):
+        while chosen := place_plain(
+            remaining, self._context.zone, is_retry, request_id
+        ):
             refusal = permits.acquire(request_id, usable[chosen], is_last=False)
             if refusal is None:
                 return usable[chosen]
--- a/src/waxwingwinch/gateway/_prefill.py
+++ b/src/waxwingwinch/gateway/_prefill.py
@@ -203,16 +203,23 @@
             self._context.clock.now_seconds(),
         )
         took_seconds = self._context.clock.now_seconds() - started_seconds
-        self._context.slowdowns.observe(
-            engine.upstream_id,
-            work_seconds(placement.read_tokens + waiting_tokens),
+        now_seconds = started_seconds + took_seconds
+        # Reports of work that others sent before it arrive after it.
+        late = self._context.loads.total(engine.upstream_id, now_seconds)
+        late_tokens = late.waiting_tokens - placement.read_tokens
+        self._context.capacity.observe_prefill(
+            engine,
+            work_seconds(placement.read_tokens),
+            work_seconds(max(waiting_tokens, late_tokens)),
             took_seconds - FIRST_EVENT_SECONDS,
+            now_seconds,
         )
+        self._context.capacity.observe_success(engine, now_seconds)
         PromptRead(
             request_id=job.request.request_id,
             upstream_id=engine.upstream_id,
             read_work=placement.read_tokens,
             waiting_work=waiting_tokens,
             took_seconds=took_seconds,
-            pace=self._context.slowdowns.slowdown(engine.upstream_id),
+            pace=self._context.capacity.estimate(engine, now_seconds).prefill,
         ).write()
--- a/src/waxwingwinch/gateway/_process.py
+++ b/src/waxwingwinch/gateway/_process.py
@@ -215,7 +215,7 @@
             state.directory,
             state.loads,
             state.prefixes,
-            state.slowdowns,
+            state.capacity,
             state.placements,
             state.budget,
             state.limits,
--- a/src/waxwingwinch/gateway/_record_applier.py
+++ b/src/waxwingwinch/gateway/_record_applier.py
@@ -144,7 +144,7 @@
         previous = self._state.directory.put(upstream)
         if previous is not None and previous.started_ms != upstream.started_ms:
             self._state.prefixes.remove_engine(upstream_id)
-            self._state.slowdowns.remove_engine(upstream_id)
+            self._state.capacity.remove(upstream_id)
         known = self._state.directory.get(upstream_id)
         # An answer that says that the upstream leaves outweighs its entries.
         state = known.state if known is not None else upstream.state
@@ -275,5 +275,5 @@
         else:
             self._state.directory.remove(upstream_id)
         self._state.prefixes.remove_engine(upstream_id)
-        self._state.slowdowns.remove_engine(upstream_id)
+        self._state.capacity.remove(upstream_id)
         UpstreamEntryGone(upstream_id=upstream_id, may_be_back=may_be_back).write()
--- a/src/waxwingwinch/gateway/_state.py
+++ b/src/waxwingwinch/gateway/_state.py
@@ -21,11 +21,11 @@
 )
 from waxwingwinch.gateway._quota import QuotaTracker
 from waxwingwinch.gateway._retry_budget import RetryBudget
-from waxwingwinch.gateway._slowdowns import SlowdownTracker
 from waxwingwinch.gateway._telemetry import Telemetry
 from waxwingwinch.gateway._upstreams import UpstreamDirectory
 from waxwingwinch.gateway._usage_counts import UsageCounts
 from waxwingwinch.gateway._usage_table import UsageTable
+from waxwingwinch.gateway.capacity import CapacityTracker
 from waxwingwinch.gateway.evacuation import EvacuatedZones
 
 
@@ -48,7 +48,7 @@
     :param directory: Directory of the registered upstreams.
     :param loads: Work in progress at the upstreams.
     :param prefixes: Estimated cached prompt parts of the engines.
-    :param slowdowns: Measured prefill slowdown of the engines.
+    :param capacity: Learned speed and failures of the upstreams.
     :param placements: Recent prompt placements of this process.
     :param usage_table: Usage of all instances.
     :param outage: Availability of the platform's store.
@@ -71,7 +71,7 @@
     directory: UpstreamDirectory = field()
     loads: LoadTracker = field(factory=LoadTracker)
     prefixes: PrefixIndex = field(factory=PrefixIndex)
-    slowdowns: SlowdownTracker = field(factory=SlowdownTracker)
+    capacity: CapacityTracker = field(factory=CapacityTracker)
     placements: PlacementLog = field(factory=PlacementLog)
     usage_table: UsageTable = field(factory=UsageTable)
     outage: OutageTracker = field(factory=OutageTracker)
--- a/src/waxwingwinch/gateway/_stream_state.py
+++ b/src/waxwingwinch/gateway/_stream_state.py
@@ -11,6 +11,7 @@
 from waxwingwinch.gateway._requests import ResponseHead
 from waxwingwinch.gateway._transport import UpstreamResponse
 from waxwingwinch.gateway._upstreams import Upstream
+from waxwingwinch.gateway.capacity import StreamMeter
 
 #: What a stream may hold of its events without a reservation; far above usual
 #: events, and a part of the memory that each request is given.
@@ -28,6 +29,7 @@
     :param response: Its response.
     :param tracked_request: Counts the request at the engine.
     :param observed: What is recorded of the attempt.
+    :param meter: Measures the speed of the engine.
     :param first_event: Number of events of the stream before it.
     :param has_events: True once it has sent a complete event.
     """
@@ -36,6 +38,7 @@
     response: UpstreamResponse
     tracked_request: TrackedRequest
     observed: Attempt
+    meter: StreamMeter = field(repr=False)
     first_event: int = 0
     has_events: bool = False
 
--- a/src/waxwingwinch/gateway/_upstream_calls.py
+++ b/src/waxwingwinch/gateway/_upstream_calls.py
@@ -23,6 +23,8 @@
 #: Status of an upstream that now serves another service or is another
 #: incarnation (421 Misdirected Request).
 MISDIRECTED_STATUS = 421
+#: First status that states a failure of the upstream.
+SERVER_ERROR_STATUS = 500
 
 
 def open_call(
@@ -154,6 +156,7 @@
         case _:
             record = context.directory.record_failure
     ejected_seconds = record(upstream.upstream_id, now_seconds)
+    context.capacity.observe_refusal(upstream, now_seconds)
     UpstreamFailed(
         request_id=job.request.request_id,
         upstream_id=upstream.upstream_id,
@@ -177,9 +180,9 @@
     if head.status == MISDIRECTED_STATUS:
         context.directory.mark_misdirected(upstream)
     else:
-        context.directory.record_failure(
-            upstream.upstream_id, context.clock.now_seconds()
-        )
+        now_seconds = context.clock.now_seconds()
+        context.directory.record_failure(upstream.upstream_id, now_seconds)
+        context.capacity.observe_refusal(upstream, now_seconds)
     UpstreamRejected(
         request_id=job.request.request_id,
         upstream_id=upstream.upstream_id,
@@ -187,6 +190,23 @@
     ).write()
 
 
+def record_status(
+    context: RelayContext, upstream: Upstream, head: ResponseHead
+) -> None:
+    """
+    Record whether an upstream's complete response states a failure.
+
+    :param context: Dependencies shared by the relays of the process.
+    :param upstream: The upstream.
+    :param head: Status and headers of its response.
+    """
+    now_seconds = context.clock.now_seconds()
+    if head.status >= SERVER_ERROR_STATUS:
+        context.capacity.observe_refusal(upstream, now_seconds)
+    else:
+        context.capacity.observe_success(upstream, now_seconds)
+
+
 def _record_send(
     context: RelayContext, job: Job, upstream: Upstream, now_seconds: float
 ) -> None:
--- a/src/waxwingwinch/gateway/tests/relay_harness.py
+++ b/src/waxwingwinch/gateway/tests/relay_harness.py
@@ -47,7 +47,6 @@
 )
 from waxwingwinch.gateway._retry_budget import RetryBudget
 from waxwingwinch.gateway._returns import ReturnSchedule
-from waxwingwinch.gateway._slowdowns import SlowdownTracker
 from waxwingwinch.gateway._statements import (
     OnStatements,
     StatementObserver,
@@ -63,6 +62,7 @@
     UpstreamDirectory,
 )
 from waxwingwinch.gateway._usage_counts import UsageCounts
+from waxwingwinch.gateway.capacity import CapacityTracker
 from waxwingwinch.gateway.tests.fakes import FakeClock
 from waxwingwinch.http import AnswerMissing, NotSent
 
@@ -393,7 +393,7 @@
             self.directory,
             self.loads,
             self.prefixes,
-            SlowdownTracker(),
+            CapacityTracker(),
             PlacementLog(),
             self.budget,
             self.limits,
--- a/src/waxwingwinch/gateway/tests/test_placement.py
+++ b/src/waxwingwinch/gateway/tests/test_placement.py
@@ -2,7 +2,7 @@
 
 from attrs import evolve
 
-from waxwingwinch._types import EngineRole, UpstreamId, ZoneName
+from waxwingwinch._types import Address, EngineRole, UpstreamId, ZoneName
 from waxwingwinch.gateway._admission import Admit, Refuse, admit_generation
 from waxwingwinch.gateway._loads import LoadTracker, UpstreamLoad
 from waxwingwinch.gateway._placement import (
@@ -16,7 +16,8 @@
 )
 from waxwingwinch.gateway._prefixes import PrefixIndex
 from waxwingwinch.gateway._requests import PromptPart
-from waxwingwinch.gateway._slowdowns import INITIAL_SLOWDOWN, SlowdownTracker
+from waxwingwinch.gateway._upstreams import RegisteredState, Upstream
+from waxwingwinch.gateway.capacity import INITIAL_SLOWDOWN, CapacityTracker
 
 NORTH, SOUTH = ZoneName("north"), ZoneName("south")
 ENGINE = UpstreamId("e")
@@ -166,20 +167,34 @@
     assert tracker.totals(10.3)[ENGINE] == UpstreamLoad(9_100, 2)
 
 
+def upstream(name, started_ms=0):
+    return Upstream(
+        UpstreamId(name),
+        started_ms,
+        "model",
+        Address("e", 1),
+        NORTH,
+        RegisteredState.READY,
+        6,
+        role=EngineRole.PREFILL,
+    )
+
+
 def test_slow_engines_are_detected_and_get_fewer_prompts():
     """Load pattern: some engines take 1.8 times as long as others."""
-    slowdowns = SlowdownTracker()
-    for _ in range(30):
-        slowdowns.observe(UpstreamId("slow"), 0.2, 0.36)
-        slowdowns.observe(UpstreamId("quick"), 0.2, 0.2)
-    assert slowdowns.slowdown(UpstreamId("slow")) > 1.7
-    assert slowdowns.slowdown(UpstreamId("quick")) < 1.1
+    tracker, slow, quick = CapacityTracker(), upstream("slow"), upstream("quick")
+    for index in range(30):
+        tracker.observe_prefill(slow, 0.2, 0.0, 0.36, index / 3)
+        tracker.observe_prefill(quick, 0.2, 0.0, 0.2, index / 3)
+    slow_estimate, quick_estimate = (
+        tracker.estimate(engine, 10.0) for engine in (slow, quick)
+    )
+    assert slow_estimate.prefill > 1.7
+    assert quick_estimate.prefill < 1.1
     options = [
         decode_engine("d0"),
-        evolve(prefill_engine("slow"), slowdown=slowdowns.slowdown(UpstreamId("slow"))),
-        evolve(
-            prefill_engine("quick"), slowdown=slowdowns.slowdown(UpstreamId("quick"))
-        ),
+        evolve(prefill_engine("slow"), capacity=slow_estimate),
+        evolve(prefill_engine("quick"), capacity=quick_estimate),
     ]
     chosen = [
         place_prompt(PromptSize(17_000, f"book-{index}", 0.6), options, NORTH)
@@ -191,8 +206,10 @@
         if getattr(placement, "prefill_id", "") == "quick"
     ]
     assert len(quick) > 80
-    slowdowns.remove_engine(UpstreamId("slow"))
-    assert slowdowns.slowdown(UpstreamId("slow")) == INITIAL_SLOWDOWN
+    tracker.remove(UpstreamId("slow"))
+    usual = CapacityTracker().estimate(slow, 10.0).prefill
+    assert usual == INITIAL_SLOWDOWN
+    assert tracker.estimate(slow, 10.0) == tracker.estimate(upstream("new"), 10.0)
 
 
 def test_only_leading_parts_count_and_full_cache_evicts_oldest():
