Exchange measurements of unusual upstreams among instances

Each instance sees one request in seventy of an upstream. Reports carry positional rows of what differs, at most 100 a second over all instances.

--- a/src/waxwingwinch/gateway/_change_log.py
+++ b/src/waxwingwinch/gateway/_change_log.py
@@ -88,7 +88,15 @@
         """Return an instance's delta to send; None if nothing changed."""
         if sent is None:
             sent = _SentReport(
-                DeltaTracker(sequence=_last_skipped_sequence(full_report)), full_report
+                DeltaTracker(
+                    sequence=_last_skipped_sequence(full_report),
+                    # The age of rows is counted from the report that brought
+                    # them, which may have been confirmed many times since.
+                    capacity_sequence=max(
+                        (row.sequence for row in full_report.capacity_rows), default=0
+                    ),
+                ),
+                full_report,
             )
             self._sent[full_report.incarnation] = sent
             return sent.delta_tracker.make_delta(full_report)
@@ -123,6 +131,7 @@
         or not delta.crash_evidence.is_empty
         or previous.unreachable
         or previous.leaving != delta.leaving
+        or delta.capacity_rows
         or _status_fields(previous) != _status_fields(delta)
     )
 
@@ -235,6 +244,7 @@
                             placements=received.full_report.placements[
                                 -INITIAL_PLACEMENTS:
                             ],
+                            capacity_rows=(),
                         ),
                     )
                     for received in self._newest_reports
--- a/src/waxwingwinch/gateway/_report_deltas.py
+++ b/src/waxwingwinch/gateway/_report_deltas.py
@@ -7,6 +7,7 @@
 from waxwingwinch._types import CustomerId, UpstreamId
 from waxwingwinch.gateway._report_messages import InstanceReport, PromptPlacement
 from waxwingwinch.gateway._usage_counts import WindowCounts
+from waxwingwinch.gateway.capacity import CapacityRow
 
 Key = TypeVar("Key")
 Value = TypeVar("Value")
@@ -26,6 +27,7 @@
         report.
     :param quota_totals: Units admitted, by customer.
     :param usage: Started requests, by window and customer.
+    :param capacity_sequence: Sequence of the last capacity row that was sent.
     """
 
     sequence: int = 0
@@ -35,6 +37,7 @@
     announced_ids: set[UpstreamId] = field(factory=set)
     quota_totals: dict[CustomerId, float] = field(factory=dict)
     usage: WindowCounts = field(factory=dict)
+    capacity_sequence: int = 0
 
     def make_delta(self, full_report: InstanceReport) -> InstanceReport:
         """
@@ -56,6 +59,7 @@
             quota_totals=self.take_changed_quota_totals(full_report.quota_totals),
             usage=self.take_changed_usage(full_report.usage),
             placements=self.take_new_placements(full_report.placements),
+            capacity_rows=self.take_new_capacity_rows(full_report.capacity_rows),
         )
 
     def mark_announced(self, upstream_id: UpstreamId) -> None:
@@ -98,6 +102,19 @@
             self.sequence = new[-1].sequence
         return new
 
+    def take_new_capacity_rows(
+        self, rows: tuple[CapacityRow, ...]
+    ) -> tuple[CapacityRow, ...]:
+        """
+        Return the capacity rows that were not sent yet; record them as sent.
+
+        :param rows: All retained rows, the oldest first.
+        """
+        new = tuple(row for row in rows if row.sequence > self.capacity_sequence)
+        if new:
+            self.capacity_sequence = new[-1].sequence
+        return new
+
     def take_changed_quota_totals(
         self, totals: dict[CustomerId, float]
     ) -> dict[CustomerId, float]:
--- a/src/waxwingwinch/gateway/_report_messages.py
+++ b/src/waxwingwinch/gateway/_report_messages.py
@@ -16,6 +16,7 @@
 from waxwingwinch.gateway._loads import UpstreamLoad
 from waxwingwinch.gateway._outage import PEER_READ_MAX_AGE_SECONDS
 from waxwingwinch.gateway._requests import PromptPart
+from waxwingwinch.gateway.capacity import CapacityRow
 
 
 @message("gateway_prompt_placement", is_positional=True)
@@ -99,6 +100,7 @@
     :param limited_sends: Its recent requests to upstreams with a limit.
     :param crash_evidence: What it knows of crashes of engines.
     :param leaving: Upstreams that it was first told to leave.
+    :param capacity_rows: Its recent measurements of unusual upstreams.
     """
 
     instance_id: InstanceId
@@ -120,6 +122,7 @@
     limited_sends: tuple[LimitedSends, ...] = ()
     crash_evidence: CrashEvidenceReport = CrashEvidenceReport()
     leaving: tuple[LeavingUpstream, ...] = ()
+    capacity_rows: tuple[CapacityRow, ...] = ()
 
     @property
     def has_recent_store_read(self) -> bool:
--- a/src/waxwingwinch/gateway/_report_table.py
+++ b/src/waxwingwinch/gateway/_report_table.py
@@ -7,6 +7,7 @@
 from waxwingwinch._types import InstanceId, UpstreamId
 from waxwingwinch.gateway._report_messages import ChangeSet, InstanceReport
 from waxwingwinch.gateway._usage_counts import WINDOWS_RETAINED, WindowCounts
+from waxwingwinch.gateway.capacity import MAX_RECENT_ROWS
 
 Key = TypeVar("Key")
 Value = TypeVar("Value")
@@ -242,6 +243,8 @@
     placements = (*known.placements, *report.placements)[-MAX_RELAYED_PLACEMENTS:]
     if report.is_full:
         return evolve(report, placements=placements)
+    # Two reports may arrive between two change sets.
+    capacity_rows = (*known.capacity_rows, *report.capacity_rows)[-MAX_RECENT_ROWS:]
     waiting_tokens, running = _merge_loads(known, report)
     # Hundreds of reports are merged per second; evolve() takes three times
     # as long.
@@ -265,6 +268,7 @@
         limited_sends=report.limited_sends,
         crash_evidence=report.crash_evidence,
         leaving=report.leaving,
+        capacity_rows=capacity_rows,
     )
 
 
--- a/src/waxwingwinch/gateway/_reports.py
+++ b/src/waxwingwinch/gateway/_reports.py
@@ -100,6 +100,9 @@
                 LeavingUpstream(upstream_id, started_ms)
                 for upstream_id, started_ms in state.directory.local_leaving()
             ),
+            capacity_rows=state.capacity.rows(
+                state.members.budget_sharer_count(now_seconds), now_seconds
+            ),
         ).with_loads(state.loads.local_loads())
 
     def apply(self, report: InstanceReport, made_seconds: float) -> None:
@@ -140,6 +143,12 @@
         )
         state.crashes.apply(report.crash_evidence, report.incarnation, made_seconds)
         self._record_leaving(report, made_seconds)
+        state.capacity.apply(
+            report.incarnation,
+            report.capacity_rows,
+            state.directory.get,
+            made_seconds,
+        )
         known = self._last_placements.get(report.instance_id)
         for placement in report.placements:
             if known is None or known.precedes(report.incarnation, placement):
