--- a/src/waxwingwinch/gateway/_engine_choice.py
+++ b/src/waxwingwinch/gateway/_engine_choice.py
@@ -293,7 +293,7 @@
                 self._context.prefixes.cached_tokens(
                     upstream.upstream_id, prompt.parts
                 ),
-                self._context.slowdowns.slowdown(upstream.upstream_id),
+                self._context.capacity.estimate(upstream, now_seconds),
                 self._context.permits.is_cold(upstream),
             )
             for upstream in self._context.directory.usable(
--- a/src/waxwingwinch/gateway/_process.py
+++ b/src/waxwingwinch/gateway/_process.py
@@ -228,7 +228,7 @@
             state.directory,
             state.loads,
             state.prefixes,
-            state.slowdowns,
+            state.capacity,
             state.placements,
             state.budget,
             state.limits,
--- a/src/waxwingwinch/gateway/_report_messages.py
+++ b/src/waxwingwinch/gateway/_report_messages.py
@@ -18,6 +18,7 @@
 from waxwingwinch.gateway._loads import UpstreamLoad
 from waxwingwinch.gateway._outage import PEER_READ_MAX_AGE_SECONDS
 from waxwingwinch.gateway._requests import PromptPart
+from waxwingwinch.gateway.capacity import CapacityRow
 from waxwingwinch.gateway.cold import ColdUpstreamReport
 from waxwingwinch.gateway.feeds import unpack_value
 
@@ -106,6 +107,7 @@
     :param relinquished_epoch: Last epoch of the duty under which it acts no
         more; None if there is none.
     :param cold: Upstreams whose answers told it that they are cold.
+    :param capacity_rows: Its recent measurements of unusual upstreams.
     """
 
     instance_id: InstanceId
@@ -129,6 +131,7 @@
     leaving: tuple[LeavingUpstream, ...] = ()
     relinquished_epoch: int | None = None
     cold: tuple[ColdUpstreamReport, ...] = ()
+    capacity_rows: tuple[CapacityRow, ...] = ()
 
     @property
     def has_recent_store_read(self) -> bool:
