Explain where a request would go, without sending it

waxwing-ctl explain-request asks a gateway instance, on its metrics address, for the choice that it would make for a route, customer and prompt, with the reasons why upstreams get no requests and the ages of the facts. The relays and the explanation build their candidates by the same functions.

--- a/src/waxwingwinch/gateway/_engine_choice.py
+++ b/src/waxwingwinch/gateway/_engine_choice.py
@@ -7,8 +7,8 @@
 from waxwingwinch.gateway._arrivals import Arrivals
 from waxwingwinch.gateway._attempt_permits import AttemptPermits
 from waxwingwinch.gateway._attempts import shared_part_ids
+from waxwingwinch.gateway._candidates import engine_options
 from waxwingwinch.gateway._job import Job, Progress, RelayContext
-from waxwingwinch.gateway._loads import NO_LOAD
 from waxwingwinch.gateway._outcomes import RefusalReason, RequestEnded
 from waxwingwinch.gateway._permits import NoPermit
 from waxwingwinch.gateway._placement import (
@@ -283,23 +283,14 @@
     def _options(
         self, job: Job, prompt: Prompt, progress: Progress, now_seconds: float
     ) -> list[EngineOption]:
-        totals = self._context.loads.totals(now_seconds)
-        return [
-            EngineOption(
-                upstream.upstream_id,
-                upstream.role or EngineRole.MIXED,
-                upstream.zone,
-                totals.get(upstream.upstream_id, NO_LOAD),
-                self._context.prefixes.cached_tokens(
-                    upstream.upstream_id, prompt.parts
-                ),
-                self._context.capacity.estimate(upstream, now_seconds),
-                self._context.permits.is_cold(upstream),
-            )
-            for upstream in self._context.directory.usable(
-                job.service.name, now_seconds, progress.excluded, job.homes.zones()
-            )
-        ]
+        return engine_options(
+            self._context,
+            job.service.name,
+            prompt,
+            progress.excluded,
+            job.homes.zones(),
+            now_seconds,
+        )
 
 
 def _planned_arrivals(progress: Progress, placement: Placement) -> Arrivals:
--- a/src/waxwingwinch/gateway/_instance_endpoints.py
+++ b/src/waxwingwinch/gateway/_instance_endpoints.py
@@ -10,6 +10,7 @@
 from waxwingwinch.gateway._process_memory import peak_resident_bytes, resident_bytes
 from waxwingwinch.gateway._state import GatewayState
 from waxwingwinch.gateway._telemetry import Gauge
+from waxwingwinch.gateway.explanation import EXPLAIN_PATH
 from waxwingwinch.gateway.homes import nearest_members
 from waxwingwinch.kernel import Clock
 
@@ -33,6 +34,7 @@
         else None.
     :param configuration_age: Returns the time since the newest read of the
         configuration topic, given the present time; None before the first.
+    :param explain: Explains where a request would go, given a query string.
     """
 
     def __init__(
@@ -43,6 +45,7 @@
         under_way: Callable[[], int],
         held_epoch: Callable[[], int | None],
         configuration_age: Callable[[float], float | None],
+        explain: Callable[[str], InfoReply],
     ) -> None:
         self._state = state
         self._adapter = adapter
@@ -50,6 +53,7 @@
         self._under_way = under_way
         self._held_epoch = held_epoch
         self._configuration_age = configuration_age
+        self._explain = explain
 
     def ready(self, path: str, query: str) -> InfoReply:
         """
@@ -90,11 +94,13 @@
 
     def metrics(self, path: str, query: str) -> InfoReply:
         """
-        Return the metrics in the Prometheus text format.
+        Return the metrics in the Prometheus text format, or an explanation.
 
         :param path: Path of the request.
-        :param query: Unused.
+        :param query: Query string of the request, for an explanation.
         """
+        if path == EXPLAIN_PATH:
+            return self._explain(query)
         if path != METRICS_PATH:
             return InfoReply("404 Not Found")
         text = self._state.telemetry.text(self._gauges())
--- a/src/waxwingwinch/gateway/_plain_relay.py
+++ b/src/waxwingwinch/gateway/_plain_relay.py
@@ -5,6 +5,7 @@
 from waxwingwinch.gateway._answer_passing import AnswerPasser, respond_whole
 from waxwingwinch.gateway._answer_start import read_start
 from waxwingwinch.gateway._attempts import Attempt, AttemptObserver
+from waxwingwinch.gateway._candidates import plain_options
 from waxwingwinch.gateway._connections import CallDropped, Cancelled
 from waxwingwinch.gateway._crash_evidence import PartBlock
 from waxwingwinch.gateway._job import (
@@ -344,17 +345,7 @@
             )
             if upstream.role is not EngineRole.PREFILL
         }
-        options = [
-            PlainOption(
-                upstream.upstream_id,
-                upstream.zone,
-                upstream.slots,
-                totals.get(upstream.upstream_id, NO_LOAD).running,
-                self._context.directory.is_cold(upstream, now_seconds),
-                self._context.capacity.estimate(upstream, now_seconds),
-            )
-            for upstream in usable.values()
-        ]
+        options = plain_options(self._context, usable.values(), totals, now_seconds)
         is_retry = progress.was_placed
         chosen = self._place_with_permit(job, usable, options, is_retry)
         if chosen is None or isinstance(chosen, NoPermit):
--- a/src/waxwingwinch/gateway/_process.py
+++ b/src/waxwingwinch/gateway/_process.py
@@ -48,6 +48,7 @@
 from waxwingwinch.gateway._store_feed import StoreFeed
 from waxwingwinch.gateway._unanswered import UnansweredConnections, UnansweredStage
 from waxwingwinch.gateway.cold import ColdBroker
+from waxwingwinch.gateway.explanation import ExplainEndpoint, RequestExplainer
 from waxwingwinch.kernel import BindAbandoned, Clock
 from waxwingwinch.peers import PeerIdentity, PeerProgram
 
@@ -222,7 +223,7 @@
 
     def _make_handler(self) -> RequestHandler:
         state = self._state
-        context = RelayContext(
+        self._context = context = RelayContext(
             self._clock,
             self._options.zone,
             state.directory,
@@ -319,6 +320,11 @@
             lambda: self._handler.under_way,
             self._duty_worker.held_epoch,
             self._configuration.age_seconds,
+            ExplainEndpoint(
+                RequestExplainer(self._context, self._state.members),
+                self._state.table,
+                self._clock,
+            ).answer,
         )
         return (
             InfoServer(self._options.ready_address, endpoints.ready),
--- a/src/waxwingwinch/gateway/homes/tests/test_callers.py
+++ b/src/waxwingwinch/gateway/homes/tests/test_callers.py
@@ -6,6 +6,7 @@
 from attrs import evolve
 
 from waxwingwinch._types import Address, InstanceId, RegionName, ZoneName
+from waxwingwinch.gateway._info_server import InfoReply
 from waxwingwinch.gateway._instance_endpoints import InstanceEndpoints
 from waxwingwinch.gateway._members import Member
 from waxwingwinch.gateway._model import GatewayConfiguration
@@ -48,7 +49,13 @@
         self.state.table.publish(GatewayConfiguration(1, routes, {}, ()))
         adapter = PlatformAdapter.from_settings(settings, self.clock)
         self.endpoints = InstanceEndpoints(
-            self.state, adapter, self.clock, lambda: 0, lambda: None, lambda _: None
+            self.state,
+            adapter,
+            self.clock,
+            lambda: 0,
+            lambda: None,
+            lambda _: None,
+            lambda _: InfoReply("404 Not Found"),
         )
 
     @staticmethod
--- a/src/waxwingwinch/gateway/tests/relay_harness.py
+++ b/src/waxwingwinch/gateway/tests/relay_harness.py
@@ -389,7 +389,7 @@
         self.transport.on_statements = observer.observe
         self.memory = MemoryAccount(10**9)
         self.zone_regions: dict[ZoneName, RegionName] = {}
-        context = RelayContext(
+        self.context = context = RelayContext(
             self.clock,
             ZONE,
             self.directory,
--- a/src/waxwingwinch/operators/_app.py
+++ b/src/waxwingwinch/operators/_app.py
@@ -7,6 +7,7 @@
 from waxwingwinch.operators._client import OperatorClient
 from waxwingwinch.operators._config_commands import add_config_commands
 from waxwingwinch.operators._customer_commands import add_customer_commands
+from waxwingwinch.operators._request_command import add_request_command
 from waxwingwinch.operators._rule_commands import add_rule_commands
 from waxwingwinch.operators._session import JsonOption, Session
 from waxwingwinch.operators._status_commands import add_status_commands
@@ -34,6 +35,7 @@
     add_rule_commands(app)
     add_status_commands(app)
     add_trace_command(app)
+    add_request_command(app)
     return app
 
 
