--- a/src/waxwingwinch/operators/_request_command.py
+++ b/src/waxwingwinch/operators/_request_command.py
@@ -48,7 +48,7 @@
     """
     Print where a request would go now, and why, without sending it.
 
-    Example: waxwing-ctl explain-request shop.example /a/ --instance 10.1.0.14:76
+    Example: waxwing-ctl explain-request shop.example /a/ --instance i1:7601
     """
     session = session_of(context, json)
     query = {"host": host, "path": path, "customer": customer, "prompt": prompt}
