Use no reply that a frozen process reads late

The ages in the reply of an exchange count from its arrival. A process that was frozen reads replies that had arrived before, and takes the reports in them for new, also those of instances that have ended meanwhile.

A reply that is read more than 1 s after its request is dropped, and the same instance is asked again. Exchanges time out after 0.6 s, so that this only happens where the process itself was held up.

--- a/src/waxwingwinch/gateway/_exchange_reader.py
+++ b/src/waxwingwinch/gateway/_exchange_reader.py
@@ -20,6 +20,9 @@
 EXCHANGE_INTERVAL_SECONDS = 0.3
 #: Timeout of an exchange, including the time to connect.
 EXCHANGE_TIMEOUT_SECONDS = 0.6
+#: Time from a request on after which its reply is not used. The ages in it
+#: count from its arrival, and a process that was frozen reads it late.
+MAX_REPLY_SECONDS = 1.0
 #: Time for which an instance with low coverage is retained. Without it,
 #: instances that are down would cause constant failover in search of their
 #: reports.
@@ -149,6 +152,8 @@
                     raise MalformedMessage(
                         "expected an exchange reply, got another message"
                     )
+                if self._clock.now_seconds() - sent_seconds > MAX_REPLY_SECONDS:
+                    continue
                 quality = self._exchange.handle_reply(reply, member, link)
             except (PeerUnavailable, MalformedMessage) as error:
                 if is_reached:
--- a/src/waxwingwinch/gateway/tests/test_exchange_reader.py
+++ b/src/waxwingwinch/gateway/tests/test_exchange_reader.py
@@ -35,6 +35,7 @@
     numbers: list[int] = field(factory=list)
     clock: FakeClock = field(factory=FakeClock)
     on_exchange: Any = None
+    handled: list[float] = field(factory=list)
     reader: Any = None
 
     def dial(self, address):
@@ -48,6 +49,7 @@
         return ExchangeRequest(number, False)
 
     def handle_reply(self, reply, member, link):
+        self.handled.append(self.clock.seconds)
         return self.qualities.get(member, ReplyQuality.GOOD)
 
     def is_alive(self, member):
@@ -150,3 +152,23 @@
     asked = harness.run(monkeypatch)
     assert asked[4] == FIRST
     assert set(asked[5:]) == {SECOND}
+
+
+# Guards against reports of an instance that ended while this process was
+# frozen, which seem new since their ages count from the arrival.
+def test_a_reply_that_is_read_late_is_not_used(monkeypatch):
+    harness = ReaderHarness()
+    resumed_seconds = 0.0
+
+    def freeze():
+        nonlocal resumed_seconds
+        if len(harness.asked) == 5:
+            harness.clock.seconds += 10.0
+            resumed_seconds = harness.clock.seconds
+
+    harness.on_exchange = freeze
+    asked = harness.run(monkeypatch)
+    assert set(asked) == {FIRST}
+    assert harness.numbers[4:6] == [4, 4]
+    assert len(harness.handled) == EXCHANGES - 1
+    assert all(abs(at - resumed_seconds - 0.01) > 1e-6 for at in harness.handled)
