Name a silent instance to callers once it has reported for some time

Reports that a partition or a freeze has held back arrive at once when it ends, and count from their arrival. The directory then named their sender for 1.2 s (2.5 s with cells), also if it had ended long before: the kernel delivers what an ended process has sent.

An instance that was silent for longer than that is named again only if a report arrives 0.65 s after the first. What was held back arrives within less.

--- a/src/waxwingwinch/gateway/_members.py
+++ b/src/waxwingwinch/gateway/_members.py
@@ -12,6 +12,11 @@
 #: Time without a report after which callers are no longer sent to an instance;
 #: several times the interval of the reports between instances.
 READY_TIMEOUT_SECONDS = 1.2
+#: Time for which an instance that was silent has to report again before
+#: callers are sent to it; longer than the time-out of an exchange, by which
+#: times of relayed reports may differ. Reports that a link or a frozen process
+#: has held back arrive at once, also those of an instance that has ended.
+RETURN_SECONDS = 0.65
 #: Time without a report after which an instance no longer counts as one of
 #: those that share a budget, unless it has a member record.
 BUDGET_TIMEOUT_SECONDS = 20.0
@@ -47,10 +52,24 @@
     :param made_seconds: Monotonic time at which the report was made or last
         confirmed as unchanged.
     :param is_ready: True if the instance accepts callers.
+    :param counts_from_seconds: Monotonic time of the first report that shows
+        that the instance runs, after a silence.
     """
 
     made_seconds: float
     is_ready: bool
+    counts_from_seconds: float
+
+    def renew(self, made_seconds: float, max_silent_seconds: float) -> None:
+        """
+        Record a later report.
+
+        :param made_seconds: Monotonic time at which it was made.
+        :param max_silent_seconds: Silence after which an instance is absent.
+        """
+        if made_seconds - self.made_seconds >= max_silent_seconds:
+            self.counts_from_seconds = made_seconds + RETURN_SECONDS
+        self.made_seconds = made_seconds
 
 
 class MemberDirectory:
@@ -119,10 +138,15 @@
         """
         with self._lock:
             last_report = self._last_reports.get(instance_id)
+            if last_report is None:
+                self._last_reports[instance_id] = _LastReport(
+                    now_seconds, is_ready, now_seconds
+                )
             # The same or an older report may arrive later through another
             # instance.
-            if last_report is None or last_report.made_seconds <= now_seconds:
-                self._last_reports[instance_id] = _LastReport(now_seconds, is_ready)
+            elif last_report.made_seconds <= now_seconds:
+                last_report.renew(now_seconds, self._max_silent_seconds())
+                last_report.is_ready = is_ready
 
     def confirm_unchanged(self, made_seconds: Mapping[InstanceId, float]) -> None:
         """
@@ -131,10 +155,11 @@
         :param made_seconds: Monotonic times of the confirmations.
         """
         with self._lock:
+            max_silent_seconds = self._max_silent_seconds()
             for instance_id, at_seconds in made_seconds.items():
                 last_report = self._last_reports.get(instance_id)
                 if last_report is not None and last_report.made_seconds < at_seconds:
-                    last_report.made_seconds = at_seconds
+                    last_report.renew(at_seconds, max_silent_seconds)
 
     def record_incarnation(self, instance_id: InstanceId, incarnation: str) -> bool:
         """
@@ -207,10 +232,12 @@
         last_report = self._last_reports.get(instance_id)
         if last_report is None or not last_report.is_ready:
             return False
-        silent_seconds = silence_limit_seconds(
-            READY_TIMEOUT_SECONDS, len(self._members)
-        )
-        return now_seconds - last_report.made_seconds < silent_seconds
+        if last_report.made_seconds < last_report.counts_from_seconds:
+            return False
+        return now_seconds - last_report.made_seconds < self._max_silent_seconds()
+
+    def _max_silent_seconds(self) -> float:
+        return silence_limit_seconds(READY_TIMEOUT_SECONDS, len(self._members))
 
 
 def addresses_for(
