--- a/src/waxwingwinch/gateway/tests/test_gossip.py
+++ b/src/waxwingwinch/gateway/tests/test_gossip.py
@@ -8,7 +8,11 @@
 from attrs import define, field
 
 from waxwingwinch._types import Address, InstanceId, UpstreamId, ZoneName
-from waxwingwinch.gateway._gossip import Gossip, GossipHandlers
+from waxwingwinch.gateway._gossip import (
+    MAX_CONFIGURATION_FETCHES,
+    Gossip,
+    GossipHandlers,
+)
 from waxwingwinch.gateway._limit_messages import PermitReply
 from waxwingwinch.gateway._members import Member, MemberDirectory
 from waxwingwinch.gateway._report_messages import ConfigurationReply, InstanceReport
@@ -160,6 +164,24 @@
     )
 
 
+# Guards against copies of a large configuration from all peers, which share
+# the link of the instance and arrive too late.
+def test_few_peers_are_asked_for_a_version_at_once(monkeypatch):
+    own, *others = make_instances(6)
+    own.start([other.member for other in others])
+    gossip = own.gossip
+    assert gossip is not None
+    gossip.stop()
+    spawned: list[Any] = []
+    monkeypatch.setattr(gossip._hub, "spawn", spawned.append)
+    for other in others:
+        other.version = 2
+        gossip._on_report(None, other.make_report())  # type: ignore[arg-type]
+    for fetch in spawned:
+        fetch.close()
+    assert len(spawned) == MAX_CONFIGURATION_FETCHES
+
+
 def test_each_cell_has_one_collector(instances):
     """Guards against many links at every one of hundreds of instances."""
 
