--- a/src/waxwingwinch/gateway/homes/tests/test_callers.py
+++ b/src/waxwingwinch/gateway/homes/tests/test_callers.py
@@ -12,7 +12,7 @@
 from waxwingwinch.gateway._state import GatewayState
 from waxwingwinch.gateway.tests.fakes import FakeClock
 from waxwingwinch.gateway.tests.relay_harness import RelayHarness
-from waxwingwinch.platform._adapter import PlatformAdapter
+from waxwingwinch.platform._adapter import RESOLVE_PATH, PlatformAdapter
 from waxwingwinch.platform._settings import parse_instance_settings
 from waxwingwinch.platform.tests.test_settings import FILE, VALID_SETTINGS
 
@@ -57,7 +57,7 @@
         return Member(InstanceId(zone), "i", ZoneName(zone), address, address)
 
     def zones_for(self, query):
-        reply = self.endpoints.resolve("/v1/resolve", query)
+        reply = self.endpoints.resolve(RESOLVE_PATH, query)
         addresses = json.loads(reply.body)["addresses"]
         return {address.partition(":")[0] for address in addresses}
 
