--- a/src/waxwingwinch/gateway/feeds/_readers.py
+++ b/src/waxwingwinch/gateway/feeds/_readers.py
@@ -9,9 +9,9 @@
 #: beyond the time for which the store may hold it. The store normally responds
 #: within a few milliseconds.
 OVERDUE_SECONDS = 0.5
-#: The same for calls that the store does not hold. They may return many records
-#: each time, such as the heartbeats of 2,000 upstreams, some 600 KB a second,
-#: which take 0.4 s on a link of 5 Mbit/s if they are read every 0.4 s.
+#: The same for calls that the store does not hold. They may return many
+#: records each time, such as the heartbeats of 2,000 upstreams, some 600 KB a
+#: second, which take 0.4 s on a link of 5 Mbit/s if they are read every 0.4 s.
 OVERDUE_UNHELD_SECONDS = 0.8
 #: Time for which the last call of an instance that seldom reads the store says
 #: whether the store serves it. Reads without new records take up to 2 s.
