--- a/src/waxwingwinch/gateway/_instance_endpoints.py
+++ b/src/waxwingwinch/gateway/_instance_endpoints.py
@@ -105,6 +105,7 @@
             Gauge("waxwing_blamed_parts", (), self._state.crashes.blamed_count()),
             Gauge("waxwing_instances_heard", (), ready_peer_count),
             Gauge("waxwing_evacuated_zones", (), len(self._state.evacuated.zones())),
+            Gauge("waxwing_cold_upstreams", (), self._count_cold(now_seconds)),
             *self._memory_gauges(),
             *self._upstream_gauges(),
             *self._limit_gauges(now_seconds),
@@ -113,6 +114,13 @@
             *self._load_gauges(now_seconds),
         ]
 
+    def _count_cold(self, now_seconds: float) -> int:
+        state = self._state
+        return sum(
+            state.cold.is_limited(upstream, now_seconds)
+            for upstream in state.directory.all()
+        )
+
     def _memory_gauges(self) -> list[Gauge]:
         """Return the memory of the process and of the requests' account."""
         memory = self._state.memory
--- a/src/waxwingwinch/gateway/cold/_keeper.py
+++ b/src/waxwingwinch/gateway/cold/_keeper.py
@@ -140,12 +140,16 @@
 
     def notice_suspension(self, now_seconds: float) -> None:
         """
-        Record a suspension of the process before it sends anything.
+        Record that the process runs, before it sends anything.
+
+        Late reports of a process that serves requests are no suspension.
 
         :param now_seconds: Monotonic time.
         """
         with self._lock:
             was_suspended = now_seconds - self._active_seconds > SUSPENSION_SECONDS
+            if not was_suspended:
+                self._active_seconds = max(now_seconds, self._active_seconds)
         if was_suspended and self._view is not None:
             self.mark_active(now_seconds)
 
--- a/src/waxwingwinch/gateway/cold/_periods.py
+++ b/src/waxwingwinch/gateway/cold/_periods.py
@@ -12,6 +12,9 @@
 from waxwingwinch.gateway.cold._log_lines import ColdLearned
 from waxwingwinch.gateway.cold._messages import ColdUpstreamReport
 
+#: Time after a suspension in which a read may have been answered before it,
+#: as replies that are buffered are read at once.
+BUFFERED_SECONDS = 0.3
 #: Source of a cold period that an answer to this process states.
 ANSWER_SOURCE = "answer"
 
@@ -209,7 +212,10 @@
         :param read_seconds: Monotonic time of the read.
         """
         with self._lock:
-            if self._doubt_seconds is not None and read_seconds > self._doubt_seconds:
+            doubt_seconds = self._doubt_seconds
+            if doubt_seconds is not None and (
+                read_seconds > doubt_seconds + BUFFERED_SECONDS
+            ):
                 self._doubt_seconds = None
 
     def reports(self, now_seconds: float) -> tuple[ColdUpstreamReport, ...]:
