--- a/src/waxwingwinch/gateway/_instance_endpoints.py
+++ b/src/waxwingwinch/gateway/_instance_endpoints.py
@@ -105,6 +105,11 @@
             Gauge("waxwing_blamed_parts", (), self._state.crashes.blamed_count()),
             Gauge("waxwing_instances_heard", (), ready_peer_count),
             Gauge("waxwing_evacuated_zones", (), len(self._state.evacuated.zones())),
+            Gauge(
+                "waxwing_unusual_upstreams",
+                (),
+                self._state.capacity.unusual_count(now_seconds),
+            ),
             *self._memory_gauges(),
             *self._upstream_gauges(),
             *self._limit_gauges(now_seconds),
--- a/src/waxwingwinch/gateway/capacity/_stream_meter.py
+++ b/src/waxwingwinch/gateway/capacity/_stream_meter.py
@@ -5,9 +5,9 @@
 from waxwingwinch.gateway._upstreams import Upstream
 from waxwingwinch.gateway.capacity._tracker import CapacityTracker
 
-#: Events of which the mean time is one measurement; fewer are dominated by
-#: the delays of single pieces.
-MEASURED_EVENTS = 16
+#: Events of which the mean time is one measurement. A measurement takes 17 us;
+#: an instance of the largest deployment passes on 4,400 events a second.
+MEASURED_EVENTS = 32
 #: Part of the time of the events that writing to the caller may take; above
 #: it the caller is slow rather than the engine.
 MAX_WRITE_FRACTION = 0.2
--- a/src/waxwingwinch/gateway/capacity/_table.py
+++ b/src/waxwingwinch/gateway/capacity/_table.py
@@ -56,3 +56,15 @@
             known.signals.pop(Phase.PREFILL, None)
         self.upstreams.move_to_end(upstream.upstream_id)
         return known
+
+    def unusual_count(self, now_seconds: float) -> int:
+        """
+        Return the number of upstreams that differ from their service.
+
+        :param now_seconds: Monotonic time.
+        """
+        return sum(
+            known.compute(self.services[known.service], now_seconds)
+            != self.services[known.service].default_estimate(known.role)
+            for known in self.upstreams.values()
+        )
--- a/src/waxwingwinch/gateway/capacity/_tracker.py
+++ b/src/waxwingwinch/gateway/capacity/_tracker.py
@@ -22,6 +22,11 @@
 from waxwingwinch.gateway.capacity._messages import CapacityRow
 from waxwingwinch.gateway.capacity._outbox import Outbox
 from waxwingwinch.gateway.capacity._rows import ServiceCapacity, UpstreamCapacity
+from waxwingwinch.gateway.capacity._samples import (
+    Sample,
+    plain_sample,
+    prefill_sample,
+)
 from waxwingwinch.gateway.capacity._table import CapacityTable
 
 #: Peers whose last row is remembered; more than there are instances.
@@ -29,12 +34,6 @@
 #: Time for which an estimate is used without computing it again, a twentieth
 #: of the short time constant.
 ESTIMATE_SECONDS = 0.1
-#: Expected time from which a prefill counts as a whole sample. Shorter ones
-#: are as long as the delays of sending and of threads.
-WHOLE_SAMPLE_SECONDS = 0.05
-#: Weight of a plain call that met known waiting calls: where some are known,
-#: others aren't known yet.
-WAITING_WEIGHT = 0.05
 #: Largest weight of a row of a peer, as samples.
 MAX_ROW_WEIGHT = 20.0
 
@@ -95,21 +94,12 @@
         """
         if expected_seconds <= 0:
             return
-        whole_seconds = expected_seconds + waiting_seconds
-        weight = expected_seconds / whole_seconds
-        weight *= min(whole_seconds / WHOLE_SAMPLE_SECONDS, 1.0)
-        sample = _bounded_log(took_seconds / whole_seconds)
+        sample = prefill_sample(
+            expected_seconds, waiting_seconds, took_seconds, is_complete
+        )
         with self._lock:
             baseline = self._service(upstream).prefill_baseline(upstream.role)
-            self._add(
-                upstream,
-                Phase.PREFILL,
-                baseline,
-                sample,
-                weight,
-                now_seconds,
-                is_complete,
-            )
+            self._add(upstream, Phase.PREFILL, baseline, sample, now_seconds)
 
     def observe_decode(
         self, upstream: Upstream, event_seconds: float, now_seconds: float
@@ -125,8 +115,8 @@
             return
         with self._lock:
             baseline = self._service(upstream).decode
-            sample = math.log(event_seconds)
-            self._add(upstream, Phase.DECODE, baseline, sample, 1.0, now_seconds)
+            sample = Sample(math.log(event_seconds))
+            self._add(upstream, Phase.DECODE, baseline, sample, now_seconds)
 
     def observe_plain(
         self,
@@ -150,22 +140,11 @@
         """
         if took_seconds <= 0:
             return
-        slots = max(upstream.slots, 1)
-        turns = 1.0 + max(running + 1 - slots, 0) / slots
-        sample = math.log(took_seconds / turns)
+        sample = plain_sample(upstream.slots, running, took_seconds, is_complete)
         with self._lock:
             service = self._service(upstream)
             baseline = service.plain_baseline(route)
-            weight = 1.0 if running < slots else WAITING_WEIGHT
-            self._add(
-                upstream,
-                Phase.PLAIN,
-                baseline,
-                sample,
-                weight,
-                now_seconds,
-                is_complete,
-            )
+            self._add(upstream, Phase.PLAIN, baseline, sample, now_seconds)
             service.keep_plain_spread(baseline)
 
     def observe_success(self, upstream: Upstream, now_seconds: float) -> None:
@@ -239,12 +218,7 @@
         :param now_seconds: Monotonic time.
         """
         with self._lock:
-            count = 0
-            for known in self._table.upstreams.values():
-                service = self._table.services[known.service]
-                usual = service.default_estimate(known.role)
-                count += known.compute(service, now_seconds) != usual
-            return count
+            return self._table.unusual_count(now_seconds)
 
     def _observe_end(
         self, upstream: Upstream, is_failure: bool, now_seconds: float
@@ -265,21 +239,20 @@
         upstream: Upstream,
         phase: Phase,
         baseline: Baseline,
-        sample: float,
-        weight: float,
+        sample: Sample,
         now_seconds: float,
-        is_complete: bool = True,
     ) -> None:
         known = self._table.known(upstream)
         if known is None:
             return
         signal = known.signals.setdefault(phase, Signal())
-        if not is_complete and sample <= baseline.mean + signal.passing.mean:
+        usual = baseline.mean + signal.passing.mean
+        if not sample.is_complete and sample.value <= usual:
             # It would have taken longer, which the time so far doesn't show.
             return
-        difference = baseline.add(sample, signal.lasting.mean, weight)
+        difference = baseline.add(sample.value, signal.lasting.mean, sample.weight)
         difference = min(max(difference, MIN_SAMPLE), MAX_SAMPLE)
-        weight *= baseline.maturity
+        weight = sample.weight * baseline.maturity
         signal.add(difference, baseline.spread, weight, now_seconds)
         self._outbox.add_sample(
             (upstream.upstream_id, phase),
@@ -329,7 +302,3 @@
             self._service(upstream).spread(phase, known.role),
             now_seconds,
         )
-
-
-def _bounded_log(ratio: float) -> float:
-    return min(max(math.log(max(ratio, 1e-3)), MIN_SAMPLE), MAX_SAMPLE)
