--- a/src/waxwingwinch/gateway/capacity/_averages.py
+++ b/src/waxwingwinch/gateway/capacity/_averages.py
@@ -17,10 +17,13 @@
 #: than a normal distribution.
 SIGNIFICANT_ERRORS = 3.0
 #: Smallest differences that count, as logarithms. Lasting ones below 16 % gain
-#: less than moving a prompt away from its cache costs. Passing ones below 2
-#: times come from waits, or from disturbances of half a second, which are over
-#: when they are known; those of some seconds are 3 to 5 times.
+#: less than moving a prompt away from its cache costs; passing ones below 2
+#: times come from waits.
 LASTING_MIN, PASSING_MIN = 0.15, 0.7
+#: Time between the first and the last of the slow samples of a row from which
+#: an upstream counts as slow for the time being. Waits that instances cause at
+#: once, and disturbances of 0.6 s, are over when they are known.
+SLOW_SECONDS = 0.6
 #: Largest deviation of a sample that enters the lasting average, in standard
 #: deviations, so that a passing disturbance changes it little.
 LASTING_CLIP = 2.0
@@ -149,6 +152,8 @@
     passing: Average = field(
         factory=lambda: Average(PASSING_SECONDS, PASSING_MAX_WEIGHT)
     )
+    _slow_from_seconds: float = math.inf
+    _slow_until_seconds: float = 0.0
 
     def add(
         self, difference: float, spread: float, weight: float, now_seconds: float
@@ -165,9 +170,13 @@
         limit = LASTING_CLIP * spread
         clipped = min(max(difference, mean - limit), mean + limit)
         self.lasting.add(clipped, weight, now_seconds)
-        if difference > self.passing.mean + max(
-            SIGNIFICANT_ERRORS * spread, PASSING_MIN
-        ):
+        limit = max(SIGNIFICANT_ERRORS * spread, PASSING_MIN)
+        if difference < mean + limit / 2:
+            self._slow_from_seconds = math.inf
+        else:
+            self._slow_from_seconds = min(self._slow_from_seconds, now_seconds)
+            self._slow_until_seconds = now_seconds
+        if difference > self.passing.mean + limit:
             # What the upstream did before says little now. After a return to
             # the usual speed, earlier samples keep their weight: one quick
             # answer doesn't bring all requests back.
@@ -188,7 +197,10 @@
         )
         change = self.passing.mean - lasting
         noise = SIGNIFICANT_ERRORS * _error(spread, self.passing, now_seconds)
-        return lasting + (change if abs(change) > max(noise, PASSING_MIN) else 0.0)
+        if abs(change) <= max(noise, PASSING_MIN):
+            return lasting
+        slow_seconds = self._slow_until_seconds - self._slow_from_seconds
+        return lasting + change if slow_seconds >= SLOW_SECONDS else lasting
 
 
 def significant(difference: float, noise: float, minimum: float) -> float:
