--- a/src/waxwingwinch/gateway/_instance_endpoints.py
+++ b/src/waxwingwinch/gateway/_instance_endpoints.py
@@ -130,6 +130,11 @@
             Gauge("waxwing_instances_heard", (), ready_peer_count),
             Gauge("waxwing_evacuated_zones", (), len(self._state.evacuated.zones())),
             Gauge("waxwing_cold_upstreams", (), self._count_cold(now_seconds)),
+            Gauge(
+                "waxwing_unusual_upstreams",
+                (),
+                self._state.capacity.unusual_count(now_seconds),
+            ),
             *self._memory_gauges(),
             *self._upstream_gauges(),
             *self._limit_gauges(now_seconds),
