Allow readers of many records longer before they count as refused

A call that the store doesn't hold may return the heartbeats of all upstreams, which on a slow link take almost the 0.5 s after which the call counted as refused. Both readers of a large deployment would then have sent all instances to the store in calm times. The figure of 600 KB a second is computed from 300 bytes an entry.

--- a/src/waxwingwinch/gateway/feeds/_readers.py
+++ b/src/waxwingwinch/gateway/feeds/_readers.py
@@ -9,6 +9,10 @@
 #: beyond the time for which the store may hold it. The store normally responds
 #: within a few milliseconds.
 OVERDUE_SECONDS = 0.5
+#: The same for calls that the store does not hold. They may return many
+#: records each time, such as the heartbeats of 2,000 upstreams, some 600 KB a
+#: second, which take 0.4 s on a link of 5 Mbit/s if they are read every 0.4 s.
+OVERDUE_UNHELD_SECONDS = 0.8
 #: Time for which the last call of an instance that seldom reads the store says
 #: whether the store serves it. Reads without new records take up to 2 s.
 OWN_CALL_SECONDS = 3.0
@@ -45,7 +49,8 @@
         :param wait_seconds: Time for which the store may hold the call.
         :param now_seconds: Monotonic time.
         """
-        self._overdue_seconds = now_seconds + wait_seconds + OVERDUE_SECONDS
+        margin_seconds = OVERDUE_SECONDS if wait_seconds else OVERDUE_UNHELD_SECONDS
+        self._overdue_seconds = now_seconds + wait_seconds + margin_seconds
 
     def end(self, has_failed: bool, now_seconds: float) -> None:
         """
--- a/src/waxwingwinch/gateway/feeds/tests/test_refused_readers.py
+++ b/src/waxwingwinch/gateway/feeds/tests/test_refused_readers.py
@@ -21,6 +21,7 @@
 from waxwingwinch.gateway.feeds._readers import (
     HEARD_SECONDS,
     OVERDUE_SECONDS,
+    OVERDUE_UNHELD_SECONDS,
     SPREAD_SECONDS,
 )
 from waxwingwinch.gateway.tests.fakes import FakeClock, FakeStore
@@ -205,6 +206,15 @@
     assert not calls.is_refused(11.5)
 
 
+# Guards against readers of many records on slow links that seem refused, so
+# that all instances read the store in calm times.
+def test_a_call_that_returns_many_records_at_once_may_take_longer():
+    calls = StoreCalls()
+    calls.begin(0.0, 10.0)
+    assert not calls.is_refused(10.0 + OVERDUE_UNHELD_SECONDS)
+    assert calls.is_refused(10.1 + OVERDUE_UNHELD_SECONDS)
+
+
 # Guards against hundreds of instances that read the store at one moment.
 def test_reads_after_the_loss_of_the_readers_are_spread():
     waits: list[float] = []
