--- a/src/waxwingwinch/gateway/capacity/_averages.py
+++ b/src/waxwingwinch/gateway/capacity/_averages.py
@@ -16,6 +16,10 @@
 #: Standard errors beyond which a difference counts; waits have longer tails
 #: than a normal distribution.
 SIGNIFICANT_ERRORS = 3.0
+#: Independent samples that an average rests on at most. Samples of one
+#: disturbance or wait share their cause; with all of them counted, upstreams
+#: with disturbances of 0.6 s seemed to differ lastingly.
+MAX_INDEPENDENT = 8.0
 #: Smallest differences that count, as logarithms. Lasting ones below 16 % gain
 #: less than moving a prompt away from its cache costs; passing ones below 2
 #: times come from waits.
@@ -221,5 +225,5 @@
 
 def _error(spread: float, average: Average, now_seconds: float) -> float:
     """Return the standard error of an average; infinite without samples."""
-    weight = average.weight_at(now_seconds)
+    weight = min(average.weight_at(now_seconds), MAX_INDEPENDENT)
     return spread / math.sqrt(weight) if weight > 0 else math.inf
