--- a/src/waxwingwinch/gateway/capacity/_averages.py
+++ b/src/waxwingwinch/gateway/capacity/_averages.py
@@ -34,13 +34,13 @@
 #: Bounds of the logarithm of a single measurement. Work that isn't known here
 #: yet looks like a slow upstream.
 MIN_SAMPLE, MAX_SAMPLE = math.log(0.25), math.log(8.0)
-#: Initial standard deviation of samples, as a logarithm; a first sample counts
-#: from 2.5 times the usual duration on.
+#: Initial standard deviation of samples, as a logarithm; three times it is 2.5
+#: times the usual duration.
 INITIAL_SPREAD = 0.3
 #: Samples that the initial standard deviation counts for.
 INITIAL_SPREAD_WEIGHT = 5.0
-#: Smallest standard deviation; clocks and threads of an instance with half a
-#: core cause as much.
+#: Smallest standard deviation, so that a service with equal durations doesn't
+#: take the delay of a thread for a difference.
 MIN_SPREAD = 0.05
 #: Samples of a mean at which differences from it count half.
 MATURE_SAMPLES = 4.0
