--- a/src/waxwingwinch/gateway/capacity/_averages.py
+++ b/src/waxwingwinch/gateway/capacity/_averages.py
@@ -16,6 +16,10 @@
 #: Standard errors beyond which a difference counts; waits have longer tails
 #: than a normal distribution.
 SIGNIFICANT_ERRORS = 3.0
+#: Independent samples that an average rests on at most. Samples of one
+#: disturbance or wait share their cause; with all of them counted, upstreams
+#: with disturbances of 0.6 s seemed to differ lastingly.
+MAX_INDEPENDENT = 8.0
 #: Smallest differences that count, as logarithms. Lasting ones below 16 % gain
 #: less than moving a prompt away from its cache costs; passing ones below 2
 #: times come from waits.
@@ -30,13 +34,13 @@
 #: Bounds of the logarithm of a single measurement. Work that isn't known here
 #: yet looks like a slow upstream.
 MIN_SAMPLE, MAX_SAMPLE = math.log(0.25), math.log(8.0)
-#: Initial standard deviation of samples, as a logarithm; a first sample counts
-#: from 2.5 times the usual duration on.
+#: Initial standard deviation of samples, as a logarithm; three times it is 2.5
+#: times the usual duration.
 INITIAL_SPREAD = 0.3
 #: Samples that the initial standard deviation counts for.
 INITIAL_SPREAD_WEIGHT = 5.0
-#: Smallest standard deviation; clocks and threads of an instance with half a
-#: core cause as much.
+#: Smallest standard deviation, so that a service with equal durations doesn't
+#: take the delay of a thread for a difference.
 MIN_SPREAD = 0.05
 #: Samples of a mean at which differences from it count half.
 MATURE_SAMPLES = 4.0
@@ -221,5 +225,5 @@
 
 def _error(spread: float, average: Average, now_seconds: float) -> float:
     """Return the standard error of an average; infinite without samples."""
-    weight = average.weight_at(now_seconds)
+    weight = min(average.weight_at(now_seconds), MAX_INDEPENDENT)
     return spread / math.sqrt(weight) if weight > 0 else math.inf
