--- a/src/waxwingwinch/gateway/capacity/tests/test_capacity_choices.py
+++ b/src/waxwingwinch/gateway/capacity/tests/test_capacity_choices.py
@@ -45,16 +45,27 @@
     assert after.p99 < before.p99
 
 
-def test_prompts_avoid_slow_engines():
+@pytest.mark.parametrize("slowness", [by_zone, when_half_full, for_six_seconds])
+def test_plain_calls_of_many_instances_avoid_slow_upstreams(slowness):
+    """Guards against instances that all go to the same idle upstream."""
+    before, _ = waits(slowness, False, True, 400, 24)
+    after, _ = waits(slowness, True, True, 400, 24)
+    assert after.mean < before.mean
+    assert after.p99 < before.p99
+
+
+@pytest.mark.parametrize("slowness", [by_zone, when_half_full, for_six_seconds])
+def test_prompts_avoid_slow_engines(slowness):
     """Guards against prompts that wait at slow engines beside idle ones."""
-    before, _ = waits(by_zone, False, False, 25)
-    after, _ = waits(by_zone, True, False, 25)
+    before, _ = waits(slowness, False, False, 25)
+    after, _ = waits(slowness, True, False, 25)
     assert after.mean < before.mean
     assert after.p99 < before.p99
 
 
 @pytest.mark.parametrize(
-    ("slowness", "instances"), [(alike, 6), (alike, 24), (in_spells, 6)]
+    ("slowness", "instances"),
+    [(alike, 6), (alike, 24), (in_spells, 6), (in_spells, 24)],
 )
 def test_nothing_is_lost_where_nothing_can_be_learned(slowness, instances):
     """
@@ -68,6 +79,13 @@
     assert after.p99 < 1.05 * before.p99
 
 
+def test_choices_are_those_of_before_where_upstreams_are_alike():
+    """Guards against noise that moves calls between equal upstreams."""
+    _, before = waits(alike, False, True, 250)
+    _, after = waits(alike, True, True, 250)
+    assert after.choices == before.choices
+
+
 def test_slow_upstream_is_tried_again_and_then_used_as_before():
     """Guards against an upstream that is avoided after it has recovered."""
     _, fleet = waits(for_six_seconds, True, True, 250)
