--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -27,6 +27,9 @@
 HYPOTHESIS_SEED = "20261204"
 #: Parts of the run at one time; a feature keeps one to three cores busy.
 PARALLEL_JOBS = 3
+#: Tests with many clients against low limits. They run one at a time after all
+#: other jobs, since load would decide which clients get through.
+SEPARATE_TESTS = ROOT / "src/waxwingwinch/platform/tests/misuse"
 #: Exit status of pytest after failed tests.
 PYTEST_FAILED = 1
 #: Exit status of pytest without tests.
@@ -88,16 +91,18 @@
 
 def run_unit_tests(package: pathlib.Path) -> list[Check]:
     """
-    Run the tests beside the modules of a package.
+    Run the tests of a folder, except those that run separately.
 
-    :param package: Folder of the package.
+    :param package: Folder of a package, or the separate tests themselves.
     """
     with tempfile.TemporaryDirectory() as folder:
         report = pathlib.Path(folder) / "unit.xml"
+        ignored = [] if package == SEPARATE_TESTS else [f"--ignore={SEPARATE_TESTS}"]
         status = run(
             [
                 str(BIN / "pytest"),
                 str(package.relative_to(ROOT)),
+                *ignored,
                 f"--hypothesis-seed={HYPOTHESIS_SEED}",
                 f"--junitxml={report}",
             ]
@@ -180,6 +185,7 @@
     """Run all checks and return the exit status."""
     with ThreadPoolExecutor(PARALLEL_JOBS) as pool:
         results = list(pool.map(lambda job: job(), make_jobs()))
+    results.append(run_unit_tests(SEPARATE_TESTS))
     checks = [check for result in results for check in result]
     known = known_red_names()
     failed = [check for check in checks if not check.passed]
