--- a/src/waxwingwinch/gateway/_cell_gossip.py
+++ b/src/waxwingwinch/gateway/_cell_gossip.py
@@ -10,7 +10,6 @@
 from waxwingwinch.gateway._change_packing import pack_changes, unpack_changes
 from waxwingwinch.gateway._cluster_log_lines import CollectingBegan, CollectingEnded
 from waxwingwinch.gateway._exchange_reader import ExchangeReader, ReplyQuality
-from waxwingwinch.gateway._follower import StoreReadMode
 from waxwingwinch.gateway._members import Member
 from waxwingwinch.gateway._report_messages import (
     ChangeSet,
@@ -19,6 +18,7 @@
 )
 from waxwingwinch.gateway._report_table import ReceivedReport, ReportTable, ReportUpdate
 from waxwingwinch.gateway._store_feed import StoreFeed
+from waxwingwinch.gateway.feeds import StoreReadMode
 from waxwingwinch.kernel import Clock
 from waxwingwinch.peers import HubLink, PeerHub
 
--- a/src/waxwingwinch/gateway/_follower.py
+++ b/src/waxwingwinch/gateway/_follower.py
@@ -1,12 +1,9 @@
 """Follower of a keyed topic of the platform's store."""
 
-import enum
 import threading
 import time
 from collections import deque
-from collections.abc import Callable, Iterable, Sequence
-
-from attrs import frozen
+from collections.abc import Callable, Sequence
 
 from waxwingwinch._exceptions import (
     PlatformRefused,
@@ -26,11 +23,18 @@
 from waxwingwinch.gateway._store import KeyedRecord, KeyedSnapshot, PlatformStore
 from waxwingwinch.gateway.feeds import (
     OWN_READS,
+    STANDBY_READ_SECONDS,
+    FollowPlan,
+    Pace,
     ReaderState,
     ReaderWatch,
     ReadSource,
+    RecordEffect,
+    RetainedChange,
     SourceWatch,
     StoreCalls,
+    StoreReadMode,
+    newest_records,
 )
 from waxwingwinch.kernel import Clock
 
@@ -40,16 +44,6 @@
 #: Maximum time between the starts of calls that fail at once, well below the
 #: time within which a change has to be in force.
 MAX_PAUSE_SECONDS = 0.5
-#: Margin beyond the interval of reads after which passed-on records count as
-#: outdated. Records pass through two instances, and one exchange may be lost.
-FEED_MARGIN_SECONDS = 1.2
-#: The same margin for the instances that take the place of the readers; it
-#: covers one exchange. Others get their records before they read themselves,
-#: which saves most of the calls.
-STANDBY_MARGIN_SECONDS = 0.6
-#: Time that others leave them once the store refuses the readers: a read and
-#: the exchange that brings its records.
-STANDBY_READ_SECONDS = 0.4
 #: Number of changes of a topic retained for slow readers. A reader that lacks
 #: more receives the newest records of all keys.
 MAX_CHANGES = 500
@@ -57,126 +51,6 @@
 MAX_LOGGED_CHARACTERS = 200
 
 
-class RecordEffect(enum.Enum):
-    """Effect of a record on the state of a process that follows its topic."""
-
-    #: Any other effect, also that of a record that is malformed or ignored.
-    NEW = "new"
-    #: Equal to the previous record of its key, such as a heartbeat.
-    REPEATED = "repeated"
-    #: Superseded: a record with a newer state of the key was applied before.
-    OUTDATED = "outdated"
-
-
-class StoreReadMode(enum.Enum):
-    """Which instances read the store."""
-
-    #: Each instance reads the store for itself.
-    INDEPENDENT = "independent"
-    #: This instance reads the store, and other instances rely on it.
-    SHARED = "shared"
-    #: This instance reads the store in place of the instances that do, before
-    #: all others would.
-    STANDBY = "standby"
-    #: Other instances read the store, as long as the records that they pass on
-    #: are recent enough.
-    DELEGATED = "delegated"
-
-
-@frozen
-class Pace:
-    """
-    How often a topic is read.
-
-    :param wait_seconds: Maximum time for which the store may hold a read that
-        waits for new records.
-    :param pause_seconds: Pause between two reads. A topic that is written
-        constantly is read at intervals, since each call is billed.
-    """
-
-    wait_seconds: float
-    pause_seconds: float = 0.0
-
-
-@frozen
-class FollowPlan:
-    """
-    How a topic is followed.
-
-    :param topic: The topic.
-    :param pace: How often it is read.
-    :param shared_pace: How often it is read by an instance on which others
-        rely.
-    """
-
-    topic: str
-    pace: Pace
-    shared_pace: Pace
-
-    @property
-    def max_age_seconds(self) -> float:
-        """Age of another instance's read from which on it is not relied on."""
-        return self._read_interval_seconds + FEED_MARGIN_SECONDS
-
-    @property
-    def standby_age_seconds(self) -> float:
-        """The same age for an instance that takes the place of a reader."""
-        return self._read_interval_seconds + STANDBY_MARGIN_SECONDS
-
-    @property
-    def _read_interval_seconds(self) -> float:
-        # A read without records is as old as its start when it ends, and the
-        # next one takes as long.
-        return 2 * self.shared_pace.wait_seconds + self.shared_pace.pause_seconds
-
-
-@frozen
-class _Change:
-    """
-    A record that is retained for readers.
-
-    :param at_offset: Offset of the record that caused the retention: the last
-        state before a removal is retained at the offset of the removal.
-    :param record: The record.
-    """
-
-    at_offset: int
-    record: KeyedRecord
-
-
-def _newest_records(records: Iterable[KeyedRecord]) -> list[KeyedRecord]:
-    """
-    Return the newest record of each key.
-
-    A removal keeps the last record before it, from which readers learn the
-    key's latest state.
-
-    :param records: Records in the order of their offsets.
-    """
-    newest: dict[str, list[KeyedRecord]] = {}
-    for record in records:
-        earlier = newest.pop(record.key, [])
-        if record.value is None:
-            states = [known for known in earlier if known.value is not None]
-            newest[record.key] = [*states, record]
-        else:
-            newest[record.key] = [record]
-    return [record for kept in newest.values() for record in kept]
-
-
-def pause_after_failure(pause_seconds: float, called_seconds: float) -> float:
-    """
-    Return the pause before the store is called again.
-
-    A call without a response has taken longer than the pause; the store may
-    have become available meanwhile, and changes have to be in force soon.
-
-    :param pause_seconds: Time between the starts of two calls.
-    :param called_seconds: Time that the failed call took.
-    """
-    return max(pause_seconds - called_seconds, MIN_PAUSE_SECONDS)
-
-
 class TopicFollower:
     """
     Applies the newest records of a keyed topic and then its changes.
@@ -236,7 +110,7 @@
         #: Set when the store refuses all readers this instance relies on.
         self._reader_lost = threading.Event()
         self._newest: dict[str, KeyedRecord] = {}
-        self._changes: deque[_Change] = deque(maxlen=MAX_CHANGES)
+        self._changes: deque[RetainedChange] = deque(maxlen=MAX_CHANGES)
         #: Changes at earlier offsets are no longer retained.
         self._first_retained_offset = 0
         self._lock = threading.RLock()
@@ -284,7 +158,7 @@
             if offset is None or offset < self._first_retained_offset:
                 offset, records = None, list(self._newest.values())
             else:
-                records = _newest_records(
+                records = newest_records(
                     change.record
                     for change in self._changes
                     if change.at_offset >= offset
@@ -562,7 +436,7 @@
     def _add_change(self, at_offset: int, record: KeyedRecord) -> None:
         if len(self._changes) == MAX_CHANGES:
             self._first_retained_offset = self._changes[0].at_offset + 1
-        self._changes.append(_Change(at_offset, record))
+        self._changes.append(RetainedChange(at_offset, record))
 
     def _pace(self) -> Pace:
         is_relied_on = self.read_mode() in (
--- a/src/waxwingwinch/gateway/_gossip.py
+++ b/src/waxwingwinch/gateway/_gossip.py
@@ -10,7 +10,6 @@
 from waxwingwinch.gateway._cell_gossip import CellGossip, ExchangeHandlers
 from waxwingwinch.gateway._cells import plan_links
 from waxwingwinch.gateway._cluster_log_lines import ConfigurationUnanswered
-from waxwingwinch.gateway._follower import StoreReadMode
 from waxwingwinch.gateway._limit_messages import PermitReply, PermitRequest
 from waxwingwinch.gateway._members import Member, MemberDirectory
 from waxwingwinch.gateway._permit_links import PermitLinks
@@ -28,7 +27,7 @@
 from waxwingwinch.gateway._report_table import ReceivedReport, ReportTable, ReportUpdate
 from waxwingwinch.gateway._silence import has_cells
 from waxwingwinch.gateway._store_feed import StoreFeed
-from waxwingwinch.gateway.feeds import ValuePacker
+from waxwingwinch.gateway.feeds import StoreReadMode, ValuePacker
 from waxwingwinch.kernel import Clock
 from waxwingwinch.peers import HubLink, PeerHub, PeerIdentity
 
--- a/src/waxwingwinch/gateway/_process.py
+++ b/src/waxwingwinch/gateway/_process.py
@@ -7,7 +7,7 @@
 from waxwingwinch.gateway._caller_watcher import CallerWatcher
 from waxwingwinch.gateway._duty_lease import DutyLease
 from waxwingwinch.gateway._duty_worker import DutyWorker
-from waxwingwinch.gateway._follower import FollowPlan, Pace, TopicFollower
+from waxwingwinch.gateway._follower import TopicFollower
 from waxwingwinch.gateway._front import FrontServer
 from waxwingwinch.gateway._gossip import Gossip, GossipHandlers
 from waxwingwinch.gateway._handler import (
@@ -50,6 +50,7 @@
 from waxwingwinch.gateway.callers import front_bounds, info_bounds
 from waxwingwinch.gateway.cold import ColdBroker
 from waxwingwinch.gateway.explanation import ExplainEndpoint, RequestExplainer
+from waxwingwinch.gateway.feeds import FollowPlan, Pace
 from waxwingwinch.kernel import BindAbandoned, Clock
 from waxwingwinch.peers import PeerIdentity, PeerProgram
 
--- a/src/waxwingwinch/gateway/_record_applier.py
+++ b/src/waxwingwinch/gateway/_record_applier.py
@@ -15,13 +15,13 @@
     UpstreamMalformed,
     UpstreamRegistered,
 )
-from waxwingwinch.gateway._follower import RecordEffect
 from waxwingwinch.gateway._members import Member
 from waxwingwinch.gateway._options import GatewayAdapter
 from waxwingwinch.gateway._report_messages import ConfigurationReply
 from waxwingwinch.gateway._state import GatewayState
 from waxwingwinch.gateway._store import KeyedRecord
 from waxwingwinch.gateway._upstreams import Upstream
+from waxwingwinch.gateway.feeds import RecordEffect
 from waxwingwinch.gateway.versions import ConfigurationIntake
 from waxwingwinch.kernel import Clock
 
--- a/src/waxwingwinch/gateway/evacuation/tests/test_evacuation.py
+++ b/src/waxwingwinch/gateway/evacuation/tests/test_evacuation.py
@@ -7,11 +7,12 @@
 from attrs import evolve
 
 from waxwingwinch._types import Address, EngineRole, InstanceId, UpstreamId, ZoneName
-from waxwingwinch.gateway._follower import FollowPlan, Pace, TopicFollower
+from waxwingwinch.gateway._follower import TopicFollower
 from waxwingwinch.gateway._members import Member
 from waxwingwinch.gateway._record_applier import RecordApplier
 from waxwingwinch.gateway._report_messages import ConfigurationReply
 from waxwingwinch.gateway._state import GatewayState
+from waxwingwinch.gateway.feeds import FollowPlan, Pace
 from waxwingwinch.gateway.tests.fakes import FakeClock, FakeStore
 from waxwingwinch.gateway.tests.relay_harness import (
     CONNECT_FAILED,
--- a/src/waxwingwinch/gateway/feeds/tests/test_refused_readers.py
+++ b/src/waxwingwinch/gateway/feeds/tests/test_refused_readers.py
@@ -6,18 +6,20 @@
 from waxwingwinch.codec import decode_message, encode_message
 from waxwingwinch.gateway._exchange_reader import EXCHANGE_INTERVAL_SECONDS
 from waxwingwinch.gateway._feed_messages import FeedPage
-from waxwingwinch.gateway._follower import (
-    FollowPlan,
-    RecordEffect,
-    StoreReadMode,
-    TopicFollower,
-)
+from waxwingwinch.gateway._follower import TopicFollower
 from waxwingwinch.gateway._process import (
     CONFIGURATION_PACE,
     SHARED_CONFIGURATION_PACE,
 )
 from waxwingwinch.gateway._store_feed import StoreFeed
-from waxwingwinch.gateway.feeds import ReaderState, ReaderWatch, StoreCalls
+from waxwingwinch.gateway.feeds import (
+    FollowPlan,
+    ReaderState,
+    ReaderWatch,
+    RecordEffect,
+    StoreCalls,
+    StoreReadMode,
+)
 from waxwingwinch.gateway.feeds._readers import (
     HEARD_SECONDS,
     OVERDUE_SECONDS,
--- a/src/waxwingwinch/gateway/tests/test_follower.py
+++ b/src/waxwingwinch/gateway/tests/test_follower.py
@@ -7,15 +7,12 @@
     MAX_CHANGES,
     MAX_PAUSE_SECONDS,
     MIN_PAUSE_SECONDS,
-    FollowPlan,
-    Pace,
-    RecordEffect,
-    StoreReadMode,
     TopicFollower,
     pause_after_failure,
 )
 from waxwingwinch.gateway._outage import OutageTracker
 from waxwingwinch.gateway._store_feed import StoreFeed
+from waxwingwinch.gateway.feeds import FollowPlan, Pace, RecordEffect, StoreReadMode
 from waxwingwinch.gateway.tests.fakes import FakeClock, FakeStore
 
 TOPIC = "servers"
--- a/src/waxwingwinch/gateway/tests/test_process.py
+++ b/src/waxwingwinch/gateway/tests/test_process.py
@@ -3,13 +3,13 @@
 import pytest
 
 from waxwingwinch.gateway._exchange_reader import EXCHANGE_INTERVAL_SECONDS
-from waxwingwinch.gateway._follower import FollowPlan
 from waxwingwinch.gateway._process import (
     CONFIGURATION_PACE,
     SHARED_CONFIGURATION_PACE,
     UPSTREAMS_PAUSE_MIN_SECONDS,
     upstreams_pace,
 )
+from waxwingwinch.gateway.feeds import FollowPlan
 
 
 def upstreams_plan(drain_seconds):
--- a/src/waxwingwinch/gateway/tests/test_store_returns.py
+++ b/src/waxwingwinch/gateway/tests/test_store_returns.py
@@ -2,7 +2,6 @@
 
 import pytest
 
-from waxwingwinch.gateway._follower import StoreReadMode
 from waxwingwinch.gateway._positions import (
     MAX_ERA,
     MAX_OFFSET,
@@ -11,6 +10,7 @@
     offset_of,
 )
 from waxwingwinch.gateway._store import HistoryReplaced
+from waxwingwinch.gateway.feeds import StoreReadMode
 from waxwingwinch.gateway.tests.test_follower import TOPIC, FollowerHarness, SharedReads
 
 
--- a/src/waxwingwinch/platform/tests/test_odd_entries.py
+++ b/src/waxwingwinch/platform/tests/test_odd_entries.py
@@ -4,8 +4,9 @@
 
 from waxwingwinch._types import InstanceId, UpstreamId
 from waxwingwinch.codec import decode_message, encode_message
-from waxwingwinch.gateway._follower import FollowPlan, Pace, TopicFollower
+from waxwingwinch.gateway._follower import TopicFollower
 from waxwingwinch.gateway._record_applier import RecordApplier
+from waxwingwinch.gateway.feeds import FollowPlan, Pace
 from waxwingwinch.gateway.tests.fakes import FakeClock, FakeStore
 from waxwingwinch.gateway.tests.test_cache_survey import make_state
 from waxwingwinch.gateway.tests.test_named_limits import logged
