--- a/src/waxwingwinch/gateway/_follower.py
+++ b/src/waxwingwinch/gateway/_follower.py
@@ -51,6 +51,19 @@
 MAX_LOGGED_CHARACTERS = 200
 
 
+def pause_after_failure(pause_seconds: float, called_seconds: float) -> float:
+    """
+    Return the pause before the store is called again.
+
+    A call without a response has taken longer than the pause; the store may
+    have become available meanwhile, and changes have to be in force soon.
+
+    :param pause_seconds: Time between the starts of two calls.
+    :param called_seconds: Time that the failed call took.
+    """
+    return max(pause_seconds - called_seconds, MIN_PAUSE_SECONDS)
+
+
 class TopicFollower:
     """
     Applies the newest records of a keyed topic and then its changes.
--- a/src/waxwingwinch/gateway/feeds/_changes.py
+++ b/src/waxwingwinch/gateway/feeds/_changes.py
@@ -39,16 +39,3 @@
         else:
             newest[record.key] = [record]
     return [record for kept in newest.values() for record in kept]
-
-
-def pause_after_failure(pause_seconds: float, called_seconds: float) -> float:
-    """
-    Return the pause before the store is called again.
-
-    A call without a response has taken longer than the pause; the store may
-    have become available meanwhile, and changes have to be in force soon.
-
-    :param pause_seconds: Time between the starts of two calls.
-    :param called_seconds: Time that the failed call took.
-    """
-    return max(pause_seconds - called_seconds, MIN_PAUSE_SECONDS)
