Bound clients at all listening addresses alike

Each head held a thread from its first byte, and its timeout bounded each wait, not the head; readiness, directory and metrics were served by a second server that took any body and counted no memory; connections that never authenticate as peers could send 16 MiB each.

All HTTP addresses now have one server class. A thread takes what has arrived of a head and gives the connection back until it is whole, within headerTimeoutMs (408); header fields beyond 64 reserve 1 KiB each before they are parsed; readiness, directory and metrics take no body (413) and no requests sent ahead; connections of each address are bounded, and those that have sent nothing complete for the longest are closed first. If threads or memory run out, the callers that have kept a thread the longest by a body or an unread answer are cut. Connections to the hub are bounded in number and bytes until their handshake has ended.

Smaller spare memory for short bodies was tried and taken back, as it changes what bodies leave free (test_a_body_without_room_is_not_read).

--- a/src/waxwingwinch/gateway/_caller_connections.py
+++ b/src/waxwingwinch/gateway/_caller_connections.py
@@ -1,7 +1,7 @@
 """The connections of callers, and how they are closed at a stop."""
 
 import socket
-import threading
+import time
 from typing import Any
 
 from cheroot.server import HTTPConnection
@@ -10,11 +10,17 @@
 from waxwingwinch.gateway._request_log_lines import CallerConnectionClosed
 from waxwingwinch.gateway._requests import GatewayRequest
 from waxwingwinch.gateway._unanswered import UnansweredConnections, UnansweredStage
+from waxwingwinch.gateway.callers import (
+    CuttingMixin,
+    HeadGathering,
+    ServerBounds,
+    caller_file,
+)
 from waxwingwinch.http import is_closed_by_peer
 from waxwingwinch.kernel import Clock
 
 
-class CallerConnection(HTTPConnection):  # type: ignore[misc]
+class CallerConnection(HeadGathering, HTTPConnection):  # type: ignore[misc]
     """A caller's connection."""
 
     #: True once the next request has begun to arrive.
@@ -30,6 +36,23 @@
     is_waiting = False
     #: True once its request was cancelled by a stop.
     is_cancelled = False
+    #: Monotonic time since which a thread waits for the caller; None if none
+    #: does, or the connection may not be cut.
+    blocked_since_seconds: float | None = None
+    #: True while it waits for the body of a request, not for the reading of an
+    #: answer.
+    is_read = False
+    #: True once it was cut so that its thread serves others.
+    is_evicted = False
+    #: Monotonic time since which nothing complete has arrived.
+    idle_since_seconds = 0.0
+    #: True if the connection is reset when it is closed.
+    must_reset = False
+
+    def __init__(self, server: Any, sock: socket.socket, *_: Any) -> None:
+        super().__init__(server, sock, caller_file)  # type: ignore[no-untyped-call]
+        self.configure_gathering()
+        server.count_open(self)
 
     @property
     def has_input(self) -> bool:
@@ -43,10 +66,27 @@
 
     def communicate(self) -> bool:
         """Handle the next request; return whether to keep the connection."""
+        if not self.gather(time.monotonic()):
+            return True
         self.socket.settimeout(self.server.limits.header_timeout_seconds)
-        self.is_kept = bool(super().communicate())  # type: ignore[no-untyped-call]
+        try:
+            self.is_kept = bool(super().communicate())  # type: ignore[no-untyped-call]
+        finally:
+            self.blocked_since_seconds = None
+            self.idle_since_seconds = time.monotonic()
+            self.release_head()
         return self.is_kept
 
+    def evict(self) -> None:
+        """End the wait of a thread for the caller; safe from any thread."""
+        self.is_evicted = True
+        # An answer that is cut short is reset, so that it doesn't look whole.
+        self.must_reset = not self.is_read
+        try:
+            self.socket.shutdown(socket.SHUT_RD if self.is_read else socket.SHUT_RDWR)
+        except OSError as error:
+            CallerConnectionClosed(None, repr(error)).write()
+
     def close(self) -> None:
         """Close the connection, unless its next request has arrived."""
         if self.is_waiting and self.has_input and not is_closed_by_peer(self.socket):
@@ -72,7 +112,7 @@
             super()._conditional_error(req, response)  # type: ignore[misc]
 
 
-class CallerConnectionsMixin(ClosingMixin):
+class CallerConnectionsMixin(CuttingMixin, ClosingMixin):
     """
     Mixin with which a cheroot server tracks the connections of callers.
 
@@ -82,17 +122,19 @@
 
     clock: Clock
 
-    def configure_connections(self, unanswered: UnansweredConnections) -> None:
+    def configure_connections(
+        self, unanswered: UnansweredConnections, bounds: ServerBounds
+    ) -> None:
         """
         Prepare the tracking.
 
         :param unanswered: Records connections closed without an answer.
+        :param bounds: Bounds on the connections.
         """
-        self._unanswered = unanswered
+        self.unanswered = unanswered
+        self.configure_cutting(bounds)
         self._is_stopping = False
         self._is_closed_to_callers = False
-        self._reading: set[CallerConnection] = set()
-        self._reading_lock = threading.Lock()
 
     @property
     def under_way(self) -> int:
@@ -100,6 +142,14 @@
         with self._reading_lock:
             return len(self._reading)
 
+    def waiting_connections(self) -> list[tuple[int, CallerConnection]]:
+        """Return descriptors and connections on which nothing has arrived."""
+        return [
+            (descriptor, connection)
+            for descriptor, connection in super().waiting_connections()
+            if connection.is_waiting
+        ]
+
     @property
     def is_awaited(self) -> bool:
         """True if a request is in progress or a connection was kept."""
@@ -127,14 +177,17 @@
 
         :param connection: The connection.
         """
-        connection.ready_seconds = self.clock.now_seconds()
+        if not connection.is_gathering:
+            connection.ready_seconds = self.clock.now_seconds()
         is_new = connection.last_used is None
         if is_new and not connection.has_input:
             # It holds no thread until its request arrives.
             self._connections.put(connection)
             return
         with self._reading_lock:
-            connection.has_request = connection.is_waiting = False
+            if not connection.is_gathering:
+                connection.has_request = False
+            connection.is_waiting = False
             self._reading.add(connection)
         super().dispatch(connection)
 
@@ -144,6 +197,12 @@
 
         :param connection: The connection.
         """
+        if connection.is_gathering:
+            # No thread is held until more of the head arrives.
+            if connection.has_first_line:
+                self.note_request(connection)
+            self._connections.wait_for_head(connection)
+            return
         if connection.rfile.has_data() or (
             self._is_closed_to_callers and connection.has_input
         ):
@@ -173,6 +232,8 @@
         """
         with self._reading_lock:
             self._reading.discard(connection)
+            self._open.discard(connection)
+        connection.release_head()
 
     def note_request(self, connection: CallerConnection) -> None:
         """
@@ -214,7 +275,7 @@
         :param stage: How far its request was.
         """
         age_seconds = self.clock.now_seconds() - connection.ready_seconds
-        self._unanswered.record(stage, age_seconds, connection.is_kept)
+        self.unanswered.record(stage, age_seconds, connection.is_kept)
 
     def record_cancelled(self, requests: tuple[GatewayRequest, ...]) -> None:
         """
--- a/src/waxwingwinch/gateway/_closing.py
+++ b/src/waxwingwinch/gateway/_closing.py
@@ -24,6 +24,9 @@
 
     #: Never expires as an idle connection.
     idle_since_seconds = math.inf
+    #: Holds no part of a request.
+    is_gathering = False
+    is_waiting = False
 
     def __init__(self) -> None:
         #: Readable while calls wait.
--- a/src/waxwingwinch/gateway/_front_responder.py
+++ b/src/waxwingwinch/gateway/_front_responder.py
@@ -157,7 +157,14 @@
         connection = self._request.conn.socket
         # The timeout of a socket bounds a whole call of sendall().
         connection.settimeout(max(remaining_seconds, server.answer_timeout_seconds))
-        connection.sendall(part)
+        # An answer that ends with its connection can't be cut: what has been
+        # sent of it would look whole.
+        if self._framing is not BodyFraming.CONNECTION:
+            self._request.conn.blocked_since_seconds = server.clock.now_seconds()
+        try:
+            connection.sendall(part)
+        finally:
+            self._request.conn.blocked_since_seconds = None
 
 
 def _reason_phrase(status: int) -> str:
--- a/src/waxwingwinch/gateway/_handler.py
+++ b/src/waxwingwinch/gateway/_handler.py
@@ -180,6 +180,20 @@
         ended = RequestEnded(503, RefusalReason.MEMORY, retry_seconds)
         self._refuse(request, responder, ended)
 
+    def note_exhausted(self, exhausted: MemoryExhausted) -> None:
+        """
+        Count a request that was refused as there was no memory for its head.
+
+        :param exhausted: What was requested and free.
+        """
+        MemoryRefused(
+            request_id="",
+            requested_bytes=exhausted.requested_bytes,
+            free_bytes=exhausted.free_bytes,
+            held_bytes=self._context.memory.held_bytes,
+        ).write()
+        self._context.telemetry.record_refusal(None, "", RefusalReason.MEMORY)
+
     def _serve(self, request: GatewayRequest, responder: Responder) -> None:
         table = self._table.get()
         if table is None:
--- a/src/waxwingwinch/gateway/_http_parser.py
+++ b/src/waxwingwinch/gateway/_http_parser.py
@@ -51,7 +51,14 @@
 
 
 class StrictHeaderReader(HeaderReader):  # type: ignore[misc]
-    """Rejects headers that another HTTP parser could interpret differently."""
+    """
+    Rejects headers that another HTTP parser could interpret differently.
+
+    :param needs_host: False if a request may lack the Host header.
+    """
+
+    def __init__(self, needs_host: bool = True) -> None:
+        self._needs_host = needs_host
 
     def __call__(self, rfile: Any, hdict: Any = None) -> Any:
         """
@@ -74,7 +81,9 @@
             seen.add(lowered)
             table.pairs.append((name, value))
             table[name.title().encode("latin-1")] = value.encode("latin-1")
-        _check_framing(table, seen)
+        _check_framing(table)
+        if self._needs_host and "host" not in seen:
+            raise MalformedRequest("the request has no Host header")
         return table
 
 
@@ -92,7 +101,7 @@
     return name.decode("latin-1"), value.decode("latin-1")
 
 
-def _check_framing(table: HeaderTable, names: set[str]) -> None:
+def _check_framing(table: HeaderTable) -> None:
     length = table.get(b"Content-Length")
     coding = table.get(b"Transfer-Encoding")
     if length is not None and coding is not None:
@@ -103,8 +112,6 @@
         raise MalformedRequest("Content-Length is not a number of 1 to 18 digits")
     if coding is not None and coding.lower() != b"chunked":
         raise MalformedRequest("the only supported Transfer-Encoding is chunked")
-    if "host" not in names:
-        raise MalformedRequest("the request has no Host header")
 
 
 def read_body(
--- a/src/waxwingwinch/gateway/_idle_connections.py
+++ b/src/waxwingwinch/gateway/_idle_connections.py
@@ -9,6 +9,7 @@
 from cheroot.connections import ConnectionManager
 
 from waxwingwinch.gateway._process_log_lines import AcceptFailed
+from waxwingwinch.gateway._unanswered import BoundReason
 
 #: Pause before the next attempt to accept a connection, after an attempt
 #: failed and no idle connection could be closed.
@@ -17,6 +18,13 @@
 REPLACEABLE_IDLE_SECONDS = 1.0
 #: Fraction of these connections that are closed at once.
 REPLACED_FRACTION = 0.1
+#: Interval at which late heads are refused and threads freed; a head may be
+#: this much later than ``headerTimeoutMs``.
+LOOK_SECONDS = 0.25
+
+
+class ConnectionsFull(OSError):
+    """As many connections are open as the server may have."""
 
 
 class IdleConnections(ConnectionManager):  # type: ignore[misc]
@@ -57,6 +65,17 @@
             self._selector.unregister(self.server.socket.fileno())
         self._accept_seconds = math.inf
 
+    def wait_for_head(self, connection: Any) -> None:
+        """
+        Wait for the rest of a head, which arrives in time or is refused.
+
+        :param connection: The connection.
+        """
+        connection.last_used = time.monotonic()
+        self._selector.register(
+            connection.socket.fileno(), selectors.EVENT_READ, connection
+        )
+
     def _register(self, connection: Any) -> None:
         connection.idle_since_seconds = time.monotonic()
         connection.is_waiting = True
@@ -66,9 +85,14 @@
 
     def _run(self, expiration_interval: float) -> None:
         expire_seconds = time.monotonic() + expiration_interval
+        look_seconds = time.monotonic() + LOOK_SECONDS
         while not self._stop_requested:
             is_paused = self._accept_seconds not in (None, math.inf)
-            timeout_seconds = ACCEPT_PAUSE_SECONDS if is_paused else expiration_interval
+            timeout_seconds = LOOK_SECONDS
+            if is_paused:
+                timeout_seconds = ACCEPT_PAUSE_SECONDS
+            elif not self.server.under_way:
+                timeout_seconds = expiration_interval
             try:
                 ready = self._selector.select(timeout=timeout_seconds)
             except OSError:
@@ -77,8 +101,13 @@
             self._process_ready(tuple(ready))
             now_seconds = time.monotonic()
             self._resume_accepting(now_seconds)
+            if now_seconds >= look_seconds:
+                self._end_late_heads(now_seconds)
+                self.server.free_threads(self.server.clock.now_seconds())
+                look_seconds = now_seconds + LOOK_SECONDS
             if now_seconds >= expire_seconds:
-                self._close_idle(self._idle_since(now_seconds - self.server.timeout))
+                idle = self._idle_since(now_seconds - self.server.timeout)
+                self._close_idle([entry for entry in idle if not entry[1].is_gathering])
                 expire_seconds = now_seconds + expiration_interval
 
     def _process_ready(self, ready: tuple[tuple[int, Any], ...]) -> None:
@@ -92,23 +121,44 @@
         if has_new and self._accept_seconds is None:
             self._accept()
 
+    def _end_late_heads(self, now_seconds: float) -> None:
+        """Refuse requests whose heads aren't whole in time."""
+        since_seconds = now_seconds - self.server.limits.header_timeout_seconds
+        late = [
+            (descriptor, connection)
+            for descriptor, connection in self._selector.connections
+            if connection is not self.server
+            and connection.is_gathering
+            and connection.head_since_seconds <= since_seconds
+        ]
+        for descriptor, connection in late:
+            self._selector.unregister(descriptor)
+            connection.end_late_head(now_seconds)
+
     def _accept(self) -> None:
+        if self.server.is_full:
+            self._make_room_or_pause(ConnectionsFull("all connections are in use"))
+            if self.server.is_full:
+                return
         try:
             connection = self._from_server_socket(self.server.socket)
         except OSError as error:
             # As a rule, the process has no descriptor left. Without a pause,
             # the socket would be ready again at once.
-            if not self.make_room(error):
-                self._selector.unregister(self.server.socket.fileno())
-                self._accept_seconds = time.monotonic() + ACCEPT_PAUSE_SECONDS
+            self._make_room_or_pause(error)
             return
         if connection is not None:
             # Its thread is taken only once its first request arrives.
             self._register(connection)
 
+    def _make_room_or_pause(self, error: OSError) -> None:
+        if not self.make_room(error):
+            self._selector.unregister(self.server.socket.fileno())
+            self._accept_seconds = time.monotonic() + ACCEPT_PAUSE_SECONDS
+
     def make_room(self, error: OSError) -> bool:
         """
-        Close the connections that were idle longest, as accepting has failed.
+        Close the connections that have sent nothing complete for the longest.
 
         :param error: The error.
         :returns: False if none was idle for long enough.
@@ -116,7 +166,13 @@
         idle = self._idle_since(time.monotonic() - REPLACEABLE_IDLE_SECONDS)
         idle.sort(key=lambda entry: entry[1].idle_since_seconds)
         replaced = idle[: math.ceil(REPLACED_FRACTION * len(idle))]
-        self._close_idle(replaced)
+        for descriptor, connection in replaced:
+            self._selector.unregister(descriptor)
+            if connection.is_gathering:
+                connection.end_late_head(time.monotonic())
+            else:
+                connection.close()
+        self.server.unanswered.record_bound(BoundReason.DESCRIPTORS, len(replaced))
         AcceptFailed(reason=repr(error), closed=len(replaced)).write()
         return bool(replaced)
 
--- a/src/waxwingwinch/gateway/_info_server.py
+++ b/src/waxwingwinch/gateway/_info_server.py
@@ -1,16 +1,25 @@
 """HTTP servers for the readiness, discovery and metrics of the instance."""
 
 import threading
-from collections.abc import Callable, Iterable
-from typing import Any
+from collections.abc import Callable
 
-from attrs import frozen
-from cheroot.wsgi import Server
+from attrs import evolve, frozen
 
 from waxwingwinch._types import Address
-from waxwingwinch.gateway._closing import ClosingMixin
-from waxwingwinch.gateway._listening import ListeningMixin
-from waxwingwinch.gateway._thread_pool import ElasticThreadPoolMixin
+from waxwingwinch.gateway._caller_server import BoundedConnection, CallerServer
+from waxwingwinch.gateway._current_table import CurrentTable
+from waxwingwinch.gateway._front_responder import FrontResponder
+from waxwingwinch.gateway._http_parser import StrictHeaderReader
+from waxwingwinch.gateway._memory_account import MemoryAccount, MemoryExhausted
+from waxwingwinch.gateway._model import CallerLimits
+from waxwingwinch.gateway._outcomes import CallerDisconnected
+from waxwingwinch.gateway._request_log_lines import (
+    CallerConnectionClosed,
+    MemoryRefused,
+)
+from waxwingwinch.gateway._unanswered import UnansweredConnections
+from waxwingwinch.gateway.callers import CallerRequest, ServerBounds
+from waxwingwinch.kernel import Clock
 
 #: Minimum number of threads of each server; requests are rare and handled
 #: without waiting.
@@ -18,6 +27,13 @@
 #: Maximum number of threads, for requests that arrive together, as those of
 #: callers do after a start.
 INFO_MAX_THREADS = 16
+#: Length of the listening socket's queue of connections to be accepted.
+INFO_BACKLOG = 64
+#: Time for which an idle connection is kept open; probes come more often or
+#: connect anew.
+INFO_IDLE_SECONDS = 3.0
+#: Memory of a request and its answer beside its fields.
+INFO_REQUEST_BYTES = 65_536
 
 
 @frozen
@@ -39,10 +55,98 @@
 InfoHandler = Callable[[str, str], InfoReply]
 
 
-class _InfoWsgiServer(  # type: ignore[misc]
-    ClosingMixin, ListeningMixin, ElasticThreadPoolMixin, Server
-):
-    """A WSGI server with an elastic thread pool."""
+class InfoRequest(CallerRequest):
+    """A request about the instance, which has no body."""
+
+    # Probes of HTTP/1.0 send no Host header.
+    header_reader = StrictHeaderReader(needs_host=False)
+    parses_query = True
+    # What callers' requests leave free is for these.
+    spare_fraction = 0.0
+
+    def respond(self) -> None:
+        """Answer, or refuse a request with a body without reading it."""
+        if self.has_body:
+            self.simple_response("413 Request Entity Too Large", "no body is taken")
+            return
+        try:
+            self.conn.reserve(INFO_REQUEST_BYTES, self.spare_fraction)
+        except MemoryExhausted as exhausted:
+            self._refuse_for_memory(exhausted)
+            return
+        if self.conn.rfile.has_data():
+            # Probes wait for their answers. Thousands of requests sent ahead
+            # would keep the processor from those of others.
+            self.close_with_rest()
+        path = self.path.decode("latin-1")
+        reply = self.server.handler(path, self.qs.decode("latin-1"))
+        responder = FrontResponder(self)
+        headers = (("Content-Type", reply.content_type),)
+        try:
+            responder.respond(int(reply.status[:3]), headers, reply.body)
+        except CallerDisconnected as lost:
+            CallerConnectionClosed(None, str(lost)).write()
+        if not responder.is_complete:
+            self.close_connection = True
+
+
+class _InfoConnection(BoundedConnection):
+    """A connection for requests about the instance."""
+
+    RequestHandlerClass = InfoRequest
+
+
+class _BoundedInfoServer(CallerServer):
+    """
+    The server of one address.
+
+    :param address: Address to listen on.
+    :param handler: Returns the response for a path and a query string.
+    :param table: Holds the configuration, with the limits on requests.
+    :param clock: Source of the present time.
+    :param unanswered: Records connections closed without an answer.
+    :param memory: Counts the memory that requests and answers hold.
+    :param bounds: Bounds on the connections.
+    """
+
+    ConnectionClass = _InfoConnection
+
+    def __init__(
+        self,
+        address: Address,
+        handler: InfoHandler,
+        table: CurrentTable,
+        clock: Clock,
+        unanswered: UnansweredConnections,
+        memory: MemoryAccount,
+        bounds: ServerBounds,
+    ) -> None:
+        super().__init__(address, clock, unanswered, memory, bounds)
+        self.configure_threads(INFO_MIN_THREADS, INFO_MAX_THREADS)
+        self.request_queue_size = INFO_BACKLOG
+        self.handler = handler
+        self._table = table
+
+    @property
+    def limits(self) -> CallerLimits:
+        """Limits on requests: those on callers, with a shorter idle time."""
+        table = self._table.get()
+        limits = table.configuration.limits if table is not None else CallerLimits()
+        idle_seconds = min(limits.idle_timeout_seconds, INFO_IDLE_SECONDS)
+        return evolve(limits, idle_timeout_seconds=idle_seconds)
+
+    def note_exhausted(self, exhausted: MemoryExhausted) -> None:
+        """
+        Log a request that is refused for lack of memory.
+
+        :param exhausted: What was requested and free.
+        """
+        MemoryRefused(
+            request_id="",
+            requested_bytes=exhausted.requested_bytes,
+            free_bytes=exhausted.free_bytes,
+            held_bytes=self.memory.held_bytes,
+        ).write()
 
 
 class InfoServer:
@@ -51,19 +155,26 @@
 
     :param address: Address to listen on.
     :param handler: Returns the response for a path and a query string.
+    :param table: Holds the configuration, with the limits on requests.
+    :param clock: Source of the present time.
+    :param unanswered: Records connections closed without an answer.
+    :param memory: Counts the memory that requests and answers hold.
+    :param bounds: Bounds on the connections.
     """
 
-    def __init__(self, address: Address, handler: InfoHandler) -> None:
-        self._handler = handler
-        self._server = _InfoWsgiServer(
-            (address.host, address.port),
-            self._application,
-            request_queue_size=64,
-            timeout=5,
+    def __init__(
+        self,
+        address: Address,
+        handler: InfoHandler,
+        table: CurrentTable,
+        clock: Clock,
+        unanswered: UnansweredConnections,
+        memory: MemoryAccount,
+        bounds: ServerBounds,
+    ) -> None:
+        self._server = _BoundedInfoServer(
+            address, handler, table, clock, unanswered, memory, bounds
         )
-        self._server.configure_threads(INFO_MIN_THREADS, INFO_MAX_THREADS)
-        # None means no limit.
-        self._server.keep_alive_conn_limit = None  # type: ignore[assignment]
 
     def start(self) -> None:
         """Listen, once the port is free, and serve in background threads."""
@@ -72,8 +183,7 @@
     @property
     def is_busy(self) -> bool:
         """True while a connection is read or answered."""
-        threads = self._server.requests
-        return bool(threads.idle < threads.size)
+        return self._server.under_way > 0
 
     def refuse_handshakes(self) -> None:
         """Begin no further handshake; those under way are completed."""
@@ -98,18 +208,3 @@
     def _run(self) -> None:
         self._server.prepare()
         self._server.serve()
-
-    def _application(
-        self, environ: dict[str, Any], start_response: Callable[..., object]
-    ) -> Iterable[bytes]:
-        reply = self._handler(
-            str(environ.get("PATH_INFO", "/")), str(environ.get("QUERY_STRING", ""))
-        )
-        start_response(
-            reply.status,
-            [
-                ("Content-Type", reply.content_type),
-                ("Content-Length", str(len(reply.body))),
-            ],
-        )
-        return [reply.body]
--- a/src/waxwingwinch/gateway/_lingering_close.py
+++ b/src/waxwingwinch/gateway/_lingering_close.py
@@ -53,10 +53,16 @@
     time and amount.
 
     :param clock: Source of the present time.
+    :param max_open: Most connections at a time; None for the default.
+    :param max_bytes: Most bytes discarded of each; None for the default.
     """
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(
+        self, clock: Clock, max_open: int | None = None, max_bytes: int | None = None
+    ) -> None:
         self._clock = clock
+        self._max_open = MAX_LINGERING if max_open is None else max_open
+        self._max_bytes = LINGER_BYTES if max_bytes is None else max_bytes
         self._added: list[_LingeringConnection] = []
         self._lock = threading.Lock()
         self._is_running = False
@@ -115,7 +121,7 @@
                     _discard(key.data, buffer)
                 now_seconds = self._clock.now_seconds()
                 for lingering in tuple(open_connections):
-                    if _has_ended(lingering, now_seconds):
+                    if _has_ended(lingering, now_seconds, self._max_bytes):
                         selector.unregister(lingering.connection)
                         lingering.connection.close()
                         open_connections.remove(lingering)
@@ -134,7 +140,7 @@
         open_connections += added
         for lingering in added:
             selector.register(lingering.connection, selectors.EVENT_READ, lingering)
-        for lingering in open_connections[:-MAX_LINGERING]:
+        for lingering in open_connections[: -self._max_open]:
             lingering.is_evicted = True
         return True
 
@@ -152,13 +158,15 @@
     lingering.is_closed = not size
 
 
-def _has_ended(lingering: _LingeringConnection, now_seconds: float) -> bool:
+def _has_ended(
+    lingering: _LingeringConnection, now_seconds: float, max_bytes: int
+) -> bool:
     if lingering.is_closed:
         return True
     bounds = {
         "number": lingering.is_evicted,
         "time": now_seconds >= lingering.end_seconds,
-        "amount": lingering.discarded_bytes >= LINGER_BYTES,
+        "amount": lingering.discarded_bytes >= max_bytes,
     }
     for reason, is_reached in bounds.items():
         if is_reached:
--- a/src/waxwingwinch/gateway/_process.py
+++ b/src/waxwingwinch/gateway/_process.py
@@ -47,6 +47,7 @@
 from waxwingwinch.gateway._stop import StopSequence, run_part, stop_schedule
 from waxwingwinch.gateway._store_feed import StoreFeed
 from waxwingwinch.gateway._unanswered import UnansweredConnections, UnansweredStage
+from waxwingwinch.gateway.callers import front_bounds, info_bounds
 from waxwingwinch.kernel import BindAbandoned, Clock
 from waxwingwinch.peers import PeerIdentity, PeerProgram
 
@@ -144,6 +145,11 @@
             self._max_concurrent_requests,
             self._unanswered,
             self._state.memory,
+            front_bounds(
+                options.descriptors,
+                options.memory_bytes,
+                self._max_concurrent_requests,
+            ),
         )
         self._make_followers()
         self._reports = StateReporter(
@@ -304,10 +310,23 @@
             lambda: self._handler.under_way,
             self._duty_worker.held_epoch,
         )
-        return (
-            InfoServer(self._options.ready_address, endpoints.ready),
-            InfoServer(self._options.directory_address, endpoints.resolve),
-            InfoServer(self._options.metrics_address, endpoints.metrics),
+        options = self._options
+        endpoint_handlers = (
+            (options.ready_address, endpoints.ready),
+            (options.directory_address, endpoints.resolve),
+            (options.metrics_address, endpoints.metrics),
+        )
+        return tuple(
+            InfoServer(
+                address,
+                handler,
+                self._state.table,
+                self._clock,
+                self._unanswered,
+                self._state.memory,
+                info_bounds(options.descriptors),
+            )
+            for address, handler in endpoint_handlers
         )
 
     def _join(self) -> None:
--- a/src/waxwingwinch/gateway/_telemetry.py
+++ b/src/waxwingwinch/gateway/_telemetry.py
@@ -38,6 +38,7 @@
     BROKEN_ATTEMPTS = "waxwing_broken_attempts"
     STATEMENTS = "waxwing_upstream_statements"
     UNANSWERED_CONNECTIONS = "waxwing_unanswered_connections"
+    BOUNDED_CONNECTIONS = "waxwing_bounded_connections"
 
 
 class StoreCallResult(enum.Enum):
--- a/src/waxwingwinch/gateway/_unanswered.py
+++ b/src/waxwingwinch/gateway/_unanswered.py
@@ -18,6 +18,19 @@
     PASSED_ON = "passed_on"
 
 
+class BoundReason(enum.Enum):
+    """Why a connection was closed although its client would have kept it."""
+
+    #: Its thread was needed for others.
+    THREADS = "threads"
+    #: Its memory was needed for others.
+    MEMORY = "memory"
+    #: Its descriptor was needed for others.
+    DESCRIPTORS = "descriptors"
+    #: The head of its request wasn't whole in time.
+    HEAD_TIMEOUT = "head_timeout"
+
+
 class UnansweredConnections:
     """
     Counts and logs connections closed without an answer; thread-safe.
@@ -46,6 +59,16 @@
             stage=stage.value, age_seconds=age_seconds, is_kept=is_kept
         ).write()
 
+    def record_bound(self, reason: BoundReason, count: int = 1) -> None:
+        """
+        Count connections that a bound has closed.
+
+        :param reason: The bound.
+        :param count: Number of connections.
+        """
+        for _ in range(count):
+            self._telemetry.count(CounterName.BOUNDED_CONNECTIONS, reason.value)
+
     def count(self, stage: UnansweredStage) -> int:
         """
         Return the number of connections closed at a stage.
--- a/src/waxwingwinch/gateway/tests/test_front_responder.py
+++ b/src/waxwingwinch/gateway/tests/test_front_responder.py
@@ -38,6 +38,7 @@
 class FakeConnection:
     socket: FakeSocket = field(factory=FakeSocket)
     must_reset: bool = False
+    blocked_since_seconds: float | None = None
 
 
 @define
--- a/src/waxwingwinch/gateway/tests/test_process_memory.py
+++ b/src/waxwingwinch/gateway/tests/test_process_memory.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from waxwingwinch.gateway._front import REQUEST_BYTES, REQUEST_SPARE_FRACTION
+from waxwingwinch.gateway._front import REQUEST_BYTES
 from waxwingwinch.gateway._http_parser import BODY_SPARE_FRACTION
 from waxwingwinch.gateway._memory_account import MemoryAccount
 from waxwingwinch.gateway._process_memory import (
@@ -10,6 +10,7 @@
     request_memory_bytes,
     resident_bytes,
 )
+from waxwingwinch.gateway.callers import REQUEST_SPARE_FRACTION
 
 MB = 1_048_576
 #: Resident memory of a process at its start.
--- a/src/waxwingwinch/peers/_hub.py
+++ b/src/waxwingwinch/peers/_hub.py
@@ -3,13 +3,14 @@
 import asyncio
 import threading
 from collections.abc import Callable, Coroutine, Sequence
+from functools import partial
 from typing import Any
 
 import eliot
 from attrs import define, field
 from websockets.asyncio.client import connect
 from websockets.asyncio.connection import Connection
-from websockets.asyncio.server import Server, ServerConnection, serve
+from websockets.asyncio.server import Server, serve
 from websockets.exceptions import ConnectionClosed, WebSocketException
 
 from waxwingwinch._exceptions import MalformedMessage, PeerUnavailable
@@ -32,9 +33,14 @@
 from waxwingwinch.peers._options import (
     DIAL_OPTIONS,
     MIN_REDIAL_PAUSE_SECONDS,
+    OPEN_TIMEOUT_SECONDS,
     SERVE_OPTIONS,
     next_redial_pause_seconds,
 )
+from waxwingwinch.peers._unauthenticated import (
+    BoundedServerConnection,
+    UnauthenticatedConnections,
+)
 
 #: Most frames queued for a peer that does not read its connection; as many as
 #: one process sends to another within some seconds.
@@ -223,6 +229,7 @@
         # Shared with the links, which use it at their next handshake.
         self._shared_secrets = list(shared_secrets)
         self._handlers = HandlerTable()
+        self._unauthenticated = UnauthenticatedConnections()
         self._loop = asyncio.new_event_loop()
         self._tasks: set[asyncio.Task[None]] = set()
         self._stopped: asyncio.Event | None = None
@@ -334,6 +341,11 @@
                     self._serve_peer,
                     self._address.host,
                     self._address.port,
+                    open_timeout=OPEN_TIMEOUT_SECONDS,
+                    create_connection=partial(  # type: ignore[arg-type]
+                        BoundedServerConnection,
+                        unauthenticated=self._unauthenticated,
+                    ),
                     **SERVE_OPTIONS,
                 )
             except OSError as error:
@@ -343,10 +355,11 @@
             attempts += 1
             await asyncio.sleep(BIND_RETRY_SECONDS)
 
-    async def _serve_peer(self, connection: ServerConnection) -> None:
+    async def _serve_peer(self, connection: Any) -> None:
         try:
             steps = server_handshake(self._identity, self._shared_secrets)
             peer = await run_handshake_async(connection, steps)
+            connection.note_authenticated()
             async for payload in connection:
                 reply = self._handlers.dispatch(peer, payload)
                 if reply is not None:
--- a/src/waxwingwinch/peers/_options.py
+++ b/src/waxwingwinch/peers/_options.py
@@ -6,6 +6,9 @@
 
 #: Longest wait for opening and for closing a dialed connection.
 DIAL_TIMEOUT_SECONDS = 2.0
+#: Longest wait of a server for the opening of a connection; longer than that
+#: of the peer that dials.
+OPEN_TIMEOUT_SECONDS = 3.0
 #: First pause before redialing; doubles with each failure.
 MIN_REDIAL_PAUSE_SECONDS = 0.2
 #: Longest pause before redialing.
