--- a/src/waxwingwinch/gateway/_options.py
+++ b/src/waxwingwinch/gateway/_options.py
@@ -127,8 +127,6 @@
         the rate that it can handle.
     :param cold_slack: Additional requests that a cold upstream may get within
         a second.
-    :param evacuation_seconds: Time after the acknowledgement of an evacuation
-        from which the zone's upstreams must get no request.
     :param is_fencing_checked: True if receivers of duty calls and orders
         reject outdated fencing tokens.
     """
@@ -156,5 +154,4 @@
     zone_regions: dict[ZoneName, RegionName] = field(factory=dict)
     cold_overshoot: float = 1.0
     cold_slack: float = 0.0
-    evacuation_seconds: float = 5.0
     is_fencing_checked: bool = True
--- a/src/waxwingwinch/platform/_settings.py
+++ b/src/waxwingwinch/platform/_settings.py
@@ -228,8 +228,6 @@
         zone_regions=zone_regions,
         cold_overshoot=reader.get("bounds.coldOvershoot", _parse_non_negative, 1.0),
         cold_slack=reader.get("bounds.coldSlack", _parse_non_negative, 0.0),
-        evacuation_seconds=reader.get("bounds.evacuateMs", _parse_non_negative, 5_000.0)
-        / 1_000,
         is_fencing_checked=reader.get("bounds.fencing", _parse_boolean, True),
     )
     return InstanceSettings(
--- a/src/waxwingwinch/platform/tests/test_settings.py
+++ b/src/waxwingwinch/platform/tests/test_settings.py
@@ -31,7 +31,6 @@
 bounds.drainMs=3000
 bounds.usageWindowS=5
 bounds.quotaSlack=190000
-bounds.evacuateMs=4000
 bounds.coldOvershoot=1.5
 bounds.coldSlack=5
 bounds.fencing=false
@@ -52,7 +51,6 @@
     assert settings.orders_address == Address("10.200.0.35", 8225)
     assert settings.options.region == "region"
     assert settings.options.zone_regions == {"north": "region", "south": "region"}
-    assert settings.options.evacuation_seconds == 4.0
     assert settings.options.cold_overshoot == 1.5
     assert settings.options.cold_slack == 5.0
     assert not settings.options.is_fencing_checked
