--- a/src/waxwingwinch/gateway/cold/tests/cold_fleet.py
+++ b/src/waxwingwinch/gateway/cold/tests/cold_fleet.py
@@ -42,15 +42,7 @@
 
 
 class ColdFleet(LimitFleet):
-    """
-    Instances, upstreams and callers; one event after the other.
-
-    :param count: Number of instances.
-    :param engines: Number of upstreams.
-    :param seed: Seed of the callers.
-    :param cold_seconds: Time for which the upstreams are cold; None if they
-        have no entries yet.
-    """
+    """Instances, upstreams that are cold for a time, and callers."""
 
     def __init__(self, count, engines, seed, cold_seconds=1_000.0):
         self.instances: list[Any] = []
@@ -76,7 +68,6 @@
             instance.entries[entry.upstream_id] = entry
 
     def online(self):
-        """Return the instances that reach the store."""
         return [
             instance
             for instance in self.instances
--- a/src/waxwingwinch/gateway/cold/tests/test_cold_relays.py
+++ b/src/waxwingwinch/gateway/cold/tests/test_cold_relays.py
@@ -6,14 +6,13 @@
 from attrs import evolve
 
 from waxwingwinch._types import UpstreamId
-from waxwingwinch.gateway._model import ServiceRules
 from waxwingwinch.gateway.cold import (
     GRANT_WINDOW_SECONDS,
     ColdBroker,
     ColdKeeper,
     ColdPeriods,
-    ColdPolicy,
 )
+from waxwingwinch.gateway.cold.tests.cold_fleet import POLICY, RULES
 from waxwingwinch.gateway.tests.relay_harness import (
     CONNECT_FAILED,
     PROMPT,
@@ -23,17 +22,16 @@
 )
 from waxwingwinch.gateway.tests.test_generation_relay import STREAM
 
-BUDGET = ColdPolicy(1.5, 5.0).budgets(7.3).primary
+BUDGET = POLICY.budgets(7.3).primary
 
 
 @pytest.fixture
 def harness():
     """Return a harness with permits, all of which this instance keeps."""
     harness: Any = RelayHarness()
-    rules = ServiceRules("shop", None, None, 3.0, 7.3)
-    periods = ColdPeriods(lambda _: rules)
+    periods = ColdPeriods(lambda _: RULES)
     harness.cold_keeper = ColdKeeper(
-        periods, harness.members, ColdPolicy(1.5, 5.0), harness.directory.get
+        periods, harness.members, POLICY, harness.directory.get
     )
     harness.directory.cold_until_seconds = periods.until_seconds
     harness.permits._cold = ColdBroker(
--- a/src/waxwingwinch/platform/tests/test_cold_upstreams.py
+++ b/src/waxwingwinch/platform/tests/test_cold_upstreams.py
@@ -7,21 +7,18 @@
 
 import pytest
 
+from waxwingwinch.gateway.cold.tests.cold_fleet import BOUND
 from waxwingwinch.platform.tests.standin import (
     Gateway,
     make_configuration,
     wait_until,
 )
-from waxwingwinch.platform.tests.test_limit_over_instances import Fleet
+from waxwingwinch.platform.tests.test_limit_over_instances import REFUSAL_SECONDS, Fleet
 
 INSTANCES = 5
-#: Most that may arrive within a second: 7.3 * 1.5 + 5.
-BOUND = 15
 #: Time from joining until an instance has read all member records and grants.
 START_SECONDS = 8.0
 COLD_SECONDS = 10.0
-#: Longest time for which a request that is refused may be held.
-REFUSAL_SECONDS = 1.0
 
 
 class ColdFleet(Fleet):
@@ -47,13 +44,11 @@
         )
 
     def logged(self, number, name):
-        """Return the lines of a kind that an instance has logged."""
         text = (self.folder / f"edge-{number}.log").read_text()
         lines = [line for line in text.splitlines() if f'"{name}"' in line]
         return [json.loads(line) for line in lines]
 
     def all_know_seconds(self):
-        """Return the monotonic time at which all instances knew."""
         offset_seconds = time.time() - time.monotonic()
         learned = [self.logged(number, "cold:learned") for number in range(INSTANCES)]
         assert [len(lines) for lines in learned] == [3] * INSTANCES
@@ -62,7 +57,6 @@
         )
 
     def send_traffic(self):
-        """Let a caller of each instance send 15 requests a second."""
         self.callers = [
             threading.Thread(target=self.call, args=(number, 2))
             for number in range(INSTANCES)
