--- a/src/waxwingwinch/gateway/cold/tests/test_cold_decisions.py
+++ b/src/waxwingwinch/gateway/cold/tests/test_cold_decisions.py
@@ -11,8 +11,10 @@
 from waxwingwinch.gateway._model import ServiceRules
 from waxwingwinch.gateway._placement import (
     EngineOption,
+    PlainOption,
     PromptSize,
     RunDirectly,
+    place_plain,
     place_prompt,
 )
 from waxwingwinch.gateway._telemetry import Telemetry
@@ -24,10 +26,10 @@
     ColdPolicy,
     NoColdPermit,
 )
-from waxwingwinch.gateway.cold.tests.cold_fleet import POLICY, RULES
 from waxwingwinch.gateway.tests.limit_fleet import SimulatedClock
 from waxwingwinch.gateway.tests.relay_harness import upstream
 
+RULES = ServiceRules("llm", None, None, 3.0, 7.3)
 NORTH, SOUTH = ZoneName("north"), ZoneName("south")
 ENGINE = upstream("e1", "llm")
 
@@ -52,7 +54,7 @@
             self.members.put(member(number + 1, SOUTH))
         self.periods = ColdPeriods(lambda _: rules)
         self.keeper = ColdKeeper(
-            self.periods, self.members, POLICY, lambda _: self.entry
+            self.periods, self.members, ColdPolicy(1.5, 5.0), lambda _: self.entry
         )
         self.broker = ColdBroker(self.keeper, self.members, Telemetry(), self.clock)
 
@@ -99,8 +101,10 @@
 def test_a_keeper_without_contact_grants_its_reserved_share_for_a_while():
     instance = OneInstance(others=3)
     instance.read_members()
-    grants = [instance.pass_time(seconds) or instance.grants() for seconds in (6, 60)]
-    assert grants == [1, 0]
+    instance.pass_time(6.0)
+    assert instance.grants() == 1
+    instance.pass_time(60.0)
+    assert instance.grants() == 0
 
 
 # Guards against permits that a suspended process uses when it resumes.
@@ -175,7 +179,8 @@
     assert instance.periods.reports(instance.clock.seconds) == ()
 
 
-# Guards against cold engines that are chosen before comparable ones.
+# Guards against cold upstreams that are chosen before comparable ones, and
+# against services that end when all are cold.
 def test_placement_prefers_upstreams_that_are_not_cold():
     prompt, mixed = PromptSize(2_000, "shared", 2.0), EngineRole.MIXED
     warm = [EngineOption(UpstreamId(f"e{n}"), mixed, NORTH, NO_LOAD) for n in range(4)]
@@ -186,3 +191,9 @@
     usual = place_prompt(prompt, warm[:1], NORTH)
     assert alone is not None and usual is not None
     assert alone.expected_seconds > usual.expected_seconds
+    plain = [
+        PlainOption(UpstreamId("p0"), NORTH, 8, 0, is_cold=True),
+        PlainOption(UpstreamId("p1"), SOUTH, 8, 2),
+    ]
+    assert place_plain(plain, NORTH) == "p1"
+    assert place_plain(plain[:1], NORTH) == "p0"
--- a/src/waxwingwinch/platform/tests/test_statements.py
+++ b/src/waxwingwinch/platform/tests/test_statements.py
@@ -103,15 +103,19 @@
     assert len(line["value"]) == 64
 
 
+@pytest.mark.parametrize("status", [200, 404, 503])
 @pytest.mark.parametrize(
-    ("value", "seconds"), [("1500", 1.5), ("0", 0), ("9" * 9, 86400)]
+    ("value", "cold_seconds"),
+    [("1500", 1.5), ("0", 0.0), (" 20 ", 0.02), ("9" * 18, 86_400.0)],
 )
-def test_the_cold_time_is_decoded_and_bounded(value, seconds):
-    assert read(404, ("X-Waxwingwinch-Cold-Ms", value)).cold_seconds == seconds
+def test_the_cold_time_is_decoded_and_bounded(status, value, cold_seconds):
+    assert read(status, ("X-Waxwingwinch-Cold-Ms", value)).cold_seconds == cold_seconds
 
 
+# Guards against an upstream that counts as cold by a broken header.
 @pytest.mark.parametrize("value", [*MALFORMED_NUMBERS, "1.5", "+5", "5, 5"])
 def test_a_malformed_cold_time_is_ignored_and_logged(value):
     lines = logged(lambda: read(200, ("X-Waxwingwinch-Cold-Ms", value)))
     assert read(200, ("X-Waxwingwinch-Cold-Ms", value)).cold_seconds is None
-    assert lines["upstream:statement_malformed"]
+    (line,) = lines["upstream:statement_malformed"]
+    assert line["statement"] == "X-Waxwingwinch-Cold-Ms"
