--- a/src/waxwingwinch/gateway/cold/_broker.py
+++ b/src/waxwingwinch/gateway/cold/_broker.py
@@ -79,6 +79,10 @@
 
         :param upstream: The upstream.
         """
+        if not self._keeper.periods.rate(upstream):
+            # Each choice asks for all upstreams of a service, most of which
+            # have no limit.
+            return False
         now_seconds = self._clock.now_seconds()
         self._keeper.notice_suspension(now_seconds)
         return self._keeper.periods.is_limited(upstream, now_seconds)
--- a/src/waxwingwinch/gateway/cold/_periods.py
+++ b/src/waxwingwinch/gateway/cold/_periods.py
@@ -82,7 +82,7 @@
         :param upstream: The upstream.
         :param now_seconds: Monotonic time.
         """
-        return self.until_seconds(upstream) > now_seconds and self.rate(upstream) > 0
+        return self.rate(upstream) > 0 and self.until_seconds(upstream) > now_seconds
 
     def rest_until_seconds(self, upstream_id: UpstreamId) -> float:
         """
