--- a/src/waxwingwinch/platform/tests/crashing_engine.py
+++ b/src/waxwingwinch/platform/tests/crashing_engine.py
@@ -1,7 +1,6 @@
 """Stand-in of an engine that crashes when it begins on some requests."""
 
 import socket
-import struct
 import threading
 import time
 from http.server import BaseHTTPRequestHandler
@@ -10,6 +9,7 @@
     HOST,
     Standin,
     UpstreamHandler,
+    reset_on_close,
     wait_until,
 )
 
@@ -19,8 +19,6 @@
 FIRST_EVENT_SECONDS = 0.05
 #: Body of the request at which engines crash.
 DEADLY_BODY = b"deadly"
-#: Sent by ``close()`` as a reset instead of an orderly end.
-_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
 class EngineHandler(UpstreamHandler):
@@ -90,9 +88,7 @@
         self.server.socket.shutdown(socket.SHUT_RDWR)
         for connection in list(self.connections):
             try:
-                connection.setsockopt(
-                    socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
-                )
+                reset_on_close(connection)
                 connection.shutdown(socket.SHUT_RDWR)
             except OSError:
                 pass  # Its caller closed it already.
--- a/src/waxwingwinch/platform/tests/raw_engine.py
+++ b/src/waxwingwinch/platform/tests/raw_engine.py
@@ -2,16 +2,13 @@
 
 import contextlib
 import socket
-import struct
 import threading
 from collections.abc import Iterator
 
 from attrs import define, field
 
 from waxwingwinch._types import Address
-
-#: ``struct linger`` with a timeout of 0: closing resets the connection.
-_LINGER_RESET = struct.pack("ii", 1, 0)
+from waxwingwinch.platform.tests.standin import reset_on_close
 
 
 class Reset:
@@ -70,9 +67,7 @@
                 return False
             match reply:
                 case Reset():
-                    connection.setsockopt(
-                        socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_RESET
-                    )
+                    reset_on_close(connection)
                     connection.close()
                 case KeepOpen():
                     self.held.append(connection.dup())
--- a/src/waxwingwinch/platform/tests/standin.py
+++ b/src/waxwingwinch/platform/tests/standin.py
@@ -3,6 +3,7 @@
 import base64
 import http.client
 import json
+import socket
 import struct
 import subprocess
 import sys
@@ -34,6 +35,17 @@
     return bool(predicate())
 
 
+def reset_on_close(connection: socket.socket) -> None:
+    """
+    Let closing a connection reset it, in place of an orderly end.
+
+    :param connection: The connection.
+    """
+    # struct linger with a timeout of 0.
+    linger = struct.pack("ii", 1, 0)
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
+
 class QuietHandler(BaseHTTPRequestHandler):
     protocol_version = "HTTP/1.1"
     # Head and body are separate writes, so Nagle's algorithm would delay the
--- a/src/waxwingwinch/platform/tests/test_broken_streams.py
+++ b/src/waxwingwinch/platform/tests/test_broken_streams.py
@@ -2,7 +2,6 @@
 
 import re
 import socket
-import struct
 import urllib.error
 import urllib.request
 from pathlib import Path
@@ -19,12 +18,11 @@
     UpstreamHandler,
     UpstreamStandin,
     make_configuration,
+    reset_on_close,
     wait_until,
 )
 
 WAIT_SECONDS = 5.0
-#: ``struct linger`` with a timeout of 0: closing resets the connection.
-_LINGER_RESET = struct.pack("ii", 1, 0)
 
 
 @frozen
@@ -62,9 +60,7 @@
         if reply.is_reset:
             # The bytes sent before have to arrive first.
             wait_until(lambda: False, 0.2)
-            self.connection.setsockopt(
-                socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_RESET
-            )
+            reset_on_close(self.connection)
         self.close_connection = True
 
 
--- a/src/waxwingwinch/platform/tests/test_resets_during_uploads.py
+++ b/src/waxwingwinch/platform/tests/test_resets_during_uploads.py
@@ -1,7 +1,6 @@
 """Upstreams that answer a long upload at once and reset the connection."""
 
 import socket
-import struct
 import threading
 import time
 
@@ -10,9 +9,9 @@
 from waxwingwinch._types import Address
 from waxwingwinch.gateway import UpstreamConnection
 from waxwingwinch.http import AnswerMissing, HttpRequest, exchange
+from waxwingwinch.platform.tests.standin import reset_on_close
 
 BODY = bytes(3_000_000)
-RESET = struct.pack("ii", 1, 0)
 
 
 def read_by_gateway(address):
@@ -34,7 +33,7 @@
     connection.recv(1_024)
     connection.sendall(b"HTTP/1.1 200 OK\r\n" + head + b"\r\npart")
     time.sleep(delay_seconds)
-    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+    reset_on_close(connection)
     connection.close()
 
 
