Refuse answers whose heads violate the grammar of HTTP

Cause: http.client hands heads to the parser of the email package, which repairs what it can't read. A line that is no field ends the head for it, and what follows is lost without an error, a length or the id of the request as well. A length that int() can't read, or a negative one, counts as none, a coding other than chunked too, and the body lasts until the connection ends.

WholeHeadResponse, through which the relay, the gateway's own calls, the store and the older programs' new connections read answers, now reads heads itself: http/_grammar.py checks status lines, fields and framing as bytes, and what it can't read is AnswerMalformed, an AnswerMissing.

Handled before, tests kept: status 000; an answer without a length that is reset beside a long upload; handshakes between instances, whose lines websockets checks itself.

--- a/src/waxwingwinch/gateway/_connections.py
+++ b/src/waxwingwinch/gateway/_connections.py
@@ -233,6 +233,7 @@
         Read the head of the response.
 
         :param timeout_seconds: Longest wait for the whole head.
+        :raises AnswerMalformed: If the head violates the grammar of HTTP.
         :raises AnswerMissing: If no response was received.
         """
         timeout_seconds = max(timeout_seconds, 0.001)
@@ -253,11 +254,10 @@
         # beyond the head and waits for nothing.
         raw.read_until(None)
         self._socket.settimeout(0.0)
-        has_chunks = raw.chunked and raw.length is None
         return BodyReader(
             self._socket,
             raw.length,
-            ChunkDecoder() if has_chunks else None,
+            ChunkDecoder() if raw.chunked else None,
             bytearray(raw.fp.peek()),
         )
 
--- a/src/waxwingwinch/gateway/_http_parser.py
+++ b/src/waxwingwinch/gateway/_http_parser.py
@@ -7,6 +7,7 @@
 
 from waxwingwinch.gateway._caller_stream import ByteStream
 from waxwingwinch.gateway._memory_account import Reservation
+from waxwingwinch.http import FIELD_NAME, FIELD_VALUE
 
 #: Headers that must not be repeated, since parsers differ in which value they
 #: use, which allows request smuggling.
@@ -24,8 +25,8 @@
 #: Part of the memory for requests and answers that bodies leave free.
 BODY_SPARE_FRACTION = 0.25
 
-_NAME = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+")
-_VALUE = re.compile(rb"[\t\x20-\x7e\x80-\xff]*")
+_NAME = re.compile(FIELD_NAME)
+_VALUE = re.compile(FIELD_VALUE)
 _DIGITS = re.compile(rb"[0-9]{1,18}")
 _CHUNK_SIZE = re.compile(rb"([0-9A-Fa-f]{1,8})[ \t]*(;[\t\x20-\x7e]*)?")
 
--- a/src/waxwingwinch/http/__init__.py
+++ b/src/waxwingwinch/http/__init__.py
@@ -1,5 +1,12 @@
 """HTTP requests over single-use connections, independent of wire formats."""
 
+from waxwingwinch.http._errors import (
+    AnswerMalformed,
+    AnswerMissing,
+    ConnectionBroken,
+    ConnectTimedOut,
+    NotSent,
+)
 from waxwingwinch.http._exchange import (
     CONNECT_TIMEOUT_SECONDS,
     MAX_BODY_BYTES,
@@ -8,28 +15,31 @@
     PLAIN_SOCKET_OPTIONS,
     RESPONSE_TIMEOUT_SECONDS,
     TRANSPORT_ERRORS,
-    AnswerMissing,
-    ConnectionBroken,
-    ConnectTimedOut,
     Exchange,
     HttpReply,
     HttpRequest,
-    NotSent,
     SocketOption,
     connect_error,
     exchange,
 )
+from waxwingwinch.http._grammar import (
+    FIELD_NAME,
+    FIELD_VALUE,
+)
 from waxwingwinch.http._sockets import is_closed_by_peer
 from waxwingwinch.http._whole_heads import WholeHeadResponse
 
 __all__ = [
     "RESPONSE_TIMEOUT_SECONDS",
     "CONNECT_TIMEOUT_SECONDS",
+    "FIELD_NAME",
+    "FIELD_VALUE",
     "ORDER_TCP_USER_TIMEOUT_SECONDS",
     "MAX_BODY_BYTES",
     "ORDER_SOCKET_OPTIONS",
     "PLAIN_SOCKET_OPTIONS",
     "TRANSPORT_ERRORS",
+    "AnswerMalformed",
     "AnswerMissing",
     "ConnectTimedOut",
     "ConnectionBroken",
--- a/src/waxwingwinch/http/_exchange.py
+++ b/src/waxwingwinch/http/_exchange.py
@@ -21,6 +21,12 @@
 
 from waxwingwinch._json import decode_json
 from waxwingwinch._types import Address
+from waxwingwinch.http._errors import (
+    AnswerMalformed,
+    AnswerMissing,
+    ConnectTimedOut,
+    NotSent,
+)
 from waxwingwinch.http._whole_heads import WholeHeadResponse
 
 #: Longest wait for a connection.
@@ -63,26 +69,6 @@
 TRANSPORT_ERRORS = (OSError, HTTPError, HTTPException, ValueError)
 
 
-class NotSent(Exception):
-    """No byte of the request left the process."""
-
-
-class ConnectTimedOut(NotSent):
-    """
-    The server did not respond to the connection request.
-
-    A server that is at its limit, or has ended, refuses a connection at once.
-    """
-
-
-class AnswerMissing(Exception):
-    """The request may have arrived, but no complete response was received."""
-
-
-class ConnectionBroken(AnswerMissing):
-    """The server closed the connection before the end of its response."""
-
-
 @frozen
 class HttpRequest:
     """
@@ -156,6 +142,7 @@
     :param response_timeout_seconds: Longest wait for the response head.
     :param socket_options: Options of the connection.
     :raises NotSent: If connecting failed.
+    :raises AnswerMalformed: If the response head violates the grammar.
     :raises AnswerMissing: If no response head was received.
     """
 
@@ -183,6 +170,9 @@
         self._socket = self._connection.sock
         try:
             self.response = self._send(request, response_timeout_seconds)
+        except AnswerMalformed as error:
+            self.close()
+            raise AnswerMalformed(f"{address}: {error}") from error
         except TRANSPORT_ERRORS as error:
             self.close()
             raise AnswerMissing(f"{address}: {error!r}") from error
--- a/src/waxwingwinch/http/_whole_heads.py
+++ b/src/waxwingwinch/http/_whole_heads.py
@@ -1,53 +1,78 @@
-"""Responses whose heads are complete, read until an end."""
+"""Responses whose heads are whole and well-formed, read until an end."""
 
 import http.client
 import io
 import socket
 import time
 from http import HTTPStatus
-from typing import Any
+from typing import Any, cast
+
+from waxwingwinch.http._grammar import (
+    BodyOfLength,
+    BodyUntilClose,
+    ChunkedBody,
+    Field,
+    NoBody,
+    StatusLine,
+    decide_framing,
+    parse_field,
+    parse_status_line,
+    strip_line_end,
+)
 
-#: The line that ends a head.
-_HEAD_ENDS = (b"\r\n", b"\n")
 #: Largest head, with the interim responses before it; several times what
 #: servers send.
 MAX_HEAD_BYTES = 64 * 1_024
-#: Largest HTTP status (RFC 9110, section 15). ``http.client`` accepts up to
-#: 999.
-MAX_STATUS = 599
+#: Largest number of fields, which is that of ``http.client``.
+MAX_FIELDS = 100
 
 
-class _LineReader:
+class _HeadReader:
     """
-    Reads the lines of a head.
+    Reads the heads of a response and of the interim ones before it.
 
     :param reader: The reader of the connection.
     """
 
-    def __init__(self, reader: io.BufferedReader) -> None:
+    def __init__(self, reader: io.BufferedIOBase) -> None:
         self._reader = reader
-        #: The last line read; empty at the end of the connection.
-        self.last_line = b""
         self._read_bytes = 0
 
-    def readline(self, limit: int = -1) -> bytes:
+    def read_head(self) -> tuple[StatusLine, tuple[Field, ...]]:
         """
-        Read a line, or a part of it at the end of the connection.
+        Read a head.
 
-        :param limit: Maximum number of bytes.
-        :raises http.client.HTTPException: If the head exceeds
-            :data:`MAX_HEAD_BYTES`.
+        :raises http.client.RemoteDisconnected: If the connection ends before
+            its first byte.
+        :raises http.client.IncompleteRead: If the connection ends in it.
+        :raises AnswerMalformed: If it violates the grammar.
+        :raises http.client.HTTPException: If it is too large.
         """
-        self.last_line = self._reader.readline(limit)
-        self._read_bytes += len(self.last_line)
+        status_line = parse_status_line(self._read_line())
+        fields: list[Field] = []
+        while line := self._read_line():
+            fields.append(parse_field(line))
+            if len(fields) > MAX_FIELDS:
+                raise http.client.HTTPException(
+                    f"the head of a response has more than {MAX_FIELDS} fields"
+                )
+        return status_line, tuple(fields)
+
+    def _read_line(self) -> bytes:
+        """Return the next line without its end."""
+        line = self._reader.readline(MAX_HEAD_BYTES + 1 - self._read_bytes)
+        self._read_bytes += len(line)
         if self._read_bytes > MAX_HEAD_BYTES:
             raise http.client.HTTPException(
                 f"the head of a response exceeds {MAX_HEAD_BYTES} bytes"
             )
-        return self.last_line
-
-    def __getattr__(self, name: str) -> Any:
-        return getattr(self._reader, name)
+        if not self._read_bytes:
+            raise http.client.RemoteDisconnected(
+                "Remote end closed connection without response"
+            )
+        if not line.endswith(b"\n"):
+            raise http.client.IncompleteRead(line)
+        return strip_line_end(line)
 
 
 class _EndingReader(io.RawIOBase):
@@ -59,17 +84,20 @@
 
     :param connection: The socket.
     :param reader: Reads it.
-    :param end_seconds: Monotonic time of the end; None to read what has
-        arrived.
+    :param end_seconds: Monotonic time of the end; None for the timeout of the
+        socket.
     """
 
     def __init__(
-        self, connection: socket.socket, reader: io.RawIOBase, end_seconds: float
+        self,
+        connection: socket.socket,
+        reader: io.RawIOBase,
+        end_seconds: float | None,
     ) -> None:
         super().__init__()
         self._connection = connection
         self._reader = reader
-        self.end_seconds: float | None = end_seconds
+        self.end_seconds = end_seconds
 
     def readable(self) -> bool:
         """Tell that this is a reader."""
@@ -97,15 +125,17 @@
 
 class WholeHeadResponse(http.client.HTTPResponse):
     """
-    A response that counts as broken off if its connection ends in its head.
+    A response whose head is whole and that follows the grammar.
 
-    ``http.client`` takes the end of the connection for the end of the head, so
-    that a response that breaks off before its framing has an empty body.
+    ``http.client`` takes a line that is no field for the end of the head, and
+    a length or coding that it doesn't understand for none. What follows such a
+    line is lost, and the body lasts until the connection ends.
 
     :param connection: The socket.
     :param debug_level: Level of debug output of ``http.client``.
     :param method: Method of the request.
-    :param end_seconds: Monotonic time until which the head must have arrived.
+    :param end_seconds: Monotonic time until which the head must have arrived;
+        None for the timeout of the socket.
     """
 
     def __init__(
@@ -114,9 +144,10 @@
         debug_level: int = 0,
         method: str | None = None,
         *,
-        end_seconds: float,
+        end_seconds: float | None = None,
     ) -> None:
         super().__init__(connection, debug_level, method)
+        self._request_method = method or ""
         reader: Any = self.fp
         self._io = _EndingReader(connection, reader.detach(), end_seconds)
         self.fp = io.BufferedReader(self._io)
@@ -125,7 +156,7 @@
         """
         Set until when the rest of the response is waited for.
 
-        :param end_seconds: Monotonic time; None to wait for nothing.
+        :param end_seconds: Monotonic time; None for the timeout of the socket.
         """
         self._io.end_seconds = end_seconds
 
@@ -133,29 +164,48 @@
         """
         Read the head of the final response; skip interim ones.
 
+        :raises http.client.RemoteDisconnected: If the connection ends before
+            its first byte.
         :raises http.client.IncompleteRead: If the connection ends in it.
-        :raises http.client.BadStatusLine: If the server switches protocols or
-            sends a status that no response can have.
+        :raises http.client.BadStatusLine: If the server switches protocols.
+        :raises AnswerMalformed: If a head violates the grammar.
         """
-        reader: Any = self.fp
-        lines: Any = _LineReader(reader)
-        self.fp = lines
-        try:
-            super().begin()
-            while self._is_interim():
-                # Without headers, begin() reads another head.
-                self.headers = self.msg = None  # type: ignore[assignment]
-                super().begin()
-        finally:
-            if self.fp is lines:
-                self.fp = reader
-        if lines.last_line not in _HEAD_ENDS:
-            raise http.client.IncompleteRead(lines.last_line)
-        if self.status > MAX_STATUS:
-            raise http.client.BadStatusLine(f"status {self.status}")
-
-    def _is_interim(self) -> bool:
-        """Tell whether another response follows (RFC 9110, section 15.2)."""
-        if self.status == HTTPStatus.SWITCHING_PROTOCOLS:
-            raise http.client.BadStatusLine("101 without a request to upgrade")
-        return 100 <= self.status < 200
+        head_reader = _HeadReader(cast(io.BufferedIOBase, self.fp))
+        status_line, fields = head_reader.read_head()
+        while status_line.is_interim:
+            if status_line.status == HTTPStatus.SWITCHING_PROTOCOLS:
+                raise http.client.BadStatusLine("101 without a request to upgrade")
+            status_line, fields = head_reader.read_head()
+        self._set_head(status_line, fields)
+
+    def _set_head(self, status_line: StatusLine, fields: tuple[Field, ...]) -> None:
+        """Set the attributes by which ``http.client`` reads the body."""
+        framing = decide_framing(status_line, fields, self._request_method)
+        self.version = 10 if status_line.minor_version == 0 else 11
+        self.code = self.status = status_line.status
+        self.reason = status_line.reason
+        self.headers = self.msg = http.client.HTTPMessage()
+        for name, value in fields:
+            self.headers[name] = value
+        self.chunked = False
+        self.chunk_left: int | None = None
+        self.length = None
+        match framing:
+            case NoBody():
+                self.length = 0
+            case BodyOfLength(length_bytes):
+                self.length = length_bytes
+            case ChunkedBody():
+                self.chunked = True
+        self.will_close = isinstance(framing, BodyUntilClose) or self._is_last()
+
+    def _is_last(self) -> bool:
+        """Tell whether the server closes the connection (RFC 9112, 9.3)."""
+        options = {
+            option.strip().lower()
+            for value in self.headers.get_all("Connection", ())
+            for option in value.split(",")
+        }
+        if self.version == 10:
+            return "keep-alive" not in options
+        return "close" in options
