Refuse malformed chunks and trailers in the gateway's own calls

Cause: the chunk reader of http.client takes what int(size, 16) does, any two bytes for the end of a chunk, and trailers that break off or hold lines that are no fields.

WholeHeadResponse replaces that reader's one method and checks sizes, ends and trailers by http/_grammar.py, so a malformed body ends in AnswerMalformed, with the server's address.

--- a/src/waxwingwinch/http/_exchange.py
+++ b/src/waxwingwinch/http/_exchange.py
@@ -154,6 +154,7 @@
         response_timeout_seconds: float,
         socket_options: tuple[SocketOption, ...] = PLAIN_SOCKET_OPTIONS,
     ) -> None:
+        self._address = address
         self._connection = HTTPConnection(
             address.host,
             address.port,
@@ -202,6 +203,7 @@
 
         :param timeout_seconds: Longest wait.
         :returns: Bytes of the body; empty at its end.
+        :raises AnswerMalformed: If its framing violates the grammar.
         :raises AnswerMissing: If the body was truncated or timed out.
         """
         if timeout_seconds <= 0:
@@ -210,6 +212,8 @@
             wire_response: Any = self.response._original_response
             wire_response.read_until(time.monotonic() + timeout_seconds)
             return self.response.read1(_READ_BYTES)
+        except AnswerMalformed as error:
+            raise AnswerMalformed(f"{self._address}: {error}") from error
         except TRANSPORT_ERRORS as error:
             raise AnswerMissing(repr(error)) from error
 
--- a/src/waxwingwinch/http/_grammar.py
+++ b/src/waxwingwinch/http/_grammar.py
@@ -2,7 +2,7 @@
 The grammar of HTTP/1 responses, checked on the bytes of each line.
 
 Sources are RFC 9110 (names and values of fields, statuses) and RFC 9112
-(status lines, framing). Folded lines and control bytes in values,
+(status lines, framing, chunks). Folded lines and control bytes in values,
 which a recipient may repair, are refused.
 """
 
@@ -25,6 +25,9 @@
 _FIELD = re.compile(b"(%b):(%b)" % (FIELD_NAME, FIELD_VALUE))
 #: More digits than any body needs, few enough for 64 bits.
 _LENGTH = re.compile("[0-9]{1,18}")
+#: As many digits as fit into 64 bits, then extensions.
+_CHUNK_SIZE = re.compile(rb"([0-9A-Fa-f]{1,15})[ \t]*(?:;%b)?\r\n" % FIELD_VALUE)
+_CHUNK_END = b"\r\n"
 
 _NO_BODY_STATUSES = frozenset({HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED})
 
@@ -130,6 +133,31 @@
     return found[1].decode("ascii"), found[2].decode("latin-1").strip(" \t")
 
 
+def parse_chunk_size(line: bytes) -> int:
+    """
+    Parse the line before a chunk (RFC 9112, section 7.1).
+
+    :param line: The line with its end; extensions are ignored.
+    :returns: The size of the chunk in bytes; 0 for the last chunk.
+    :raises AnswerMalformed: If it isn't such a line.
+    """
+    found = _CHUNK_SIZE.fullmatch(line)
+    if found is None:
+        raise malformed("chunk size", line)
+    return int(found[1], 16)
+
+
+def check_chunk_end(line: bytes) -> None:
+    """
+    Check that a chunk ends where its size says.
+
+    :param line: What follows its data, up to the end of the line.
+    :raises AnswerMalformed: If it doesn't.
+    """
+    if line != _CHUNK_END:
+        raise malformed("end of a chunk", line)
+
+
 def decide_framing(
     status_line: StatusLine, fields: tuple[Field, ...], method: str
 ) -> Framing:
--- a/src/waxwingwinch/http/_whole_heads.py
+++ b/src/waxwingwinch/http/_whole_heads.py
@@ -14,7 +14,9 @@
     Field,
     NoBody,
     StatusLine,
+    check_chunk_end,
     decide_framing,
+    parse_chunk_size,
     parse_field,
     parse_status_line,
     strip_line_end,
@@ -25,6 +27,9 @@
 MAX_HEAD_BYTES = 64 * 1_024
 #: Largest number of fields, which is that of ``http.client``.
 MAX_FIELDS = 100
+#: Largest line before a chunk, and of a trailer; servers accept as much of a
+#: field of a request.
+MAX_CHUNK_LINE_BYTES = 8_192
 
 
 class _HeadReader:
@@ -199,6 +204,37 @@
                 self.chunked = True
         self.will_close = isinstance(framing, BodyUntilClose) or self._is_last()
 
+    def _get_chunk_left(self) -> int | None:
+        """
+        Return what is left of the present chunk; None at the end of the body.
+
+        ``http.client`` calls this in each read of a chunked body. The method
+        of the base class accepts sizes that ``int()`` does, any two bytes for
+        the end of a chunk, and trailers that break off.
+
+        :raises AnswerMalformed: If the framing violates the grammar.
+        """
+        if not self.chunk_left:
+            if self.chunk_left is not None:
+                check_chunk_end(self._read_chunk_line())
+            self.chunk_left = parse_chunk_size(self._read_chunk_line())
+            if self.chunk_left == 0:
+                while line := strip_line_end(self._read_chunk_line()):
+                    parse_field(line)
+                self._close_conn()  # type: ignore[attr-defined]
+                self.chunk_left = None
+        return self.chunk_left
+
+    def _read_chunk_line(self) -> bytes:
+        """Return the next line with its end."""
+        reader = cast(io.BufferedIOBase, self.fp)
+        line = reader.readline(MAX_CHUNK_LINE_BYTES)
+        if line.endswith(b"\n"):
+            return line
+        if len(line) == MAX_CHUNK_LINE_BYTES:
+            raise http.client.LineTooLong("chunk line")
+        raise http.client.IncompleteRead(line)
+
     def _is_last(self) -> bool:
         """Tell whether the server closes the connection (RFC 9112, 9.3)."""
         options = {
--- a/src/waxwingwinch/http/tests/malformed_answers.py
+++ b/src/waxwingwinch/http/tests/malformed_answers.py
@@ -2,7 +2,7 @@
 Answers that violate the grammar of HTTP, and others that follow it.
 
 The groups are the elements of the grammar: RFC 9112, sections 4 (status line),
-5 (fields) and 6 (framing); RFC 9110, sections 5 and 8.6.
+5 (fields), 6 (framing) and 7.1 (chunks); RFC 9110, sections 5 and 8.6.
 """
 
 from collections.abc import Iterable
@@ -136,7 +136,48 @@
     return answer(CHUNKED, body=body)
 
 
+#: Sizes that are none.
+CHUNK_SIZES = {
+    f"chunk size {size[:20]!r}": chunks(size + b"\r\n%b\r\n0\r\n\r\n" % BODY)
+    for size in (
+        *(b"-c", b"+c", b"0xc", b"0Xc", b"c_", b"1_2", b"", b" ", b"g", b"c.0", b" c"),
+        *(b"\tc", b"c\x00", b"c\x0b", b"\x0cc", b"c\x7f", b"c\xa0", b"c c", b"c,c"),
+        *(
+            b"c\r",
+            b"c;a\x00",
+            b"c;a\rb",
+            b"c;\x7f",
+            b"c \x01;a",
+            b"f" * 40,
+            b"\xb9\xb2",
+        ),
+    )
+}
+#: Ends of chunks and bodies that are none.
+CHUNK_ENDS = {
+    "a chunk that is longer": chunks(b"b\r\n%b\r\n0\r\n\r\n" % BODY),
+    "a chunk that is one byte shorter": chunks(b"d\r\n%b\r\n0\r\n\r\n" % BODY),
+    "a chunk that is two bytes shorter": chunks(b"e\r\n%b\r\n0\r\n\r\n" % BODY),
+    "a size without carriage return": chunks(b"c\n%b\r\n0\r\n\r\n" % BODY),
+    "an end without carriage return": chunks(b"c\r\n%b\n0\r\n\r\n" % BODY),
+    "a last chunk without carriage return": chunks(CHUNK + b"0\n\r\n"),
+    "a chunk without end": chunks(b"c\r\n%b0\r\n\r\n" % BODY),
+    "a chunk with another end": chunks(b"c\r\n%bab0\r\n\r\n" % BODY),
+    "a last chunk that is malformed": chunks(CHUNK + b"-0\r\n\r\n"),
+    "no last chunk": chunks(CHUNK),
+    "a last chunk that breaks off": chunks(CHUNK + b"0"),
+    "no empty line": chunks(CHUNK + b"0\r\n"),
+    "a trailer that breaks off": chunks(CHUNK + b"0\r\nX-A: a\r\n"),
+}
+TRAILERS = {
+    f"trailer {line[:30]!r}": chunks(CHUNK + b"0\r\n%b\r\n\r\n" % line)
+    for line in NO_FIELDS
+    # A carriage return beside the one of the line's end.
+    if line != b"\r"
+}
+
 HEADS = CONTENT_LENGTHS | TRANSFER_ENCODINGS | LINES | STATUS_LINES | INTERIM
+BODIES = CHUNK_SIZES | CHUNK_ENDS | TRAILERS
 
 #: Answers that follow the grammar and have :data:`BODY`.
 PROPER = {
--- a/src/waxwingwinch/platform/tests/test_malformed_answers.py
+++ b/src/waxwingwinch/platform/tests/test_malformed_answers.py
@@ -17,6 +17,7 @@
 from waxwingwinch.gateway.tests.relay_harness import upstream
 from waxwingwinch.http import AnswerMalformed, AnswerMissing
 from waxwingwinch.http.tests.malformed_answers import (
+    BODIES,
     BODY,
     HEADS,
     INTERIM,
@@ -46,6 +47,14 @@
         read(address)
 
 
+# Guards against a chunked body whose framing is malformed and that looks
+# complete.
+@pytest.mark.parametrize("content", BODIES.values(), ids=BODIES)
+def test_a_malformed_body_is_not_complete(content):
+    with raw_server(content) as address, pytest.raises(AnswerMissing):
+        read_by_exchange(address)
+
+
 @READERS
 @pytest.mark.parametrize("content", PROPER.values(), ids=PROPER)
 def test_proper_answers_are_read(read, content):
@@ -62,6 +71,12 @@
         assert read(address) == (status, b"")
 
 
+def test_the_error_of_a_malformed_body_names_the_server():
+    with raw_server(next(iter(BODIES.values()))) as address:
+        with pytest.raises(AnswerMalformed, match=f"^{address}: malformed chunk size"):
+            read_by_exchange(address)
+
+
 @READERS
 def test_the_error_shows_the_malformed_bytes(read):
     content = answer(b"X\x01" + b"A" * 1_000 + b": a", LENGTH)
