Keep a malformed body malformed when it is waited for again

Seen with the reader alone, not with a process: a chunked body whose malformed line was noticed while another engine was asked was read on as if the next line began a chunk, and became complete: 3 of 3 bodies.

Cause: the decoder has consumed the malformed line when it raises, and the reader kept errors of the connection only.

The reader keeps the decoder's error too and raises it each time.

--- a/src/waxwingwinch/gateway/_body_reader.py
+++ b/src/waxwingwinch/gateway/_body_reader.py
@@ -173,12 +173,13 @@
 
     def _has_arrived(self) -> bool:
         """Decode what was received; tell whether a read would return."""
-        if not self._decoded:
+        if not self._decoded and self._failure is None:
             self._decoded = self._decode()
         if self._decoded:
             return True
         if self._failure is not None:
-            # The kernel reports an error once and the end of the data after.
+            # The kernel reports an error once and the end of the data after;
+            # what follows a malformed line is no chunk.
             raise self._failure
         if self.is_complete:
             return True
@@ -188,7 +189,11 @@
 
     def _decode(self) -> bytes:
         if self.chunks is not None:
-            return self.chunks.decode(self.received)
+            try:
+                return self.chunks.decode(self.received)
+            except AnswerMissing as error:
+                self._failure = error
+                raise
         size = len(self.received) if self.length is None else self.length
         data = bytes(self.received[:size])
         del self.received[: len(data)]
--- a/src/waxwingwinch/gateway/tests/test_body_reader.py
+++ b/src/waxwingwinch/gateway/tests/test_body_reader.py
@@ -8,7 +8,7 @@
 from hypothesis import given, strategies as st
 
 from waxwingwinch.gateway._body_reader import BodyReader, ChunkDecoder, readable
-from waxwingwinch.http import AnswerMissing
+from waxwingwinch.http import AnswerMalformed, AnswerMissing
 
 
 @pytest.fixture
@@ -146,6 +146,27 @@
     ours.close()
 
 
+# Guards against a malformed body that was noticed while another engine was
+# asked, and is read on as if the next line were the beginning of a chunk.
+@pytest.mark.parametrize(
+    "wire",
+    [
+        b"zz\r\n1\r\nb\r\n0\r\n\r\n",
+        b"1\r\nabc\r\n0\r\n\r\n",
+        b"0\r\ngarbage\r\n\r\n",
+    ],
+)
+def test_a_malformed_body_never_becomes_complete(pair, wire):
+    ours, theirs = pair
+    reader = BodyReader(ours, None, ChunkDecoder())
+    theirs.sendall(wire)
+    theirs.close()
+    for _ in range(3):
+        with pytest.raises(AnswerMalformed):
+            read_all(reader)
+    assert not reader.is_complete
+
+
 # Guards against a replacement that is dropped as the silent engine closed its
 # connection, which may have been within an event.
 @pytest.mark.parametrize("is_framed", [True, False])
