Refuse malformed answers to polls over kept connections

Cause: as for the other readers; urllib3's pools read with http.client's own response class, not with WholeHeadResponse.

CheckedPools is a pool whose connections use WholeHeadResponse. A malformed answer is AnswerMalformed with the server's address, and its connection is closed rather than kept, since where the answer ends isn't known.

--- a/src/waxwingwinch/adapters/_polling.py
+++ b/src/waxwingwinch/adapters/_polling.py
@@ -17,7 +17,9 @@
 from waxwingwinch.http import (
     CONNECT_TIMEOUT_SECONDS,
     MAX_BODY_BYTES,
+    AnswerMalformed,
     AnswerMissing,
+    CheckedPools,
     HttpReply,
     HttpRequest,
     NotSent,
@@ -28,7 +30,7 @@
 #: Connections kept to one server, one for each polling thread.
 MAX_CONNECTIONS_PER_SERVER = 32
 
-_POOLS = urllib3.PoolManager(
+_POOLS = CheckedPools(
     num_pools=MAX_SERVERS, maxsize=MAX_CONNECTIONS_PER_SERVER, retries=False
 )
 
@@ -41,6 +43,7 @@
     :param request: What to read.
     :param timeout_seconds: Longest wait for each step.
     :raises NotSent: If no connection was made.
+    :raises AnswerMalformed: If the answer violates the grammar of HTTP.
     :raises AnswerMissing: If the whole answer did not come.
     """
     try:
@@ -67,15 +70,18 @@
     address: Address, request: HttpRequest, timeout_seconds: float
 ) -> HttpReply:
     connect_seconds = min(CONNECT_TIMEOUT_SECONDS, timeout_seconds)
-    response = _POOLS.request(
-        request.method,
-        f"http://{address}{request.path}",
-        headers=dict(request.headers),
-        timeout=urllib3.Timeout(connect=connect_seconds, read=timeout_seconds),
-        preload_content=False,
-        decode_content=False,
-    )
-    body = response.read(MAX_BODY_BYTES + 1)
+    try:
+        response = _POOLS.request(
+            request.method,
+            f"http://{address}{request.path}",
+            headers=dict(request.headers),
+            timeout=urllib3.Timeout(connect=connect_seconds, read=timeout_seconds),
+            preload_content=False,
+            decode_content=False,
+        )
+        body = response.read(MAX_BODY_BYTES + 1)
+    except AnswerMalformed as error:
+        raise AnswerMalformed(f"{address}: {error}") from error
     if len(body) > MAX_BODY_BYTES:
         response.close()
         raise AnswerMissing(f"{address}: body too long")
--- a/src/waxwingwinch/http/__init__.py
+++ b/src/waxwingwinch/http/__init__.py
@@ -30,6 +30,7 @@
     parse_field,
     strip_line_end,
 )
+from waxwingwinch.http._pools import CheckedPools
 from waxwingwinch.http._sockets import is_closed_by_peer
 from waxwingwinch.http._whole_heads import MAX_CHUNK_LINE_BYTES, WholeHeadResponse
 
@@ -46,6 +47,7 @@
     "TRANSPORT_ERRORS",
     "AnswerMalformed",
     "AnswerMissing",
+    "CheckedPools",
     "ConnectTimedOut",
     "ConnectionBroken",
     "Exchange",
