Refuse malformed answers of entries in waxwing-ctl and waxwing-burn

Seen: 7 of 7 malformed answers of an entry were reported as the effect of the operator's action.

Cause: the client reads through urllib3's pools, as the polls did.

It uses CheckedPools, and a malformed answer leaves the effect unknown, as an answer that broke off does. No other place reads HTTP answers in the product.

--- a/src/waxwingwinch/operators/_client.py
+++ b/src/waxwingwinch/operators/_client.py
@@ -9,6 +9,7 @@
 
 from waxwingwinch._exceptions import Outcome, WaxwingError
 from waxwingwinch.configuration import Finding
+from waxwingwinch.http import AnswerMalformed, CheckedPools
 from waxwingwinch.operators_api import (
     BodyInvalid,
     FindingsView,
@@ -92,7 +93,7 @@
         timeout = urllib3.Timeout(
             connect=CONNECT_TIMEOUT_SECONDS, read=READ_TIMEOUT_SECONDS
         )
-        self._pool = urllib3.PoolManager(timeout=timeout, retries=False)
+        self._pool = CheckedPools(timeout=timeout, retries=False)
 
     def get(self, path: str, cls: type[T], name: str = "") -> T:
         """
@@ -150,7 +151,7 @@
             raise EntryUnreachable(entry, str(error), Outcome.NOT_RUN) from error
         except urllib3.exceptions.ConnectTimeoutError as error:
             raise EntryUnreachable(entry, str(error), Outcome.NOT_RUN) from error
-        except urllib3.exceptions.HTTPError as error:
+        except (urllib3.exceptions.HTTPError, AnswerMalformed) as error:
             raise EntryUnreachable(entry, str(error), Outcome.UNKNOWN) from error
         try:
             return _read_response(entry, response.status, response.data, cls)
