Release the bytes of connections that are closed before a handshake

Cause: abort() tells the event loop to close a connection in its next pass, and the loop reads from all connections before that, so what closed connections had received, and what arrived for them meanwhile, stayed in their parsers beyond the bound on all of them.

A connection that is aborted parses nothing more, and its parser is told the end of the data at once, which releases its bytes. Connections of callers have bounds of their own, which don't rest on the event loop.

--- a/src/waxwingwinch/peers/_unauthenticated.py
+++ b/src/waxwingwinch/peers/_unauthenticated.py
@@ -77,7 +77,7 @@
 
     def _abort(self, connection: Any, reason: str) -> None:
         received_bytes = self._received.pop(connection)
-        connection.transport.abort()
+        connection.abort()
         eliot.log_message(
             "peer:unauthenticated_closed",
             reason=reason,
@@ -101,6 +101,7 @@
     ) -> None:
         super().__init__(*arguments, **options)
         self._unauthenticated = unauthenticated
+        self._is_aborted = False
 
     def connection_made(self, transport: Any) -> None:
         """Count the connection."""
@@ -110,13 +111,22 @@
     def data_received(self, data: bytes) -> None:
         """Count what was received before parsing it."""
         self._unauthenticated.receive(self, len(data))
-        super().data_received(data)
+        if not self._is_aborted:
+            super().data_received(data)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Count the connection no more."""
         self._unauthenticated.remove(self)
         super().connection_lost(exc)
 
+    def abort(self) -> None:
+        """Close the connection and release the bytes that wait for parsing."""
+        self._is_aborted = True
+        self.transport.abort()
+        # connection_lost() does the same, but only in the next pass of the
+        # event loop, after all other connections have been read.
+        self.protocol.receive_eof()
+
     def note_authenticated(self) -> None:
         """End the bounds, once the other side has proved that it is a peer."""
         self._unauthenticated.remove(self)
--- a/src/waxwingwinch/peers/tests/test_unauthenticated.py
+++ b/src/waxwingwinch/peers/tests/test_unauthenticated.py
@@ -1,8 +1,25 @@
 """Connections to the hub that never authenticate."""
 
+import asyncio
+from unittest.mock import Mock
+
+import pytest
 from attrs import define, field
+from websockets.server import ServerProtocol
+
+from waxwingwinch.peers._unauthenticated import (
+    BoundedServerConnection,
+    UnauthenticatedConnections,
+)
 
-from waxwingwinch.peers._unauthenticated import UnauthenticatedConnections
+UPGRADE = (
+    b"GET / HTTP/1.1\r\nHost: peer\r\nConnection: Upgrade\r\n"
+    b"Upgrade: websocket\r\nSec-WebSocket-Version: 13\r\n"
+    b"Sec-WebSocket-Key: AAAAAAAAAAAAAAAAAAAAAA==\r\n\r\n"
+)
+#: Head of a masked frame that is longer than what is received of it.
+FRAME_HEAD = b"\x82\xff" + (1_000_000).to_bytes(8) + bytes(4)
+PIECE = bytes(1_000)
 
 
 @define(eq=False)
@@ -48,3 +65,38 @@
     bounds.remove(connection)
     bounds.receive(connection, 1_000)
     assert connection.aborted == 0
+
+
+def make_connection(unauthenticated):
+    """Return a connection that has received the start of a frame."""
+    connection = BoundedServerConnection(
+        ServerProtocol(),
+        Mock(handler=lambda _: asyncio.sleep(0)),
+        unauthenticated=unauthenticated,
+    )
+    connection.connection_made(Mock())
+    connection.data_received(UPGRADE)
+    connection.data_received(FRAME_HEAD)
+    return connection
+
+
+# Guards against the memory of connections that are closed in one pass of the
+# event loop, which reads from all before it reports any of them as lost.
+@pytest.mark.parametrize(
+    ("max_bytes", "max_sum_bytes"), [(5_000, 1_000_000), (1_000_000, 50_000)]
+)
+def test_closed_connections_hold_no_bytes(max_bytes, max_sum_bytes):
+    async def receive_by_turns():
+        bounds = UnauthenticatedConnections(100, max_bytes, max_sum_bytes)
+        connections = [make_connection(bounds) for _ in range(30)]
+        held_bytes = []
+        for _ in range(10):
+            for connection in connections:
+                connection.data_received(PIECE)
+                held_bytes.append([len(c.protocol.reader.buffer) for c in connections])
+        return connections, held_bytes
+
+    connections, held_bytes = asyncio.run(receive_by_turns())
+    assert max(map(max, held_bytes)) <= max_bytes
+    assert max(map(sum, held_bytes)) <= max_sum_bytes
+    assert any(connection.transport.abort.called for connection in connections)
