Let the engines of the stating fleet take time for prompts

Seen: test_stating_upstreams[7] and [18] failed as the prefill engine that was to turn requests away or leave got none, so the test told nothing of it.

Cause: the stand-ins answered at once. Gateways learn how fast engines are, so decode engines seemed fast enough to prefill all prompts themselves.

The stand-ins take the time that the data sheet gives engines for a prompt, with four prefill engines, so that there is room while one takes none, and four callers an instance, so that slow requests hold up no others. Assertions and bounds are as before.

--- a/src/waxwingwinch/platform/tests/stating_fleet.py
+++ b/src/waxwingwinch/platform/tests/stating_fleet.py
@@ -20,20 +20,23 @@
 
 #: Requests per second of all callers together.
 REQUESTS_PER_SECOND = 90.0
+#: Callers of an instance, so that slow requests don't hold up the others.
+CALLERS_PER_INSTANCE = 4
 #: Time in which callers send before upstreams state anything.
 CALM_SECONDS = 2.0
 #: Pays for all streams that break off and for all requests turned away.
 RETRY_SETTINGS = "bounds.retrySlack=500\n"
 #: Upstreams of the plain service.
 SHOPS = 4
-#: Engines by role.
-PREFILLERS, DECODERS = 2, 3
+#: Engines by role. Prefill engines have room for all prompts while one of them
+#: takes none.
+PREFILLERS, DECODERS = 4, 3
 LONG_PROMPT = ("15000,20", "book-{0}:12000,own-{0}:3000")
 SHORT_PROMPT = ("300,20", "ask-{0}:200,own-{0}:100")
 #: Kinds of requests: path, and the prompt, if any.
 PLAIN, ONCE = ("/a/x", None), ("/u/x", None)
 LONG, SHORT = ("/s/x", LONG_PROMPT), ("/s/x", SHORT_PROMPT)
-#: Few prompts are long, since admission expects the pace of real engines.
+#: Few prompts are long, since engines take as long for them as real ones.
 KINDS = (PLAIN, ONCE, SHORT, PLAIN, LONG, ONCE, SHORT)
 
 
@@ -102,8 +105,8 @@
             for number in range(instances)
         ]
         self.callers = [
-            threading.Thread(target=self.call, args=(number,))
-            for number in range(instances)
+            threading.Thread(target=self.call, args=(number % instances, number))
+            for number in range(CALLERS_PER_INSTANCE * instances)
         ]
 
     def start(self):
@@ -117,6 +120,8 @@
                 )
         for caller in self.callers:
             caller.start()
+            # Callers that all send at once would make upstreams seem slow.
+            time.sleep(1.0 / REQUESTS_PER_SECOND)
         time.sleep(CALM_SECONDS)
 
     def stop(self):
@@ -129,12 +134,17 @@
         for caller in self.callers:
             caller.join()
 
-    def call(self, number):
-        """Send requests of all kinds by turns to one instance."""
+    def call(self, number, first_kind):
+        """
+        Send requests of all kinds by turns to one instance.
+
+        :param number: The instance.
+        :param first_kind: Index of the first kind; others than those of other
+            callers spread the long prompts.
+        """
         connection = self.connect(number)
-        pause_seconds = len(self.gateways) / REQUESTS_PER_SECOND
-        # Callers begin with different kinds, which spreads the long prompts.
-        for path, prompt in itertools.islice(itertools.cycle(KINDS), number, None):
+        pause_seconds = len(self.callers) / REQUESTS_PER_SECOND
+        for path, prompt in itertools.islice(itertools.cycle(KINDS), first_kind, None):
             if self.stopping.wait(pause_seconds):
                 break
             self.answers.append(self.send(connection, number, path, prompt))
--- a/src/waxwingwinch/platform/tests/stating_upstream.py
+++ b/src/waxwingwinch/platform/tests/stating_upstream.py
@@ -6,6 +6,11 @@
 
 from attrs import frozen
 
+from waxwingwinch.gateway._placement import (
+    DECODE_SLOWDOWN,
+    FIRST_EVENT_SECONDS,
+    estimate_prefill_seconds,
+)
 from waxwingwinch.platform.tests.standin import HOST, Standin, UpstreamHandler
 
 #: Events of a stream.
@@ -75,13 +80,25 @@
         if arrival.kind in ("stream", "decode", "resume"):
             self.write_stream(arrival)
             return
-        time.sleep(self.owner.work_seconds)
-        body = self.owner.name.encode()
         if arrival.kind == "prefill":
+            time.sleep(self.prefill_seconds() + FIRST_EVENT_SECONDS)
             handle = f"kv-{arrival.request_id}"
             body = json.dumps({"kvHandle": handle, "tokens": 1, "version": 1}).encode()
+        else:
+            time.sleep(self.owner.work_seconds)
+            body = self.owner.name.encode()
         self.respond(200, body, self.head_lines(arrival))
 
+    def prefill_seconds(self):
+        """
+        Return the time of a prefill on a prefill engine of the data sheet.
+
+        Gateways learn how fast engines are. If these answered at once, decode
+        engines would seem fast enough to prefill all prompts themselves.
+        """
+        prompt_tokens = int(self.headers["X-Waxwingwinch-Token-Counts"].split(",")[0])
+        return estimate_prefill_seconds(prompt_tokens, cached_tokens=0)
+
     def write_stream(self, arrival):
         self.send_response(200)
         for name, value in self.head_lines(arrival):
@@ -89,6 +106,8 @@
         self.send_header("Content-Type", "text/event-stream")
         self.send_header("Transfer-Encoding", "chunked")
         self.end_headers()
+        if arrival.kind == "stream":
+            time.sleep(DECODE_SLOWDOWN * self.prefill_seconds() + FIRST_EVENT_SECONDS)
         first = int(self.headers["Last-Event-Id"] or 0) + 1
         for number in range(first, EVENTS + 1):
             event = b"id: %d\ndata: t\n\n" % number
