--- a/src/waxwing_testbed/soak/_fleet.py
+++ b/src/waxwing_testbed/soak/_fleet.py
@@ -95,7 +95,11 @@
                 self._disturb_link(event)
             case Disturb(action=Action.LEAVE):
                 self._disturb_part(event, Cause.LEAVE, self._upstreams[event.target])
-            case Disturb(action=Action.UPSTREAM_RESET | Action.UPSTREAM_SILENT):
+            case Disturb(
+                action=Action.UPSTREAM_RESET
+                | Action.UPSTREAM_SILENT
+                | Action.UPSTREAM_MALFORMED
+            ):
                 self._disturb_part(event, Cause.UPSTREAM, self._upstreams[event.target])
             case Disturb(action=action) if action in STORE_ACTIONS:
                 self._disturb_part(event, Cause.STORE, self._store)
--- a/src/waxwing_testbed/soak/_schedule.py
+++ b/src/waxwing_testbed/soak/_schedule.py
@@ -38,16 +38,22 @@
     #: An upstream resets its connections, or is silent.
     UPSTREAM_RESET = "upstream reset"
     UPSTREAM_SILENT = "upstream silent"
+    #: An upstream sends answers that violate the grammar of HTTP.
+    UPSTREAM_MALFORMED = "upstream malformed"
     #: The proxy before the first upstream does.
     LINK_RESET = "link reset"
     LINK_SILENT = "link silent"
 
 
 _PLANNED = (Action.STOP, Action.RELOAD, Action.RELOAD_TWICE, Action.LEAVE)
-_UNPLANNED = tuple(action for action in Action if action not in _PLANNED)
+#: Once in each schedule that isn't planned work only.
+_ADDED = Action.UPSTREAM_MALFORMED
+_UNPLANNED = tuple(
+    action for action in Action if action not in _PLANNED and action is not _ADDED
+)
 #: Actions on the store.
 STORE_ACTIONS = (Action.STORE_DOWN, Action.STORE_SILENT, Action.STORE_LOSING)
-_OF_UPSTREAMS = (Action.LEAVE, Action.UPSTREAM_RESET, Action.UPSTREAM_SILENT)
+_OF_UPSTREAMS = (Action.LEAVE, Action.UPSTREAM_RESET, Action.UPSTREAM_SILENT, _ADDED)
 
 
 @frozen
@@ -130,6 +136,12 @@
             events.append(_configure(source, at_seconds))
         else:
             events.append(_disturb(source, at_seconds, instances, _PLANNED))
+    if not is_planned:
+        # Drawn last, so that the other events of a seed don't depend on it.
+        end_seconds = FIRST_EVENT_SECONDS + span_seconds
+        at_seconds = source.uniform(events[0].at_seconds, end_seconds)
+        events.append(_disturb(source, at_seconds, instances, (_ADDED,)))
+        events.sort(key=lambda event: event.at_seconds)
     return Schedule(grace_seconds, is_planned, tuple(events))
 
 
--- a/src/waxwing_testbed/soak/_standins.py
+++ b/src/waxwing_testbed/soak/_standins.py
@@ -33,6 +33,20 @@
 _LINGER_RESET = struct.pack("ii", 1, 0)
 
 
+#: Malformed heads, with the id of the request and the signature of the run.
+_MALFORMED_HEADS = (
+    b"HTTP/1.1 200 OK\r\n%b%bContent-Length: +9\r\n\r\n",
+    b"HTTP/1.1 200 OK\r\n%b%bTransfer-Encoding: gzip\r\n\r\n",
+    b"HTTP/1.1 200 OK\r\n%b%bgarbage\r\nContent-Length: 9\r\n\r\n",
+    b"HTTP/1.1 200 OK\r\n%b%bX\x01A: a\r\nContent-Length: 9\r\n\r\n",
+    b"HTTP/1.1 200 OK\r\n%b%bX A: a\r\nContent-Length: 9\r\n\r\n",
+    b"HTTP/1.x 200 OK\r\n%b%bContent-Length: 9\r\n\r\n",
+    b"HTTP/1.1 000 OK\r\n%b%bContent-Length: 9\r\n\r\n",
+)
+#: Follows a malformed head; an event, so that a stream would look complete.
+_MALFORMED_BODY = b"data: x\n\n"
+
+
 class _FailingStoreHandler(StoreHandler):
     def handle(self) -> None:
         with contextlib.suppress(ConnectionError):
@@ -77,6 +91,10 @@
     """The upstream ends its work by itself."""
 
 
+class _Malformed(Exception):
+    """The upstream has sent a malformed answer."""
+
+
 class _SoakUpstreamHandler(UpstreamHandler):
     def handle(self) -> None:
         with contextlib.suppress(ConnectionError):
@@ -104,6 +122,8 @@
                 socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_RESET
             )
             self.connection.close()
+        except _Malformed:
+            end = RunEnd.BROKEN
         except OSError:
             end = RunEnd.ABANDONED
         self.close_connection |= end is not RunEnd.WHOLE
@@ -120,6 +140,8 @@
         events = query.get("events", 0)
         last = int(self.headers.get("Last-Event-Id", 0))
         self._pause(query.get("ms", 0) / 1_000)
+        if self.owner.mode is Action.UPSTREAM_MALFORMED:
+            self._answer_malformed(request_id, stamp)
         self.send_response(200)
         self.send_header("X-Waxwingwinch-Request-Id", request_id)
         self.send_header("X-Waxwingwinch-Response-Stamp", stamp)
@@ -142,6 +164,14 @@
             self._pause(query.get("gap", 0) / 1_000)
         self.wfile.write(b"0\r\n\r\n")
 
+    def _answer_malformed(self, request_id: str, stamp: str) -> None:
+        head = next(self.owner.malformed_heads) % (
+            b"X-Waxwingwinch-Request-Id: %b\r\n" % request_id.encode(),
+            b"X-Waxwingwinch-Response-Stamp: %b\r\n" % stamp.encode(),
+        )
+        self.wfile.write(head + _MALFORMED_BODY)
+        raise _Malformed
+
     def _pause(self, seconds: float) -> None:
         """Work for a time; fail if the upstream or the gateway ends it."""
         end_seconds = time.monotonic() + seconds
@@ -175,6 +205,8 @@
         self._store = store
         #: Numbers of its runs.
         self.numbers = itertools.count(1)
+        #: Heads that it sends while its answers are malformed.
+        self.malformed_heads = itertools.cycle(_MALFORMED_HEADS)
         #: How it fails at present; None if it doesn't.
         self.mode: Action | None = None
         self._sequence = 0
