--- a/src/waxwingwinch/http/tests/malformed_answers.py
+++ b/src/waxwingwinch/http/tests/malformed_answers.py
@@ -142,15 +142,8 @@
     for size in (
         *(b"-c", b"+c", b"0xc", b"0Xc", b"c_", b"1_2", b"", b" ", b"g", b"c.0", b" c"),
         *(b"\tc", b"c\x00", b"c\x0b", b"\x0cc", b"c\x7f", b"c\xa0", b"c c", b"c,c"),
-        *(
-            b"c\r",
-            b"c;a\x00",
-            b"c;a\rb",
-            b"c;\x7f",
-            b"c \x01;a",
-            b"f" * 40,
-            b"\xb9\xb2",
-        ),
+        *(b"c\r", b"c;a\x00", b"c;a\rb", b"c;\x7f", b"c \x01;a", b"f" * 40),
+        b"\xb9\xb2",
     )
 }
 #: Ends of chunks and bodies that are none.
