--- a/src/waxwingwinch/gateway/_body_reader.py
+++ b/src/waxwingwinch/gateway/_body_reader.py
@@ -64,7 +64,7 @@
                 return False
             self._state = _ChunkState.DATA_END
             return True
-        line = _find_line(received)
+        line = _take_line(received)
         if line is None:
             return False
         match self._state:
@@ -82,19 +82,19 @@
                     parse_field(field_line)
                 else:
                     self._state = _ChunkState.COMPLETE
-        # A malformed line stays, since what follows it is no chunk.
-        del received[: len(line)]
         return True
 
 
-def _find_line(received: bytearray) -> bytes | None:
-    """Return the first line with its end; None if it is incomplete."""
+def _take_line(received: bytearray) -> bytes | None:
+    """Remove and return a line with its end; None if it is incomplete."""
     end = received.find(b"\n")
     if end < 0:
         if len(received) > MAX_CHUNK_LINE_BYTES:
             raise AnswerMissing(f"a chunk line exceeds {MAX_CHUNK_LINE_BYTES} bytes")
         return None
-    return bytes(received[: end + 1])
+    line = bytes(received[: end + 1])
+    del received[: end + 1]
+    return line
 
 
 @define(eq=False)
@@ -173,12 +173,13 @@
 
     def _has_arrived(self) -> bool:
         """Decode what was received; tell whether a read would return."""
-        if not self._decoded:
+        if not self._decoded and self._failure is None:
             self._decoded = self._decode()
         if self._decoded:
             return True
         if self._failure is not None:
-            # The kernel reports an error once and the end of the data after.
+            # The kernel reports an error once and the end of the data after;
+            # what follows a malformed line is no chunk.
             raise self._failure
         if self.is_complete:
             return True
@@ -188,7 +189,11 @@
 
     def _decode(self) -> bytes:
         if self.chunks is not None:
-            return self.chunks.decode(self.received)
+            try:
+                return self.chunks.decode(self.received)
+            except AnswerMissing as error:
+                self._failure = error
+                raise
         size = len(self.received) if self.length is None else self.length
         data = bytes(self.received[:size])
         del self.received[: len(data)]
